--- /dev/null
+++ b/core/admit/heap.go
@@ -0,0 +1,42 @@
+package admit
+
+// entry is a queued request with its virtual start time.
+type entry struct {
+	request  Request
+	start    float64
+	sequence uint64
+	index    int
+}
+
+// requestHeap orders entries by virtual start time, then by arrival.
+type requestHeap []*entry
+
+func (h requestHeap) Len() int { return len(h) }
+
+func (h requestHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].sequence < h[j].sequence
+}
+
+func (h requestHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// Push adds an entry; it is for container/heap only.
+func (h *requestHeap) Push(x any) {
+	e := x.(*entry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop removes the last entry; it is for container/heap only.
+func (h *requestHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return e
+}
--- /dev/null
+++ b/core/token/errors.go
@@ -0,0 +1,20 @@
+package token
+
+import "fmt"
+
+// DecodeError reports a text that is not a session token.
+type DecodeError struct {
+	Reason string
+}
+
+func (e *DecodeError) Error() string { return "session token is malformed: " + e.Reason }
+
+// LimitError reports a token that would outgrow a limit.
+type LimitError struct {
+	What  string
+	Limit int
+}
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("session token: more than %d %s", e.Limit, e.What)
+}
--- /dev/null
+++ b/node/eventlog/event.go
@@ -0,0 +1,65 @@
+// Package eventlog numbers the events that hosts log. Each number keeps its
+// meaning for good; docs/EVENTS.md is the catalogue.
+package eventlog
+
+import "github.com/rs/zerolog"
+
+// Event is one kind of log line.
+type Event struct {
+	Number int
+	Name   string
+}
+
+// The events. Numbers are grouped: 1xx process, 2xx callers, 3xx upstreams,
+// 4xx groups, 5xx hosts, 6xx configuration.
+var (
+	Started           = Event{101, "host_started"}
+	Stopping          = Event{102, "host_stopping"}
+	Stopped           = Event{103, "host_stopped"}
+	StopForced        = Event{104, "host_stop_forced"}
+	BadSetting        = Event{105, "setting_invalid"}
+	CallerRejected    = Event{201, "caller_rejected"}
+	CallerViolation   = Event{202, "caller_protocol_violation"}
+	PoolAcquired      = Event{301, "pool_acquired"}
+	PoolReleased      = Event{302, "pool_released"}
+	PoolTakeover      = Event{303, "pool_takeover"}
+	ConnectionFailed  = Event{304, "upstream_connection_failed"}
+	TermClaimed       = Event{401, "term_claimed"}
+	Promoted          = Event{402, "primary_promoted"}
+	PrimaryChanged    = Event{403, "primary_changed"}
+	OrderFailed       = Event{404, "group_order_failed"}
+	HostStateChanged  = Event{501, "host_state_changed"}
+	PeerCallFailed    = Event{502, "peer_call_failed"}
+	ConfigInForce     = Event{601, "configuration_in_force"}
+	ConfigRejected    = Event{602, "configuration_rejected"}
+	PlatformUnreached = Event{603, "platform_unreachable"}
+	PlatformReached   = Event{604, "platform_reachable"}
+)
+
+// All returns every event, in order of number.
+func All() []Event {
+	return []Event{
+		Started, Stopping, Stopped, StopForced, BadSetting,
+		CallerRejected, CallerViolation,
+		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed,
+		TermClaimed, Promoted, PrimaryChanged, OrderFailed,
+		HostStateChanged, PeerCallFailed,
+		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached,
+	}
+}
+
+// Debug starts a line at level debug.
+func (e Event) Debug(log zerolog.Logger) *zerolog.Event { return e.tag(log.Debug()) }
+
+// Info starts a line at level info.
+func (e Event) Info(log zerolog.Logger) *zerolog.Event { return e.tag(log.Info()) }
+
+// Warn starts a line at level warn.
+func (e Event) Warn(log zerolog.Logger) *zerolog.Event { return e.tag(log.Warn()) }
+
+// Error starts a line at level error.
+func (e Event) Error(log zerolog.Logger) *zerolog.Event { return e.tag(log.Error()) }
+
+func (e Event) tag(line *zerolog.Event) *zerolog.Event {
+	return line.Int("event", e.Number).Str("name", e.Name)
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,250 @@
+// Package gateway speaks the PostgreSQL protocol (version 3) to callers. The
+// event loops of gnet read and frame messages; a bounded pool of workers runs
+// the sessions that have something to do, one worker at a time for each.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/panjf2000/gnet/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/metrics"
+	"github.com/dotterelswitch/dotterelswitch/node/router"
+)
+
+// Config holds the limits of a gateway.
+type Config struct {
+	// Address is the listener's host:port.
+	Address string
+	// MaxMessage is the largest message taken from a caller, in bytes.
+	MaxMessage int
+	// MaxConnections bounds the callers of one host.
+	MaxConnections int
+	// MaxTenantConnections bounds the callers of one tenant on one host, where
+	// the configuration does not say otherwise.
+	MaxTenantConnections int
+	// StartupTimeout bounds the time until a caller is logged in.
+	StartupTimeout time.Duration
+	// StatementTimeout is the deadline of a request that sets none.
+	StatementTimeout time.Duration
+	// Workers bounds the requests that run at once.
+	Workers int
+	Log     zerolog.Logger
+}
+
+// Gateway accepts callers. It is safe for concurrent use.
+type Gateway struct {
+	gnet.BuiltinEventEngine
+	cfg     Config
+	router  *router.Router
+	config  func() *conf.Config
+	metrics *metrics.Metrics
+	workers *ants.Pool
+	engine  gnet.Engine
+	booted  chan struct{}
+
+	draining atomic.Bool
+	busy     atomic.Int64
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	sessions map[uint32]*session
+	tenants  map[string]int
+	nextPID  uint32
+}
+
+// New returns a gateway; Run starts it.
+func New(cfg Config, r *router.Router, config func() *conf.Config, m *metrics.Metrics) (*Gateway, error) {
+	workers, err := ants.NewPool(cfg.Workers)
+	if err != nil {
+		return nil, err
+	}
+	return &Gateway{
+		cfg: cfg, router: r, config: config, metrics: m, workers: workers,
+		booted:   make(chan struct{}),
+		sessions: make(map[uint32]*session), tenants: make(map[string]int),
+	}, nil
+}
+
+// Run serves callers until Stop.
+func (g *Gateway) Run() error {
+	return gnet.Run(g, "tcp://"+g.cfg.Address,
+		gnet.WithMulticore(true), gnet.WithTicker(true), gnet.WithReuseAddr(true),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(quietLogger{}))
+}
+
+// Booted is closed once the listener accepts.
+func (g *Gateway) Booted() <-chan struct{} { return g.booted }
+
+// OnBoot implements gnet.EventHandler.
+func (g *Gateway) OnBoot(e gnet.Engine) gnet.Action {
+	g.engine = e
+	close(g.booted)
+	return gnet.None
+}
+
+// OnOpen implements gnet.EventHandler.
+func (g *Gateway) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
+	s := newSession(g, c)
+	if !g.add(s) {
+		refusal := outcome.Refuse(outcome.TooManyConnections, "the limit of this host is %d", g.cfg.MaxConnections)
+		return fatalMessage(refusal), gnet.Close
+	}
+	c.SetContext(s)
+	return nil, gnet.None
+}
+
+// add registers a session under a process number and a secret.
+func (g *Gateway) add(s *session) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.sessions) >= g.cfg.MaxConnections || g.draining.Load() {
+		return false
+	}
+	g.nextPID++
+	s.pid = g.nextPID
+	var secret [4]byte
+	_, _ = rand.Read(secret[:])
+	s.secret = binary.BigEndian.Uint32(secret[:])
+	g.sessions[s.pid] = s
+	return true
+}
+
+// OnClose implements gnet.EventHandler.
+func (g *Gateway) OnClose(c gnet.Conn, _ error) gnet.Action {
+	s, ok := c.Context().(*session)
+	if !ok {
+		return gnet.None
+	}
+	g.mu.Lock()
+	delete(g.sessions, s.pid)
+	if s.tenantCounted {
+		g.tenants[s.tenant]--
+		if g.tenants[s.tenant] == 0 {
+			delete(g.tenants, s.tenant)
+		}
+	}
+	g.mu.Unlock()
+	s.closed()
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (g *Gateway) OnTraffic(c gnet.Conn) gnet.Action {
+	s := c.Context().(*session)
+	data, err := c.Next(-1)
+	if err != nil {
+		return gnet.Close
+	}
+	if refusal := s.receive(data); refusal != nil {
+		eventlog.CallerViolation.Warn(g.cfg.Log).Err(refusal).Str("remote", c.RemoteAddr().String()).Send()
+		_, _ = c.Write(fatalMessage(refusal))
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// startupCheck is how often logins that take too long are looked for.
+const startupCheck = time.Second
+
+// OnTick implements gnet.EventHandler.
+func (g *Gateway) OnTick() (time.Duration, gnet.Action) {
+	g.mu.Lock()
+	var slow []*session
+	for _, s := range g.sessions {
+		if !s.started.Load() && time.Since(s.opened) > g.cfg.StartupTimeout {
+			slow = append(slow, s)
+		}
+	}
+	g.mu.Unlock()
+	for _, s := range slow {
+		eventlog.CallerRejected.Warn(g.cfg.Log).Str("remote", s.remote).Str("reason", "start-up timeout").Send()
+		_ = s.conn.Close()
+	}
+	return startupCheck, gnet.None
+}
+
+// countTenant admits a session of a tenant, within the tenant's limit.
+func (g *Gateway) countTenant(s *session) bool {
+	limit := g.cfg.MaxTenantConnections
+	for _, t := range g.config().Tenants {
+		if t.Name == s.tenant && t.Connections > 0 {
+			limit = t.Connections
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.tenants[s.tenant] >= limit {
+		return false
+	}
+	g.tenants[s.tenant]++
+	s.tenantCounted = true
+	return true
+}
+
+// cancel stops the request of the session with the given key.
+func (g *Gateway) cancel(pid, secret uint32) {
+	g.mu.Lock()
+	s, found := g.sessions[pid]
+	g.mu.Unlock()
+	if found && s.secret == secret {
+		s.cancelRequest()
+	}
+}
+
+// Connections returns the number of callers.
+func (g *Gateway) Connections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.sessions)
+}
+
+// drainPoll is how often a draining gateway looks for sessions to close.
+const drainPoll = 10 * time.Millisecond
+
+// Drain refuses new callers, closes sessions as they become idle, and waits
+// for the rest until the context ends. It reports whether all ended by
+// themselves.
+func (g *Gateway) Drain(ctx context.Context) bool {
+	g.draining.Store(true)
+	for {
+		g.mu.Lock()
+		left := make([]*session, 0, len(g.sessions))
+		for _, s := range g.sessions {
+			left = append(left, s)
+		}
+		g.mu.Unlock()
+		if len(left) == 0 {
+			return true
+		}
+		for _, s := range left {
+			s.closeIfIdle()
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Stop closes the listener and all sessions.
+func (g *Gateway) Stop(ctx context.Context) error {
+	err := g.engine.Stop(ctx)
+	g.workers.Release()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/node/gateway/own_settings.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/dotterelswitch/dotterelswitch/core/ledger"
+	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/core/token"
+)
+
+// tokenParameter is the ParameterStatus that carries the session token out,
+// and the setting that takes it back.
+const tokenParameter = settingPrefix + "token"
+
+// maxLabel bounds the length of a tenant's name.
+const maxLabel = 63
+
+// setOwn changes one of the session's own settings; name lacks the prefix.
+func (s *session) setOwn(name, value string) *outcome.Refusal {
+	switch name {
+	case "token":
+		return s.setToken(value)
+	case "class":
+		return s.setClass(value)
+	case "idempotency_key":
+		return s.setKey(value)
+	case "tenant":
+		if s.started.Load() {
+			return outcome.Refuse(outcome.Unsupported, "the tenant is fixed at start-up")
+		}
+		if value == "" || len(value) > maxLabel {
+			return outcome.Refuse(outcome.ProtocolViolation, "tenant %q is not 1 to %d bytes long", value, maxLabel)
+		}
+		s.tenant = value
+		return nil
+	default:
+		return outcome.Refuse(outcome.Unsupported, "there is no setting %s%s; there are token, class, idempotency_key and tenant", settingPrefix, name)
+	}
+}
+
+// setToken moves the session forward to a token; it never moves it back.
+func (s *session) setToken(text string) *outcome.Refusal {
+	given, err := token.Decode(text)
+	if err != nil {
+		return outcome.Refuse(outcome.TokenMalformed, "%v", err)
+	}
+	merged, err := s.token.Merge(given)
+	if err != nil {
+		return outcome.Refuse(outcome.TokenMalformed, "%v", err)
+	}
+	s.token = merged
+	return nil
+}
+
+func (s *session) setClass(name string) *outcome.Refusal {
+	if name == "" {
+		s.class = ""
+		return nil
+	}
+	if _, found := s.gateway.config().Staleness(name, s.service, time.Now()); !found {
+		return outcome.Refuse(outcome.ProtocolViolation, "request class %q is not declared", name)
+	}
+	s.class = name
+	return nil
+}
+
+// setKey sets the idempotency key of the next write.
+func (s *session) setKey(text string) *outcome.Refusal {
+	if text != "" {
+		if _, err := ledger.ParseKey(text); err != nil {
+			return outcome.Refuse(outcome.ProtocolViolation, "%v", err)
+		}
+	}
+	s.key = text
+	return nil
+}
+
+var setPattern = regexp.MustCompile(`(?is)^(?:\s|/\*.*?\*/)*SET\s+(?:SESSION\s+)?([a-z_][a-z0-9_.]*)\s*(?:=|\s+TO\s+)\s*(.*?)\s*;?\s*$`)
+
+// harmless are the settings that drivers send and that every upstream already
+// has; other session settings would be lost on a pooled connection.
+var harmless = map[string]string{
+	"client_encoding": "utf8", "standard_conforming_strings": "on",
+	"application_name": "", "extra_float_digits": "", "datestyle": "", "intervalstyle": "",
+}
+
+// set handles SET outside a transaction.
+func (s *session) set(sql string) {
+	m := setPattern.FindStringSubmatch(sql)
+	if m == nil {
+		s.refuse(outcome.Refuse(outcome.Unsupported, "only SET name = value is understood"))
+		return
+	}
+	name, value := strings.ToLower(m[1]), unquote(m[2])
+	var refusal *outcome.Refusal
+	if own, isOwn := strings.CutPrefix(name, settingPrefix); isOwn {
+		refusal = s.setOwn(own, value)
+	} else {
+		refusal = s.setForeign(name, value)
+	}
+	if refusal != nil {
+		s.refuse(refusal)
+		return
+	}
+	s.ready(encode(nil, &pgproto3.CommandComplete{CommandTag: []byte("SET")}))
+}
+
+// setForeign handles PostgreSQL's own settings.
+func (s *session) setForeign(name, value string) *outcome.Refusal {
+	if name == "statement_timeout" {
+		return s.setTimeout(value)
+	}
+	want, known := harmless[name]
+	if !known || (want != "" && !strings.EqualFold(strings.ReplaceAll(value, "-", ""), want)) {
+		return outcome.Refuse(outcome.Unsupported, "SET %s would be lost on a pooled connection; use SET LOCAL in a transaction", name)
+	}
+	return nil
+}
+
+func (s *session) setTimeout(value string) *outcome.Refusal {
+	ms, err := strconv.Atoi(value)
+	d := time.Duration(ms) * time.Millisecond
+	if err != nil {
+		d, err = time.ParseDuration(strings.ReplaceAll(value, " ", ""))
+	}
+	if err != nil || d < 0 {
+		return outcome.Refuse(outcome.ProtocolViolation, "statement_timeout %q is not milliseconds or a duration such as 5s", value)
+	}
+	s.timeout = s.gateway.cfg.StatementTimeout
+	if d > 0 {
+		s.timeout = min(d, s.gateway.cfg.StatementTimeout)
+	}
+	return nil
+}
+
+func unquote(s string) string {
+	if len(s) >= 2 && s[0] == '\'' && s[len(s)-1] == '\'' {
+		return strings.ReplaceAll(s[1:len(s)-1], "''", "'")
+	}
+	return s
+}
+
+// show answers SHOW of the session's own settings; it reports whether the
+// name is one of them.
+func (s *session) show(words []string, sql string) bool {
+	const size = 3
+	if len(words) != size || !strings.EqualFold(words[1]+".", settingPrefix) {
+		return false
+	}
+	values := map[string]string{
+		"TOKEN": s.token.Encode(), "CLASS": s.class, "IDEMPOTENCY_KEY": s.key,
+		"TENANT": s.tenant, "SERVICE": s.service, "HOST": s.gateway.router.Sender(),
+	}
+	value, known := values[words[2]]
+	if !known {
+		s.refuse(outcome.Refuse(outcome.Unsupported, "there is no setting %s", strings.TrimSpace(sql)))
+		return true
+	}
+	s.ready(encode(nil,
+		&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+			Name: []byte(strings.ToLower(words[2])), DataTypeOID: 25, DataTypeSize: -1, TypeModifier: -1,
+		}}},
+		&pgproto3.DataRow{Values: [][]byte{[]byte(value)}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SHOW")},
+	))
+	return true
+}
--- /dev/null
+++ b/node/host/host.go
@@ -0,0 +1,220 @@
+// Package host assembles one entry host: the gateway for callers, the router,
+// the pools of the members it owns, and its part in the fleet.
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dotterelswitch/dotterelswitch/core/group"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/gateway"
+	"github.com/dotterelswitch/dotterelswitch/node/metrics"
+	"github.com/dotterelswitch/dotterelswitch/node/owner"
+	"github.com/dotterelswitch/dotterelswitch/node/peer"
+	"github.com/dotterelswitch/dotterelswitch/node/platform"
+	"github.com/dotterelswitch/dotterelswitch/node/request"
+	"github.com/dotterelswitch/dotterelswitch/node/router"
+	"github.com/dotterelswitch/dotterelswitch/node/settings"
+)
+
+// Options are what the process around a host provides.
+type Options struct {
+	Settings settings.Settings
+	// Dial opens connections to upstreams, peers and the platform. Nil means
+	// the system's network.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	Log  zerolog.Logger
+}
+
+// Host is one running entry host.
+type Host struct {
+	opts     Options
+	log      zerolog.Logger
+	self     membership.Host
+	timing   membership.Timing
+	fleet    *fleet
+	owner    *owner.Owner
+	router   *router.Router
+	gateway  *gateway.Gateway
+	peers    *peer.Client
+	platform *platform.Client
+	store    platform.Store
+	metrics  *metrics.Metrics
+	servers  []*http.Server
+
+	ctx          context.Context
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
+	platformDown atomic.Bool
+	failed       chan error
+
+	documentMu sync.Mutex
+	document   []byte
+}
+
+// Start runs a host. It returns once the listeners accept and, if the platform
+// or a peer can be reached, a configuration is in force.
+func Start(opts Options) (*Host, error) {
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{}).DialContext
+	}
+	s := opts.Settings
+	self := membership.Host{ID: s.ID, Zone: s.Zone, Peer: s.Peer, Incarnation: uint64(time.Now().UnixMicro())}
+	h := &Host{
+		opts: opts, self: self, timing: membership.DefaultTiming(), failed: make(chan error, 1),
+		log: opts.Log.With().Str("host", s.ID).Str("zone", s.Zone).Logger(),
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.fleet = newFleet(self, h.timing, h.log)
+	h.peers = peer.NewClient(opts.Dial, s.PeerKey)
+	h.platform = platform.NewClient(s.Platform, opts.Dial)
+	h.store = h.platform
+	h.metrics = metrics.New(s.MaxTenantsShown)
+	h.owner = owner.New(owner.Config{
+		Host: self, User: s.UpstreamUser, Password: s.UpstreamPassword, Dial: opts.Dial,
+		AnswerLimit: s.MaxAnswer, Timing: group.DefaultTiming(), DrainFor: s.DrainTimeout, Log: h.log,
+	})
+	h.router = router.New(self, owner.SenderName(self), h.fleet, h.owner, h.peers, h.log)
+	if err := h.listen(); err != nil {
+		h.cancel()
+		return nil, err
+	}
+	if err := h.newGateway(); err != nil {
+		h.cancel()
+		return nil, err
+	}
+	h.run()
+	return h, h.startGateway()
+}
+
+// listen opens the listeners for peers and metrics.
+func (h *Host) listen() error {
+	mux := http.NewServeMux()
+	mux.Handle(peer.NewServer(h, h.opts.Settings.PeerKey))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP1(true)
+	if err := h.serve(h.opts.Settings.Peer, &http.Server{Handler: mux, Protocols: protocols}); err != nil {
+		return err
+	}
+	text := http.NewServeMux()
+	text.Handle("GET /metrics", h.metrics.Handler())
+	return h.serve(h.opts.Settings.Metrics, &http.Server{Handler: text})
+}
+
+// headerTimeout bounds how long a peer or operator may take for its headers.
+const headerTimeout = 5 * time.Second
+
+func (h *Host) serve(address string, s *http.Server) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.ReadHeaderTimeout = headerTimeout
+	h.servers = append(h.servers, s)
+	go func() { _ = s.Serve(l) }()
+	return nil
+}
+
+// run starts the host's background work.
+func (h *Host) run() {
+	h.wg.Go(func() { h.gossip(h.ctx) })
+	h.wg.Go(func() { h.watchConfig(h.ctx) })
+	h.wg.Go(func() { h.watchList(h.ctx) })
+	h.wg.Go(func() { h.reconcile(h.ctx) })
+	h.wg.Go(func() { h.register(h.ctx) })
+}
+
+// register puts the host on the platform's list, trying until it succeeds.
+func (h *Host) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := h.platform.Register(ctx, h.self)
+		if err == nil {
+			return
+		}
+		sleep(ctx, retryInterval)
+	}
+}
+
+// reconcileInterval is how often pools are checked without a change.
+const reconcileInterval = time.Second
+
+// reconcile keeps the pools in step with the fleet and the configuration.
+func (h *Host) reconcile(ctx context.Context) {
+	tick := time.NewTicker(reconcileInterval)
+	defer tick.Stop()
+	for {
+		h.owner.Reconcile(h.fleet.snapshot())
+		select {
+		case <-h.fleet.changed:
+		case <-tick.C:
+			h.reportGauges()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) reportGauges() {
+	h.metrics.Gauge("connections", float64(h.gateway.Connections()))
+	h.metrics.Gauge("hosts", float64(len(h.fleet.Serving())))
+	h.metrics.Gauge("pools", float64(len(h.owner.Owned())))
+	h.metrics.Gauge("config_version", float64(h.fleet.Config().Version))
+}
+
+func (h *Host) newGateway() error {
+	s := h.opts.Settings
+	g, err := gateway.New(gateway.Config{
+		Address: s.Listen, MaxMessage: s.MaxMessage, MaxConnections: s.MaxConnections,
+		MaxTenantConnections: s.MaxTenantConnections, StartupTimeout: s.StartupTimeout,
+		StatementTimeout: s.StatementTimeout, Workers: s.Workers, Log: h.log,
+	}, h.router, h.fleet.Config, h.metrics)
+	if err != nil {
+		return err
+	}
+	h.gateway = g
+	return nil
+}
+
+func (h *Host) startGateway() error {
+	s := h.opts.Settings
+	go func() { h.failed <- h.gateway.Run() }()
+	select {
+	case <-h.gateway.Booted():
+	case err := <-h.failed:
+		return err
+	}
+	eventlog.Started.Info(h.log).Str("listen", s.Listen).Str("peer", s.Peer).Send()
+	return nil
+}
+
+// Failed reports the error that ended the gateway by itself.
+func (h *Host) Failed() <-chan error { return h.failed }
+
+// Execute implements peer.Handler.
+func (h *Host) Execute(ctx context.Context, req *request.Request) *request.Response {
+	return h.owner.Execute(ctx, req)
+}
+
+// Release implements peer.Handler.
+func (h *Host) Release(sender, _ string, transaction uint64) { h.owner.Release(sender, transaction) }
+
+// Cancel implements peer.Handler.
+func (h *Host) Cancel(sender string, id uint64) { h.owner.Cancel(sender, id) }
+
+// Ready reports whether a configuration is in force.
+func (h *Host) Ready() bool { return h.fleet.Config().Version > 0 }
+
+// Owned returns the members whose pools this host serves.
+func (h *Host) Owned() []string { return h.owner.Owned() }
+
+// Promotions returns how many promotions this host has completed.
+func (h *Host) Promotions() int { return h.owner.Promotions() }
--- /dev/null
+++ b/node/metrics/metrics.go
@@ -0,0 +1,105 @@
+// Package metrics reports what a host does, by tally, in Prometheus text.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// otherTenant is the label of the tenants past the limit.
+const otherTenant = "other"
+
+// reportInterval is how often counters reach the reporter.
+const reportInterval = time.Second
+
+// Metrics holds a host's measurements. It is safe for concurrent use.
+type Metrics struct {
+	scope      tally.Scope
+	closer     io.Closer
+	reporter   prometheus.Reporter
+	maxTenants int
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	tenants map[string]bool
+	scopes  map[scopeKey]*requestScope
+}
+
+// scopeKey is one combination of labels.
+type scopeKey struct{ tenant, class string }
+
+// requestScope holds the histograms of one combination of labels.
+type requestScope struct {
+	queue, service, whole tally.Histogram
+	scope                 tally.Scope
+}
+
+// buckets are the histograms' bounds: 100 µs to about 26 s by factors of two.
+var buckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
+
+// New returns the metrics of a host. At most maxTenants tenants have labels of
+// their own, in order of their first request; the rest share one.
+func New(maxTenants int) *Metrics {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		DefaultTimerType: prometheus.HistogramTimerType, Registerer: registry, Gatherer: registry,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "dotterelswitch", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{
+		scope: scope, closer: closer, reporter: reporter, maxTenants: maxTenants,
+		tenants: make(map[string]bool), scopes: make(map[scopeKey]*requestScope),
+	}
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close stops the reports.
+func (m *Metrics) Close() { _ = m.closer.Close() }
+
+// Request records one finished request. Outcome is its name in the vocabulary.
+func (m *Metrics) Request(tenant, class, outcome string, queue, service, whole time.Duration) {
+	rs := m.requestScope(tenant, class)
+	rs.queue.RecordDuration(queue)
+	rs.service.RecordDuration(service)
+	rs.whole.RecordDuration(whole)
+	rs.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+}
+
+func (m *Metrics) requestScope(tenant, class string) *requestScope {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.tenants[tenant] {
+		if len(m.tenants) >= m.maxTenants {
+			tenant = otherTenant
+		} else {
+			m.tenants[tenant] = true
+		}
+	}
+	key := scopeKey{tenant, class}
+	rs, found := m.scopes[key]
+	if !found {
+		s := m.scope.Tagged(map[string]string{"tenant": tenant, "class": class})
+		rs = &requestScope{
+			scope: s, queue: s.Histogram("queue_seconds", buckets),
+			service: s.Histogram("service_seconds", buckets), whole: s.Histogram("whole_seconds", buckets),
+		}
+		m.scopes[key] = rs
+	}
+	return rs
+}
+
+// Gauge sets a host-wide value.
+func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+// Count adds to a host-wide counter.
+func (m *Metrics) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
--- /dev/null
+++ b/node/owner/keyed.go
@@ -0,0 +1,151 @@
+package owner
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/dotterelswitch/dotterelswitch/core/ledger"
+	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/node/request"
+	"github.com/dotterelswitch/dotterelswitch/node/upstream"
+)
+
+const sqlStateUnique = "23505"
+
+// sendKeyed runs a request in one transaction with its ledger row. When the
+// row exists the request has run, and its first answer is given again.
+func (o *Owner) sendKeyed(ctx context.Context, conn *upstream.Conn, req *request.Request) (upstream.Answer, *request.Response) {
+	key, err := ledger.ParseKey(req.Key)
+	if err != nil {
+		return upstream.Answer{}, request.Refused(outcome.Refuse(outcome.ProtocolViolation, "%v", err))
+	}
+	if key.Expired(time.Now()) {
+		return upstream.Answer{}, request.Refused(outcome.Refuse(outcome.KeyExpired, ""))
+	}
+	k := keyedRun{ctx: ctx, conn: conn, row: key.Row(req.Tenant), fingerprint: ledger.Fingerprint(req.Frames)}
+	answer, refusal := k.run(req.Frames)
+	if refusal != nil {
+		return upstream.Answer{}, request.Refused(refusal)
+	}
+	return answer, nil
+}
+
+// keyedRun is the course of one keyed request on a connection. After an error
+// the connection is dirty or in a transaction, and the pool closes it.
+type keyedRun struct {
+	ctx         context.Context
+	conn        *upstream.Conn
+	row         string
+	fingerprint string
+}
+
+func (k *keyedRun) run(frames []byte) (upstream.Answer, *outcome.Refusal) {
+	opened, err := k.query(fmt.Sprintf(
+		"BEGIN; INSERT INTO dotterelswitch_ledger (key, fingerprint, answer, created) VALUES (%s, %s, '', %s)",
+		literal(k.row), literal(k.fingerprint), literal(ledger.Stamp(time.Now()))))
+	if err != nil {
+		return opened, runRefusal(err, false)
+	}
+	if opened.ErrorCode == sqlStateUnique {
+		return k.replay()
+	}
+	if opened.ErrorCode != "" {
+		return k.rollback(opened)
+	}
+	answer, err := k.conn.Run(k.ctx, frames)
+	if err != nil {
+		return answer, runRefusal(err, false)
+	}
+	if answer.ErrorCode != "" {
+		return k.rollback(answer)
+	}
+	if answer.TxStatus != 'T' || len(answer.Frames) > ledger.MaxAnswer {
+		_, _ = k.rollback(answer)
+		return answer, outcome.Refuse(outcome.Unsupported, "a keyed request is one statement with an answer of at most %d bytes", ledger.MaxAnswer)
+	}
+	return k.commit(answer)
+}
+
+// commit stores the answer and ends the transaction. Only here can a lost
+// connection leave the outcome open; a repeat with the same key settles it.
+func (k *keyedRun) commit(answer upstream.Answer) (upstream.Answer, *outcome.Refusal) {
+	ended, err := k.query(fmt.Sprintf(
+		"UPDATE dotterelswitch_ledger SET answer = %s WHERE key = %s; COMMIT",
+		literal(base64.StdEncoding.EncodeToString(answer.Frames)), literal(k.row)))
+	if err != nil {
+		return ended, runRefusal(err, true)
+	}
+	if ended.ErrorCode != "" {
+		return k.rollback(ended)
+	}
+	answer.TxStatus, answer.Position = ended.TxStatus, ended.Position
+	return answer, nil
+}
+
+// rollback undoes the transaction and gives the error that ended it.
+func (k *keyedRun) rollback(failed upstream.Answer) (upstream.Answer, *outcome.Refusal) {
+	ended, err := k.query("ROLLBACK")
+	if err != nil {
+		return failed, runRefusal(err, false)
+	}
+	failed.TxStatus, failed.Position = ended.TxStatus, ended.Position
+	return failed, nil
+}
+
+// replay gives the answer of the first run, if the request is the same.
+func (k *keyedRun) replay() (upstream.Answer, *outcome.Refusal) {
+	if _, refusal := k.rollback(upstream.Answer{}); refusal != nil {
+		return upstream.Answer{}, refusal
+	}
+	found, err := k.query("SELECT fingerprint, answer FROM dotterelswitch_ledger WHERE key = " + literal(k.row))
+	if err != nil {
+		return found, runRefusal(err, false)
+	}
+	values := firstRow(found.Frames)
+	if len(values) != 2 {
+		return found, outcome.Refuse(outcome.WrongMember, "the ledger row was trimmed meanwhile")
+	}
+	if string(values[0]) != k.fingerprint {
+		return found, outcome.Refuse(outcome.KeyReused, "")
+	}
+	frames, err := base64.StdEncoding.DecodeString(string(values[1]))
+	if err != nil {
+		return found, outcome.Refuse(outcome.UnknownOutcome, "the ledger row is damaged")
+	}
+	return upstream.Answer{Frames: frames, TxStatus: found.TxStatus, Position: found.Position}, nil
+}
+
+func (k *keyedRun) query(sql string) (upstream.Answer, error) {
+	frames, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		return upstream.Answer{}, err
+	}
+	return k.conn.Run(k.ctx, frames)
+}
+
+// literal quotes a string for SQL; the ledger's values hold no backslashes.
+func literal(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+const frameHeader = 5
+
+// firstRow returns the values of the first DataRow among messages.
+func firstRow(frames []byte) [][]byte {
+	for len(frames) >= frameHeader {
+		size := int(binary.BigEndian.Uint32(frames[1:frameHeader])) + 1
+		if size < frameHeader || size > len(frames) {
+			return nil
+		}
+		var row pgproto3.DataRow
+		if frames[0] == 'D' && row.Decode(frames[frameHeader:size]) == nil {
+			return row.Values
+		}
+		frames = frames[size:]
+	}
+	return nil
+}
--- /dev/null
+++ b/node/owner/watched_group.go
@@ -0,0 +1,65 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/upstream"
+	"github.com/dotterelswitch/dotterelswitch/node/watch"
+)
+
+// watchedGroup is a group in which this host owns at least one member.
+type watchedGroup struct {
+	spec     conf.Service
+	watcher  *watch.Watcher
+	controls map[string]*upstream.Control
+	cancel   context.CancelFunc
+}
+
+// applicationName marks the connections of one incarnation of a host, for
+// members to end them when the host is dead.
+func applicationName(h membership.Host) string {
+	return fmt.Sprintf("%s%d", applicationPrefix(h.ID), h.Incarnation)
+}
+
+func applicationPrefix(hostID string) string { return "dotterelswitch/" + hostID + "/" }
+
+func target(cfg Config, service string, u conf.Upstream) upstream.Target {
+	return upstream.Target{
+		Service: service, Member: u.Name, Address: u.Address,
+		User: cfg.User, Password: cfg.Password,
+		Application: applicationName(cfg.Host), Dial: cfg.Dial,
+	}
+}
+
+func newWatchedGroup(ctx context.Context, cfg Config, s conf.Service, rank int) *watchedGroup {
+	ctx, cancel := context.WithCancel(ctx)
+	g := &watchedGroup{spec: s, controls: make(map[string]*upstream.Control), cancel: cancel}
+	for _, u := range s.Upstreams {
+		g.controls[u.Name] = upstream.NewControl(target(cfg, s.Name, u))
+	}
+	g.watcher = watch.New(watch.Config{
+		Service: s.Name, Members: s.UpstreamNames(), Controls: g.controls,
+		Claimant: applicationName(cfg.Host), Rank: rank, Timing: cfg.Timing,
+		Seed: membership.Score(s.Name, cfg.Host.ID), Record: cfg.Record, Log: cfg.Log,
+	})
+	go g.watcher.Run(ctx)
+	return g
+}
+
+// sameMembers reports whether the group's members and addresses are those of s.
+func (g *watchedGroup) sameMembers(s conf.Service) bool {
+	return slices.EqualFunc(g.spec.Upstreams, s.Upstreams, func(a, b conf.Upstream) bool {
+		return a.Name == b.Name && a.Address == b.Address
+	})
+}
+
+func (g *watchedGroup) close() {
+	g.cancel()
+	for _, c := range g.controls {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/node/peer/convert.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
+	"github.com/dotterelswitch/dotterelswitch/node/request"
+)
+
+func positionToProto(p logpos.Position) *peerpb.Position {
+	return &peerpb.Position{Term: uint64(p.Term), Offset: uint64(p.Offset)}
+}
+
+func positionFromProto(p *peerpb.Position) logpos.Position {
+	return logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())}
+}
+
+func requestToProto(r *request.Request) *peerpb.ExecuteRequest {
+	mode := peerpb.Mode_MODE_READ
+	if r.Write {
+		mode = peerpb.Mode_MODE_WRITE
+	}
+	return &peerpb.ExecuteRequest{
+		RequestId: r.ID, Sender: r.Sender, Service: r.Service, Upstream: r.Upstream,
+		Tenant: r.Tenant, Class: r.Class, Mode: mode,
+		DeadlineUs: time.Until(r.Deadline).Microseconds(),
+		Frames:     r.Frames, Token: positionToProto(r.Token),
+		StalenessUs: r.Staleness.Microseconds(), Transaction: r.Transaction,
+		Key: r.Key, WaitUs: r.Wait.Microseconds(), MayCommit: r.MayCommit,
+	}
+}
+
+func requestFromProto(m *peerpb.ExecuteRequest) *request.Request {
+	return &request.Request{
+		ID: m.GetRequestId(), Sender: m.GetSender(), Service: m.GetService(), Upstream: m.GetUpstream(),
+		Tenant: m.GetTenant(), Class: m.GetClass(), Write: m.GetMode() == peerpb.Mode_MODE_WRITE,
+		Deadline: time.Now().Add(microseconds(m.GetDeadlineUs())),
+		Frames:   m.GetFrames(), Token: positionFromProto(m.GetToken()),
+		Staleness: microseconds(m.GetStalenessUs()), Transaction: m.GetTransaction(),
+		Key: m.GetKey(), Wait: microseconds(m.GetWaitUs()), MayCommit: m.GetMayCommit(),
+	}
+}
+
+func responseToProto(r *request.Response) *peerpb.ExecuteResponse {
+	m := &peerpb.ExecuteResponse{
+		Frames: r.Frames, TxStatus: uint32(r.TxStatus), Position: positionToProto(r.Position),
+		Transaction: r.Transaction, ForkCrossed: r.ForkCrossed, Hint: hintToProto(r.Hint),
+		QueueUs: r.Queue.Microseconds(), ServiceUs: r.Service.Microseconds(),
+	}
+	if r.Refusal != nil {
+		m.Refusal = uint32(r.Refusal.Code)
+		m.Detail = r.Refusal.Detail
+		m.RetryAfterUs = r.Refusal.RetryAfter.Microseconds()
+	}
+	return m
+}
+
+func responseFromProto(m *peerpb.ExecuteResponse) *request.Response {
+	r := &request.Response{
+		Frames: m.GetFrames(), TxStatus: byte(m.GetTxStatus()), Position: positionFromProto(m.GetPosition()),
+		Transaction: m.GetTransaction(), ForkCrossed: m.GetForkCrossed(), Hint: hintFromProto(m.GetHint()),
+		Queue: microseconds(m.GetQueueUs()), Service: microseconds(m.GetServiceUs()),
+	}
+	if m.GetRefusal() != 0 {
+		r.Refusal = &outcome.Refusal{
+			Code: outcome.Code(m.GetRefusal()), Detail: m.GetDetail(), RetryAfter: microseconds(m.GetRetryAfterUs()),
+		}
+	}
+	return r
+}
+
+func hintToProto(h request.Hint) *peerpb.Hint {
+	m := &peerpb.Hint{Primary: h.Primary, Term: uint64(h.Term)}
+	for _, x := range h.Members {
+		m.Members = append(m.Members, &peerpb.MemberHint{
+			Name: x.Name, Applied: positionToProto(x.Applied), AgeUs: x.Age.Microseconds(),
+		})
+	}
+	return m
+}
+
+func hintFromProto(m *peerpb.Hint) request.Hint {
+	h := request.Hint{Primary: m.GetPrimary(), Term: logpos.Term(m.GetTerm())}
+	for _, x := range m.GetMembers() {
+		h.Members = append(h.Members, request.MemberHint{
+			Name: x.GetName(), Applied: positionFromProto(x.GetApplied()), Age: microseconds(x.GetAgeUs()),
+		})
+	}
+	return h
+}
+
+func hostToProto(h membership.Host) *peerpb.Host {
+	return &peerpb.Host{Id: h.ID, Zone: h.Zone, Peer: h.Peer, Incarnation: h.Incarnation, State: uint32(h.State)}
+}
+
+func hostFromProto(m *peerpb.Host) membership.Host {
+	return membership.Host{
+		ID: m.GetId(), Zone: m.GetZone(), Peer: m.GetPeer(),
+		Incarnation: m.GetIncarnation(), State: membership.State(m.GetState()),
+	}
+}
+
+func hostsToProto(hosts []membership.Host) []*peerpb.Host {
+	out := make([]*peerpb.Host, 0, len(hosts))
+	for _, h := range hosts {
+		out = append(out, hostToProto(h))
+	}
+	return out
+}
+
+func hostsFromProto(list []*peerpb.Host) []membership.Host {
+	out := make([]membership.Host, 0, len(list))
+	for _, m := range list {
+		out = append(out, hostFromProto(m))
+	}
+	return out
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- /dev/null
+++ b/node/peer/peerpb/generate.go
@@ -0,0 +1,4 @@
+// Package peerpb holds the generated messages of the protocol between hosts.
+package peerpb
+
+//go:generate sh generate.sh
--- /dev/null
+++ b/node/peer/server.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
+	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb/peerpbconnect"
+	"github.com/dotterelswitch/dotterelswitch/node/request"
+)
+
+// Handler is what a host offers to its peers.
+type Handler interface {
+	Execute(ctx context.Context, req *request.Request) *request.Response
+	Release(sender, upstream string, transaction uint64)
+	Cancel(sender string, id uint64)
+	Ping(p Ping) Ping
+	// Config returns the configuration as JSON, or nil if it is not above a
+	// version.
+	Config(above uint64) (version uint64, document []byte)
+}
+
+// Server serves the protocol between hosts.
+type Server struct {
+	handler Handler
+}
+
+// NewServer returns the HTTP handler for calls that carry the key.
+func NewServer(h Handler, key string) (string, http.Handler) {
+	return peerpbconnect.NewPeerHandler(&Server{handler: h}, connect.WithInterceptors(checkKey(key)))
+}
+
+var errBadKey = errors.New("the key does not match")
+
+// checkKey refuses calls without the shared key.
+func checkKey(key string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			if subtle.ConstantTimeCompare([]byte(req.Header().Get(keyHeader)), []byte(key)) != 1 {
+				return nil, connect.NewError(connect.CodeUnauthenticated, errBadKey)
+			}
+			return next(ctx, req)
+		}
+	}
+}
+
+// Execute implements the generated interface.
+func (s *Server) Execute(ctx context.Context, req *connect.Request[peerpb.ExecuteRequest]) (*connect.Response[peerpb.ExecuteResponse], error) {
+	// A caller that hangs up must not stop a write half way, so only the
+	// request's own deadline ends it.
+	resp := s.handler.Execute(context.WithoutCancel(ctx), requestFromProto(req.Msg))
+	return connect.NewResponse(responseToProto(resp)), nil
+}
+
+// Release implements the generated interface.
+func (s *Server) Release(_ context.Context, req *connect.Request[peerpb.ReleaseRequest]) (*connect.Response[peerpb.ReleaseResponse], error) {
+	s.handler.Release(req.Msg.GetSender(), req.Msg.GetUpstream(), req.Msg.GetTransaction())
+	return connect.NewResponse(&peerpb.ReleaseResponse{}), nil
+}
+
+// Cancel implements the generated interface.
+func (s *Server) Cancel(_ context.Context, req *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error) {
+	s.handler.Cancel(req.Msg.GetSender(), req.Msg.GetRequestId())
+	return connect.NewResponse(&peerpb.CancelResponse{}), nil
+}
+
+// Ping implements the generated interface.
+func (s *Server) Ping(_ context.Context, req *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	answer := s.handler.Ping(Ping{
+		Self: hostFromProto(req.Msg.GetSender()), Rumours: hostsFromProto(req.Msg.GetRumours()),
+		ConfigVersion: req.Msg.GetConfigVersion(),
+	})
+	return connect.NewResponse(&peerpb.PingResponse{
+		Self: hostToProto(answer.Self), Rumours: hostsToProto(answer.Rumours), ConfigVersion: answer.ConfigVersion,
+	}), nil
+}
+
+// FetchConfig implements the generated interface.
+func (s *Server) FetchConfig(_ context.Context, req *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error) {
+	version, document := s.handler.Config(req.Msg.GetAboveVersion())
+	return connect.NewResponse(&peerpb.FetchConfigResponse{Version: version, Document: document}), nil
+}
--- /dev/null
+++ b/node/platform/client.go
@@ -0,0 +1,184 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+)
+
+const (
+	// callTimeout bounds a call beyond the wait that it asks for.
+	callTimeout = 3 * time.Second
+	// maxAnswer is the largest answer read, in bytes: a value is at most 1 MiB,
+	// a third more in base64.
+	maxAnswer = 4 << 20
+	// serviceName is the name under which hosts are listed.
+	serviceName = "dotterelswitch"
+)
+
+// Client implements Store over HTTP. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the service at host:port.
+func NewClient(address string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
+	return &Client{base: "http://" + address, http: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	return c.read(ctx, key, url.Values{}, 0)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	query := url.Values{"index": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
+	return c.read(ctx, key, query, wait)
+}
+
+// kvEntry is the service's form of a value; Value is base64.
+type kvEntry struct {
+	Value       []byte
+	ModifyIndex uint64
+}
+
+func (c *Client) read(ctx context.Context, key string, query url.Values, wait time.Duration) (Value, error) {
+	body, status, err := c.call(ctx, http.MethodGet, "/v1/kv/"+key, query, nil, wait)
+	if err != nil {
+		return Value{}, err
+	}
+	if status == http.StatusNotFound {
+		return Value{}, nil
+	}
+	var entries []kvEntry
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return Value{}, &StoreError{Call: "get " + key, Err: err}
+	}
+	if len(entries) != 1 {
+		return Value{}, &StoreError{Call: "get " + key, Err: fmt.Errorf("%d entries", len(entries))}
+	}
+	return Value{Data: entries[0].Value, Index: entries[0].ModifyIndex}, nil
+}
+
+// CompareAndSwap implements Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error) {
+	query := url.Values{"cas": {strconv.FormatUint(index, 10)}}
+	body, _, err := c.call(ctx, http.MethodPut, "/v1/kv/"+key, query, value, 0)
+	if err != nil {
+		return false, err
+	}
+	var done bool
+	if err := json.Unmarshal(body, &done); err != nil {
+		return false, &StoreError{Call: "cas " + key, Err: err}
+	}
+	return done, nil
+}
+
+// call makes one request; a status other than 200 and 404 is an error.
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, wait time.Duration) ([]byte, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	name := method + " " + path
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+query.Encode(), bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, &StoreError{Call: name, Err: err}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, &StoreError{Call: name, Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, 0, &StoreError{Call: name, Err: err}
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNotFound {
+		return nil, 0, &StoreError{Call: name, Err: fmt.Errorf("status %d", resp.StatusCode)}
+	}
+	return data, resp.StatusCode, nil
+}
+
+// listedService is the service's form of a registered host.
+type listedService struct {
+	ID      string
+	Name    string `json:"Name,omitempty"`
+	Address string
+	Port    int
+	Meta    map[string]string
+}
+
+const (
+	metaZone        = "zone"
+	metaIncarnation = "incarnation"
+	metaState       = "state"
+)
+
+// Register puts a host on the platform's list, or changes its entry.
+func (c *Client) Register(ctx context.Context, h membership.Host) error {
+	address, portText, err := net.SplitHostPort(h.Peer)
+	if err != nil {
+		return &StoreError{Call: "register", Err: err}
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return &StoreError{Call: "register", Err: err}
+	}
+	body, err := json.Marshal(listedService{
+		ID: h.ID, Name: serviceName, Address: address, Port: port,
+		Meta: map[string]string{
+			metaZone: h.Zone, metaState: h.State.String(),
+			metaIncarnation: strconv.FormatUint(h.Incarnation, 10),
+		},
+	})
+	if err != nil {
+		return &StoreError{Call: "register", Err: err}
+	}
+	_, _, err = c.call(ctx, http.MethodPut, "/v1/agent/service/register", nil, body, 0)
+	return err
+}
+
+// Deregister takes a host off the platform's list.
+func (c *Client) Deregister(ctx context.Context, id string) error {
+	_, _, err := c.call(ctx, http.MethodPut, "/v1/agent/service/deregister/"+id, nil, nil, 0)
+	return err
+}
+
+// Hosts returns the platform's list, which lags.
+func (c *Client) Hosts(ctx context.Context) ([]membership.Host, error) {
+	body, _, err := c.call(ctx, http.MethodGet, "/v1/health/service/"+serviceName, nil, nil, 0)
+	if err != nil {
+		return nil, err
+	}
+	var entries []struct{ Service listedService }
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return nil, &StoreError{Call: "list hosts", Err: err}
+	}
+	hosts := make([]membership.Host, 0, len(entries))
+	for _, e := range entries {
+		hosts = append(hosts, hostOf(e.Service))
+	}
+	return hosts, nil
+}
+
+func hostOf(s listedService) membership.Host {
+	incarnation, _ := strconv.ParseUint(s.Meta[metaIncarnation], 10, 64)
+	h := membership.Host{
+		ID: s.ID, Zone: s.Meta[metaZone], Incarnation: incarnation,
+		Peer: net.JoinHostPort(s.Address, strconv.Itoa(s.Port)),
+	}
+	if s.Meta[metaState] == membership.Leaving.String() {
+		h.State = membership.Leaving
+	}
+	return h
+}
--- /dev/null
+++ b/node/router/router.go
@@ -0,0 +1,323 @@
+// Package router takes a caller's request to the host that owns the right
+// member, here or elsewhere, and tries again where that is safe.
+package router
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/core/retry"
+	"github.com/dotterelswitch/dotterelswitch/core/route"
+	"github.com/dotterelswitch/dotterelswitch/node/owner"
+	"github.com/dotterelswitch/dotterelswitch/node/peer"
+	"github.com/dotterelswitch/dotterelswitch/node/request"
+)
+
+// Limits and delays of routing.
+const (
+	// maxWaitingWrites bounds the writes of one service that wait for a
+	// primary on one host.
+	maxWaitingWrites = 2048
+	// retryRatio and retryReserve feed the budget of retries after a request
+	// that may have cost an upstream something.
+	retryRatio   = 0.1
+	retryReserve = 100
+)
+
+// redirect spaces the attempts of a request that was refused before it ran.
+var redirect = retry.Backoff{Base: 4 * time.Millisecond, Max: 60 * time.Millisecond}
+
+// Fleet tells the router about other hosts and the configuration.
+type Fleet interface {
+	// Serving returns the hosts that may be given new work.
+	Serving() []membership.Host
+	// CallFailed notes that a call to a host had no answer.
+	CallFailed(h membership.Host)
+	// Config returns the configuration in force.
+	Config() *conf.Config
+}
+
+// Router routes the requests of one host. It is safe for concurrent use.
+type Router struct {
+	self   membership.Host
+	sender string
+	fleet  Fleet
+	owner  *owner.Owner
+	peers  *peer.Client
+	log    zerolog.Logger
+	origin time.Time
+	nextID atomic.Uint64
+
+	// mu guards the fields below and is never held while calling out.
+	mu      sync.Mutex
+	rng     *rand.Rand
+	budget  *retry.Budget
+	tables  map[string]*serviceTable
+	version uint64
+}
+
+// serviceTable is the routing table of one service.
+type serviceTable struct {
+	table   *route.Table
+	waiting int
+}
+
+// New returns a router. Sender names this incarnation of the host.
+func New(self membership.Host, sender string, fleet Fleet, o *owner.Owner, peers *peer.Client, log zerolog.Logger) *Router {
+	return &Router{
+		self: self, sender: sender, fleet: fleet, owner: o, peers: peers, log: log,
+		origin: time.Now(),
+		rng:    rand.New(rand.NewPCG(membership.Score("router", self.ID), self.Incarnation)),
+		budget: retry.NewBudget(retryRatio, retryReserve),
+		tables: make(map[string]*serviceTable),
+	}
+}
+
+func (r *Router) now() time.Duration { return time.Since(r.origin) }
+
+// Sender returns the name under which this host's requests are known.
+func (r *Router) Sender() string { return r.sender }
+
+// Do runs a request that is not part of an open transaction.
+func (r *Router) Do(ctx context.Context, req *request.Request) *request.Response {
+	cfg := r.fleet.Config()
+	svc, found := cfg.Service(req.Service)
+	if !found {
+		return request.Refused(outcome.Refuse(outcome.UnknownService, "%s", req.Service))
+	}
+	r.mu.Lock()
+	r.budget.Attempt()
+	r.mu.Unlock()
+	st := r.table(cfg, svc)
+	if req.Write || req.Staleness == 0 {
+		return r.doPrimary(ctx, svc, st, req)
+	}
+	return r.doRead(ctx, svc, st, req)
+}
+
+// doPrimary sends a request to the primary, waiting for one if need be.
+func (r *Router) doPrimary(ctx context.Context, svc conf.Service, st *serviceTable, req *request.Request) *request.Response {
+	if !r.startWaiting(st) {
+		return request.Refused(outcome.Refuse(outcome.QueueFull, "too many requests wait for the primary of %s", svc.Name).After(time.Second))
+	}
+	defer r.endWaiting(st)
+	var last *outcome.Refusal
+	for attempt := 0; ; attempt++ {
+		r.mu.Lock()
+		member := st.table.Write(attempt, r.now())
+		r.mu.Unlock()
+		resp := r.try(ctx, svc, st, member, req)
+		if resp.Refusal == nil || !r.mayRepeat(req, resp.Refusal) {
+			return resp
+		}
+		last = resp.Refusal
+		if !r.pause(ctx, attempt, req.Deadline) {
+			return request.Refused(exhausted(last))
+		}
+	}
+}
+
+// exhausted is the refusal of a request whose deadline came while it was being
+// redirected.
+func exhausted(last *outcome.Refusal) *outcome.Refusal {
+	if last.Code == outcome.WrongMember {
+		return outcome.Refuse(outcome.NoPrimary, "%s", last.Detail).After(time.Second)
+	}
+	return last
+}
+
+// doRead tries the members in order of cost, then again after a pause.
+func (r *Router) doRead(ctx context.Context, svc conf.Service, st *serviceTable, req *request.Request) *request.Response {
+	for attempt := 0; ; attempt++ {
+		r.mu.Lock()
+		choices := st.table.Reads(r.now())
+		r.mu.Unlock()
+		last := outcome.Refuse(outcome.NoPrimary, "service %s has no upstream that takes work", svc.Name)
+		for _, c := range choices {
+			req.Wait = c.Wait
+			resp := r.try(ctx, svc, st, c.Upstream, req)
+			if resp.Refusal == nil || !r.mayRepeat(req, resp.Refusal) {
+				return resp
+			}
+			last = resp.Refusal
+		}
+		if !r.pause(ctx, attempt, req.Deadline) {
+			return request.Refused(exhausted(last))
+		}
+	}
+}
+
+// mayRepeat reports whether the request may go to another member or again: it
+// has not run, or a repeat is idempotent.
+func (r *Router) mayRepeat(req *request.Request, refusal *outcome.Refusal) bool {
+	switch refusal.Code {
+	case outcome.WrongMember, outcome.Draining, outcome.BehindToken, outcome.TooStale:
+		return true
+	case outcome.UnknownOutcome:
+		return req.Key != "" && r.takeRetry()
+	default:
+		return false
+	}
+}
+
+func (r *Router) takeRetry() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Retry()
+}
+
+// pause waits before the next round; it fails when the deadline would pass.
+func (r *Router) pause(ctx context.Context, attempt int, deadline time.Time) bool {
+	r.mu.Lock()
+	wait := redirect.Wait(attempt, r.rng)
+	r.mu.Unlock()
+	if time.Until(deadline) <= wait {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Router) startWaiting(st *serviceTable) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if st.waiting >= maxWaitingWrites {
+		return false
+	}
+	st.waiting++
+	return true
+}
+
+func (r *Router) endWaiting(st *serviceTable) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st.waiting--
+}
+
+// try sends the request to one member's owner and notes what that teaches.
+func (r *Router) try(ctx context.Context, svc conf.Service, st *serviceTable, member string, req *request.Request) *request.Response {
+	started := time.Now()
+	attempt := *req
+	resp := r.Send(ctx, svc, member, &attempt)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st.table.Learn(resp.Hint.Primary, resp.Hint.Term)
+	if resp.Refusal == nil {
+		st.table.Served(member, time.Since(started), r.now())
+	} else {
+		st.table.Refused(member, r.now())
+	}
+	return resp
+}
+
+// Send passes one request to the owner of a member and gives its answer.
+func (r *Router) Send(ctx context.Context, svc conf.Service, member string, req *request.Request) *request.Response {
+	up, found := svc.Upstream(member)
+	if !found {
+		return request.Refused(outcome.Refuse(outcome.WrongMember, "service %s has no upstream %s", svc.Name, member))
+	}
+	host, found := membership.Owner(member, up.Zone, r.fleet.Serving())
+	if !found {
+		return request.Refused(outcome.Refuse(outcome.WrongMember, "no host serves"))
+	}
+	return r.SendTo(ctx, host, member, req)
+}
+
+// SendTo passes one request to a host.
+func (r *Router) SendTo(ctx context.Context, host membership.Host, member string, req *request.Request) *request.Response {
+	req.Upstream, req.Sender, req.ID = member, r.sender, r.nextID.Add(1)
+	if host.ID == r.self.ID {
+		resp := r.owner.Execute(ctx, req)
+		resp.Host, resp.Upstream = host, member
+		return resp
+	}
+	resp, err := r.peers.Execute(ctx, host.Peer, req)
+	if err == nil {
+		resp.Host, resp.Upstream = host, member
+		return resp
+	}
+	r.fleet.CallFailed(host)
+	return request.Refused(r.callRefusal(err, req))
+}
+
+// callRefusal tells what is known of a request whose call failed.
+func (r *Router) callRefusal(err error, req *request.Request) *outcome.Refusal {
+	var call *peer.CallError
+	sent := !errors.As(err, &call) || call.Sent
+	if sent && req.MayCommit {
+		return outcome.Refuse(outcome.UnknownOutcome, "%v", err)
+	}
+	return outcome.Refuse(outcome.WrongMember, "%v", err)
+}
+
+// table returns the routing table of a service, made anew when the
+// configuration has changed.
+func (r *Router) table(cfg *conf.Config, svc conf.Service) *serviceTable {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cfg.Version != r.version {
+		r.version = cfg.Version
+		for name, st := range r.tables {
+			if s, found := cfg.Service(name); found {
+				st.table.SetMembers(r.members(cfg, s))
+			} else {
+				delete(r.tables, name)
+			}
+		}
+	}
+	st, found := r.tables[svc.Name]
+	if !found {
+		st = &serviceTable{table: route.NewTable(r.members(cfg, svc))}
+		r.tables[svc.Name] = st
+	}
+	return st
+}
+
+func (r *Router) members(cfg *conf.Config, svc conf.Service) []route.Member {
+	out := make([]route.Member, 0, len(svc.Upstreams))
+	for _, u := range svc.Upstreams {
+		out = append(out, route.Member{
+			Name: u.Name, Distance: r.distance(cfg, u.Zone),
+			Leaving: cfg.Draining(conf.DrainUpstream, u.Name),
+		})
+	}
+	return out
+}
+
+func (r *Router) distance(cfg *conf.Config, zone string) route.Distance {
+	switch {
+	case zone == r.self.Zone:
+		return route.SameZone
+	case cfg.Region(zone) == cfg.Region(r.self.Zone):
+		return route.SameRegion
+	default:
+		return route.OtherRegion
+	}
+}
+
+// Release ends a transaction whose caller is gone.
+func (r *Router) Release(host membership.Host, member string, transaction uint64) {
+	if host.ID == r.self.ID {
+		r.owner.Release(r.sender, transaction)
+		return
+	}
+	const releaseTimeout = 2 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	_ = r.peers.Release(ctx, host.Peer, r.sender, member, transaction)
+}
--- /dev/null
+++ b/node/upstream/control.go
@@ -0,0 +1,165 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/dotterelswitch/dotterelswitch/core/group"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+)
+
+// Control is a connection for group functions. It reconnects by itself. Calls
+// are serial; it is safe for concurrent use.
+type Control struct {
+	target Target
+
+	mu   sync.Mutex
+	conn *pgconn.PgConn
+	// generation grows with each new connection. What a connection holds, such
+	// as an advisory lock, is lost when it changes.
+	generation uint64
+}
+
+// NewControl returns a control connection that connects on first use.
+func NewControl(t Target) *Control { return &Control{target: t} }
+
+// Close drops the connection.
+func (c *Control) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop()
+}
+
+func (c *Control) drop() {
+	if c.conn == nil {
+		return
+	}
+	conn := c.conn
+	c.conn = nil
+	// A connection that is cut off would make Close wait for its goodbye.
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = conn.Close(ctx)
+	}()
+}
+
+// Generation returns the number of the present connection, and false when
+// there is none.
+func (c *Control) Generation() (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.generation, c.conn != nil
+}
+
+// query runs one statement and returns its single row.
+func (c *Control) query(ctx context.Context, sql string) ([][]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		conn, err := c.target.connect(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c.conn = conn
+		c.generation++
+	}
+	results, err := c.conn.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		var pgErr *pgconn.PgError
+		if !errors.As(err, &pgErr) {
+			c.drop()
+		}
+		return nil, &ControlError{Member: c.target.Member, Call: sql, Err: err}
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return nil, &ControlError{Member: c.target.Member, Call: sql, Err: errors.New("expected one row")}
+	}
+	return results[0].Rows[0], nil
+}
+
+// Status implements GroupMember.
+func (c *Control) Status(ctx context.Context) (group.Status, error) {
+	st, _, err := c.statusQuery(ctx, "SELECT group_status()")
+	return st, err
+}
+
+// Claim implements GroupMember.
+func (c *Control) Claim(ctx context.Context, term logpos.Term, claimant string) (group.Status, bool, error) {
+	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_claim(%d, %s)", term, quote(claimant)))
+}
+
+// Promote implements GroupMember.
+func (c *Control) Promote(ctx context.Context, term logpos.Term, claimant string) (group.Status, bool, error) {
+	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_promote(%d, %s)", term, quote(claimant)))
+}
+
+// Follow implements GroupMember.
+func (c *Control) Follow(ctx context.Context, term logpos.Term, primary string) (group.Status, bool, error) {
+	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_follow(%d, %s)", term, quote(primary)))
+}
+
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+const statusFields = 9
+
+func (c *Control) statusQuery(ctx context.Context, sql string) (group.Status, bool, error) {
+	row, err := c.query(ctx, sql)
+	if err != nil {
+		return group.Status{}, false, err
+	}
+	st, done, err := parseStatus(row)
+	if err != nil {
+		return group.Status{}, false, &ControlError{Member: c.target.Member, Call: sql, Err: err}
+	}
+	return st, done, nil
+}
+
+func parseStatus(row [][]byte) (group.Status, bool, error) {
+	if len(row) != statusFields {
+		return group.Status{}, false, errors.New("unexpected number of columns")
+	}
+	claimed, err1 := strconv.ParseUint(string(row[1]), 10, 64)
+	follows, err2 := strconv.ParseUint(string(row[3]), 10, 64)
+	last, err3 := logpos.Parse(string(row[4]))
+	applied, err4 := logpos.Parse(string(row[5]))
+	history, err5 := logpos.ParseHistory(string(row[6]))
+	heard, err6 := strconv.ParseInt(string(row[7]), 10, 64)
+	st := group.Status{
+		Member: string(row[0]), Claimed: logpos.Term(claimed), Primary: string(row[2]) == "true",
+		Follows: logpos.Term(follows), Last: last, Applied: applied, History: history,
+		Heard: time.Duration(heard) * time.Microsecond,
+	}
+	return st, string(row[8]) == "true", errors.Join(err1, err2, err3, err4, err5, err6)
+}
+
+// TryLock takes the advisory lock that marks the owner of the member's pool,
+// and returns the generation of the connection that holds it.
+func (c *Control) TryLock(ctx context.Context, key int64) (bool, uint64, error) {
+	row, err := c.query(ctx, fmt.Sprintf("SELECT pg_try_advisory_lock(%d)", key))
+	if err != nil {
+		return false, 0, err
+	}
+	generation, _ := c.Generation()
+	return string(row[0]) == "t", generation, nil
+}
+
+// Unlock releases the advisory lock.
+func (c *Control) Unlock(ctx context.Context, key int64) error {
+	_, err := c.query(ctx, fmt.Sprintf("SELECT pg_advisory_unlock(%d)", key))
+	return err
+}
+
+// Terminate ends the connections whose application name begins with prefix,
+// but for those that are called keep.
+func (c *Control) Terminate(ctx context.Context, prefix, keep string) error {
+	_, err := c.query(ctx, fmt.Sprintf("SELECT group_terminate(%s, %s)", quote(prefix), quote(keep)))
+	return err
+}
--- /dev/null
+++ b/node/watch/watcher.go
@@ -0,0 +1,193 @@
+// Package watch runs a group controller against real members: it sends the
+// probes, claims and promotions that the controller orders and lets requests
+// wait until the view of the group satisfies a condition.
+package watch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dotterelswitch/dotterelswitch/core/group"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/upstream"
+)
+
+const (
+	// idleTick is the step of the controller's time.
+	idleTick = 10 * time.Millisecond
+	// demandPace is the shortest interval between probes while requests wait
+	// for a confirmation.
+	demandPace = time.Millisecond
+	// lateAfter is when an unanswered probe counts as failed. The probe stays
+	// open, so that a slow answer still clears the failure.
+	lateAfter = 250 * time.Millisecond
+	// probeLimit ends a probe and its connection.
+	probeLimit = 2 * time.Second
+)
+
+// Config describes one watcher.
+type Config struct {
+	Service string
+	// Members are the members' names in order, Controls their connections.
+	Members  []string
+	Controls map[string]*upstream.Control
+	// Claimant names this host and incarnation in claims.
+	Claimant string
+	Rank     int
+	Timing   group.Timing
+	Seed     uint64
+	// Record is told of each promotion that this host completed.
+	Record func(service string, term logpos.Term, primary string)
+	Log    zerolog.Logger
+}
+
+// Watcher watches one group. It is safe for concurrent use.
+type Watcher struct {
+	cfg    Config
+	origin time.Time
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	ctl     *group.Controller
+	changed chan struct{}
+	demand  int
+	busy    map[string]bool
+	sentAt  map[string]time.Duration
+	primary string
+}
+
+// New returns a watcher; Run starts it.
+func New(cfg Config) *Watcher {
+	return &Watcher{
+		cfg:     cfg,
+		origin:  time.Now(),
+		ctl:     group.NewController(cfg.Members, cfg.Rank, cfg.Timing, cfg.Seed),
+		changed: make(chan struct{}),
+		busy:    make(map[string]bool),
+		sentAt:  make(map[string]time.Duration),
+	}
+}
+
+// Now returns the watcher's monotonic time.
+func (w *Watcher) Now() time.Duration { return time.Since(w.origin) }
+
+// Run drives the controller until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	tick := time.NewTicker(idleTick)
+	defer tick.Stop()
+	for {
+		w.step(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (w *Watcher) step(ctx context.Context) {
+	w.mu.Lock()
+	actions := w.ctl.Tick(w.Now())
+	w.mu.Unlock()
+	w.perform(ctx, actions)
+}
+
+// Suspect hints that a request to the primary failed.
+func (w *Watcher) Suspect() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ctl.Suspect(w.Now())
+}
+
+// SetRank changes this host's turn among the group's watchers.
+func (w *Watcher) SetRank(rank int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ctl.SetRank(rank)
+}
+
+// SetTiming changes the delays of failure detection.
+func (w *Watcher) SetTiming(t group.Timing) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ctl.SetTiming(t)
+}
+
+// Inspect calls f with the view. F must not keep the view nor block.
+func (w *Watcher) Inspect(f func(v *group.View, now time.Duration)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(w.ctl.View(), w.Now())
+}
+
+// Promotions returns how many promotions this host has completed.
+func (w *Watcher) Promotions() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ctl.Promotions()
+}
+
+// Await blocks until done returns true or the context ends. While any request
+// waits with demand, members are probed without pause.
+func (w *Watcher) Await(ctx context.Context, demand bool, done func(v *group.View, now time.Duration) bool) error {
+	if demand {
+		w.addDemand(ctx, 1)
+		defer w.addDemand(ctx, -1)
+	}
+	for {
+		w.mu.Lock()
+		if done(w.ctl.View(), w.Now()) {
+			w.mu.Unlock()
+			return nil
+		}
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// addDemand changes the number of requests that wait; the first one starts
+// probes at once.
+func (w *Watcher) addDemand(ctx context.Context, n int) {
+	w.mu.Lock()
+	w.demand += n
+	start := n > 0
+	w.mu.Unlock()
+	if !start {
+		return
+	}
+	for _, m := range w.cfg.Members {
+		w.probe(context.WithoutCancel(ctx), m)
+	}
+}
+
+// update runs f under the lock, wakes the requests that wait and performs the
+// actions that f returns.
+func (w *Watcher) update(ctx context.Context, f func(now time.Duration) []group.Action) {
+	w.mu.Lock()
+	actions := f(w.Now())
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.notePrimary()
+	w.mu.Unlock()
+	w.perform(ctx, actions)
+}
+
+// notePrimary logs a change of primary; it needs mu held.
+func (w *Watcher) notePrimary() {
+	st, found := w.ctl.View().Primary()
+	if !found || st.Member == w.primary {
+		return
+	}
+	w.primary = st.Member
+	eventlog.PrimaryChanged.Info(w.cfg.Log).
+		Str("service", w.cfg.Service).Str("upstream", st.Member).Uint64("term", uint64(st.Claimed)).Send()
+}
--- /dev/null
+++ b/standin/dbgroup/call.go
@@ -0,0 +1,115 @@
+package dbgroup
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/group"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+)
+
+// statusColumns is the row shape of the group functions.
+var statusColumns = []string{"member", "claimed", "is_primary", "follows", "last", "applied", "history", "heard_us", "done"}
+
+// call runs one of the functions of a group member.
+func (x *executor) call(ctx context.Context, st *callStmt, params []string) (*result, error) {
+	args := make([]string, len(st.Arguments))
+	for i, a := range st.Arguments {
+		v, err := a.bind(params)
+		if err != nil {
+			return nil, err
+		}
+		args[i] = v
+	}
+	m := x.member
+	time.Sleep(time.Duration(m.faults.slow.Load()))
+	switch f := strings.ToLower(st.Function); {
+	case f == "group_status" && len(args) == 0:
+		return statusResult(m.Status(), true), nil
+	case f == "group_describe" && len(args) == 0:
+		return m.describe(), nil
+	case f == "group_claim" && len(args) == 2:
+		return x.order(args[0], func(t logpos.Term) bool { return m.claim(t, args[1]) })
+	case f == "group_promote" && len(args) == 2:
+		return x.order(args[0], func(t logpos.Term) bool { return m.promote(t, args[1]) })
+	case f == "group_follow" && len(args) == 2:
+		return x.order(args[0], func(t logpos.Term) bool { return m.follow(t, m.group.Member(args[1])) })
+	case f == "pg_try_advisory_lock" && len(args) == 1:
+		return boolResult(m.server.lock(args[0], x.backend)), nil
+	case f == "pg_advisory_unlock" && len(args) == 1:
+		return boolResult(m.server.unlock(args[0], x.backend)), nil
+	case f == "group_terminate" && len(args) == 2:
+		return boolResult(m.server.terminate(args[0], args[1])), nil
+	case f == "pg_sleep" && len(args) == 1:
+		return x.sleep(ctx, args[0])
+	}
+	return nil, &sqlError{code: codeUndefinedFunction, message: "function " + st.Function + " does not exist"}
+}
+
+func (x *executor) order(termText string, run func(logpos.Term) bool) (*result, error) {
+	term, err := strconv.ParseUint(termText, 10, 64)
+	if err != nil {
+		return nil, &sqlError{code: codeInvalidArgument, message: "term " + termText + " is not a number"}
+	}
+	done := run(logpos.Term(term))
+	return statusResult(x.member.Status(), done), nil
+}
+
+func statusResult(st group.Status, done bool) *result {
+	return &result{
+		columns: statusColumns,
+		rows: [][]string{{
+			st.Member,
+			strconv.FormatUint(uint64(st.Claimed), 10),
+			strconv.FormatBool(st.Primary),
+			strconv.FormatUint(uint64(st.Follows), 10),
+			st.Last.String(),
+			st.Applied.String(),
+			st.History.String(),
+			strconv.FormatInt(st.Heard.Microseconds(), 10),
+			strconv.FormatBool(done),
+		}},
+		tag: "SELECT 1",
+	}
+}
+
+// describeColumns is the row shape of group_describe, which is for checkers.
+var describeColumns = []string{"service", "term", "is_primary", "replica_reads", "primary_reads"}
+
+func (m *Member) describe() *result {
+	st := m.Status()
+	return &result{
+		columns: describeColumns,
+		rows: [][]string{{
+			m.group.name, strconv.FormatUint(uint64(st.Claimed), 10), strconv.FormatBool(st.Primary),
+			strconv.FormatInt(m.replicaReads.Load(), 10), strconv.FormatInt(m.primaryReads.Load(), 10),
+		}},
+		tag: "SELECT 1",
+	}
+}
+
+func boolResult(ok bool) *result {
+	text := "f"
+	if ok {
+		text = "t"
+	}
+	return &result{columns: []string{"result"}, rows: [][]string{{text}}, tag: "SELECT 1"}
+}
+
+func (x *executor) sleep(ctx context.Context, seconds string) (*result, error) {
+	s, err := strconv.ParseFloat(seconds, 64)
+	if err != nil {
+		return nil, &sqlError{code: codeInvalidArgument, message: "pg_sleep: " + seconds + " is not a number"}
+	}
+	release, err := x.member.takeSlot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer release()
+	if err := x.member.work(ctx, time.Duration(s*float64(time.Second))); err != nil {
+		return nil, err
+	}
+	return &result{columns: []string{"pg_sleep"}, rows: [][]string{{""}}, tag: "SELECT 1"}, nil
+}
--- /dev/null
+++ b/standin/dbgroup/log.go
@@ -0,0 +1,63 @@
+package dbgroup
+
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+)
+
+// entry is one committed transaction in a member's log.
+type entry struct {
+	position logpos.Position
+	ops      []op
+	at       time.Time
+}
+
+// entryLog is a member's durable log. Entry i has offset i+1.
+type entryLog struct {
+	entries []entry
+	history logpos.History
+}
+
+func (l *entryLog) last() logpos.Position {
+	if len(l.entries) == 0 {
+		return logpos.Position{}
+	}
+	return l.entries[len(l.entries)-1].position
+}
+
+// append adds an entry written in term.
+func (l *entryLog) append(term logpos.Term, ops []op, at time.Time) entry {
+	if l.history.Last() != term {
+		l.history = append(l.history.Clone(), logpos.Fork{Term: term, Start: logpos.Offset(len(l.entries))})
+	}
+	e := entry{
+		position: logpos.Position{Term: term, Offset: logpos.Offset(len(l.entries) + 1)},
+		ops:      ops,
+		at:       at,
+	}
+	l.entries = append(l.entries, e)
+	return e
+}
+
+// commonPrefix returns how many entries two logs share.
+func (l *entryLog) commonPrefix(other []entry) int {
+	n := min(len(l.entries), len(other))
+	for n > 0 && l.entries[n-1].position != other[n-1].position {
+		n--
+	}
+	return n
+}
+
+// truncate drops the entries past n.
+func (l *entryLog) truncate(n int) {
+	l.entries = l.entries[:n:n]
+	last := l.last()
+	kept := logpos.History{}
+	for _, f := range l.history {
+		if f.Term <= last.Term {
+			kept = append(kept, f)
+		}
+	}
+	l.history = kept
+}
--- /dev/null
+++ b/standin/workload/deployment.go
@@ -0,0 +1,112 @@
+package workload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/standin/dbgroup"
+	"github.com/dotterelswitch/dotterelswitch/standin/netem"
+	"github.com/dotterelswitch/dotterelswitch/standin/platform"
+)
+
+// listLag is how far the platform's list of hosts lags.
+const listLag = 2 * time.Second
+
+// Deployment is a workload's stand-ins, running on loopback.
+type Deployment struct {
+	Spec     Spec
+	Network  *netem.Network
+	Platform *platform.Server
+	Groups   []*dbgroup.Group
+}
+
+// Deploy starts the groups and the platform of a workload.
+func Deploy(s Spec) (*Deployment, error) {
+	regions := make(map[string]string)
+	for _, z := range s.Zones {
+		regions[z.Name] = z.Region
+	}
+	d := &Deployment{Spec: s, Network: netem.New(regions, s.Latency)}
+	var err error
+	if d.Platform, err = platform.NewServer(listLag); err != nil {
+		return nil, err
+	}
+	for i, name := range s.ServiceNames() {
+		g, err := dbgroup.NewGroup(name, d.memberConfigs(name, i), d.Network)
+		if err != nil {
+			d.Close()
+			return nil, err
+		}
+		d.Groups = append(d.Groups, g)
+		for _, m := range g.Members() {
+			d.Network.Place(m.Addr(), m.Zone())
+		}
+	}
+	return d, nil
+}
+
+// memberConfigs spreads a group over the zones; the first member, which starts
+// as primary, is in another zone for each group.
+func (d *Deployment) memberConfigs(service string, shift int) []dbgroup.MemberConfig {
+	var out []dbgroup.MemberConfig
+	for j := range d.Spec.Zones {
+		cfg := d.Spec.Member
+		cfg.Zone = d.Spec.Zone(shift + j)
+		cfg.Name = fmt.Sprintf("%s-%c", service, 'a'+j)
+		out = append(out, cfg)
+	}
+	return out
+}
+
+// Config returns the configuration that describes the deployment.
+func (d *Deployment) Config() *conf.Config {
+	c := &conf.Config{Version: 1, ChangeID: "initial", Zones: d.Spec.Zones}
+	for _, g := range d.Groups {
+		svc := conf.Service{Name: g.Name()}
+		for _, m := range g.Members() {
+			svc.Upstreams = append(svc.Upstreams, conf.Upstream{
+				Name: m.Name(), Zone: m.Zone(), Address: m.Addr(),
+				Slots: d.Spec.Member.Slots, Connections: d.Spec.Member.Connections,
+			})
+		}
+		c.Services = append(c.Services, svc)
+	}
+	for _, cl := range d.Spec.Classes {
+		c.Classes = append(c.Classes, cl.Class)
+	}
+	for _, t := range d.Spec.Tenants {
+		c.Tenants = append(c.Tenants, conf.Tenant{Name: t, Weight: 1})
+	}
+	return c
+}
+
+// UpstreamAddresses returns the members' addresses, by service.
+func (d *Deployment) UpstreamAddresses() []string {
+	var out []string
+	for _, g := range d.Groups {
+		for _, m := range g.Members() {
+			out = append(out, m.Addr())
+		}
+	}
+	return out
+}
+
+// SlotBreaches returns how often any member got more statements than slots.
+func (d *Deployment) SlotBreaches() int64 {
+	var n int64
+	for _, g := range d.Groups {
+		for _, m := range g.Members() {
+			n += m.Breaches()
+		}
+	}
+	return n
+}
+
+// Close stops everything.
+func (d *Deployment) Close() {
+	for _, g := range d.Groups {
+		g.Close()
+	}
+	d.Platform.Close()
+}
