Confirm writes from the primary's acknowledgements; read current data on replicas

Cause: a write waited for a probe round to another region after it had been replicated, and reads near a primary, as well as all reads without a staleness bound, took the primary's scarce slots.

Change: a status carries the acknowledgements that the primary has from its replicas, and only the primary, which is in the owner's zone, is probed for a confirmation. A read without a bound may run on a replica once a round to a majority, sent after the read arrived, shows that the replica holds everything. Routing charges a read 100 ms for using the primary.

--- a/core/group/status.go
+++ b/core/group/status.go
@@ -29,6 +29,16 @@
 	Applied logpos.Position
 	// History lists the forks of its log.
 	History logpos.History
+	// Acks are the positions that a primary's replicas have acknowledged to it
+	// in its own term. Only a primary reports them.
+	Acks []Ack
 	// Heard is the time since it last had contact with the primary it follows.
 	Heard time.Duration
 }
+
+// Ack is a replica's acknowledgement, as its primary reports it. The replica
+// sent it while it had granted no newer term.
+type Ack struct {
+	Member string
+	Last   logpos.Position
+}
--- a/core/group/view.go
+++ b/core/group/view.go
@@ -134,13 +134,16 @@
 
 // Confirmed returns the largest offset that a majority holds in the given
 // term. An entry of an older term counts only through an entry of this term
-// behind it, and a member that has granted a newer term no longer counts.
+// behind it, and a member that is known to have granted a newer term no longer
+// counts. A replica's position is taken from its own answers or from its
+// acknowledgements to the primary, whichever is further: either shows that the
+// replica held the entry before it granted any newer term.
 func (v *View) Confirmed(term logpos.Term) logpos.Offset {
 	offsets := make([]logpos.Offset, 0, len(v.members))
+	acks := v.acks(term)
 	for i := range v.members {
-		st := v.members[i].status
-		if v.members[i].answered && st.Claimed == term && st.Last.Term == term {
-			offsets = append(offsets, st.Last.Offset)
+		if offset := v.held(&v.members[i], term, acks); offset > 0 {
+			offsets = append(offsets, offset)
 		}
 	}
 	if len(offsets) < v.Quorum() {
@@ -150,6 +153,32 @@
 	return offsets[len(offsets)-v.Quorum()]
 }
 
+// acks returns what the primary of a term reports of its replicas.
+func (v *View) acks(term logpos.Term) []Ack {
+	primary, found := v.Primary()
+	if !found || primary.Claimed != term {
+		return nil
+	}
+	return primary.Acks
+}
+
+// held returns the newest offset that a member is known to hold in a term.
+func (v *View) held(m *memberView, term logpos.Term, acks []Ack) logpos.Offset {
+	if m.answered && m.status.Claimed > term {
+		return 0
+	}
+	var offset logpos.Offset
+	if m.answered && m.status.Claimed == term && m.status.Last.Term == term {
+		offset = m.status.Last.Offset
+	}
+	for _, a := range acks {
+		if a.Member == m.name && a.Last.Term == term {
+			offset = max(offset, a.Last.Offset)
+		}
+	}
+	return offset
+}
+
 // StoodAt returns the latest time at which the given term is known to have
 // been the newest that a majority had granted. No later term can have
 // acknowledged a write before then, because it would have needed one of those
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -38,6 +38,9 @@
 	// minWait and maxWait bound the wait for a replica to catch up.
 	minWait = time.Millisecond
 	maxWait = 100 * time.Millisecond
+	// primaryPenalty is the latency that a read may take longer on a replica to
+	// spare the primary.
+	primaryPenalty = 100 * time.Millisecond
 	// avoidFor and avoidMax bound how long a member that failed is avoided.
 	avoidFor = 50 * time.Millisecond
 	avoidMax = 2 * time.Second
@@ -156,10 +159,11 @@
 	Wait     time.Duration
 }
 
-// Reads returns the members to try for a read that tolerates stale data, the
-// cheapest first. Each may wait as long as the detour to the next costs, which
-// is at most twice the cost of the better decision made with hindsight.
-func (t *Table) Reads(now time.Duration) []Choice {
+// Reads returns the members to try for a read, the cheapest first. Each may
+// wait as long as the detour to the next costs, which is at most twice the cost
+// of the better decision made with hindsight. A current read, which tolerates
+// no stale data, always needs a round to a majority, so it may wait for one.
+func (t *Table) Reads(now time.Duration, current bool) []Choice {
 	order := make([]*memberState, 0, len(t.members))
 	for i := range t.members {
 		if !t.members[i].Leaving {
@@ -170,19 +174,28 @@
 		if c := cmp.Compare(a.avoided(now), b.avoided(now)); c != 0 {
 			return c
 		}
-		return cmp.Compare(a.cost(now), b.cost(now))
+		return cmp.Compare(t.readCost(a, now), t.readCost(b, now))
 	})
 	out := make([]Choice, 0, len(order))
 	for i, m := range order {
 		wait := maxWait
-		if i+1 < len(order) {
-			wait = min(max(order[i+1].cost(now)-m.cost(now), minWait), maxWait)
+		if i+1 < len(order) && !current {
+			wait = min(max(t.readCost(order[i+1], now)-t.readCost(m, now), minWait), maxWait)
 		}
 		out = append(out, Choice{Upstream: m.Name, Wait: wait})
 	}
 	return out
 }
 
+// readCost is the cost of a read on a member. Slots of the primary are dearer
+// than latency, because only they can serve writes.
+func (t *Table) readCost(m *memberState, now time.Duration) time.Duration {
+	if m.Name == t.primary {
+		return m.cost(now) + primaryPenalty
+	}
+	return m.cost(now)
+}
+
 // avoided is 1 while the member is avoided; such members come last.
 func (m *memberState) avoided(now time.Duration) int {
 	if now < m.avoidTill {
--- a/node/gateway/run.go
+++ b/node/gateway/run.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/dotterelswitch/dotterelswitch/core/classify"
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
 )
@@ -87,6 +88,10 @@
 		}
 		req.Staleness = bound
 	}
+	if w.batch != nil && !w.batch.executes {
+		// A description reads no data.
+		req.Staleness = conf.MaxStaleness
+	}
 	req.Token, _ = s.token.Position(s.service)
 	req.Write, req.MayCommit = s.effects(w)
 	return req, s.takeKey(w, req)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -213,6 +213,9 @@
 // Ready reports whether a configuration is in force.
 func (h *Host) Ready() bool { return h.fleet.Config().Version > 0 }
 
+// Known returns how many hosts this one believes to serve, itself included.
+func (h *Host) Known() int { return len(h.fleet.Serving()) }
+
 // Owned returns the members whose pools this host serves.
 func (h *Host) Owned() []string { return h.owner.Owned() }
 
--- a/node/owner/execute.go
+++ b/node/owner/execute.go
@@ -10,6 +10,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
 	"github.com/dotterelswitch/dotterelswitch/node/upstream"
+	"github.com/dotterelswitch/dotterelswitch/node/watch"
 )
 
 // sqlStateReadOnly is what a member answers to a write that it may not run.
@@ -69,7 +70,7 @@
 	defer cancel()
 	p.watcher.Inspect(func(v *group.View, now time.Duration) { judge(v, now) })
 	if verdict != group.Eligible && !primary {
-		_ = p.watcher.Await(bounded, true, judge)
+		_ = p.watcher.Await(bounded, watch.ForFreshness, judge)
 	}
 	if primary && verdict != group.Ahead {
 		return nil
@@ -218,7 +219,7 @@
 // nothing and needs no wait, unless a transaction before it committed.
 func (o *Owner) confirm(ctx context.Context, p *pool, resp *request.Response, answer upstream.Answer) *request.Response {
 	landing := group.Pending
-	err := p.watcher.Await(ctx, true, func(v *group.View, _ time.Duration) bool {
+	err := p.watcher.Await(ctx, watch.ForConfirmation, func(v *group.View, _ time.Duration) bool {
 		landing = v.Landing(answer.Position)
 		return landing != group.Pending
 	})
@@ -242,7 +243,7 @@
 		verdict = v.CanServe(resp.Position, need)
 		return true
 	}
-	if err := p.watcher.Await(ctx, true, judge); err != nil {
+	if err := p.watcher.Await(ctx, watch.ForFreshness, judge); err != nil {
 		return request.Refused(outcome.Refuse(outcome.TooStale, "upstream %s could not show that it is current", p.spec.Name))
 	}
 	if onPrimary && landing != group.Confirmed {
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -98,7 +98,7 @@
 	r.budget.Attempt()
 	r.mu.Unlock()
 	st := r.table(cfg, svc)
-	if req.Write || req.Staleness == 0 {
+	if req.Write {
 		return r.doPrimary(ctx, svc, st, req)
 	}
 	return r.doRead(ctx, svc, st, req)
@@ -139,7 +139,7 @@
 func (r *Router) doRead(ctx context.Context, svc conf.Service, st *serviceTable, req *request.Request) *request.Response {
 	for attempt := 0; ; attempt++ {
 		r.mu.Lock()
-		choices := st.table.Reads(r.now())
+		choices := st.table.Reads(r.now(), req.Staleness == 0)
 		r.mu.Unlock()
 		last := outcome.Refuse(outcome.NoPrimary, "service %s has no upstream that takes work", svc.Name)
 		for _, c := range choices {
--- a/node/upstream/control.go
+++ b/node/upstream/control.go
@@ -108,7 +108,7 @@
 
 func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
 
-const statusFields = 9
+const statusFields = 10
 
 func (c *Control) statusQuery(ctx context.Context, sql string) (group.Status, bool, error) {
 	row, err := c.query(ctx, sql)
@@ -131,13 +131,31 @@
 	last, err3 := logpos.Parse(string(row[4]))
 	applied, err4 := logpos.Parse(string(row[5]))
 	history, err5 := logpos.ParseHistory(string(row[6]))
-	heard, err6 := strconv.ParseInt(string(row[7]), 10, 64)
+	acks, err6 := parseAcks(string(row[7]))
+	heard, err7 := strconv.ParseInt(string(row[8]), 10, 64)
 	st := group.Status{
 		Member: string(row[0]), Claimed: logpos.Term(claimed), Primary: string(row[2]) == "true",
 		Follows: logpos.Term(follows), Last: last, Applied: applied, History: history,
-		Heard: time.Duration(heard) * time.Microsecond,
+		Acks: acks, Heard: time.Duration(heard) * time.Microsecond,
 	}
-	return st, string(row[8]) == "true", errors.Join(err1, err2, err3, err4, err5, err6)
+	return st, string(row[9]) == "true", errors.Join(err1, err2, err3, err4, err5, err6, err7)
+}
+
+// parseAcks reads "member=term/offset" parts joined by commas.
+func parseAcks(text string) ([]group.Ack, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var acks []group.Ack
+	for part := range strings.SplitSeq(text, ",") {
+		member, position, _ := strings.Cut(part, "=")
+		p, err := logpos.Parse(position)
+		if err != nil {
+			return nil, err
+		}
+		acks = append(acks, group.Ack{Member: member, Last: p})
+	}
+	return acks, nil
 }
 
 // TryLock takes the advisory lock that marks the owner of the member's pool,
--- a/node/watch/perform.go
+++ b/node/watch/perform.go
@@ -77,10 +77,7 @@
 
 // continueDemand probes again while requests wait for news.
 func (w *Watcher) continueDemand(ctx context.Context, member string, sent time.Duration) {
-	w.mu.Lock()
-	wanted := w.demand > 0
-	w.mu.Unlock()
-	if !wanted {
+	if !w.demanded(member) {
 		return
 	}
 	if rest := demandPace - (w.Now() - sent); rest > 0 {
--- a/node/watch/watcher.go
+++ b/node/watch/watcher.go
@@ -54,7 +54,7 @@
 	mu      sync.Mutex
 	ctl     *group.Controller
 	changed chan struct{}
-	demand  int
+	demand  [demandKinds]int
 	busy    map[string]bool
 	sentAt  map[string]time.Duration
 	primary string
@@ -131,13 +131,23 @@
 	return w.ctl.Promotions()
 }
 
-// Await blocks until done returns true or the context ends. While any request
-// waits with demand, members are probed without pause.
-func (w *Watcher) Await(ctx context.Context, demand bool, done func(v *group.View, now time.Duration) bool) error {
-	if demand {
-		w.addDemand(ctx, 1)
-		defer w.addDemand(ctx, -1)
-	}
+// Demand says which members are probed without pause while a request waits.
+type Demand uint8
+
+// The demands.
+const (
+	// ForConfirmation waits for the primary to report its replicas' progress.
+	ForConfirmation Demand = iota
+	// ForFreshness waits for proof of how current the members are.
+	ForFreshness
+	demandKinds
+)
+
+// Await blocks until done returns true or the context ends. Meanwhile the
+// members that the demand concerns are probed without pause.
+func (w *Watcher) Await(ctx context.Context, demand Demand, done func(v *group.View, now time.Duration) bool) error {
+	w.addDemand(ctx, demand, 1)
+	defer w.addDemand(ctx, demand, -1)
 	for {
 		w.mu.Lock()
 		if done(w.ctl.View(), w.Now()) {
@@ -156,17 +166,29 @@
 
 // addDemand changes the number of requests that wait; the first one starts
 // probes at once.
-func (w *Watcher) addDemand(ctx context.Context, n int) {
+func (w *Watcher) addDemand(ctx context.Context, d Demand, n int) {
 	w.mu.Lock()
-	w.demand += n
-	start := n > 0
+	w.demand[d] += n
 	w.mu.Unlock()
-	if !start {
+	if n < 0 {
 		return
 	}
 	for _, m := range w.cfg.Members {
-		w.probe(context.WithoutCancel(ctx), m)
+		if w.demanded(m) {
+			w.probe(context.WithoutCancel(ctx), m)
+		}
+	}
+}
+
+// demanded reports whether requests wait for news of a member.
+func (w *Watcher) demanded(member string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.demand[ForFreshness] > 0 {
+		return true
 	}
+	primary, found := w.ctl.View().Primary()
+	return w.demand[ForConfirmation] > 0 && (!found || primary.Member == member)
 }
 
 // update runs f under the lock, wakes the requests that wait and performs the
--- a/standin/dbgroup/call.go
+++ b/standin/dbgroup/call.go
@@ -11,7 +11,7 @@
 )
 
 // statusColumns is the row shape of the group functions.
-var statusColumns = []string{"member", "claimed", "is_primary", "follows", "last", "applied", "history", "heard_us", "done"}
+var statusColumns = []string{"member", "claimed", "is_primary", "follows", "last", "applied", "history", "acks", "heard_us", "done"}
 
 // call runs one of the functions of a group member.
 func (x *executor) call(ctx context.Context, st *callStmt, params []string) (*result, error) {
@@ -68,6 +68,7 @@
 			st.Last.String(),
 			st.Applied.String(),
 			st.History.String(),
+			ackText(st.Acks),
 			strconv.FormatInt(st.Heard.Microseconds(), 10),
 			strconv.FormatBool(done),
 		}},
@@ -75,6 +76,15 @@
 	}
 }
 
+// ackText writes acknowledgements as "member=term/offset", joined by commas.
+func ackText(acks []group.Ack) string {
+	parts := make([]string, 0, len(acks))
+	for _, a := range acks {
+		parts = append(parts, a.Member+"="+a.Last.String())
+	}
+	return strings.Join(parts, ",")
+}
+
 // describeColumns is the row shape of group_describe, which is for checkers.
 var describeColumns = []string{"service", "term", "is_primary", "replica_reads", "primary_reads"}
 
--- a/standin/dbgroup/member.go
+++ b/standin/dbgroup/member.go
@@ -4,6 +4,8 @@
 package dbgroup
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +46,7 @@
 	follows  logpos.Term
 	heardAt  time.Time
 	pending  map[indexKey]*txn
+	acks     map[string]logpos.Position
 	lag      time.Duration
 	stalled  bool
 	stopFeed chan struct{}
@@ -92,6 +95,10 @@
 	}
 	if !m.primary {
 		st.Heard = time.Since(m.heardAt)
+		return st
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.acks)) {
+		st.Acks = append(st.Acks, group.Ack{Member: name, Last: m.acks[name]})
 	}
 	return st
 }
@@ -138,6 +145,7 @@
 	}
 	m.applyTo(len(m.log.entries))
 	m.primary = true
+	m.acks = make(map[string]logpos.Position)
 	m.commitEntry(nil)
 	return true
 }
--- a/standin/dbgroup/replication.go
+++ b/standin/dbgroup/replication.go
@@ -48,6 +48,7 @@
 	defer tick.Stop()
 	synced := false
 	lastContact := time.Time{}
+	var acks ackQueue
 	for {
 		select {
 		case <-stop:
@@ -57,6 +58,7 @@
 		delay, linked := m.group.link(primary, m)
 		if !linked || m.faults.down() || primary.faults.down() {
 			synced = false
+			acks.clear()
 			m.applyDue(term)
 			continue
 		}
@@ -66,6 +68,10 @@
 		}
 		m.receive(term, primary, delay)
 		m.applyDue(term)
+		acks.push(m.Status().Last, time.Now().Add(delay))
+		if p, due := acks.pop(time.Now()); due {
+			primary.acknowledged(term, m.cfg.Name, p)
+		}
 		if time.Since(lastContact) >= contactInterval && primary.reigns(term) {
 			lastContact = time.Now()
 			m.contact(term)
@@ -73,6 +79,15 @@
 	}
 }
 
+// acknowledged takes a replica's acknowledgement.
+func (m *Member) acknowledged(term logpos.Term, replica string, p logpos.Position) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.primary && m.claimed == term {
+		m.acks[replica] = p
+	}
+}
+
 // reigns reports whether the member is the primary of a term.
 func (m *Member) reigns(term logpos.Term) bool {
 	m.mu.Lock()
