--- /dev/null
+++ b/core/token/token_test.go
@@ -0,0 +1,104 @@
+package token_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelswitch/dotterelswitch/core/internal/fixedseed"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/token"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+func drawToken(t *rapid.T) token.Token {
+	var tok token.Token
+	for i := range rapid.IntRange(0, token.MaxServices).Draw(t, "services") {
+		next, err := tok.Advance(fmt.Sprintf("service-%d", i), logpos.Position{
+			Term: logpos.Term(rapid.Uint64().Draw(t, "term")), Offset: logpos.Offset(rapid.Uint64().Draw(t, "offset")),
+		})
+		require.NoError(t, err)
+		tok = next
+	}
+	return tok
+}
+
+func TestRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tok := drawToken(t)
+		text := tok.Encode()
+		require.LessOrEqual(t, len(text), token.MaxEncoded)
+		back, err := token.Decode(text)
+		require.NoError(t, err)
+		require.Equal(t, text, back.Encode())
+	})
+}
+
+// TestDamage changes one character, which must not go unnoticed.
+func TestDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := drawToken(t).Encode()
+		i := rapid.IntRange(0, len(text)-1).Draw(t, "index")
+		c := rapid.SampledFrom([]byte("ABCxyz019-_")).Draw(t, "character")
+		if text[i] == c {
+			return
+		}
+		_, err := token.Decode(text[:i] + string(c) + text[i+1:])
+		require.Error(t, err)
+	})
+}
+
+func TestAdvanceNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tok token.Token
+		var newest logpos.Position
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			p := logpos.Position{
+				Term: logpos.Term(rapid.IntRange(1, 3).Draw(t, "term")), Offset: logpos.Offset(rapid.IntRange(1, 50).Draw(t, "offset")),
+			}
+			if newest.Less(p) {
+				newest = p
+			}
+			next, err := tok.Advance("s", p)
+			require.NoError(t, err)
+			tok = next
+		}
+		got, _ := tok.Position("s")
+		require.Equal(t, newest, got)
+	})
+}
+
+func TestLimits(t *testing.T) {
+	var tok token.Token
+	for i := range token.MaxServices {
+		next, err := tok.Advance(fmt.Sprintf("s%d", i), logpos.Position{Term: 1, Offset: 1})
+		require.NoError(t, err)
+		tok = next
+	}
+	var limit *token.LimitError
+	_, err := tok.Advance("one-more", logpos.Position{Term: 1, Offset: 1})
+	require.ErrorAs(t, err, &limit)
+	var bad *token.DecodeError
+	_, err = token.Decode(strings.Repeat("A", token.MaxEncoded+1))
+	require.ErrorAs(t, err, &bad)
+}
+
+// FuzzDecode checks that no text makes the decoder fail, and that what it
+// takes is what Encode writes.
+func FuzzDecode(f *testing.F) {
+	var tok token.Token
+	tok, _ = tok.Advance("agenda-db-1", logpos.Position{Term: 3, Offset: 99})
+	f.Add(tok.Encode())
+	f.Add("")
+	f.Add("AQ")
+	f.Fuzz(func(t *testing.T, text string) {
+		got, err := token.Decode(text)
+		if err == nil && text != "" && got.Encode() != text {
+			t.Fatalf("%q decodes to a token that encodes to %q", text, got.Encode())
+		}
+	})
+}
