Keep the configuration as a log of changes in the platform's service

Change: a change replaces or deletes items by name and is accepted by creating its numbered key with compare-and-swap. A lost answer is settled by reading the key back, a change ID is applied once, changes of different items are rebased, and of two operators that touch one item exactly one is told of a conflict. Hosts pass changes, not documents, to each other, and only move to a higher version.

--- a/core/admit/queue_test.go
+++ b/core/admit/queue_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dotterelswitch/dotterelswitch/core/admit"
-	"github.com/dotterelswitch/dotterelswitch/core/internal/fixedseed"
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
 )
 
 func TestMain(m *testing.M) { fixedseed.Main(m) }
--- /dev/null
+++ b/core/conf/change.go
@@ -0,0 +1,101 @@
+package conf
+
+// Change is one accepted change of the configuration. It replaces or deletes
+// whole items by name, so that two changes of different items never conflict.
+type Change struct {
+	// Version is the version that the change makes, one above the one it was
+	// made on.
+	Version uint64 `json:"version"`
+	// ChangeID is unique to the change.
+	ChangeID string `json:"change_id"`
+	Put      Items  `json:"put"`
+	Delete   Names  `json:"delete"`
+}
+
+// Items are configuration items of every kind.
+type Items struct {
+	Zones    []Zone    `json:"zones,omitempty"`
+	Services []Service `json:"services,omitempty"`
+	Classes  []Class   `json:"classes,omitempty"`
+	Tenants  []Tenant  `json:"tenants,omitempty"`
+	Events   []Event   `json:"events,omitempty"`
+	Drains   []Drain   `json:"drains,omitempty"`
+}
+
+// Names are the names of items, by kind.
+type Names struct {
+	Zones    []string `json:"zones,omitempty"`
+	Services []string `json:"services,omitempty"`
+	Classes  []string `json:"classes,omitempty"`
+	Tenants  []string `json:"tenants,omitempty"`
+	Events   []string `json:"events,omitempty"`
+	Drains   []Drain  `json:"drains,omitempty"`
+}
+
+// Apply returns the configuration after a change. The receiver is unchanged
+// and shares what the change leaves alone. A change that does not follow the
+// receiver's version is a *GapError.
+func (c *Config) Apply(ch Change) (*Config, error) {
+	if ch.Version != c.Version+1 {
+		return nil, &GapError{Have: c.Version, Change: ch.Version}
+	}
+	return &Config{
+		Version:  ch.Version,
+		ChangeID: ch.ChangeID,
+		Zones:    merge(c.Zones, ch.Put.Zones, ch.Delete.Zones, zoneName),
+		Services: merge(c.Services, ch.Put.Services, ch.Delete.Services, serviceName),
+		Classes:  merge(c.Classes, ch.Put.Classes, ch.Delete.Classes, className),
+		Tenants:  merge(c.Tenants, ch.Put.Tenants, ch.Delete.Tenants, tenantName),
+		Events:   merge(c.Events, ch.Put.Events, ch.Delete.Events, eventName),
+		Drains:   merge(c.Drains, ch.Put.Drains, drainKeys(ch.Delete.Drains), drainKey),
+	}, nil
+}
+
+func zoneName(z Zone) string       { return z.Name }
+func serviceName(s Service) string { return s.Name }
+func className(c Class) string     { return c.Name }
+func tenantName(t Tenant) string   { return t.Name }
+func eventName(e Event) string     { return e.Name }
+func drainKey(d Drain) string      { return string(d.Kind) + "/" + d.Name }
+
+func drainKeys(drains []Drain) []string {
+	keys := make([]string, 0, len(drains))
+	for _, d := range drains {
+		keys = append(keys, drainKey(d))
+	}
+	return keys
+}
+
+// Overlaps reports whether two changes touch the same item.
+func (ch Change) Overlaps(other Change) bool {
+	mine := ch.touched()
+	for key := range other.touched() {
+		if mine[key] {
+			return true
+		}
+	}
+	return false
+}
+
+// itemKey names an item of any kind.
+type itemKey struct{ kind, name string }
+
+func (ch Change) touched() map[itemKey]bool {
+	keys := make(map[itemKey]bool)
+	touch(keys, "zone", ch.Put.Zones, ch.Delete.Zones, zoneName)
+	touch(keys, "service", ch.Put.Services, ch.Delete.Services, serviceName)
+	touch(keys, "class", ch.Put.Classes, ch.Delete.Classes, className)
+	touch(keys, "tenant", ch.Put.Tenants, ch.Delete.Tenants, tenantName)
+	touch(keys, "event", ch.Put.Events, ch.Delete.Events, eventName)
+	touch(keys, "drain", ch.Put.Drains, drainKeys(ch.Delete.Drains), drainKey)
+	return keys
+}
+
+func touch[T any](keys map[itemKey]bool, kind string, put []T, deleted []string, name func(T) string) {
+	for _, item := range put {
+		keys[itemKey{kind, name(item)}] = true
+	}
+	for _, n := range deleted {
+		keys[itemKey{kind, n}] = true
+	}
+}
--- a/core/conf/config.go
+++ b/core/conf/config.go
@@ -5,7 +5,8 @@
 
 import "time"
 
-// Config is one version of the whole configuration.
+// Config is one version of the whole configuration. Each list is in order of
+// name.
 type Config struct {
 	// Version grows by one with each accepted change. Zero means none.
 	Version uint64 `json:"version"`
--- a/core/conf/lookup.go
+++ b/core/conf/lookup.go
@@ -7,11 +7,7 @@
 
 // Service returns a service by name.
 func (c *Config) Service(name string) (Service, bool) {
-	i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Name == name })
-	if i < 0 {
-		return Service{}, false
-	}
-	return c.Services[i], true
+	return find(c.Services, name, serviceName)
 }
 
 // Upstream returns one upstream of the service by name.
@@ -34,11 +30,8 @@
 
 // Region returns the region of a zone, or "" when the zone is unknown.
 func (c *Config) Region(zone string) string {
-	i := slices.IndexFunc(c.Zones, func(z Zone) bool { return z.Name == zone })
-	if i < 0 {
-		return ""
-	}
-	return c.Zones[i].Region
+	z, _ := find(c.Zones, zone, zoneName)
+	return z.Region
 }
 
 // Staleness returns the bound for a class on a service at a time: that of a
@@ -53,9 +46,13 @@
 			return bound, true
 		}
 	}
-	return staleness(c.Classes, class)
+	cl, found := find(c.Classes, class, className)
+	return cl.Staleness, found
 }
 
+// Tenant returns a tenant by name.
+func (c *Config) Tenant(name string) (Tenant, bool) { return find(c.Tenants, name, tenantName) }
+
 func staleness(classes []Class, name string) (time.Duration, bool) {
 	i := slices.IndexFunc(classes, func(c Class) bool { return c.Name == name })
 	if i < 0 {
@@ -67,14 +64,15 @@
 // Weight returns the tenant's share; tenants that are not declared have 1, so
 // that all are treated alike.
 func (c *Config) Weight(tenant string) float64 {
-	i := slices.IndexFunc(c.Tenants, func(t Tenant) bool { return t.Name == tenant })
-	if i < 0 || c.Tenants[i].Weight == 0 {
+	t, found := find(c.Tenants, tenant, tenantName)
+	if !found || t.Weight == 0 {
 		return 1
 	}
-	return c.Tenants[i].Weight
+	return t.Weight
 }
 
 // Draining reports whether a drain names the host or upstream.
 func (c *Config) Draining(kind DrainKind, name string) bool {
-	return slices.Contains(c.Drains, Drain{Kind: kind, Name: name})
+	_, found := find(c.Drains, drainKey(Drain{Kind: kind, Name: name}), drainKey)
+	return found
 }
--- a/core/conf/validate.go
+++ b/core/conf/validate.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"regexp"
-	"strings"
 	"time"
 )
 
@@ -21,8 +20,12 @@
 
 // Validate checks a configuration as a whole. The error is a *InvalidError
 // with every problem found.
-func (c *Config) Validate() error {
-	v := &validator{cfg: c}
+func (c *Config) Validate() error { return c.validate(c) }
+
+// validate checks the receiver's items; names that they refer to are looked up
+// in whole.
+func (c *Config) validate(whole *Config) error {
+	v := &validator{cfg: c, whole: whole}
 	v.zones()
 	v.services()
 	v.classes("class", c.Classes)
@@ -35,18 +38,21 @@
 	return nil
 }
 
-// InvalidError lists what is wrong with a configuration.
-type InvalidError struct {
-	Problems []string
-}
-
-func (e *InvalidError) Error() string {
-	return "configuration is invalid: " + strings.Join(e.Problems, "; ")
+// ValidateItems checks some items of a configuration, against the rest of it.
+// It costs as much as there are items, not as the configuration is large. That
+// upstream names are unique over all services only Validate checks.
+func (c *Config) ValidateItems(items Items) error {
+	part := &Config{
+		Zones: items.Zones, Services: items.Services, Classes: items.Classes,
+		Tenants: items.Tenants, Events: items.Events, Drains: items.Drains,
+	}
+	return part.validate(c)
 }
 
 // validator collects problems.
 type validator struct {
 	cfg      *Config
+	whole    *Config
 	problems []string
 }
 
@@ -91,7 +97,7 @@
 }
 
 func (v *validator) upstream(u Upstream) {
-	if v.cfg.Region(u.Zone) == "" {
+	if v.whole.Region(u.Zone) == "" {
 		v.addf("upstream %q: zone %q is not declared", u.Name, u.Zone)
 	}
 	if _, _, err := net.SplitHostPort(u.Address); err != nil {
@@ -136,7 +142,7 @@
 			v.addf("event %q: start is missing", e.Name)
 		}
 		for _, s := range e.Services {
-			if _, found := v.cfg.Service(s); !found {
+			if _, found := v.whole.Service(s); !found {
 				v.addf("event %q: service %q is not declared", e.Name, s)
 			}
 		}
@@ -156,7 +162,7 @@
 }
 
 func (v *validator) hasUpstream(name string) bool {
-	for _, s := range v.cfg.Services {
+	for _, s := range v.whole.Services {
 		if _, found := s.Upstream(name); found {
 			return true
 		}
--- a/core/logpos/logpos_test.go
+++ b/core/logpos/logpos_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/dotterelswitch/dotterelswitch/core/internal/fixedseed"
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 )
 
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/host"
 	"github.com/dotterelswitch/dotterelswitch/node/platform"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
@@ -95,14 +95,12 @@
 	return nil
 }
 
-// Publish puts a first configuration into the platform's service.
+// Publish makes a configuration's items the first change of the log.
 func Publish(ctx context.Context, address string, cfg *conf.Config) error {
-	data, err := json.Marshal(cfg)
-	if err != nil {
-		return err
-	}
 	client := platform.NewClient(address, (&net.Dialer{}).DialContext)
-	_, err = client.CompareAndSwap(ctx, host.ConfigKey, data, 0)
+	_, err := confstore.New(client).Submit(ctx, "initial", func(*conf.Config) (conf.Items, conf.Names, error) {
+		return cfg.Items(), conf.Names{}, nil
+	})
 	return err
 }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -178,10 +178,8 @@
 // countTenant admits a session of a tenant, within the tenant's limit.
 func (g *Gateway) countTenant(s *session) bool {
 	limit := g.cfg.MaxTenantConnections
-	for _, t := range g.config().Tenants {
-		if t.Name == s.tenant && t.Connections > 0 {
-			limit = t.Connections
-		}
+	if t, found := g.config().Tenant(s.tenant); found && t.Connections > 0 {
+		limit = t.Connections
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/host/config_sync.go
+++ b/node/host/config_sync.go
@@ -3,16 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/peer"
 )
 
 const (
-	// ConfigKey is the key of the configuration in the platform's service.
-	ConfigKey = "dotterelswitch/config"
 	// relaysPerZone is how many hosts of each availability zone watch the
 	// platform. The others learn of changes from their peers.
 	relaysPerZone = 2
@@ -43,7 +44,8 @@
 	return false
 }
 
-// watchConfig follows the configuration while this host is a relay.
+// watchConfig follows the log of changes while this host is a relay, and reads
+// it once at the start.
 func (h *Host) watchConfig(ctx context.Context) {
 	var index uint64
 	for ctx.Err() == nil {
@@ -51,21 +53,54 @@
 			sleep(ctx, roleInterval)
 			continue
 		}
-		v, err := h.store.Watch(ctx, ConfigKey, index, watchWait)
+		head, next, err := h.config.WatchHead(ctx, index, watchWait)
 		h.notePlatform(err)
-		if err != nil {
+		if err == nil && next == index {
+			h.config.Repair(ctx, head.Version+1)
+		}
+		if err == nil && next != 0 {
+			err = h.catchUp(ctx, head)
+		}
+		if err != nil || next == 0 {
 			sleep(ctx, retryInterval)
 			continue
 		}
-		if v.Index == 0 {
-			sleep(ctx, retryInterval)
+		index = next
+	}
+}
+
+// catchUp brings this host up to the head of the log.
+func (h *Host) catchUp(ctx context.Context, head confstore.Head) error {
+	for {
+		have := h.fleet.Config().Version
+		if have >= head.Version {
+			return nil
+		}
+		if have < head.Snapshot {
+			cfg, err := h.config.Snapshot(ctx, head)
+			if err == nil {
+				err = h.fleet.offerSnapshot(cfg)
+			}
+			if err != nil {
+				return err
+			}
 			continue
 		}
-		index = v.Index
-		h.takeDocument(v.Data)
+		ch, found, err := h.config.Change(ctx, have+1)
+		if err != nil {
+			return err
+		}
+		if !found {
+			return &confstore.DamagedError{Key: "change", Err: errMissingChange}
+		}
+		if err := h.fleet.offerChange(ch); err != nil {
+			return err
+		}
 	}
 }
 
+var errMissingChange = errors.New("a change below the head is missing")
+
 // watchList reads the platform's list at the start and while a relay.
 func (h *Host) watchList(ctx context.Context) {
 	for first := true; ctx.Err() == nil; first = false {
@@ -80,36 +115,46 @@
 	}
 }
 
-// pullConfig takes the configuration of a host that has a newer one.
+// pullConfig takes what another host has above this one's version.
 func (h *Host) pullConfig(ctx context.Context, from membership.Host) {
-	data, err := h.peers.FetchConfig(ctx, from.Peer, h.fleet.Config().Version)
-	if err == nil && len(data) > 0 {
-		h.takeDocument(data)
-	}
-}
-
-func (h *Host) takeDocument(data []byte) {
-	var cfg conf.Config
-	if err := json.Unmarshal(data, &cfg); err != nil {
-		eventlog.ConfigRejected.Error(h.log).Err(err).Send()
+	u, err := h.peers.FetchConfig(ctx, from.Peer, h.fleet.Config().Version)
+	if err != nil {
 		return
 	}
-	if h.fleet.offer(&cfg) {
-		h.documentMu.Lock()
-		h.document = data
-		h.documentMu.Unlock()
+	if len(u.Snapshot) > 0 {
+		var cfg conf.Config
+		if err := json.Unmarshal(u.Snapshot, &cfg); err != nil {
+			eventlog.ConfigRejected.Error(h.log).Err(err).Send()
+			return
+		}
+		_ = h.fleet.offerSnapshot(&cfg)
+	}
+	for _, data := range u.Changes {
+		var ch conf.Change
+		if err := json.Unmarshal(data, &ch); err != nil {
+			eventlog.ConfigRejected.Error(h.log).Err(err).Send()
+			return
+		}
+		if h.fleet.offerChange(ch) != nil {
+			return
+		}
 	}
 }
 
 // Config implements peer.Handler.
-func (h *Host) Config(above uint64) (uint64, []byte) {
-	version := h.fleet.Config().Version
-	if version <= above {
-		return version, nil
+func (h *Host) Config(above uint64) peer.ConfigUpdate {
+	changes, complete, cfg := h.fleet.since(above)
+	u := peer.ConfigUpdate{Version: cfg.Version}
+	if !complete {
+		// Plain data always encodes.
+		u.Snapshot, _ = json.Marshal(cfg)
+		return u
+	}
+	for _, ch := range changes {
+		data, _ := json.Marshal(ch)
+		u.Changes = append(u.Changes, data)
 	}
-	h.documentMu.Lock()
-	defer h.documentMu.Unlock()
-	return version, h.document
+	return u
 }
 
 // notePlatform logs when the platform is lost and found.
--- a/node/host/fleet.go
+++ b/node/host/fleet.go
@@ -21,13 +21,13 @@
 	roster  *membership.Roster
 	serving []membership.Host
 	seen    uint64
-	config  *conf.Config
+	tracker *conf.Tracker
 	changed chan struct{}
 }
 
 func newFleet(self membership.Host, timing membership.Timing, log zerolog.Logger) *fleet {
 	f := &fleet{
-		origin: time.Now(), log: log, config: &conf.Config{}, changed: make(chan struct{}, 1),
+		origin: time.Now(), log: log, tracker: conf.NewTracker(), changed: make(chan struct{}, 1),
 		roster: membership.NewRoster(self, timing, membership.Score("roster", self.ID)),
 	}
 	f.refresh()
@@ -64,12 +64,12 @@
 func (f *fleet) Serving() []membership.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.config.Drains) == 0 {
+	if len(f.tracker.Current().Drains) == 0 {
 		return f.serving
 	}
 	kept := make([]membership.Host, 0, len(f.serving))
 	for _, h := range f.serving {
-		if !f.config.Draining(conf.DrainHost, h.ID) {
+		if !f.tracker.Current().Draining(conf.DrainHost, h.ID) {
 			kept = append(kept, h)
 		}
 	}
@@ -87,25 +87,43 @@
 func (f *fleet) Config() *conf.Config {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.config
+	return f.tracker.Current()
 }
 
-// offer puts a configuration in force if it is newer and valid.
-func (f *fleet) offer(cfg *conf.Config) bool {
-	if err := cfg.Validate(); err != nil {
-		eventlog.ConfigRejected.Error(f.log).Err(err).Uint64("version", cfg.Version).Send()
-		return false
-	}
+// offerChange puts a change in force if it is next and valid.
+func (f *fleet) offerChange(ch conf.Change) error {
+	return f.offer(func(t *conf.Tracker) (bool, error) { return t.OfferChange(ch) })
+}
+
+// offerSnapshot puts a whole configuration in force if it is newer and valid.
+func (f *fleet) offerSnapshot(cfg *conf.Config) error {
+	return f.offer(func(t *conf.Tracker) (bool, error) { return t.OfferSnapshot(cfg) })
+}
+
+func (f *fleet) offer(take func(*conf.Tracker) (bool, error)) error {
 	f.mu.Lock()
-	if cfg.Version <= f.config.Version {
-		f.mu.Unlock()
-		return false
+	moved, err := take(f.tracker)
+	cfg := f.tracker.Current()
+	if moved {
+		f.signal()
 	}
-	f.config = cfg
-	f.signal()
 	f.mu.Unlock()
-	eventlog.ConfigInForce.Info(f.log).Uint64("version", cfg.Version).Str("change", cfg.ChangeID).Send()
-	return true
+	switch {
+	case err != nil:
+		eventlog.ConfigRejected.Error(f.log).Err(err).Send()
+	case moved:
+		eventlog.ConfigInForce.Info(f.log).Uint64("version", cfg.Version).Str("change", cfg.ChangeID).Send()
+	}
+	return err
+}
+
+// since returns the changes above a version, or false when a snapshot is
+// needed, with the configuration in force.
+func (f *fleet) since(version uint64) ([]conf.Change, bool, *conf.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changes, complete := f.tracker.Since(version)
+	return changes, complete, f.tracker.Current()
 }
 
 // snapshot returns the hosts that serve and those believed dead.
@@ -113,5 +131,5 @@
 	serving = f.Serving()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.config, serving, f.roster.Dead()
+	return f.tracker.Current(), serving, f.roster.Dead()
 }
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/group"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gateway"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
@@ -46,7 +47,7 @@
 	gateway  *gateway.Gateway
 	peers    *peer.Client
 	platform *platform.Client
-	store    platform.Store
+	config   *confstore.Store
 	metrics  *metrics.Metrics
 	servers  []*http.Server
 
@@ -55,9 +56,6 @@
 	wg           sync.WaitGroup
 	platformDown atomic.Bool
 	failed       chan error
-
-	documentMu sync.Mutex
-	document   []byte
 }
 
 // Start runs a host. It returns once the listeners accept and, if the platform
@@ -76,7 +74,7 @@
 	h.fleet = newFleet(self, h.timing, h.log)
 	h.peers = peer.NewClient(opts.Dial, s.PeerKey)
 	h.platform = platform.NewClient(s.Platform, opts.Dial)
-	h.store = h.platform
+	h.config = confstore.New(h.platform)
 	h.metrics = metrics.New(s.MaxTenantsShown)
 	h.owner = owner.New(owner.Config{
 		Host: self, User: s.UpstreamUser, Password: s.UpstreamPassword, Dial: opts.Dial,
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -140,13 +140,23 @@
 	}, nil
 }
 
-// FetchConfig returns another host's configuration if it is above a version.
-func (c *Client) FetchConfig(ctx context.Context, address string, above uint64) ([]byte, error) {
+// ConfigUpdate is what brings a host up to a version: the changes above its
+// own, or a snapshot.
+type ConfigUpdate struct {
+	Version  uint64
+	Changes  [][]byte
+	Snapshot []byte
+}
+
+// FetchConfig returns what another host has above a version.
+func (c *Client) FetchConfig(ctx context.Context, address string, above uint64) (ConfigUpdate, error) {
 	resp, err := c.peer(address).FetchConfig(ctx, connect.NewRequest(&peerpb.FetchConfigRequest{AboveVersion: above}))
 	if err != nil {
-		return nil, callError(address, err)
+		return ConfigUpdate{}, callError(address, err)
 	}
-	return resp.Msg.GetDocument(), nil
+	return ConfigUpdate{
+		Version: resp.Msg.GetVersion(), Changes: resp.Msg.GetChanges(), Snapshot: resp.Msg.GetSnapshot(),
+	}, nil
 }
 
 // callError tells a call that certainly was not sent from one that may have
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -19,9 +19,8 @@
 	Release(sender, upstream string, transaction uint64)
 	Cancel(sender string, id uint64)
 	Ping(p Ping) Ping
-	// Config returns the configuration as JSON, or nil if it is not above a
-	// version.
-	Config(above uint64) (version uint64, document []byte)
+	// Config returns what the host has above a version.
+	Config(above uint64) ConfigUpdate
 }
 
 // Server serves the protocol between hosts.
@@ -81,6 +80,8 @@
 
 // FetchConfig implements the generated interface.
 func (s *Server) FetchConfig(_ context.Context, req *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error) {
-	version, document := s.handler.Config(req.Msg.GetAboveVersion())
-	return connect.NewResponse(&peerpb.FetchConfigResponse{Version: version, Document: document}), nil
+	u := s.handler.Config(req.Msg.GetAboveVersion())
+	return connect.NewResponse(&peerpb.FetchConfigResponse{
+		Version: u.Version, Changes: u.Changes, Snapshot: u.Snapshot,
+	}), nil
 }
--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -85,6 +85,12 @@
 	return done, nil
 }
 
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string) error {
+	_, _, err := c.call(ctx, http.MethodDelete, "/v1/kv/"+key, nil, nil, 0)
+	return err
+}
+
 // call makes one request; a status other than 200 and 404 is an error.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, wait time.Duration) ([]byte, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
--- a/node/platform/store.go
+++ b/node/platform/store.go
@@ -18,6 +18,8 @@
 	// CompareAndSwap writes the key if it is still at an index; zero means
 	// that the key must not exist.
 	CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (bool, error)
+	// Delete removes a key; a missing key is no error.
+	Delete(ctx context.Context, key string) error
 }
 
 // Value is a stored value and the index of its last change.
