Exchange membership by datagrams; pace heartbeats by a byte budget

Change: membership runs over UDP with a MAC under the shared key; calls to a host that is found dead end at once; hosts under suspicion get no new requests. A controller rests until its next probe is due, and the interval between heartbeats follows from the members watched and a budget of bytes. Owners are chosen among the hosts of one zone.

--- a/core/group/controller.go
+++ b/core/group/controller.go
@@ -102,6 +102,20 @@
 	return append(out, c.dueProbes(now)...)
 }
 
+// NextTick returns how long a tick may be put off when nothing else happens.
+// Step is the granularity while a promotion is under way or the primary is in
+// doubt.
+func (c *Controller) NextTick(now, step time.Duration) time.Duration {
+	if c.phase != watching || c.doubted || now < c.hintUntil {
+		return step
+	}
+	next := now + c.timing.Heartbeat
+	for _, due := range c.probes {
+		next = min(next, due)
+	}
+	return max(next-now, step)
+}
+
 func (c *Controller) dueProbes(now time.Duration) []Action {
 	interval := c.timing.Heartbeat
 	if c.doubted || now < c.hintUntil {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -35,8 +35,8 @@
 		left := append(append([]membership.Host{}, hosts[:gone]...), hosts[gone+1:]...)
 		for m := range 60 {
 			member, zone := fmt.Sprintf("m%d", m), fmt.Sprintf("z%d", m%3)
-			before, _ := membership.Owner(member, zone, hosts)
-			after, _ := membership.Owner(member, zone, left)
+			before, _ := membership.NewPlacement(hosts).Owner(member, zone)
+			after, _ := membership.NewPlacement(left).Owner(member, zone)
 			if before.ID != hosts[gone].ID {
 				require.Equal(t, before, after)
 			}
--- a/core/membership/rendezvous.go
+++ b/core/membership/rendezvous.go
@@ -18,34 +18,16 @@
 	return d.Sum64()
 }
 
-// Owner returns the host that owns the pool of an upstream: the best by score
-// among the hosts of the upstream's zone, or among all when the zone has none.
-func Owner(upstream, zone string, hosts []Host) (Host, bool) {
-	best, found := best(upstream, hosts, func(h Host) bool { return h.Zone == zone })
-	if found {
-		return best, true
-	}
-	return bestOfAll(upstream, hosts)
-}
-
-func bestOfAll(upstream string, hosts []Host) (Host, bool) {
-	return best(upstream, hosts, func(Host) bool { return true })
-}
-
-func best(key string, hosts []Host, eligible func(Host) bool) (Host, bool) {
+// best returns the host with the highest score for a key.
+func best(key string, hosts []Host) (Host, bool) {
 	var top Host
 	var topScore uint64
-	found := false
-	for _, h := range hosts {
-		if !eligible(h) {
-			continue
-		}
-		score := Score(key, h.ID)
-		if !found || score > topScore {
-			top, topScore, found = h, score, true
+	for i, h := range hosts {
+		if score := Score(key, h.ID); i == 0 || score > topScore {
+			top, topScore = h, score
 		}
 	}
-	return top, found
+	return top, len(hosts) > 0
 }
 
 // Ranked returns all hosts in falling order of score for a key.
--- /dev/null
+++ b/core/membership/scale_test.go
@@ -0,0 +1,86 @@
+package membership_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+)
+
+var fleetSizes = []int{500, 1500, 5000}
+
+func fullRoster(n int) *membership.Roster {
+	r := membership.NewRoster(host(0), membership.DefaultTiming(), 1)
+	for i := 1; i < n; i++ {
+		r.Merge(membership.Host{
+			ID: fmt.Sprintf("host-%05d", i), Zone: fmt.Sprintf("zone-%02d", i%31),
+			Peer: fmt.Sprintf("10.0.%d.%d:6433", i>>8, i&255), Incarnation: uint64(i),
+		}, 0)
+	}
+	return r
+}
+
+// BenchmarkChange measures one restart that a host learns of, with the new
+// list of serving hosts.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := fullRoster(n)
+			incarnation := uint64(n)
+			for b.Loop() {
+				incarnation++
+				r.Merge(membership.Host{ID: "host-00007", Zone: "zone-07", Incarnation: incarnation}, time.Second)
+				_ = r.Serving()
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures the work of one probe period.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := fullRoster(n)
+			for b.Loop() {
+				r.Tick(time.Second)
+				_, _ = r.NextProbe()
+				_ = r.TakeRumours()
+			}
+		})
+	}
+}
+
+// BenchmarkOwner measures the choice of one member's owner.
+func BenchmarkOwner(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := membership.NewPlacement(fullRoster(n).Serving())
+			for b.Loop() {
+				_, _ = p.Owner("service-00001-a", "zone-07")
+			}
+		})
+	}
+}
+
+// BenchmarkRosterMemory reports the heap that each known host takes.
+func BenchmarkRosterMemory(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				r := fullRoster(n)
+				b.ReportMetric(float64(heap()-before)/float64(n), "heap-B/host")
+				runtime.KeepAlive(r)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/node/cmd/dotterelctl/load.go
+++ b/node/cmd/dotterelctl/load.go
@@ -69,18 +69,31 @@
 
 func standinCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "standin",
-		Usage:  "run a workload's database groups and platform on loopback until interrupted",
-		Flags:  []cli.Flag{workloadFlag()},
+		Name:  "standin",
+		Usage: "run a workload's database groups and platform on loopback until interrupted",
+		Flags: []cli.Flag{
+			workloadFlag(),
+			&cli.IntFlag{Name: "services", Value: 3, Usage: "database groups of three members, 1 to 200"},
+		},
 		Action: runStandin,
 	}
 }
 
+// printCalls reports how often the platform was called.
+func printCalls(dep *workload.Deployment) {
+	all, writes := dep.Platform.Calls()
+	fmt.Fprintf(os.Stderr, "platform calls: %d, of them writes: %d\n", all, writes)
+}
+
 func runStandin(ctx context.Context, c *cli.Command) error {
 	spec, err := workload.Get(c.String("workload"))
 	if err != nil {
 		return &exit.UsageError{Text: err.Error()}
 	}
+	if err := checkRange("services", int(c.Int("services")), 1, 200); err != nil {
+		return err
+	}
+	spec.Services = int(c.Int("services"))
 	dep, err := workload.Deploy(spec)
 	if err != nil {
 		return err
@@ -89,6 +102,7 @@
 	if err := demo.Publish(ctx, dep.Platform.Addr(), dep.Config()); err != nil {
 		return err
 	}
+	defer printCalls(dep)
 	fmt.Printf("DOTTERELSWITCH_PLATFORM=%s\n", dep.Platform.Addr())
 	for _, z := range spec.Zones {
 		fmt.Printf("# availability zone %s in region %s\n", z.Name, z.Region)
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -113,7 +113,7 @@
 	d.dep.Network.Place(s.Listen, zone)
 	d.dep.Network.Place(s.Peer, zone)
 	dialer := &netem.Dialer{Network: d.dep.Network, From: zone}
-	h, err := host.Start(host.Options{Settings: s, Dial: dialer.DialContext, Log: d.opts.Log})
+	h, err := host.Start(host.Options{Settings: s, Dial: dialer.DialContext, ListenPacket: d.listenPacket(zone), Log: d.opts.Log})
 	if err != nil {
 		return err
 	}
@@ -121,6 +121,17 @@
 	return nil
 }
 
+// listenPacket returns how a host in a zone opens its socket for datagrams.
+func (d *demo) listenPacket(zone string) func(string) (net.PacketConn, error) {
+	return func(address string) (net.PacketConn, error) {
+		plain, err := net.ListenPacket("udp", address)
+		if err != nil {
+			return nil, err
+		}
+		return &netem.PacketConn{PacketConn: plain, Network: d.dep.Network, From: zone}, nil
+	}
+}
+
 // loopbackSettings returns settings with free ports.
 func loopbackSettings(id, zone, platformAddress string) (settings.Settings, error) {
 	s := settings.Default()
--- a/node/host/config_sync.go
+++ b/node/host/config_sync.go
@@ -29,13 +29,7 @@
 
 // isRelay reports whether this host watches the platform for its zone.
 func (h *Host) isRelay() bool {
-	var zone []membership.Host
-	for _, x := range h.fleet.Serving() {
-		if x.Zone == h.self.Zone {
-			zone = append(zone, x)
-		}
-	}
-	ranked := membership.Ranked("relay", zone)
+	ranked := membership.Ranked("relay", h.fleet.Placement().Zone(h.self.Zone))
 	for i := range min(relaysPerZone, len(ranked)) {
 		if ranked[i].ID == h.self.ID {
 			return true
--- a/node/host/fleet.go
+++ b/node/host/fleet.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	roster  *membership.Roster
 	serving []membership.Host
+	placed  *membership.Placement
 	seen    uint64
 	tracker *conf.Tracker
 	changed chan struct{}
@@ -48,7 +49,7 @@
 func (f *fleet) refresh() {
 	if g := f.roster.Generation(); g != f.seen || f.serving == nil {
 		f.seen = g
-		f.serving = f.roster.Serving()
+		f.serving, f.placed = f.roster.Serving(), nil
 		f.signal()
 	}
 }
@@ -60,26 +61,37 @@
 	}
 }
 
-// Serving implements router.Fleet. A drained host is left out.
-func (f *fleet) Serving() []membership.Host {
+// Placement implements router.Fleet. A drained host is left out.
+func (f *fleet) Placement() *membership.Placement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.tracker.Current().Drains) == 0 {
-		return f.serving
-	}
-	kept := make([]membership.Host, 0, len(f.serving))
-	for _, h := range f.serving {
-		if !f.tracker.Current().Draining(conf.DrainHost, h.ID) {
-			kept = append(kept, h)
+	return f.placement()
+}
+
+// placement needs mu held. The placement is kept until the hosts that serve
+// or the drains change.
+func (f *fleet) placement() *membership.Placement {
+	if f.placed == nil {
+		cfg := f.tracker.Current()
+		kept := make([]membership.Host, 0, len(f.serving))
+		for _, h := range f.serving {
+			if !cfg.Draining(conf.DrainHost, h.ID) {
+				kept = append(kept, h)
+			}
 		}
+		f.placed = membership.NewPlacement(kept)
 	}
-	return kept
+	return f.placed
 }
 
 // CallFailed implements router.Fleet.
-func (f *fleet) CallFailed(h membership.Host) {
+func (f *fleet) CallFailed(h membership.Host, refused bool) {
 	f.update(func(r *membership.Roster, now time.Duration) {
-		r.ProbeFailed(h.ID, h.Incarnation, now)
+		if refused {
+			r.ProbeRefused(h.ID, h.Incarnation, now)
+		} else {
+			r.ProbeFailed(h.ID, h.Incarnation, now)
+		}
 	})
 }
 
@@ -105,6 +117,7 @@
 	moved, err := take(f.tracker)
 	cfg := f.tracker.Current()
 	if moved {
+		f.placed = nil
 		f.signal()
 	}
 	f.mu.Unlock()
@@ -126,10 +139,10 @@
 	return changes, complete, f.tracker.Current()
 }
 
-// snapshot returns the hosts that serve and those believed dead.
-func (f *fleet) snapshot() (cfg *conf.Config, serving, dead []membership.Host) {
-	serving = f.Serving()
+// snapshot returns the configuration, the placement and the hosts believed
+// dead.
+func (f *fleet) snapshot() (*conf.Config, *membership.Placement, []membership.Host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.tracker.Current(), serving, f.roster.Dead()
+	return f.tracker.Current(), f.placement(), f.roster.Dead()
 }
--- a/node/host/gossip.go
+++ b/node/host/gossip.go
@@ -6,18 +6,19 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
-	"github.com/dotterelswitch/dotterelswitch/node/peer"
-	"github.com/dotterelswitch/dotterelswitch/node/upstream"
+	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 )
 
-// pingTimeout bounds one exchange between hosts.
-const pingTimeout = 400 * time.Millisecond
+const (
+	// pingTimeout bounds one exchange between hosts.
+	pingTimeout = 400 * time.Millisecond
+	// fetchTimeout bounds the fetch of a configuration from a peer.
+	fetchTimeout = 5 * time.Second
+)
 
-// gossip probes other hosts until the context ends.
-func (h *Host) gossip(ctx context.Context) {
-	tick := time.NewTicker(h.timing.ProbePeriod)
-	defer tick.Stop()
-	for {
+// probeHosts probes other hosts until the context ends.
+func (h *Host) probeHosts(ctx context.Context) {
+	for ctx.Err() == nil {
 		var target membership.Host
 		found := false
 		h.fleet.update(func(r *membership.Roster, now time.Duration) {
@@ -27,11 +28,7 @@
 		if found {
 			go h.ping(ctx, target)
 		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return
-		}
+		sleep(ctx, h.timing.Period(h.Known()))
 	}
 }
 
@@ -39,61 +36,56 @@
 func (h *Host) ping(ctx context.Context, target membership.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	answer, err := h.peers.Ping(ctx, target.Peer, h.outgoing(target))
+	answer, err := h.gossip.Probe(ctx, target.Peer, h.outgoing(target))
+	if h.ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		h.noteFailure(target, err)
 		return
 	}
-	h.fleet.update(func(r *membership.Roster, now time.Duration) {
-		r.Heard(answer.Self, now)
-		for _, x := range answer.Rumours {
-			r.Merge(x, now)
-		}
-	})
-	if answer.ConfigVersion > h.fleet.Config().Version {
-		h.pullConfig(ctx, target)
-	}
+	h.learn(answer)
 }
 
 // outgoing returns what this host tells another. It says what it believes of
 // the other, so that the other can refute it.
-func (h *Host) outgoing(target membership.Host) peer.Ping {
-	p := peer.Ping{ConfigVersion: h.fleet.Config().Version}
+func (h *Host) outgoing(target membership.Host) gossip.Message {
+	m := gossip.Message{ConfigVersion: h.fleet.Config().Version}
 	h.fleet.update(func(r *membership.Roster, _ time.Duration) {
-		p.Self = r.Self()
-		p.Rumours = r.TakeRumours()
+		m.Self = r.Self()
+		m.Rumours = r.TakeRumours()
 		if believed, found := r.Host(target.ID); found && believed.State != membership.Alive {
-			p.Rumours = append(p.Rumours, believed)
-		}
-	})
-	return p
-}
-
-func (h *Host) noteFailure(target membership.Host, err error) {
-	h.fleet.update(func(r *membership.Roster, now time.Duration) {
-		if upstream.Refused(err) {
-			r.ProbeRefused(target.ID, target.Incarnation, now)
-		} else {
-			r.ProbeFailed(target.ID, target.Incarnation, now)
+			m.Rumours = append([]membership.Host{believed}, m.Rumours...)
 		}
 	})
-	eventlog.PeerCallFailed.Debug(h.log).Err(err).Str("host", target.ID).Send()
+	return m
 }
 
-// Ping implements peer.Handler.
-func (h *Host) Ping(p peer.Ping) peer.Ping {
+// learn takes what another host told, and fetches its configuration if that is
+// newer.
+func (h *Host) learn(m gossip.Message) {
 	h.fleet.update(func(r *membership.Roster, now time.Duration) {
-		r.Heard(p.Self, now)
-		for _, x := range p.Rumours {
+		r.Heard(m.Self, now)
+		for _, x := range m.Rumours {
 			r.Merge(x, now)
 		}
 	})
-	if p.ConfigVersion > h.fleet.Config().Version {
+	if m.ConfigVersion > h.fleet.Config().Version {
 		go func() {
-			ctx, cancel := context.WithTimeout(h.ctx, pingTimeout)
+			ctx, cancel := context.WithTimeout(h.ctx, fetchTimeout)
 			defer cancel()
-			h.pullConfig(ctx, p.Self)
+			h.pullConfig(ctx, m.Self)
 		}()
 	}
-	return h.outgoing(p.Self)
+}
+
+// answerProbe answers another host's probe.
+func (h *Host) answerProbe(m gossip.Message) gossip.Message {
+	h.learn(m)
+	return h.outgoing(m.Self)
+}
+
+func (h *Host) noteFailure(target membership.Host, err error) {
+	h.fleet.CallFailed(target, gossip.Refused(err))
+	eventlog.PeerCallFailed.Debug(h.log).Err(err).Str("host", target.ID).Send()
 }
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -17,13 +17,16 @@
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gateway"
+	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
+	"github.com/dotterelswitch/dotterelswitch/node/netcount"
 	"github.com/dotterelswitch/dotterelswitch/node/owner"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/platform"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
 	"github.com/dotterelswitch/dotterelswitch/node/router"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
+	"github.com/dotterelswitch/dotterelswitch/node/upstream"
 )
 
 // Options are what the process around a host provides.
@@ -32,7 +35,15 @@
 	// Dial opens connections to upstreams, peers and the platform. Nil means
 	// the system's network.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-	Log  zerolog.Logger
+	// ListenPacket opens the socket for datagrams between hosts. Nil means the
+	// system's network.
+	ListenPacket func(address string) (net.PacketConn, error)
+	Log          zerolog.Logger
+}
+
+// traffic counts the bytes of a host's own connections.
+type traffic struct {
+	peers, platform, control netcount.Counter
 }
 
 // Host is one running entry host.
@@ -46,6 +57,7 @@
 	router   *router.Router
 	gateway  *gateway.Gateway
 	peers    *peer.Client
+	gossip   *gossip.Transport
 	platform *platform.Client
 	config   *confstore.Store
 	metrics  *metrics.Metrics
@@ -55,7 +67,11 @@
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
 	platformDown atomic.Bool
-	failed       chan error
+	ended        chan error
+	// failed names the dead hosts whose calls were ended; it belongs to the
+	// goroutine that reconciles.
+	failed map[string]bool
+	bytes  traffic
 }
 
 // Start runs a host. It returns once the listeners accept and, if the platform
@@ -64,20 +80,24 @@
 	if opts.Dial == nil {
 		opts.Dial = (&net.Dialer{}).DialContext
 	}
+	if opts.ListenPacket == nil {
+		opts.ListenPacket = func(address string) (net.PacketConn, error) { return net.ListenPacket("udp", address) }
+	}
 	s := opts.Settings
 	self := membership.Host{ID: s.ID, Zone: s.Zone, Peer: s.Peer, Incarnation: uint64(time.Now().UnixMicro())}
 	h := &Host{
-		opts: opts, self: self, timing: membership.DefaultTiming(), failed: make(chan error, 1),
+		opts: opts, self: self, timing: membership.DefaultTiming(), ended: make(chan error, 1),
 		log: opts.Log.With().Str("host", s.ID).Str("zone", s.Zone).Logger(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.fleet = newFleet(self, h.timing, h.log)
-	h.peers = peer.NewClient(opts.Dial, s.PeerKey)
-	h.platform = platform.NewClient(s.Platform, opts.Dial)
+	h.peers = peer.NewClient(h.bytes.peers.Wrap(opts.Dial), s.PeerKey)
+	h.platform = platform.NewClient(s.Platform, h.bytes.platform.Wrap(opts.Dial))
 	h.config = confstore.New(h.platform)
 	h.metrics = metrics.New(s.MaxTenantsShown)
 	h.owner = owner.New(owner.Config{
 		Host: self, User: s.UpstreamUser, Password: s.UpstreamPassword, Dial: opts.Dial,
+		ControlDial: upstream.DialFunc(h.bytes.control.Wrap(opts.Dial)), Pace: group.DefaultPace(),
 		AnswerLimit: s.MaxAnswer, Timing: group.DefaultTiming(), DrainFor: s.DrainTimeout, Log: h.log,
 	})
 	h.router = router.New(self, owner.SenderName(self), h.fleet, h.owner, h.peers, h.log)
@@ -95,6 +115,11 @@
 
 // listen opens the listeners for peers and metrics.
 func (h *Host) listen() error {
+	packets, err := h.opts.ListenPacket(h.opts.Settings.Peer)
+	if err != nil {
+		return err
+	}
+	h.gossip = gossip.NewTransport(packets, h.opts.Settings.PeerKey, h.answerProbe)
 	mux := http.NewServeMux()
 	mux.Handle(peer.NewServer(h, h.opts.Settings.PeerKey))
 	protocols := new(http.Protocols)
@@ -124,7 +149,7 @@
 
 // run starts the host's background work.
 func (h *Host) run() {
-	h.wg.Go(func() { h.gossip(h.ctx) })
+	h.wg.Go(func() { h.probeHosts(h.ctx) })
 	h.wg.Go(func() { h.watchConfig(h.ctx) })
 	h.wg.Go(func() { h.watchList(h.ctx) })
 	h.wg.Go(func() { h.reconcile(h.ctx) })
@@ -150,7 +175,9 @@
 	tick := time.NewTicker(reconcileInterval)
 	defer tick.Stop()
 	for {
-		h.owner.Reconcile(h.fleet.snapshot())
+		cfg, placement, dead := h.fleet.snapshot()
+		h.failCalls(dead)
+		h.owner.Reconcile(cfg, placement, dead)
 		select {
 		case <-h.fleet.changed:
 		case <-tick.C:
@@ -161,10 +188,27 @@
 	}
 }
 
+// failCalls ends the calls to hosts that have just been found dead.
+func (h *Host) failCalls(dead []membership.Host) {
+	now := make(map[string]bool, len(dead))
+	for _, x := range dead {
+		now[owner.SenderName(x)] = true
+		if !h.failed[owner.SenderName(x)] {
+			eventlog.HostStateChanged.Warn(h.log).Str("peer", x.ID).Stringer("state", x.State).Send()
+			h.peers.Fail(x.Peer)
+		}
+	}
+	h.failed = now
+}
+
 func (h *Host) reportGauges() {
 	h.metrics.Gauge("connections", float64(h.gateway.Connections()))
-	h.metrics.Gauge("hosts", float64(len(h.fleet.Serving())))
+	h.metrics.Gauge("hosts", float64(len(h.fleet.Placement().Hosts())))
 	h.metrics.Gauge("pools", float64(len(h.owner.Owned())))
+	h.metrics.Gauge("gossip_bytes", float64(h.gossip.Bytes()))
+	h.metrics.Gauge("peer_bytes", float64(h.bytes.peers.Total()))
+	h.metrics.Gauge("platform_bytes", float64(h.bytes.platform.Total()))
+	h.metrics.Gauge("control_bytes", float64(h.bytes.control.Total()))
 	h.metrics.Gauge("config_version", float64(h.fleet.Config().Version))
 }
 
@@ -184,10 +228,10 @@
 
 func (h *Host) startGateway() error {
 	s := h.opts.Settings
-	go func() { h.failed <- h.gateway.Run() }()
+	go func() { h.ended <- h.gateway.Run() }()
 	select {
 	case <-h.gateway.Booted():
-	case err := <-h.failed:
+	case err := <-h.ended:
 		return err
 	}
 	eventlog.Started.Info(h.log).Str("listen", s.Listen).Str("peer", s.Peer).Send()
@@ -195,7 +239,7 @@
 }
 
 // Failed reports the error that ended the gateway by itself.
-func (h *Host) Failed() <-chan error { return h.failed }
+func (h *Host) Failed() <-chan error { return h.ended }
 
 // Execute implements peer.Handler.
 func (h *Host) Execute(ctx context.Context, req *request.Request) *request.Response {
@@ -212,7 +256,7 @@
 func (h *Host) Ready() bool { return h.fleet.Config().Version > 0 }
 
 // Known returns how many hosts this one believes to serve, itself included.
-func (h *Host) Known() int { return len(h.fleet.Serving()) }
+func (h *Host) Known() int { return len(h.fleet.Placement().Hosts()) }
 
 // Owned returns the members whose pools this host serves.
 func (h *Host) Owned() []string { return h.owner.Owned() }
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -62,6 +62,7 @@
 	for _, s := range h.servers {
 		_ = s.Close()
 	}
+	h.gossip.Close()
 	_ = h.gateway.Stop(ctx)
 	ended, cancelEnded := context.WithCancel(context.Background())
 	cancelEnded()
--- a/node/owner/holding.go
+++ b/node/owner/holding.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/core/group"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -18,7 +19,7 @@
 	// lockTimeout bounds one attempt.
 	lockTimeout = time.Second
 	// holdWait bounds how long a request waits for the pool to be held.
-	holdWait = 2 * time.Second
+	holdWait = 300 * time.Millisecond
 )
 
 // holding is this host's claim on the pool of one member. The member itself
@@ -135,6 +136,13 @@
 	}
 }
 
+// unreachable reports whether probes of the member fail.
+func (h *holding) unreachable() bool {
+	failing := false
+	h.group.watcher.Inspect(func(v *group.View, _ time.Duration) { failing = v.Failing(h.spec.Name) })
+	return failing
+}
+
 // await returns the pool once it is held.
 func (h *holding) await(ctx context.Context) (*pool, *outcome.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, holdWait)
@@ -146,6 +154,9 @@
 		if locked {
 			return h.pool, nil
 		}
+		if h.unreachable() {
+			return nil, outcome.Refuse(outcome.WrongMember, "upstream %s cannot be reached", h.spec.Name)
+		}
 		select {
 		case <-turned:
 		case <-h.ctx.Done():
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -24,9 +24,13 @@
 	// User and Password log in to members.
 	User, Password string
 	Dial           upstream.DialFunc
+	// ControlDial opens the control connections.
+	ControlDial upstream.DialFunc
 	// AnswerLimit is the largest answer carried, in bytes.
 	AnswerLimit int
 	Timing      group.Timing
+	// Pace spaces heartbeats by the number of members watched.
+	Pace group.Pace
 	// Record is told of promotions.
 	Record func(service string, term logpos.Term, primary string)
 	// DrainFor bounds how long a pool that is handed over waits for what runs.
@@ -65,9 +69,11 @@
 	}
 }
 
-// Reconcile takes a configuration and the hosts that serve, and starts or hands
-// over pools accordingly. Dead lists the hosts whose connections may be ended.
-func (o *Owner) Reconcile(cfg *conf.Config, serving, dead []membership.Host) {
+// Reconcile takes a configuration and the placement of the hosts that serve,
+// and starts or hands over pools accordingly. Dead lists the hosts whose
+// connections may be ended. Its cost grows with the members of this host's
+// zone, not with all members: only a zone without hosts makes it look further.
+func (o *Owner) Reconcile(cfg *conf.Config, placement *membership.Placement, dead []membership.Host) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.stopping {
@@ -76,33 +82,35 @@
 	o.config, o.dead = cfg, dead
 	wanted := make(map[string]bool)
 	for _, s := range cfg.Services {
-		owners := ownersOf(s, serving)
-		if !slices.Contains(owners, o.cfg.Host.ID) {
-			continue
-		}
-		g := o.ensureGroup(s, owners)
 		for _, u := range s.Upstreams {
-			if h, found := membership.Owner(u.Name, u.Zone, serving); found && h.ID == o.cfg.Host.ID {
+			if !o.mayOwn(u, placement) {
+				continue
+			}
+			if h, found := placement.Owner(u.Name, u.Zone); found && h.ID == o.cfg.Host.ID {
 				wanted[u.Name] = true
-				o.ensureHolding(g, u)
+				o.ensureHolding(o.ensureGroup(s, ownersOf(s, placement)), u)
 			}
 		}
 	}
 	o.releaseUnwanted(wanted)
+	o.pace()
 	for _, h := range dead {
 		o.forgetSender(SenderName(h))
 	}
 }
 
-// SenderName names one incarnation of a host in requests.
-func SenderName(h membership.Host) string { return fmt.Sprintf("%s/%d", h.ID, h.Incarnation) }
+// mayOwn reports whether an upstream is in this host's zone or in one that has
+// no hosts.
+func (o *Owner) mayOwn(u conf.Upstream, placement *membership.Placement) bool {
+	return u.Zone == o.cfg.Host.Zone || len(placement.Zone(u.Zone)) == 0
+}
 
 // ownersOf returns the hosts that own members of a service, ranked by
 // rendezvous hashing on the service.
-func ownersOf(s conf.Service, serving []membership.Host) []string {
+func ownersOf(s conf.Service, placement *membership.Placement) []string {
 	var owners []membership.Host
 	for _, u := range s.Upstreams {
-		h, found := membership.Owner(u.Name, u.Zone, serving)
+		h, found := placement.Owner(u.Name, u.Zone)
 		if found && !slices.Contains(owners, h) {
 			owners = append(owners, h)
 		}
@@ -114,7 +122,24 @@
 	return ids
 }
 
-// ensureGroup needs mu held.
+// pace spaces the heartbeats of all groups; it needs mu held.
+func (o *Owner) pace() {
+	members := 0
+	for _, g := range o.groups {
+		members += len(g.controls)
+	}
+	timing := o.cfg.Timing
+	timing.Heartbeat = o.cfg.Pace.Heartbeat(members)
+	for _, g := range o.groups {
+		g.watcher.SetTiming(timing)
+	}
+}
+
+// SenderName names one incarnation of a host in requests.
+func SenderName(h membership.Host) string { return fmt.Sprintf("%s/%d", h.ID, h.Incarnation) }
+
+// ensureGroup returns the watched group of a service, starting it if need be;
+// it needs mu held.
 func (o *Owner) ensureGroup(s conf.Service, owners []string) *watchedGroup {
 	rank := slices.Index(owners, o.cfg.Host.ID)
 	g, found := o.groups[s.Name]
--- a/node/owner/watched_group.go
+++ b/node/owner/watched_group.go
@@ -39,7 +39,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	g := &watchedGroup{spec: s, controls: make(map[string]*upstream.Control), cancel: cancel}
 	for _, u := range s.Upstreams {
-		g.controls[u.Name] = upstream.NewControl(target(cfg, s.Name, u))
+		control := target(cfg, s.Name, u)
+		control.Dial = cfg.ControlDial
+		g.controls[u.Name] = upstream.NewControl(control)
 	}
 	g.watcher = watch.New(watch.Config{
 		Service: s.Name, Members: s.UpstreamNames(), Controls: g.controls,
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -11,16 +11,17 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb/peerpbconnect"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
 )
 
 const (
-	// pingAfter and pingTimeout find connections that lead nowhere.
-	pingAfter   = 500 * time.Millisecond
-	pingTimeout = 500 * time.Millisecond
+	// pingAfter and pingTimeout find connections that lead nowhere while
+	// membership has not noticed. They are long, because a host has idle
+	// connections to many others.
+	pingAfter   = 15 * time.Second
+	pingTimeout = 2 * time.Second
 	dialTimeout = 500 * time.Millisecond
 )
 
@@ -45,9 +46,20 @@
 	key  string
 
 	mu    sync.Mutex
-	peers map[string]peerpbconnect.PeerClient
+	peers map[string]*peerConn
 }
 
+// peerConn is what a client keeps of one host.
+type peerConn struct {
+	client peerpbconnect.PeerClient
+	// calls ends when the host is believed dead.
+	calls context.Context
+	fail  context.CancelCauseFunc
+}
+
+// errDead is why calls to a host end when it is believed dead.
+var errDead = errors.New("the host is believed dead")
+
 // NewClient returns a client that opens connections with dial.
 func NewClient(dial func(ctx context.Context, network, addr string) (net.Conn, error), key string) *Client {
 	protocols := new(http.Protocols)
@@ -63,21 +75,44 @@
 			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		}},
 		key:   key,
-		peers: make(map[string]peerpbconnect.PeerClient),
+		peers: make(map[string]*peerConn),
 	}
 }
 
-func (c *Client) peer(address string) peerpbconnect.PeerClient {
+func (c *Client) peer(address string) *peerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, found := c.peers[address]
 	if !found {
-		p = peerpbconnect.NewPeerClient(c.http, "http://"+address, connect.WithInterceptors(sendKey(c.key)))
+		p = &peerConn{client: peerpbconnect.NewPeerClient(c.http, "http://"+address, connect.WithInterceptors(sendKey(c.key)))}
+		p.calls, p.fail = context.WithCancelCause(context.Background())
 		c.peers[address] = p
 	}
 	return p
 }
 
+// Fail ends the calls in progress to a host that is believed dead, so that
+// they get their final answer at once. Later calls try anew.
+func (c *Client) Fail(address string) {
+	c.mu.Lock()
+	p, found := c.peers[address]
+	delete(c.peers, address)
+	c.mu.Unlock()
+	if found {
+		p.fail(errDead)
+	}
+}
+
+// bind returns a context that also ends when the host is believed dead.
+func (p *peerConn) bind(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(p.calls, func() { cancel(errDead) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // sendKey adds the shared key to every call.
 func sendKey(key string) connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
@@ -92,7 +127,10 @@
 func (c *Client) Execute(ctx context.Context, address string, req *request.Request) (*request.Response, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	resp, err := c.peer(address).Execute(ctx, connect.NewRequest(requestToProto(req)))
+	p := c.peer(address)
+	ctx, release := p.bind(ctx)
+	defer release()
+	resp, err := p.client.Execute(ctx, connect.NewRequest(requestToProto(req)))
 	if err != nil {
 		return nil, callError(address, err)
 	}
@@ -101,7 +139,7 @@
 
 // Release ends a transaction on another host.
 func (c *Client) Release(ctx context.Context, address, sender, upstream string, transaction uint64) error {
-	_, err := c.peer(address).Release(ctx, connect.NewRequest(&peerpb.ReleaseRequest{
+	_, err := c.peer(address).client.Release(ctx, connect.NewRequest(&peerpb.ReleaseRequest{
 		Sender: sender, Upstream: upstream, Transaction: transaction,
 	}))
 	if err != nil {
@@ -112,34 +150,13 @@
 
 // Cancel stops a request that another host runs.
 func (c *Client) Cancel(ctx context.Context, address, sender string, id uint64) error {
-	_, err := c.peer(address).Cancel(ctx, connect.NewRequest(&peerpb.CancelRequest{Sender: sender, RequestId: id}))
+	_, err := c.peer(address).client.Cancel(ctx, connect.NewRequest(&peerpb.CancelRequest{Sender: sender, RequestId: id}))
 	if err != nil {
 		return callError(address, err)
 	}
 	return nil
 }
 
-// Ping is one exchange of membership between two hosts.
-type Ping struct {
-	Self          membership.Host
-	Rumours       []membership.Host
-	ConfigVersion uint64
-}
-
-// Ping exchanges membership with another host.
-func (c *Client) Ping(ctx context.Context, address string, p Ping) (Ping, error) {
-	resp, err := c.peer(address).Ping(ctx, connect.NewRequest(&peerpb.PingRequest{
-		Sender: hostToProto(p.Self), Rumours: hostsToProto(p.Rumours), ConfigVersion: p.ConfigVersion,
-	}))
-	if err != nil {
-		return Ping{}, callError(address, err)
-	}
-	return Ping{
-		Self: hostFromProto(resp.Msg.GetSelf()), Rumours: hostsFromProto(resp.Msg.GetRumours()),
-		ConfigVersion: resp.Msg.GetConfigVersion(),
-	}, nil
-}
-
 // ConfigUpdate is what brings a host up to a version: the changes above its
 // own, or a snapshot.
 type ConfigUpdate struct {
@@ -150,7 +167,7 @@
 
 // FetchConfig returns what another host has above a version.
 func (c *Client) FetchConfig(ctx context.Context, address string, above uint64) (ConfigUpdate, error) {
-	resp, err := c.peer(address).FetchConfig(ctx, connect.NewRequest(&peerpb.FetchConfigRequest{AboveVersion: above}))
+	resp, err := c.peer(address).client.FetchConfig(ctx, connect.NewRequest(&peerpb.FetchConfigRequest{AboveVersion: above}))
 	if err != nil {
 		return ConfigUpdate{}, callError(address, err)
 	}
--- a/node/peer/convert.go
+++ b/node/peer/convert.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
-	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
@@ -92,31 +91,4 @@
 	return h
 }
 
-func hostToProto(h membership.Host) *peerpb.Host {
-	return &peerpb.Host{Id: h.ID, Zone: h.Zone, Peer: h.Peer, Incarnation: h.Incarnation, State: uint32(h.State)}
-}
-
-func hostFromProto(m *peerpb.Host) membership.Host {
-	return membership.Host{
-		ID: m.GetId(), Zone: m.GetZone(), Peer: m.GetPeer(),
-		Incarnation: m.GetIncarnation(), State: membership.State(m.GetState()),
-	}
-}
-
-func hostsToProto(hosts []membership.Host) []*peerpb.Host {
-	out := make([]*peerpb.Host, 0, len(hosts))
-	for _, h := range hosts {
-		out = append(out, hostToProto(h))
-	}
-	return out
-}
-
-func hostsFromProto(list []*peerpb.Host) []membership.Host {
-	out := make([]membership.Host, 0, len(list))
-	for _, m := range list {
-		out = append(out, hostFromProto(m))
-	}
-	return out
-}
-
 func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/node/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/node/peer/peerpb/peerpbconnect/peer.connect.go
@@ -42,8 +42,6 @@
 	PeerReleaseProcedure = "/dotterelswitch.peer.v1.Peer/Release"
 	// PeerCancelProcedure is the fully-qualified name of the Peer's Cancel RPC.
 	PeerCancelProcedure = "/dotterelswitch.peer.v1.Peer/Cancel"
-	// PeerPingProcedure is the fully-qualified name of the Peer's Ping RPC.
-	PeerPingProcedure = "/dotterelswitch.peer.v1.Peer/Ping"
 	// PeerFetchConfigProcedure is the fully-qualified name of the Peer's FetchConfig RPC.
 	PeerFetchConfigProcedure = "/dotterelswitch.peer.v1.Peer/FetchConfig"
 )
@@ -57,8 +55,6 @@
 	Release(context.Context, *connect.Request[peerpb.ReleaseRequest]) (*connect.Response[peerpb.ReleaseResponse], error)
 	// Cancel stops a request in progress. It is idempotent.
 	Cancel(context.Context, *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error)
-	// Ping exchanges membership and the configuration version.
-	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
 	// FetchConfig returns the newest configuration the receiver holds.
 	FetchConfig(context.Context, *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error)
 }
@@ -92,12 +88,6 @@
 			connect.WithSchema(peerMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
-		ping: connect.NewClient[peerpb.PingRequest, peerpb.PingResponse](
-			httpClient,
-			baseURL+PeerPingProcedure,
-			connect.WithSchema(peerMethods.ByName("Ping")),
-			connect.WithClientOptions(opts...),
-		),
 		fetchConfig: connect.NewClient[peerpb.FetchConfigRequest, peerpb.FetchConfigResponse](
 			httpClient,
 			baseURL+PeerFetchConfigProcedure,
@@ -112,7 +102,6 @@
 	execute     *connect.Client[peerpb.ExecuteRequest, peerpb.ExecuteResponse]
 	release     *connect.Client[peerpb.ReleaseRequest, peerpb.ReleaseResponse]
 	cancel      *connect.Client[peerpb.CancelRequest, peerpb.CancelResponse]
-	ping        *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
 	fetchConfig *connect.Client[peerpb.FetchConfigRequest, peerpb.FetchConfigResponse]
 }
 
@@ -131,11 +120,6 @@
 	return c.cancel.CallUnary(ctx, req)
 }
 
-// Ping calls dotterelswitch.peer.v1.Peer.Ping.
-func (c *peerClient) Ping(ctx context.Context, req *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
-	return c.ping.CallUnary(ctx, req)
-}
-
 // FetchConfig calls dotterelswitch.peer.v1.Peer.FetchConfig.
 func (c *peerClient) FetchConfig(ctx context.Context, req *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error) {
 	return c.fetchConfig.CallUnary(ctx, req)
@@ -150,8 +134,6 @@
 	Release(context.Context, *connect.Request[peerpb.ReleaseRequest]) (*connect.Response[peerpb.ReleaseResponse], error)
 	// Cancel stops a request in progress. It is idempotent.
 	Cancel(context.Context, *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error)
-	// Ping exchanges membership and the configuration version.
-	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
 	// FetchConfig returns the newest configuration the receiver holds.
 	FetchConfig(context.Context, *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error)
 }
@@ -181,12 +163,6 @@
 		connect.WithSchema(peerMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerPingHandler := connect.NewUnaryHandler(
-		PeerPingProcedure,
-		svc.Ping,
-		connect.WithSchema(peerMethods.ByName("Ping")),
-		connect.WithHandlerOptions(opts...),
-	)
 	peerFetchConfigHandler := connect.NewUnaryHandler(
 		PeerFetchConfigProcedure,
 		svc.FetchConfig,
@@ -201,8 +177,6 @@
 			peerReleaseHandler.ServeHTTP(w, r)
 		case PeerCancelProcedure:
 			peerCancelHandler.ServeHTTP(w, r)
-		case PeerPingProcedure:
-			peerPingHandler.ServeHTTP(w, r)
 		case PeerFetchConfigProcedure:
 			peerFetchConfigHandler.ServeHTTP(w, r)
 		default:
@@ -226,10 +200,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Peer.Cancel is not implemented"))
 }
 
-func (UnimplementedPeerHandler) Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Peer.Ping is not implemented"))
-}
-
 func (UnimplementedPeerHandler) FetchConfig(context.Context, *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Peer.FetchConfig is not implemented"))
 }
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -18,7 +18,6 @@
 	Execute(ctx context.Context, req *request.Request) *request.Response
 	Release(sender, upstream string, transaction uint64)
 	Cancel(sender string, id uint64)
-	Ping(p Ping) Ping
 	// Config returns what the host has above a version.
 	Config(above uint64) ConfigUpdate
 }
@@ -67,17 +66,6 @@
 	return connect.NewResponse(&peerpb.CancelResponse{}), nil
 }
 
-// Ping implements the generated interface.
-func (s *Server) Ping(_ context.Context, req *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
-	answer := s.handler.Ping(Ping{
-		Self: hostFromProto(req.Msg.GetSender()), Rumours: hostsFromProto(req.Msg.GetRumours()),
-		ConfigVersion: req.Msg.GetConfigVersion(),
-	})
-	return connect.NewResponse(&peerpb.PingResponse{
-		Self: hostToProto(answer.Self), Rumours: hostsToProto(answer.Rumours), ConfigVersion: answer.ConfigVersion,
-	}), nil
-}
-
 // FetchConfig implements the generated interface.
 func (s *Server) FetchConfig(_ context.Context, req *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error) {
 	u := s.handler.Config(req.Msg.GetAboveVersion())
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/owner"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
+	"github.com/dotterelswitch/dotterelswitch/node/upstream"
 )
 
 // Limits and delays of routing.
@@ -38,10 +39,11 @@
 
 // Fleet tells the router about other hosts and the configuration.
 type Fleet interface {
-	// Serving returns the hosts that may be given new work.
-	Serving() []membership.Host
-	// CallFailed notes that a call to a host had no answer.
-	CallFailed(h membership.Host)
+	// Placement says which hosts own what.
+	Placement() *membership.Placement
+	// CallFailed notes that a call to a host had no answer, or was refused by
+	// the host's machine.
+	CallFailed(h membership.Host, refused bool)
 	// Config returns the configuration in force.
 	Config() *conf.Config
 }
@@ -231,10 +233,15 @@
 	if !found {
 		return request.Refused(outcome.Refuse(outcome.WrongMember, "service %s has no upstream %s", svc.Name, member))
 	}
-	host, found := membership.Owner(member, up.Zone, r.fleet.Serving())
+	host, found := r.fleet.Placement().Owner(member, up.Zone)
 	if !found {
 		return request.Refused(outcome.Refuse(outcome.WrongMember, "no host serves"))
 	}
+	if host.State == membership.Suspect {
+		// What is sent now could get lost, and a write would then have no
+		// known outcome. The suspicion ends soon, one way or the other.
+		return request.Refused(outcome.Refuse(outcome.WrongMember, "host %s does not answer", host.ID))
+	}
 	return r.SendTo(ctx, host, member, req)
 }
 
@@ -251,7 +258,7 @@
 		resp.Host, resp.Upstream = host, member
 		return resp
 	}
-	r.fleet.CallFailed(host)
+	r.fleet.CallFailed(host, upstream.Refused(err))
 	return request.Refused(r.callRefusal(err, req))
 }
 
--- a/node/watch/watcher.go
+++ b/node/watch/watcher.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// idleTick is the step of the controller's time.
-	idleTick = 10 * time.Millisecond
+	// stepTime is the granularity of the controller's time while there is
+	// something to decide.
+	stepTime = 10 * time.Millisecond
 	// demandPace is the shortest interval between probes while requests wait
 	// for a confirmation.
 	demandPace = time.Millisecond
@@ -58,6 +59,8 @@
 	busy    map[string]bool
 	sentAt  map[string]time.Duration
 	primary string
+	resting bool
+	wake    chan struct{}
 }
 
 // New returns a watcher; Run starts it.
@@ -67,6 +70,7 @@
 		origin:  time.Now(),
 		ctl:     group.NewController(cfg.Members, cfg.Rank, cfg.Timing, cfg.Seed),
 		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
 		busy:    make(map[string]bool),
 		sentAt:  make(map[string]time.Duration),
 	}
@@ -77,23 +81,40 @@
 
 // Run drives the controller until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
-	tick := time.NewTicker(idleTick)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		w.step(ctx)
 		select {
-		case <-tick.C:
+		case <-timer.C:
+		case <-w.wake:
 		case <-ctx.Done():
 			return
 		}
+		timer.Reset(w.step(ctx))
 	}
 }
 
-func (w *Watcher) step(ctx context.Context) {
+// step ticks the controller and returns how long it may rest.
+func (w *Watcher) step(ctx context.Context) time.Duration {
 	w.mu.Lock()
 	actions := w.ctl.Tick(w.Now())
+	rest := w.ctl.NextTick(w.Now(), stepTime)
+	w.resting = rest > stepTime
 	w.mu.Unlock()
 	w.perform(ctx, actions)
+	return rest
+}
+
+// hurry ends a long rest; it needs mu held.
+func (w *Watcher) hurry() {
+	if !w.resting || w.ctl.NextTick(w.Now(), stepTime) > stepTime {
+		return
+	}
+	w.resting = false
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Suspect hints that a request to the primary failed.
@@ -101,6 +122,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.ctl.Suspect(w.Now())
+	w.hurry()
 }
 
 // SetRank changes this host's turn among the group's watchers.
@@ -199,6 +221,7 @@
 	close(w.changed)
 	w.changed = make(chan struct{})
 	w.notePrimary()
+	w.hurry()
 	w.mu.Unlock()
 	w.perform(ctx, actions)
 }
--- /dev/null
+++ b/standin/netem/packet_conn.go
@@ -0,0 +1,25 @@
+package netem
+
+import (
+	"net"
+	"time"
+)
+
+// PacketConn delays datagrams and drops those over a cut path.
+type PacketConn struct {
+	net.PacketConn
+	// Network holds the paths; From is the place of the sender.
+	Network *Network
+	From    string
+}
+
+// WriteTo sends a datagram after the latency of its path.
+func (c *PacketConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	address := to.String()
+	if !c.Network.Reachable(c.From, address) {
+		return len(b), nil
+	}
+	data := append([]byte(nil), b...)
+	time.AfterFunc(c.Network.Delay(c.From, address), func() { _, _ = c.PacketConn.WriteTo(data, to) })
+	return len(b), nil
+}
