List hosts by zone, and rarely

Cause: measured at 128 idle hosts, the relays' reads of the whole list made 508 B/s for each host on the mean, and would make 625 KB/s for a relay of 5,000 hosts.

Change: hosts register under their zone; a relay reads its own zone's list and three others in turn every 30 s; every host does so three times after its start. The fleet measurement can drive load and prints the processor time for each request.

--- a/node/bench/fleet/fleet.go
+++ b/node/bench/fleet/fleet.go
@@ -24,6 +24,8 @@
 	standin *exec.Cmd
 	hosts   []*hostProcess
 	conns   []*pgconn.PgConn
+	// upstreams are the addresses of the members.
+	upstreams []string
 }
 
 // hostProcess is one host.
@@ -55,7 +57,7 @@
 	if err := f.standin.Start(); err != nil {
 		return f, err
 	}
-	platform, err := readPlatform(out)
+	platform, err := f.readPlatform(out)
 	if err != nil {
 		return f, err
 	}
@@ -69,14 +71,37 @@
 	return f, nil
 }
 
+// spend lets the span of the measurement pass, under load if asked for.
+func (f *fleet) spend(ctx context.Context, o options) (*workload.Report, error) {
+	if o.load == 0 {
+		time.Sleep(o.span)
+		return nil, nil
+	}
+	spec, err := workload.Get(o.workload)
+	if err != nil {
+		return nil, err
+	}
+	spec.Services = o.services
+	var entries []workload.Entry
+	for _, h := range f.hosts {
+		entries = append(entries, workload.Entry{Address: h.listen})
+	}
+	return workload.Start(ctx, workload.Options{
+		Spec: spec, Entries: entries, Callers: o.load, Duration: o.span, Seed: 1, Upstreams: f.upstreams,
+	}).Wait(ctx)
+}
+
 // readPlatform waits until the stand-ins are ready.
-func readPlatform(out io.Reader) (string, error) {
+func (f *fleet) readPlatform(out io.Reader) (string, error) {
 	platform := ""
 	lines := bufio.NewScanner(out)
 	for lines.Scan() {
 		if value, found := strings.CutPrefix(lines.Text(), "DOTTERELSWITCH_PLATFORM="); found {
 			platform = value
 		}
+		if value, found := strings.CutPrefix(lines.Text(), "--upstream "); found {
+			f.upstreams = append(f.upstreams, value)
+		}
 		if lines.Text() == "ready" {
 			return platform, nil
 		}
--- a/node/bench/fleet/main.go
+++ b/node/bench/fleet/main.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/workload"
 )
 
 func main() {
@@ -23,6 +25,7 @@
 			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "host processes", Destination: &o.hosts},
 			&cli.IntFlag{Name: "services", Value: 3, Usage: "database groups of three members", Destination: &o.services},
 			&cli.IntFlag{Name: "callers", Value: 0, Usage: "idle callers on the first host", Destination: &o.callers},
+			&cli.IntFlag{Name: "load", Value: 0, Usage: "sessions that make requests during the measurement; no fault is injected", Destination: &o.load},
 			&cli.DurationFlag{Name: "settle", Value: 15 * time.Second, Usage: "time before the measurement", Destination: &o.settle},
 			&cli.DurationFlag{Name: "span", Value: 20 * time.Second, Usage: "length of the measurement", Destination: &o.span},
 		},
@@ -36,9 +39,9 @@
 
 // options describe a measurement.
 type options struct {
-	bin, workload            string
-	hosts, services, callers int
-	settle, span             time.Duration
+	bin, workload                  string
+	hosts, services, callers, load int
+	settle, span                   time.Duration
 }
 
 func run(ctx context.Context, o options) error {
@@ -55,15 +58,33 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(o.span)
+	report, err := f.spend(ctx, o)
+	if err != nil {
+		return err
+	}
 	after, err := f.sample()
 	if err != nil {
 		return err
 	}
 	printRow(o, before, after)
+	if report != nil {
+		printLoad(o, report, before, after)
+	}
 	return nil
 }
 
+// printLoad prints what a request costs the hosts, all together.
+func printLoad(o options, r *workload.Report, before, after []reading) {
+	var cpu time.Duration
+	for i := range after {
+		cpu += after[i].cpu - before[i].cpu
+	}
+	requests := r.Reads + r.WritesAcked
+	fmt.Printf("load=%d requests_per_s=%.0f host_cpu_us_per_request=%.1f replica_read_share=%.3f read_p50_ms=%.2f read_p99_ms=%.2f write_p50_ms=%.2f write_p99_ms=%.2f cut=%d violations=%+v\n",
+		o.load, float64(requests)/o.span.Seconds(), float64(cpu.Microseconds())/float64(requests), r.ReplicaReadShare,
+		r.ReadP50MS, r.ReadP99MS, r.WriteP50MS, r.WriteP99MS, r.CutRequests, r.Violations)
+}
+
 // printRow prints the mean over the hosts, and the first host's memory.
 func printRow(o options, before, after []reading) {
 	n, seconds := float64(len(after)), o.span.Seconds()
--- a/node/host/config_sync.go
+++ b/node/host/config_sync.go
@@ -19,8 +19,14 @@
 	relaysPerZone = 2
 	// watchWait is how long one watch waits. Each watch counts as a call.
 	watchWait = 30 * time.Second
-	// listInterval is how often a relay reads the list of hosts.
-	listInterval = 2 * time.Second
+	// listInterval is how often a relay reads lists of hosts, and
+	// otherZonesListed how many of other zones each time.
+	listInterval     = 30 * time.Second
+	otherZonesListed = 3
+	// earlyLists is how many times every host reads lists after its start, and
+	// earlyListInterval how often.
+	earlyLists        = 3
+	earlyListInterval = 2 * time.Second
 	// roleInterval is how often a host checks whether it is a relay.
 	roleInterval = time.Second
 	// retryInterval spaces calls to a platform that fails.
@@ -95,17 +101,37 @@
 
 var errMissingChange = errors.New("a change below the head is missing")
 
-// watchList reads the platform's list at the start and while a relay.
+// watchList reads the platform's list often after the start, to meet the
+// fleet, and then rarely, while a relay: gossip carries everything else.
 func (h *Host) watchList(ctx context.Context) {
-	for first := true; ctx.Err() == nil; first = false {
-		if first || h.isRelay() {
-			hosts, err := h.platform.Hosts(ctx)
-			h.notePlatform(err)
-			if err == nil {
-				h.fleet.update(func(r *membership.Roster, now time.Duration) { r.MergeList(hosts, now) })
-			}
+	for round := 0; ctx.Err() == nil; round++ {
+		early := round < earlyLists
+		if early || h.isRelay() {
+			h.readLists(ctx, round)
+		}
+		if early {
+			sleep(ctx, earlyListInterval)
+		} else {
+			sleep(ctx, listInterval)
+		}
+	}
+}
+
+// readLists reads the list of this host's zone and, in turn, of some others,
+// so that zones find each other again after a long separation.
+func (h *Host) readLists(ctx context.Context, round int) {
+	zones := []string{h.self.Zone}
+	all := h.fleet.Config().Zones
+	for i := range min(otherZonesListed, len(all)) {
+		zones = append(zones, all[(round*otherZonesListed+i)%len(all)].Name)
+	}
+	for _, zone := range zones {
+		hosts, err := h.platform.Hosts(ctx, zone)
+		h.notePlatform(err)
+		if err != nil {
+			return
 		}
-		sleep(ctx, listInterval)
+		h.fleet.update(func(r *membership.Roster, now time.Duration) { r.MergeList(hosts, now) })
 	}
 }
 
--- a/node/platform/client.go
+++ b/node/platform/client.go
@@ -21,8 +21,9 @@
 	// maxAnswer is the largest answer read, in bytes: a value is at most 1 MiB,
 	// a third more in base64.
 	maxAnswer = 4 << 20
-	// serviceName is the name under which hosts are listed.
-	serviceName = "dotterelswitch"
+	// servicePrefix and the zone are the name under which hosts are listed, so
+	// that nobody has to read the list of the whole fleet.
+	servicePrefix = "dotterelswitch-"
 )
 
 // Client implements Store over HTTP. It is safe for concurrent use.
@@ -141,7 +142,7 @@
 		return &StoreError{Call: "register", Err: err}
 	}
 	body, err := json.Marshal(listedService{
-		ID: h.ID, Name: serviceName, Address: address, Port: port,
+		ID: h.ID, Name: servicePrefix + h.Zone, Address: address, Port: port,
 		Meta: map[string]string{
 			metaZone: h.Zone, metaState: h.State.String(),
 			metaIncarnation: strconv.FormatUint(h.Incarnation, 10),
@@ -160,9 +161,9 @@
 	return err
 }
 
-// Hosts returns the platform's list, which lags.
-func (c *Client) Hosts(ctx context.Context) ([]membership.Host, error) {
-	body, _, err := c.call(ctx, http.MethodGet, "/v1/health/service/"+serviceName, nil, nil, 0)
+// Hosts returns the platform's list of the hosts of one zone, which lags.
+func (c *Client) Hosts(ctx context.Context, zone string) ([]membership.Host, error) {
+	body, _, err := c.call(ctx, http.MethodGet, "/v1/health/service/"+servicePrefix+zone, nil, nil, 0)
 	if err != nil {
 		return nil, err
 	}
