--- a/core/conf/merge.go
+++ b/core/conf/merge.go
@@ -43,11 +43,3 @@
 	}
 	return items[i], true
 }
-
-// Items returns everything that the configuration holds.
-func (c *Config) Items() Items {
-	return Items{
-		Zones: c.Zones, Services: c.Services, Classes: c.Classes,
-		Tenants: c.Tenants, Events: c.Events, Drains: c.Drains,
-	}
-}
--- a/core/group/promotion_test.go
+++ b/core/group/promotion_test.go
@@ -88,3 +88,27 @@
 		require.Equal(t, group.Probe, a.Kind)
 	}
 }
+
+// TestPaceKeepsTheBudget checks that heartbeats stay within the bytes allowed,
+// up to the longest interval.
+func TestPaceKeepsTheBudget(t *testing.T) {
+	p := group.DefaultPace()
+	for _, members := range []int{1, 9, 30, 45} {
+		interval := p.Heartbeat(members)
+		require.GreaterOrEqual(t, interval, p.Shortest)
+		cost := float64(members*p.ProbeBytes) / interval.Seconds()
+		require.LessOrEqual(t, cost, float64(p.BudgetBytes)*1.01, "%d members", members)
+	}
+	require.Equal(t, p.Longest, p.Heartbeat(10_000))
+}
+
+// TestNextTickRestsOnlyWhenHealthy checks that a controller in doubt is not
+// put off.
+func TestNextTickRestsOnlyWhenHealthy(t *testing.T) {
+	c := group.NewController([]string{"a"}, 0, testTiming, 1)
+	c.OnStatus(group.Status{Member: "a", Claimed: 1, Primary: true}, 0, 0)
+	c.Tick(0)
+	require.Equal(t, testTiming.Heartbeat, c.NextTick(0, 1))
+	c.OnProbeFailed("a", 1, 1, true)
+	require.Equal(t, time.Duration(1), c.NextTick(1, 1))
+}
--- a/core/group/status.go
+++ b/core/group/status.go
@@ -34,6 +34,8 @@
 	Acks []Ack
 	// Heard is the time since it last had contact with the primary it follows.
 	Heard time.Duration
+	// Change counts the changes of Acks and Claimed, for waiting calls.
+	Change uint64
 }
 
 // Ack is a replica's acknowledgement, as its primary reports it. The replica
--- a/core/outcome/code.go
+++ b/core/outcome/code.go
@@ -95,7 +95,7 @@
 	WrongMember:         {"wrong_member", "57P04", RanNo, true, "the upstream is not in the role that the request needs"},
 	AuthFailed:          {"auth_failed", "28P01", RanNo, false, "the caller could not be authenticated"},
 	TooManyConnections:  {"too_many_connections", "53300", RanNo, true, "the connection limit is reached"},
-	TransactionLost:     {"transaction_lost", "40003", RanNo, true, "the connection under the transaction failed and the transaction was rolled back"},
+	TransactionLost:     {"transaction_lost", "40001", RanNo, true, "the connection under the transaction failed and the transaction was rolled back"},
 }
 
 // Info returns the description of c.
--- a/node/cmd/dotterelctl/load.go
+++ b/node/cmd/dotterelctl/load.go
@@ -99,7 +99,7 @@
 		return err
 	}
 	defer dep.Close()
-	if err := demo.Publish(ctx, dep.Platform.Addr(), dep.Config()); err != nil {
+	if err := demo.Publish(ctx, dep.Platform.Addr(), dep.Items()); err != nil {
 		return err
 	}
 	defer printCalls(dep)
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -79,7 +79,7 @@
 	if d.dep, err = workload.Deploy(d.spec); err != nil {
 		return err
 	}
-	if err := Publish(ctx, d.dep.Platform.Addr(), d.dep.Config()); err != nil {
+	if err := Publish(ctx, d.dep.Platform.Addr(), d.dep.Items()); err != nil {
 		return err
 	}
 	d.sayf("%s: %d services of %d members in %d availability zones", d.spec.Name, d.spec.Services, len(d.spec.Zones), len(d.spec.Zones))
@@ -95,11 +95,11 @@
 	return nil
 }
 
-// Publish makes a configuration's items the first change of the log.
-func Publish(ctx context.Context, address string, cfg *conf.Config) error {
+// Publish makes items the first change of the log.
+func Publish(ctx context.Context, address string, items conf.Items) error {
 	client := platform.NewClient(address, (&net.Dialer{}).DialContext)
 	_, err := confstore.New(client).Submit(ctx, "initial", func(*conf.Config) (conf.Items, conf.Names, error) {
-		return cfg.Items(), conf.Names{}, nil
+		return items, conf.Names{}, nil
 	})
 	return err
 }
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -130,6 +131,10 @@
 	}
 	text := http.NewServeMux()
 	text.Handle("GET /metrics", h.metrics.Handler())
+	if h.opts.Settings.Profile {
+		text.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+		text.HandleFunc("GET /debug/pprof/", pprof.Index)
+	}
 	return h.serve(h.opts.Settings.Metrics, &http.Server{Handler: text})
 }
 
--- /dev/null
+++ b/node/owner/recent_test.go
@@ -0,0 +1,35 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+// TestRecentRunsEachRequestOnce delivers request numbers in any order and with
+// repeats: none is new twice, and every one within the window is new once.
+func TestRecentRunsEachRequestOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRecent()
+		taken := map[uint64]bool{}
+		high := uint64(0)
+		for range rapid.IntRange(1, 300).Draw(t, "deliveries") {
+			id := uint64(rapid.IntRange(1, 3*windowBits).Draw(t, "id"))
+			inWindow := id > high || high-id < windowBits
+			got := r.add("sender", id)
+			if taken[id] {
+				require.False(t, got, "request %d ran twice", id)
+			} else if inWindow {
+				require.True(t, got, "request %d was refused", id)
+			}
+			taken[id] = taken[id] || got
+			high = max(high, id)
+		}
+		require.True(t, r.add("another sender", 1))
+	})
+}
--- a/node/settings/flags.go
+++ b/node/settings/flags.go
@@ -28,6 +28,7 @@
 		duration("startup-timeout", "time a caller has to log in", 10*time.Second, &s.StartupTimeout),
 		duration("statement-timeout", "deadline of a request; callers may set a shorter one", 10*time.Second, &s.StatementTimeout),
 		duration("drain-timeout", "time that a stop waits for what runs", 30*time.Second, &s.DrainTimeout),
+		&cli.BoolFlag{Name: "profile", Usage: "serve runtime profiles under /debug/pprof/ at the metrics address", Destination: &s.Profile, Sources: cli.EnvVars(EnvName("profile"))},
 		text("log-level", "debug, info, warn or error", "info", &s.LogLevel),
 	}
 }
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -34,6 +34,8 @@
 	StatementTimeout     time.Duration
 	DrainTimeout         time.Duration
 	LogLevel             string
+	// Profile serves runtime profiles next to the metrics.
+	Profile bool
 }
 
 // InvalidError reports a setting with a value that is not allowed.
--- a/node/upstream/control.go
+++ b/node/upstream/control.go
@@ -91,6 +91,14 @@
 	return st, err
 }
 
+// Await implements GroupMember.
+func (c *Control) Await(ctx context.Context, known uint64, limit time.Duration) (group.Status, error) {
+	st, _, err := c.statusQuery(ctx, fmt.Sprintf("SELECT group_await(%d, %d)", known, limit.Milliseconds()))
+	return st, err
+}
+
+var _ GroupMember = (*Control)(nil)
+
 // Claim implements GroupMember.
 func (c *Control) Claim(ctx context.Context, term logpos.Term, claimant string) (group.Status, bool, error) {
 	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_claim(%d, %s)", term, quote(claimant)))
@@ -108,7 +116,7 @@
 
 func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
 
-const statusFields = 10
+const statusFields = 11
 
 func (c *Control) statusQuery(ctx context.Context, sql string) (group.Status, bool, error) {
 	row, err := c.query(ctx, sql)
@@ -133,12 +141,13 @@
 	history, err5 := logpos.ParseHistory(string(row[6]))
 	acks, err6 := parseAcks(string(row[7]))
 	heard, err7 := strconv.ParseInt(string(row[8]), 10, 64)
+	change, err8 := strconv.ParseUint(string(row[9]), 10, 64)
 	st := group.Status{
 		Member: string(row[0]), Claimed: logpos.Term(claimed), Primary: string(row[2]) == "true",
 		Follows: logpos.Term(follows), Last: last, Applied: applied, History: history,
-		Acks: acks, Heard: time.Duration(heard) * time.Microsecond,
+		Acks: acks, Change: change, Heard: time.Duration(heard) * time.Microsecond,
 	}
-	return st, string(row[9]) == "true", errors.Join(err1, err2, err3, err4, err5, err6, err7)
+	return st, string(row[10]) == "true", errors.Join(err1, err2, err3, err4, err5, err6, err7, err8)
 }
 
 // parseAcks reads "member=term/offset" parts joined by commas.
--- a/node/upstream/group_member.go
+++ b/node/upstream/group_member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/group"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
@@ -14,6 +15,9 @@
 type GroupMember interface {
 	// Status returns the member's terms and positions.
 	Status(ctx context.Context) (group.Status, error)
+	// Await returns the status once its Change is not the known one, or after
+	// the limit.
+	Await(ctx context.Context, known uint64, limit time.Duration) (group.Status, error)
 	// Claim asks the member to grant a term to a claimant. The second result
 	// is whether it did.
 	Claim(ctx context.Context, term logpos.Term, claimant string) (group.Status, bool, error)
--- a/node/watch/perform.go
+++ b/node/watch/perform.go
@@ -51,7 +51,7 @@
 func (w *Watcher) runProbe(ctx context.Context, member string, sent time.Duration) {
 	bounded, cancel := context.WithTimeout(ctx, probeLimit)
 	late := time.AfterFunc(lateAfter, func() { w.failed(ctx, member, sent, false) })
-	st, err := w.cfg.Controls[member].Status(bounded)
+	st, err := w.ask(bounded, member)
 	late.Stop()
 	cancel()
 	if ctx.Err() != nil {
@@ -68,6 +68,19 @@
 	w.continueDemand(ctx, member, sent)
 }
 
+// ask gets a member's status: at once, or, when only confirmations are waited
+// for, as soon as the primary has news of its replicas.
+func (w *Watcher) ask(ctx context.Context, member string) (group.Status, error) {
+	w.mu.Lock()
+	known, answered := w.ctl.View().Status(member)
+	patient := answered && known.Primary && w.demand[ForConfirmation] > 0 && w.demand[ForFreshness] == 0
+	w.mu.Unlock()
+	if patient {
+		return w.cfg.Controls[member].Await(ctx, known.Change, awaitLimit)
+	}
+	return w.cfg.Controls[member].Status(ctx)
+}
+
 func (w *Watcher) failed(ctx context.Context, member string, sent time.Duration, refused bool) {
 	w.update(ctx, func(now time.Duration) []group.Action {
 		w.ctl.OnProbeFailed(member, sent, now, refused)
@@ -80,12 +93,22 @@
 	if !w.demanded(member) {
 		return
 	}
-	if rest := demandPace - (w.Now() - sent); rest > 0 {
+	if rest := w.demandPace() - (w.Now() - sent); rest > 0 {
 		time.Sleep(rest)
 	}
 	w.probe(ctx, member)
 }
 
+// demandPace returns the pause between probes that the present demand asks for.
+func (w *Watcher) demandPace() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.demand[ForConfirmation] > 0 {
+		return confirmPace
+	}
+	return freshPace
+}
+
 func (w *Watcher) claim(ctx context.Context, a group.Action) {
 	w.order(ctx, a, func(ctx context.Context, c *upstream.Control) (group.Status, bool, error) {
 		return c.Claim(ctx, a.Term, w.cfg.Claimant)
--- a/node/watch/watcher.go
+++ b/node/watch/watcher.go
@@ -20,9 +20,13 @@
 	// stepTime is the granularity of the controller's time while there is
 	// something to decide.
 	stepTime = 10 * time.Millisecond
-	// demandPace is the shortest interval between probes while requests wait
-	// for a confirmation.
-	demandPace = time.Millisecond
+	// confirmPace and freshPace are the shortest intervals between probes of a
+	// member while requests wait for a confirmation, or for fresh knowledge.
+	confirmPace = 2 * time.Millisecond
+	freshPace   = 4 * time.Millisecond
+	// awaitLimit bounds a probe that waits for a change. It delays a request
+	// that needs fresh knowledge of the same member.
+	awaitLimit = 20 * time.Millisecond
 	// lateAfter is when an unanswered probe counts as failed. The probe stays
 	// open, so that a slow answer still clears the failure.
 	lateAfter = 250 * time.Millisecond
--- a/standin/dbgroup/call.go
+++ b/standin/dbgroup/call.go
@@ -11,7 +11,7 @@
 )
 
 // statusColumns is the row shape of the group functions.
-var statusColumns = []string{"member", "claimed", "is_primary", "follows", "last", "applied", "history", "acks", "heard_us", "done"}
+var statusColumns = []string{"member", "claimed", "is_primary", "follows", "last", "applied", "history", "acks", "heard_us", "change", "done"}
 
 // call runs one of the functions of a group member.
 func (x *executor) call(ctx context.Context, st *callStmt, params []string) (*result, error) {
@@ -28,6 +28,8 @@
 	switch f := strings.ToLower(st.Function); {
 	case f == "group_status" && len(args) == 0:
 		return statusResult(m.Status(), true), nil
+	case f == "group_await" && len(args) == 2:
+		return x.await(ctx, args)
 	case f == "group_describe" && len(args) == 0:
 		return m.describe(), nil
 	case f == "group_claim" && len(args) == 2:
@@ -48,6 +50,17 @@
 	return nil, &sqlError{code: codeUndefinedFunction, message: "function " + st.Function + " does not exist"}
 }
 
+// await answers with the status once it has changed, or after a while.
+func (x *executor) await(ctx context.Context, args []string) (*result, error) {
+	known, err1 := strconv.ParseUint(args[0], 10, 64)
+	limit, err2 := strconv.Atoi(args[1])
+	if err1 != nil || err2 != nil {
+		return nil, &sqlError{code: codeInvalidArgument, message: "group_await takes a change number and milliseconds"}
+	}
+	x.member.awaitChange(ctx, known, time.Duration(limit)*time.Millisecond)
+	return statusResult(x.member.Status(), true), nil
+}
+
 func (x *executor) order(termText string, run func(logpos.Term) bool) (*result, error) {
 	term, err := strconv.ParseUint(termText, 10, 64)
 	if err != nil {
@@ -70,6 +83,7 @@
 			st.History.String(),
 			ackText(st.Acks),
 			strconv.FormatInt(st.Heard.Microseconds(), 10),
+			strconv.FormatUint(st.Change, 10),
 			strconv.FormatBool(done),
 		}},
 		tag: "SELECT 1",
--- a/standin/dbgroup/member.go
+++ b/standin/dbgroup/member.go
@@ -4,6 +4,7 @@
 package dbgroup
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -47,6 +48,8 @@
 	heardAt  time.Time
 	pending  map[indexKey]*txn
 	acks     map[string]logpos.Position
+	change   uint64
+	changed  chan struct{}
 	lag      time.Duration
 	stalled  bool
 	stopFeed chan struct{}
@@ -65,6 +68,7 @@
 		cfg: cfg, group: g, db: newDatabase(),
 		pending: make(map[indexKey]*txn),
 		slots:   make(chan struct{}, cfg.Slots),
+		changed: make(chan struct{}),
 	}
 	m.grown = sync.NewCond(&m.mu)
 	m.faults.init()
@@ -91,7 +95,7 @@
 func (m *Member) status() group.Status {
 	st := group.Status{
 		Member: m.cfg.Name, Claimed: m.claimed, Primary: m.primary, Follows: m.follows,
-		Last: m.log.last(), Applied: m.appliedPosition(), History: m.log.history.Clone(),
+		Change: m.change, Last: m.log.last(), Applied: m.appliedPosition(), History: m.log.history.Clone(),
 	}
 	if !m.primary {
 		st.Heard = time.Since(m.heardAt)
@@ -130,9 +134,34 @@
 	m.claimed, m.claimant = term, claimant
 	m.primary, m.follows = false, 0
 	m.stopFollowing()
+	m.bump()
 	m.grown.Broadcast()
 }
 
+// bump wakes the calls that wait for a change; it needs mu held.
+func (m *Member) bump() {
+	m.change++
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// awaitChange waits until the member's change number is not the given one.
+func (m *Member) awaitChange(ctx context.Context, known uint64, limit time.Duration) {
+	m.mu.Lock()
+	current, changed := m.change, m.changed
+	m.mu.Unlock()
+	if current != known {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // promote makes the member the primary of a term it has granted.
 func (m *Member) promote(term logpos.Term, claimant string) bool {
 	m.mu.Lock()
--- a/standin/dbgroup/replication.go
+++ b/standin/dbgroup/replication.go
@@ -29,6 +29,7 @@
 	}
 	m.stopFollowing()
 	m.claimed, m.primary, m.follows = term, false, term
+	m.bump()
 	m.stopFeed = make(chan struct{})
 	go m.feed(term, primary, m.stopFeed)
 	return true
@@ -85,6 +86,7 @@
 	defer m.mu.Unlock()
 	if m.primary && m.claimed == term {
 		m.acks[replica] = p
+		m.bump()
 	}
 }
 
--- a/standin/workload/deployment.go
+++ b/standin/workload/deployment.go
@@ -59,9 +59,9 @@
 	return out
 }
 
-// Config returns the configuration that describes the deployment.
-func (d *Deployment) Config() *conf.Config {
-	c := &conf.Config{Version: 1, ChangeID: "initial", Zones: d.Spec.Zones}
+// Items returns the configuration items that describe the deployment.
+func (d *Deployment) Items() conf.Items {
+	c := conf.Items{Zones: d.Spec.Zones}
 	for _, g := range d.Groups {
 		svc := conf.Service{Name: g.Name()}
 		for _, m := range g.Members() {
