--- a/core/conf/scale_test.go
+++ b/core/conf/scale_test.go
@@ -88,8 +88,10 @@
 				if err := json.Unmarshal(data, &cfg); err != nil {
 					b.Fatal(err)
 				}
-				b.ReportMetric(float64(heap()-before)/float64(n), "heap-B/service")
+				used := float64(heap()) - float64(before)
 				runtime.KeepAlive(&cfg)
+				runtime.KeepAlive(data)
+				b.ReportMetric(used/float64(n), "heap-B/service")
 			}
 			b.ReportMetric(float64(len(data))/float64(n), "stored-B/service")
 			b.ReportMetric(float64(len(change)), "B/change")
--- a/core/membership/scale_test.go
+++ b/core/membership/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
@@ -84,3 +85,40 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkSpread counts the probe periods until a new configuration version
+// has reached the whole fleet, when two hosts of each of 31 zones begin with it
+// and every probe tells both sides. Each host probes in rounds of its own.
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(float64(spread(n)), "periods")
+			}
+		})
+	}
+}
+
+func spread(n int) int {
+	const relays = 62
+	rng := rand.New(rand.NewPCG(1, uint64(n)))
+	orders := make([][]int, n)
+	knows := make([]bool, n)
+	for i := range n {
+		orders[i] = rng.Perm(n)
+		knows[i] = i < relays
+	}
+	left := n - relays
+	for period := 0; ; period++ {
+		if left == 0 {
+			return period
+		}
+		for i := range n {
+			j := orders[i][period%n]
+			if knows[i] != knows[j] {
+				knows[i], knows[j] = true, true
+				left--
+			}
+		}
+	}
+}
--- a/node/host/config_sync.go
+++ b/node/host/config_sync.go
@@ -21,8 +21,11 @@
 	watchWait = 30 * time.Second
 	// listInterval is how often a relay reads lists of hosts, and
 	// otherZonesListed how many of other zones each time.
-	listInterval     = 30 * time.Second
-	otherZonesListed = 3
+	listInterval = 30 * time.Second
+	// hostsPerListInterval lengthens the interval with the fleet, because the
+	// lists grow with it.
+	hostsPerListInterval = 100
+	otherZonesListed     = 3
 	// earlyLists is how many times every host reads lists after its start, and
 	// earlyListInterval how often.
 	earlyLists        = 3
@@ -112,7 +115,7 @@
 		if early {
 			sleep(ctx, earlyListInterval)
 		} else {
-			sleep(ctx, listInterval)
+			sleep(ctx, listInterval*time.Duration(1+h.Known()/hostsPerListInterval))
 		}
 	}
 }
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -71,8 +71,7 @@
 
 // Reconcile takes a configuration and the placement of the hosts that serve,
 // and starts or hands over pools accordingly. Dead lists the hosts whose
-// connections may be ended. Its cost grows with the members of this host's
-// zone, not with all members: only a zone without hosts makes it look further.
+// connections may be ended.
 func (o *Owner) Reconcile(cfg *conf.Config, placement *membership.Placement, dead []membership.Host) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -81,16 +80,9 @@
 	}
 	o.config, o.dead = cfg, dead
 	wanted := make(map[string]bool)
-	for _, s := range cfg.Services {
-		for _, u := range s.Upstreams {
-			if !o.mayOwn(u, placement) {
-				continue
-			}
-			if h, found := placement.Owner(u.Name, u.Zone); found && h.ID == o.cfg.Host.ID {
-				wanted[u.Name] = true
-				o.ensureHolding(o.ensureGroup(s, ownersOf(s, placement)), u)
-			}
-		}
+	for _, a := range assignments(cfg, placement, o.cfg.Host) {
+		wanted[a.upstream.Name] = true
+		o.ensureHolding(o.ensureGroup(a.service, ownersOf(a.service, placement)), a.upstream)
 	}
 	o.releaseUnwanted(wanted)
 	o.pace()
@@ -99,29 +91,6 @@
 	}
 }
 
-// mayOwn reports whether an upstream is in this host's zone or in one that has
-// no hosts.
-func (o *Owner) mayOwn(u conf.Upstream, placement *membership.Placement) bool {
-	return u.Zone == o.cfg.Host.Zone || len(placement.Zone(u.Zone)) == 0
-}
-
-// ownersOf returns the hosts that own members of a service, ranked by
-// rendezvous hashing on the service.
-func ownersOf(s conf.Service, placement *membership.Placement) []string {
-	var owners []membership.Host
-	for _, u := range s.Upstreams {
-		h, found := placement.Owner(u.Name, u.Zone)
-		if found && !slices.Contains(owners, h) {
-			owners = append(owners, h)
-		}
-	}
-	ids := make([]string, 0, len(owners))
-	for _, h := range membership.Ranked(s.Name, owners) {
-		ids = append(ids, h.ID)
-	}
-	return ids
-}
-
 // pace spaces the heartbeats of all groups; it needs mu held.
 func (o *Owner) pace() {
 	members := 0
--- a/node/watch/watcher.go
+++ b/node/watch/watcher.go
@@ -172,24 +172,31 @@
 // Await blocks until done returns true or the context ends. Meanwhile the
 // members that the demand concerns are probed without pause.
 func (w *Watcher) Await(ctx context.Context, demand Demand, done func(v *group.View, now time.Duration) bool) error {
+	ready, changed := w.check(done)
+	if ready {
+		return nil
+	}
 	w.addDemand(ctx, demand, 1)
 	defer w.addDemand(ctx, demand, -1)
 	for {
-		w.mu.Lock()
-		if done(w.ctl.View(), w.Now()) {
-			w.mu.Unlock()
-			return nil
-		}
-		changed := w.changed
-		w.mu.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		if ready, changed = w.check(done); ready {
+			return nil
+		}
 	}
 }
 
+// check asks for a condition and returns what is closed at the next change.
+func (w *Watcher) check(done func(v *group.View, now time.Duration) bool) (bool, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return done(w.ctl.View(), w.Now()), w.changed
+}
+
 // addDemand changes the number of requests that wait; the first one starts
 // probes at once.
 func (w *Watcher) addDemand(ctx context.Context, d Demand, n int) {
