Test sessions through a client library; roll hosts under load

Cause: what callers may do was tried by the load alone, and a planned stop by nothing.

Change: tests through pgx for roaming sessions, prepared statements on pooled connections, transactions, idempotency keys, refusals, tokens, cancellation on each host, and raw connections with malformed messages. The demo can roll all hosts. A cancelled request is answered as such and stops where it runs, also on another host.

--- a/core/outcome/code.go
+++ b/core/outcome/code.go
@@ -91,7 +91,7 @@
 	Unsupported:         {"unsupported", "0A000", RanNo, false, "the request cannot be carried over a pooled connection"},
 	ProtocolViolation:   {"protocol_violation", "08P01", RanNo, false, "the message is malformed or out of order"},
 	ReplicationStalled:  {"replication_stalled", "57P05", RanNo, true, "too many writes wait for replication"},
-	Cancelled:           {"cancelled", "57014", RanNo, true, "the caller cancelled the request before it started"},
+	Cancelled:           {"cancelled", "57014", RanNo, true, "the caller cancelled the request, which has no effect"},
 	WrongMember:         {"wrong_member", "57P04", RanNo, true, "the upstream is not in the role that the request needs"},
 	AuthFailed:          {"auth_failed", "28P01", RanNo, false, "the caller could not be authenticated"},
 	TooManyConnections:  {"too_many_connections", "53300", RanNo, true, "the connection limit is reached"},
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -46,6 +47,8 @@
 	spec  workload.Spec
 	dep   *workload.Deployment
 	hosts []*entryHost
+	// restarts counts planned restarts.
+	restarts int
 }
 
 // readyTimeout bounds the start of all hosts.
@@ -112,8 +115,7 @@
 	}
 	d.dep.Network.Place(s.Listen, zone)
 	d.dep.Network.Place(s.Peer, zone)
-	dialer := &netem.Dialer{Network: d.dep.Network, From: zone}
-	h, err := host.Start(host.Options{Settings: s, Dial: dialer.DialContext, ListenPacket: d.listenPacket(zone), Log: d.opts.Log})
+	h, err := d.launch(s)
 	if err != nil {
 		return err
 	}
@@ -121,6 +123,12 @@
 	return nil
 }
 
+// launch starts a host in the emulated network.
+func (d *demo) launch(s settings.Settings) (*host.Host, error) {
+	dialer := &netem.Dialer{Network: d.dep.Network, From: s.Zone}
+	return host.Start(host.Options{Settings: s, Dial: dialer.DialContext, ListenPacket: d.listenPacket(s.Zone), Log: d.opts.Log})
+}
+
 // listenPacket returns how a host in a zone opens its socket for datagrams.
 func (d *demo) listenPacket(zone string) func(string) (net.PacketConn, error) {
 	return func(address string) (net.PacketConn, error) {
@@ -193,9 +201,12 @@
 	})
 	faultCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	go d.inject(faultCtx, l)
-	go d.showProgress(faultCtx, l)
+	var wg sync.WaitGroup
+	wg.Go(func() { d.inject(faultCtx, l) })
+	wg.Go(func() { d.showProgress(faultCtx, l) })
 	report, err := l.Wait(ctx)
+	stop()
+	wg.Wait()
 	if err != nil {
 		return nil, err
 	}
@@ -207,6 +218,7 @@
 	r.Hosts = len(d.hosts)
 	r.Fault = faultNames(d.opts.Faults)
 	r.SlotBreaches = d.dep.SlotBreaches()
+	r.Restarts = d.restarts
 	r.StoreCalls, _ = d.dep.Platform.Calls()
 	for _, h := range d.hosts {
 		r.Promotions += h.host.Promotions()
--- a/node/demo/fault.go
+++ b/node/demo/fault.go
@@ -22,11 +22,14 @@
 	FaultHostKill         Fault = "host-kill"
 	FaultStoreOutage      Fault = "store-outage"
 	FaultAZCut            Fault = "az-cut"
+	// FaultRollingRestart is no failure: every host is stopped as planned and
+	// started again, one after the other.
+	FaultRollingRestart Fault = "rolling-restart"
 )
 
 // AllFaults lists the faults.
 func AllFaults() []Fault {
-	return []Fault{FaultNone, FaultPrimaryCrash, FaultPrimaryPartition, FaultHostKill, FaultStoreOutage, FaultAZCut}
+	return []Fault{FaultNone, FaultPrimaryCrash, FaultPrimaryPartition, FaultHostKill, FaultStoreOutage, FaultAZCut, FaultRollingRestart}
 }
 
 // FaultError reports a fault that does not exist.
@@ -71,7 +74,7 @@
 	var undo []func()
 	for _, f := range d.opts.Faults {
 		d.sayf("fault: %s", f)
-		if end := d.begin(f, l); end != nil {
+		if end := d.begin(ctx, f, l); end != nil {
 			undo = append(undo, end)
 		}
 	}
@@ -87,7 +90,7 @@
 }
 
 // begin starts a fault and returns what ends it, if anything does.
-func (d *demo) begin(f Fault, l *workload.Load) func() {
+func (d *demo) begin(ctx context.Context, f Fault, l *workload.Load) func() {
 	switch f {
 	case FaultPrimaryCrash:
 		return d.crashPrimary(l)
@@ -100,6 +103,8 @@
 		return func() { d.dep.Platform.SetOutage(false) }
 	case FaultAZCut:
 		return d.cutZone(l)
+	case FaultRollingRestart:
+		d.restartAll(ctx)
 	}
 	return nil
 }
--- a/node/gateway/run.go
+++ b/node/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -58,6 +59,9 @@
 	s.mu.Unlock()
 	started := time.Now()
 	resp := s.send(ctx, req)
+	if resp.Refusal != nil && resp.Refusal.NotRun() && errors.Is(ctx.Err(), context.Canceled) {
+		resp.Refusal = outcome.Refuse(outcome.Cancelled, "")
+	}
 	cancel()
 	s.record(req, resp, time.Since(started))
 	s.answer(w, resp)
--- /dev/null
+++ b/node/host/session_test.go
@@ -0,0 +1,180 @@
+package host_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+)
+
+const insertReading = "INSERT INTO readings (subject, value) VALUES ($1, $2)"
+
+// TestSessions drives one small deployment through what callers do.
+func TestSessions(t *testing.T) {
+	d := deploy(t, 3, nil)
+	defer d.kill()
+	t.Run("read your writes on any host", func(t *testing.T) { testRoaming(t, d) })
+	t.Run("prepared statements", func(t *testing.T) { testPrepared(t, d) })
+	t.Run("transactions", func(t *testing.T) { testTransactions(t, d) })
+	t.Run("idempotency keys", func(t *testing.T) { testKeys(t, d) })
+	t.Run("refusals", func(t *testing.T) { testRefusals(t, d) })
+	t.Run("tokens", func(t *testing.T) { testTokens(t, d) })
+	t.Run("cancel", func(t *testing.T) { testCancel(t, d) })
+	t.Run("malformed messages", func(t *testing.T) { testMalformed(t, d) })
+}
+
+func testRoaming(t *testing.T, d *deployment) {
+	token := ""
+	for i := range 9 {
+		conn := d.connect(i%3, map[string]string{"dotterelswitch.token": token, "dotterelswitch.class": "lightcurve"})
+		require.Len(t, values(t, conn, "roaming"), i)
+		_, err := conn.Exec(t.Context(), insertReading, "roaming", uuid.NewString())
+		require.NoError(t, err)
+		token = conn.PgConn().ParameterStatus("dotterelswitch.token")
+		require.NotEmpty(t, token)
+	}
+}
+
+func testPrepared(t *testing.T, d *deployment) {
+	conn := d.connect(0, nil)
+	_, err := conn.Prepare(t.Context(), "by_subject", "SELECT value FROM readings WHERE subject = $1")
+	require.NoError(t, err)
+	_, err = conn.Prepare(t.Context(), "add", insertReading)
+	require.NoError(t, err)
+	for i := range 5 {
+		_, err = conn.Exec(t.Context(), "add", "prepared", uuid.NewString())
+		require.NoError(t, err)
+		rows, err := conn.Query(t.Context(), "by_subject", "prepared")
+		require.NoError(t, err)
+		got, err := pgx.CollectRows(rows, pgx.RowTo[string])
+		require.NoError(t, err)
+		require.Len(t, got, i+1)
+	}
+	var batch pgx.Batch
+	for range 3 {
+		batch.Queue("add", "batched", uuid.NewString())
+	}
+	require.NoError(t, conn.SendBatch(t.Context(), &batch).Close())
+	require.Len(t, values(t, conn, "batched"), 3)
+}
+
+func testTransactions(t *testing.T, d *deployment) {
+	conn := d.connect(1, nil)
+	tx, err := conn.Begin(t.Context())
+	require.NoError(t, err)
+	_, err = tx.Exec(t.Context(), insertReading, "tx", "kept")
+	require.NoError(t, err)
+	require.Equal(t, []string{"kept"}, values(t, conn, "tx"), "a transaction sees its own rows")
+	require.Empty(t, values(t, d.connect(2, nil), "tx"), "nobody else does")
+	require.NoError(t, tx.Commit(t.Context()))
+	require.Equal(t, []string{"kept"}, values(t, d.connect(2, nil), "tx"))
+
+	tx, err = conn.Begin(t.Context())
+	require.NoError(t, err)
+	_, err = tx.Exec(t.Context(), insertReading, "tx", "dropped")
+	require.NoError(t, err)
+	_, err = tx.Exec(t.Context(), "nonsense")
+	requireState(t, err, "42601")
+	_, err = tx.Exec(t.Context(), insertReading, "tx", "dropped too")
+	requireState(t, err, "25P02")
+	require.NoError(t, tx.Rollback(t.Context()))
+	require.Equal(t, []string{"kept"}, values(t, conn, "tx"))
+}
+
+func testKeys(t *testing.T, d *deployment) {
+	key, err := uuid.NewV7()
+	require.NoError(t, err)
+	hint := "/* dotterelswitch: key=" + key.String() + " */ "
+	for i := range 6 {
+		tag, err := d.connect(i%3, nil).Exec(t.Context(), hint+insertReading, "keyed", "once")
+		require.NoError(t, err)
+		require.Equal(t, "INSERT 0 1", tag.String())
+	}
+	conn := d.connect(0, nil)
+	require.Equal(t, []string{"once"}, values(t, conn, "keyed"))
+	_, err = conn.Exec(t.Context(), hint+insertReading, "keyed", "another request")
+	requireState(t, err, "23505")
+	old := "01890000-0000-7000-8000-000000000000" // of June 2023
+	_, err = conn.Exec(t.Context(), "/* dotterelswitch: key="+old+" */ "+insertReading, "keyed", "too late")
+	requireState(t, err, "22008")
+	_, err = conn.Exec(t.Context(), "/* dotterelswitch: key=abc */ "+insertReading, "keyed", "no key")
+	requireState(t, err, "08P01")
+	require.Equal(t, []string{"once"}, values(t, conn, "keyed"))
+}
+
+func testRefusals(t *testing.T, d *deployment) {
+	conn := d.connect(0, nil)
+	for _, sql := range []string{"LISTEN a", "CREATE TEMP TABLE a (b int)", "SELECT pg_advisory_lock(1)", "COPY readings FROM STDIN", "SET search_path = x"} {
+		_, err := conn.Exec(t.Context(), sql)
+		requireState(t, err, "0A000")
+	}
+	_, err := conn.Exec(t.Context(), "SET dotterelswitch.class = 'nonesuch'")
+	requireState(t, err, "08P01")
+	_, err = conn.Exec(t.Context(), "SET statement_timeout = 'soon'")
+	requireState(t, err, "08P01")
+	var tenant string
+	require.NoError(t, conn.QueryRow(t.Context(), "SHOW dotterelswitch.tenant", pgx.QueryExecModeSimpleProtocol).Scan(&tenant))
+	require.Equal(t, "schools", tenant)
+	cfg := conn.Config().Copy()
+	cfg.Database = "nonesuch"
+	_, err = pgx.ConnectConfig(t.Context(), cfg)
+	requireState(t, err, "3D000")
+}
+
+func testTokens(t *testing.T, d *deployment) {
+	conn := d.connect(0, nil)
+	_, err := conn.Exec(t.Context(), "SET dotterelswitch.token = 'rubbish'")
+	requireState(t, err, "22P02")
+	// A token far past everything that exists is an error, not a wait.
+	forged := forgedToken(t)
+	_, err = conn.Exec(t.Context(), "SET dotterelswitch.token = '"+forged+"'")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	_, err = conn.Exec(ctx, "SELECT value FROM readings WHERE subject = 'x'")
+	requireState(t, err, "22023")
+}
+
+func testCancel(t *testing.T, d *deployment) {
+	for i := range 3 {
+		conn := d.connect(i, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, func() { _ = conn.PgConn().CancelRequest(context.Background()) })
+		_, err := conn.Exec(ctx, "/* read */ SELECT pg_sleep(60)")
+		cancel()
+		requireState(t, err, "57014")
+		require.Empty(t, values(t, conn, "nothing"), "the session goes on")
+	}
+}
+
+// testMalformed sends rubbish on raw connections; others are not disturbed.
+func testMalformed(t *testing.T, d *deployment) {
+	other := d.connect(0, nil)
+	for name, bytes := range map[string][]byte{
+		"a length that is too small":  {0, 0, 0, 1},
+		"a start-up that is too long": {0x7f, 0, 0, 0, 0, 3, 0, 0},
+		"an unknown version":          {0, 0, 0, 8, 0, 9, 0, 0},
+		"start-up without a service":  {0, 0, 0, 9, 0, 3, 0, 0, 0},
+		"http":                        []byte("GET / HTTP/1.1\r\n\r\n"),
+	} {
+		c, err := net.Dial("tcp", d.addrs[0])
+		require.NoError(t, err)
+		_, err = c.Write(bytes)
+		require.NoError(t, err)
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(testTimeout)))
+		buf := make([]byte, 4096)
+		for {
+			if _, err = c.Read(buf); err != nil {
+				break
+			}
+		}
+		var timeout net.Error
+		require.False(t, asError(err, &timeout) && timeout.Timeout(), "%s: the connection stays open", name)
+		_ = c.Close()
+	}
+	require.Empty(t, values(t, other, "undisturbed"))
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -258,10 +258,24 @@
 		resp.Host, resp.Upstream = host, member
 		return resp
 	}
-	r.fleet.CallFailed(host, upstream.Refused(err))
+	if errors.Is(ctx.Err(), context.Canceled) {
+		go r.cancel(host, req.ID)
+	} else {
+		r.fleet.CallFailed(host, upstream.Refused(err))
+	}
 	return request.Refused(r.callRefusal(err, req))
 }
 
+// cancelTimeout bounds the delivery of a cancellation to another host.
+const cancelTimeout = time.Second
+
+// cancel stops a request that another host runs for a caller that cancelled.
+func (r *Router) cancel(host membership.Host, id uint64) {
+	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+	defer done()
+	_ = r.peers.Cancel(ctx, host.Peer, r.sender, id)
+}
+
 // callRefusal tells what is known of a request whose call failed.
 func (r *Router) callRefusal(err error, req *request.Request) *outcome.Refusal {
 	var call *peer.CallError
--- a/standin/workload/report.go
+++ b/standin/workload/report.go
@@ -22,6 +22,7 @@
 	RequestsPerS  float64        `json:"requests_per_s"`
 	SlotBreaches  int64          `json:"slot_breaches"`
 	Promotions    int            `json:"promotions"`
+	Restarts      int            `json:"restarts"`
 	StoreCalls    int64          `json:"store_calls"`
 	Errors        map[string]int `json:"errors,omitempty"`
 }
