Give demos and tests ports that nothing else takes

Cause: TestPromisesHold failed once with 'address already in use': a port that the system had handed out as free was taken by an outgoing connection before the host listened.

--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -145,7 +145,7 @@
 	s := settings.Default()
 	s.ID, s.Zone, s.Platform, s.PeerKey = id, zone, platformAddress, "demo"
 	for _, target := range []*string{&s.Listen, &s.Peer, &s.Metrics} {
-		address, err := freeAddress()
+		address, err := FreeAddress()
 		if err != nil {
 			return s, err
 		}
@@ -154,15 +154,6 @@
 	return s, s.Check()
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 func (d *demo) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
--- a/node/host/deployment_test.go
+++ b/node/host/deployment_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
@@ -46,7 +45,8 @@
 		s := settings.Default()
 		s.ID, s.Zone, s.Platform, s.PeerKey = fmt.Sprintf("host-%d", i), spec.Zone(i), dep.Platform.Addr(), "test"
 		for _, target := range []*string{&s.Listen, &s.Peer, &s.Metrics} {
-			*target = freeAddress(t)
+			*target, err = demo.FreeAddress()
+			require.NoError(t, err)
 		}
 		if change != nil {
 			change(&s)
@@ -78,14 +78,6 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // connect opens a session on a host, with start-up parameters.
 func (d *deployment) connect(i int, params map[string]string) *pgx.Conn {
 	d.t.Helper()
