Replace a primary that leaves, without losing or cutting a write

Cause: a drained upstream still took writes when it was primary, events opened no connections, and a write without any primary was held until its deadline, however long the loss had lasted.

The safety property includes such handovers. After 5 s without a primary a write is answered at once, after one attempt at each member, with a time to come back.

How long writes wait during a handover is not measured: the first acknowledgement after the declaration may be the old primary's.

--- a/core/group/cluster_test.go
+++ b/core/group/cluster_test.go
@@ -114,6 +114,12 @@
 	c.send(h, c.hosts[h].Tick(c.now))
 }
 
+// handover has a host replace a member that works.
+func (c *cluster) handover() {
+	h := c.drawHost()
+	c.send(h, c.hosts[h].Handover(c.now, []string{c.drawMember().name}))
+}
+
 // deliver takes any message from the network; it may stay to arrive again.
 func (c *cluster) deliver() {
 	if len(c.network) == 0 {
--- a/core/group/controller.go
+++ b/core/group/controller.go
@@ -42,6 +42,8 @@
 	doubtSince time.Duration
 	// quietUntil delays the next claim after one that failed.
 	quietUntil time.Duration
+	// avoid names the members that a planned handover must not promote.
+	avoid      map[string]bool
 	hintUntil  time.Duration
 	promotions int
 }
@@ -97,7 +99,7 @@
 		c.abandon(now)
 	}
 	if c.phase == watching && c.shouldClaim(now) {
-		out = c.startClaim(now)
+		out = c.startClaim(now, nil)
 	}
 	return append(out, c.dueProbes(now)...)
 }
--- a/core/group/promotion.go
+++ b/core/group/promotion.go
@@ -6,9 +6,30 @@
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 )
 
+// Handover replaces a primary that works but is among the members to avoid. It
+// does nothing when the primary is not, or a promotion is under way. The new
+// primary comes from a majority of the other members, which holds every
+// confirmed entry; what only the old one holds is abandoned, so writes on it
+// should have come to rest before.
+func (c *Controller) Handover(now time.Duration, avoid []string) []Action {
+	primary, found := c.view.Primary()
+	if !found || c.phase != watching || c.doubted || now < c.quietUntil {
+		return nil
+	}
+	set := make(map[string]bool, len(avoid))
+	for _, name := range avoid {
+		set[name] = true
+	}
+	if !set[primary.Member] {
+		return nil
+	}
+	return c.startClaim(now, set)
+}
+
 // startClaim asks every member for the next term.
-func (c *Controller) startClaim(now time.Duration) []Action {
+func (c *Controller) startClaim(now time.Duration, avoid map[string]bool) []Action {
 	c.phase = claiming
+	c.avoid = avoid
 	c.term = max(c.view.HighestTerm(), c.term) + 1
 	c.grants = make(map[string]Status, len(c.view.members))
 	c.deadline = now + c.timing.ReplyTimeout
@@ -30,7 +51,9 @@
 		c.abandon(now)
 		return nil
 	}
-	c.grants[st.Member] = st
+	if !c.avoid[st.Member] {
+		c.grants[st.Member] = st
+	}
 	if len(c.grants) < c.view.Quorum() {
 		return nil
 	}
--- a/core/group/safety_test.go
+++ b/core/group/safety_test.go
@@ -28,6 +28,9 @@
 			if c.pick(0, 80) == 0 {
 				c.partition()
 			}
+			if c.pick(0, 40) == 0 {
+				c.handover()
+			}
 		}
 		promotions.add(len(c.primary) - 1)
 		acknowledgements.add(len(c.acked))
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -60,6 +60,9 @@
 	members []memberState
 	primary string
 	term    logpos.Term
+	// lost is since when no write has found a primary.
+	lost   bool
+	lostAt time.Duration
 }
 
 // memberState is what is known of one member.
@@ -112,6 +115,23 @@
 	t.primary, t.term = primary, term
 }
 
+// giveUpAfter is how long the lack of a primary is taken for a failover, which
+// is worth waiting for. It is well above the longest one measured.
+const giveUpAfter = 5 * time.Second
+
+// WriteServed notes that a write found its primary.
+func (t *Table) WriteServed() { t.lost = false }
+
+// WriteRefused notes that a write found no primary. It reports whether that has
+// lasted for so long that waiting makes no sense: the caller then gets its
+// answer at once, after one attempt at each member.
+func (t *Table) WriteRefused(attempt int, now time.Duration) bool {
+	if !t.lost {
+		t.lost, t.lostAt = true, now
+	}
+	return now-t.lostAt >= giveUpAfter && attempt+1 >= len(t.members)
+}
+
 // Primary returns the primary and its term, or "" when it is not known.
 func (t *Table) Primary() (string, logpos.Term) { return t.primary, t.term }
 
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -78,3 +78,15 @@
 		require.Len(t, tried, 3)
 	})
 }
+
+// TestWritesAreNotHeldForEver checks that writes wait through a failover, but
+// get their answer at once when there has been no primary for long.
+func TestWritesAreNotHeldForEver(t *testing.T) {
+	tb := table()
+	require.False(t, tb.WriteRefused(10, 0))
+	require.False(t, tb.WriteRefused(10, 4*time.Second))
+	require.False(t, tb.WriteRefused(0, 6*time.Second), "every member is tried first")
+	require.True(t, tb.WriteRefused(2, 6*time.Second))
+	tb.WriteServed()
+	require.False(t, tb.WriteRefused(2, 7*time.Second), "a new loss is waited for again")
+}
--- a/node/cmd/dotterelctl/demo.go
+++ b/node/cmd/dotterelctl/demo.go
@@ -26,7 +26,7 @@
 		Usage: "run stand-ins, hosts and load in one process, with a fault",
 		Flags: []cli.Flag{
 			workloadFlag(),
-			&cli.StringFlag{Name: "fault", Value: "none", Usage: "none, primary-crash, primary-partition, host-kill, store-outage, az-cut, rolling-restart, or several joined by +"},
+			&cli.StringFlag{Name: "fault", Value: "none", Usage: "none, primary-crash, primary-partition, host-kill, store-outage, az-cut, rolling-restart, drain-primary, or several joined by +"},
 			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "entry hosts, 1 to 64"},
 			&cli.IntFlag{Name: "callers", Value: 48, Usage: "client sessions, 1 to 5000"},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "length of the load, 1s to 24h"},
--- a/node/demo/demo_test.go
+++ b/node/demo/demo_test.go
@@ -23,6 +23,7 @@
 		{"consortium", "primary-partition+store-outage"},
 		{"consortium", "az-cut"},
 		{"archive", "rolling-restart"},
+		{"consortium", "drain-primary"},
 	} {
 		t.Run(tc.workload+" "+tc.faults, func(t *testing.T) {
 			t.Parallel()
@@ -42,6 +43,10 @@
 				require.Zero(t, report.CutRequests)
 				require.Zero(t, report.WritesUnknown)
 			}
+			if tc.faults == "drain-primary" {
+				require.Zero(t, report.CutRequests)
+				require.Equal(t, 1, report.Promotions)
+			}
 			if tc.faults == "none" {
 				require.Zero(t, report.CutRequests)
 				require.Zero(t, report.WritesUnknown)
--- a/node/demo/fault.go
+++ b/node/demo/fault.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/node/confstore"
+	"github.com/dotterelswitch/dotterelswitch/node/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/dbgroup"
 	"github.com/dotterelswitch/dotterelswitch/standin/workload"
 )
@@ -25,11 +29,13 @@
 	// FaultRollingRestart is no failure: every host is stopped as planned and
 	// started again, one after the other.
 	FaultRollingRestart Fault = "rolling-restart"
+	// FaultDrainPrimary is no failure either: a primary is declared to leave.
+	FaultDrainPrimary Fault = "drain-primary"
 )
 
 // AllFaults lists the faults.
 func AllFaults() []Fault {
-	return []Fault{FaultNone, FaultPrimaryCrash, FaultPrimaryPartition, FaultHostKill, FaultStoreOutage, FaultAZCut, FaultRollingRestart}
+	return []Fault{FaultNone, FaultPrimaryCrash, FaultPrimaryPartition, FaultHostKill, FaultStoreOutage, FaultAZCut, FaultRollingRestart, FaultDrainPrimary}
 }
 
 // FaultError reports a fault that does not exist.
@@ -105,6 +111,8 @@
 		return d.cutZone(l)
 	case FaultRollingRestart:
 		d.restartAll(ctx)
+	case FaultDrainPrimary:
+		return d.drainPrimary(ctx)
 	}
 	return nil
 }
@@ -166,3 +174,30 @@
 	p := g.Primary()
 	return p != nil && p.Zone() == zone
 }
+
+// drainPrimary declares that the first group's primary leaves.
+func (d *demo) drainPrimary(ctx context.Context) func() {
+	g := d.dep.Groups[0]
+	m := g.Primary()
+	if m == nil {
+		return nil
+	}
+	drain := []conf.Drain{{Kind: conf.DrainUpstream, Name: m.Name()}}
+	if err := d.change(ctx, "drain", conf.Items{Drains: drain}, conf.Names{}); err != nil {
+		d.sayf("  the drain was not accepted: %v", err)
+	}
+	return func() {
+		if err := d.change(ctx, "undrain", conf.Items{}, conf.Names{Drains: drain}); err != nil {
+			d.sayf("  the end of the drain was not accepted: %v", err)
+		}
+	}
+}
+
+// change submits a change of the configuration.
+func (d *demo) change(ctx context.Context, id string, put conf.Items, del conf.Names) error {
+	client := platform.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext)
+	_, err := confstore.New(client).Submit(ctx, id, func(*conf.Config) (conf.Items, conf.Names, error) {
+		return put, del, nil
+	})
+	return err
+}
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -30,6 +30,7 @@
 	OrderFailed       = Event{404, "group_order_failed"}
 	HostStateChanged  = Event{501, "host_state_changed"}
 	PeerCallFailed    = Event{502, "peer_call_failed"}
+	EventPrepared     = Event{605, "event_prepared"}
 	ConfigInForce     = Event{601, "configuration_in_force"}
 	ConfigRejected    = Event{602, "configuration_rejected"}
 	PlatformUnreached = Event{603, "platform_unreachable"}
@@ -44,7 +45,7 @@
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed,
 		TermClaimed, Promoted, PrimaryChanged, OrderFailed,
 		HostStateChanged, PeerCallFailed,
-		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached,
+		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
 	}
 }
 
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -72,7 +72,10 @@
 	// failed names the dead hosts whose calls were ended; it belongs to the
 	// goroutine that reconciles.
 	failed map[string]bool
-	bytes  traffic
+	// prepared names the events whose connections were opened; it belongs to
+	// the same goroutine.
+	prepared map[eventKey]bool
+	bytes    traffic
 }
 
 // Start runs a host. It returns once the listeners accept and, if the platform
@@ -87,7 +90,7 @@
 	s := opts.Settings
 	self := membership.Host{ID: s.ID, Zone: s.Zone, Peer: s.Peer, Incarnation: uint64(time.Now().UnixMicro())}
 	h := &Host{
-		opts: opts, self: self, timing: membership.DefaultTiming(), ended: make(chan error, 1),
+		opts: opts, self: self, timing: membership.DefaultTiming(), ended: make(chan error, 1), prepared: make(map[eventKey]bool),
 		log: opts.Log.With().Str("host", s.ID).Str("zone", s.Zone).Logger(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
@@ -187,6 +190,7 @@
 		case <-h.fleet.changed:
 		case <-tick.C:
 			h.reportGauges()
+			h.prepareEvents(ctx, h.fleet.Config(), time.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/node/owner/execute.go
+++ b/node/owner/execute.go
@@ -56,6 +56,9 @@
 
 // eligible checks the member's role for a write, and its position for a read.
 func (o *Owner) eligible(ctx context.Context, p *pool, req *request.Request, need group.ReadNeed) *outcome.Refusal {
+	if o.leaving(p.spec.Name) {
+		return outcome.Refuse(outcome.Draining, "upstream %s is leaving", p.spec.Name)
+	}
 	if req.Write {
 		return o.primaryNow(p)
 	}
--- a/node/owner/holding.go
+++ b/node/owner/holding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
@@ -36,6 +37,9 @@
 	release context.CancelFunc
 	done    chan struct{}
 
+	// leaving is set while the member, a primary, is being replaced.
+	leaving atomic.Bool
+
 	mu     sync.Mutex
 	locked bool
 	turned chan struct{}
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -86,6 +86,7 @@
 	}
 	o.releaseUnwanted(wanted)
 	o.pace()
+	o.handOverPrimaries()
 	for _, h := range dead {
 		o.forgetSender(SenderName(h))
 	}
@@ -184,16 +185,11 @@
 func (o *Owner) pool(ctx context.Context, service, member string) (*pool, *outcome.Refusal) {
 	o.mu.Lock()
 	h, found := o.holdings[member]
-	draining := o.config.Draining(conf.DrainUpstream, member)
 	o.mu.Unlock()
 	if !found || h.group.spec.Name != service {
 		return nil, outcome.Refuse(outcome.WrongMember, "host %s does not own the pool of %s", o.cfg.Host.ID, member)
 	}
-	p, refusal := h.await(ctx)
-	if refusal == nil && draining {
-		return p, nil
-	}
-	return p, refusal
+	return h.await(ctx)
 }
 
 func (o *Owner) weight(tenant string) float64 {
--- a/node/owner/pool.go
+++ b/node/owner/pool.go
@@ -259,6 +259,26 @@
 	p.idle = nil
 }
 
+// restPoll is how often a pool is asked whether anything runs.
+const restPoll = 10 * time.Millisecond
+
+// rest waits until no request and no transaction is in progress.
+func (p *pool) rest(ctx context.Context) {
+	for {
+		p.mu.Lock()
+		active := p.active
+		p.mu.Unlock()
+		if active == 0 {
+			return
+		}
+		select {
+		case <-time.After(restPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // prepare opens connections ahead of an event, up to one for each slot.
 func (p *pool) prepare(ctx context.Context) {
 	for range p.spec.Slots {
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -119,15 +119,34 @@
 		r.mu.Unlock()
 		resp := r.try(ctx, svc, st, member, req)
 		if resp.Refusal == nil || !r.mayRepeat(req, resp.Refusal) {
+			r.noteWrite(st, resp)
 			return resp
 		}
 		last = resp.Refusal
-		if !r.pause(ctx, attempt, req.Deadline) {
+		if r.hopeless(st, attempt) || !r.pause(ctx, attempt, req.Deadline) {
 			return request.Refused(exhausted(last))
 		}
 	}
 }
 
+// noteWrite records that the service has a primary.
+func (r *Router) noteWrite(st *serviceTable, resp *request.Response) {
+	if resp.Refusal != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st.table.WriteServed()
+}
+
+// hopeless reports whether the service has been without a primary for so long
+// that a write is answered at once rather than held.
+func (r *Router) hopeless(st *serviceTable, attempt int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return st.table.WriteRefused(attempt, r.now())
+}
+
 // exhausted is the refusal of a request whose deadline came while it was being
 // redirected.
 func exhausted(last *outcome.Refusal) *outcome.Refusal {
--- a/node/watch/watcher.go
+++ b/node/watch/watcher.go
@@ -129,6 +129,11 @@
 	w.hurry()
 }
 
+// Handover replaces the primary if it is among the members to avoid.
+func (w *Watcher) Handover(ctx context.Context, avoid []string) {
+	w.update(ctx, func(now time.Duration) []group.Action { return w.ctl.Handover(now, avoid) })
+}
+
 // SetRank changes this host's turn among the group's watchers.
 func (w *Watcher) SetRank(rank int) {
 	w.mu.Lock()
