Add the declaration language, apply and exec

Cause: operators had no way to change the configuration.

Inspection and the shell are still to come.

--- /dev/null
+++ b/core/conf/diff.go
@@ -0,0 +1,60 @@
+package conf
+
+import "reflect"
+
+// Effect is what a change does to one item.
+type Effect uint8
+
+// The effects.
+const (
+	Unchanged Effect = iota
+	Added
+	Replaced
+	Deleted
+)
+
+var effectNames = [...]string{"unchanged", "added", "replaced", "deleted"}
+
+func (e Effect) String() string { return effectNames[e] }
+
+// Difference is the effect of a change on one item.
+type Difference struct {
+	Effect Effect `json:"effect"`
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+}
+
+// MarshalText writes the effect's name.
+func (e Effect) MarshalText() ([]byte, error) { return []byte(e.String()), nil }
+
+// Diff returns what putting and deleting items does to the configuration.
+func (c *Config) Diff(put Items, del Names) []Difference {
+	var out []Difference
+	out = diff(out, "zone", c.Zones, put.Zones, del.Zones, zoneName)
+	out = diff(out, "service", c.Services, put.Services, del.Services, serviceName)
+	out = diff(out, "class", c.Classes, put.Classes, del.Classes, className)
+	out = diff(out, "tenant", c.Tenants, put.Tenants, del.Tenants, tenantName)
+	out = diff(out, "event", c.Events, put.Events, del.Events, eventName)
+	return diff(out, "drain", c.Drains, put.Drains, drainKeys(del.Drains), drainKey)
+}
+
+func diff[T any](out []Difference, kind string, have, put []T, deleted []string, name func(T) string) []Difference {
+	for _, item := range put {
+		effect := Added
+		if old, found := find(have, name(item), name); found {
+			effect = Replaced
+			if reflect.DeepEqual(old, item) {
+				effect = Unchanged
+			}
+		}
+		out = append(out, Difference{Effect: effect, Kind: kind, Name: name(item)})
+	}
+	for _, n := range deleted {
+		effect := Unchanged
+		if _, found := find(have, n, name); found {
+			effect = Deleted
+		}
+		out = append(out, Difference{Effect: effect, Kind: kind, Name: n})
+	}
+	return out
+}
--- /dev/null
+++ b/node/cmd/dotterelctl/apply.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/core/lang"
+	"github.com/dotterelswitch/dotterelswitch/node/confstore"
+	"github.com/dotterelswitch/dotterelswitch/node/exit"
+	"github.com/dotterelswitch/dotterelswitch/node/platform"
+	"github.com/dotterelswitch/dotterelswitch/node/settings"
+)
+
+// changeFlags are common to the commands that change the configuration.
+func changeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "platform", Value: "127.0.0.1:8500", Usage: "address of the platform's key-value service", Sources: cli.EnvVars(settings.EnvName("platform"))},
+		&cli.StringFlag{Name: "change-id", Usage: "name of this change; submitting it again is safe (default: a new UUID)"},
+		&cli.BoolFlag{Name: "dry-run", Usage: "show the difference and change nothing"},
+		outputFlag(),
+	}
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "apply",
+		Usage:  "make the declarations of files the configuration, whole or not at all",
+		Flags:  append([]cli.Flag{&cli.StringSliceFlag{Name: "file", Aliases: []string{"f"}, Usage: "file of declarations; may be given several times", Required: true}}, changeFlags()...),
+		Action: runApply,
+	}
+}
+
+func execCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "exec",
+		Usage:     "run statements given as arguments",
+		ArgsUsage: "STATEMENT…",
+		Flags:     changeFlags(),
+		Action:    runExec,
+	}
+}
+
+func runApply(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() > 0 {
+		return &exit.UsageError{Text: "unexpected argument " + c.Args().First()}
+	}
+	program := &lang.Program{}
+	for _, file := range c.StringSlice("file") {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return &exit.UsageError{Text: err.Error()}
+		}
+		part, err := lang.Compile(file, string(text))
+		if err != nil {
+			return &exit.UsageError{Text: err.Error()}
+		}
+		program.Append(part)
+	}
+	return change(ctx, c, program)
+}
+
+func runExec(ctx context.Context, c *cli.Command) error {
+	text := strings.Join(c.Args().Slice(), " ")
+	if !strings.HasSuffix(strings.TrimSpace(text), ";") {
+		text += ";"
+	}
+	program, err := lang.Compile("", text)
+	if err != nil {
+		return &exit.UsageError{Text: err.Error()}
+	}
+	return change(ctx, c, program)
+}
+
+// outcomeReport is what a change did.
+type outcomeReport struct {
+	Version  uint64            `json:"version"`
+	ChangeID string            `json:"change_id"`
+	DryRun   bool              `json:"dry_run"`
+	Changes  []conf.Difference `json:"changes"`
+}
+
+// change checks a program against the present configuration and submits it.
+func change(ctx context.Context, c *cli.Command, p *lang.Program) error {
+	if err := errors.Join(checkOutput(c.String("output")), checkAddresses("platform", []string{c.String("platform")})); err != nil {
+		return err
+	}
+	store := confstore.New(platform.NewClient(c.String("platform"), (&net.Dialer{}).DialContext))
+	cfg, _, err := store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	report := outcomeReport{Version: cfg.Version, ChangeID: c.String("change-id"), DryRun: c.Bool("dry-run"), Changes: cfg.Diff(p.Put, p.Delete)}
+	if report.ChangeID == "" {
+		report.ChangeID = uuid.NewString()
+	}
+	if report.DryRun {
+		err = check(cfg, p)
+	} else {
+		report.Version, err = store.Submit(ctx, report.ChangeID, func(*conf.Config) (conf.Items, conf.Names, error) {
+			return p.Put, p.Delete, nil
+		})
+	}
+	var invalid *conf.InvalidError
+	if errors.As(err, &invalid) {
+		return &exit.UsageError{Text: err.Error()}
+	}
+	if err != nil {
+		return err
+	}
+	return printOutcome(c.String("output"), report)
+}
+
+// check validates the configuration as it would be after the program.
+func check(cfg *conf.Config, p *lang.Program) error {
+	after, err := cfg.Apply(conf.Change{Version: cfg.Version + 1, Put: p.Put, Delete: p.Delete})
+	if err != nil {
+		return err
+	}
+	return after.Validate()
+}
+
+func printOutcome(output string, r outcomeReport) error {
+	if output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	for _, d := range r.Changes {
+		fmt.Printf("%-10s %-8s %s\n", d.Effect, d.Kind, d.Name)
+	}
+	if r.DryRun {
+		fmt.Printf("nothing was changed; the configuration is at version %d\n", r.Version)
+	} else {
+		fmt.Printf("accepted as version %d, change %s\n", r.Version, r.ChangeID)
+	}
+	return nil
+}
