--- a/core/group/controller.go
+++ b/core/group/controller.go
@@ -42,6 +42,8 @@
 	doubtSince time.Duration
 	// quietUntil delays the next claim after one that failed.
 	quietUntil time.Duration
+	// seenTerm is the newest term that any member was seen to have granted.
+	seenTerm logpos.Term
 	// avoid names the members that a planned handover must not promote.
 	avoid      map[string]bool
 	hintUntil  time.Duration
@@ -138,9 +140,24 @@
 func (c *Controller) OnStatus(st Status, sent, now time.Duration) []Action {
 	c.view.Observe(st, sent)
 	c.updateDoubt(now)
+	c.yield(now)
 	return c.repair(st)
 }
 
+// yield puts this host's own claim off when another host has claimed a term: it
+// has until the end of the usual timeout to promote someone. Without this, a
+// host that learns late of a promotion in progress takes the term away from it.
+func (c *Controller) yield(now time.Duration) {
+	high := c.view.HighestTerm()
+	if high <= c.seenTerm {
+		return
+	}
+	c.seenTerm = high
+	if c.phase == watching && c.doubted {
+		c.quietUntil = max(c.quietUntil, now+c.timing.ReplyTimeout)
+	}
+}
+
 // OnProbeFailed takes a probe that had no answer.
 func (c *Controller) OnProbeFailed(member string, sent, now time.Duration, refused bool) {
 	c.view.Fail(member, sent, refused)
--- a/core/group/promotion_test.go
+++ b/core/group/promotion_test.go
@@ -112,3 +112,16 @@
 	c.OnProbeFailed("a", 1, 1, true)
 	require.Equal(t, time.Duration(1), c.NextTick(1, 1))
 }
+
+// TestHostsYieldToAClaimInProgress checks that a host which sees a newer term
+// granted to another does not take it away at once, and does not wait for ever.
+func TestHostsYieldToAClaimInProgress(t *testing.T) {
+	c := failedPrimary(3)
+	c.OnStatus(granted("b", 2), 20, 20)
+	for now := time.Duration(20); now < 20+testTiming.ReplyTimeout; now++ {
+		for _, a := range c.Tick(now) {
+			require.Equal(t, group.Probe, a.Kind, "at %d", now)
+		}
+	}
+	require.Equal(t, logpos.Term(3), claimedTerm(t, c, 20+testTiming.ReplyTimeout))
+}
--- a/node/host/deployment_test.go
+++ b/node/host/deployment_test.go
@@ -25,13 +25,13 @@
 
 // deployment is the archive without latencies, and some hosts.
 type deployment struct {
-	t     *testing.T
+	t     testing.TB
 	dep   *workload.Deployment
 	hosts []*host.Host
 	addrs []string
 }
 
-func deploy(t *testing.T, hosts int, change func(s *settings.Settings)) *deployment {
+func deploy(t testing.TB, hosts int, change func(s *settings.Settings)) *deployment {
 	t.Helper()
 	spec, err := workload.Get("archive")
 	require.NoError(t, err)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -267,6 +267,9 @@
 // Known returns how many hosts this one believes to serve, itself included.
 func (h *Host) Known() int { return len(h.fleet.Placement().Hosts()) }
 
+// ConfigVersion returns the version of the configuration in force here.
+func (h *Host) ConfigVersion() uint64 { return h.fleet.Config().Version }
+
 // Owned returns the members whose pools this host serves.
 func (h *Host) Owned() []string { return h.owner.Owned() }
 
