End sessions that say goodbye before they hang up

A worker that ended a session left it marked as scheduled, so the clean-up waited for the worker for ever, polling every 5 ms; an open transaction of such a session was never rolled back. Whether it happened depended on who closed first.

Change: the worker unmarks the session. A test says goodbye on raw connections and waits for the host to close; it fails without the change.

--- a/node/gateway/session.go
+++ b/node/gateway/session.go
@@ -126,12 +126,20 @@
 		s.inbox = s.inbox[1:]
 		s.mu.Unlock()
 		if !s.handle(fr) {
-			s.flushAndClose()
+			s.finish()
 			return
 		}
 	}
 }
 
+// finish ends a session from its worker.
+func (s *session) finish() {
+	s.flushAndClose()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone, s.scheduled = true, false
+}
+
 // write sends bytes to the caller.
 func (s *session) write(buf []byte) { _ = s.conn.AsyncWrite(buf, nil) }
 
--- a/node/host/session_test.go
+++ b/node/host/session_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 )
 
@@ -24,6 +27,7 @@
 	t.Run("refusals", func(t *testing.T) { testRefusals(t, d) })
 	t.Run("tokens", func(t *testing.T) { testTokens(t, d) })
 	t.Run("cancel", func(t *testing.T) { testCancel(t, d) })
+	t.Run("ended sessions leave nothing behind", func(t *testing.T) { testNoLeak(t, d) })
 	t.Run("malformed messages", func(t *testing.T) { testMalformed(t, d) })
 }
 
@@ -178,3 +182,28 @@
 	}
 	require.Empty(t, values(t, other, "undisturbed"))
 }
+
+// testNoLeak opens and ends many sessions, some in a transaction, and expects
+// the goroutines to be as few as before. The callers say goodbye and wait, so
+// that the host is the first to close.
+func testNoLeak(t *testing.T, d *deployment) {
+	const sessions, slack = 150, 40
+	before := runtime.NumGoroutine()
+	for i := range sessions {
+		conn := d.connect(i%3, nil)
+		if i%3 == 0 {
+			_, err := conn.Begin(t.Context())
+			require.NoError(t, err)
+		}
+		raw, err := conn.PgConn().Hijack()
+		require.NoError(t, err)
+		goodbye, err := (&pgproto3.Terminate{}).Encode(nil)
+		require.NoError(t, err)
+		_, err = raw.Conn.Write(goodbye)
+		require.NoError(t, err)
+		_, err = raw.Conn.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+		require.NoError(t, raw.Conn.Close())
+	}
+	require.Eventually(t, func() bool { return runtime.NumGoroutine() < before+slack }, testTimeout, 10*time.Millisecond)
+}
