Tell hosts of an accepted change directly

Cause: with the platform out right after it had accepted a change, no host learned of it, so it was not in force within seconds.

The offer is idempotent, and hosts still only move upwards.

--- a/node/cmd/dotterelctl/apply.go
+++ b/node/cmd/dotterelctl/apply.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/lang"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/exit"
+	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/platform"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
 )
@@ -25,6 +26,8 @@
 	return []cli.Flag{
 		&cli.StringFlag{Name: "platform", Value: "127.0.0.1:8500", Usage: "address of the platform's key-value service", Sources: cli.EnvVars(settings.EnvName("platform"))},
 		&cli.StringFlag{Name: "change-id", Usage: "name of this change; submitting it again is safe (default: a new UUID)"},
+		&cli.StringSliceFlag{Name: "host", Usage: "peer address of a host to tell of the change directly, in case the platform fails; may be given several times"},
+		&cli.StringFlag{Name: "peer-key", Usage: "secret that hosts and operators share", Sources: cli.EnvVars(settings.EnvName("peer-key"))},
 		&cli.BoolFlag{Name: "dry-run", Usage: "show the difference and change nothing"},
 		outputFlag(),
 	}
@@ -90,7 +93,7 @@
 
 // change checks a program against the present configuration and submits it.
 func change(ctx context.Context, c *cli.Command, p *lang.Program) error {
-	if err := errors.Join(checkOutput(c.String("output")), checkAddresses("platform", []string{c.String("platform")})); err != nil {
+	if err := errors.Join(checkOutput(c.String("output")), checkAddresses("platform", []string{c.String("platform")}), checkAddresses("host", c.StringSlice("host"))); err != nil {
 		return err
 	}
 	store := confstore.New(platform.NewClient(c.String("platform"), (&net.Dialer{}).DialContext))
@@ -105,9 +108,7 @@
 	if report.DryRun {
 		err = check(cfg, p)
 	} else {
-		report.Version, err = store.Submit(ctx, report.ChangeID, func(*conf.Config) (conf.Items, conf.Names, error) {
-			return p.Put, p.Delete, nil
-		})
+		report.Version, err = submit(ctx, c, store, report.ChangeID, p)
 	}
 	var invalid *conf.InvalidError
 	if errors.As(err, &invalid) {
@@ -119,6 +120,29 @@
 	return printOutcome(c.String("output"), report)
 }
 
+// submit has a program accepted and tells the named hosts.
+func submit(ctx context.Context, c *cli.Command, store *confstore.Store, id string, p *lang.Program) (uint64, error) {
+	ch, err := store.Submit(ctx, id, func(*conf.Config) (conf.Items, conf.Names, error) {
+		return p.Put, p.Delete, nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	data, err := json.Marshal(ch)
+	if err != nil {
+		return 0, err
+	}
+	peers := peer.NewClient((&net.Dialer{}).DialContext, c.String("peer-key"))
+	for _, address := range c.StringSlice("host") {
+		// The change is accepted either way; a host that cannot be told hears
+		// of it from the platform or its peers.
+		if _, err := peers.OfferChange(ctx, address, data); err != nil {
+			fmt.Fprintln(os.Stderr, "dotterelctl: the change is accepted, but a host could not be told:", err)
+		}
+	}
+	return ch.Version, nil
+}
+
 // check validates the configuration as it would be after the program.
 func check(cfg *conf.Config, p *lang.Program) error {
 	after, err := cfg.Apply(conf.Change{Version: cfg.Version + 1, Put: p.Put, Delete: p.Delete})
--- a/node/confstore/store_test.go
+++ b/node/confstore/store_test.go
@@ -28,9 +28,9 @@
 
 func submit(t *testing.T, s *confstore.Store, id string, edit confstore.Edit) uint64 {
 	t.Helper()
-	version, err := s.Submit(context.Background(), id, edit)
+	ch, err := s.Submit(context.Background(), id, edit)
 	require.NoError(t, err)
-	return version
+	return ch.Version
 }
 
 func TestChangesBuildOnEachOther(t *testing.T) {
--- a/node/confstore/submit.go
+++ b/node/confstore/submit.go
@@ -19,41 +19,41 @@
 // Edit computes a change from the configuration that it is made on.
 type Edit func(cfg *conf.Config) (conf.Items, conf.Names, error)
 
-// Submit makes a change and returns the version that it made. A change ID that
+// Submit makes a change and returns it as accepted. A change ID that
 // is in the log already is not applied again. When other operators get in
 // between, the change is computed anew on their version, unless they touched
 // the same items: that is a *ConflictError.
-func (s *Store) Submit(ctx context.Context, changeID string, edit Edit) (uint64, error) {
+func (s *Store) Submit(ctx context.Context, changeID string, edit Edit) (conf.Change, error) {
 	var made *conf.Change
 	for range maxRebases {
 		cfg, changes, err := s.Load(ctx)
 		if err != nil {
-			return 0, err
+			return conf.Change{}, err
 		}
 		for _, ch := range changes {
 			if ch.ChangeID == changeID {
-				return ch.Version, s.advance(ctx, cfg, ch.Version)
+				return ch, s.advance(ctx, cfg, ch.Version)
 			}
 			if made != nil && ch.Version >= made.Version && ch.Overlaps(*made) {
-				return 0, &ConflictError{ChangeID: changeID, Winner: ch.ChangeID, Version: ch.Version}
+				return conf.Change{}, &ConflictError{ChangeID: changeID, Winner: ch.ChangeID, Version: ch.Version}
 			}
 		}
 		next, after, err := build(cfg, changeID, edit)
 		if err != nil {
-			return 0, err
+			return conf.Change{}, err
 		}
 		if made == nil {
 			made = &next
 		}
 		won, err := s.create(ctx, next)
 		if err != nil {
-			return 0, err
+			return conf.Change{}, err
 		}
 		if won {
-			return next.Version, s.advance(ctx, after, next.Version)
+			return next, s.advance(ctx, after, next.Version)
 		}
 	}
-	return 0, &ConflictError{ChangeID: changeID, Winner: "of several others", Version: made.Version}
+	return conf.Change{}, &ConflictError{ChangeID: changeID, Winner: "of several others", Version: made.Version}
 }
 
 // build computes the next change and the configuration after it, and checks it.
--- a/node/host/config_sync.go
+++ b/node/host/config_sync.go
@@ -153,17 +153,30 @@
 		_ = h.fleet.offerSnapshot(&cfg)
 	}
 	for _, data := range u.Changes {
-		var ch conf.Change
-		if err := json.Unmarshal(data, &ch); err != nil {
-			eventlog.ConfigRejected.Error(h.log).Err(err).Send()
-			return
-		}
-		if h.fleet.offerChange(ch) != nil {
+		if !h.takeChange(data) {
 			return
 		}
 	}
 }
 
+// takeChange puts a change in force, given as JSON; it reports whether that or
+// a newer version is in force now.
+func (h *Host) takeChange(data []byte) bool {
+	var ch conf.Change
+	if err := json.Unmarshal(data, &ch); err != nil {
+		eventlog.ConfigRejected.Error(h.log).Err(err).Send()
+		return false
+	}
+	return h.fleet.offerChange(ch) == nil
+}
+
+// OfferChange implements peer.Handler. Gossip takes the change from here to all
+// other hosts.
+func (h *Host) OfferChange(change []byte) uint64 {
+	h.takeChange(change)
+	return h.ConfigVersion()
+}
+
 // Config implements peer.Handler.
 func (h *Host) Config(above uint64) peer.ConfigUpdate {
 	changes, complete, cfg := h.fleet.since(above)
--- a/node/host/deployment_test.go
+++ b/node/host/deployment_test.go
@@ -29,6 +29,7 @@
 	dep   *workload.Deployment
 	hosts []*host.Host
 	addrs []string
+	peers []string
 }
 
 func deploy(t testing.TB, hosts int, change func(s *settings.Settings)) *deployment {
@@ -53,7 +54,7 @@
 		}
 		h, err := host.Start(host.Options{Settings: s, Log: zerolog.Nop()})
 		require.NoError(t, err)
-		d.hosts, d.addrs = append(d.hosts, h), append(d.addrs, s.Listen)
+		d.hosts, d.addrs, d.peers = append(d.hosts, h), append(d.addrs, s.Listen), append(d.peers, s.Peer)
 	}
 	d.awaitReady()
 	return d
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -176,6 +176,16 @@
 	}, nil
 }
 
+// OfferChange tells another host of an accepted change, given as JSON, and
+// returns the host's version afterwards.
+func (c *Client) OfferChange(ctx context.Context, address string, change []byte) (uint64, error) {
+	resp, err := c.peer(address).client.OfferChange(ctx, connect.NewRequest(&peerpb.OfferChangeRequest{Change: change}))
+	if err != nil {
+		return 0, callError(address, err)
+	}
+	return resp.Msg.GetVersion(), nil
+}
+
 // callError tells a call that certainly was not sent from one that may have
 // been. Only a failed dial is certain.
 func callError(address string, err error) error {
--- a/node/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/node/peer/peerpb/peerpbconnect/peer.connect.go
@@ -44,6 +44,8 @@
 	PeerCancelProcedure = "/dotterelswitch.peer.v1.Peer/Cancel"
 	// PeerFetchConfigProcedure is the fully-qualified name of the Peer's FetchConfig RPC.
 	PeerFetchConfigProcedure = "/dotterelswitch.peer.v1.Peer/FetchConfig"
+	// PeerOfferChangeProcedure is the fully-qualified name of the Peer's OfferChange RPC.
+	PeerOfferChangeProcedure = "/dotterelswitch.peer.v1.Peer/OfferChange"
 )
 
 // PeerClient is a client for the dotterelswitch.peer.v1.Peer service.
@@ -57,6 +59,10 @@
 	Cancel(context.Context, *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error)
 	// FetchConfig returns the newest configuration the receiver holds.
 	FetchConfig(context.Context, *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error)
+	// OfferChange tells the receiver of a change that the platform's service has
+	// accepted, so that it takes effect even if the service fails right then. It
+	// is idempotent.
+	OfferChange(context.Context, *connect.Request[peerpb.OfferChangeRequest]) (*connect.Response[peerpb.OfferChangeResponse], error)
 }
 
 // NewPeerClient constructs a client for the dotterelswitch.peer.v1.Peer service. By default, it
@@ -94,6 +100,12 @@
 			connect.WithSchema(peerMethods.ByName("FetchConfig")),
 			connect.WithClientOptions(opts...),
 		),
+		offerChange: connect.NewClient[peerpb.OfferChangeRequest, peerpb.OfferChangeResponse](
+			httpClient,
+			baseURL+PeerOfferChangeProcedure,
+			connect.WithSchema(peerMethods.ByName("OfferChange")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -103,6 +115,7 @@
 	release     *connect.Client[peerpb.ReleaseRequest, peerpb.ReleaseResponse]
 	cancel      *connect.Client[peerpb.CancelRequest, peerpb.CancelResponse]
 	fetchConfig *connect.Client[peerpb.FetchConfigRequest, peerpb.FetchConfigResponse]
+	offerChange *connect.Client[peerpb.OfferChangeRequest, peerpb.OfferChangeResponse]
 }
 
 // Execute calls dotterelswitch.peer.v1.Peer.Execute.
@@ -125,6 +138,11 @@
 	return c.fetchConfig.CallUnary(ctx, req)
 }
 
+// OfferChange calls dotterelswitch.peer.v1.Peer.OfferChange.
+func (c *peerClient) OfferChange(ctx context.Context, req *connect.Request[peerpb.OfferChangeRequest]) (*connect.Response[peerpb.OfferChangeResponse], error) {
+	return c.offerChange.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the dotterelswitch.peer.v1.Peer service.
 type PeerHandler interface {
 	// Execute runs one request on an upstream that the receiver owns. A repeated
@@ -136,6 +154,10 @@
 	Cancel(context.Context, *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error)
 	// FetchConfig returns the newest configuration the receiver holds.
 	FetchConfig(context.Context, *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error)
+	// OfferChange tells the receiver of a change that the platform's service has
+	// accepted, so that it takes effect even if the service fails right then. It
+	// is idempotent.
+	OfferChange(context.Context, *connect.Request[peerpb.OfferChangeRequest]) (*connect.Response[peerpb.OfferChangeResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -169,6 +191,12 @@
 		connect.WithSchema(peerMethods.ByName("FetchConfig")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerOfferChangeHandler := connect.NewUnaryHandler(
+		PeerOfferChangeProcedure,
+		svc.OfferChange,
+		connect.WithSchema(peerMethods.ByName("OfferChange")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dotterelswitch.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExecuteProcedure:
@@ -179,6 +207,8 @@
 			peerCancelHandler.ServeHTTP(w, r)
 		case PeerFetchConfigProcedure:
 			peerFetchConfigHandler.ServeHTTP(w, r)
+		case PeerOfferChangeProcedure:
+			peerOfferChangeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -203,3 +233,7 @@
 func (UnimplementedPeerHandler) FetchConfig(context.Context, *connect.Request[peerpb.FetchConfigRequest]) (*connect.Response[peerpb.FetchConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Peer.FetchConfig is not implemented"))
 }
+
+func (UnimplementedPeerHandler) OfferChange(context.Context, *connect.Request[peerpb.OfferChangeRequest]) (*connect.Response[peerpb.OfferChangeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Peer.OfferChange is not implemented"))
+}
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -20,6 +20,9 @@
 	Cancel(sender string, id uint64)
 	// Config returns what the host has above a version.
 	Config(above uint64) ConfigUpdate
+	// OfferChange takes an accepted change as JSON and returns the version in
+	// force.
+	OfferChange(change []byte) uint64
 }
 
 // Server serves the protocol between hosts.
@@ -73,3 +76,9 @@
 		Version: u.Version, Changes: u.Changes, Snapshot: u.Snapshot,
 	}), nil
 }
+
+// OfferChange implements the generated interface.
+func (s *Server) OfferChange(_ context.Context, req *connect.Request[peerpb.OfferChangeRequest]) (*connect.Response[peerpb.OfferChangeResponse], error) {
+	version := s.handler.OfferChange(req.Msg.GetChange())
+	return connect.NewResponse(&peerpb.OfferChangeResponse{Version: version}), nil
+}
