Refuse writes while replication stalls; trim the ledger

Cause: writes that ran and waited for a majority were not bounded, the ledger's rules of age had no one to apply them, and a hint with an unknown name was ignored.

The outcome auth_failed goes, since nothing says it yet. A slot that is given back unused no longer counts as a service time of zero.

Figures: with replication stopped, of 90 concurrent writes none was acknowledged, those refused as not run were not stored, and the rest were told that their outcome is unknown. The check was first made before the queue, where all 90 passed it at once; it now follows the slot.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -197,7 +197,11 @@
 // smoothing is the weight of a new sample in the moving mean of service time.
 const smoothing = 0.1
 
+// observe takes a slot time; zero stands for a slot that was given back unused.
 func (q *Queue) observe(took time.Duration) {
+	if took == 0 {
+		return
+	}
 	if q.service == 0 {
 		q.service = took
 		return
--- a/core/outcome/code.go
+++ b/core/outcome/code.go
@@ -48,7 +48,6 @@
 	ReplicationStalled
 	Cancelled
 	WrongMember
-	AuthFailed
 	TooManyConnections
 	TransactionLost
 	codeCount
@@ -93,7 +92,6 @@
 	ReplicationStalled:  {"replication_stalled", "57P05", RanNo, true, "too many writes wait for replication"},
 	Cancelled:           {"cancelled", "57014", RanNo, true, "the caller cancelled the request, which has no effect"},
 	WrongMember:         {"wrong_member", "57P04", RanNo, true, "the upstream is not in the role that the request needs"},
-	AuthFailed:          {"auth_failed", "28P01", RanNo, false, "the caller could not be authenticated"},
 	TooManyConnections:  {"too_many_connections", "53300", RanNo, true, "the connection limit is reached"},
 	TransactionLost:     {"transaction_lost", "40001", RanNo, true, "the connection under the transaction failed and the transaction was rolled back"},
 }
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -24,6 +24,7 @@
 	PoolReleased      = Event{302, "pool_released"}
 	PoolTakeover      = Event{303, "pool_takeover"}
 	ConnectionFailed  = Event{304, "upstream_connection_failed"}
+	LedgerNotTrimmed  = Event{305, "ledger_not_trimmed"}
 	TermClaimed       = Event{401, "term_claimed"}
 	Promoted          = Event{402, "primary_promoted"}
 	PrimaryChanged    = Event{403, "primary_changed"}
@@ -42,7 +43,7 @@
 	return []Event{
 		Started, Stopping, Stopped, StopForced, BadSetting,
 		CallerRejected, CallerViolation,
-		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed,
+		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
 		TermClaimed, Promoted, PrimaryChanged, OrderFailed,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
--- a/node/gateway/run.go
+++ b/node/gateway/run.go
@@ -82,6 +82,9 @@
 		Service: s.service, Tenant: s.tenant, Class: s.class, Frames: w.frames,
 		Deadline: now.Add(s.timeout),
 	}
+	if unknown := w.statement.Hints.Unknown; len(unknown) > 0 {
+		return nil, outcome.Refuse(outcome.ProtocolViolation, "the comment names %q; a hint is key or class", unknown[0])
+	}
 	if hinted := w.statement.Hints.Class; hinted != "" {
 		req.Class = hinted
 	}
--- a/node/host/session_test.go
+++ b/node/host/session_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/require"
 )
@@ -28,6 +33,7 @@
 	t.Run("tokens", func(t *testing.T) { testTokens(t, d) })
 	t.Run("cancel", func(t *testing.T) { testCancel(t, d) })
 	t.Run("ended sessions leave nothing behind", func(t *testing.T) { testNoLeak(t, d) })
+	t.Run("stalled replication", func(t *testing.T) { testStall(t, d) })
 	t.Run("malformed messages", func(t *testing.T) { testMalformed(t, d) })
 }
 
@@ -207,3 +213,42 @@
 	}
 	require.Eventually(t, func() bool { return runtime.NumGoroutine() < before+slack }, testTimeout, 10*time.Millisecond)
 }
+
+// testStall stops replication: writes that ran stay unknown, and once too many
+// wait the next ones are refused as not run. What was refused is not there.
+func testStall(t *testing.T, d *deployment) {
+	members := d.dep.Groups[0].Members()
+	for _, m := range members {
+		m.Stall(true)
+	}
+	const writers = 90
+	states := make([]string, writers)
+	var wg sync.WaitGroup
+	for i := range writers {
+		conn := d.connect(i%3, nil)
+		wg.Go(func() {
+			_, err := conn.Exec(context.Background(), "SET statement_timeout = '2s'")
+			if err == nil {
+				sql := fmt.Sprintf("INSERT INTO readings (subject, value) VALUES ('stall', '%d')", i)
+				_, err = conn.Exec(context.Background(), sql)
+			}
+			var pgErr *pgconn.PgError
+			if errors.As(err, &pgErr) {
+				states[i] = pgErr.Code
+			}
+		})
+	}
+	wg.Wait()
+	for _, m := range members {
+		m.Stall(false)
+	}
+	require.Contains(t, states, "08007")
+	require.Contains(t, states, "57P05")
+	require.NotContains(t, states, "", "no write may be acknowledged")
+	stored := values(t, d.connect(0, nil), "stall")
+	for i, state := range states {
+		if state == "57P05" {
+			require.NotContains(t, stored, strconv.Itoa(i), "refused as not run, but it ran")
+		}
+	}
+}
--- a/node/owner/execute.go
+++ b/node/owner/execute.go
@@ -115,6 +115,10 @@
 	if refusal := p.enter(ctx, req.Tenant, o.weight(req.Tenant), req.Deadline); refusal != nil {
 		return request.Refused(refusal)
 	}
+	if req.MayCommit && p.stalled() {
+		p.leave(0)
+		return request.Refused(outcome.Refuse(outcome.ReplicationStalled, "upstream %s", p.spec.Name).After(stallPause))
+	}
 	started := time.Now()
 	conn, refusal := p.take(ctx)
 	if refusal != nil {
@@ -218,9 +222,14 @@
 	return crossed && !token.IsZero()
 }
 
+// stallPause is when a write that replication holds off should come back.
+const stallPause = 200 * time.Millisecond
+
 // confirm waits until the write's entry is safe. A failed statement changed
 // nothing and needs no wait, unless a transaction before it committed.
 func (o *Owner) confirm(ctx context.Context, p *pool, resp *request.Response, answer upstream.Answer) *request.Response {
+	p.unconfirmed.Add(1)
+	defer p.unconfirmed.Add(-1)
 	landing := group.Pending
 	err := p.watcher.Await(ctx, watch.ForConfirmation, func(v *group.View, _ time.Duration) bool {
 		landing = v.Landing(answer.Position)
--- a/node/owner/holding.go
+++ b/node/owner/holding.go
@@ -36,6 +36,8 @@
 	ctx     context.Context
 	release context.CancelFunc
 	done    chan struct{}
+	// trimmed is when the ledger was last trimmed; it belongs to run.
+	trimmed time.Time
 
 	// leaving is set while the member, a primary, is being replaced.
 	leaving atomic.Bool
@@ -71,6 +73,7 @@
 				eventlog.PoolAcquired.Info(h.owner.cfg.Log).Str("upstream", h.spec.Name).Send()
 			}
 		}
+		h.trimDue(time.Now())
 		select {
 		case <-time.After(lockInterval):
 		case <-h.ctx.Done():
--- a/node/owner/pool.go
+++ b/node/owner/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,6 +25,9 @@
 	controlReserve = 4
 	// queuePerSlot bounds the requests that wait for one member.
 	queuePerSlot = 64
+	// maxUnconfirmedPerSlot bounds the writes that have run and wait for a
+	// majority. It is what the slots run in about a tenth of a second.
+	maxUnconfirmedPerSlot = 32
 	// tenantShare is the part of a full queue that one tenant may hold.
 	tenantShare = 0.5
 	// initialCost is the slot time assumed before any was measured.
@@ -49,8 +53,10 @@
 	freed    chan struct{}
 	draining bool
 	cost     time.Duration
-	active   int
-	quiet    chan struct{}
+	// unconfirmed counts the writes that ran and wait for a majority.
+	unconfirmed atomic.Int64
+	active      int
+	quiet       chan struct{}
 }
 
 func newPool(spec conf.Upstream, target upstream.Target, w *watch.Watcher, answerLimit int, log zerolog.Logger) *pool {
@@ -215,6 +221,12 @@
 	}
 }
 
+// stalled reports whether so many writes wait for replication that no more
+// should run.
+func (p *pool) stalled() bool {
+	return p.unconfirmed.Load() >= int64(p.spec.Slots*maxUnconfirmedPerSlot)
+}
+
 // begin counts a request in; it fails once the pool is being handed over.
 func (p *pool) begin() bool {
 	p.mu.Lock()
