Cut messages in one place; split the router

Cause: three packages walked PostgreSQL messages on their own, two quoted SQL text, and the router had grown to 363 lines.

Conclusion: behaviour unchanged.

--- a/node/gateway/batch.go
+++ b/node/gateway/batch.go
@@ -1,12 +1,11 @@
 package gateway
 
 import (
-	"encoding/binary"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/dotterelswitch/dotterelswitch/core/classify"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/node/pgframe"
 )
 
 // maxPrepared bounds the named statements of one session.
@@ -205,19 +204,18 @@
 func (b *batch) visible(answer []byte) []byte {
 	out := make([]byte, 0, len(answer))
 	seen := 0
-	for len(answer) >= frameHeader {
-		size := int(binary.BigEndian.Uint32(answer[1:frameHeader])) + 1
-		if size < frameHeader || size > len(answer) {
-			break
+	for {
+		message, rest, ok := pgframe.Next(answer)
+		if !ok {
+			return out
 		}
-		hidden := answer[0] == parseComplete && seen < len(b.hide) && b.hide[seen]
-		if answer[0] == parseComplete {
+		hidden := message[0] == parseComplete && seen < len(b.hide) && b.hide[seen]
+		if message[0] == parseComplete {
 			seen++
 		}
 		if !hidden {
-			out = append(out, answer[:size]...)
+			out = append(out, message...)
 		}
-		answer = answer[size:]
+		answer = rest
 	}
-	return out
 }
--- a/node/gateway/frame.go
+++ b/node/gateway/frame.go
@@ -6,10 +6,10 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/node/pgframe"
 )
 
 const (
-	frameHeader   = 5
 	startupHeader = 4
 	// maxStartup is the largest start-up message, as in PostgreSQL.
 	maxStartup = 10_000
@@ -54,7 +54,7 @@
 // next returns the first message and its size, or size zero when it is not
 // complete yet.
 func (f *framer) next() (frame, int, *outcome.Refusal) {
-	header, limit := frameHeader, f.limit
+	header, limit := pgframe.HeaderSize, f.limit
 	if !f.started {
 		header, limit = startupHeader, maxStartup
 	}
--- a/node/owner/keyed.go
+++ b/node/owner/keyed.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"encoding/base64"
-	"encoding/binary"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/dotterelswitch/dotterelswitch/core/ledger"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/node/pgframe"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
 	"github.com/dotterelswitch/dotterelswitch/node/upstream"
 )
@@ -48,7 +47,7 @@
 func (k *keyedRun) run(frames []byte) (upstream.Answer, *outcome.Refusal) {
 	opened, err := k.query(fmt.Sprintf(
 		"BEGIN; INSERT INTO dotterelswitch_ledger (key, fingerprint, answer, created) VALUES (%s, %s, '', %s)",
-		literal(k.row), literal(k.fingerprint), literal(ledger.Stamp(time.Now()))))
+		upstream.Literal(k.row), upstream.Literal(k.fingerprint), upstream.Literal(ledger.Stamp(time.Now()))))
 	if err != nil {
 		return opened, runRefusal(err, false)
 	}
@@ -77,7 +76,7 @@
 func (k *keyedRun) commit(answer upstream.Answer) (upstream.Answer, *outcome.Refusal) {
 	ended, err := k.query(fmt.Sprintf(
 		"UPDATE dotterelswitch_ledger SET answer = %s WHERE key = %s; COMMIT",
-		literal(base64.StdEncoding.EncodeToString(answer.Frames)), literal(k.row)))
+		upstream.Literal(base64.StdEncoding.EncodeToString(answer.Frames)), upstream.Literal(k.row)))
 	if err != nil {
 		return ended, runRefusal(err, true)
 	}
@@ -103,7 +102,7 @@
 	if _, refusal := k.rollback(upstream.Answer{}); refusal != nil {
 		return upstream.Answer{}, refusal
 	}
-	found, err := k.query("SELECT fingerprint, answer FROM dotterelswitch_ledger WHERE key = " + literal(k.row))
+	found, err := k.query("SELECT fingerprint, answer FROM dotterelswitch_ledger WHERE key = " + upstream.Literal(k.row))
 	if err != nil {
 		return found, runRefusal(err, false)
 	}
@@ -129,23 +128,17 @@
 	return k.conn.Run(k.ctx, frames)
 }
 
-// literal quotes a string for SQL; the ledger's values hold no backslashes.
-func literal(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
-
-const frameHeader = 5
-
 // firstRow returns the values of the first DataRow among messages.
 func firstRow(frames []byte) [][]byte {
-	for len(frames) >= frameHeader {
-		size := int(binary.BigEndian.Uint32(frames[1:frameHeader])) + 1
-		if size < frameHeader || size > len(frames) {
+	for {
+		message, rest, ok := pgframe.Next(frames)
+		if !ok {
 			return nil
 		}
 		var row pgproto3.DataRow
-		if frames[0] == 'D' && row.Decode(frames[frameHeader:size]) == nil {
+		if message[0] == 'D' && row.Decode(message[pgframe.HeaderSize:]) == nil {
 			return row.Values
 		}
-		frames = frames[size:]
+		frames = rest
 	}
-	return nil
 }
--- a/node/owner/trim.go
+++ b/node/owner/trim.go
@@ -8,6 +8,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/ledger"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/upstream"
 )
 
 const (
@@ -44,7 +45,7 @@
 		return refusal
 	}
 	defer h.pool.put(conn)
-	sql := "DELETE FROM dotterelswitch_ledger WHERE created < " + literal(ledger.TrimBefore(now))
+	sql := "DELETE FROM dotterelswitch_ledger WHERE created < " + upstream.Literal(ledger.TrimBefore(now))
 	frames, err := (&pgproto3.Query{String: sql}).Encode(nil)
 	if err != nil {
 		return err
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -20,7 +19,6 @@
 	"github.com/dotterelswitch/dotterelswitch/node/owner"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
-	"github.com/dotterelswitch/dotterelswitch/node/upstream"
 )
 
 // Limits and delays of routing.
@@ -245,119 +243,3 @@
 	}
 	return resp
 }
-
-// Send passes one request to the owner of a member and gives its answer.
-func (r *Router) Send(ctx context.Context, svc conf.Service, member string, req *request.Request) *request.Response {
-	up, found := svc.Upstream(member)
-	if !found {
-		return request.Refused(outcome.Refuse(outcome.WrongMember, "service %s has no upstream %s", svc.Name, member))
-	}
-	host, found := r.fleet.Placement().Owner(member, up.Zone)
-	if !found {
-		return request.Refused(outcome.Refuse(outcome.WrongMember, "no host serves"))
-	}
-	if host.State == membership.Suspect {
-		// What is sent now could get lost, and a write would then have no
-		// known outcome. The suspicion ends soon, one way or the other.
-		return request.Refused(outcome.Refuse(outcome.WrongMember, "host %s does not answer", host.ID))
-	}
-	return r.SendTo(ctx, host, member, req)
-}
-
-// SendTo passes one request to a host.
-func (r *Router) SendTo(ctx context.Context, host membership.Host, member string, req *request.Request) *request.Response {
-	req.Upstream, req.Sender, req.ID = member, r.sender, r.nextID.Add(1)
-	if host.ID == r.self.ID {
-		resp := r.owner.Execute(ctx, req)
-		resp.Host, resp.Upstream = host, member
-		return resp
-	}
-	resp, err := r.peers.Execute(ctx, host.Peer, req)
-	if err == nil {
-		resp.Host, resp.Upstream = host, member
-		return resp
-	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		go r.cancel(host, req.ID)
-	} else {
-		r.fleet.CallFailed(host, upstream.Refused(err))
-	}
-	return request.Refused(r.callRefusal(err, req))
-}
-
-// cancelTimeout bounds the delivery of a cancellation to another host.
-const cancelTimeout = time.Second
-
-// cancel stops a request that another host runs for a caller that cancelled.
-func (r *Router) cancel(host membership.Host, id uint64) {
-	ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
-	defer done()
-	_ = r.peers.Cancel(ctx, host.Peer, r.sender, id)
-}
-
-// callRefusal tells what is known of a request whose call failed.
-func (r *Router) callRefusal(err error, req *request.Request) *outcome.Refusal {
-	var call *peer.CallError
-	sent := !errors.As(err, &call) || call.Sent
-	if sent && req.MayCommit {
-		return outcome.Refuse(outcome.UnknownOutcome, "%v", err)
-	}
-	return outcome.Refuse(outcome.WrongMember, "%v", err)
-}
-
-// table returns the routing table of a service, made anew when the
-// configuration has changed.
-func (r *Router) table(cfg *conf.Config, svc conf.Service) *serviceTable {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if cfg.Version != r.version {
-		r.version = cfg.Version
-		for name, st := range r.tables {
-			if s, found := cfg.Service(name); found {
-				st.table.SetMembers(r.members(cfg, s))
-			} else {
-				delete(r.tables, name)
-			}
-		}
-	}
-	st, found := r.tables[svc.Name]
-	if !found {
-		st = &serviceTable{table: route.NewTable(r.members(cfg, svc))}
-		r.tables[svc.Name] = st
-	}
-	return st
-}
-
-func (r *Router) members(cfg *conf.Config, svc conf.Service) []route.Member {
-	out := make([]route.Member, 0, len(svc.Upstreams))
-	for _, u := range svc.Upstreams {
-		out = append(out, route.Member{
-			Name: u.Name, Distance: r.distance(cfg, u.Zone),
-			Leaving: cfg.Draining(conf.DrainUpstream, u.Name),
-		})
-	}
-	return out
-}
-
-func (r *Router) distance(cfg *conf.Config, zone string) route.Distance {
-	switch {
-	case zone == r.self.Zone:
-		return route.SameZone
-	case cfg.Region(zone) == cfg.Region(r.self.Zone):
-		return route.SameRegion
-	default:
-		return route.OtherRegion
-	}
-}
-
-// Release ends a transaction whose caller is gone.
-func (r *Router) Release(host membership.Host, member string, transaction uint64) {
-	if host.ID == r.self.ID {
-		r.owner.Release(r.sender, transaction)
-		return
-	}
-	const releaseTimeout = 2 * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	_ = r.peers.Release(ctx, host.Peer, r.sender, member, transaction)
-}
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -12,16 +11,14 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/node/pgframe"
 )
 
 // positionParameter is the ParameterStatus in which a member reports the
 // position of the last transaction or snapshot.
 const positionParameter = "group.position"
 
-const (
-	frameHeader    = 5
-	readBufferSize = 16 * 1024
-)
+const readBufferSize = 16 * 1024
 
 // Answer is the whole answer to one request.
 type Answer struct {
@@ -110,13 +107,13 @@
 func (c *Conn) readAnswer() (Answer, error) {
 	var a Answer
 	for {
-		header, err := c.reader.Peek(frameHeader)
+		header, err := c.reader.Peek(pgframe.HeaderSize)
 		if err != nil {
 			return a, unexpected(err)
 		}
 		kind := header[0]
-		size := int(binary.BigEndian.Uint32(header[1:])) + 1
-		if size < frameHeader || len(a.Frames)+size > c.limit {
+		size := pgframe.Size(header)
+		if size < pgframe.HeaderSize || len(a.Frames)+size > c.limit {
 			return a, &TooLargeError{Limit: c.limit}
 		}
 		start := len(a.Frames)
@@ -124,7 +121,7 @@
 		if _, err := io.ReadFull(c.reader, a.Frames[start:]); err != nil {
 			return a, unexpected(err)
 		}
-		body := a.Frames[start+frameHeader:]
+		body := a.Frames[start+pgframe.HeaderSize:]
 		switch kind {
 		case 'Z':
 			if len(body) != 1 {
--- a/node/upstream/control.go
+++ b/node/upstream/control.go
@@ -101,20 +101,22 @@
 
 // Claim implements GroupMember.
 func (c *Control) Claim(ctx context.Context, term logpos.Term, claimant string) (group.Status, bool, error) {
-	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_claim(%d, %s)", term, quote(claimant)))
+	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_claim(%d, %s)", term, Literal(claimant)))
 }
 
 // Promote implements GroupMember.
 func (c *Control) Promote(ctx context.Context, term logpos.Term, claimant string) (group.Status, bool, error) {
-	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_promote(%d, %s)", term, quote(claimant)))
+	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_promote(%d, %s)", term, Literal(claimant)))
 }
 
 // Follow implements GroupMember.
 func (c *Control) Follow(ctx context.Context, term logpos.Term, primary string) (group.Status, bool, error) {
-	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_follow(%d, %s)", term, quote(primary)))
+	return c.statusQuery(ctx, fmt.Sprintf("SELECT group_follow(%d, %s)", term, Literal(primary)))
 }
 
-func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+// Literal quotes a text as an SQL string. It relies on
+// standard_conforming_strings, which is on by default.
+func Literal(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
 
 const statusFields = 11
 
@@ -187,6 +189,6 @@
 // Terminate ends the connections whose application name begins with prefix,
 // but for those that are called keep.
 func (c *Control) Terminate(ctx context.Context, prefix, keep string) error {
-	_, err := c.query(ctx, fmt.Sprintf("SELECT group_terminate(%s, %s)", quote(prefix), quote(keep)))
+	_, err := c.query(ctx, fmt.Sprintf("SELECT group_terminate(%s, %s)", Literal(prefix), Literal(keep)))
 	return err
 }
