--- /dev/null
+++ b/core/conf/conf_test.go
@@ -0,0 +1,142 @@
+package conf_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+// drawChange puts some tenants and deletes others.
+func drawChange(t *rapid.T, version uint64) conf.Change {
+	ch := conf.Change{Version: version, ChangeID: fmt.Sprint(version)}
+	for i := range 6 {
+		name := fmt.Sprintf("t%d", i)
+		switch rapid.IntRange(0, 3).Draw(t, name) {
+		case 0:
+			ch.Put.Tenants = append(ch.Put.Tenants, conf.Tenant{Name: name, Weight: float64(version)})
+		case 1:
+			ch.Delete.Tenants = append(ch.Delete.Tenants, name)
+		}
+	}
+	slices.Reverse(ch.Put.Tenants)
+	return ch
+}
+
+// TestApplyAgainstAMap compares a series of changes with the same on a map.
+func TestApplyAgainstAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg, want := &conf.Config{}, map[string]float64{}
+		for v := range uint64(rapid.IntRange(1, 12).Draw(t, "changes")) {
+			ch := drawChange(t, v+1)
+			before := slices.Clone(cfg.Tenants)
+			next, err := cfg.Apply(ch)
+			require.NoError(t, err)
+			require.Equal(t, before, cfg.Tenants, "the old version is untouched")
+			for _, n := range ch.Delete.Tenants {
+				delete(want, n)
+			}
+			for _, x := range ch.Put.Tenants {
+				want[x.Name] = x.Weight
+			}
+			cfg = next
+			require.Len(t, cfg.Tenants, len(want))
+			require.True(t, slices.IsSortedFunc(cfg.Tenants, func(a, b conf.Tenant) int {
+				if a.Name < b.Name {
+					return -1
+				}
+				return 1
+			}))
+			for name, weight := range want {
+				got, found := cfg.Tenant(name)
+				require.True(t, found)
+				require.Equal(t, weight, got.Weight)
+			}
+		}
+	})
+}
+
+// TestTrackerNeverGoesBack offers changes and snapshots in any order, with
+// repeats and old ones.
+func TestTrackerNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var changes []conf.Change
+		versions := []*conf.Config{{}}
+		for v := range uint64(20) {
+			ch := drawChange(t, v+1)
+			next, err := versions[v].Apply(ch)
+			require.NoError(t, err)
+			changes, versions = append(changes, ch), append(versions, next)
+		}
+		tr := conf.NewTracker()
+		for range rapid.IntRange(1, 80).Draw(t, "offers") {
+			before := tr.Current().Version
+			i := rapid.IntRange(0, len(changes)-1).Draw(t, "which")
+			var moved bool
+			var err error
+			if rapid.IntRange(0, 9).Draw(t, "kind") == 0 {
+				moved, err = tr.OfferSnapshot(versions[i])
+			} else {
+				moved, err = tr.OfferChange(changes[i])
+			}
+			after := tr.Current().Version
+			require.Equal(t, moved, after > before)
+			require.GreaterOrEqual(t, after, before)
+			var gap *conf.GapError
+			if err != nil {
+				require.ErrorAs(t, err, &gap)
+			}
+			require.Equal(t, versions[after].Tenants, tr.Current().Tenants)
+			if list, complete := tr.Since(before); complete {
+				require.Len(t, list, int(after-before))
+			}
+		}
+	})
+}
+
+func TestOverlap(t *testing.T) {
+	a := conf.Change{Put: conf.Items{Tenants: []conf.Tenant{{Name: "x"}}}}
+	b := conf.Change{Delete: conf.Names{Tenants: []string{"x"}}}
+	c := conf.Change{Put: conf.Items{Classes: []conf.Class{{Name: "x"}}}}
+	require.True(t, a.Overlaps(b))
+	require.False(t, a.Overlaps(c), "items of two kinds may share a name")
+}
+
+func TestValidateNamesEveryProblem(t *testing.T) {
+	cfg := &conf.Config{
+		Services: []conf.Service{{Name: "S", Upstreams: []conf.Upstream{{Name: "a", Zone: "nowhere", Address: "x", Slots: 0, Connections: -1}}}, {Name: "empty"}},
+		Classes:  []conf.Class{{Name: "c", Staleness: -time.Second}, {Name: "c"}},
+		Tenants:  []conf.Tenant{{Name: "t", Weight: -1, Connections: -1}},
+		Events:   []conf.Event{{Name: "e", Services: []string{"missing"}}},
+		Drains:   []conf.Drain{{Kind: "moon", Name: "a"}, {Kind: conf.DrainUpstream, Name: "nobody"}},
+	}
+	var invalid *conf.InvalidError
+	require.ErrorAs(t, cfg.Validate(), &invalid)
+	const problems = 14
+	require.Len(t, invalid.Problems, problems, "%q", invalid.Problems)
+}
+
+func TestEventOverridesStalenessFromItsStart(t *testing.T) {
+	start := time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+	cfg := &conf.Config{
+		Classes: []conf.Class{{Name: "c", Staleness: time.Second}},
+		Events:  []conf.Event{{Name: "e", Start: start, Services: []string{"s"}, Staleness: []conf.Class{{Name: "c", Staleness: time.Minute}}}},
+	}
+	for service, want := range map[string]time.Duration{"s": time.Minute, "other": time.Second} {
+		got, found := cfg.Staleness("c", service, start)
+		require.True(t, found)
+		require.Equal(t, want, got)
+	}
+	got, _ := cfg.Staleness("c", "s", start.Add(-time.Nanosecond))
+	require.Equal(t, time.Second, got)
+	_, found := cfg.Staleness("nonesuch", "s", start)
+	require.False(t, found)
+}
