--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -210,6 +210,7 @@
 	r.Fault = faultNames(d.opts.Faults)
 	r.SlotBreaches = d.dep.SlotBreaches()
 	r.Restarts = d.restarts
+	r.ConnectionsRefused = d.dep.ConnectionsRefused()
 	r.StoreCalls, _ = d.dep.Platform.Calls()
 	for _, h := range d.hosts {
 		r.Promotions += h.host.Promotions()
--- a/node/demo/demo_test.go
+++ b/node/demo/demo_test.go
@@ -51,6 +51,7 @@
 				require.Zero(t, report.CutRequests)
 				require.Zero(t, report.WritesUnknown)
 				require.Nil(t, report.FailoverGapMS)
+				require.Zero(t, report.ConnectionsRefused, "more connections than the limit")
 			}
 		})
 	}
--- a/standin/workload/deployment.go
+++ b/standin/workload/deployment.go
@@ -103,6 +103,19 @@
 	return n
 }
 
+// ConnectionsRefused returns how often any member refused a connection over
+// its limit.
+func (d *Deployment) ConnectionsRefused() int {
+	n := 0
+	for _, g := range d.Groups {
+		for _, m := range g.Members() {
+			_, refused := m.PeakConnections()
+			n += refused
+		}
+	}
+	return n
+}
+
 // Close stops everything.
 func (d *Deployment) Close() {
 	for _, g := range d.Groups {
--- a/standin/workload/report.go
+++ b/standin/workload/report.go
@@ -14,17 +14,19 @@
 	Violations
 	ReplicaReadShare float64 `json:"replica_read_share"`
 	// FailoverGapMS is nil where no primary failed.
-	FailoverGapMS *float64       `json:"failover_gap_ms"`
-	ReadP50MS     float64        `json:"read_p50_ms"`
-	ReadP99MS     float64        `json:"read_p99_ms"`
-	WriteP50MS    float64        `json:"write_p50_ms"`
-	WriteP99MS    float64        `json:"write_p99_ms"`
-	RequestsPerS  float64        `json:"requests_per_s"`
-	SlotBreaches  int64          `json:"slot_breaches"`
-	Promotions    int            `json:"promotions"`
-	Restarts      int            `json:"restarts"`
-	StoreCalls    int64          `json:"store_calls"`
-	Errors        map[string]int `json:"errors,omitempty"`
+	FailoverGapMS *float64 `json:"failover_gap_ms"`
+	ReadP50MS     float64  `json:"read_p50_ms"`
+	ReadP99MS     float64  `json:"read_p99_ms"`
+	WriteP50MS    float64  `json:"write_p50_ms"`
+	WriteP99MS    float64  `json:"write_p99_ms"`
+	RequestsPerS  float64  `json:"requests_per_s"`
+	SlotBreaches  int64    `json:"slot_breaches"`
+	// ConnectionsRefused counts connections over a member's limit.
+	ConnectionsRefused int            `json:"connections_refused"`
+	Promotions         int            `json:"promotions"`
+	Restarts           int            `json:"restarts"`
+	StoreCalls         int64          `json:"store_calls"`
+	Errors             map[string]int `json:"errors,omitempty"`
 }
 
 func (l *Load) report(reads roleReads) *Report {
