--- a/core/group/read.go
+++ b/core/group/read.go
@@ -37,7 +37,7 @@
 // CanRead judges a read on a replica or primary by what is known of its
 // applied log. Positions only grow, so a verdict of Eligible stays true until
 // the member changes branch; the caller checks the position of the answer.
-func (v *View) CanRead(member string, need ReadNeed, now time.Duration) ReadVerdict {
+func (v *View) CanRead(member string, need ReadNeed) ReadVerdict {
 	st, answered := v.Status(member)
 	if !answered {
 		return Unplaced
--- a/node/owner/execute.go
+++ b/node/owner/execute.go
@@ -63,8 +63,8 @@
 		return o.primaryNow(p)
 	}
 	verdict, primary := group.Unplaced, false
-	judge := func(v *group.View, now time.Duration) bool {
-		verdict = v.CanRead(p.spec.Name, need, now)
+	judge := func(v *group.View, _ time.Duration) bool {
+		verdict = v.CanRead(p.spec.Name, need)
 		st, found := v.Primary()
 		primary = found && st.Member == p.spec.Name && !v.Failing(st.Member)
 		return verdict == group.Eligible || verdict == group.Ahead || (primary && verdict != group.Unplaced)
