Ask for the reigning primary in one place; trim beside the lock's watch

Cause: reading the whole change again showed seven copies of 'the primary, if its term is the newest granted', two spellings of a host's incarnation, a ledger trim of up to 30 s inside the loop that watches over a member's lock, an event and a counter that nothing uses.

Change: View.Reigning; application names are built from SenderName; the trim runs beside the loop; event 105 and Metrics.Count go. The event was never emitted: a wrong setting is told on standard error with exit status 2.

Conclusion: behaviour unchanged, but that a slow trim no longer delays the discovery of a lost lock.

--- a/core/group/controller.go
+++ b/core/group/controller.go
@@ -166,8 +166,8 @@
 
 // repair tells a member that follows no one, or an old primary, whom to follow.
 func (c *Controller) repair(st Status) []Action {
-	primary, found := c.view.Primary()
-	if !found || primary.Claimed < c.view.HighestTerm() {
+	primary, found := c.view.Reigning()
+	if !found {
 		return nil
 	}
 	if st.Member == primary.Member || st.Follows == primary.Claimed {
@@ -195,8 +195,8 @@
 // primaryWorks reports whether the newest granted term has a primary that
 // answers probes.
 func (c *Controller) primaryWorks() bool {
-	primary, found := c.view.Primary()
-	if !found || primary.Claimed < c.view.HighestTerm() {
+	primary, found := c.view.Reigning()
+	if !found {
 		return false
 	}
 	return !c.view.Failing(primary.Member)
@@ -220,8 +220,8 @@
 
 // failureDelay returns how long the present kind of failure must last.
 func (c *Controller) failureDelay() time.Duration {
-	primary, found := c.view.Primary()
-	if !found || primary.Claimed < c.view.HighestTerm() {
+	primary, found := c.view.Reigning()
+	if !found {
 		return c.timing.SuspectAfter
 	}
 	const refusalsToBelieve = 2
@@ -246,8 +246,8 @@
 // othersHear reports whether a replica of the newest term still has contact
 // with the primary that this host cannot reach.
 func (c *Controller) othersHear() bool {
-	primary, found := c.view.Primary()
-	if !found || primary.Claimed < c.view.HighestTerm() {
+	primary, found := c.view.Reigning()
+	if !found {
 		return false
 	}
 	for i := range c.view.members {
--- a/core/group/view.go
+++ b/core/group/view.go
@@ -132,6 +132,13 @@
 	return best, found
 }
 
+// Reigning returns the primary of the newest term that any member is known to
+// have granted. The second result is false while that term has none.
+func (v *View) Reigning() (Status, bool) {
+	st, found := v.Primary()
+	return st, found && st.Claimed == v.HighestTerm()
+}
+
 // Confirmed returns the largest offset that a majority holds in the given
 // term. An entry of an older term counts only through an entry of this term
 // behind it, and a member that is known to have granted a newer term no longer
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -17,7 +17,6 @@
 	Stopping          = Event{102, "host_stopping"}
 	Stopped           = Event{103, "host_stopped"}
 	StopForced        = Event{104, "host_stop_forced"}
-	BadSetting        = Event{105, "setting_invalid"}
 	CallerRejected    = Event{201, "caller_rejected"}
 	CallerViolation   = Event{202, "caller_protocol_violation"}
 	PoolAcquired      = Event{301, "pool_acquired"}
@@ -41,7 +40,7 @@
 // All returns every event, in order of number.
 func All() []Event {
 	return []Event{
-		Started, Stopping, Stopped, StopForced, BadSetting,
+		Started, Stopping, Stopped, StopForced,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
 		TermClaimed, Promoted, PrimaryChanged, OrderFailed,
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -100,6 +100,3 @@
 
 // Gauge sets a host-wide value.
 func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
-
-// Count adds to a host-wide counter.
-func (m *Metrics) Count(name string, n int64) { m.scope.Counter(name).Inc(n) }
--- a/node/owner/execute.go
+++ b/node/owner/execute.go
@@ -100,8 +100,8 @@
 func (o *Owner) primaryNow(p *pool) *outcome.Refusal {
 	isPrimary := false
 	p.watcher.Inspect(func(v *group.View, _ time.Duration) {
-		st, found := v.Primary()
-		isPrimary = found && st.Member == p.spec.Name && st.Claimed == v.HighestTerm() && !v.Failing(st.Member)
+		st, found := v.Reigning()
+		isPrimary = found && st.Member == p.spec.Name && !v.Failing(st.Member)
 	})
 	if !isPrimary {
 		return outcome.Refuse(outcome.WrongMember, "upstream %s is not the primary", p.spec.Name)
--- a/node/owner/leaving.go
+++ b/node/owner/leaving.go
@@ -53,8 +53,8 @@
 func (h *holding) isPrimary() bool {
 	primary := false
 	h.group.watcher.Inspect(func(v *group.View, _ time.Duration) {
-		st, found := v.Primary()
-		primary = found && st.Member == h.spec.Name && st.Claimed == v.HighestTerm()
+		st, found := v.Reigning()
+		primary = found && st.Member == h.spec.Name
 	})
 	return primary
 }
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -214,7 +214,7 @@
 		return hint
 	}
 	g.watcher.Inspect(func(v *group.View, now time.Duration) {
-		if st, found := v.Primary(); found && st.Claimed == v.HighestTerm() {
+		if st, found := v.Reigning(); found {
 			hint.Primary, hint.Term = st.Member, st.Claimed
 		}
 		for _, name := range v.Members() {
--- a/node/owner/trim.go
+++ b/node/owner/trim.go
@@ -18,19 +18,22 @@
 	trimTimeout = 30 * time.Second
 )
 
-// trimDue deletes the ledger's rows that are past their age, if the member is
-// primary and the interval has passed. Rows are kept longer than keys are
+// trimDue starts to delete the ledger's rows that are past their age, if the
+// member is primary and the interval has passed. It does not wait, because its
+// caller watches over the member's lock. Rows are kept longer than keys are
 // accepted, so no key that is still accepted loses its row.
 func (h *holding) trimDue(now time.Time) {
 	if now.Sub(h.trimmed) < trimInterval || !h.serving() || !h.isPrimary() {
 		return
 	}
 	h.trimmed = now
-	ctx, cancel := context.WithTimeout(h.ctx, trimTimeout)
-	defer cancel()
-	if err := h.trim(ctx, now); err != nil {
-		eventlog.LedgerNotTrimmed.Warn(h.owner.cfg.Log).Err(err).Str("upstream", h.spec.Name).Send()
-	}
+	h.owner.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, trimTimeout)
+		defer cancel()
+		if err := h.trim(ctx, now); err != nil {
+			eventlog.LedgerNotTrimmed.Warn(h.owner.cfg.Log).Err(err).Str("upstream", h.spec.Name).Send()
+		}
+	})
 }
 
 // trim takes a slot like any other request.
--- a/node/owner/watched_group.go
+++ b/node/owner/watched_group.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
@@ -19,13 +18,14 @@
 	cancel   context.CancelFunc
 }
 
+// applicationRoot begins the application names of all hosts.
+const applicationRoot = "dotterelswitch/"
+
 // applicationName marks the connections of one incarnation of a host, for
 // members to end them when the host is dead.
-func applicationName(h membership.Host) string {
-	return fmt.Sprintf("%s%d", applicationPrefix(h.ID), h.Incarnation)
-}
+func applicationName(h membership.Host) string { return applicationRoot + SenderName(h) }
 
-func applicationPrefix(hostID string) string { return "dotterelswitch/" + hostID + "/" }
+func applicationPrefix(hostID string) string { return applicationRoot + hostID + "/" }
 
 func target(cfg Config, service string, u conf.Upstream) upstream.Target {
 	return upstream.Target{
