--- /dev/null
+++ b/core/connpool/pool.go
@@ -0,0 +1,276 @@
+// Package connpool shares a host's connections to one member among the
+// statements that wait for them, and decides when to open, close or refuse.
+//
+// Load pattern: members take 16 to 55 connections from 7 to 9 hosts, and a few
+// milliseconds per statement, while a surge offers several times what they
+// serve. A connection that is open bounds a host's share of the member's own
+// queue. Statements beyond that wait here, where they can be ordered and
+// refused in time, rather than there, where they cannot.
+package connpool
+
+import (
+	"time"
+)
+
+// ConnID names a connection; the caller chooses it.
+type ConnID uint64
+
+// Limits bound one pool.
+type Limits struct {
+	// Max is the most connections that this host opens.
+	Max int
+	// Fair is this host's share of the member's connections. Above it, idle
+	// connections are closed soon, because another host may want them.
+	Fair int
+	// MaxWaiting bounds the statements that wait.
+	MaxWaiting int
+}
+
+const (
+	// crowdedPause is how long no connection is tried after the member refused
+	// one because its limit was reached: about the time in which another host
+	// returns an idle one.
+	crowdedPause = 100 * time.Millisecond
+	// failurePause is how long no connection is tried after a failed one, so
+	// that a dead member does not draw a connection attempt a statement.
+	failurePause = 200 * time.Millisecond
+	// idleAboveFair is how long a connection above the fair share may idle.
+	idleAboveFair = 2 * time.Second
+	// idleAtAll is how long any connection may idle. Members close theirs after
+	// 60 s.
+	idleAtAll = 45 * time.Second
+	// smoothing is the weight of a new sample in the mean time that a
+	// connection is held.
+	smoothing = 0.1
+	// firstHold is the mean hold before the first sample: a statement's work
+	// and one trip between regions.
+	firstHold = 30 * time.Millisecond
+)
+
+// idleConn is a connection that nobody uses.
+type idleConn struct {
+	id     ConnID
+	values string
+	since  time.Duration
+}
+
+// Pool decides for one member. It is not safe for concurrent use. Times are
+// offsets on any steady clock.
+type Pool struct {
+	limits  Limits
+	idle    []idleConn
+	inUse   int
+	opening int
+	waiting []Waiter
+	// quietUntil is when the next connection may be tried.
+	quietUntil time.Duration
+	hold       time.Duration
+}
+
+// New returns an empty pool.
+func New(limits Limits) *Pool { return &Pool{limits: limits, hold: firstHold} }
+
+// SetLimits changes the limits from the next decision on.
+func (p *Pool) SetLimits(l Limits) { p.limits = l }
+
+// Open returns the number of connections, those being opened included.
+func (p *Pool) Open() int { return len(p.idle) + p.inUse + p.opening }
+
+// InUse returns the number of connections that run something.
+func (p *Pool) InUse() int { return p.inUse }
+
+// Idle returns the number of connections that nobody uses.
+func (p *Pool) Idle() int { return len(p.idle) }
+
+// Waiting returns the number of statements that wait.
+func (p *Pool) Waiting() int { return len(p.waiting) }
+
+// Hold returns the smoothed time for which a connection is held.
+func (p *Pool) Hold() time.Duration { return p.hold }
+
+// Verdict says what became of a request for a connection.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Granted means that an idle connection is taken.
+	Granted Verdict = iota
+	// Queued means that the waiter is told later.
+	Queued
+	// Refused means that the wait would be too long; nothing is queued.
+	Refused
+)
+
+// Decision is the answer to a request.
+type Decision struct {
+	Verdict Verdict
+	Conn    ConnID
+	// RetryAfter is set on a refusal: the wait that was expected.
+	RetryAfter time.Duration
+}
+
+// Acquire asks for a connection. Values identifies the session values that the
+// statement needs; a connection that has them already is preferred.
+func (p *Pool) Acquire(w Waiter, now time.Duration) Decision {
+	if len(p.idle) > 0 {
+		p.inUse++
+		return Decision{Verdict: Granted, Conn: p.takeIdle(w.Values)}
+	}
+	wait := p.ExpectedWait()
+	if len(p.waiting) >= p.limits.MaxWaiting || now+wait > w.StartBy {
+		return Decision{Verdict: Refused, RetryAfter: wait}
+	}
+	p.waiting = append(p.waiting, w)
+	return Decision{Verdict: Queued}
+}
+
+// ExpectedWait estimates the wait of a statement that joins the queue now.
+func (p *Pool) ExpectedWait() time.Duration {
+	if len(p.idle) > 0 || p.Open() < p.limits.Max {
+		return 0
+	}
+	return p.hold * time.Duration(len(p.waiting)+1) / time.Duration(max(p.Open(), 1))
+}
+
+// takeIdle removes the idle connection that fits best: equal values, else the
+// one used last, so that the rest can idle long enough to be closed.
+func (p *Pool) takeIdle(values string) ConnID {
+	best := len(p.idle) - 1
+	for i := best; i >= 0; i-- {
+		if p.idle[i].values == values {
+			best = i
+			break
+		}
+	}
+	id := p.idle[best].id
+	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	return id
+}
+
+// ShouldOpen reports whether a connection is to be opened now, and counts it
+// as being opened. Call it until it returns false.
+func (p *Pool) ShouldOpen(now time.Duration) bool {
+	if now < p.quietUntil || p.Open() >= p.limits.Max || p.opening >= len(p.waiting) {
+		return false
+	}
+	p.opening++
+	return true
+}
+
+// RetryOpenAt returns when ShouldOpen may change its answer because a pause
+// ends, or zero while none is under way.
+func (p *Pool) RetryOpenAt(now time.Duration) time.Duration {
+	if now >= p.quietUntil {
+		return 0
+	}
+	return p.quietUntil
+}
+
+// Opened adds a connection that ShouldOpen asked for and hands it to a waiter.
+func (p *Pool) Opened(id ConnID, now time.Duration) (Waiter, bool) {
+	p.opening--
+	return p.pass(id, "", now)
+}
+
+// OpenFailed notes that a connection could not be opened. Crowded tells that
+// the member answered and has too many.
+func (p *Pool) OpenFailed(crowded bool, now time.Duration) {
+	p.opening--
+	pause := failurePause
+	if crowded {
+		pause = crowdedPause
+	}
+	p.quietUntil = max(p.quietUntil, now+pause)
+}
+
+// Released returns a connection that is fit for use, with the values that it
+// has, and hands it to a waiter if there is one.
+func (p *Pool) Released(id ConnID, values string, held, now time.Duration) (Waiter, bool) {
+	p.inUse--
+	p.hold += time.Duration(smoothing * float64(held-p.hold))
+	return p.pass(id, values, now)
+}
+
+// Closed notes that a connection in use is gone.
+func (p *Pool) Closed() { p.inUse-- }
+
+// pass gives a free connection to the first waiter, or keeps it idle.
+func (p *Pool) pass(id ConnID, values string, now time.Duration) (Waiter, bool) {
+	if len(p.waiting) == 0 {
+		p.idle = append(p.idle, idleConn{id: id, values: values, since: now})
+		return Waiter{}, false
+	}
+	at := first(p.waiting, now)
+	w := p.waiting[at]
+	p.waiting = append(p.waiting[:at], p.waiting[at+1:]...)
+	p.inUse++
+	return w, true
+}
+
+// Leave removes a waiter. It reports whether the waiter was still queued.
+func (p *Pool) Leave(id uint64) bool {
+	for i, w := range p.waiting {
+		if w.ID == id {
+			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Late removes and returns the waiters whose latest start has passed.
+func (p *Pool) Late(now time.Duration) []Waiter {
+	var late []Waiter
+	kept := p.waiting[:0]
+	for _, w := range p.waiting {
+		if now > w.StartBy {
+			late = append(late, w)
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	p.waiting = kept
+	return late
+}
+
+// DropIdle removes all idle connections, which the caller closes, because the
+// member failed.
+func (p *Pool) DropIdle() []ConnID {
+	var ids []ConnID
+	for _, c := range p.idle {
+		ids = append(ids, c.id)
+	}
+	p.idle = nil
+	return ids
+}
+
+// RemoveIdle removes one idle connection that its peer closed. It reports
+// whether it was idle.
+func (p *Pool) RemoveIdle(id ConnID) bool {
+	for i, c := range p.idle {
+		if c.id == id {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Surplus removes and returns the idle connections that are to be closed:
+// those unused for long, sooner above the fair share.
+func (p *Pool) Surplus(now time.Duration) []ConnID {
+	var out []ConnID
+	kept := p.idle[:0]
+	above := p.Open() - p.limits.Fair
+	for _, c := range p.idle {
+		age := now - c.since
+		if age >= idleAtAll || (above > 0 && age >= idleAboveFair) {
+			out = append(out, c.id)
+			above--
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.idle = kept
+	return out
+}
--- /dev/null
+++ b/core/connpool/waiter.go
@@ -0,0 +1,41 @@
+package connpool
+
+import "time"
+
+// Waiter is a statement that needs a connection.
+type Waiter struct {
+	ID uint64
+	// Priority 0 is the highest.
+	Priority int
+	// AimBy is when the statement must have started to meet its latency target.
+	AimBy time.Duration
+	// StartBy is the latest start that is still of use.
+	StartBy time.Duration
+	// Values identifies the session values that the statement needs.
+	Values string
+}
+
+// before orders waiters: a higher priority first; then those that can still
+// meet their target, the most urgent first; then those that cannot. Serving
+// the late ones in order of arrival would make all that follow late too.
+func (w Waiter) before(v Waiter, now time.Duration) bool {
+	if w.Priority != v.Priority {
+		return w.Priority < v.Priority
+	}
+	wOnTime, vOnTime := w.AimBy >= now, v.AimBy >= now
+	if wOnTime != vOnTime {
+		return wOnTime
+	}
+	return w.AimBy < v.AimBy
+}
+
+// first returns the index of the waiter that is served next.
+func first(waiting []Waiter, now time.Duration) int {
+	best := 0
+	for i := range waiting {
+		if waiting[i].before(waiting[best], now) {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/fresh/floors.go
@@ -0,0 +1,111 @@
+// Package fresh keeps, for one service, the log positions that bound how stale
+// a read may be.
+//
+// A position that the primary reported in answer to something sent at time t
+// covers every commit that was acknowledged before t. Only an exchange that
+// proves the lead counts: a replica that believes itself primary would report
+// a position that lacks its successor's commits.
+package fresh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+)
+
+const (
+	// spacing is the least time between samples that are kept. Closer ones add
+	// work and hardly move a bound of a second or more.
+	spacing = 20 * time.Millisecond
+	// keep bounds the age of samples. It exceeds every staleness bound that the
+	// deployments use (2.5 s); a longer bound just uses the oldest sample.
+	keep = 10 * time.Second
+)
+
+// sample says that offset covers every commit acknowledged before sent.
+type sample struct {
+	sent   time.Duration
+	offset logpos.Offset
+}
+
+// Floors holds the samples of the newest term. Times are on a clock that also
+// counts suspended time. It is not safe for concurrent use.
+type Floors struct {
+	term    logpos.Term
+	samples []sample
+}
+
+// Term returns the newest term that a primary has proved.
+func (f *Floors) Term() logpos.Term { return f.term }
+
+// Observe takes a position from an exchange, sent at the given time, that
+// proved the lead of the member that answered. A newer term drops the older
+// samples: a promotion may have rolled back what they cover, and a reader that
+// asked for it would wait for ever.
+func (f *Floors) Observe(p logpos.Position, sent time.Duration) {
+	if p.Term < f.term || p.IsZero() {
+		return
+	}
+	if p.Term > f.term {
+		f.term = p.Term
+		f.samples = f.samples[:0]
+	}
+	f.insert(sample{sent: sent, offset: p.Offset})
+}
+
+// insert keeps samples in order of time with offsets that never fall. Answers
+// may arrive out of order.
+func (f *Floors) insert(s sample) {
+	at, _ := slices.BinarySearchFunc(f.samples, s, func(a, b sample) int { return int(a.sent - b.sent) })
+	if at > 0 && s.sent-f.samples[at-1].sent < spacing && at < len(f.samples) {
+		return
+	}
+	if at > 0 {
+		// A later send covers what an earlier one does.
+		s.offset = max(s.offset, f.samples[at-1].offset)
+	}
+	if at > 1 && at == len(f.samples) && s.sent-f.samples[at-2].sent < spacing {
+		f.samples[at-1] = s
+		return
+	}
+	f.samples = slices.Insert(f.samples, at, s)
+	for i := at + 1; i < len(f.samples); i++ {
+		f.samples[i].offset = max(f.samples[i].offset, s.offset)
+	}
+	f.expire(f.samples[len(f.samples)-1].sent - keep)
+}
+
+func (f *Floors) expire(before time.Duration) {
+	n := 0
+	for n < len(f.samples)-1 && f.samples[n].sent < before {
+		n++
+	}
+	f.samples = slices.Delete(f.samples, 0, n)
+}
+
+// Lookup returns the lowest position that a read may be served at: one that
+// covers every commit acknowledged before notBefore, and the session's own
+// last commit. It returns false when nothing known does, and the read must go
+// to the primary.
+func (f *Floors) Lookup(notBefore time.Duration, session logpos.Position) (logpos.Position, bool) {
+	if session.Term > f.term {
+		return logpos.Position{}, false
+	}
+	for _, s := range f.samples {
+		if s.sent < notBefore {
+			continue
+		}
+		return f.atLeast(s.offset, session), true
+	}
+	return logpos.Position{}, false
+}
+
+// atLeast raises an offset to the session's own. A position of an older term
+// needs nothing more: what survived of it is below every sample of this term.
+func (f *Floors) atLeast(offset logpos.Offset, session logpos.Position) logpos.Position {
+	if session.Term == f.term {
+		offset = max(offset, session.Offset)
+	}
+	return logpos.Position{Term: f.term, Offset: offset}
+}
--- /dev/null
+++ b/core/succession/belief.go
@@ -0,0 +1,53 @@
+// Package succession decides which member of a group is its primary, when the
+// primary is replaced, and by whom.
+//
+// The platform orders promotions and fences them, so no majority of members is
+// asked. What is left to decide is whether enough hosts have lost the primary,
+// and which replica holds the most of its log.
+package succession
+
+import "github.com/dotterelswitch/dotterelswitch/core/logpos"
+
+// Belief is what one host takes to be the primary of one group. It is not safe
+// for concurrent use.
+type Belief struct {
+	id string
+	// term is the newest term in which a member proved its lead to this host.
+	term logpos.Term
+	// revision is the version of the directory entry behind the newest claim.
+	revision uint64
+}
+
+// Primary returns the member believed to be the primary, or the empty string.
+func (b *Belief) Primary() string { return b.id }
+
+// Term returns the newest term that was proved.
+func (b *Belief) Term() logpos.Term { return b.term }
+
+// Claimed notes a directory entry in which a member calls itself primary since
+// the given version. Claims are heard in the order of their versions.
+func (b *Belief) Claimed(id string, revision uint64) {
+	if revision > b.revision {
+		b.revision, b.id = revision, id
+	}
+}
+
+// Resigned notes a directory entry in which a member calls itself a replica, or
+// that it is gone.
+func (b *Belief) Resigned(id string) {
+	if b.id == id {
+		b.id = ""
+	}
+}
+
+// Denied notes that a member refused, as a replica, what only a primary does.
+func (b *Belief) Denied(id string) { b.Resigned(id) }
+
+// Proved notes an exchange that only the primary of the given term can have.
+// An answer of an older term came late and changes nothing.
+func (b *Belief) Proved(id string, term logpos.Term) {
+	if term < b.term {
+		return
+	}
+	b.id, b.term = id, term
+}
--- a/node/cmd/dotterelswitch/main.go
+++ b/node/cmd/dotterelswitch/main.go
@@ -21,10 +21,11 @@
 func main() {
 	var s settings.Settings
 	cmd := &cli.Command{
-		Name:    "dotterelswitch",
-		Usage:   "run one entry host of the database proxy",
-		Version: version.Text,
-		Flags:   settings.Flags(&s),
+		Name:     "dotterelswitch",
+		Usage:    "run one entry host of the database proxy",
+		Version:  version.Text,
+		Flags:    settings.Flags(&s),
+		Commands: []*cli.Command{platformCommand()},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Len() > 0 {
 				return &exit.UsageError{Text: "unexpected argument " + c.Args().First()}
--- /dev/null
+++ b/node/cmd/dotterelswitch/platform.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelswitch/dotterelswitch/node/entry"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/exit"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+	"github.com/dotterelswitch/dotterelswitch/node/settings"
+	"github.com/dotterelswitch/dotterelswitch/platform"
+)
+
+// platformSettings are the flags of the command that runs on the platform. The
+// rest comes from the boot file.
+type platformSettings struct {
+	boot        string
+	metricsPort int
+	workers     int
+	logLevel    string
+	callTimeout time.Duration
+}
+
+func platformCommand() *cli.Command {
+	var s platformSettings
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run one entry host on the users' platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "boot", Usage: "path of the boot file", Destination: &s.boot, Sources: cli.EnvVars(platform.BootVariable)},
+			&cli.IntFlag{Name: "metrics-port", Usage: "port for metrics over HTTP; 0 for none", Value: 9464, Destination: &s.metricsPort, Sources: cli.EnvVars(settings.EnvName("metrics-port"))},
+			&cli.IntFlag{Name: "workers", Usage: "statements that run at once; each costs a goroutine", Value: 4096, Destination: &s.workers, Sources: cli.EnvVars(settings.EnvName("workers"))},
+			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info", Destination: &s.logLevel, Sources: cli.EnvVars(settings.EnvName("log-level"))},
+			&cli.DurationFlag{Name: "platform-timeout", Usage: "time for one call to the platform", Value: 1500 * time.Millisecond, Destination: &s.callTimeout, Sources: cli.EnvVars(settings.EnvName("platform-timeout"))},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() > 0 {
+				return &exit.UsageError{Text: "unexpected argument " + c.Args().First()}
+			}
+			return runOnPlatform(s)
+		},
+	}
+}
+
+// check reports settings that cannot be used.
+func (s platformSettings) check() error {
+	switch {
+	case s.boot == "":
+		return &exit.UsageError{Text: "the boot file is not named: set --boot or " + platform.BootVariable}
+	case s.workers < 1:
+		return &exit.UsageError{Text: "--workers must be at least 1"}
+	case s.metricsPort < 0 || s.metricsPort > 65535:
+		return &exit.UsageError{Text: "--metrics-port must be 0 to 65535"}
+	case s.callTimeout <= 0:
+		return &exit.UsageError{Text: "--platform-timeout must be positive"}
+	}
+	return nil
+}
+
+// memoryShare is the part of a host's memory that the garbage collector may
+// let the heap grow to; the rest is for buffers of the system.
+const memoryShare = 0.6
+
+// reservedDescriptors is what is left of a host's descriptors for files and
+// its own connections.
+const reservedDescriptors = 600
+
+func runOnPlatform(s platformSettings) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	level, err := zerolog.ParseLevel(s.logLevel)
+	if err != nil {
+		return &exit.UsageError{Text: "--log-level: " + err.Error()}
+	}
+	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
+	boot, err := platform.ReadBoot(s.boot)
+	if err != nil {
+		return &exit.UsageError{Text: err.Error()}
+	}
+	if boot.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(boot.MemoryMB) * (1 << 20)))
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	h, err := entry.Start(entrySettings(s, boot), adapter(s, boot), entry.Dial, log)
+	if err != nil {
+		return err
+	}
+	w := &bootWatch{path: s.boot, current: boot, log: log}
+	go w.run()
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				w.reload("signal")
+				continue
+			}
+			if !h.Stop() {
+				return errForced
+			}
+			return nil
+		case err := <-h.Failed():
+			return err
+		}
+	}
+}
+
+func adapter(s platformSettings, boot platform.Boot) entry.Adapter {
+	client := entry.HTTPClient()
+	return entry.Adapter{
+		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
+		Store:     platform.NewStoreClient(boot.StoreAddress, client, s.callTimeout),
+		Promotion: platform.NewPromotionClient(boot.PromotionAddress, boot.Host, client, s.callTimeout),
+		ReadyPath: platform.ReadyPath,
+	}
+}
+
+func entrySettings(s platformSettings, boot platform.Boot) entry.Settings {
+	out := entry.Settings{
+		Host: boot.Host, Places: replicaset.Places{Zone: boot.Zone, Regions: boot.Regions},
+		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress,
+		MaxSessions: max(boot.MaxDescriptors-reservedDescriptors, 100), Workers: s.workers,
+		Grace: boot.Grace, DrainBound: boot.DrainBound,
+	}
+	if s.metricsPort > 0 {
+		ip, _, err := net.SplitHostPort(boot.CallerAddress)
+		if err == nil {
+			out.MetricsAddress = net.JoinHostPort(ip, strconv.Itoa(s.metricsPort))
+		}
+	}
+	return out
+}
+
+// bootCheck is how often the boot file is looked at for a change that no
+// signal announced.
+const bootCheck = 2 * time.Second
+
+// bootWatch follows the boot file. What a running process cannot change, such
+// as its addresses, takes effect at the next start; a file that is wrong is
+// reported and ignored.
+type bootWatch struct {
+	path    string
+	current platform.Boot
+	changed time.Time
+	log     zerolog.Logger
+}
+
+func (w *bootWatch) run() {
+	for range time.Tick(bootCheck) {
+		info, err := os.Stat(w.path)
+		if err != nil || info.ModTime().Equal(w.changed) {
+			continue
+		}
+		first := w.changed.IsZero()
+		w.changed = info.ModTime()
+		if !first {
+			w.reload("file changed")
+		}
+	}
+}
+
+func (w *bootWatch) reload(reason string) {
+	if _, err := platform.ReadBoot(w.path); err != nil {
+		eventlog.SettingsRejected.Error(w.log).Err(err).Str("reason", reason).Send()
+		return
+	}
+	eventlog.SettingsReloaded.Info(w.log).Str("reason", reason).Send()
+}
--- /dev/null
+++ b/node/edge/protocol.go
@@ -0,0 +1,44 @@
+// Package edge serves callers whose protocol carries one statement a message.
+// The event loops of gnet cut messages; a bounded pool of workers runs the
+// sessions that have something to do, one worker at a time for each session.
+package edge
+
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+// Protocol is how callers speak.
+type Protocol interface {
+	// Decode cuts the first message off buf and returns its size, zero while
+	// it is incomplete. After an error the stream cannot be followed.
+	Decode(buf []byte) (statement.Message, int, error)
+	EncodeWelcome() []byte
+	EncodeAnswer(a statement.Answer) []byte
+	// EncodeFatal is the last message before the system closes a session.
+	EncodeFatal(code statement.Code, detail string) []byte
+}
+
+// Backend is what sessions need of the rest of the host.
+type Backend interface {
+	// Catalog returns the configuration in force, or nil before the first.
+	Catalog() *catalog.Catalog
+	// Set returns the group of a service, or nil while none is known.
+	Set(service string) *replicaset.Set
+}
+
+// Observer is told of finished statements.
+type Observer interface {
+	Finished(r Record)
+}
+
+// Record describes one finished statement.
+type Record struct {
+	Database, User string
+	Statement      statement.Statement
+	Outcome        replicaset.Outcome
+	Took           time.Duration
+}
--- /dev/null
+++ b/node/edge/query.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+// timeoutMargin is what is left of a route's timeout for the way back.
+const timeoutMargin = 20 * time.Millisecond
+
+// query runs one statement and answers it.
+func (s *caller) query(a arrival) {
+	st, known := s.state.Resolve(a.message.Statement)
+	out := replicaset.Outcome{}
+	switch answer, local := s.state.Local(st); {
+	case s.lostBecause != "" && s.state.State == statement.Failed:
+		out = s.reportLost(st)
+	case local:
+		out.Answer = answer
+		if st.Kind == statement.Rollback && s.state.State == statement.Idle {
+			s.dropOwnTx()
+		}
+	case !known:
+		out.Answer = s.failStatement(statement.Refuse(statement.Invalid, "no statement is prepared under this name", statement.Idle))
+	default:
+		out = s.runRemote(st, a.at)
+	}
+	s.send(s.gateway.proto.EncodeAnswer(out.Answer))
+	s.gateway.observer.Finished(Record{
+		Database: s.state.Database, User: s.user, Statement: st, Outcome: out, Took: clock.Now() - a.at,
+	})
+}
+
+// reportLost answers the first statement after a resting transaction was
+// ended.
+func (s *caller) reportLost(st statement.Statement) replicaset.Outcome {
+	reason := s.lostBecause
+	s.lostBecause = ""
+	if st.Kind == statement.Rollback || st.Kind == statement.Commit {
+		s.state.End()
+	}
+	if st.Kind == statement.Rollback {
+		return replicaset.Outcome{Answer: statement.Answer{State: statement.Idle}}
+	}
+	return replicaset.Outcome{Answer: statement.Refuse(statement.Aborted, reason, s.state.State), Cause: reason}
+}
+
+// failStatement fails the open transaction, if there is one, along with an
+// answer.
+func (s *caller) failStatement(a statement.Answer) statement.Answer {
+	s.dropOwnTx()
+	s.state.Fail()
+	a.State = s.state.State
+	return a
+}
+
+func (s *caller) dropOwnTx() {
+	if s.tx != nil {
+		s.tx.Rollback()
+		s.tx = nil
+	}
+}
+
+// runRemote runs a statement on a member.
+func (s *caller) runRemote(st statement.Statement, arrived time.Duration) replicaset.Outcome {
+	c := s.gateway.backend.Catalog()
+	route, found := c.Route(s.state.Database)
+	if !found {
+		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.UnknownDatabase, "the route was removed", statement.Idle))}
+	}
+	set := s.gateway.backend.Set(route.Service)
+	if set == nil {
+		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.Busy, "no member of the service is known", statement.Idle))}
+	}
+	w := s.newWork(st, route, arrived)
+	if s.state.State == statement.Open {
+		return s.inTransaction(set, w)
+	}
+	if st.Writes() {
+		out := set.Write(s.ctx, w)
+		s.noteCommit(out.Answer)
+		return out
+	}
+	return set.Read(s.ctx, w)
+}
+
+// noteCommit remembers the position of a commit that the caller is told of.
+func (s *caller) noteCommit(a statement.Answer) {
+	if a.Code == statement.OK && s.state.Committed.Less(a.Position) {
+		s.state.Committed = a.Position
+	}
+}
+
+func (s *caller) newWork(st statement.Statement, route catalog.Route, arrived time.Duration) replicaset.Work {
+	endBy := arrived + route.Timeout - timeoutMargin
+	return replicaset.Work{
+		Statement: st, Values: s.state.Values(), Committed: s.state.Committed, Route: route,
+		ReadOnly: s.state.ReadOnly, Arrived: arrived,
+		AimBy: arrived + route.Target, StartBy: min(arrived+route.Target, endBy), EndBy: endBy,
+	}
+}
+
+// inTransaction runs a statement in the open transaction. The transaction gets
+// its member with its first statement.
+func (s *caller) inTransaction(set *replicaset.Set, w replicaset.Work) replicaset.Outcome {
+	out := replicaset.Outcome{}
+	if s.tx == nil {
+		tx, begun := set.Begin(s.ctx, w)
+		out = begun
+		if tx == nil {
+			out.Answer = s.failStatement(out.Answer)
+			if w.Statement.Kind == statement.Commit {
+				s.state.End()
+				out.Answer.State = statement.Idle
+			}
+			return out
+		}
+		s.tx = tx
+	}
+	out.Member = s.tx.Member()
+	switch w.Statement.Kind {
+	case statement.Commit:
+		out.Answer = s.tx.Commit(s.ctx, w, s.state.Wrote)
+		if s.state.Wrote {
+			s.noteCommit(out.Answer)
+		}
+		s.tx = nil
+		s.state.End()
+	default:
+		s.state.Wrote = s.state.Wrote || w.Statement.Writes()
+		out.Answer = s.tx.Do(s.ctx, w)
+		if out.Answer.State != statement.Open {
+			out.Answer = s.failStatement(out.Answer)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/entry/entry.go
@@ -0,0 +1,262 @@
+// Package entry assembles an entry host in front of a platform that keeps the
+// configuration, the members' entries and the order of promotions: the gateway
+// for callers, one replica set a service, and one promoter for each.
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/edge"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/promoter"
+	"github.com/dotterelswitch/dotterelswitch/node/registry"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+// Adapter is the way to one platform.
+type Adapter struct {
+	Callers   edge.Protocol
+	Members   replicaset.Protocol
+	Store     registry.Store
+	Documents registry.Documents
+	Promotion promoter.Caller
+	// ReadyPath is where the platform asks whether the host takes callers.
+	ReadyPath string
+}
+
+// Settings are what a host is told when it starts.
+type Settings struct {
+	Host          string
+	Places        replicaset.Places
+	CallerAddress string
+	ReadyAddress  string
+	// MetricsAddress serves the metrics; empty for none.
+	MetricsAddress string
+	MaxSessions    int
+	Workers        int
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+	// DrainBound is the latest time after a member's notice at which it may be
+	// sent new work.
+	DrainBound time.Duration
+}
+
+// Host is one running entry host.
+type Host struct {
+	settings Settings
+	adapter  Adapter
+	log      zerolog.Logger
+	dial     replicaset.DialFunc
+	registry *registry.Registry
+	gateway  *edge.Gateway
+	metrics  *requestMetrics
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+	servers  []*http.Server
+	stopping atomic.Bool
+	wake     chan struct{}
+	failed   chan error
+
+	// mu guards sets.
+	mu   sync.RWMutex
+	sets map[string]*replicaset.Set
+}
+
+// Start runs a host. It returns once the listeners accept.
+func Start(s Settings, a Adapter, dial replicaset.DialFunc, log zerolog.Logger) (*Host, error) {
+	h := &Host{
+		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
+		wake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{},
+		metrics: newRequestMetrics(),
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.registry = registry.New(a.Store, a.Documents, s.Host, h.poke, h.log)
+	if err := h.listen(); err != nil {
+		h.cancel()
+		return nil, err
+	}
+	h.wg.Go(func() { h.registry.Run(h.ctx) })
+	h.wg.Go(func() { h.registry.KeepPresence(h.ctx) })
+	h.wg.Go(func() { h.reconcile(h.ctx) })
+	h.wg.Go(func() { h.endIdleTransactions(h.ctx) })
+	return h, h.startGateway()
+}
+
+// poke has the sets brought in step with the registry.
+func (h *Host) poke() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Host) startGateway() error {
+	g, err := edge.New(edge.Config{
+		Address: h.settings.CallerAddress, MaxSessions: h.settings.MaxSessions, Workers: h.settings.Workers, Log: h.log,
+	}, h.adapter.Callers, h, h)
+	if err != nil {
+		return err
+	}
+	h.gateway = g
+	go func() { h.failed <- g.Run() }()
+	select {
+	case <-g.Booted():
+	case err := <-h.failed:
+		return err
+	}
+	eventlog.Started.Info(h.log).Str("listen", h.settings.CallerAddress).Str("zone", h.settings.Places.Zone).Send()
+	return nil
+}
+
+// headerTimeout bounds how long the platform may take for its headers.
+const headerTimeout = 5 * time.Second
+
+func (h *Host) listen() error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+h.adapter.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !h.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	if err := h.serve(h.settings.ReadyAddress, mux); err != nil {
+		return err
+	}
+	if h.settings.MetricsAddress == "" {
+		return nil
+	}
+	text := http.NewServeMux()
+	text.Handle("GET /metrics", h.metrics.handler())
+	return h.serve(h.settings.MetricsAddress, text)
+}
+
+func (h *Host) serve(address string, handler http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	h.servers = append(h.servers, s)
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			h.failed <- err
+		}
+	}()
+	return nil
+}
+
+// Ready reports whether the host takes callers: it has a configuration, knows
+// members, and is not about to stop.
+func (h *Host) Ready() bool {
+	return !h.stopping.Load() && h.registry.Catalog() != nil && h.knowsMembers()
+}
+
+func (h *Host) knowsMembers() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, s := range h.sets {
+		if len(s.Members()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Catalog implements edge.Backend.
+func (h *Host) Catalog() *catalog.Catalog { return h.registry.Catalog() }
+
+// Set implements edge.Backend.
+func (h *Host) Set(service string) *replicaset.Set {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.sets[service]
+}
+
+// reconcile keeps the sets in step with the registry.
+func (h *Host) reconcile(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.wake:
+			h.updateSets(ctx)
+		}
+	}
+}
+
+func (h *Host) updateSets(ctx context.Context) {
+	c := h.registry.Catalog()
+	if c == nil {
+		return
+	}
+	hosts := len(h.registry.Hosts())
+	for name, spec := range c.Services {
+		h.ensureSet(ctx, name).Update(h.registry.Members(name), spec, hosts)
+	}
+}
+
+// ensureSet returns the set of a service and starts it if it is new.
+func (h *Host) ensureSet(ctx context.Context, service string) *replicaset.Set {
+	if s := h.Set(service); s != nil {
+		return s
+	}
+	s := replicaset.New(replicaset.Config{
+		Service: service, Dial: h.dial, Proto: h.adapter.Members, Places: h.settings.Places,
+		DrainBound: h.settings.DrainBound, Log: h.log,
+	})
+	p := promoter.New(promoter.Config{
+		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion,
+		Spec: func() catalog.Service { return h.registry.Catalog().Services[service] }, Log: h.log,
+	})
+	h.wg.Go(func() { s.Probe(ctx) })
+	h.wg.Go(func() { p.Run(ctx) })
+	h.mu.Lock()
+	h.sets[service] = s
+	h.mu.Unlock()
+	return s
+}
+
+// idleCheck is how often transactions that rest for too long are looked for.
+const idleCheck = 500 * time.Millisecond
+
+// endIdleTransactions ends the transactions that rest longer than the
+// configuration allows.
+func (h *Host) endIdleTransactions(ctx context.Context) {
+	tick := time.NewTicker(idleCheck)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if c := h.registry.Catalog(); c != nil && c.TxIdle > 0 && h.gateway != nil {
+			h.gateway.EndIdle(clock.Now() - c.TxIdle)
+		}
+	}
+}
+
+// Finished implements edge.Observer.
+func (h *Host) Finished(r edge.Record) {
+	h.metrics.observe(r)
+	if r.Outcome.Answer.Code == 0 {
+		return
+	}
+	eventlog.StatementFailed.Info(h.log).Str("request", r.Statement.ID).Str("database", r.Database).
+		Stringer("kind", r.Statement.Kind).Stringer("code", r.Outcome.Answer.Code).Str("detail", r.Outcome.Answer.Detail).
+		Str("upstream", r.Outcome.Member).Bool("primary", r.Outcome.Primary).Int("attempts", r.Outcome.Attempts).
+		Dur("waited_ms", r.Outcome.Waited).Dur("took_ms", r.Took).Str("cause", r.Outcome.Cause).Send()
+}
+
+// Failed reports the error that ended a listener by itself.
+func (h *Host) Failed() <-chan error { return h.failed }
--- /dev/null
+++ b/node/entry/stop.go
@@ -0,0 +1,65 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+// A stop divides the grace that the platform gives. The fractions are of the
+// whole grace.
+const (
+	// noticeShare is how long the host serves on as before, until the platform
+	// has asked twice and sends no new callers: two seconds of six.
+	noticeShare = 0.4
+	// transactionShare is when open transactions that rest are ended.
+	transactionShare = 0.55
+	// lastShare is when the host ends even though callers are left.
+	lastShare = 0.85
+)
+
+// Stop ends the host in order within its grace. It reports whether no caller
+// was cut.
+func (h *Host) Stop() bool {
+	began := time.Now()
+	eventlog.Stopping.Info(h.log).Dur("grace_ms", h.settings.Grace).Int("callers", h.gateway.Sessions()).Send()
+	h.stopping.Store(true)
+	time.Sleep(h.share(noticeShare))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.share(lastShare)))
+	defer cancel()
+	timer := time.AfterFunc(h.share(transactionShare-noticeShare), func() {
+		h.gateway.AbortTransactions("the host is stopping")
+	})
+	defer timer.Stop()
+	clean := h.gateway.Drain(ctx)
+	if !clean {
+		eventlog.StopForced.Warn(h.log).Int("callers", h.gateway.Sessions()).Send()
+	}
+	h.close()
+	eventlog.Stopped.Info(h.log).Send()
+	return clean
+}
+
+func (h *Host) share(part float64) time.Duration {
+	return time.Duration(part * float64(h.settings.Grace))
+}
+
+// closeTimeout bounds the end of each part.
+const closeTimeout = 300 * time.Millisecond
+
+func (h *Host) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := h.registry.Leave(ctx); err != nil {
+		eventlog.PlatformUnreached.Info(h.log).Err(err).Str("call", "leave").Send()
+	}
+	h.cancel()
+	for _, s := range h.servers {
+		// The process ends; what a closed listener reports changes nothing.
+		_ = s.Close()
+	}
+	if err := h.gateway.Stop(ctx); err != nil {
+		h.log.Debug().Err(err).Msg("the gateway did not stop in time")
+	}
+}
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -17,6 +17,8 @@
 	Stopping          = Event{102, "host_stopping"}
 	Stopped           = Event{103, "host_stopped"}
 	StopForced        = Event{104, "host_stop_forced"}
+	SettingsReloaded  = Event{105, "settings_reloaded"}
+	SettingsRejected  = Event{106, "settings_rejected"}
 	CallerRejected    = Event{201, "caller_rejected"}
 	CallerViolation   = Event{202, "caller_protocol_violation"}
 	PoolAcquired      = Event{301, "pool_acquired"}
@@ -24,12 +26,21 @@
 	PoolTakeover      = Event{303, "pool_takeover"}
 	ConnectionFailed  = Event{304, "upstream_connection_failed"}
 	LedgerNotTrimmed  = Event{305, "ledger_not_trimmed"}
+	UpstreamKnown     = Event{306, "upstream_known"}
+	UpstreamGone      = Event{307, "upstream_gone"}
+	UpstreamSuspected = Event{308, "upstream_suspected"}
+	StatementFailed   = Event{309, "statement_failed"}
 	TermClaimed       = Event{401, "term_claimed"}
 	Promoted          = Event{402, "primary_promoted"}
 	PrimaryChanged    = Event{403, "primary_changed"}
 	OrderFailed       = Event{404, "group_order_failed"}
+	PrimaryReported   = Event{405, "primary_reported_dead"}
+	LockTaken         = Event{406, "promotion_lock_taken"}
 	HostStateChanged  = Event{501, "host_state_changed"}
 	PeerCallFailed    = Event{502, "peer_call_failed"}
+	HistoryLost       = Event{606, "platform_history_lost"}
+	EntryUnreadable   = Event{607, "upstream_entry_unreadable"}
+	LeaseLost         = Event{608, "platform_lease_lost"}
 	EventPrepared     = Event{605, "event_prepared"}
 	ConfigInForce     = Event{601, "configuration_in_force"}
 	ConfigRejected    = Event{602, "configuration_rejected"}
@@ -40,12 +51,14 @@
 // All returns every event, in order of number.
 func All() []Event {
 	return []Event{
-		Started, Stopping, Stopped, StopForced,
+		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		TermClaimed, Promoted, PrimaryChanged, OrderFailed,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed,
+		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
+		HistoryLost, EntryUnreadable, LeaseLost,
 	}
 }
 
--- /dev/null
+++ b/node/promoter/promoter.go
@@ -0,0 +1,225 @@
+// Package promoter replaces primaries: those that enough hosts have lost, and
+// those that leave as planned. Every host runs it; a lock in the platform's
+// store decides which one acts, and the lock's revision fences its orders.
+package promoter
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+// Caller orders promotions from the platform.
+type Caller interface {
+	Promote(ctx context.Context, service, member string, token uint64) error
+}
+
+// Registry is what a promoter needs of the platform's store.
+type Registry interface {
+	Hosts() []string
+	Suspecting(service, member string) []string
+	Locked(service string) (holder string, locked bool)
+	Suspect(ctx context.Context, service, member string) error
+	Trust(ctx context.Context, service, member string) error
+	Lock(ctx context.Context, service string) (token uint64, err error)
+	Unlock(ctx context.Context, service string, token uint64) error
+}
+
+const (
+	// interval is how often a group is looked at.
+	interval = 100 * time.Millisecond
+	// noMember stands for the primary of a group in which nobody leads.
+	noMember = "none"
+	// leaderlessFor is how long a group must be seen without any primary before
+	// that is reported: longer than a promotion that is under way takes to show.
+	leaderlessFor = 1500 * time.Millisecond
+	// attemptTime bounds one promotion, so that a lock is not held for ever.
+	attemptTime = 5 * time.Second
+	// pauseAfterFailure spaces attempts.
+	pauseAfterFailure = 500 * time.Millisecond
+)
+
+// Promoter looks after one group.
+type Promoter struct {
+	service  string
+	host     string
+	set      *replicaset.Set
+	registry Registry
+	caller   Caller
+	spec     func() catalog.Service
+	log      zerolog.Logger
+
+	// reported is the member that this host has reported as dead.
+	reported string
+	// leaderlessSince is when no primary was first seen; zero while there is.
+	leaderlessSince time.Duration
+	// readySince is when the present reason to act was first seen.
+	readySince time.Duration
+	quietUntil time.Duration
+}
+
+// Config is what a Promoter needs from its surroundings.
+type Config struct {
+	Service, Host string
+	Set           *replicaset.Set
+	Registry      Registry
+	Caller        Caller
+	// Spec returns the operators' declaration of the service.
+	Spec func() catalog.Service
+	Log  zerolog.Logger
+}
+
+// New returns a promoter; Run starts it.
+func New(cfg Config) *Promoter {
+	return &Promoter{
+		service: cfg.Service, host: cfg.Host, set: cfg.Set, registry: cfg.Registry, caller: cfg.Caller,
+		spec: cfg.Spec, log: cfg.Log.With().Str("service", cfg.Service).Logger(),
+	}
+}
+
+// Run looks after the group until the context ends.
+func (p *Promoter) Run(ctx context.Context) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			p.look(ctx)
+		}
+	}
+}
+
+// look reports what this host sees and acts when it is its turn.
+func (p *Promoter) look(ctx context.Context) {
+	now := clock.Now()
+	failed := p.failedPrimary(now)
+	p.report(ctx, failed)
+	switch {
+	case failed != "" && p.agreed(failed):
+		p.act(ctx, now, func(ctx context.Context, token uint64) error { return p.replace(ctx, failed, token) })
+	case failed == "" && p.handoverDue():
+		p.act(ctx, now, p.handOver)
+	default:
+		p.readySince = 0
+	}
+}
+
+// failedPrimary returns the member that this host takes for a dead primary,
+// noMember for a group that nobody leads, or the empty string.
+func (p *Promoter) failedPrimary(now time.Duration) string {
+	id, found := p.set.Believed()
+	if !found {
+		if len(p.set.Members()) == 0 {
+			p.leaderlessSince = 0
+			return ""
+		}
+		if p.leaderlessSince == 0 {
+			p.leaderlessSince = now
+		}
+		if now-p.leaderlessSince >= leaderlessFor {
+			return noMember
+		}
+		return ""
+	}
+	p.leaderlessSince = 0
+	if m, known := p.set.Member(id); known && m.Dead(now) {
+		return id
+	}
+	return ""
+}
+
+// report keeps this host's word on the primary in the store up to date.
+func (p *Promoter) report(ctx context.Context, failed string) {
+	if failed == p.reported {
+		return
+	}
+	if p.reported != "" {
+		if err := p.registry.Trust(ctx, p.service, p.reported); err != nil {
+			eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "take a report back").Send()
+			return
+		}
+		p.reported = ""
+	}
+	if failed == "" {
+		return
+	}
+	if err := p.registry.Suspect(ctx, p.service, failed); err != nil {
+		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "report a dead primary").Send()
+		return
+	}
+	eventlog.PrimaryReported.Info(p.log).Str("upstream", failed).Send()
+	p.reported = failed
+}
+
+// agreed reports whether enough hosts have lost the primary.
+func (p *Promoter) agreed(failed string) bool {
+	suspecting := p.registry.Suspecting(p.service, failed)
+	if !slices.Contains(suspecting, p.host) {
+		suspecting = append(suspecting, p.host)
+	}
+	return succession.Lost(suspecting, p.registry.Hosts())
+}
+
+// act runs a promotion under the lock once it is this host's turn.
+func (p *Promoter) act(ctx context.Context, now time.Duration, promote func(context.Context, uint64) error) {
+	if p.readySince == 0 {
+		p.readySince = now
+	}
+	if _, locked := p.registry.Locked(p.service); locked || now < p.quietUntil {
+		return
+	}
+	if now-p.readySince < succession.Turn(p.rank()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	token, err := p.registry.Lock(ctx, p.service)
+	if err != nil {
+		eventlog.OrderFailed.Info(p.log).Err(err).Str("order", "lock").Send()
+		p.quietUntil = clock.Now() + pauseAfterFailure
+		return
+	}
+	eventlog.LockTaken.Info(p.log).Uint64("token", token).Send()
+	if err := promote(ctx, token); err != nil {
+		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "promotion").Uint64("token", token).Send()
+	}
+	p.quietUntil = clock.Now() + pauseAfterFailure
+	p.readySince = 0
+	p.unlock(token)
+}
+
+// unlockTimeout bounds the return of a lock; it ends with the host's lease
+// otherwise.
+const unlockTimeout = time.Second
+
+func (p *Promoter) unlock(token uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), unlockTimeout)
+	defer cancel()
+	if err := p.registry.Unlock(ctx, p.service, token); err != nil {
+		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "unlock").Uint64("token", token).Send()
+	}
+}
+
+// rank is this host's place in the order in which hosts try, which differs
+// between services.
+func (p *Promoter) rank() int {
+	order := p.registry.Hosts()
+	slices.SortFunc(order, func(a, b string) int {
+		if membership.Score(p.service, a) > membership.Score(p.service, b) {
+			return -1
+		}
+		return 1
+	})
+	return max(slices.Index(order, p.host), 0)
+}
--- /dev/null
+++ b/node/promoter/replace.go
@@ -0,0 +1,266 @@
+package promoter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+var (
+	errNoCandidate = errors.New("too few replicas answered to choose one")
+	errRecovered   = errors.New("the primary answers again")
+	errNotSeen     = errors.New("the new primary did not show in time")
+)
+
+const (
+	// surveyTries is how often the replicas are asked before it is given up.
+	surveyTries = 3
+	// callTries is how often an unanswered promotion call is repeated. The same
+	// call with the same token has one effect however often it is carried out.
+	callTries = 3
+	// showTime bounds the wait for a promoted member to lead; the deployments'
+	// members take 300 to 1000 ms.
+	showTime = 2500 * time.Millisecond
+	showPoll = 20 * time.Millisecond
+)
+
+// replace promotes the replica that has received most, in place of a primary
+// that is dead.
+func (p *Promoter) replace(ctx context.Context, failed string, token uint64) error {
+	reports, err := p.survey(ctx, failed)
+	if err != nil {
+		p.resume(ctx, reports)
+		return err
+	}
+	if id, found := p.set.Believed(); found && id != failed {
+		p.resume(ctx, reports)
+		return errRecovered
+	}
+	if m, known := p.set.Member(failed); known && !m.Dead(clock.Now()) {
+		p.resume(ctx, reports)
+		return errRecovered
+	}
+	chosen, ok := succession.Choose(reports, p.replicas(failed), p.spec().SyncReplicas)
+	if !ok {
+		p.resume(ctx, reports)
+		return errNoCandidate
+	}
+	if err := p.promote(ctx, chosen, token); err != nil {
+		p.resume(ctx, reports)
+		return err
+	}
+	return nil
+}
+
+// replicas counts the members besides the one that failed.
+func (p *Promoter) replicas(failed string) int {
+	count := 0
+	for _, m := range p.set.Members() {
+		if m.ID() != failed {
+			count++
+		}
+	}
+	return count
+}
+
+// survey stops the replicas from receiving and asks what they have, so that
+// what is compared cannot change any more.
+func (p *Promoter) survey(ctx context.Context, failed string) ([]succession.Report, error) {
+	var reports []succession.Report
+	for range surveyTries {
+		term := p.set.Term()
+		asked := p.askReplicas(ctx, failed, statement.Operation{Verb: statement.ReportStatus})
+		for _, r := range asked {
+			term = max(term, r.Status.Term)
+			if r.Status.Primary {
+				return nil, errRecovered
+			}
+		}
+		reports = p.askReplicas(ctx, failed, statement.Operation{Verb: statement.PauseReplication, Term: term + 1})
+		if _, ok := succession.Choose(reports, p.replicas(failed), p.spec().SyncReplicas); ok {
+			return reports, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return reports, errNoCandidate
+}
+
+// askReplicas sends an order to all members but one and collects the answers.
+func (p *Promoter) askReplicas(ctx context.Context, failed string, op statement.Operation) []succession.Report {
+	var mu sync.Mutex
+	var reports []succession.Report
+	var wg sync.WaitGroup
+	for _, m := range p.set.Members() {
+		if m.ID() == failed {
+			continue
+		}
+		wg.Go(func() {
+			st, err := p.set.Order(ctx, m, op)
+			if err != nil {
+				eventlog.OrderFailed.Info(p.log).Err(err).Str("upstream", m.ID()).Str("order", "survey").Send()
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reports = append(reports, succession.Report{ID: m.ID(), Leaving: m.Leaving(), Status: st})
+		})
+	}
+	wg.Wait()
+	return reports
+}
+
+// resume lets paused replicas receive again.
+func (p *Promoter) resume(ctx context.Context, reports []succession.Report) {
+	for _, r := range reports {
+		if m, known := p.set.Member(r.ID); known {
+			if _, err := p.set.Order(ctx, m, statement.Operation{Verb: statement.ResumeReplication}); err != nil {
+				eventlog.OrderFailed.Warn(p.log).Err(err).Str("upstream", r.ID).Str("order", "resume").Send()
+			}
+		}
+	}
+}
+
+// refusal is a promotion error that ends the use of a token.
+type refusal interface{ Refused() bool }
+
+// promote orders a promotion and waits until the member leads.
+func (p *Promoter) promote(ctx context.Context, chosen succession.Report, token uint64) error {
+	began := clock.Now()
+	var err error
+	for range callTries {
+		if err = p.caller.Promote(ctx, p.service, chosen.ID, token); err == nil {
+			break
+		}
+		var r refusal
+		if errors.As(err, &r) && r.Refused() {
+			return err
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if err := p.awaitLead(ctx, chosen.ID); err != nil {
+		return err
+	}
+	eventlog.Promoted.Info(p.log).Str("upstream", chosen.ID).Uint64("token", token).
+		Stringer("received", chosen.Status.Received).Dur("took", clock.Now()-began).Send()
+	return nil
+}
+
+func (p *Promoter) awaitLead(ctx context.Context, id string) error {
+	until := clock.Now() + showTime
+	for clock.Now() < until && ctx.Err() == nil {
+		if now, found := p.set.Believed(); found && now == id {
+			return nil
+		}
+		time.Sleep(showPoll)
+	}
+	return fmt.Errorf("%w: %s", errNotSeen, id)
+}
+
+const (
+	// closeEnough is how many entries a replica may be behind when the primary
+	// is told to step down: what it receives within its usual lag.
+	closeEnough logpos.Offset = 20
+	// catchUpTime bounds the wait for a replica to come close.
+	catchUpTime = 2500 * time.Millisecond
+	// drainTime bounds the wait, after the step down, for a replica to hold
+	// the whole log.
+	drainTime = 1500 * time.Millisecond
+	catchPoll = 30 * time.Millisecond
+)
+
+// handoverDue reports whether the primary leaves and another member stays.
+func (p *Promoter) handoverDue() bool {
+	id, found := p.set.Believed()
+	if !found {
+		return false
+	}
+	m, known := p.set.Member(id)
+	if !known || !m.Leaving() {
+		return false
+	}
+	for _, other := range p.set.Members() {
+		if other.ID() != id && !other.Leaving() && !other.Failing() {
+			return true
+		}
+	}
+	return false
+}
+
+// handOver moves the lead from a primary that leaves to a replica that holds
+// its whole log, so that nothing is rolled back.
+func (p *Promoter) handOver(ctx context.Context, token uint64) error {
+	id, found := p.set.Believed()
+	if !found {
+		return errRecovered
+	}
+	old, known := p.set.Member(id)
+	if !known {
+		return errRecovered
+	}
+	p.awaitClose(ctx, old)
+	st, err := p.set.Order(ctx, old, statement.Operation{Verb: statement.StepDown, Term: p.set.Term() + 1})
+	if err != nil {
+		return err
+	}
+	chosen, whole := p.awaitWhole(ctx, id, st.Received)
+	if !whole {
+		// Nobody holds the whole log: the old primary leads on, and a later
+		// attempt may find a replica that has caught up.
+		chosen = succession.Report{ID: id, Status: st}
+	}
+	return p.promote(ctx, chosen, token)
+}
+
+// awaitClose waits until some staying replica is close behind the primary.
+func (p *Promoter) awaitClose(ctx context.Context, old *replicaset.Member) {
+	until := clock.Now() + catchUpTime
+	for clock.Now() < until && ctx.Err() == nil {
+		lead, err := p.set.Status(ctx, old)
+		if err == nil {
+			for _, r := range p.staying(ctx, old.ID()) {
+				if r.Status.Received.Offset+closeEnough >= lead.Received.Offset {
+					return
+				}
+			}
+		}
+		time.Sleep(catchPoll)
+	}
+}
+
+// awaitWhole waits until some staying replica holds the log up to the end.
+func (p *Promoter) awaitWhole(ctx context.Context, old string, end logpos.Position) (succession.Report, bool) {
+	until := clock.Now() + drainTime
+	for clock.Now() < until && ctx.Err() == nil {
+		for _, r := range p.staying(ctx, old) {
+			if r.Status.Received.Compare(end) >= 0 {
+				return r, true
+			}
+		}
+		time.Sleep(catchPoll)
+	}
+	return succession.Report{}, false
+}
+
+// staying asks the replicas that do not leave for their status.
+func (p *Promoter) staying(ctx context.Context, old string) []succession.Report {
+	var out []succession.Report
+	for _, r := range p.askReplicas(ctx, old, statement.Operation{Verb: statement.ReportStatus}) {
+		if !r.Leaving {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/registry/own_keys.go
@@ -0,0 +1,79 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+)
+
+// The keys that hosts keep for each other.
+const (
+	ownPrefix     = "dotterelswitch/"
+	hostPrefix    = ownPrefix + "hosts/"
+	suspectPrefix = ownPrefix + "suspects/"
+	lockPrefix    = ownPrefix + "locks/"
+)
+
+func hostKey(host string) string { return hostPrefix + host }
+
+func suspectKey(service, member, host string) string {
+	return suspectPrefix + service + "/" + member + "/" + host
+}
+
+func lockKey(service string) string { return lockPrefix + service }
+
+// ownKeys is what the hosts have written.
+type ownKeys struct {
+	hosts    map[string]bool
+	suspects map[string]bool
+	// locks maps a service to the host that leads its promotion.
+	locks map[string]string
+}
+
+func newOwnKeys() ownKeys {
+	return ownKeys{hosts: map[string]bool{}, suspects: map[string]bool{}, locks: map[string]string{}}
+}
+
+// take applies one key.
+func (o ownKeys) take(i store.Item) {
+	if name, ok := strings.CutPrefix(i.Key, hostPrefix); ok {
+		setOrDelete(o.hosts, name, true, i.Deleted)
+		return
+	}
+	if rest, ok := strings.CutPrefix(i.Key, suspectPrefix); ok {
+		setOrDelete(o.suspects, rest, true, i.Deleted)
+		return
+	}
+	if service, ok := strings.CutPrefix(i.Key, lockPrefix); ok {
+		setOrDelete(o.locks, service, string(i.Value), i.Deleted)
+	}
+}
+
+func setOrDelete[V any](m map[string]V, key string, value V, deleted bool) {
+	if deleted {
+		delete(m, key)
+		return
+	}
+	m[key] = value
+}
+
+func (o ownKeys) hostNames() []string {
+	out := make([]string, 0, len(o.hosts))
+	for name := range o.hosts {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (o ownKeys) suspecting(service, member string) []string {
+	prefix := service + "/" + member + "/"
+	var out []string
+	for key := range o.suspects {
+		if host, ok := strings.CutPrefix(key, prefix); ok {
+			out = append(out, host)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/node/registry/presence.go
@@ -0,0 +1,112 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+const (
+	// leaseTTL is how long a host counts as living after its last renewal. A
+	// promotion needs more than half of the living hosts, so dead ones must not
+	// count for long; three renewals fit in.
+	leaseTTL = 6 * time.Second
+	// renewEvery is a third of the lease.
+	renewEvery = leaseTTL / 3
+)
+
+// KeepPresence keeps the host registered until the context ends.
+func (r *Registry) KeepPresence(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := r.keepOnce(ctx); err != nil {
+			r.noteAway(err)
+		}
+		sleep(ctx, renewEvery)
+	}
+}
+
+// keepOnce renews the lease, or takes a new one and registers with it.
+func (r *Registry) keepOnce(ctx context.Context) error {
+	lease := r.currentLease()
+	if lease != 0 && r.registered() {
+		err := r.store.RenewLease(ctx, lease)
+		if !store.Is(err, store.LeaseEnded) {
+			return err
+		}
+		eventlog.LeaseLost.Warn(r.log).Uint64("lease", uint64(lease)).Send()
+	}
+	return r.register(ctx)
+}
+
+func (r *Registry) register(ctx context.Context) error {
+	g, err := r.store.GrantLease(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.host), Value: []byte(r.host), Lease: g.Lease}}})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.lease = g.Lease
+	r.own.hosts[r.host] = true
+	r.mu.Unlock()
+	return nil
+}
+
+// registered reports whether the host's own key still stands.
+func (r *Registry) registered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own.hosts[r.host]
+}
+
+func (r *Registry) currentLease() store.Lease {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease
+}
+
+// Leave takes the host's keys back.
+func (r *Registry) Leave(ctx context.Context) error {
+	lease := r.currentLease()
+	if lease == 0 {
+		return nil
+	}
+	return r.store.EndLease(ctx, lease)
+}
+
+// Suspect reports a member as dead.
+func (r *Registry) Suspect(ctx context.Context, service, member string) error {
+	key := suspectKey(service, member, r.host)
+	_, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: []byte("dead"), Lease: r.currentLease()}}})
+	return err
+}
+
+// Trust takes the report back.
+func (r *Registry) Trust(ctx context.Context, service, member string) error {
+	_, err := r.store.Commit(ctx, store.Txn{Deletes: []string{suspectKey(service, member, r.host)}})
+	return err
+}
+
+// Lock takes the promotion lock of a service. The revision of the lock is its
+// fencing token: it is higher than that of every lock before.
+func (r *Registry) Lock(ctx context.Context, service string) (token uint64, err error) {
+	key := lockKey(service)
+	return r.store.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Revision: 0}},
+		Writes:     []store.Write{{Key: key, Value: []byte(r.host), Lease: r.currentLease()}},
+	})
+}
+
+// Unlock gives a lock back, if it is still the one with the given token.
+func (r *Registry) Unlock(ctx context.Context, service string, token uint64) error {
+	key := lockKey(service)
+	_, err := r.store.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Revision: token}},
+		Deletes:    []string{key},
+	})
+	return err
+}
--- /dev/null
+++ b/node/replicaset/errors.go
@@ -0,0 +1,65 @@
+package replicaset
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+)
+
+// ConnectError is a connection that could not be opened.
+type ConnectError struct {
+	Member string
+	// Code is set when the member answered and refused.
+	Code statement.Code
+	// Silent is set when nothing answered in time.
+	Silent bool
+	Err    error
+}
+
+func (e *ConnectError) Error() string {
+	return fmt.Sprintf("connect to member %s: %v", e.Member, e.Err)
+}
+
+func (e *ConnectError) Unwrap() error { return e.Err }
+
+// LostError is an exchange that got no whole answer. The statement may have
+// run.
+type LostError struct {
+	Member string
+	// Silent is set when the time ran out, as against a connection that broke.
+	Silent bool
+	Err    error
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("no whole answer from member %s: %v", e.Member, e.Err)
+}
+
+func (e *LostError) Unwrap() error { return e.Err }
+
+// RefusedError is a statement that was not sent: no connection was free in
+// time, or the member is not known.
+type RefusedError struct {
+	Reason string
+	// RetryAfter is when it is of use to come back.
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string { return e.Reason }
+
+// silent reports whether an I/O error is a timeout.
+func silent(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// broken reports whether the peer ended the connection.
+func broken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/node/replicaset/member.go
@@ -0,0 +1,349 @@
+package replicaset
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/dotterelswitch/dotterelswitch/core/balance"
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/directory"
+	"github.com/dotterelswitch/dotterelswitch/core/health"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+const (
+	// answerSmoothing is the weight of a new sample in the mean answer time.
+	answerSmoothing = 0.15
+	// behindFor is how long a replica that lacked a position is passed over.
+	// Replicas are 20 to 50 ms behind when all is well.
+	behindFor = 150 * time.Millisecond
+)
+
+// grant is what a waiter is told: a connection, or that it waits in vain.
+type grant struct {
+	conn *Conn
+	err  error
+}
+
+// Member is one member of a group, with this host's connections to it.
+type Member struct {
+	id, service, address string
+	set                  *Set
+	log                  zerolog.Logger
+
+	// mu guards the fields below. Nothing is called out while it is held.
+	mu       sync.Mutex
+	entry    directory.Member
+	pool     *connpool.Pool
+	conns    map[connpool.ConnID]*Conn
+	waiters  map[uint64]chan grant
+	nextID   uint64
+	health   health.Health
+	answer   time.Duration
+	behindBy time.Duration
+	removed  bool
+	timer    *time.Timer
+}
+
+func newMember(s *Set, e directory.Member, limits connpool.Limits) *Member {
+	return &Member{
+		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
+		log:  s.log.With().Str("upstream", e.ID).Logger(),
+		pool: connpool.New(limits), conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+	}
+}
+
+// ID returns the member's name.
+func (m *Member) ID() string { return m.id }
+
+// answered notes an answer to something sent at the given time.
+func (m *Member) answered(sent, now time.Duration, a statement.Answer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.Succeeded(sent)
+	if a.Signature != "" {
+		m.answer += time.Duration(answerSmoothing * float64(now-sent-m.answer))
+	}
+}
+
+// failed notes an exchange without an answer.
+func (m *Member) failed(sent time.Duration, silent bool) {
+	m.mu.Lock()
+	was := m.health.Failing()
+	if silent {
+		m.health.Silent(sent)
+	} else {
+		m.health.Refused(sent)
+	}
+	now := m.health.Failing()
+	m.mu.Unlock()
+	if now && !was {
+		eventlog.UpstreamSuspected.Warn(m.log).Bool("silent", silent).Send()
+		m.set.suspected(m)
+	}
+}
+
+// lacked notes that a read found the member's log too short.
+func (m *Member) lacked(now time.Duration) {
+	m.mu.Lock()
+	m.behindBy = now + behindFor
+	m.mu.Unlock()
+}
+
+// Dead reports whether this host's evidence makes the member count as dead.
+func (m *Member) Dead(now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.Dead(now)
+}
+
+// Failing reports whether the newest exchange with the member failed.
+func (m *Member) Failing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.Failing()
+}
+
+// candidate describes the member for the choice of a read's target.
+func (m *Member) candidate(primary string, now time.Duration) balance.Candidate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return balance.Candidate{
+		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.roundTrip(m.entry.Zone),
+		Answer: m.answer, InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), Idle: m.pool.Idle() > 0,
+		Slots: m.entry.Slots, Suspect: m.health.Failing(), Missing: m.entry.Missing, Behind: now < m.behindBy,
+	}
+}
+
+// acquire takes a connection, waiting for it as long as the waiter allows.
+func (m *Member) acquire(ctx context.Context, w connpool.Waiter) (*Conn, error) {
+	for {
+		conn, ch, err := m.request(&w)
+		if err != nil {
+			return nil, err
+		}
+		if ch != nil {
+			conn, err = m.await(ctx, w, ch)
+			if err != nil {
+				return nil, err
+			}
+			return conn, nil
+		}
+		if conn.alive() {
+			return conn, nil
+		}
+		conn.broken = true
+		m.release(conn)
+	}
+}
+
+// request asks the pool; it returns a connection or a channel to wait on.
+func (m *Member) request(w *connpool.Waiter) (*Conn, chan grant, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.removed {
+		return nil, nil, &RefusedError{Reason: "the member has left"}
+	}
+	now := clock.Now()
+	m.nextID++
+	w.ID = m.nextID
+	d := m.pool.Acquire(*w, now)
+	switch d.Verdict {
+	case connpool.Granted:
+		c := m.conns[d.Conn]
+		c.takenAt = now
+		return c, nil, nil
+	case connpool.Refused:
+		return nil, nil, &RefusedError{Reason: "too many statements wait for the member", RetryAfter: d.RetryAfter}
+	}
+	ch := make(chan grant, 1)
+	m.waiters[w.ID] = ch
+	m.openMore(now)
+	return nil, ch, nil
+}
+
+// await waits for a queued request.
+func (m *Member) await(ctx context.Context, w connpool.Waiter, ch chan grant) (*Conn, error) {
+	timer := time.NewTimer(w.StartBy - clock.Now())
+	defer timer.Stop()
+	select {
+	case g := <-ch:
+		return g.conn, g.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	m.mu.Lock()
+	left := m.pool.Leave(w.ID)
+	delete(m.waiters, w.ID)
+	m.mu.Unlock()
+	if left {
+		return nil, &RefusedError{Reason: "no connection to the member was free in time"}
+	}
+	// The grant came at the same moment.
+	g := <-ch
+	return g.conn, g.err
+}
+
+// openMore opens the connections that the pool asks for. It is called with mu
+// held.
+func (m *Member) openMore(now time.Duration) {
+	for m.pool.ShouldOpen(now) {
+		m.nextID++
+		go m.open(connpool.ConnID(m.nextID))
+	}
+	m.armTimer(now)
+}
+
+// armTimer has the pool asked again when its pause ends. It is called with mu
+// held.
+func (m *Member) armTimer(now time.Duration) {
+	at := m.pool.RetryOpenAt(now)
+	if at == 0 || m.pool.Waiting() == 0 || m.timer != nil {
+		return
+	}
+	m.timer = time.AfterFunc(at-now, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.timer = nil
+		if !m.removed {
+			m.openMore(clock.Now())
+		}
+	})
+}
+
+func (m *Member) open(id connpool.ConnID) {
+	sent := clock.Now()
+	conn, err := connect(context.Background(), m.set.dial, m.set.proto, m, id)
+	if err == nil {
+		m.opened(conn, sent)
+		return
+	}
+	var ce *ConnectError
+	crowded := errors.As(err, &ce) && ce.Code == statement.TooManyConnections
+	refusedLogin := ce != nil && ce.Code != statement.OK
+	eventlog.ConnectionFailed.Debug(m.log).Err(err).Send()
+	if !refusedLogin {
+		m.failed(sent, ce != nil && ce.Silent)
+	}
+	m.mu.Lock()
+	now := clock.Now()
+	if refusedLogin {
+		m.health.Succeeded(sent)
+	}
+	m.pool.OpenFailed(crowded, now)
+	if !crowded {
+		m.failWaiters(err)
+	}
+	m.openMore(now)
+	m.mu.Unlock()
+}
+
+// failWaiters tells all waiters that no connection can be had, so that they
+// go elsewhere. It is called with mu held.
+func (m *Member) failWaiters(err error) {
+	if m.pool.Open() > 0 {
+		return
+	}
+	for id, ch := range m.waiters {
+		if m.pool.Leave(id) {
+			delete(m.waiters, id)
+			ch <- grant{err: err}
+		}
+	}
+}
+
+func (m *Member) opened(conn *Conn, sent time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := clock.Now()
+	m.health.Succeeded(sent)
+	m.conns[conn.id] = conn
+	w, found := m.pool.Opened(conn.id, now)
+	if found {
+		m.hand(conn, w, now)
+	}
+	if m.removed {
+		m.closeIdle()
+	}
+}
+
+// hand gives a connection to a waiter. It is called with mu held.
+func (m *Member) hand(conn *Conn, w connpool.Waiter, now time.Duration) {
+	conn.takenAt = now
+	ch := m.waiters[w.ID]
+	delete(m.waiters, w.ID)
+	ch <- grant{conn: conn}
+}
+
+// release returns a connection. One that is broken or not idle is closed.
+func (m *Member) release(c *Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := clock.Now()
+	if c.broken || c.lastState != statement.Idle || m.removed {
+		m.pool.Closed()
+		delete(m.conns, c.id)
+		c.close()
+		m.openMore(now)
+		return
+	}
+	w, found := m.pool.Released(c.id, c.valuesKey(), now-c.takenAt, now)
+	if found {
+		m.hand(c, w, now)
+	}
+}
+
+// closeIdle closes all idle connections. It is called with mu held.
+func (m *Member) closeIdle() {
+	for _, id := range m.pool.DropIdle() {
+		m.conns[id].close()
+		delete(m.conns, id)
+	}
+}
+
+// closeSurplus closes the idle connections that the pool wants rid of.
+func (m *Member) closeSurplus(now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range m.pool.Surplus(now) {
+		m.conns[id].close()
+		delete(m.conns, id)
+	}
+}
+
+// remove ends the use of a member that is gone. Statements that run go on.
+func (m *Member) remove() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.removed = true
+	m.closeIdle()
+	for id, ch := range m.waiters {
+		if m.pool.Leave(id) {
+			delete(m.waiters, id)
+			ch <- grant{err: &RefusedError{Reason: "the member has left"}}
+		}
+	}
+}
+
+// update takes a newer entry and limits.
+func (m *Member) update(e directory.Member, limits connpool.Limits) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entry = e
+	m.pool.SetLimits(limits)
+}
+
+func (m *Member) snapshot() directory.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry
+}
+
+// Leaving reports whether the member has announced its end.
+func (m *Member) Leaving() bool { return m.snapshot().Leaving }
--- /dev/null
+++ b/node/replicaset/probe.go
@@ -0,0 +1,98 @@
+package replicaset
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+const (
+	// probeInterval spaces the probes of members in doubt. A probe takes a slot
+	// of the member for a moment.
+	probeInterval = 250 * time.Millisecond
+	// tidyInterval is how often idle connections are looked over.
+	tidyInterval = time.Second
+	// controlTimeout bounds a probe or an order, the wait for a connection
+	// included.
+	controlTimeout = 700 * time.Millisecond
+	// controlPriority is above every priority that a route can have.
+	controlPriority = -1
+)
+
+// Probe runs until the context ends. While the primary is unknown or a member
+// is failing it asks them for their status; traffic tells the rest.
+func (s *Set) Probe(ctx context.Context) {
+	tick := time.NewTicker(tidyInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.tidy()
+		case <-s.attention:
+		}
+		for s.probeDoubtful(ctx) && pause(ctx, probeInterval) {
+		}
+	}
+}
+
+func (s *Set) tidy() {
+	now := clock.Now()
+	for _, m := range s.Members() {
+		m.closeSurplus(now)
+	}
+}
+
+// probeDoubtful probes the members in doubt; it reports whether there are any.
+func (s *Set) probeDoubtful(ctx context.Context) bool {
+	_, known := s.Primary()
+	doubtful := false
+	for _, m := range s.Members() {
+		if !known || m.Failing() {
+			doubtful = true
+			go func() {
+				// A failure is noted in the member's health; there is nothing
+				// else to do about it here.
+				_, _ = s.Status(ctx, m)
+			}()
+		}
+	}
+	return doubtful
+}
+
+// Status asks a member for its status.
+func (s *Set) Status(ctx context.Context, m *Member) (statement.Status, error) {
+	return s.Order(ctx, m, statement.Operation{Verb: statement.ReportStatus})
+}
+
+// Order sends a status request or an order to a member and returns the status
+// that it answers with.
+func (s *Set) Order(ctx context.Context, m *Member, op statement.Operation) (statement.Status, error) {
+	now := clock.Now()
+	until := now + controlTimeout
+	c, err := m.acquire(ctx, connpool.Waiter{Priority: controlPriority, AimBy: now, StartBy: until})
+	if err != nil {
+		return statement.Status{}, err
+	}
+	defer m.release(c)
+	sent := clock.Now()
+	a, err := c.Do(op, until)
+	if err != nil {
+		return statement.Status{}, err
+	}
+	if a.Code != statement.OK {
+		return statement.Status{}, &RefusedError{Reason: "the member answered " + a.Code.String() + " " + a.Detail}
+	}
+	st, err := s.proto.DecodeStatus(a)
+	if err != nil {
+		return st, err
+	}
+	if st.Primary && a.Position.Term == st.Term {
+		s.proved(m, a.Position, sent)
+	}
+	return st, nil
+}
--- /dev/null
+++ b/node/replicaset/work.go
@@ -0,0 +1,49 @@
+package replicaset
+
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/session"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+)
+
+// Work is one statement of a caller with all that decides how it is run. Times
+// are on the clock of node/clock.
+type Work struct {
+	Statement statement.Statement
+	// Values are the caller's session values.
+	Values map[string]string
+	// Committed is the caller's newest commit in this service.
+	Committed logpos.Position
+	Route     catalog.Route
+	// ReadOnly tells that the transaction to begin announced no writes.
+	ReadOnly bool
+	// Arrived is when the statement was read from the caller.
+	Arrived time.Duration
+	// AimBy, StartBy and EndBy are when it should have started to be on time,
+	// when starting it is of no more use, and when its time is over.
+	AimBy, StartBy, EndBy time.Duration
+}
+
+func (w Work) waiter() connpool.Waiter {
+	return connpool.Waiter{
+		Priority: w.Route.Priority, AimBy: w.AimBy, StartBy: w.StartBy, Values: session.ValuesKey(w.Values),
+	}
+}
+
+// Outcome is an answer and where it came from, for logs and metrics.
+type Outcome struct {
+	Answer statement.Answer
+	// Member is the last member that was tried.
+	Member string
+	// Primary tells that the member was taken for the primary.
+	Primary  bool
+	Attempts int
+	// Waited is the time before the last attempt had a connection.
+	Waited time.Duration
+	// Cause explains a failure.
+	Cause string
+}
