--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -221,21 +221,6 @@
 	return false
 }
 
-// Late removes and returns the waiters whose latest start has passed.
-func (p *Pool) Late(now time.Duration) []Waiter {
-	var late []Waiter
-	kept := p.waiting[:0]
-	for _, w := range p.waiting {
-		if now > w.StartBy {
-			late = append(late, w)
-		} else {
-			kept = append(kept, w)
-		}
-	}
-	p.waiting = kept
-	return late
-}
-
 // DropIdle removes all idle connections, which the caller closes, because the
 // member failed.
 func (p *Pool) DropIdle() []ConnID {
@@ -247,18 +232,6 @@
 	return ids
 }
 
-// RemoveIdle removes one idle connection that its peer closed. It reports
-// whether it was idle.
-func (p *Pool) RemoveIdle(id ConnID) bool {
-	for i, c := range p.idle {
-		if c.id == id {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			return true
-		}
-	}
-	return false
-}
-
 // SurplusAt returns when Surplus next has something to close if nothing
 // changes, or zero while all idle connections are within the fair share.
 func (p *Pool) SurplusAt() time.Duration {
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -3,9 +3,7 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
@@ -57,9 +55,3 @@
 	var netErr net.Error
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
-
-// broken reports whether the peer ended the connection.
-func broken(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNREFUSED)
-}
