--- /dev/null
+++ b/core/connpool/pool_test.go
@@ -0,0 +1,185 @@
+package connpool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+const ms = time.Millisecond
+
+var small = connpool.Limits{Max: 3, Fair: 1, MaxWaiting: 4}
+
+func waiter(id uint64, priority int, aim, start time.Duration) connpool.Waiter {
+	return connpool.Waiter{ID: id, Priority: priority, AimBy: aim, StartBy: start}
+}
+
+// open brings a pool to n connections that are in use.
+func open(t *testing.T, p *connpool.Pool, n int) {
+	t.Helper()
+	for i := range n {
+		id := uint64(1000 + i)
+		require.Equal(t, connpool.Queued, p.Acquire(waiter(id, 0, time.Hour, time.Hour), 0).Verdict)
+		require.True(t, p.ShouldOpen(0))
+		w, found := p.Opened(connpool.ConnID(i+1), 0)
+		require.True(t, found)
+		require.Equal(t, id, w.ID)
+	}
+}
+
+func TestOpensNoMoreThanIsWaitedFor(t *testing.T) {
+	p := connpool.New(small)
+	p.Acquire(waiter(1, 0, time.Hour, time.Hour), 0)
+	require.True(t, p.ShouldOpen(0))
+	require.False(t, p.ShouldOpen(0))
+}
+
+// TestSurplusIsReturnedSoon replays a surge on a host and the quiet after it:
+// the connections above the host's share must be free for others before their
+// statements give up.
+func TestSurplusIsReturnedSoon(t *testing.T) {
+	p := connpool.New(small)
+	open(t, p, 3)
+	for id := range 3 {
+		p.Released(connpool.ConnID(id+1), "", 10*ms, 100*ms)
+	}
+	require.Equal(t, 250*ms, p.SurplusAt())
+	require.Empty(t, p.Surplus(249*ms))
+	require.Len(t, p.Surplus(250*ms), 2, "the fair share stays open")
+	require.Zero(t, p.SurplusAt())
+	require.Equal(t, 1, p.Open())
+}
+
+// TestCrowdedMemberIsLeftAlone: every connection that a member turns away is
+// paid for by all.
+func TestCrowdedMemberIsLeftAlone(t *testing.T) {
+	p := connpool.New(small)
+	p.Acquire(waiter(1, 0, time.Hour, time.Hour), 0)
+	require.True(t, p.ShouldOpen(0))
+	p.OpenFailed(true, 0)
+	require.False(t, p.ShouldOpen(50*ms))
+	require.Equal(t, 100*ms, p.RetryOpenAt(50*ms))
+	require.True(t, p.ShouldOpen(100*ms))
+}
+
+// TestOverloadIsRefusedAtOnce replays a surge of several times what the
+// connections carry: what cannot start in time is refused when it arrives, not
+// when its time is over.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	p := connpool.New(connpool.Limits{Max: 1, Fair: 1, MaxWaiting: 1000})
+	open(t, p, 1)
+	refused := 0
+	for i := range 100 {
+		d := p.Acquire(waiter(uint64(i), 1, 300*ms, 300*ms), 0)
+		if d.Verdict == connpool.Refused {
+			require.Greater(t, d.RetryAfter, 300*ms)
+			refused++
+		}
+	}
+	require.Equal(t, 10, p.Waiting(), "300 ms hold ten statements of 30 ms")
+	require.Equal(t, 90, refused)
+}
+
+func TestOrderOfService(t *testing.T) {
+	p := connpool.New(connpool.Limits{Max: 1, Fair: 1, MaxWaiting: 10})
+	open(t, p, 1)
+	p.Acquire(waiter(1, 2, 50*ms, time.Hour), 0)
+	p.Acquire(waiter(2, 2, 200*ms, time.Hour), 0)
+	p.Acquire(waiter(3, 2, 150*ms, time.Hour), 0)
+	p.Acquire(waiter(4, 1, 60*ms, time.Hour), 0)
+	var served []uint64
+	for range 4 {
+		w, found := p.Released(1, "", 10*ms, 100*ms)
+		require.True(t, found)
+		served = append(served, w.ID)
+	}
+	require.Equal(t, []uint64{4, 3, 2, 1}, served, "priority, then on time by urgency, then late")
+}
+
+func TestPrefersAConnectionWithTheSameValues(t *testing.T) {
+	p := connpool.New(connpool.Limits{Max: 3, Fair: 3, MaxWaiting: 4})
+	open(t, p, 3)
+	p.Released(1, "x", ms, ms)
+	p.Released(2, "y", ms, ms)
+	p.Released(3, "z", ms, ms)
+	d := p.Acquire(connpool.Waiter{ID: 9, Values: "y", StartBy: time.Hour}, ms)
+	require.Equal(t, connpool.ConnID(2), d.Conn)
+	d = p.Acquire(connpool.Waiter{ID: 10, Values: "none", StartBy: time.Hour}, ms)
+	require.Equal(t, connpool.ConnID(3), d.Conn, "else the one used last")
+}
+
+// TestCountsAlwaysAddUp runs random histories: no connection is handed to two,
+// the limit holds, and nobody waits while a connection idles.
+func TestCountsAlwaysAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := connpool.New(small)
+		now := time.Duration(0)
+		next := uint64(0)
+		using := map[connpool.ConnID]bool{}
+		opening := 0
+		give := func(id connpool.ConnID) {
+			if using[id] {
+				t.Fatalf("connection %d is handed out twice", id)
+			}
+			using[id] = true
+		}
+		anyUsed := func() connpool.ConnID {
+			ids := make([]connpool.ConnID, 0, len(using))
+			for id := range using {
+				ids = append(ids, id)
+			}
+			low := ids[0]
+			for _, id := range ids {
+				low = min(low, id)
+			}
+			return low
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * ms
+			next++
+			switch op := rapid.IntRange(0, 5).Draw(t, "step"); {
+			case op <= 1:
+				if d := p.Acquire(waiter(next, int(next%3), now+100*ms, now+time.Second), now); d.Verdict == connpool.Granted {
+					give(d.Conn)
+				}
+				for p.ShouldOpen(now) {
+					opening++
+				}
+			case op == 2 && opening > 0:
+				opening--
+				if rapid.Bool().Draw(t, "fails") {
+					p.OpenFailed(rapid.Bool().Draw(t, "crowded"), now)
+				} else if _, found := p.Opened(connpool.ConnID(next), now); found {
+					give(connpool.ConnID(next))
+				}
+			case op == 3 && len(using) > 0:
+				id := anyUsed()
+				delete(using, id)
+				if _, found := p.Released(id, "", ms, now); found {
+					give(id)
+				}
+			case op == 4 && len(using) > 0:
+				delete(using, anyUsed())
+				p.Closed()
+			case op == 5:
+				p.Surplus(now)
+			}
+			if p.InUse() != len(using) {
+				t.Fatalf("%d in use, the pool counts %d", len(using), p.InUse())
+			}
+			if p.Open() > small.Max {
+				t.Fatalf("%d connections are open", p.Open())
+			}
+			if p.Idle() > 0 && p.Waiting() > 0 {
+				t.Fatal("a statement waits beside an idle connection")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,48 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/health"
+)
+
+const ms = time.Millisecond
+
+func TestOneRefusalIsNotDeath(t *testing.T) {
+	var h health.Health
+	h.Refused(100 * ms)
+	require.True(t, h.Failing())
+	require.False(t, h.Dead(10*time.Second), "a listener that restarts refuses once")
+	h.Refused(300 * ms)
+	require.False(t, h.Dead(100*ms+health.RefusedFor-1))
+	require.True(t, h.Dead(100*ms+health.RefusedFor))
+}
+
+func TestSilenceTakesLonger(t *testing.T) {
+	var h health.Health
+	h.Silent(100 * ms)
+	require.False(t, h.Dead(100*ms+health.SilentFor-1))
+	require.True(t, h.Dead(100*ms+health.SilentFor))
+}
+
+// TestLateFailureOfAnOldExchange: an answer to something sent later is newer
+// evidence than a timeout that is noticed after it.
+func TestLateFailureOfAnOldExchange(t *testing.T) {
+	var h health.Health
+	h.Succeeded(500 * ms)
+	h.Silent(100 * ms)
+	require.False(t, h.Failing())
+}
+
+func TestAnswerToAnOlderRequestDoesNotClear(t *testing.T) {
+	var h health.Health
+	h.Silent(500 * ms)
+	h.Succeeded(400 * ms)
+	require.True(t, h.Failing())
+	h.Succeeded(600 * ms)
+	require.False(t, h.Failing())
+	require.False(t, h.Dead(time.Hour))
+}
