Ask other hosts for a floor when this one has none

Cause: after all hosts lost power the primary's 16 connections stay taken by the dead ones for 3 s; hosts that got none of the rest had no floor of freshness, so that their reads, nine tenths of the refused, waited for the primary too, although replicas were free. Ruled out: members' queues (10 of 21,299 arrivals were not run), a slow start (configuration in force 0.1 s after the listener). A host without a floor now asks up to eight others by datagram, on demand; the age in the answer counts from the question, so delay on the way can only make a floor look older.

--- a/core/fresh/floors.go
+++ b/core/fresh/floors.go
@@ -109,3 +109,12 @@
 	}
 	return logpos.Position{Term: f.term, Offset: offset}
 }
+
+// Newest returns the newest sample: a position and when its request was sent.
+func (f *Floors) Newest() (logpos.Position, time.Duration, bool) {
+	if len(f.samples) == 0 {
+		return logpos.Position{}, 0, false
+	}
+	s := f.samples[len(f.samples)-1]
+	return logpos.Position{Term: f.term, Offset: s.offset}, s.sent, true
+}
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -132,12 +132,10 @@
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress,
 		MaxSessions: max(boot.MaxDescriptors-reservedDescriptors, 100), Workers: s.workers,
 		Grace: boot.Grace, DrainBound: boot.DrainBound,
+		PeerAddress: net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPort)),
 	}
 	if s.metricsPort > 0 {
-		ip, _, err := net.SplitHostPort(boot.CallerAddress)
-		if err == nil {
-			out.MetricsAddress = net.JoinHostPort(ip, strconv.Itoa(s.metricsPort))
-		}
+		out.MetricsAddress = net.JoinHostPort(boot.IP, strconv.Itoa(s.metricsPort))
 	}
 	return out
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 	"github.com/dotterelswitch/dotterelswitch/node/promoter"
 	"github.com/dotterelswitch/dotterelswitch/node/registry"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -42,8 +43,10 @@
 	ReadyAddress  string
 	// MetricsAddress serves the metrics; empty for none.
 	MetricsAddress string
-	MaxSessions    int
-	Workers        int
+	// PeerAddress is where other hosts send datagrams.
+	PeerAddress string
+	MaxSessions int
+	Workers     int
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
 	// DrainBound is the latest time after a member's notice at which it may be
@@ -64,6 +67,7 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	servers  []*http.Server
+	peers    *gossip.Transport
 	stopping atomic.Bool
 	wake     chan struct{}
 	failed   chan error
@@ -81,11 +85,15 @@
 		metrics: newRequestMetrics(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.registry = registry.New(a.Store, a.Documents, s.Host, h.poke, h.log)
+	h.registry = registry.New(a.Store, a.Documents, s.Host, s.PeerAddress, h.poke, h.log)
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
 	}
+	if err := h.listenPeers(); err != nil {
+		h.cancel()
+		return nil, err
+	}
 	h.wg.Go(func() { h.registry.Run(h.ctx) })
 	h.wg.Go(func() { h.registry.KeepPresence(h.ctx) })
 	h.wg.Go(func() { h.reconcile(h.ctx) })
@@ -212,7 +220,7 @@
 	}
 	s := replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Places: h.settings.Places,
-		DrainBound: h.settings.DrainBound, Log: h.log,
+		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers, Log: h.log,
 	})
 	p := promoter.New(promoter.Config{
 		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion,
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -55,6 +55,7 @@
 		eventlog.PlatformUnreached.Info(h.log).Err(err).Str("call", "leave").Send()
 	}
 	h.cancel()
+	h.peers.Close()
 	for _, s := range h.servers {
 		// The process ends; what a closed listener reports changes nothing.
 		_ = s.Close()
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -7,9 +7,11 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"errors"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 )
@@ -23,6 +25,21 @@
 	Rumours  []membership.Host
 	// ConfigVersion is the sender's version of the configuration.
 	ConfigVersion uint64
+	// AskFloors names the services whose floors the sender lacks.
+	AskFloors []string
+	// Floors answer AskFloors.
+	Floors []Floor
+}
+
+// Floor is a log position that covers every commit of a service acknowledged
+// before a time.
+type Floor struct {
+	Service  string
+	Position logpos.Position
+	// Age is how long before the message was made that time was. The receiver
+	// counts it from when it asked, so that delays on the way only make the
+	// floor look older than it is.
+	Age time.Duration
 }
 
 const (
@@ -49,6 +66,7 @@
 	body, err := proto.Marshal(&peerpb.Gossip{
 		Sequence: m.Sequence, Answer: m.Answer, Self: hostToProto(m.Self),
 		Rumours: hostsToProto(m.Rumours), ConfigVersion: m.ConfigVersion,
+		AskFloors: m.AskFloors, Floors: floorsToProto(m.Floors),
 	})
 	if err != nil {
 		return nil, err
@@ -76,9 +94,33 @@
 	for _, r := range p.GetRumours() {
 		m.Rumours = append(m.Rumours, hostFromProto(r))
 	}
+	m.AskFloors = p.GetAskFloors()
+	for _, f := range p.GetFloors() {
+		m.Floors = append(m.Floors, floorFromProto(f))
+	}
 	return m, nil
 }
 
+func floorsToProto(floors []Floor) []*peerpb.Floor {
+	out := make([]*peerpb.Floor, 0, len(floors))
+	for _, f := range floors {
+		out = append(out, &peerpb.Floor{
+			Service: f.Service, Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset),
+			AgeUs: uint64(max(f.Age, 0).Microseconds()),
+		})
+	}
+	return out
+}
+
+func floorFromProto(p *peerpb.Floor) Floor {
+	return Floor{
+		Service:  p.GetService(),
+		Position: logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())},
+		// One more microsecond makes up for the rounding.
+		Age: time.Duration(p.GetAgeUs()+1) * time.Microsecond,
+	}
+}
+
 func hostToProto(h membership.Host) *peerpb.Host {
 	return &peerpb.Host{Id: h.ID, Zone: h.Zone, Peer: h.Peer, Incarnation: h.Incarnation, State: uint32(h.State)}
 }
--- a/node/registry/own_keys.go
+++ b/node/registry/own_keys.go
@@ -25,20 +25,21 @@
 
 // ownKeys is what the hosts have written.
 type ownKeys struct {
-	hosts    map[string]bool
+	// hosts maps a living host to its address for other hosts.
+	hosts    map[string]string
 	suspects map[string]bool
 	// locks maps a service to the host that leads its promotion.
 	locks map[string]string
 }
 
 func newOwnKeys() ownKeys {
-	return ownKeys{hosts: map[string]bool{}, suspects: map[string]bool{}, locks: map[string]string{}}
+	return ownKeys{hosts: map[string]string{}, suspects: map[string]bool{}, locks: map[string]string{}}
 }
 
 // take applies one key.
 func (o ownKeys) take(i store.Item) {
 	if name, ok := strings.CutPrefix(i.Key, hostPrefix); ok {
-		setOrDelete(o.hosts, name, true, i.Deleted)
+		setOrDelete(o.hosts, name, string(i.Value), i.Deleted)
 		return
 	}
 	if rest, ok := strings.CutPrefix(i.Key, suspectPrefix); ok {
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -45,13 +45,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.host), Value: []byte(r.host), Lease: g.Lease}}})
+	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.host), Value: []byte(r.address), Lease: g.Lease}}})
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	r.lease = g.Lease
-	r.own.hosts[r.host] = true
+	r.own.hosts[r.host] = r.address
 	r.mu.Unlock()
 	return nil
 }
@@ -60,7 +60,8 @@
 func (r *Registry) registered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.own.hosts[r.host]
+	_, found := r.own.hosts[r.host]
+	return found
 }
 
 func (r *Registry) currentLease() store.Lease {
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -56,7 +56,9 @@
 	store Store
 	docs  Documents
 	host  string
-	log   zerolog.Logger
+	// address is where other hosts reach this one.
+	address string
+	log     zerolog.Logger
 	// changed is called, without a lock, after each change.
 	changed func()
 
@@ -72,10 +74,11 @@
 	recheck   bool
 }
 
-// New returns a registry for the named host. Changed is called after changes.
-func New(s Store, docs Documents, host string, changed func(), log zerolog.Logger) *Registry {
+// New returns a registry for the named host, which other hosts reach at an
+// address. Changed is called after changes.
+func New(s Store, docs Documents, host, address string, changed func(), log zerolog.Logger) *Registry {
 	return &Registry{
-		store: s, docs: docs, host: host, changed: changed, log: log,
+		store: s, docs: docs, host: host, address: address, changed: changed, log: log,
 		directory: directory.New(), own: newOwnKeys(),
 	}
 }
@@ -311,6 +314,19 @@
 	return r.own.hostNames()
 }
 
+// Peers returns the addresses of the other hosts that are registered.
+func (r *Registry) Peers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for name, address := range r.own.hosts {
+		if name != r.host {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // Suspecting returns the hosts that report a member as dead.
 func (r *Registry) Suspecting(service, member string) []string {
 	r.mu.Lock()
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -370,3 +370,10 @@
 
 // Leaving reports whether the member has announced its end.
 func (m *Member) Leaving() bool { return m.snapshot().Leaving }
+
+// hasIdle reports whether a connection is free.
+func (m *Member) hasIdle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pool.Idle() > 0
+}
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -108,12 +109,20 @@
 }
 
 // pickReader returns the member to read from. Guarded tells that nothing known
-// bounds the age of a read, so that the primary must prove its lead.
+// bounds the age of a read, so that the primary must prove its lead. While the
+// primary has no connection to spare, other hosts are asked for what they know:
+// after a restart of all hosts the primary is the scarcest of all.
 func (s *Set) pickReader(ctx context.Context, w Work, tried map[string]bool) (*Member, bool, error) {
-	now := clock.Now()
-	if _, found := s.floor(w, now); found {
-		if readers := s.readers(tried, now); len(readers) > 0 {
-			return readers[0], false, nil
+	if m, found := s.unguardedReader(w, tried); found {
+		return m, false, nil
+	}
+	bounded := w.Route.Consistency != catalog.Primary
+	if m, found := s.Primary(); found && (!bounded || m.hasIdle()) {
+		return m, true, nil
+	}
+	if bounded && len(tried) == 0 && s.awaitFloor(ctx, w) {
+		if m, found := s.unguardedReader(w, tried); found {
+			return m, false, nil
 		}
 	}
 	m, found := s.awaitPrimary(ctx, w.StartBy)
@@ -123,6 +132,43 @@
 	return m, true, nil
 }
 
+// unguardedReader returns the best member for a read whose age is bounded by
+// what this host knows.
+func (s *Set) unguardedReader(w Work, tried map[string]bool) (*Member, bool) {
+	now := clock.Now()
+	if _, found := s.floor(w, now); !found {
+		return nil, false
+	}
+	readers := s.readers(tried, now)
+	if len(readers) == 0 {
+		return nil, false
+	}
+	return readers[0], true
+}
+
+// peerWait bounds the wait for other hosts' floors: twice the longest round
+// trip between regions.
+const peerWait = 80 * time.Millisecond
+
+// awaitFloor waits shortly for a floor that serves the read.
+func (s *Set) awaitFloor(ctx context.Context, w Work) bool {
+	until := time.NewTimer(peerWait)
+	defer until.Stop()
+	for {
+		learned := s.askPeers(clock.Now())
+		if _, found := s.floor(w, clock.Now()); found {
+			return true
+		}
+		select {
+		case <-learned:
+		case <-until.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // readOn runs a read on one member.
 func (s *Set) readOn(ctx context.Context, m *Member, w Work, guarded bool) (statement.Answer, time.Duration, error) {
 	began := clock.Now()
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -69,7 +69,10 @@
 	// DrainBound is the latest time after its notice at which a leaving member
 	// may be sent new work.
 	DrainBound time.Duration
-	Log        zerolog.Logger
+	// AskPeers asks other hosts for a floor; it does not wait. Answers come
+	// through LearnFloor.
+	AskPeers func(service string)
+	Log      zerolog.Logger
 }
 
 // Set is one database group. It is safe for concurrent use. Set.mu is taken
@@ -80,6 +83,7 @@
 	proto   Protocol
 	places  Places
 	drain   time.Duration
+	ask     func(service string)
 	log     zerolog.Logger
 	// attention wakes the prober.
 	attention chan struct{}
@@ -92,12 +96,17 @@
 	spec    catalog.Service
 	// changed is closed and replaced when the primary may have changed.
 	changed chan struct{}
+	// learned is closed and replaced when a peer has told a floor.
+	learned chan struct{}
+	// askedAt is when peers were last asked.
+	askedAt time.Duration
 }
 
 // New returns a set without members.
 func New(cfg Config) *Set {
 	return &Set{
 		service: cfg.Service, dial: cfg.Dial, proto: cfg.Proto, places: cfg.Places, drain: cfg.DrainBound,
+		ask: cfg.AskPeers, learned: make(chan struct{}),
 		log:       cfg.Log.With().Str("service", cfg.Service).Logger(),
 		attention: make(chan struct{}, 1), members: map[string]*Member{}, changed: make(chan struct{}),
 	}
@@ -302,3 +311,39 @@
 	defer s.mu.Unlock()
 	return max(s.belief.Term(), s.floors.Term())
 }
+
+// Floor returns the newest position that is known to cover every commit
+// acknowledged before a time, for a host that asks.
+func (s *Set) Floor() (logpos.Position, time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.floors.Newest()
+}
+
+// LearnFloor takes a floor from another host.
+func (s *Set) LearnFloor(p logpos.Position, sent time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.floors.Observe(p, sent)
+	close(s.learned)
+	s.learned = make(chan struct{})
+}
+
+// askInterval spaces the questions to peers about one service.
+const askInterval = 50 * time.Millisecond
+
+// askPeers asks other hosts for a floor, unless they were just asked. It
+// returns a channel that is closed when one has answered.
+func (s *Set) askPeers(now time.Duration) <-chan struct{} {
+	s.mu.Lock()
+	due := now-s.askedAt >= askInterval
+	if due {
+		s.askedAt = now
+	}
+	learned := s.learned
+	s.mu.Unlock()
+	if due && s.ask != nil {
+		s.ask(s.service)
+	}
+	return learned
+}
