Stand in for the platform, and test hosts against it; verify what other hosts report

Found by its first run: a host without traffic to a dead primary had no evidence, so that two of three hosts never spoke and nothing was promoted (TestCrashedPrimaryIsReplaced failed after 20 s). A host now probes a primary that another reports.

--- /dev/null
+++ b/node/entry/failures_test.go
@@ -0,0 +1,223 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+)
+
+// TestCrashedPrimaryIsReplaced: every acknowledged write is kept once, and
+// writes go on.
+func TestCrashedPrimaryIsReplaced(t *testing.T) {
+	d := deploy(t, 3, options())
+	var clients []*client
+	for i := range d.hosts {
+		c := d.connect(i, "own")
+		c.must("STORE before x")
+		clients = append(clients, c)
+	}
+	old := d.group.Primary()
+	old.Crash()
+	for i, c := range clients {
+		i := i
+		require.Eventually(t, func() bool {
+			res, err := c.try(fmt.Sprintf("STORE after-%d x", i))
+			require.NoError(t, err)
+			if res.code == "" {
+				require.Equal(t, 1, d.group.Committed(res.id))
+			}
+			if promises[res.code] {
+				require.Zero(t, d.group.Committed(res.id), "%s is a promise", res.code)
+			}
+			return res.code == ""
+		}, eventually, poll)
+	}
+	require.NotEqual(t, old.ID, d.group.Primary().ID)
+}
+
+// TestMinorityThatLosesThePrimaryDoesNotReplaceIt: one host of three cannot
+// reach the primary; the others' acknowledged writes must survive.
+func TestMinorityThatLosesThePrimaryDoesNotReplaceIt(t *testing.T) {
+	d := deploy(t, 3, options())
+	primary := d.group.Primary()
+	key := "dotterelswitch/suspects/svc/" + primary.ID + "/host-1"
+	d.platform.Store.Put(key, []byte("dead"))
+	time.Sleep(time.Second)
+	require.Equal(t, primary.ID, d.group.Primary().ID)
+}
+
+// TestPlannedLeaveLosesNothing: writes run while the primary leaves.
+func TestPlannedLeaveLosesNothing(t *testing.T) {
+	d := deploy(t, 2, options())
+	old := d.group.Primary()
+	stop := make(chan struct{})
+	done := make(chan []string, 2)
+	for i := range 2 {
+		c := d.connect(i, "strict")
+		go func() { done <- writeUntil(c, stop) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	old.Drain()
+	require.Eventually(t, func() bool {
+		p := d.group.Primary()
+		return p != nil && p.ID != old.ID
+	}, eventually, poll)
+	time.Sleep(200 * time.Millisecond)
+	close(stop)
+	reader := d.connect(0, "strict")
+	for range 2 {
+		for _, id := range <-done {
+			require.Equal(t, []string{"x"}, reader.must("FETCH "+id).rows, "an acknowledged write is gone")
+		}
+	}
+}
+
+// writeUntil writes items of their own and returns those acknowledged.
+func writeUntil(c *client, stop chan struct{}) []string {
+	var acknowledged []string
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return acknowledged
+		default:
+		}
+		item := fmt.Sprintf("%s-%d", c.name, n)
+		res, err := c.try("STORE " + item + " x")
+		if err != nil {
+			return acknowledged
+		}
+		if res.code == "" {
+			acknowledged = append(acknowledged, item)
+		}
+	}
+}
+
+// TestHostWithoutAConnectionToThePrimaryReadsByAPeersFloor replays the return
+// of all hosts after a power loss: the dead connections still fill the
+// primary, one host got what was left, and reads must not wait for it.
+func TestHostWithoutAConnectionToThePrimaryReadsByAPeersFloor(t *testing.T) {
+	o := options()
+	o.MaxConnections = 4
+	d := deploy(t, 1, o)
+	lucky := d.connect(0, "own")
+	lucky.must("STORE item x")
+	fillConnections(t, d.group.Primary(), o.MaxConnections)
+	d.addHost()
+	keepFloorFresh(t, lucky)
+	require.Equal(t, []string{"x"}, d.connect(1, "bounded").must("FETCH item").rows)
+}
+
+// keepFloorFresh has a session write until the test ends.
+func keepFloorFresh(t *testing.T, c *client) {
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			if _, err := c.try("STORE beat x"); err != nil {
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { close(stop); <-ended })
+}
+
+// fillConnections takes the connections of a member that are left.
+func fillConnections(t *testing.T, m *lineplatform.Member, limit int) {
+	t.Helper()
+	for range limit {
+		nc, err := net.Dial("tcp", m.Address())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = nc.Close() })
+		_, err = fmt.Fprintf(nc, "START svc filler %s\r\n", m.ID)
+		require.NoError(t, err)
+		_, err = bufio.NewReader(nc).ReadString('\n')
+		require.NoError(t, err)
+	}
+}
+
+// TestDeafWatchLearnsOfAChange: a store that drops its history leaves waiting
+// watches without news.
+func TestDeafWatchLearnsOfAChange(t *testing.T) {
+	d := deploy(t, 1, options())
+	d.platform.Store.Deafen(true)
+	began := time.Now()
+	version := d.platform.Configure(routes(7*time.Second), timeout)
+	d.platform.Store.Compact()
+	d.platform.Store.Deafen(false)
+	require.Eventually(t, func() bool { return d.hosts[0].Catalog().Version == version }, eventually, poll)
+	// The shortest bound of a deployment is 3 s; a watch that waits for all of
+	// its 30 s would be far beyond any slowness of the machine.
+	require.Less(t, time.Since(began), 15*time.Second)
+}
+
+func TestServesWhileTheStoreIsAway(t *testing.T) {
+	for _, outage := range []lineplatform.Outage{lineplatform.Refusing, lineplatform.Silent} {
+		d := deploy(t, 1, options())
+		c := d.connect(0, "own")
+		c.must("STORE item x")
+		d.platform.Store.Fail(outage)
+		for range 20 {
+			c.must("STORE item y")
+			require.Equal(t, []string{"y"}, c.must("FETCH item").rows)
+			time.Sleep(20 * time.Millisecond)
+		}
+		d.platform.Store.Fail(lineplatform.Up)
+		version := d.platform.Configure(routes(7*time.Second), timeout)
+		require.Eventually(t, func() bool { return d.hosts[0].Catalog().Version == version }, eventually, poll)
+	}
+}
+
+// TestLapsedEntriesAreNotTheEndOfMembers: entries lapse while the store is
+// away, and are back soon after.
+func TestLapsedEntriesAreNotTheEndOfMembers(t *testing.T) {
+	d := deploy(t, 1, options())
+	c := d.connect(0, "own")
+	c.must("STORE item x")
+	for _, m := range d.group.Members() {
+		m.Lapse()
+	}
+	for range 20 {
+		c.must("STORE item y")
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, m := range d.group.Members() {
+		m.Announce()
+	}
+	time.Sleep(3 * time.Second)
+	c.must("STORE item z")
+}
+
+// TestStopCutsNothing: sessions that are idle are closed, and what runs is
+// answered.
+func TestStopCutsNothing(t *testing.T) {
+	d := deploy(t, 1, options())
+	idle, busy := d.connect(0, "own"), d.connect(0, "own")
+	stopped := make(chan bool, 1)
+	go func() { stopped <- d.hosts[0].Stop() }()
+	require.Eventually(t, func() bool { return !d.hosts[0].Ready() }, eventually, poll)
+	answered := 0
+	for {
+		res, err := busy.try("STORE item x")
+		if err != nil {
+			require.Zero(t, d.group.Committed(res.id), "a statement that ran got no answer")
+			break
+		}
+		require.Empty(t, res.code)
+		answered++
+	}
+	require.Positive(t, answered)
+	require.True(t, <-stopped)
+	_, err := idle.line()
+	require.Error(t, err)
+}
--- /dev/null
+++ b/node/entry/helpers_test.go
@@ -0,0 +1,190 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/node/entry"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+	"github.com/dotterelswitch/dotterelswitch/platform"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+)
+
+const (
+	// eventually bounds waits for something that must come; it is generous, so
+	// that a busy machine changes no verdict.
+	eventually = 20 * time.Second
+	poll       = 5 * time.Millisecond
+	// timeout is the routes' statement timeout in these tests.
+	timeout = 10 * time.Second
+)
+
+// deployment is a platform with one group "svc" and three databases.
+type deployment struct {
+	t        *testing.T
+	platform *lineplatform.Platform
+	group    *lineplatform.Group
+	hosts    []*entry.Host
+	settings []entry.Settings
+}
+
+func options() lineplatform.Options {
+	return lineplatform.Options{
+		Members: 3, Slots: 2, MaxConnections: 16, Work: time.Millisecond, Lag: 5 * time.Millisecond,
+		PromoteTime: 20 * time.Millisecond, Zones: []string{"a", "b", "c"},
+	}
+}
+
+func routes(statementTimeout time.Duration) []lineplatform.Route {
+	r := lineplatform.Route{Service: "svc", Timeout: statementTimeout, Target: statementTimeout, Priority: 1}
+	primary, bounded, own := r, r, r
+	primary.Database, primary.Consistency = "strict", "primary"
+	bounded.Database, bounded.Consistency, bounded.MaxStaleness = "bounded", "bounded_staleness", 1500*time.Millisecond
+	own.Database, own.Consistency, own.MaxStaleness = "own", "read_your_writes", 2500*time.Millisecond
+	return []lineplatform.Route{primary, bounded, own}
+}
+
+// deploy starts a platform and hosts and waits until the hosts are ready.
+func deploy(t *testing.T, hosts int, o lineplatform.Options) *deployment {
+	t.Helper()
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	g, err := p.AddGroup("svc", o)
+	require.NoError(t, err)
+	p.Configure(routes(timeout), timeout)
+	d := &deployment{t: t, platform: p, group: g}
+	for range hosts {
+		d.addHost()
+	}
+	return d
+}
+
+// free returns a loopback address that nothing listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (d *deployment) addHost() *entry.Host {
+	d.t.Helper()
+	name := fmt.Sprintf("host-%d", len(d.hosts)+1)
+	s := entry.Settings{
+		Host: name, Places: replicaset.Places{Zone: "a", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}},
+		CallerAddress: free(d.t), ReadyAddress: free(d.t), PeerAddress: free(d.t),
+		MaxSessions: 1000, Workers: 256, Grace: 2 * time.Second, DrainBound: 7 * time.Second,
+	}
+	client := entry.HTTPClient()
+	a := entry.Adapter{
+		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
+		Store:     platform.NewStoreClient(d.platform.Address(), client, time.Second),
+		Promotion: platform.NewPromotionClient(d.platform.Address(), name, client, time.Second),
+		ReadyPath: platform.ReadyPath,
+	}
+	h, err := entry.Start(s, a, entry.Dial, zerolog.New(d.logs()))
+	require.NoError(d.t, err)
+	d.t.Cleanup(h.Kill)
+	d.hosts = append(d.hosts, h)
+	d.settings = append(d.settings, s)
+	require.Eventually(d.t, h.Ready, eventually, poll)
+	return h
+}
+
+// logs writes the hosts' lines to the test's log, which is shown on failure.
+func (d *deployment) logs() io.Writer { return zerolog.NewTestWriter(d.t) }
+
+// client is a caller's session.
+type client struct {
+	t    *testing.T
+	net  net.Conn
+	r    *bufio.Reader
+	next int
+	name string
+}
+
+// connect opens a session on a database through a host.
+func (d *deployment) connect(host int, database string) *client {
+	d.t.Helper()
+	nc, err := net.Dial("tcp", d.settings[host].CallerAddress)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = nc.Close() })
+	c := &client{t: d.t, net: nc, r: bufio.NewReader(nc), name: fmt.Sprintf("%s-%s", nc.LocalAddr(), database)}
+	_, err = fmt.Fprintf(nc, "START %s tester\r\n", database)
+	require.NoError(d.t, err)
+	line, err := c.line()
+	require.NoError(d.t, err)
+	require.Equal(d.t, "READY I -", line)
+	return c
+}
+
+func (c *client) line() (string, error) {
+	if err := c.net.SetReadDeadline(time.Now().Add(eventually)); err != nil {
+		return "", err
+	}
+	line, err := c.r.ReadString('\n')
+	return strings.TrimRight(line, "\r\n"), err
+}
+
+// result is the answer to one statement.
+type result struct {
+	id, code, detail, signature, state string
+	rows                               []string
+}
+
+// do runs a statement that must be answered.
+func (c *client) do(text string) result {
+	c.t.Helper()
+	res, err := c.try(text)
+	require.NoError(c.t, err, text)
+	return res
+}
+
+func (c *client) try(text string) (result, error) {
+	c.next++
+	res := result{id: fmt.Sprintf("%s-%d", c.name, c.next)}
+	if _, err := fmt.Fprintf(c.net, "QUERY %s %s\r\n", res.id, text); err != nil {
+		return res, err
+	}
+	for {
+		line, err := c.line()
+		if err != nil {
+			return res, err
+		}
+		word, rest, _ := strings.Cut(line, " ")
+		switch word {
+		case "DATAROW":
+			res.rows = append(res.rows, rest)
+		case "COMPLETE":
+			res.signature = rest
+		case "ERROR":
+			res.code, res.detail, _ = strings.Cut(rest, " ")
+		case "READY":
+			res.state, _, _ = strings.Cut(rest, " ")
+			return res, nil
+		}
+	}
+}
+
+// must runs a statement that must succeed.
+func (c *client) must(text string) result {
+	c.t.Helper()
+	res := c.do(text)
+	require.Empty(c.t, res.code, "%s: %s", text, res.detail)
+	return res
+}
+
+// promises are the codes that promise that nothing is kept.
+var promises = map[string]bool{
+	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true,
+}
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -64,3 +64,9 @@
 		h.log.Debug().Err(err).Msg("the gateway did not stop in time")
 	}
 }
+
+// Kill ends the host at once, as a crash does.
+func (h *Host) Kill() {
+	h.registry.Abandon()
+	h.close()
+}
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -65,6 +65,8 @@
 	// readySince is when the present reason to act was first seen.
 	readySince time.Duration
 	quietUntil time.Duration
+	// verifiedAt is when a reported primary was last probed.
+	verifiedAt time.Duration
 }
 
 // Config is what a Promoter needs from its surroundings.
@@ -104,6 +106,9 @@
 func (p *Promoter) look(ctx context.Context) {
 	now := clock.Now()
 	failed := p.failedPrimary(now)
+	if failed == "" {
+		p.verify(ctx, now)
+	}
 	p.report(ctx, failed)
 	switch {
 	case failed != "" && p.agreed(failed):
@@ -139,6 +144,25 @@
 	return ""
 }
 
+// verifyInterval spaces the probes of a primary that other hosts report.
+const verifyInterval = 250 * time.Millisecond
+
+// verify probes a primary that other hosts report as dead. A host without
+// traffic would have no evidence of its own, and its voice would be missing.
+func (p *Promoter) verify(ctx context.Context, now time.Duration) {
+	id, found := p.set.Believed()
+	if !found || now-p.verifiedAt < verifyInterval || len(p.registry.Suspecting(p.service, id)) == 0 {
+		return
+	}
+	p.verifiedAt = now
+	if m, known := p.set.Member(id); known {
+		go func() {
+			// The member's health keeps what comes of it.
+			_, _ = p.set.Status(ctx, m)
+		}()
+	}
+}
+
 // report keeps this host's word on the primary in the store up to date.
 func (p *Promoter) report(ctx context.Context, failed string) {
 	if failed == p.reported {
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -111,3 +111,10 @@
 	})
 	return err
 }
+
+// Abandon forgets the lease, so that it runs out by itself, as after a crash.
+func (r *Registry) Abandon() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = 0
+}
--- /dev/null
+++ b/standin/lineplatform/conn.go
@@ -0,0 +1,280 @@
+package lineplatform
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// conn is one connection to a member.
+type conn struct {
+	member   *Member
+	net      net.Conn
+	prepared map[string]string
+	values   map[string]string
+	// inTx, readOnly and pending describe the open transaction.
+	inTx, readOnly, failed bool
+	pending                []write
+}
+
+// reply is the answer to one statement.
+type reply struct {
+	rows      []string
+	signature string
+	code      string
+}
+
+func refused(code string) reply { return reply{code: code} }
+
+func (m *Member) serve(nc net.Conn) {
+	defer func() { _ = nc.Close() }()
+	r := bufio.NewReader(nc)
+	c := &conn{member: m, net: nc, prepared: map[string]string{}, values: map[string]string{}}
+	line, err := r.ReadString('\n')
+	if err != nil || m.silent.Load() {
+		m.holdSilent()
+		return
+	}
+	if !c.login(strings.TrimRight(line, "\r\n")) {
+		return
+	}
+	defer c.leave()
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		line = strings.TrimRight(line, "\r\n")
+		if line == "TERMINATE" {
+			return
+		}
+		if m.silent.Load() {
+			m.holdSilent()
+			return
+		}
+		if !c.answer(line) {
+			return
+		}
+	}
+}
+
+// holdSilent keeps a connection open while the member is silent.
+func (m *Member) holdSilent() {
+	for m.silent.Load() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *conn) login(line string) bool {
+	m := c.member
+	f := strings.Fields(line)
+	code := ""
+	m.group.mu.Lock()
+	switch {
+	case len(f) < 3 || f[0] != "START":
+		code = "MALFORMED"
+	case f[1] != m.group.service || (len(f) > 3 && f[3] != m.ID):
+		code = "MISROUTED"
+	case len(m.conns) >= m.group.opts.MaxConnections:
+		code = "TOOMANY"
+		m.crowded.Add(1)
+	default:
+		m.conns[c] = true
+	}
+	m.group.mu.Unlock()
+	if code != "" {
+		_, _ = fmt.Fprintf(c.net, "ERROR %s %s\r\n", code, m.ID)
+		return false
+	}
+	m.logins.Add(1)
+	m.work()
+	_, err := fmt.Fprintf(c.net, "READY I %s\r\n", m.Position())
+	return err == nil
+}
+
+func (c *conn) leave() {
+	c.member.group.mu.Lock()
+	defer c.member.group.mu.Unlock()
+	delete(c.member.conns, c)
+}
+
+// work takes a slot for the time of one statement.
+func (m *Member) work() {
+	m.slots <- struct{}{}
+	time.Sleep(m.group.opts.Work)
+	<-m.slots
+}
+
+// answer runs one QUERY line; it reports whether the connection goes on.
+func (c *conn) answer(line string) bool {
+	id, text, _ := strings.Cut(strings.TrimPrefix(line, "QUERY "), " ")
+	rep := c.run(id, text)
+	if id != "-" && c.member.loseAnswers.Load() > 0 {
+		c.member.loseAnswers.Add(-1)
+		return true
+	}
+	var b strings.Builder
+	for _, row := range rep.rows {
+		b.WriteString("DATAROW " + row + "\r\n")
+	}
+	if rep.code != "" {
+		b.WriteString("ERROR " + rep.code + " " + c.member.ID + "\r\n")
+	} else {
+		b.WriteString("COMPLETE " + rep.signature + "\r\n")
+	}
+	state := "I"
+	if c.inTx {
+		state = "T"
+	}
+	if c.failed {
+		state = "E"
+	}
+	b.WriteString("READY " + state + " " + c.member.Position() + "\r\n")
+	_, err := c.net.Write([]byte(b.String()))
+	return err == nil
+}
+
+// run carries one statement out.
+func (c *conn) run(id, text string) reply {
+	m := c.member
+	if rest, found := strings.CutPrefix(text, "AFTER "); found {
+		position, statement, _ := strings.Cut(rest, " ")
+		term, number, _ := strings.Cut(position, ".")
+		m.group.mu.Lock()
+		m.receive()
+		has := m.has(parseNumber(term), parseNumber(number))
+		m.group.mu.Unlock()
+		if !has {
+			return refused("LAGGING")
+		}
+		text = statement
+	}
+	verb, rest, _ := strings.Cut(text, " ")
+	name, value, _ := strings.Cut(rest, " ")
+	switch verb {
+	case "SET":
+		c.values[name] = value
+	case "PREPARE":
+		c.prepared[name] = strings.Fields(value)[0]
+	case "RESET":
+		clear(c.values)
+		clear(c.prepared)
+	case "EXECUTE":
+		kind, found := c.prepared[name]
+		if !found {
+			return refused("NOSTMT")
+		}
+		return c.data(id, kind, value, text)
+	case "FETCH", "STORE":
+		return c.data(id, verb, rest, text)
+	case "BEGIN":
+		return c.begin(rest == "FETCH")
+	case "COMMIT":
+		return c.commit(id)
+	case "ROLLBACK":
+		c.endTx()
+	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
+		return m.order(verb, parseNumber(rest))
+	default:
+		return refused("MALFORMED")
+	}
+	return reply{signature: "-"}
+}
+
+func (c *conn) endTx() { c.inTx, c.readOnly, c.failed, c.pending = false, false, false, nil }
+
+func (c *conn) begin(readOnly bool) reply {
+	c.member.group.mu.Lock()
+	defer c.member.group.mu.Unlock()
+	if !readOnly && !c.member.primary {
+		return refused("READONLY")
+	}
+	c.inTx, c.readOnly = true, readOnly
+	return reply{signature: "-"}
+}
+
+// lostLead reports whether a plain transaction's member no longer leads.
+func (c *conn) lostLead() bool { return c.inTx && !c.readOnly && !c.member.primary }
+
+// data runs a read or a write.
+func (c *conn) data(id, verb, args, text string) reply {
+	m := c.member
+	if m.refuse.Load() > 0 {
+		m.refuse.Add(-1)
+		return refused("BUSY")
+	}
+	m.work()
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.receive()
+	if c.lostLead() || (verb == "STORE" && !m.primary) {
+		c.failed = c.inTx
+		return refused("READONLY")
+	}
+	m.group.runs = append(m.group.runs, Run{ID: id, Member: m.ID, Text: text, Position: m.position()})
+	item, value, _ := strings.Cut(args, " ")
+	if verb == "FETCH" {
+		return reply{rows: []string{m.lookup(item)}, signature: "sig-" + m.ID + "-" + id}
+	}
+	w := write{id: id, item: item, data: value}
+	if c.inTx {
+		c.pending = append(c.pending, w)
+	} else {
+		m.keep([]write{w})
+	}
+	return reply{signature: "sig-" + m.ID + "-" + id}
+}
+
+func (c *conn) commit(id string) reply {
+	m := c.member
+	m.work()
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	defer c.endTx()
+	if c.failed || !c.inTx {
+		return refused("ABORTED")
+	}
+	if len(c.pending) > 0 {
+		if !m.primary {
+			return refused("READONLY")
+		}
+		m.keep(c.pending)
+	}
+	return reply{signature: "sig-" + m.ID + "-" + id}
+}
+
+// keep appends a commit to the primary's log.
+func (m *Member) keep(writes []write) {
+	m.log = append(m.log, entry{term: m.term, number: uint64(len(m.log) + 1), at: time.Now(), writes: writes})
+	for _, w := range writes {
+		m.group.committed[w.id]++
+	}
+}
+
+// order carries out a status request or an order.
+func (m *Member) order(verb string, term uint64) reply {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.receive()
+	switch {
+	case verb == "PAUSE" && term > m.term:
+		m.held = term
+	case verb == "RESUME":
+		m.held = 0
+	case verb == "STEPDOWN" && term > m.term:
+		m.primary = false
+		go m.announce()
+	}
+	role := "replica"
+	if m.primary {
+		role = "primary"
+	}
+	row := strings.Join([]string{
+		role, strconv.FormatUint(m.term, 10), m.position(), strconv.FormatUint(m.held, 10), "0",
+		strconv.Itoa(len(m.slots)), strconv.Itoa(len(m.conns)),
+	}, " ")
+	return reply{rows: []string{row}, signature: "-"}
+}
--- /dev/null
+++ b/standin/lineplatform/group.go
@@ -0,0 +1,220 @@
+package lineplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Options describe the members of a group.
+type Options struct {
+	Members        int
+	Slots          int
+	MaxConnections int
+	// Work is the slot time of a read, a write or a commit, and of a login.
+	Work time.Duration
+	// Lag is how far replicas are behind.
+	Lag time.Duration
+	// PromoteTime is how long a promotion takes.
+	PromoteTime time.Duration
+	Zones       []string
+}
+
+// entry is one commit in a log.
+type entry struct {
+	term, number uint64
+	at           time.Time
+	writes       []write
+}
+
+// write is one stored item of a commit.
+type write struct{ id, item, data string }
+
+// Run is one statement that a member ran.
+type Run struct {
+	ID, Member, Text string
+	// Position is the end of the log that it ran on.
+	Position string
+}
+
+// Group is one database group. Its lock guards all members' data.
+type Group struct {
+	platform *Platform
+	service  string
+	opts     Options
+
+	mu      sync.Mutex
+	term    uint64
+	members []*Member
+	// source is the member that led last: replicas receive its log, also after
+	// it stepped down.
+	source *Member
+	runs   []Run
+	// committed counts, for each request id, the commits that kept its write.
+	committed map[string]int
+	nextID    int
+}
+
+// AddGroup starts a group whose first member is the primary.
+func (p *Platform) AddGroup(service string, o Options) (*Group, error) {
+	g := &Group{platform: p, service: service, opts: o, term: 1, committed: map[string]int{}}
+	for range o.Members {
+		if _, err := g.AddMember(); err != nil {
+			g.close()
+			return nil, err
+		}
+	}
+	g.mu.Lock()
+	g.members[0].primary, g.source = true, g.members[0]
+	g.mu.Unlock()
+	p.mu.Lock()
+	p.groups[service] = g
+	p.mu.Unlock()
+	for _, m := range g.Members() {
+		m.announce()
+	}
+	return g, nil
+}
+
+// AddMember starts one more member, as a replica.
+func (g *Group) AddMember() (*Member, error) {
+	g.mu.Lock()
+	g.nextID++
+	n := g.nextID
+	g.mu.Unlock()
+	zone := "z"
+	if len(g.opts.Zones) > 0 {
+		zone = g.opts.Zones[(n-1)%len(g.opts.Zones)]
+	}
+	m := &Member{group: g, ID: fmt.Sprintf("%s-%d", g.service, n), zone: zone, term: 1, slots: make(chan struct{}, g.opts.Slots)}
+	if err := m.start(); err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	g.members = append(g.members, m)
+	g.mu.Unlock()
+	return m, nil
+}
+
+func (g *Group) close() {
+	for _, m := range g.Members() {
+		m.Crash()
+	}
+}
+
+// Members returns all members.
+func (g *Group) Members() []*Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]*Member(nil), g.members...)
+}
+
+// Primary returns the member that leads, or nil.
+func (g *Group) Primary() *Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.primary && !m.down {
+			return m
+		}
+	}
+	return nil
+}
+
+// Committed returns how often the write of a request was kept.
+func (g *Group) Committed(id string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.committed[id]
+}
+
+// Runs returns what the members ran.
+func (g *Group) Runs() []Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Run(nil), g.runs...)
+}
+
+// promote makes a member lead the next term with what it has received.
+func (g *Group) promote(id string) bool {
+	g.mu.Lock()
+	var chosen *Member
+	for _, m := range g.members {
+		if m.ID == id && !m.down {
+			chosen = m
+		}
+	}
+	if chosen == nil || chosen.primary {
+		g.mu.Unlock()
+		return chosen != nil
+	}
+	g.mu.Unlock()
+	time.AfterFunc(g.opts.PromoteTime, func() { g.takeLead(chosen) })
+	return true
+}
+
+func (g *Group) takeLead(chosen *Member) {
+	g.mu.Lock()
+	chosen.receive()
+	g.term++
+	g.source = chosen
+	for _, m := range g.members {
+		m.primary, m.held = m == chosen, 0
+		m.term = g.term
+		if m != chosen {
+			m.truncate(chosen)
+		}
+	}
+	g.mu.Unlock()
+	for _, m := range g.Members() {
+		m.announce()
+	}
+}
+
+// entryBody is a member's entry in the store.
+type entryBody struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Capacity int    `json:"capacity"`
+	State    string `json:"state"`
+	Role     string `json:"db_role"`
+}
+
+// announce writes the member's entry.
+func (m *Member) announce() {
+	m.group.mu.Lock()
+	body := entryBody{Service: m.group.service, Address: m.address, Zone: m.zone, Capacity: m.group.opts.Slots, State: "ready", Role: "replica"}
+	if m.leaving {
+		body.State = "draining"
+	}
+	if m.primary {
+		body.Role = "primary"
+	}
+	down := m.down
+	m.group.mu.Unlock()
+	if down {
+		return
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	m.group.platform.Store.Put("servers/"+m.ID, data)
+}
+
+// Lapse removes the member's entry, as silence does, and Announce brings it
+// back.
+func (m *Member) Lapse() { m.group.platform.Store.Delete("servers/" + m.ID) }
+
+// Announce writes the member's entry again.
+func (m *Member) Announce() { m.announce() }
+
+// Drain announces that the member leaves.
+func (m *Member) Drain() {
+	m.group.mu.Lock()
+	m.leaving = true
+	m.group.mu.Unlock()
+	m.announce()
+}
--- /dev/null
+++ b/standin/lineplatform/member.go
@@ -0,0 +1,187 @@
+package lineplatform
+
+import (
+	"net"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Member is one member of a group. The group's lock guards its fields but for
+// those that say otherwise.
+type Member struct {
+	group   *Group
+	ID      string
+	zone    string
+	address string
+	slots   chan struct{}
+
+	primary bool
+	leaving bool
+	down    bool
+	term    uint64
+	// held is the term of a pause in receiving; zero for none.
+	held     uint64
+	deaf     bool
+	log      []entry
+	conns    map[*conn]bool
+	listener net.Listener
+
+	// silent is set while the member answers nothing; loseAnswers is how many
+	// answers are still to be lost, and refuse how many statements get BUSY.
+	silent      atomic.Bool
+	loseAnswers atomic.Int64
+	refuse      atomic.Int64
+	logins      atomic.Int64
+	crowded     atomic.Int64
+}
+
+// start opens the listener, at the old address after a crash.
+func (m *Member) start() error {
+	address := m.address
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	m.group.mu.Lock()
+	m.listener, m.address, m.down = l, l.Addr().String(), false
+	m.conns = map[*conn]bool{}
+	m.group.mu.Unlock()
+	go m.accept(l)
+	return nil
+}
+
+func (m *Member) accept(l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go m.serve(nc)
+	}
+}
+
+// Address returns where the member listens.
+func (m *Member) Address() string { return m.address }
+
+// Crash ends the member: its listener and connections are gone.
+func (m *Member) Crash() {
+	m.group.mu.Lock()
+	m.down, m.primary = true, false
+	l := m.listener
+	var open []*conn
+	for c := range m.conns {
+		open = append(open, c)
+	}
+	m.group.mu.Unlock()
+	_ = l.Close()
+	for _, c := range open {
+		_ = c.net.Close()
+	}
+}
+
+// Restart starts a crashed member with its log, as a replica.
+func (m *Member) Restart() error {
+	if err := m.start(); err != nil {
+		return err
+	}
+	m.announce()
+	return nil
+}
+
+// Silence makes the member answer nothing, or answer again.
+func (m *Member) Silence(on bool) { m.silent.Store(on) }
+
+// LoseAnswers makes the member run the next n statements without answering.
+func (m *Member) LoseAnswers(n int) { m.loseAnswers.Store(int64(n)) }
+
+// RefuseNext makes the member answer BUSY to the next n statements.
+func (m *Member) RefuseNext(n int) { m.refuse.Store(int64(n)) }
+
+// Deafen stops the member from receiving, or lets it receive again.
+func (m *Member) Deafen(on bool) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.receive()
+	m.deaf = on
+}
+
+// Depose makes a replica of the primary without telling anyone, as a promotion
+// elsewhere does that this stand-in's callers have not heard of.
+func (m *Member) Depose() {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.primary = false
+}
+
+// Logins returns how many connections were accepted, and how many turned away.
+func (m *Member) Logins() (accepted, crowded int64) { return m.logins.Load(), m.crowded.Load() }
+
+// Position returns the end of the member's log.
+func (m *Member) Position() string {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.receive()
+	return m.position()
+}
+
+func (m *Member) position() string {
+	if len(m.log) == 0 {
+		return strconv.FormatUint(m.term, 10) + ".0"
+	}
+	last := m.log[len(m.log)-1]
+	return strconv.FormatUint(max(m.term, last.term), 10) + "." + strconv.FormatUint(last.number, 10)
+}
+
+// receive copies from the primary what is older than the lag. It is called
+// with the group's lock held.
+func (m *Member) receive() {
+	lead := m.group.source
+	if lead == nil || lead == m || lead.down || m.deaf || m.held != 0 || m.down {
+		return
+	}
+	m.truncate(lead)
+	limit := time.Now().Add(-m.group.opts.Lag)
+	for n := len(m.log); n < len(lead.log) && lead.log[n].at.Before(limit); n++ {
+		m.log = append(m.log, lead.log[n])
+	}
+	m.term = lead.term
+}
+
+// truncate drops the entries that are not on the leader's branch.
+func (m *Member) truncate(lead *Member) {
+	same := 0
+	for same < len(m.log) && same < len(lead.log) && m.log[same].term == lead.log[same].term {
+		same++
+	}
+	if same < len(m.log) && same < len(lead.log) || len(m.log) > len(lead.log) {
+		m.log = slices.Clone(m.log[:same])
+	}
+}
+
+// has reports whether the log holds a position.
+func (m *Member) has(term, number uint64) bool {
+	if number == 0 {
+		return m.term >= term
+	}
+	if uint64(len(m.log)) < number {
+		return false
+	}
+	return m.log[number-1].term == term || (m.log[number-1].term < term && m.term >= term)
+}
+
+// lookup returns the newest data of an item.
+func (m *Member) lookup(item string) string {
+	for i := len(m.log) - 1; i >= 0; i-- {
+		for _, w := range m.log[i].writes {
+			if w.item == item {
+				return w.data
+			}
+		}
+	}
+	return "none"
+}
--- /dev/null
+++ b/standin/lineplatform/platform.go
@@ -0,0 +1,130 @@
+// Package lineplatform is a stand-in for the users' platform: a key-value
+// store, the call that promotes a member, and database groups that speak the
+// line protocol, on loopback TCP. Faults are injected from outside; what the
+// members ran is recorded, so that a test can hold callers' answers against it.
+package lineplatform
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Platform is the stand-in. It is safe for concurrent use.
+type Platform struct {
+	Store  *Store
+	server *http.Server
+	listen net.Listener
+
+	mu      sync.Mutex
+	groups  map[string]*Group
+	fences  map[string]uint64
+	version uint64
+	refuse  int
+}
+
+// Start runs a platform without groups.
+func Start() (*Platform, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{Store: newStore(), listen: l, groups: map[string]*Group{}, fences: map[string]uint64{}}
+	mux := http.NewServeMux()
+	p.Store.handle(mux)
+	mux.HandleFunc("POST /promote", p.promote)
+	p.server = &http.Server{Handler: mux}
+	go func() { _ = p.server.Serve(l) }()
+	return p, nil
+}
+
+// Address returns where the store and the promotion call are served.
+func (p *Platform) Address() string { return p.listen.Addr().String() }
+
+// Close ends the platform and its groups.
+func (p *Platform) Close() {
+	p.mu.Lock()
+	groups := p.groups
+	p.groups = map[string]*Group{}
+	p.mu.Unlock()
+	for _, g := range groups {
+		g.close()
+	}
+	p.Store.close()
+	_ = p.server.Close()
+}
+
+// Route is one database of the configuration.
+type Route struct {
+	Database, Service, Consistency string
+	Timeout, Target, MaxStaleness  time.Duration
+	Priority                       int
+}
+
+// Configure writes the next version of the configuration and returns it.
+func (p *Platform) Configure(routes []Route, txIdle time.Duration) uint64 {
+	p.mu.Lock()
+	p.version += 2
+	body := map[string]any{"version": p.version, "limits": map[string]any{"tx_idle_ms": txIdle.Milliseconds()}}
+	var rs, ss []map[string]any
+	for _, r := range routes {
+		rs = append(rs, map[string]any{
+			"name": "route-" + r.Database, "host": r.Database, "type": r.Consistency, "service": r.Service,
+			"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": r.Target.Milliseconds(),
+			"priority": r.Priority, "max_staleness_ms": r.MaxStaleness.Milliseconds(),
+		})
+	}
+	for _, g := range p.groups {
+		ss = append(ss, map[string]any{"name": g.service, "max_conns": g.opts.MaxConnections, "sync_replicas": 0})
+	}
+	body["routes"], body["services"] = rs, ss
+	version := p.version
+	p.mu.Unlock()
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	p.Store.Put("op/config", data)
+	return version
+}
+
+// RefusePromotions makes the next n promotion calls fail with 503.
+func (p *Platform) RefusePromotions(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuse = n
+}
+
+// promote serves the promotion call.
+func (p *Platform) promote(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Service string `json:"service"`
+		ID      string `json:"id"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	token := parseNumber(r.Header.Get("X-Dotterelswitch-Fencing-Token"))
+	p.mu.Lock()
+	g, known := p.groups[body.Service]
+	refused := p.refuse > 0
+	if refused {
+		p.refuse--
+	}
+	fenced := token < p.fences[body.Service]
+	if known && !fenced && !refused {
+		p.fences[body.Service] = token
+	}
+	p.mu.Unlock()
+	switch {
+	case refused:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case !known:
+		w.WriteHeader(http.StatusNotFound)
+	case fenced || !g.promote(body.ID):
+		w.WriteHeader(http.StatusConflict)
+	}
+}
