--- /dev/null
+++ b/core/gates/plan.go
@@ -0,0 +1,112 @@
+// Package gates decides which hosts keep the connections to a member.
+//
+// Load pattern: a member takes 16 to 176 connections, and 7 to 74 hosts want
+// some. Split evenly, a host's share is less than one transaction needs, while
+// another's idles; opened on demand, they are turned away or cost a member 12
+// to 27 ms of a slot each. So a few hosts, the member's gates, share its
+// connections, and the other hosts send their statements to one of them. Where
+// there is enough for every host, every host is a gate.
+package gates
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+)
+
+const (
+	// perGate is the least share of connections that makes a host a gate: the
+	// transactions that arrive together at one of several gates on a busy day.
+	perGate = 7
+	// strayConnections is how many connections a host that is no gate may open
+	// while it reaches none.
+	strayConnections = 2
+	// maxWaiting bounds the statements that wait for one member, a host. It is
+	// a second of work of one slot; what waits longer is late anyway.
+	maxWaiting = 64
+)
+
+// Host is one living host.
+type Host struct {
+	Name string
+	Zone string
+	// Address is where other hosts reach it.
+	Address string
+}
+
+// Share is what one host has to do with one member.
+type Share struct {
+	Limits connpool.Limits
+	// Gates are where to send statements, the best first; none for a gate.
+	Gates []string
+}
+
+// Plan divides the connections of the members of one service.
+type Plan struct {
+	hosts   []Host
+	regions map[string]string
+	usable  int
+}
+
+// NewPlan returns a plan for members that take the given number of
+// connections. Regions maps zones to regions.
+func NewPlan(hosts []Host, regions map[string]string, connections int) Plan {
+	return Plan{hosts: hosts, regions: regions, usable: max(connections, 1)}
+}
+
+// For returns the share of the named host in a member.
+func (p Plan) For(member, zone, host string) Share {
+	count := min(max(p.usable/perGate, 1), len(p.hosts))
+	if count == 0 {
+		return Share{Limits: connpool.Limits{Max: p.usable, Fair: 1, MaxWaiting: maxWaiting}}
+	}
+	chosen := p.ranked(member, zone)[:count]
+	each := max(p.usable/count, 1)
+	if slices.ContainsFunc(chosen, func(h Host) bool { return h.Name == host }) {
+		return Share{Limits: connpool.Limits{Max: each, Fair: each, MaxWaiting: maxWaiting}}
+	}
+	return Share{
+		Limits: connpool.Limits{Max: min(strayConnections, each), MaxWaiting: maxWaiting},
+		Gates:  p.addresses(chosen, member, host),
+	}
+}
+
+// ranked orders the hosts that could be a member's gates: its zone first, then
+// its region, then by rendezvous hashing.
+func (p Plan) ranked(member, zone string) []Host {
+	out := slices.Clone(p.hosts)
+	slices.SortFunc(out, func(a, b Host) int {
+		if c := cmp.Compare(p.distance(a.Zone, zone), p.distance(b.Zone, zone)); c != 0 {
+			return c
+		}
+		return cmp.Compare(membership.Score(member, b.Name), membership.Score(member, a.Name))
+	})
+	return out
+}
+
+func (p Plan) distance(a, b string) int {
+	switch {
+	case a == b:
+		return 0
+	case p.regions[a] != "" && p.regions[a] == p.regions[b]:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// addresses orders a member's gates for one host, so that the hosts that are
+// no gates spread over them.
+func (p Plan) addresses(chosen []Host, member, host string) []string {
+	order := slices.Clone(chosen)
+	slices.SortFunc(order, func(a, b Host) int {
+		return cmp.Compare(membership.Score(member+"\x00"+host, b.Name), membership.Score(member+"\x00"+host, a.Name))
+	})
+	out := make([]string, 0, len(order))
+	for _, h := range order {
+		out = append(out, h.Address)
+	}
+	return out
+}
--- /dev/null
+++ b/core/gates/plan_test.go
@@ -0,0 +1,102 @@
+package gates_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+
+func fleet(zones ...string) []gates.Host {
+	var out []gates.Host
+	for i, z := range zones {
+		out = append(out, gates.Host{Name: fmt.Sprintf("h%d", i), Zone: z, Address: fmt.Sprintf("addr%d", i)})
+	}
+	return out
+}
+
+// TestFewConnectionsMakeFewGates replays the small archive: 15 connections for
+// 9 hosts leave less than two for each.
+func TestFewConnectionsMakeFewGates(t *testing.T) {
+	hosts := fleet("a1", "a1", "a1", "a1", "a2", "a2", "a2", "b1", "b1")
+	plan := gates.NewPlan(hosts, regions, 15)
+	isGate := 0
+	for _, h := range hosts {
+		s := plan.For("m", "a2", h.Name)
+		if len(s.Gates) == 0 {
+			isGate++
+			require.Equal(t, "a2", h.Zone, "gates are near the member")
+			require.Equal(t, 7, s.Limits.Max)
+			continue
+		}
+		require.Len(t, s.Gates, 2)
+		require.Equal(t, 2, s.Limits.Max)
+		require.Zero(t, s.Limits.Fair, "stray connections are closed at once")
+	}
+	require.Equal(t, 2, isGate)
+}
+
+func TestEnoughConnectionsMakeEveryHostAGate(t *testing.T) {
+	hosts := fleet("a1", "a2", "b1")
+	plan := gates.NewPlan(hosts, regions, 54)
+	for _, h := range hosts {
+		s := plan.For("m", "a1", h.Name)
+		require.Empty(t, s.Gates)
+		require.Equal(t, 18, s.Limits.Max)
+	}
+}
+
+func TestAHostAloneKeepsAll(t *testing.T) {
+	require.Empty(t, gates.NewPlan(nil, nil, 15).For("m", "a1", "h").Gates)
+	require.Equal(t, 15, gates.NewPlan(nil, nil, 15).For("m", "a1", "h").Limits.Max)
+}
+
+// TestSharesNeverExceedTheMember: whatever the fleet, the gates together open
+// no more than there is, and all hosts agree who they are.
+func TestSharesNeverExceedTheMember(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.SliceOfN(rapid.SampledFrom([]string{"a1", "a2", "b1"}), 1, 40).Draw(t, "zones")
+		hosts := fleet(zones...)
+		connections := rapid.IntRange(1, 200).Draw(t, "connections")
+		plan := gates.NewPlan(hosts, regions, connections)
+		sum, gateCount := 0, 0
+		named := map[string]bool{}
+		for _, h := range hosts {
+			s := plan.For("m", "a1", h.Name)
+			if len(s.Gates) == 0 {
+				sum += s.Limits.Max
+				gateCount++
+				continue
+			}
+			for _, address := range s.Gates {
+				named[address] = true
+			}
+		}
+		if sum > max(connections, gateCount) {
+			t.Fatalf("%d gates open %d of %d connections", gateCount, sum, connections)
+		}
+		if len(named) > 0 && len(named) != gateCount {
+			t.Fatalf("%d gates, but hosts send to %d", gateCount, len(named))
+		}
+	})
+}
+
+// TestFleetChangeMovesLittle: one host that leaves moves no gate but its own.
+func TestFleetChangeMovesLittle(t *testing.T) {
+	hosts := fleet("a1", "a1", "a1", "a1", "a1", "a1")
+	before := gates.NewPlan(hosts, regions, 15)
+	after := gates.NewPlan(hosts[1:], regions, 15)
+	for _, h := range hosts[1:] {
+		if len(before.For("m", "a1", h.Name).Gates) == 0 {
+			require.Empty(t, after.For("m", "a1", h.Name).Gates, "a gate stays one")
+		}
+	}
+}
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -99,7 +99,7 @@
 	endBy := arrived + route.Timeout - timeoutMargin
 	return replicaset.Work{
 		Statement: st, Values: s.state.Values(), Committed: s.state.Committed, Route: route,
-		ReadOnly: s.state.ReadOnly, Arrived: arrived,
+		ReadOnly: s.state.ReadOnly, Received: arrived,
 		AimBy: arrived + route.Target, StartBy: min(arrived+route.Target, endBy), EndBy: endBy,
 	}
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -15,10 +16,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
+	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/promoter"
 	"github.com/dotterelswitch/dotterelswitch/node/registry"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -68,6 +71,9 @@
 	wg       sync.WaitGroup
 	servers  []*http.Server
 	peers    *gossip.Transport
+	gates    *peer.GateClient
+	// owner names this host and its incarnation to gates.
+	owner    string
 	stopping atomic.Bool
 	wake     chan struct{}
 	failed   chan error
@@ -85,7 +91,9 @@
 		metrics: newRequestMetrics(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.registry = registry.New(a.Store, a.Documents, s.Host, s.PeerAddress, h.poke, h.log)
+	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
+	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
+	h.registry = registry.New(a.Store, a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, h.poke, h.log)
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
@@ -149,11 +157,14 @@
 }
 
 func (h *Host) serve(address string, handler http.Handler) error {
+	return h.serveWith(address, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout})
+}
+
+func (h *Host) serveWith(address string, s *http.Server) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	h.servers = append(h.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -207,7 +218,7 @@
 	if c == nil {
 		return
 	}
-	hosts := len(h.registry.Hosts())
+	hosts := h.registry.Fleet()
 	for name, spec := range c.Services {
 		h.ensureSet(ctx, name).Update(h.registry.Members(name), spec, hosts)
 	}
@@ -220,7 +231,8 @@
 	}
 	s := replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Places: h.settings.Places,
-		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers, Log: h.log,
+		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers,
+		Remote: h.gates, Owner: h.owner, Host: h.settings.Host, Log: h.log,
 	})
 	p := promoter.New(promoter.Config{
 		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion,
@@ -234,6 +246,10 @@
 	return s
 }
 
+// unusedSlack is how much longer than its caller may rest a transaction is
+// kept for another host, which ends it itself if it lives.
+const unusedSlack = 2 * time.Second
+
 // idleCheck is how often transactions that rest for too long are looked for.
 const idleCheck = 500 * time.Millisecond
 
@@ -250,6 +266,9 @@
 		}
 		if c := h.registry.Catalog(); c != nil && c.TxIdle > 0 && h.gateway != nil {
 			h.gateway.EndIdle(clock.Now() - c.TxIdle)
+			for _, s := range h.allSets() {
+				s.EndUnused(clock.Now() - c.TxIdle - unusedSlack)
+			}
 		}
 	}
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -4,10 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
+	"github.com/dotterelswitch/dotterelswitch/node/peer"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
 const (
@@ -27,7 +30,37 @@
 		return err
 	}
 	h.peers = gossip.NewTransport(conn, peerKey, h.answerPeer)
-	return nil
+	mux := http.NewServeMux()
+	mux.Handle(peer.NewGateServer(h))
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return h.serveWith(h.settings.PeerAddress, &http.Server{Handler: mux, Protocols: protocols})
+}
+
+// RunJob implements peer.GateHandler.
+func (h *Host) RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result {
+	s := h.Set(service)
+	if s == nil {
+		return replicaset.Result{Err: &replicaset.RefusedError{Reason: "the service is not known here"}}
+	}
+	return s.Execute(ctx, j)
+}
+
+// Detached implements peer.GateHandler.
+func (h *Host) Detached(owner string) {
+	for _, s := range h.allSets() {
+		s.EndOwned(owner)
+	}
+}
+
+func (h *Host) allSets() []*replicaset.Set {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	out := make([]*replicaset.Set, 0, len(h.sets))
+	for _, s := range h.sets {
+		out = append(out, s)
+	}
+	return out
 }
 
 // answerPeer tells another host the floors that it asks for.
@@ -48,7 +81,12 @@
 
 // askPeers asks some other hosts for the floor of a service. It does not wait.
 func (h *Host) askPeers(service string) {
-	peers := h.registry.Peers()
+	var peers []string
+	for _, other := range h.registry.Fleet() {
+		if other.Name != h.settings.Host {
+			peers = append(peers, other.Address)
+		}
+	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, address := range peers[:min(len(peers), askAtOnce)] {
 		go h.askPeer(address, service)
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -64,14 +64,9 @@
 func NewClient(dial func(ctx context.Context, network, addr string) (net.Conn, error), key string) *Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	bounded := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
-		return dial(ctx, network, addr)
-	}
 	return &Client{
 		http: &http.Client{Transport: &http.Transport{
-			Protocols: protocols, DialContext: bounded,
+			Protocols: protocols, DialContext: boundedDial(dial),
 			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		}},
 		key:   key,
@@ -79,6 +74,15 @@
 	}
 }
 
+// boundedDial returns a dial function that gives up after dialTimeout.
+func boundedDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}
+}
+
 func (c *Client) peer(address string) *peerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -189,9 +193,14 @@
 // callError tells a call that certainly was not sent from one that may have
 // been. Only a failed dial is certain.
 func callError(address string, err error) error {
+	return &CallError{Address: address, Sent: maySent(err), Err: err}
+}
+
+// maySent reports whether a call that failed may have reached the other host.
+// Only a failed dial is certain.
+func maySent(err error) bool {
 	var op *net.OpError
-	sent := !errors.As(err, &op) || op.Op != "dial"
-	return &CallError{Address: address, Sent: sent, Err: err}
+	return !errors.As(err, &op) || op.Op != "dial"
 }
 
 // Close drops idle connections.
--- /dev/null
+++ b/node/peer/gate_convert.go
@@ -0,0 +1,107 @@
+package peer
+
+import (
+	"errors"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+// The kinds of failures in a JobResponse.
+const (
+	failureNone uint32 = iota
+	failureRefused
+	failureLost
+	failureSilent
+)
+
+// left turns a time on this host's clock into what is left of it.
+func left(at, now time.Duration) int64 { return (at - now).Microseconds() }
+
+func jobToProto(service string, j replicaset.Job) *peerpb.JobRequest {
+	now := clock.Now()
+	w := j.Work
+	return &peerpb.JobRequest{
+		Kind: uint32(j.Kind), Service: service, Upstream: j.Member,
+		Statement: &peerpb.JobStatement{
+			Kind: uint32(w.Statement.Kind), Id: w.Statement.ID, Text: w.Statement.Text, Value: w.Statement.Value,
+			ShapeWrite: w.Statement.Shape.Write, Shape: w.Statement.Shape.Text,
+		},
+		Values: w.Values, Committed: positionToProto(w.Committed),
+		Consistency: uint32(w.Route.Consistency), MaxStalenessUs: w.Route.MaxStaleness.Microseconds(),
+		Priority: int32(w.Route.Priority), Floor: positionToProto(j.Floor), Plain: j.Plain, Wrote: j.Wrote,
+		Transaction: j.Tx, Owner: j.Owner,
+		AimUs: left(w.AimBy, now), StartUs: left(w.StartBy, now), EndUs: left(w.EndBy, now),
+	}
+}
+
+func jobFromProto(p *peerpb.JobRequest) replicaset.Job {
+	now := clock.Now()
+	at := func(us int64) time.Duration { return now + time.Duration(us)*time.Microsecond }
+	st := p.GetStatement()
+	return replicaset.Job{
+		Kind: replicaset.JobKind(p.GetKind()), Member: p.GetUpstream(),
+		Floor: positionFromProto(p.GetFloor()), Plain: p.GetPlain(), Wrote: p.GetWrote(),
+		Tx: p.GetTransaction(), Owner: p.GetOwner(),
+		Work: replicaset.Work{
+			Statement: statement.Statement{
+				Kind: statement.Kind(st.GetKind()), ID: st.GetId(), Text: st.GetText(), Value: st.GetValue(),
+				Shape: statement.Shape{Write: st.GetShapeWrite(), Text: st.GetShape()},
+			},
+			Values: p.GetValues(), Committed: positionFromProto(p.GetCommitted()),
+			Route: catalog.Route{
+				Service: p.GetService(), Consistency: catalog.Consistency(p.GetConsistency()),
+				MaxStaleness: time.Duration(p.GetMaxStalenessUs()) * time.Microsecond, Priority: int(p.GetPriority()),
+			},
+			Received: now, AimBy: at(p.GetAimUs()), StartBy: at(p.GetStartUs()), EndBy: at(p.GetEndUs()),
+		},
+	}
+}
+
+func resultToProto(r replicaset.Result) *peerpb.JobResponse {
+	out := &peerpb.JobResponse{
+		Rows: r.Answer.Rows, Signature: r.Answer.Signature, Code: uint32(r.Answer.Code), Detail: r.Answer.Detail,
+		State: uint32(r.Answer.State), Position: positionToProto(r.Answer.Position),
+		Handed: r.Handed, Proof: r.Proof, Transaction: r.Tx, WaitedUs: r.Waited.Microseconds(),
+	}
+	var refused *replicaset.RefusedError
+	var lost *replicaset.LostError
+	var connect *replicaset.ConnectError
+	switch {
+	case r.Err == nil:
+		return out
+	case errors.As(r.Err, &refused):
+		out.Failure, out.RetryAfterUs = failureRefused, refused.RetryAfter.Microseconds()
+	case errors.As(r.Err, &lost) && lost.Silent:
+		out.Failure = failureSilent
+	case errors.As(r.Err, &connect):
+		out.Failure = failureRefused
+	default:
+		out.Failure = failureLost
+	}
+	out.Reason = r.Err.Error()
+	return out
+}
+
+func resultFromProto(p *peerpb.JobResponse) replicaset.Result {
+	r := replicaset.Result{
+		Answer: statement.Answer{
+			Rows: p.GetRows(), Signature: p.GetSignature(), Code: statement.Code(p.GetCode()), Detail: p.GetDetail(),
+			State: statement.TxState(p.GetState()), Position: positionFromProto(p.GetPosition()),
+		},
+		Handed: p.GetHanded(), Proof: p.GetProof(), Tx: p.GetTransaction(),
+		Waited: time.Duration(p.GetWaitedUs()) * time.Microsecond,
+	}
+	switch p.GetFailure() {
+	case failureNone:
+	case failureRefused:
+		r.Err = &replicaset.RefusedError{Reason: p.GetReason(), RetryAfter: time.Duration(p.GetRetryAfterUs()) * time.Microsecond}
+	default:
+		r.Err = &replicaset.LostError{Silent: p.GetFailure() == failureSilent, Err: errors.New(p.GetReason())}
+	}
+	return r
+}
--- a/node/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/node/peer/peerpb/peerpbconnect/peer.connect.go
@@ -26,6 +26,8 @@
 const (
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "dotterelswitch.peer.v1.Peer"
+	// GateName is the fully-qualified name of the Gate service.
+	GateName = "dotterelswitch.peer.v1.Gate"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -46,6 +48,10 @@
 	PeerFetchConfigProcedure = "/dotterelswitch.peer.v1.Peer/FetchConfig"
 	// PeerOfferChangeProcedure is the fully-qualified name of the Peer's OfferChange RPC.
 	PeerOfferChangeProcedure = "/dotterelswitch.peer.v1.Peer/OfferChange"
+	// GateRunProcedure is the fully-qualified name of the Gate's Run RPC.
+	GateRunProcedure = "/dotterelswitch.peer.v1.Gate/Run"
+	// GateAttachProcedure is the fully-qualified name of the Gate's Attach RPC.
+	GateAttachProcedure = "/dotterelswitch.peer.v1.Gate/Attach"
 )
 
 // PeerClient is a client for the dotterelswitch.peer.v1.Peer service.
@@ -237,3 +243,107 @@
 func (UnimplementedPeerHandler) OfferChange(context.Context, *connect.Request[peerpb.OfferChangeRequest]) (*connect.Response[peerpb.OfferChangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Peer.OfferChange is not implemented"))
 }
+
+// GateClient is a client for the dotterelswitch.peer.v1.Gate service.
+type GateClient interface {
+	// Run carries out one step of a caller on a member. It may be carried out
+	// although the answer is lost; the sender treats a write as in doubt then.
+	Run(context.Context, *connect.Request[peerpb.JobRequest]) (*connect.Response[peerpb.JobResponse], error)
+	// Attach stays open while the sender lives. The transactions that it opened
+	// are rolled back when it ends.
+	Attach(context.Context, *connect.Request[peerpb.AttachRequest]) (*connect.ServerStreamForClient[peerpb.AttachResponse], error)
+}
+
+// NewGateClient constructs a client for the dotterelswitch.peer.v1.Gate service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewGateClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) GateClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	gateMethods := peerpb.File_peer_proto.Services().ByName("Gate").Methods()
+	return &gateClient{
+		run: connect.NewClient[peerpb.JobRequest, peerpb.JobResponse](
+			httpClient,
+			baseURL+GateRunProcedure,
+			connect.WithSchema(gateMethods.ByName("Run")),
+			connect.WithClientOptions(opts...),
+		),
+		attach: connect.NewClient[peerpb.AttachRequest, peerpb.AttachResponse](
+			httpClient,
+			baseURL+GateAttachProcedure,
+			connect.WithSchema(gateMethods.ByName("Attach")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// gateClient implements GateClient.
+type gateClient struct {
+	run    *connect.Client[peerpb.JobRequest, peerpb.JobResponse]
+	attach *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
+}
+
+// Run calls dotterelswitch.peer.v1.Gate.Run.
+func (c *gateClient) Run(ctx context.Context, req *connect.Request[peerpb.JobRequest]) (*connect.Response[peerpb.JobResponse], error) {
+	return c.run.CallUnary(ctx, req)
+}
+
+// Attach calls dotterelswitch.peer.v1.Gate.Attach.
+func (c *gateClient) Attach(ctx context.Context, req *connect.Request[peerpb.AttachRequest]) (*connect.ServerStreamForClient[peerpb.AttachResponse], error) {
+	return c.attach.CallServerStream(ctx, req)
+}
+
+// GateHandler is an implementation of the dotterelswitch.peer.v1.Gate service.
+type GateHandler interface {
+	// Run carries out one step of a caller on a member. It may be carried out
+	// although the answer is lost; the sender treats a write as in doubt then.
+	Run(context.Context, *connect.Request[peerpb.JobRequest]) (*connect.Response[peerpb.JobResponse], error)
+	// Attach stays open while the sender lives. The transactions that it opened
+	// are rolled back when it ends.
+	Attach(context.Context, *connect.Request[peerpb.AttachRequest], *connect.ServerStream[peerpb.AttachResponse]) error
+}
+
+// NewGateHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewGateHandler(svc GateHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	gateMethods := peerpb.File_peer_proto.Services().ByName("Gate").Methods()
+	gateRunHandler := connect.NewUnaryHandler(
+		GateRunProcedure,
+		svc.Run,
+		connect.WithSchema(gateMethods.ByName("Run")),
+		connect.WithHandlerOptions(opts...),
+	)
+	gateAttachHandler := connect.NewServerStreamHandler(
+		GateAttachProcedure,
+		svc.Attach,
+		connect.WithSchema(gateMethods.ByName("Attach")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/dotterelswitch.peer.v1.Gate/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case GateRunProcedure:
+			gateRunHandler.ServeHTTP(w, r)
+		case GateAttachProcedure:
+			gateAttachHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedGateHandler returns CodeUnimplemented from all methods.
+type UnimplementedGateHandler struct{}
+
+func (UnimplementedGateHandler) Run(context.Context, *connect.Request[peerpb.JobRequest]) (*connect.Response[peerpb.JobResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Run is not implemented"))
+}
+
+func (UnimplementedGateHandler) Attach(context.Context, *connect.Request[peerpb.AttachRequest], *connect.ServerStream[peerpb.AttachResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Attach is not implemented"))
+}
--- a/node/registry/own_keys.go
+++ b/node/registry/own_keys.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -25,21 +26,21 @@
 
 // ownKeys is what the hosts have written.
 type ownKeys struct {
-	// hosts maps a living host to its address for other hosts.
-	hosts    map[string]string
+	// hosts are the living hosts by name.
+	hosts    map[string]gates.Host
 	suspects map[string]bool
 	// locks maps a service to the host that leads its promotion.
 	locks map[string]string
 }
 
 func newOwnKeys() ownKeys {
-	return ownKeys{hosts: map[string]string{}, suspects: map[string]bool{}, locks: map[string]string{}}
+	return ownKeys{hosts: map[string]gates.Host{}, suspects: map[string]bool{}, locks: map[string]string{}}
 }
 
 // take applies one key.
 func (o ownKeys) take(i store.Item) {
 	if name, ok := strings.CutPrefix(i.Key, hostPrefix); ok {
-		setOrDelete(o.hosts, name, string(i.Value), i.Deleted)
+		setOrDelete(o.hosts, name, decodeHost(name, i.Value), i.Deleted)
 		return
 	}
 	if rest, ok := strings.CutPrefix(i.Key, suspectPrefix); ok {
@@ -51,6 +52,14 @@
 	}
 }
 
+// encodeHost writes what other hosts need to know of one.
+func encodeHost(h gates.Host) []byte { return []byte(h.Zone + " " + h.Address) }
+
+func decodeHost(name string, value []byte) gates.Host {
+	zone, address, _ := strings.Cut(string(value), " ")
+	return gates.Host{Name: name, Zone: zone, Address: address}
+}
+
 func setOrDelete[V any](m map[string]V, key string, value V, deleted bool) {
 	if deleted {
 		delete(m, key)
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -45,13 +45,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.host), Value: []byte(r.address), Lease: g.Lease}}})
+	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.host), Value: encodeHost(r.self), Lease: g.Lease}}})
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	r.lease = g.Lease
-	r.own.hosts[r.host] = r.address
+	r.own.hosts[r.host] = r.self
 	r.mu.Unlock()
 	return nil
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -56,9 +57,9 @@
 	store Store
 	docs  Documents
 	host  string
-	// address is where other hosts reach this one.
-	address string
-	log     zerolog.Logger
+	// self is what other hosts are told of this one.
+	self gates.Host
+	log  zerolog.Logger
 	// changed is called, without a lock, after each change.
 	changed func()
 
@@ -74,11 +75,10 @@
 	recheck   bool
 }
 
-// New returns a registry for the named host, which other hosts reach at an
-// address. Changed is called after changes.
-func New(s Store, docs Documents, host, address string, changed func(), log zerolog.Logger) *Registry {
+// New returns a registry for a host. Changed is called after changes.
+func New(s Store, docs Documents, self gates.Host, changed func(), log zerolog.Logger) *Registry {
 	return &Registry{
-		store: s, docs: docs, host: host, address: address, changed: changed, log: log,
+		store: s, docs: docs, host: self.Name, self: self, changed: changed, log: log,
 		directory: directory.New(), own: newOwnKeys(),
 	}
 }
@@ -314,15 +314,13 @@
 	return r.own.hostNames()
 }
 
-// Peers returns the addresses of the other hosts that are registered.
-func (r *Registry) Peers() []string {
+// Fleet returns the hosts that are registered.
+func (r *Registry) Fleet() []gates.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
-	for name, address := range r.own.hosts {
-		if name != r.host {
-			out = append(out, address)
-		}
+	out := make([]gates.Host, 0, len(r.own.hosts))
+	for _, h := range r.own.hosts {
+		out = append(out, h)
 	}
 	return out
 }
--- /dev/null
+++ b/node/replicaset/execute.go
@@ -0,0 +1,295 @@
+package replicaset
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+const (
+	// undoTimeout bounds the end of a transaction that is dropped.
+	undoTimeout = time.Second
+	// roomPause is the wait before a member that had no room for a statement of
+	// an open transaction is asked again.
+	roomPause = 15 * time.Millisecond
+)
+
+// Execute carries a job out on a connection of this host.
+func (s *Set) Execute(ctx context.Context, j Job) Result {
+	switch j.Kind {
+	case JobStatement, JobCommit, JobRollback:
+		return s.continueTx(ctx, j)
+	}
+	m, known := s.Member(j.Member)
+	if !known {
+		return refusedResult(&RefusedError{Reason: "the member is not known here"})
+	}
+	began := clock.Now()
+	c, err := m.acquire(ctx, j.Work.waiter())
+	waited := clock.Now() - began
+	if err != nil {
+		return Result{Err: err, Waited: waited}
+	}
+	res := s.executeOn(c, j)
+	res.Waited = waited
+	return res
+}
+
+// executeOn carries out a first step on a connection and returns it unless a
+// transaction was opened.
+func (s *Set) executeOn(c *Conn, j Job) Result {
+	if err := c.assign(j.Work.Values, j.Work.EndBy); err != nil {
+		c.member.release(c)
+		return refusedResult(err)
+	}
+	switch j.Kind {
+	case JobBegin:
+		return s.begin(c, j)
+	case JobGuardedRead:
+		return s.readGuarded(c, j.Work)
+	case JobRead:
+		return s.readAt(c, j)
+	default:
+		return s.write(c, j.Work)
+	}
+}
+
+// readAt runs a read on a log that holds the floor.
+func (s *Set) readAt(c *Conn, j Job) Result {
+	defer c.member.release(c)
+	floor, err := s.floorNow(j)
+	if err != nil {
+		return refusedResult(err)
+	}
+	x, err := c.run(j.Work.Statement, floor, j.Work.EndBy)
+	return Result{Answer: x.answer, Err: err, Handed: x.handed}
+}
+
+// floorNow returns the floor of a read at this moment. The sender's own serves
+// only as long as the job is fresh: it may have waited for a connection.
+func (s *Set) floorNow(j Job) (logpos.Position, error) {
+	now := clock.Now()
+	if floor, found := s.floor(j.Work, now); found {
+		return floor, nil
+	}
+	if !j.Floor.IsZero() && now-j.Work.Received < stalenessMargin {
+		return j.Floor, nil
+	}
+	return logpos.Position{}, &RefusedError{Reason: "the floor grew too old while the statement waited"}
+}
+
+// readGuarded runs a read inside a transaction of the system's own. A member
+// that has lost the lead refuses to open it, or to read in it, so the answer
+// shows every commit acknowledged before. A check made before a plain read
+// would prove nothing about the moment of the read.
+func (s *Set) readGuarded(c *Conn, w Work) Result {
+	a, err := c.Do(statement.Operation{Verb: statement.Start}, w.EndBy)
+	if err != nil || a.Code != statement.OK {
+		c.member.release(c)
+		return Result{Answer: a, Err: err}
+	}
+	x, err := c.run(w.Statement, logpos.Position{}, w.EndBy)
+	if err != nil {
+		c.member.release(c)
+		return Result{Err: err, Handed: x.handed}
+	}
+	res := s.proven(c, x)
+	go s.undo(c)
+	res.Answer.State = statement.Idle
+	return res
+}
+
+// write runs a single write.
+func (s *Set) write(c *Conn, w Work) Result {
+	defer c.member.release(c)
+	x, err := c.run(w.Statement, logpos.Position{}, w.EndBy)
+	if err != nil {
+		return Result{Err: err, Handed: x.handed}
+	}
+	return s.proven(c, x)
+}
+
+// proven turns an answer that only a primary gives into a result, and learns
+// from it.
+func (s *Set) proven(c *Conn, x exchange) Result {
+	res := Result{Answer: x.answer, Handed: x.handed, Proof: x.answer.Code == statement.OK}
+	if res.Proof {
+		s.proved(c.member, x.answer.Position, x.sent)
+	}
+	return res
+}
+
+// begin opens a transaction and keeps its connection.
+func (s *Set) begin(c *Conn, j Job) Result {
+	op := statement.Operation{Verb: statement.Start, ReadOnly: !j.Plain}
+	if !j.Plain {
+		floor, err := s.floorNow(j)
+		if err != nil {
+			c.member.release(c)
+			return refusedResult(err)
+		}
+		op.After = floor
+	}
+	sent := clock.Now()
+	a, err := c.Do(op, j.Work.EndBy)
+	if err != nil || a.Code != statement.OK {
+		c.member.release(c)
+		return Result{Answer: a, Err: err}
+	}
+	if j.Plain {
+		s.proved(c.member, a.Position, sent)
+	}
+	return Result{Answer: a, Proof: j.Plain, Tx: s.txs.add(c, j)}
+}
+
+// undo rolls back the transaction on a connection and returns it.
+func (s *Set) undo(c *Conn) {
+	if !c.broken && c.lastState != statement.Idle {
+		if _, err := c.Do(statement.Operation{Verb: statement.Undo}, clock.Now()+undoTimeout); err != nil {
+			s.log.Debug().Err(err).Msg("a rollback had no answer; the connection is closed")
+		}
+	}
+	c.member.release(c)
+}
+
+// continueTx carries out a later step of a transaction.
+func (s *Set) continueTx(ctx context.Context, j Job) Result {
+	tx, found := s.txs.get(j.Tx)
+	if !found {
+		return Result{Err: &RefusedError{Reason: "the transaction is gone"}}
+	}
+	tx.mu.Lock()
+	defer tx.mu.Unlock()
+	if tx.ended {
+		return Result{Err: &RefusedError{Reason: "the transaction has ended"}}
+	}
+	tx.used = clock.Now()
+	if j.Kind == JobRollback {
+		s.endTx(tx)
+		return Result{}
+	}
+	if j.Kind == JobStatement {
+		if err := tx.conn.assign(j.Work.Values, j.Work.EndBy); err != nil {
+			s.endTx(tx)
+			return refusedResult(err)
+		}
+	}
+	x, err := runWithRoom(ctx, tx.conn, j.Work)
+	if err != nil {
+		s.endTx(tx)
+		return Result{Err: err, Handed: x.handed}
+	}
+	res := Result{Answer: x.answer, Handed: x.handed}
+	if tx.plain && (j.Kind == JobStatement || j.Wrote) {
+		res = s.proven(tx.conn, x)
+	}
+	if j.Kind == JobCommit || x.answer.State != statement.Open {
+		s.endTx(tx)
+	}
+	tx.used = clock.Now()
+	return res
+}
+
+// endTx gives the connection of a transaction back. It is called with the
+// transaction's lock held.
+func (s *Set) endTx(tx *localTx) {
+	tx.ended = true
+	s.txs.remove(tx.id)
+	go s.undo(tx.conn)
+}
+
+// runWithRoom runs a statement, and again while the member has no room for it
+// and the transaction still stands.
+func runWithRoom(ctx context.Context, c *Conn, w Work) (exchange, error) {
+	for {
+		x, err := c.run(w.Statement, logpos.Position{}, w.EndBy)
+		if err != nil || x.answer.Code != statement.Busy || x.answer.State != statement.Open {
+			return x, err
+		}
+		if clock.Now() > w.StartBy || !pause(ctx, roomPause) {
+			return x, nil
+		}
+	}
+}
+
+// localTx is an open transaction on a connection of this host.
+type localTx struct {
+	id    uint64
+	owner string
+	plain bool
+
+	// mu orders the steps; it guards the fields below.
+	mu    sync.Mutex
+	conn  *Conn
+	used  time.Duration
+	ended bool
+}
+
+// txTable holds the open transactions. It is safe for concurrent use; its lock
+// is a leaf.
+type txTable struct {
+	mu   sync.Mutex
+	next uint64
+	open map[uint64]*localTx
+}
+
+func (t *txTable) add(c *Conn, j Job) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open == nil {
+		t.open = map[uint64]*localTx{}
+	}
+	t.next++
+	t.open[t.next] = &localTx{id: t.next, owner: j.Owner, plain: j.Plain, conn: c, used: clock.Now()}
+	return t.next
+}
+
+func (t *txTable) get(id uint64) (*localTx, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tx, found := t.open[id]
+	return tx, found
+}
+
+func (t *txTable) remove(id uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.open, id)
+}
+
+func (t *txTable) all() []*localTx {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*localTx, 0, len(t.open))
+	for _, tx := range t.open {
+		out = append(out, tx)
+	}
+	return out
+}
+
+// EndOwned rolls back the transactions that a host opened here.
+func (s *Set) EndOwned(owner string) {
+	s.endWhere(fmt.Sprintf("host %s is gone", owner), func(tx *localTx) bool { return tx.owner == owner })
+}
+
+// EndUnused rolls back the transactions that no step has come for since
+// before the given time: their host may be gone without a sign.
+func (s *Set) EndUnused(before time.Duration) {
+	s.endWhere("it was not used", func(tx *localTx) bool { return tx.used < before })
+}
+
+func (s *Set) endWhere(reason string, match func(*localTx) bool) {
+	for _, tx := range s.txs.all() {
+		tx.mu.Lock()
+		if !tx.ended && match(tx) {
+			s.log.Debug().Uint64("transaction", tx.id).Str("reason", reason).Msg("a transaction is rolled back")
+			s.endTx(tx)
+		}
+		tx.mu.Unlock()
+	}
+}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/balance"
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -48,17 +49,21 @@
 	answer   time.Duration
 	behindBy time.Duration
 	removed  bool
+	// gates are the hosts that keep this member's connections, unless this one
+	// does; elsewhere counts the statements that run there.
+	gates     []string
+	elsewhere int
 	// openTimer has the pool asked again when a pause ends, surplusTimer when
 	// an idle connection is to be closed; nil while none is set.
 	openTimer    *time.Timer
 	surplusTimer *time.Timer
 }
 
-func newMember(s *Set, e directory.Member, limits connpool.Limits) *Member {
+func newMember(s *Set, e directory.Member, share gates.Share) *Member {
 	return &Member{
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
-		pool: connpool.New(limits), conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+		pool: connpool.New(share.Limits), gates: share.Gates, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
 	}
 }
 
@@ -119,7 +124,8 @@
 	defer m.mu.Unlock()
 	return balance.Candidate{
 		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.roundTrip(m.entry.Zone),
-		Answer: m.answer, InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), Idle: m.pool.Idle() > 0,
+		Answer: m.answer, InUse: m.pool.InUse() + m.elsewhere, Waiting: m.pool.Waiting(),
+		Idle:  m.pool.Idle() > 0 || len(m.gates) > 0,
 		Slots: m.entry.Slots, Suspect: m.health.Failing(), Missing: m.entry.Missing, Behind: now < m.behindBy,
 	}
 }
@@ -355,11 +361,36 @@
 }
 
 // update takes a newer entry and limits.
-func (m *Member) update(e directory.Member, limits connpool.Limits) {
+func (m *Member) update(e directory.Member, share gates.Share) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.entry = e
-	m.pool.SetLimits(limits)
+	m.pool.SetLimits(share.Limits)
+	m.gates = share.Gates
+}
+
+// gateAddresses returns the hosts to send this host's statements to, the best
+// first; none when this host keeps connections of its own.
+func (m *Member) gateAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gates
+}
+
+// remoteStarted and remoteEnded count the statements that run elsewhere.
+func (m *Member) remoteStarted() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.elsewhere++
+}
+
+func (m *Member) remoteEnded(began, now time.Duration, ran bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.elsewhere--
+	if ran {
+		m.answer += time.Duration(answerSmoothing * float64(now-began-m.answer))
+	}
 }
 
 func (m *Member) snapshot() directory.Member {
@@ -375,5 +406,5 @@
 func (m *Member) hasIdle() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.pool.Idle() > 0
+	return m.pool.Idle() > 0 || len(m.gates) > 0
 }
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
-	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
@@ -15,8 +14,6 @@
 const (
 	// maxAttempts bounds the members that one statement is tried on.
 	maxAttempts = 6
-	// undoTimeout bounds the end of the system's own transactions.
-	undoTimeout = time.Second
 	// primaryPause is the wait before a primary that had no room, or a new one
 	// just after a change, is asked again.
 	primaryPause = 15 * time.Millisecond
@@ -27,8 +24,7 @@
 func (s *Set) Read(ctx context.Context, w Work) Outcome {
 	out := Outcome{}
 	tried := map[string]bool{}
-	cause := &RefusedError{Reason: "no member could be asked"}
-	var last error = cause
+	var last error = &RefusedError{Reason: "no member could be asked"}
 	for out.Attempts < maxAttempts && ctx.Err() == nil {
 		now := clock.Now()
 		if now >= w.EndBy {
@@ -41,16 +37,13 @@
 		}
 		out.Attempts++
 		out.Member, out.Primary = m.id, guarded
-		a, waited, err := s.readOn(ctx, m, w, guarded)
-		out.Waited = waited
-		if err == nil && !retryable(a.Code) {
-			out.Answer = a
+		res, gate := s.dispatch(ctx, m, s.readJob(w, guarded))
+		out.Waited, out.Gate = res.Waited, gate
+		if res.Err == nil && !retryable(res.Answer.Code) {
+			out.Answer = res.Answer
 			return out
 		}
-		last = err
-		if err == nil {
-			last = &RefusedError{Reason: fmt.Sprintf("member %s answered %s", m.id, a.Code)}
-		}
+		last = res.failure(m)
 		if !guarded {
 			tried[m.id] = true
 			continue
@@ -59,7 +52,30 @@
 			break
 		}
 	}
-	return s.refuse(out, w, last)
+	return refuse(out, w, last)
+}
+
+func (s *Set) readJob(w Work, guarded bool) Job {
+	if guarded {
+		return Job{Kind: JobGuardedRead, Work: w}
+	}
+	return s.withFloor(Job{Kind: JobRead, Work: w})
+}
+
+// withFloor adds what this host knows of the floor.
+func (s *Set) withFloor(j Job) Job {
+	if floor, found := s.floor(j.Work, clock.Now()); found {
+		j.Floor = floor
+	}
+	return j
+}
+
+// failure returns why a result is no success.
+func (r Result) failure(m *Member) error {
+	if r.Err != nil {
+		return r.Err
+	}
+	return &RefusedError{Reason: fmt.Sprintf("member %s answered %s", m.id, r.Answer.Code)}
 }
 
 // retryable reports whether a read with this code may be tried elsewhere.
@@ -73,7 +89,7 @@
 }
 
 // refuse turns the last error of a statement that had no effect into an answer.
-func (s *Set) refuse(out Outcome, w Work, err error) Outcome {
+func refuse(out Outcome, w Work, err error) Outcome {
 	out.Cause = err.Error()
 	var refused *RefusedError
 	var lost *LostError
@@ -168,74 +184,3 @@
 		}
 	}
 }
-
-// readOn runs a read on one member.
-func (s *Set) readOn(ctx context.Context, m *Member, w Work, guarded bool) (statement.Answer, time.Duration, error) {
-	began := clock.Now()
-	c, err := m.acquire(ctx, w.waiter())
-	waited := clock.Now() - began
-	if err != nil {
-		return statement.Answer{}, waited, err
-	}
-	if err := c.assign(w.Values, w.EndBy); err != nil {
-		m.release(c)
-		return statement.Answer{}, waited, err
-	}
-	if guarded {
-		a, err := s.readGuarded(c, w)
-		return a, waited, err
-	}
-	floor, found := s.floor(w, clock.Now())
-	if !found {
-		m.release(c)
-		return statement.Answer{}, waited, &RefusedError{Reason: "the floor grew too old while the read waited"}
-	}
-	x, err := c.run(w.Statement, floor, w.EndBy)
-	m.release(c)
-	if x.answer.Code == statement.Behind {
-		m.lacked(clock.Now())
-	}
-	return x.answer, waited, err
-}
-
-// readGuarded runs a read inside a transaction of the system's own. A member
-// that has lost the lead refuses to open it, or to read in it, so the answer
-// shows every commit acknowledged before. A check made before a plain read
-// would prove nothing about the moment of the read.
-func (s *Set) readGuarded(c *Conn, w Work) (statement.Answer, error) {
-	a, err := c.Do(statement.Operation{Verb: statement.Start}, w.EndBy)
-	if err != nil || a.Code != statement.OK {
-		s.noteDenied(c, a, err)
-		c.member.release(c)
-		return a, err
-	}
-	x, err := c.run(w.Statement, logpos.Position{}, w.EndBy)
-	if err != nil {
-		c.member.release(c)
-		return x.answer, err
-	}
-	if x.answer.Code == statement.OK {
-		s.proved(c.member, x.answer.Position, x.sent)
-	}
-	s.noteDenied(c, x.answer, err)
-	go s.undo(c)
-	x.answer.State = statement.Idle
-	return x.answer, nil
-}
-
-// noteDenied takes a refusal to act as primary.
-func (s *Set) noteDenied(c *Conn, a statement.Answer, err error) {
-	if err == nil && a.Code == statement.ReadOnlyMember {
-		s.denied(c.member)
-	}
-}
-
-// undo rolls back the transaction on a connection and returns it.
-func (s *Set) undo(c *Conn) {
-	if !c.broken && c.lastState != statement.Idle {
-		if _, err := c.Do(statement.Operation{Verb: statement.Undo}, clock.Now()+undoTimeout); err != nil {
-			s.log.Debug().Err(err).Msg("a rollback had no answer; the connection is closed")
-		}
-	}
-	c.member.release(c)
-}
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -9,9 +9,9 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/balance"
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
-	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/fresh"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -26,9 +26,6 @@
 	// its last new statement: a statement that waits for a connection and the
 	// way there must fit in.
 	leaveMargin = 2 * time.Second
-	// maxWaiting bounds the statements that wait for one member, a host. It is
-	// a second of work of one slot; what waits longer is late anyway.
-	maxWaiting = 64
 	// reservedConnections is how many of a member's connections the hosts leave
 	// for probes and promotions.
 	reservedConnections = 1
@@ -72,7 +69,14 @@
 	// AskPeers asks other hosts for a floor; it does not wait. Answers come
 	// through LearnFloor.
 	AskPeers func(service string)
-	Log      zerolog.Logger
+	// Remote runs jobs on other hosts; nil keeps all of them here.
+	Remote Remote
+	// Owner names this host and its incarnation in transactions that it opens
+	// on other hosts.
+	Owner string
+	// Host is this host's name among those that Update lists.
+	Host string
+	Log  zerolog.Logger
 }
 
 // Set is one database group. It is safe for concurrent use. Set.mu is taken
@@ -84,6 +88,11 @@
 	places  Places
 	drain   time.Duration
 	ask     func(service string)
+	remote  Remote
+	owner   string
+	host    string
+	avoid   avoided
+	txs     txTable
 	log     zerolog.Logger
 	// attention wakes the prober.
 	attention chan struct{}
@@ -106,7 +115,7 @@
 func New(cfg Config) *Set {
 	return &Set{
 		service: cfg.Service, dial: cfg.Dial, proto: cfg.Proto, places: cfg.Places, drain: cfg.DrainBound,
-		ask: cfg.AskPeers, learned: make(chan struct{}),
+		ask: cfg.AskPeers, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, learned: make(chan struct{}),
 		log:       cfg.Log.With().Str("service", cfg.Service).Logger(),
 		attention: make(chan struct{}, 1), members: map[string]*Member{}, changed: make(chan struct{}),
 	}
@@ -114,28 +123,21 @@
 
 func (s *Set) roundTrip(zone string) time.Duration { return s.places.RoundTrip(zone) }
 
-// limits divides a member's connections among the hosts. A host may open more
-// than its share, as others often need less; the member's own limit decides.
-func limits(spec catalog.Service, hosts int) connpool.Limits {
-	usable := max(spec.MaxConnections-reservedConnections, 1)
-	fair := max(usable/max(hosts, 1), 1)
-	return connpool.Limits{Max: max(usable/2, fair), Fair: fair, MaxWaiting: maxWaiting}
-}
-
 // Update takes the members and limits in force.
-func (s *Set) Update(members []directory.Member, spec catalog.Service, hosts int) {
+func (s *Set) Update(members []directory.Member, spec catalog.Service, hosts []gates.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.spec = spec
-	lim := limits(spec, hosts)
+	plan := gates.NewPlan(hosts, s.places.Regions, spec.MaxConnections-reservedConnections)
 	before := s.belief.Primary()
 	listed := map[string]bool{}
 	for _, e := range members {
 		listed[e.ID] = true
+		share := plan.For(e.ID, e.Zone, s.host)
 		if m, found := s.members[e.ID]; found {
-			m.update(e, lim)
+			m.update(e, share)
 		} else {
-			s.members[e.ID] = newMember(s, e, lim)
+			s.members[e.ID] = newMember(s, e, share)
 			eventlog.UpstreamKnown.Info(s.log).Str("upstream", e.ID).Str("address", e.Address).Bool("primary", e.Primary).Send()
 		}
 		if e.Primary {
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -21,8 +21,9 @@
 	Route     catalog.Route
 	// ReadOnly tells that the transaction to begin announced no writes.
 	ReadOnly bool
-	// Arrived is when the statement was read from the caller.
-	Arrived time.Duration
+	// Received is when this host got the statement, from the caller or from
+	// another host.
+	Received time.Duration
 	// AimBy, StartBy and EndBy are when it should have started to be on time,
 	// when starting it is of no more use, and when its time is over.
 	AimBy, StartBy, EndBy time.Duration
@@ -40,7 +41,9 @@
 	// Member is the last member that was tried.
 	Member string
 	// Primary tells that the member was taken for the primary.
-	Primary  bool
+	Primary bool
+	// Gate is the host that ran it; empty for this one.
+	Gate     string
 	Attempts int
 	// Waited is the time before the last attempt had a connection.
 	Waited time.Duration
--- a/node/replicaset/write.go
+++ b/node/replicaset/write.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 
-	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
@@ -22,42 +21,31 @@
 		}
 		out.Attempts++
 		out.Member = m.id
-		x, err := s.writeOn(ctx, m, w, &out)
+		res, gate := s.dispatch(ctx, m, Job{Kind: JobWrite, Work: w})
+		out.Waited, out.Gate = res.Waited, gate
 		switch {
-		case err != nil && x.handed:
-			out.Cause = err.Error()
+		case res.mayHaveRun():
+			out.Cause = res.Err.Error()
 			out.Answer = statement.Refuse(statement.InDoubt, "the member did not answer; the write may have been kept", statement.Idle)
 			return out
-		case err != nil:
-			last = err
-		case !retryable(x.answer.Code):
-			out.Answer = x.answer
+		case res.Err == nil && !retryable(res.Answer.Code):
+			out.Answer = res.Answer
 			return out
-		default:
-			last = &RefusedError{Reason: fmt.Sprintf("member %s answered %s", m.id, x.answer.Code)}
 		}
+		last = res.failure(m)
 		if clock.Now() > w.StartBy || !pause(ctx, primaryPause) {
 			break
 		}
 	}
-	return s.refuse(out, w, last)
+	return refuse(out, w, last)
 }
 
-func (s *Set) writeOn(ctx context.Context, m *Member, w Work, out *Outcome) (exchange, error) {
-	began := clock.Now()
-	c, err := m.acquire(ctx, w.waiter())
-	out.Waited = clock.Now() - began
-	if err != nil {
-		return exchange{}, err
+// mayHaveRun reports whether the caller's statement may have reached the
+// member although no answer came.
+func (r Result) mayHaveRun() bool {
+	if r.Err == nil {
+		return false
 	}
-	defer m.release(c)
-	if err := c.assign(w.Values, w.EndBy); err != nil {
-		return exchange{}, err
-	}
-	x, err := c.run(w.Statement, logpos.Position{}, w.EndBy)
-	if err == nil && x.answer.Code == statement.OK {
-		s.proved(m, x.answer.Position, x.sent)
-	}
-	s.noteDenied(c, x.answer, err)
-	return x, err
+	var gate *GateError
+	return r.Handed || (errors.As(r.Err, &gate) && gate.Sent)
 }
