--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -119,7 +119,7 @@
 		p.inUse++
 		return Decision{Verdict: Granted, Conn: p.takeIdle(w.Values)}
 	}
-	wait := p.ExpectedWait()
+	wait := p.expectedWait(w, now)
 	if len(p.waiting) >= p.limits.MaxWaiting || now+wait > w.StartBy {
 		return Decision{Verdict: Refused, RetryAfter: wait}
 	}
@@ -127,12 +127,20 @@
 	return Decision{Verdict: Queued}
 }
 
-// ExpectedWait estimates the wait of a statement that joins the queue now.
-func (p *Pool) ExpectedWait() time.Duration {
-	if len(p.idle) > 0 || p.Open() < p.limits.Max {
+// expectedWait estimates the wait of a statement that joins the queue now.
+// Only what is served before it counts: an urgent statement must not be
+// refused because of many that will let it pass.
+func (p *Pool) expectedWait(w Waiter, now time.Duration) time.Duration {
+	if p.Open() < p.limits.Max {
 		return 0
 	}
-	return p.hold * time.Duration(len(p.waiting)+1) / time.Duration(max(p.Open(), 1))
+	ahead := 0
+	for _, v := range p.waiting {
+		if !w.before(v, now) {
+			ahead++
+		}
+	}
+	return p.hold * time.Duration(ahead+1) / time.Duration(max(p.Open(), 1))
 }
 
 // takeIdle removes the idle connection that fits best: equal values, else the
--- a/core/connpool/pool_test.go
+++ b/core/connpool/pool_test.go
@@ -87,6 +87,21 @@
 	require.Equal(t, 90, refused)
 }
 
+// TestUrgentStatementIsNotRefusedBehindOthers replays a primary that has to
+// serve its lagging replicas' reads too: a short write of higher priority is
+// served next, so that the length of the queue says nothing about its wait.
+func TestUrgentStatementIsNotRefusedBehindOthers(t *testing.T) {
+	p := connpool.New(connpool.Limits{Max: 1, Fair: 1, MaxWaiting: 1000})
+	open(t, p, 1)
+	for i := range 100 {
+		p.Acquire(waiter(uint64(i), 2, 500*ms, 500*ms), 0)
+	}
+	require.Equal(t, connpool.Queued, p.Acquire(waiter(200, 1, 300*ms, 300*ms), 0).Verdict)
+	w, found := p.Released(1, "", 10*ms, 10*ms)
+	require.True(t, found)
+	require.Equal(t, uint64(200), w.ID)
+}
+
 func TestOrderOfService(t *testing.T) {
 	p := connpool.New(connpool.Limits{Max: 1, Fair: 1, MaxWaiting: 10})
 	open(t, p, 1)
