Queue for half of the target; wait for a new primary as long as there is time

Cause: under overload the queue before a member grew to the whole target, so that what was served was late, and a statement without a primary gave up after its target although its timeout allowed to wait for the promotion.

--- a/core/connpool/waiter.go
+++ b/core/connpool/waiter.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// QueueShare is the part of its latency target that a statement may wait for a
+// connection. Load pattern: a member is offered more than it can run, for
+// seconds. As many statements are served however long the queue is; a queue as
+// long as the target makes all of them late, one of half of it few.
+const QueueShare = 0.5
+
 // Waiter is a statement that needs a connection.
 type Waiter struct {
 	ID uint64
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -4,13 +4,19 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
-// timeoutMargin is what is left of a route's timeout for the way back.
-const timeoutMargin = 20 * time.Millisecond
+const (
+	// timeoutMargin is what is left of a route's timeout for the way back.
+	timeoutMargin = 20 * time.Millisecond
+	// primaryMargin is what is left of the timeout for running a statement that
+	// has waited for a new primary.
+	primaryMargin = 150 * time.Millisecond
+)
 
 // query runs one statement and answers it.
 func (s *caller) query(a arrival) {
@@ -97,10 +103,12 @@
 
 func (s *caller) newWork(st statement.Statement, route catalog.Route, arrived time.Duration) replicaset.Work {
 	endBy := arrived + route.Timeout - timeoutMargin
+	queueBy := arrived + time.Duration(connpool.QueueShare*float64(route.Target))
 	return replicaset.Work{
 		Statement: st, Values: s.state.Values(), Committed: s.state.Committed, Route: route,
 		ReadOnly: s.state.ReadOnly, Received: arrived,
-		AimBy: arrived + route.Target, StartBy: min(arrived+route.Target, endBy), EndBy: endBy,
+		AimBy: arrived + route.Target, StartBy: min(queueBy, endBy), EndBy: endBy,
+		PrimaryBy: endBy - primaryMargin,
 	}
 }
 
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -30,7 +30,7 @@
 		if now >= w.EndBy {
 			break
 		}
-		m, guarded, err := s.pickReader(ctx, w, tried)
+		m, guarded, err := s.pickReader(ctx, &w, tried)
 		if err != nil {
 			last = err
 			break
@@ -128,20 +128,20 @@
 // bounds the age of a read, so that the primary must prove its lead. While the
 // primary has no connection to spare, other hosts are asked for what they know:
 // after a restart of all hosts the primary is the scarcest of all.
-func (s *Set) pickReader(ctx context.Context, w Work, tried map[string]bool) (*Member, bool, error) {
-	if m, found := s.unguardedReader(w, tried); found {
+func (s *Set) pickReader(ctx context.Context, w *Work, tried map[string]bool) (*Member, bool, error) {
+	if m, found := s.unguardedReader(*w, tried); found {
 		return m, false, nil
 	}
 	bounded := w.Route.Consistency != catalog.Primary
 	if m, found := s.Primary(); found && (!bounded || m.hasIdle()) {
 		return m, true, nil
 	}
-	if bounded && len(tried) == 0 && s.awaitFloor(ctx, w) {
-		if m, found := s.unguardedReader(w, tried); found {
+	if bounded && len(tried) == 0 && s.awaitFloor(ctx, *w) {
+		if m, found := s.unguardedReader(*w, tried); found {
 			return m, false, nil
 		}
 	}
-	m, found := s.awaitPrimary(ctx, w.StartBy)
+	m, found := s.awaitPrimary(ctx, w)
 	if !found {
 		return nil, true, &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
 	}
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -232,16 +232,19 @@
 	return e.Leaving && now-e.LeavingSince > s.drain-leaveMargin
 }
 
-// awaitPrimary waits until a primary is known.
-func (s *Set) awaitPrimary(ctx context.Context, until time.Duration) (*Member, bool) {
+// awaitPrimary waits until a primary is known. A statement that waited for one
+// gets the time to queue that it would have had without.
+func (s *Set) awaitPrimary(ctx context.Context, w *Work) (*Member, bool) {
+	began := clock.Now()
 	for {
 		s.mu.Lock()
 		changed := s.changed
 		s.mu.Unlock()
 		if m, found := s.Primary(); found {
+			w.StartBy = min(w.StartBy+clock.Now()-began, max(w.PrimaryBy, w.StartBy))
 			return m, true
 		}
-		timer := time.NewTimer(until - clock.Now())
+		timer := time.NewTimer(w.PrimaryBy - clock.Now())
 		select {
 		case <-changed:
 			timer.Stop()
--- a/node/replicaset/tx.go
+++ b/node/replicaset/tx.go
@@ -28,7 +28,7 @@
 	tried := map[string]bool{}
 	var last error = &RefusedError{Reason: "no member could be asked"}
 	for out.Attempts < maxAttempts && ctx.Err() == nil && clock.Now() < w.EndBy {
-		m, plain, err := s.pickForTx(ctx, w, tried)
+		m, plain, err := s.pickForTx(ctx, &w, tried)
 		if err != nil {
 			last = err
 			break
@@ -57,11 +57,11 @@
 }
 
 // pickForTx returns the member for a transaction, and whether it must lead.
-func (s *Set) pickForTx(ctx context.Context, w Work, tried map[string]bool) (*Member, bool, error) {
+func (s *Set) pickForTx(ctx context.Context, w *Work, tried map[string]bool) (*Member, bool, error) {
 	if w.ReadOnly && w.Route.Consistency != catalog.Primary {
 		return s.pickReader(ctx, w, tried)
 	}
-	m, found := s.awaitPrimary(ctx, w.StartBy)
+	m, found := s.awaitPrimary(ctx, w)
 	if !found {
 		return nil, true, &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
 	}
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -25,8 +25,10 @@
 	// another host.
 	Received time.Duration
 	// AimBy, StartBy and EndBy are when it should have started to be on time,
-	// when starting it is of no more use, and when its time is over.
+	// when it is refused unless it has started, and when its time is over.
 	AimBy, StartBy, EndBy time.Duration
+	// PrimaryBy is how long it may wait for a primary to be found.
+	PrimaryBy time.Duration
 }
 
 func (w Work) waiter() connpool.Waiter {
--- a/node/replicaset/write.go
+++ b/node/replicaset/write.go
@@ -14,7 +14,7 @@
 	out := Outcome{Primary: true}
 	var last error = &RefusedError{Reason: "no primary could be asked"}
 	for out.Attempts < maxAttempts && ctx.Err() == nil && clock.Now() < w.EndBy {
-		m, found := s.awaitPrimary(ctx, w.StartBy)
+		m, found := s.awaitPrimary(ctx, &w)
 		if !found {
 			last = &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
 			break
