--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -131,7 +131,7 @@
 		Host: boot.Host, Places: replicaset.Places{Zone: boot.Zone, Regions: boot.Regions},
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress,
 		MaxSessions: max(boot.MaxDescriptors-reservedDescriptors, 100), Workers: s.workers,
-		Grace: boot.Grace, DrainBound: boot.DrainBound,
+		Grace: boot.Grace, DrainBound: boot.DrainBound, ConfigBound: boot.ConfigBound,
 		PeerAddress: net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPort)),
 	}
 	if s.metricsPort > 0 {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -55,6 +55,8 @@
 	// DrainBound is the latest time after a member's notice at which it may be
 	// sent new work.
 	DrainBound time.Duration
+	// ConfigBound is how soon a change of the configuration must be in force.
+	ConfigBound time.Duration
 }
 
 // Host is one running entry host.
@@ -93,7 +95,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
-	h.registry = registry.New(a.Store, a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, h.poke, h.log)
+	h.registry = registry.New(a.Store, a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, s.ConfigBound, h.poke, h.log)
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -41,10 +41,18 @@
 }
 
 const (
-	// watchWait bounds one watch. A store that drops its history may leave a watch
-	// waiting that will never hear of a change, and a change must be in force within
-	// 3 s; every call is paid for, so it is not shorter.
-	watchWait = 1500 * time.Millisecond
+	// watchShare is the part of the bound on a change of configuration for which
+	// one watch waits. A store that drops its history may leave a watch waiting
+	// that will never hear of a change; half of the bound leaves time to list
+	// everything. Every call is paid for, so it is not shorter.
+	watchShare = 0.5
+	// defaultWait is the wait where no bound is known.
+	defaultWait = 1500 * time.Millisecond
+	// watchSpacing is the least time between two watches. A fleet that starts
+	// makes an event a host, and each would cost every host a call.
+	watchSpacing = 100 * time.Millisecond
+	// listTimeout bounds a listing of the members.
+	listTimeout = 3 * time.Second
 	// tidyAfter is when a listing looks again for entries that were lost.
 	tidyAfter = directory.Grace + 50*time.Millisecond
 )
@@ -62,6 +70,8 @@
 	log  zerolog.Logger
 	// changed is called, without a lock, after each change.
 	changed func()
+	// wait is how long one watch waits.
+	wait time.Duration
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -75,10 +85,16 @@
 	recheck   bool
 }
 
-// New returns a registry for a host. Changed is called after changes.
-func New(s Store, docs Documents, self gates.Host, changed func(), log zerolog.Logger) *Registry {
+// New returns a registry for a host. ConfigBound is how soon a change of the
+// configuration must be in force; zero for no bound. Changed is called after
+// changes.
+func New(s Store, docs Documents, self gates.Host, configBound time.Duration, changed func(), log zerolog.Logger) *Registry {
+	wait := time.Duration(watchShare * float64(configBound))
+	if wait <= 0 {
+		wait = defaultWait
+	}
 	return &Registry{
-		store: s, docs: docs, host: self.Name, self: self, changed: changed, log: log,
+		store: s, docs: docs, host: self.Name, self: self, wait: wait, changed: changed, log: log,
 		directory: directory.New(), own: newOwnKeys(),
 	}
 }
@@ -116,11 +132,15 @@
 		r.replace(l)
 		return nil
 	}
-	l, err := r.store.Watch(ctx, "", after, watchWait)
+	began := clock.Now()
+	l, err := r.store.Watch(ctx, "", after, r.wait)
 	if err != nil {
 		return err
 	}
 	r.apply(l)
+	if took := clock.Now() - began; took < watchSpacing {
+		sleep(ctx, watchSpacing-took)
+	}
 	return nil
 }
 
@@ -258,7 +278,7 @@
 // relistMembers asks whether lost entries are back. Only the store's own word
 // makes a member gone; while the store is away it stays.
 func (r *Registry) relistMembers() {
-	ctx, cancel := context.WithTimeout(context.Background(), watchWait)
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	l, err := r.store.Range(ctx, r.docs.MemberPrefix())
 	now := clock.Now()
