Hold a statement while its member has no connection for this host

Cause: after a power loss of all hosts the member turns connections away for up to 3 s, and a gate without any refused at half of the target, using up the callers' tries.

--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -218,6 +218,14 @@
 	return w, true
 }
 
+// GiveUpAt returns when a waiter is to be refused unless it has started.
+func (p *Pool) GiveUpAt(w Waiter) time.Duration {
+	if len(p.idle)+p.inUse == 0 {
+		return max(w.StartBy, w.HoldBy)
+	}
+	return w.StartBy
+}
+
 // Leave removes a waiter. It reports whether the waiter was still queued.
 func (p *Pool) Leave(id uint64) bool {
 	for i, w := range p.waiting {
--- a/core/connpool/pool_test.go
+++ b/core/connpool/pool_test.go
@@ -102,6 +102,21 @@
 	require.Equal(t, uint64(200), w.ID)
 }
 
+// TestHeldWhileNothingCanRun replays the return of all hosts after a power
+// loss: until the member drops the dead hosts' connections none can be had.
+func TestHeldWhileNothingCanRun(t *testing.T) {
+	p := connpool.New(small)
+	w := connpool.Waiter{ID: 1, StartBy: 100 * ms, HoldBy: 700 * ms}
+	p.Acquire(w, 0)
+	require.True(t, p.ShouldOpen(0))
+	p.OpenFailed(true, 0)
+	require.Equal(t, 700*ms, p.GiveUpAt(w))
+	require.True(t, p.ShouldOpen(200*ms))
+	_, found := p.Opened(7, 200*ms)
+	require.True(t, found)
+	require.Equal(t, 100*ms, p.GiveUpAt(w), "with a connection the usual time holds")
+}
+
 func TestOrderOfService(t *testing.T) {
 	p := connpool.New(connpool.Limits{Max: 1, Fair: 1, MaxWaiting: 10})
 	open(t, p, 1)
--- a/core/connpool/waiter.go
+++ b/core/connpool/waiter.go
@@ -17,6 +17,10 @@
 	AimBy time.Duration
 	// StartBy is the latest start that is still of use.
 	StartBy time.Duration
+	// HoldBy replaces StartBy while the pool has no connection at all, because
+	// the member turns all away: those of hosts that lost power stay open there
+	// for seconds. A refusal would use up the caller's few tries meanwhile.
+	HoldBy time.Duration
 	// Values identifies the session values that the statement needs.
 	Values string
 }
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -108,7 +108,7 @@
 		Statement: st, Values: s.state.Values(), Committed: s.state.Committed, Route: route,
 		ReadOnly: s.state.ReadOnly, Received: arrived,
 		AimBy: arrived + route.Target, StartBy: min(queueBy, endBy), EndBy: endBy,
-		PrimaryBy: endBy - primaryMargin,
+		HoldBy: endBy - primaryMargin,
 	}
 }
 
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -35,7 +35,7 @@
 		Consistency: uint32(w.Route.Consistency), MaxStalenessUs: w.Route.MaxStaleness.Microseconds(),
 		Priority: int32(w.Route.Priority), Floor: positionToProto(j.Floor), Plain: j.Plain, Wrote: j.Wrote,
 		Transaction: j.Tx, Owner: j.Owner,
-		AimUs: left(w.AimBy, now), StartUs: left(w.StartBy, now), EndUs: left(w.EndBy, now),
+		AimUs: left(w.AimBy, now), StartUs: left(w.StartBy, now), EndUs: left(w.EndBy, now), HoldUs: left(w.HoldBy, now),
 	}
 }
 
@@ -57,7 +57,7 @@
 				Service: p.GetService(), Consistency: catalog.Consistency(p.GetConsistency()),
 				MaxStaleness: time.Duration(p.GetMaxStalenessUs()) * time.Microsecond, Priority: int(p.GetPriority()),
 			},
-			Received: now, AimBy: at(p.GetAimUs()), StartBy: at(p.GetStartUs()), EndBy: at(p.GetEndUs()),
+			Received: now, AimBy: at(p.GetAimUs()), StartBy: at(p.GetStartUs()), EndBy: at(p.GetEndUs()), HoldBy: at(p.GetHoldUs()),
 		},
 	}
 }
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -181,22 +181,43 @@
 func (m *Member) await(ctx context.Context, w connpool.Waiter, ch chan grant) (*Conn, error) {
 	timer := time.NewTimer(w.StartBy - clock.Now())
 	defer timer.Stop()
-	select {
-	case g := <-ch:
+	for {
+		select {
+		case g := <-ch:
+			return g.conn, g.err
+		case <-timer.C:
+			if left := m.timeLeft(w); left > 0 {
+				timer.Reset(min(left, holdPoll))
+				continue
+			}
+		case <-ctx.Done():
+		}
+		if m.leave(w) {
+			return nil, &RefusedError{Reason: "no connection to the member was free in time"}
+		}
+		// The grant came at the same moment.
+		g := <-ch
 		return g.conn, g.err
-	case <-timer.C:
-	case <-ctx.Done():
 	}
+}
+
+// holdPoll is how often a statement that is held looks whether it still may be.
+const holdPoll = 20 * time.Millisecond
+
+// timeLeft returns how much longer a waiter may wait.
+func (m *Member) timeLeft(w connpool.Waiter) time.Duration {
 	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pool.GiveUpAt(w) - clock.Now()
+}
+
+// leave takes a waiter back; it reports false when it was just granted.
+func (m *Member) leave(w connpool.Waiter) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	left := m.pool.Leave(w.ID)
 	delete(m.waiters, w.ID)
-	m.mu.Unlock()
-	if left {
-		return nil, &RefusedError{Reason: "no connection to the member was free in time"}
-	}
-	// The grant came at the same moment.
-	g := <-ch
-	return g.conn, g.err
+	return left
 }
 
 // openMore opens the connections that the pool asks for. It is called with mu
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -241,10 +241,10 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if m, found := s.Primary(); found {
-			w.StartBy = min(w.StartBy+clock.Now()-began, max(w.PrimaryBy, w.StartBy))
+			w.StartBy = min(w.StartBy+clock.Now()-began, max(w.HoldBy, w.StartBy))
 			return m, true
 		}
-		timer := time.NewTimer(w.PrimaryBy - clock.Now())
+		timer := time.NewTimer(w.HoldBy - clock.Now())
 		select {
 		case <-changed:
 			timer.Stop()
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -27,13 +27,15 @@
 	// AimBy, StartBy and EndBy are when it should have started to be on time,
 	// when it is refused unless it has started, and when its time is over.
 	AimBy, StartBy, EndBy time.Duration
-	// PrimaryBy is how long it may wait for a primary to be found.
-	PrimaryBy time.Duration
+	// HoldBy is how long it may wait while nothing can run it yet: no primary
+	// is known, or its member has no connection for this host at all.
+	HoldBy time.Duration
 }
 
 func (w Work) waiter() connpool.Waiter {
 	return connpool.Waiter{
-		Priority: w.Route.Priority, AimBy: w.AimBy, StartBy: w.StartBy, Values: session.ValuesKey(w.Values),
+		Priority: w.Route.Priority, AimBy: w.AimBy, StartBy: w.StartBy, HoldBy: w.HoldBy,
+		Values: session.ValuesKey(w.Values),
 	}
 }
 
