--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -67,6 +67,9 @@
 	return nil
 }
 
+// logTime tells the order of lines of several hosts to the millisecond.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 // memoryShare is the part of a host's memory that the garbage collector may
 // let the heap grow to; the rest is for buffers of the system.
 const memoryShare = 0.6
@@ -83,7 +86,10 @@
 	if err != nil {
 		return &exit.UsageError{Text: "--log-level: " + err.Error()}
 	}
-	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Logger()
+	zerolog.TimeFieldFormat = logTime
+	out := eventlog.NewWriter(os.Stdout)
+	defer out.Close()
+	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
 	boot, err := platform.ReadBoot(s.boot)
 	if err != nil {
 		return &exit.UsageError{Text: err.Error()}
--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/core/session"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
@@ -152,7 +153,9 @@
 		s.query(a)
 		return true
 	default:
-		eventlog.CallerViolation.Warn(s.gateway.cfg.Log).Str("remote", s.conn.RemoteAddr().String()).Send()
+		s.gateway.note(eventlog.CallerViolation, func(l *zerolog.Event) {
+			l.Str("remote", s.conn.RemoteAddr().String()).Str("reason", "the message is not known")
+		})
 		s.send(s.gateway.proto.EncodeFatal(statement.Invalid, "the message is not known"))
 		return false
 	}
@@ -170,7 +173,9 @@
 		return false
 	}
 	if _, found := c.Route(m.Database); !found {
-		eventlog.CallerRejected.Info(s.gateway.cfg.Log).Str("database", m.Database).Uint64("version", c.Version).Str("reason", "unknown database").Send()
+		s.gateway.note(eventlog.CallerRejected, func(l *zerolog.Event) {
+			l.Str("database", m.Database).Uint64("version", c.Version).Str("reason", "unknown database")
+		})
 		s.send(s.gateway.proto.EncodeFatal(statement.UnknownDatabase, "no route has this name"))
 		return false
 	}
--- a/node/edge/gateway.go
+++ b/node/edge/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/quietlog"
 )
@@ -24,6 +25,8 @@
 	// Workers bounds the statements that run at once.
 	Workers int
 	Log     zerolog.Logger
+	// Budget bounds the lines that callers cause.
+	Budget *eventlog.Budget
 }
 
 // Gateway accepts callers. It is safe for concurrent use.
@@ -83,7 +86,9 @@
 	}
 	g.mu.Unlock()
 	if full {
-		eventlog.CallerRejected.Warn(g.cfg.Log).Str("reason", "too many sessions").Int("limit", g.cfg.MaxSessions).Send()
+		g.note(eventlog.CallerRejected, func(l *zerolog.Event) {
+			l.Str("reason", "too many sessions").Int("limit", g.cfg.MaxSessions)
+		})
 		return g.proto.EncodeFatal(statement.TooManyConnections, "the host has too many sessions"), gnet.Close
 	}
 	return nil, gnet.None
@@ -110,13 +115,24 @@
 		return gnet.Close
 	}
 	if err := s.receive(data); err != nil {
-		eventlog.CallerViolation.Warn(g.cfg.Log).Err(err).Str("remote", c.RemoteAddr().String()).Send()
+		g.note(eventlog.CallerViolation, func(l *zerolog.Event) { l.Err(err).Str("remote", c.RemoteAddr().String()) })
 		_, _ = c.Write(g.proto.EncodeFatal(statement.TooLarge, err.Error()))
 		return gnet.Close
 	}
 	return gnet.None
 }
 
+// note writes a line that a caller caused, within the budget.
+func (g *Gateway) note(e eventlog.Event, fields func(*zerolog.Event)) {
+	leftOut, ok := g.cfg.Budget.Allow(e, clock.Now())
+	if !ok {
+		return
+	}
+	line := e.Warn(g.cfg.Log)
+	fields(line)
+	line.Int("left_out", leftOut).Send()
+}
+
 // Sessions returns the number of callers.
 func (g *Gateway) Sessions() int {
 	g.mu.Lock()
--- a/node/edge/protocol.go
+++ b/node/edge/protocol.go
@@ -39,6 +39,10 @@
 type Record struct {
 	Database, User string
 	Statement      statement.Statement
-	Outcome        replicaset.Outcome
-	Took           time.Duration
+	// Route and Version are of the configuration that the statement ran under;
+	// zero for one that needed no member.
+	Route   catalog.Route
+	Version uint64
+	Outcome replicaset.Outcome
+	Took    time.Duration
 }
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -21,6 +21,7 @@
 // query runs one statement and answers it.
 func (s *caller) query(a arrival) {
 	st, known := s.state.Resolve(a.message.Statement)
+	record := Record{Database: s.state.Database, User: s.user, Statement: st}
 	out := replicaset.Outcome{}
 	switch answer, local := s.state.Local(st); {
 	case s.lostBecause != "" && s.state.State == statement.Failed:
@@ -33,12 +34,14 @@
 	case !known:
 		out.Answer = s.failStatement(statement.Refuse(statement.Invalid, "no statement is prepared under this name", statement.Idle))
 	default:
-		out = s.runRemote(st, a.at)
+		out = s.runRemote(st, a.at, &record)
+	}
+	if out.Answer.Code != statement.OK && out.Cause == "" {
+		out.Cause = out.Answer.Detail
 	}
 	s.send(s.gateway.proto.EncodeAnswer(out.Answer))
-	s.gateway.observer.Finished(Record{
-		Database: s.state.Database, User: s.user, Statement: st, Outcome: out, Took: clock.Now() - a.at,
-	})
+	record.Outcome, record.Took = out, clock.Now()-a.at
+	s.gateway.observer.Finished(record)
 }
 
 // reportLost answers the first statement after a resting transaction was
@@ -72,9 +75,10 @@
 }
 
 // runRemote runs a statement on a member.
-func (s *caller) runRemote(st statement.Statement, arrived time.Duration) replicaset.Outcome {
+func (s *caller) runRemote(st statement.Statement, arrived time.Duration, record *Record) replicaset.Outcome {
 	c := s.gateway.backend.Catalog()
 	route, found := c.Route(s.state.Database)
+	record.Route, record.Version = route, c.Version
 	if !found {
 		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.UnknownDatabase, "the route was removed", statement.Idle))}
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -67,7 +67,8 @@
 	dial     replicaset.DialFunc
 	registry *registry.Registry
 	gateway  *edge.Gateway
-	metrics  *requestMetrics
+	metrics  *hostMetrics
+	budget   *eventlog.Budget
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -90,7 +91,7 @@
 	h := &Host{
 		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
 		wake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{},
-		metrics: newRequestMetrics(),
+		metrics: newHostMetrics(), budget: eventlog.NewBudget(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
@@ -108,6 +109,7 @@
 	h.wg.Go(func() { h.registry.KeepPresence(h.ctx) })
 	h.wg.Go(func() { h.reconcile(h.ctx) })
 	h.wg.Go(func() { h.endIdleTransactions(h.ctx) })
+	h.wg.Go(func() { h.reportGauges(h.ctx) })
 	return h, h.startGateway()
 }
 
@@ -121,7 +123,7 @@
 
 func (h *Host) startGateway() error {
 	g, err := edge.New(edge.Config{
-		Address: h.settings.CallerAddress, MaxSessions: h.settings.MaxSessions, Workers: h.settings.Workers, Log: h.log,
+		Address: h.settings.CallerAddress, MaxSessions: h.settings.MaxSessions, Workers: h.settings.Workers, Log: h.log, Budget: h.budget,
 	}, h.adapter.Callers, h, h)
 	if err != nil {
 		return err
@@ -275,17 +277,5 @@
 	}
 }
 
-// Finished implements edge.Observer.
-func (h *Host) Finished(r edge.Record) {
-	h.metrics.observe(r)
-	if r.Outcome.Answer.Code == 0 {
-		return
-	}
-	eventlog.StatementFailed.Info(h.log).Str("request", r.Statement.ID).Str("database", r.Database).
-		Stringer("kind", r.Statement.Kind).Stringer("code", r.Outcome.Answer.Code).Str("detail", r.Outcome.Answer.Detail).
-		Str("upstream", r.Outcome.Member).Bool("primary", r.Outcome.Primary).Int("attempts", r.Outcome.Attempts).
-		Dur("waited_ms", r.Outcome.Waited).Dur("took_ms", r.Took).Str("cause", r.Outcome.Cause).Send()
-}
-
 // Failed reports the error that ended a listener by itself.
 func (h *Host) Failed() <-chan error { return h.failed }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -1,23 +1,77 @@
 package entry
 
 import (
+	"context"
 	"net/http"
+	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
 )
 
-// maxTenants bounds the databases that have labels of their own.
-const maxTenants = 50
+const (
+	// maxTenants bounds the databases that have labels of their own.
+	maxTenants = 50
+	// gaugeInterval is how often gauges are brought up to date.
+	gaugeInterval = 2 * time.Second
+)
+
+// hostMetrics turns what a host does into metrics.
+type hostMetrics struct{ metrics *metrics.Metrics }
 
-// requestMetrics turns finished statements into metrics.
-type requestMetrics struct{ metrics *metrics.Metrics }
+func newHostMetrics() *hostMetrics { return &hostMetrics{metrics: metrics.New(maxTenants)} }
 
-func newRequestMetrics() *requestMetrics { return &requestMetrics{metrics: metrics.New(maxTenants)} }
+func (m *hostMetrics) handler() http.Handler { return m.metrics.Handler() }
+
+// observe counts a finished statement, by database and kind.
+func (m *hostMetrics) observe(r edge.Record) {
+	o := r.Outcome
+	m.metrics.Request(r.Database, r.Statement.Kind.String(), o.Answer.Code.String(), o.Waited, r.Took-o.Waited, r.Took)
+	if r.Statement.Reads() && o.Member != "" {
+		m.metrics.Count("reads", "member", readMember(o.Primary))
+	}
+	if o.Attempts > 1 {
+		m.metrics.Count("retries", "kind", r.Statement.Kind.String())
+	}
+}
 
-func (m *requestMetrics) handler() http.Handler { return m.metrics.Handler() }
+func readMember(primary bool) string {
+	if primary {
+		return "primary"
+	}
+	return "any"
+}
+
+// reportGauges keeps the host's gauges up to date.
+func (h *Host) reportGauges(ctx context.Context) {
+	tick := time.NewTicker(gaugeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			h.gauges(clock.Now())
+		}
+	}
+}
 
-func (m *requestMetrics) observe(r edge.Record) {
-	m.metrics.Request(r.Database, r.Statement.Kind.String(), r.Outcome.Answer.Code.String(),
-		r.Outcome.Waited, r.Took-r.Outcome.Waited, r.Took)
+func (h *Host) gauges(now time.Duration) {
+	m := h.metrics.metrics
+	if h.gateway != nil {
+		m.Gauge("sessions", float64(h.gateway.Sessions()))
+	}
+	if c := h.registry.Catalog(); c != nil {
+		m.Gauge("config_version", float64(c.Version))
+	}
+	m.Gauge("hosts", float64(len(h.registry.Hosts())))
+	m.Gauge("log_lines_left_out", float64(h.budget.LeftOut()))
+	for _, s := range h.allSets() {
+		st := s.Stats(now)
+		m.ServiceGauge("connections", s.Service(), float64(st.Connections))
+		m.ServiceGauge("statements_waiting", s.Service(), float64(st.Waiting))
+		m.ServiceGauge("term", s.Service(), float64(st.Term))
+		m.ServiceGauge("floor_age_seconds", s.Service(), st.FloorAge.Seconds())
+	}
 }
--- /dev/null
+++ b/node/entry/observe.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/edge"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+// Finished implements edge.Observer: it counts a statement and logs why it
+// ended as it did. Statements that needed no member are only counted.
+func (h *Host) Finished(r edge.Record) {
+	h.metrics.observe(r)
+	event := eventlog.StatementServed
+	if r.Outcome.Answer.Code != statement.OK {
+		event = eventlog.StatementFailed
+	} else if r.Outcome.Member == "" {
+		return
+	}
+	leftOut, ok := h.budget.Allow(event, clock.Now())
+	if !ok {
+		return
+	}
+	o := r.Outcome
+	event.Info(h.log).Str("request", r.Statement.ID).Str("database", r.Database).Str("tenant", r.User).
+		Stringer("kind", r.Statement.Kind).Stringer("consistency", r.Route.Consistency).Uint64("version", r.Version).
+		Stringer("code", o.Answer.Code).Str("detail", o.Answer.Detail).
+		Str("upstream", o.Member).Str("gate", o.Gate).Bool("primary", o.Primary).Int("attempts", o.Attempts).
+		Stringer("floor", o.Floor).Stringer("position", o.Answer.Position).
+		Dur("waited_ms", o.Waited).Dur("took_ms", r.Took).Str("cause", o.Cause).Int("left_out", leftOut).Send()
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -43,7 +44,16 @@
 	if s == nil {
 		return replicaset.Result{Err: &replicaset.RefusedError{Reason: "the service is not known here"}}
 	}
-	return s.Execute(ctx, j)
+	res := s.Execute(ctx, j)
+	if res.Err == nil {
+		return res
+	}
+	if leftOut, ok := h.budget.Allow(eventlog.GateJobFailed, clock.Now()); ok {
+		eventlog.GateJobFailed.Info(h.log).Str("request", j.Work.Statement.ID).Str("service", service).
+			Str("upstream", j.Member).Str("owner", j.Owner).Bool("handed", res.Handed).
+			Dur("waited_ms", res.Waited).Err(res.Err).Int("left_out", leftOut).Send()
+	}
+	return res
 }
 
 // Detached implements peer.GateHandler.
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -30,6 +30,8 @@
 	UpstreamGone      = Event{307, "upstream_gone"}
 	UpstreamSuspected = Event{308, "upstream_suspected"}
 	StatementFailed   = Event{309, "statement_failed"}
+	StatementServed   = Event{310, "statement_served"}
+	GateJobFailed     = Event{311, "gate_job_failed"}
 	TermClaimed       = Event{401, "term_claimed"}
 	Promoted          = Event{402, "primary_promoted"}
 	PrimaryChanged    = Event{403, "primary_changed"}
@@ -54,7 +56,7 @@
 		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed,
 		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -100,3 +100,13 @@
 
 // Gauge sets a host-wide value.
 func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+// Count adds one to a counter with a label. Labels must be few and fixed.
+func (m *Metrics) Count(name, label, value string) {
+	m.scope.Tagged(map[string]string{label: value}).Counter(name).Inc(1)
+}
+
+// ServiceGauge sets a value of one service.
+func (m *Metrics) ServiceGauge(name, service string, value float64) {
+	m.scope.Tagged(map[string]string{"service": service}).Gauge(name).Update(value)
+}
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -17,6 +17,10 @@
 	// primaryPause is the wait before a primary that had no room, or a new one
 	// just after a change, is asked again.
 	primaryPause = 15 * time.Millisecond
+	// guardedHold bounds the wait for a primary that has no connection for this
+	// host, for a read that a replica could serve: other hosts are asked for a
+	// floor again after it.
+	guardedHold = 150 * time.Millisecond
 )
 
 // Read runs a single read. It may go to several members in turn, because a
@@ -37,7 +41,9 @@
 		}
 		out.Attempts++
 		out.Member, out.Primary = m.id, guarded
-		res, gate := s.dispatch(ctx, m, s.readJob(w, guarded))
+		j := s.readJob(w, guarded)
+		out.Floor = j.Floor
+		res, gate := s.dispatch(ctx, m, j)
 		out.Waited, out.Gate = res.Waited, gate
 		if res.Err == nil && !retryable(res.Answer.Code) {
 			out.Answer = res.Answer
@@ -48,15 +54,25 @@
 			tried[m.id] = true
 			continue
 		}
-		if now > w.StartBy || !pause(ctx, primaryPause) {
+		if now > s.giveUpAt(m, w) || !pause(ctx, primaryPause) {
 			break
 		}
 	}
 	return refuse(out, w, last)
 }
 
+// giveUpAt returns when a read that goes to the primary is not tried again.
+func (s *Set) giveUpAt(m *Member, w Work) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pool.GiveUpAt(w.waiter())
+}
+
 func (s *Set) readJob(w Work, guarded bool) Job {
 	if guarded {
+		if w.Route.Consistency != catalog.Primary {
+			w.HoldBy = min(w.HoldBy, clock.Now()+guardedHold)
+		}
 		return Job{Kind: JobGuardedRead, Work: w}
 	}
 	return s.withFloor(Job{Kind: JobRead, Work: w})
--- a/node/replicaset/tx.go
+++ b/node/replicaset/tx.go
@@ -38,6 +38,7 @@
 		j := Job{Kind: JobBegin, Work: w, Plain: plain}
 		if !plain {
 			j = s.withFloor(j)
+			out.Floor = j.Floor
 		}
 		res, gate := s.dispatch(ctx, m, j)
 		out.Waited, out.Gate = res.Waited, gate
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -51,6 +51,9 @@
 	Attempts int
 	// Waited is the time before the last attempt had a connection.
 	Waited time.Duration
+	// Floor is the position that a read had to find; zero when the primary had
+	// to prove its lead instead, or for a write.
+	Floor logpos.Position
 	// Cause explains a failure.
 	Cause string
 }
