Tell a host that is cut off from the store what others know of it

A host whose store calls fail for half a second now asks other hosts, which answer with the keys changed above its revision. Only the store's own word makes a member gone.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -107,6 +107,7 @@
 	}
 	h.wg.Go(func() { h.registry.Run(h.ctx) })
 	h.wg.Go(func() { h.registry.KeepPresence(h.ctx) })
+	h.wg.Go(func() { h.registry.FollowPeers(h.ctx, h.gates.Listing) })
 	h.wg.Go(func() { h.reconcile(h.ctx) })
 	h.wg.Go(func() { h.endIdleTransactions(h.ctx) })
 	h.wg.Go(func() { h.reportGauges(h.ctx) })
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,6 +79,56 @@
 }
 
 func (d *deployment) addHost() *entry.Host {
+	d.t.Helper()
+	return d.addHostWithStore(d.platform.Address())
+}
+
+// storeGate passes one host's connections to the store until it is closed.
+type storeGate struct {
+	target   string
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func (g *storeGate) listen(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	g.listener = l
+	t.Cleanup(g.close)
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", g.target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			g.mu.Lock()
+			g.conns = append(g.conns, in, out)
+			g.mu.Unlock()
+			go func() { _, _ = io.Copy(out, in) }()
+			go func() { _, _ = io.Copy(in, out) }()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (g *storeGate) close() {
+	_ = g.listener.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.conns {
+		_ = c.Close()
+	}
+}
+
+// addHostWithStore starts a host that reaches the store at an address.
+func (d *deployment) addHostWithStore(store string) *entry.Host {
 	d.t.Helper()
 	name := fmt.Sprintf("host-%d", len(d.hosts)+1)
 	s := entry.Settings{
@@ -88,7 +139,7 @@
 	client := entry.HTTPClient()
 	a := entry.Adapter{
 		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
-		Store:     platform.NewStoreClient(d.platform.Address(), client, time.Second),
+		Store:     platform.NewStoreClient(store, client, time.Second),
 		Promotion: platform.NewPromotionClient(d.platform.Address(), name, client, time.Second),
 		ReadyPath: platform.ReadyPath,
 	}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
@@ -56,6 +57,9 @@
 	return res
 }
 
+// Listing implements peer.GateHandler.
+func (h *Host) Listing(above uint64) store.Listing { return h.registry.Listing(above) }
+
 // Detached implements peer.GateHandler.
 func (h *Host) Detached(owner string) {
 	for _, s := range h.allSets() {
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -43,6 +43,7 @@
 	HistoryLost       = Event{606, "platform_history_lost"}
 	EntryUnreadable   = Event{607, "upstream_entry_unreadable"}
 	LeaseLost         = Event{608, "platform_lease_lost"}
+	RelayedBy         = Event{609, "platform_news_relayed"}
 	EventPrepared     = Event{605, "event_prepared"}
 	ConfigInForce     = Event{601, "configuration_in_force"}
 	ConfigRejected    = Event{602, "configuration_rejected"}
@@ -60,7 +61,7 @@
 		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost,
+		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy,
 	}
 }
 
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb/peerpbconnect"
@@ -111,5 +112,18 @@
 	}()
 }
 
+// Listing asks another host what it knows of the store above a revision.
+func (c *GateClient) Listing(ctx context.Context, address string, above uint64) (store.Listing, error) {
+	resp, err := c.gate(address).client.Listing(ctx, connect.NewRequest(&peerpb.ListingRequest{Above: above}))
+	if err != nil {
+		return store.Listing{}, callError(address, err)
+	}
+	l := store.Listing{Revision: resp.Msg.GetRevision()}
+	for _, i := range resp.Msg.GetItems() {
+		l.Items = append(l.Items, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision()})
+	}
+	return l, nil
+}
+
 // Close drops idle connections.
 func (c *GateClient) Close() { c.http.CloseIdleConnections() }
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb/peerpbconnect"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -15,6 +16,8 @@
 type GateHandler interface {
 	// RunJob carries a job out on a connection of this host.
 	RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result
+	// Listing returns what is known of the store above a revision.
+	Listing(above uint64) store.Listing
 	// Detached tells that the host that owns transactions is gone.
 	Detached(owner string)
 }
@@ -41,3 +44,13 @@
 	s.handler.Detached(req.Msg.GetOwner())
 	return nil
 }
+
+// Listing implements the generated interface.
+func (s *gateServer) Listing(_ context.Context, req *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error) {
+	l := s.handler.Listing(req.Msg.GetAbove())
+	out := &peerpb.ListingResponse{Revision: l.Revision}
+	for _, i := range l.Items {
+		out.Items = append(out.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision})
+	}
+	return connect.NewResponse(out), nil
+}
--- a/node/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/node/peer/peerpb/peerpbconnect/peer.connect.go
@@ -52,6 +52,8 @@
 	GateRunProcedure = "/dotterelswitch.peer.v1.Gate/Run"
 	// GateAttachProcedure is the fully-qualified name of the Gate's Attach RPC.
 	GateAttachProcedure = "/dotterelswitch.peer.v1.Gate/Attach"
+	// GateListingProcedure is the fully-qualified name of the Gate's Listing RPC.
+	GateListingProcedure = "/dotterelswitch.peer.v1.Gate/Listing"
 )
 
 // PeerClient is a client for the dotterelswitch.peer.v1.Peer service.
@@ -252,6 +254,9 @@
 	// Attach stays open while the sender lives. The transactions that it opened
 	// are rolled back when it ends.
 	Attach(context.Context, *connect.Request[peerpb.AttachRequest]) (*connect.ServerStreamForClient[peerpb.AttachResponse], error)
+	// Listing returns what the receiver knows of the platform's store, for a host
+	// that does not reach it.
+	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
 }
 
 // NewGateClient constructs a client for the dotterelswitch.peer.v1.Gate service. By default, it
@@ -277,13 +282,20 @@
 			connect.WithSchema(gateMethods.ByName("Attach")),
 			connect.WithClientOptions(opts...),
 		),
+		listing: connect.NewClient[peerpb.ListingRequest, peerpb.ListingResponse](
+			httpClient,
+			baseURL+GateListingProcedure,
+			connect.WithSchema(gateMethods.ByName("Listing")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gateClient implements GateClient.
 type gateClient struct {
-	run    *connect.Client[peerpb.JobRequest, peerpb.JobResponse]
-	attach *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
+	run     *connect.Client[peerpb.JobRequest, peerpb.JobResponse]
+	attach  *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
+	listing *connect.Client[peerpb.ListingRequest, peerpb.ListingResponse]
 }
 
 // Run calls dotterelswitch.peer.v1.Gate.Run.
@@ -296,6 +308,11 @@
 	return c.attach.CallServerStream(ctx, req)
 }
 
+// Listing calls dotterelswitch.peer.v1.Gate.Listing.
+func (c *gateClient) Listing(ctx context.Context, req *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error) {
+	return c.listing.CallUnary(ctx, req)
+}
+
 // GateHandler is an implementation of the dotterelswitch.peer.v1.Gate service.
 type GateHandler interface {
 	// Run carries out one step of a caller on a member. It may be carried out
@@ -304,6 +321,9 @@
 	// Attach stays open while the sender lives. The transactions that it opened
 	// are rolled back when it ends.
 	Attach(context.Context, *connect.Request[peerpb.AttachRequest], *connect.ServerStream[peerpb.AttachResponse]) error
+	// Listing returns what the receiver knows of the platform's store, for a host
+	// that does not reach it.
+	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
 }
 
 // NewGateHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -325,12 +345,20 @@
 		connect.WithSchema(gateMethods.ByName("Attach")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gateListingHandler := connect.NewUnaryHandler(
+		GateListingProcedure,
+		svc.Listing,
+		connect.WithSchema(gateMethods.ByName("Listing")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dotterelswitch.peer.v1.Gate/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GateRunProcedure:
 			gateRunHandler.ServeHTTP(w, r)
 		case GateAttachProcedure:
 			gateAttachHandler.ServeHTTP(w, r)
+		case GateListingProcedure:
+			gateListingHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -347,3 +375,7 @@
 func (UnimplementedGateHandler) Attach(context.Context, *connect.Request[peerpb.AttachRequest], *connect.ServerStream[peerpb.AttachResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Attach is not implemented"))
 }
+
+func (UnimplementedGateHandler) Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Listing is not implemented"))
+}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -80,9 +80,14 @@
 	own       ownKeys
 	listed    bool
 	away      bool
+	awaySince time.Duration
 	revision  uint64
-	lease     store.Lease
-	recheck   bool
+	// relayed is the newest revision that another host told of.
+	relayed uint64
+	// items are all keys as they were written, for hosts that are cut off.
+	items   map[string]store.Item
+	lease   store.Lease
+	recheck bool
 }
 
 // New returns a registry for a host. ConfigBound is how soon a change of the
@@ -95,7 +100,7 @@
 	}
 	return &Registry{
 		store: s, docs: docs, host: self.Name, self: self, wait: wait, changed: changed, log: log,
-		directory: directory.New(), own: newOwnKeys(),
+		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{},
 	}
 }
 
@@ -156,6 +161,9 @@
 	r.mu.Lock()
 	was := r.away
 	r.away = true
+	if !was {
+		r.awaySince = clock.Now()
+	}
 	r.mu.Unlock()
 	if !was {
 		eventlog.PlatformUnreached.Warn(r.log).Err(err).Send()
@@ -176,8 +184,10 @@
 	r.mu.Lock()
 	r.noteBack()
 	r.own = newOwnKeys()
+	clear(r.items)
 	var entries []directory.Entry
 	for _, i := range l.Items {
+		r.remember(i)
 		if e, ok := r.decodeEntry(i); ok {
 			entries = append(entries, e)
 			continue
@@ -198,6 +208,7 @@
 	r.noteBack()
 	r.revision = max(r.revision, l.Revision)
 	for _, i := range l.Items {
+		r.remember(i)
 		if id, ok := r.docs.MemberID(i.Key); ok {
 			r.takeMember(id, i, now)
 			continue
