Wait for a dead primary only while a promotion can be expected; gates tell of the dead

Now a group that has had no primary for 3.5 s refuses at once and says when to come back; a gate's refusal says that the member is dead; a member that does not answer is no reason to hold (only one that turns all away is).

--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -67,7 +67,10 @@
 	waiting []Waiter
 	// quietUntil is when the next connection may be tried.
 	quietUntil time.Duration
-	hold       time.Duration
+	// crowded tells that the member answered the newest attempt, but had too
+	// many connections.
+	crowded bool
+	hold    time.Duration
 }
 
 // New returns an empty pool.
@@ -180,6 +183,7 @@
 // Opened adds a connection that ShouldOpen asked for and hands it to a waiter.
 func (p *Pool) Opened(id ConnID, now time.Duration) (Waiter, bool) {
 	p.opening--
+	p.crowded = false
 	return p.pass(id, "", now)
 }
 
@@ -187,6 +191,7 @@
 // the member answered and has too many.
 func (p *Pool) OpenFailed(crowded bool, now time.Duration) {
 	p.opening--
+	p.crowded = crowded
 	pause := failurePause
 	if crowded {
 		pause = crowdedPause
@@ -220,7 +225,7 @@
 
 // GiveUpAt returns when a waiter is to be refused unless it has started.
 func (p *Pool) GiveUpAt(w Waiter) time.Duration {
-	if len(p.idle)+p.inUse == 0 {
+	if p.crowded && len(p.idle)+p.inUse == 0 {
 		return max(w.StartBy, w.HoldBy)
 	}
 	return w.StartBy
--- a/node/entry/failures_test.go
+++ b/node/entry/failures_test.go
@@ -233,3 +233,22 @@
 	require.Eventually(t, func() bool { return cut.Catalog().Version == version }, eventually, poll)
 	d.connect(1, "own").must("STORE item x")
 }
+
+// TestLongOutageOfThePrimaryIsRefusedAtOnce: with the store away nothing can
+// replace a dead primary. Statements are held while a promotion could still
+// come, and refused at once after that.
+func TestLongOutageOfThePrimaryIsRefusedAtOnce(t *testing.T) {
+	d := deploy(t, 1, options())
+	c := d.connect(0, "strict")
+	c.must("STORE item x")
+	d.platform.Store.Fail(lineplatform.Refusing)
+	d.group.Primary().Crash()
+	var res result
+	require.Eventually(t, func() bool {
+		began := time.Now()
+		res = c.do("STORE item y")
+		return res.code == "BUSY" && time.Since(began) < time.Second
+	}, 2*eventually, poll)
+	require.Contains(t, res.detail, "retry after")
+	require.Zero(t, d.group.Committed(res.id))
+}
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -17,6 +17,7 @@
 	failureRefused
 	failureLost
 	failureSilent
+	failureDead
 )
 
 // left turns a time on this host's clock into what is left of it.
@@ -74,6 +75,8 @@
 	switch {
 	case r.Err == nil:
 		return out
+	case errors.As(r.Err, &refused) && refused.Dead:
+		out.Failure = failureDead
 	case errors.As(r.Err, &refused):
 		out.Failure, out.RetryAfterUs = failureRefused, refused.RetryAfter.Microseconds()
 	case errors.As(r.Err, &lost) && lost.Silent:
@@ -98,6 +101,8 @@
 	}
 	switch p.GetFailure() {
 	case failureNone:
+	case failureDead:
+		r.Err = &replicaset.RefusedError{Reason: p.GetReason(), Dead: true}
 	case failureRefused:
 		r.Err = &replicaset.RefusedError{Reason: p.GetReason(), RetryAfter: time.Duration(p.GetRetryAfterUs()) * time.Microsecond}
 	default:
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -74,6 +74,10 @@
 // learn takes what a result shows of a member: its lead, and how far its log
 // reaches.
 func (s *Set) learn(m *Member, res Result, sent time.Duration, remote bool) {
+	var refused *RefusedError
+	if errors.As(res.Err, &refused) && refused.Dead {
+		m.reportedDead(clock.Now())
+	}
 	if res.Err != nil {
 		return
 	}
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -46,6 +46,8 @@
 	Reason string
 	// RetryAfter is when it is of use to come back.
 	RetryAfter time.Duration
+	// Dead tells that the host that refused has found the member dead.
+	Dead bool
 }
 
 func (e *RefusedError) Error() string { return e.Reason }
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -30,6 +30,9 @@
 		return refusedResult(&RefusedError{Reason: "the member is not known here"})
 	}
 	began := clock.Now()
+	if j.needsLead() && m.Dead(began) {
+		return refusedResult(&RefusedError{Reason: "the member does not answer", Dead: true})
+	}
 	c, err := m.acquire(ctx, j.Work.waiter())
 	waited := clock.Now() - began
 	if err != nil {
--- a/node/replicaset/job.go
+++ b/node/replicaset/job.go
@@ -47,6 +47,11 @@
 	Owner string
 }
 
+// needsLead reports whether only the primary can carry the job out.
+func (j Job) needsLead() bool {
+	return j.Kind == JobGuardedRead || j.Kind == JobWrite || (j.Kind == JobBegin && j.Plain)
+}
+
 // Result is what came of a job.
 type Result struct {
 	Answer statement.Answer
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -53,6 +53,8 @@
 	// does; elsewhere counts the statements that run there.
 	gates     []string
 	elsewhere int
+	// deadUntil is how long the word of a gate counts that the member is dead.
+	deadUntil time.Duration
 	// openTimer has the pool asked again when a pause ends, surplusTimer when
 	// an idle connection is to be closed; nil while none is set.
 	openTimer    *time.Timer
@@ -111,6 +113,26 @@
 	return m.health.Dead(now)
 }
 
+// gateWordFor is how long a gate's word counts that a member is dead: about as
+// long as a dead member is probed again.
+const gateWordFor = 300 * time.Millisecond
+
+// reportedDead notes that a gate has found the member dead. It only keeps
+// statements from it: a report to other hosts needs evidence of this host.
+func (m *Member) reportedDead(now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.deadUntil = now + gateWordFor
+}
+
+// unusable reports whether the member is dead by this host's evidence or by
+// the word of a gate.
+func (m *Member) unusable(now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.Dead(now) || now < m.deadUntil
+}
+
 // Failing reports whether the newest exchange with the member failed.
 func (m *Member) Failing() bool {
 	m.mu.Lock()
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -107,6 +107,9 @@
 	changed chan struct{}
 	// learned is closed and replaced when a peer has told a floor.
 	learned chan struct{}
+	// leaderlessSince is when no usable primary was first found; zero while
+	// there is one.
+	leaderlessSince time.Duration
 	// askedAt is when peers were last asked.
 	askedAt time.Duration
 }
@@ -216,15 +219,21 @@
 	return s.floors.Lookup(now-w.Route.MaxStaleness+stalenessMargin, w.Committed)
 }
 
-// Primary returns the member believed to be the primary, if it may be used.
+// Primary returns the member believed to be the primary, if it may be used: it
+// is not past its leave, and this host has not found it dead.
 func (s *Set) Primary() (*Member, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := clock.Now()
 	m, found := s.members[s.belief.Primary()]
-	if !found || s.pastDrain(m.snapshot(), clock.Now()) {
-		return nil, false
+	if found && !s.pastDrain(m.snapshot(), now) && !m.unusable(now) {
+		s.leaderlessSince = 0
+		return m, true
 	}
-	return m, true
+	if s.leaderlessSince == 0 {
+		s.leaderlessSince = now
+	}
+	return nil, false
 }
 
 // pastDrain reports whether a leaving member must get no new work any more.
@@ -232,31 +241,52 @@
 	return e.Leaving && now-e.LeavingSince > s.drain-leaveMargin
 }
 
-// awaitPrimary waits until a primary is known. A statement that waited for one
-// gets the time to queue that it would have had without.
+const (
+	// failoverTime is how long a group may be without a primary while one is
+	// still expected soon: the silence that counts as death, the hosts' turns,
+	// and a promotion of up to a second. After it statements are refused at once.
+	failoverTime = 3500 * time.Millisecond
+	// leaderPoll is how often a statement that waits for a primary looks whether
+	// the old one answers again.
+	leaderPoll = 50 * time.Millisecond
+)
+
+// awaitPrimary waits until a primary is known, as long as one can be expected.
+// A statement that waited for one gets the time to queue that it would have
+// had without.
 func (s *Set) awaitPrimary(ctx context.Context, w *Work) (*Member, bool) {
 	began := clock.Now()
 	for {
 		s.mu.Lock()
 		changed := s.changed
 		s.mu.Unlock()
+		now := clock.Now()
 		if m, found := s.Primary(); found {
-			w.StartBy = min(w.StartBy+clock.Now()-began, max(w.HoldBy, w.StartBy))
+			w.StartBy = min(w.StartBy+now-began, max(w.HoldBy, w.StartBy))
 			return m, true
 		}
-		timer := time.NewTimer(w.HoldBy - clock.Now())
+		if now >= s.holdUntil(w) {
+			return nil, false
+		}
+		timer := time.NewTimer(leaderPoll)
 		select {
 		case <-changed:
-			timer.Stop()
 		case <-timer.C:
-			return nil, false
 		case <-ctx.Done():
 			timer.Stop()
 			return nil, false
 		}
+		timer.Stop()
 	}
 }
 
+// holdUntil returns when a statement is refused unless a primary is found.
+func (s *Set) holdUntil(w *Work) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(w.HoldBy, s.leaderlessSince+failoverTime)
+}
+
 // readers returns the members that may serve a read, the best first. Members
 // that leave are passed over while there are others.
 func (s *Set) readers(tried map[string]bool, now time.Duration) []*Member {
