--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -133,7 +133,7 @@
 		}
 		s.tx = tx
 	}
-	out.Member = s.tx.Member()
+	out.Member, out.Gate = s.tx.Member(), s.tx.Gate()
 	switch w.Statement.Kind {
 	case statement.Commit:
 		out.Answer = s.tx.Commit(s.ctx, w, s.state.Wrote)
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -78,8 +78,10 @@
 	// owner names this host and its incarnation to gates.
 	owner    string
 	stopping atomic.Bool
-	wake     chan struct{}
-	failed   chan error
+	// jobs counts what other hosts have running here.
+	jobs   atomic.Int64
+	wake   chan struct{}
+	failed chan error
 
 	// mu guards sets.
 	mu   sync.RWMutex
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -41,6 +41,8 @@
 
 // RunJob implements peer.GateHandler.
 func (h *Host) RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result {
+	h.jobs.Add(1)
+	defer h.jobs.Add(-1)
 	s := h.Set(service)
 	if s == nil {
 		return replicaset.Result{Err: &replicaset.RefusedError{Reason: "the service is not known here"}}
--- a/node/entry/statements_test.go
+++ b/node/entry/statements_test.go
@@ -173,3 +173,25 @@
 	}
 	return nil
 }
+
+// TestReadWhoseAnswerIsLostGoesElsewhere: a member that ran a read and did not
+// answer must not use up the read's whole time.
+func TestReadWhoseAnswerIsLostGoesElsewhere(t *testing.T) {
+	d := deploy(t, 1, options())
+	short := routes(timeout)
+	for i := range short {
+		short[i].Target = 200 * time.Millisecond
+	}
+	version := d.platform.Configure(short, timeout)
+	require.Eventually(t, func() bool { return d.hosts[0].Catalog().Version == version }, eventually, poll)
+	c := d.connect(0, "own")
+	c.must("STORE item x")
+	for _, m := range d.group.Members() {
+		if m != d.group.Primary() {
+			m.LoseAnswers(1)
+		}
+	}
+	began := time.Now()
+	require.Equal(t, []string{"x"}, c.must("FETCH item").rows)
+	require.Less(t, time.Since(began), timeout/2, "without another try the answer comes at the timeout or never")
+}
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -25,6 +25,7 @@
 	began := time.Now()
 	eventlog.Stopping.Info(h.log).Dur("grace_ms", h.settings.Grace).Int("callers", h.gateway.Sessions()).Send()
 	h.stopping.Store(true)
+	h.leave()
 	time.Sleep(h.share(noticeShare))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.share(lastShare)))
 	defer cancel()
@@ -36,11 +37,44 @@
 	if !clean {
 		eventlog.StopForced.Warn(h.log).Int("callers", h.gateway.Sessions()).Send()
 	}
+	h.awaitPeers(ctx)
 	h.close()
 	eventlog.Stopped.Info(h.log).Send()
 	return clean
 }
 
+// leave takes the host off the list of those that keep connections. What other
+// hosts have begun here goes on.
+func (h *Host) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := h.registry.Leave(ctx); err != nil {
+		eventlog.PlatformUnreached.Info(h.log).Err(err).Str("call", "leave").Send()
+	}
+}
+
+// awaitPeers waits until what other hosts have begun here has ended.
+func (h *Host) awaitPeers(ctx context.Context) {
+	for ctx.Err() == nil && h.busyForPeers() {
+		time.Sleep(peersPoll)
+	}
+}
+
+// peersPoll is how often a stopping host looks whether others still need it.
+const peersPoll = 20 * time.Millisecond
+
+func (h *Host) busyForPeers() bool {
+	if h.jobs.Load() > 0 {
+		return true
+	}
+	for _, s := range h.allSets() {
+		if s.Open() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *Host) share(part float64) time.Duration {
 	return time.Duration(part * float64(h.settings.Grace))
 }
@@ -51,9 +85,6 @@
 func (h *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := h.registry.Leave(ctx); err != nil {
-		eventlog.PlatformUnreached.Info(h.log).Err(err).Str("call", "leave").Send()
-	}
 	h.cancel()
 	h.peers.Close()
 	for _, s := range h.servers {
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -19,7 +19,7 @@
 
 // KeepPresence keeps the host registered until the context ends.
 func (r *Registry) KeepPresence(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !r.isLeaving() {
 		if err := r.keepOnce(ctx); err != nil {
 			r.noteAway(err)
 		}
@@ -70,15 +70,25 @@
 	return r.lease
 }
 
-// Leave takes the host's keys back.
+// Leave takes the host's keys back for good, so that others send it nothing
+// more.
 func (r *Registry) Leave(ctx context.Context) error {
-	lease := r.currentLease()
+	r.mu.Lock()
+	r.leaving = true
+	lease := r.lease
+	r.mu.Unlock()
 	if lease == 0 {
 		return nil
 	}
 	return r.store.EndLease(ctx, lease)
 }
 
+func (r *Registry) isLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
 // Suspect reports a member as dead.
 func (r *Registry) Suspect(ctx context.Context, service, member string) error {
 	key := suspectKey(service, member, r.host)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -88,6 +88,7 @@
 	items   map[string]store.Item
 	lease   store.Lease
 	recheck bool
+	leaving bool
 }
 
 // New returns a registry for a host. ConfigBound is how soon a change of the
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -163,11 +163,17 @@
 // continueTx carries out a later step of a transaction.
 func (s *Set) continueTx(ctx context.Context, j Job) Result {
 	tx, found := s.txs.get(j.Tx)
+	if !found && j.Kind == JobRollback {
+		return Result{}
+	}
 	if !found {
 		return Result{Err: &RefusedError{Reason: "the transaction is gone"}}
 	}
 	tx.mu.Lock()
 	defer tx.mu.Unlock()
+	if tx.ended && j.Kind == JobRollback {
+		return Result{}
+	}
 	if tx.ended {
 		return Result{Err: &RefusedError{Reason: "the transaction has ended"}}
 	}
@@ -296,3 +302,11 @@
 		tx.mu.Unlock()
 	}
 }
+
+// Open returns the number of transactions that are open on connections of this
+// host.
+func (s *Set) Open() int {
+	s.txs.mu.Lock()
+	defer s.txs.mu.Unlock()
+	return len(s.txs.open)
+}
--- a/node/replicaset/tx.go
+++ b/node/replicaset/tx.go
@@ -21,6 +21,9 @@
 // Member returns the name of the member that runs the transaction.
 func (t *Tx) Member() string { return t.member.id }
 
+// Gate returns the host that runs the transaction, empty for this one.
+func (t *Tx) Gate() string { return t.gate }
+
 // Begin opens a transaction. It returns nil and a refusal when none could be
 // opened; nothing of the caller was sent then.
 func (s *Set) Begin(ctx context.Context, w Work) (*Tx, Outcome) {
@@ -87,7 +90,7 @@
 		if wrote && res.mayHaveRun() {
 			return statement.Refuse(statement.InDoubt, "the commit had no answer; it may have been kept", statement.Idle)
 		}
-		return statement.Refuse(statement.Aborted, "the transaction was lost before its end", statement.Idle)
+		return statement.Refuse(statement.Aborted, "the transaction was lost before its end: "+res.Err.Error(), statement.Idle)
 	}
 	res.Answer.State = statement.Idle
 	return res.Answer
