--- a/node/cmd/dotterelctl/apply.go
+++ b/node/cmd/dotterelctl/apply.go
@@ -15,9 +15,9 @@
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/core/lang"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
+	"github.com/dotterelswitch/dotterelswitch/node/consul"
 	"github.com/dotterelswitch/dotterelswitch/node/exit"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
-	"github.com/dotterelswitch/dotterelswitch/node/platform"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
 )
 
@@ -96,7 +96,7 @@
 	if err := errors.Join(checkOutput(c.String("output")), checkAddresses("platform", []string{c.String("platform")}), checkAddresses("host", c.StringSlice("host"))); err != nil {
 		return err
 	}
-	store := confstore.New(platform.NewClient(c.String("platform"), (&net.Dialer{}).DialContext))
+	store := confstore.New(consul.NewClient(c.String("platform"), (&net.Dialer{}).DialContext))
 	cfg, _, err := store.Load(ctx)
 	if err != nil {
 		return err
--- a/node/confstore/store.go
+++ b/node/confstore/store.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
-	"github.com/dotterelswitch/dotterelswitch/node/platform"
+	"github.com/dotterelswitch/dotterelswitch/node/consul"
 )
 
 const (
@@ -39,11 +39,11 @@
 
 // Store is the configuration in the platform's service.
 type Store struct {
-	kv platform.Store
+	kv consul.Store
 }
 
 // New returns the configuration kept in kv.
-func New(kv platform.Store) *Store { return &Store{kv: kv} }
+func New(kv consul.Store) *Store { return &Store{kv: kv} }
 
 func changeKey(version uint64) string { return fmt.Sprintf("%schange/%012d", prefix, version) }
 
--- a/node/confstore/store_test.go
+++ b/node/confstore/store_test.go
@@ -15,7 +15,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
-	"github.com/dotterelswitch/dotterelswitch/node/platform/platformtest"
+	"github.com/dotterelswitch/dotterelswitch/node/consul/consultest"
 )
 
 func TestMain(m *testing.M) { fixedseed.Main(m) }
@@ -34,7 +34,7 @@
 }
 
 func TestChangesBuildOnEachOther(t *testing.T) {
-	kv := platformtest.NewMemory(nil)
+	kv := consultest.NewMemory(nil)
 	s := confstore.New(kv)
 	for i := range 200 {
 		require.Equal(t, uint64(i+1), submit(t, s, fmt.Sprintf("c%d", i), putTenant(fmt.Sprintf("t%d", i%50), float64(i))))
@@ -49,7 +49,7 @@
 }
 
 func TestSameChangeIDIsAppliedOnce(t *testing.T) {
-	s := confstore.New(platformtest.NewMemory(nil))
+	s := confstore.New(consultest.NewMemory(nil))
 	first := submit(t, s, "same", putTenant("a", 1))
 	require.Equal(t, first, submit(t, s, "same", putTenant("a", 2)))
 	cfg, _, err := s.Load(context.Background())
@@ -58,7 +58,7 @@
 }
 
 func TestInvalidChangeChangesNothing(t *testing.T) {
-	kv := platformtest.NewMemory(nil)
+	kv := consultest.NewMemory(nil)
 	_, err := confstore.New(kv).Submit(context.Background(), "bad", putTenant("NOT A NAME", 1))
 	var invalid *conf.InvalidError
 	require.ErrorAs(t, err, &invalid)
@@ -76,7 +76,7 @@
 		shared := rapid.Bool().Draw(rt, "same item")
 		synctest.Test(t, func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 1))
-			kv := platformtest.NewMemory(func(call string) (bool, bool) {
+			kv := consultest.NewMemory(func(call string) (bool, bool) {
 				if call != "cas" {
 					return true, true
 				}
@@ -131,7 +131,7 @@
 // TestLargeConfigurationIsSplit checks that no value nears the service's limit
 // and that the parts come together again.
 func TestLargeConfigurationIsSplit(t *testing.T) {
-	kv := platformtest.NewMemory(nil)
+	kv := consultest.NewMemory(nil)
 	s := confstore.New(kv)
 	const batches, perBatch = 70, 150
 	for b := range batches {
--- a/node/platform/client.go
+++ b/node/consul/client.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 import (
 	"bytes"
--- a/node/platform/platformtest/memory.go
+++ b/node/consul/consultest/memory.go
@@ -1,6 +1,6 @@
-// Package platformtest holds an in-memory fake of the platform's key-value
+// Package consultest holds an in-memory fake of the platform's key-value
 // service with injected faults.
-package platformtest
+package consultest
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/dotterelswitch/dotterelswitch/node/platform"
+	"github.com/dotterelswitch/dotterelswitch/node/consul"
 )
 
 // ErrDown is what calls of a faulty store fail with.
@@ -23,15 +23,15 @@
 	mu      sync.Mutex
 	fault   Fault
 	index   uint64
-	values  map[string]platform.Value
+	values  map[string]consul.Value
 	largest int
 }
 
-var _ platform.Store = (*Memory)(nil)
+var _ consul.Store = (*Memory)(nil)
 
 // NewMemory returns an empty store; a nil fault means that none is injected.
 func NewMemory(fault Fault) *Memory {
-	return &Memory{fault: fault, values: make(map[string]platform.Value)}
+	return &Memory{fault: fault, values: make(map[string]consul.Value)}
 }
 
 // SetFault replaces the fault.
@@ -67,24 +67,24 @@
 		f()
 	}
 	if !effect || !answer {
-		return &platform.StoreError{Call: call, Err: ErrDown}
+		return &consul.StoreError{Call: call, Err: ErrDown}
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (m *Memory) Get(_ context.Context, key string) (platform.Value, error) {
-	var v platform.Value
+// Get implements consul.Store.
+func (m *Memory) Get(_ context.Context, key string) (consul.Value, error) {
+	var v consul.Value
 	err := m.do("get", func() { v = m.values[key] })
 	return v, err
 }
 
-// Watch implements platform.Store; it returns at once.
-func (m *Memory) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (platform.Value, error) {
+// Watch implements consul.Store; it returns at once.
+func (m *Memory) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (consul.Value, error) {
 	return m.Get(ctx, key)
 }
 
-// CompareAndSwap implements platform.Store.
+// CompareAndSwap implements consul.Store.
 func (m *Memory) CompareAndSwap(_ context.Context, key string, value []byte, index uint64) (bool, error) {
 	won := false
 	err := m.do("cas", func() {
@@ -94,12 +94,12 @@
 		won = true
 		m.index++
 		m.largest = max(m.largest, len(value))
-		m.values[key] = platform.Value{Data: value, Index: m.index}
+		m.values[key] = consul.Value{Data: value, Index: m.index}
 	})
 	return won, err
 }
 
-// Delete implements platform.Store.
+// Delete implements consul.Store.
 func (m *Memory) Delete(_ context.Context, key string) error {
 	return m.do("delete", func() { delete(m.values, key) })
 }
--- a/node/platform/store.go
+++ b/node/consul/store.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform's key-value service and its list of
+// Package consul speaks to the platform's key-value service and its list of
 // hosts, by the published HTTP API of Consul (v1: kv, session, health, agent).
-package platform
+package consul
 
 import (
 	"context"
@@ -34,6 +34,6 @@
 	Err  error
 }
 
-func (e *StoreError) Error() string { return "platform: " + e.Call + ": " + e.Err.Error() }
+func (e *StoreError) Error() string { return "consul: " + e.Call + ": " + e.Err.Error() }
 
 func (e *StoreError) Unwrap() error { return e.Err }
--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -14,8 +14,8 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
+	"github.com/dotterelswitch/dotterelswitch/node/consul"
 	"github.com/dotterelswitch/dotterelswitch/node/host"
-	"github.com/dotterelswitch/dotterelswitch/node/platform"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
 	"github.com/dotterelswitch/dotterelswitch/standin/netem"
 	"github.com/dotterelswitch/dotterelswitch/standin/workload"
@@ -100,7 +100,7 @@
 
 // Publish makes items the first change of the log.
 func Publish(ctx context.Context, address string, items conf.Items) error {
-	client := platform.NewClient(address, (&net.Dialer{}).DialContext)
+	client := consul.NewClient(address, (&net.Dialer{}).DialContext)
 	_, err := confstore.New(client).Submit(ctx, "initial", func(*conf.Config) (conf.Items, conf.Names, error) {
 		return items, conf.Names{}, nil
 	})
--- a/node/demo/fault.go
+++ b/node/demo/fault.go
@@ -10,7 +10,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
-	"github.com/dotterelswitch/dotterelswitch/node/platform"
+	"github.com/dotterelswitch/dotterelswitch/node/consul"
 	"github.com/dotterelswitch/dotterelswitch/standin/dbgroup"
 	"github.com/dotterelswitch/dotterelswitch/standin/workload"
 )
@@ -195,7 +195,7 @@
 
 // change submits a change of the configuration.
 func (d *demo) change(ctx context.Context, id string, put conf.Items, del conf.Names) error {
-	client := platform.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext)
+	client := consul.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext)
 	_, err := confstore.New(client).Submit(ctx, id, func(*conf.Config) (conf.Items, conf.Names, error) {
 		return put, del, nil
 	})
--- a/node/host/config_test.go
+++ b/node/host/config_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
+	"github.com/dotterelswitch/dotterelswitch/node/consul"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
-	"github.com/dotterelswitch/dotterelswitch/node/platform"
 )
 
 // BenchmarkConfigInForce measures how long an accepted change takes to be in
@@ -28,7 +28,7 @@
 		b.Run(tc.name, func(b *testing.B) {
 			d := deploy(b, 8, nil)
 			defer d.kill()
-			store := confstore.New(platform.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext))
+			store := confstore.New(consul.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext))
 			var worst, sum time.Duration
 			n := 0
 			for b.Loop() {
@@ -82,7 +82,7 @@
 func TestChangeSpreadsWithThePlatformOut(t *testing.T) {
 	d := deploy(t, 5, nil)
 	defer d.kill()
-	store := confstore.New(platform.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext))
+	store := confstore.New(consul.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext))
 	ch, err := store.Submit(t.Context(), "one", func(*conf.Config) (conf.Items, conf.Names, error) {
 		return conf.Items{Tenants: []conf.Tenant{{Name: "late", Weight: 3}}}, conf.Names{}, nil
 	})
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/group"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
+	"github.com/dotterelswitch/dotterelswitch/node/consul"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gateway"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
@@ -23,7 +24,6 @@
 	"github.com/dotterelswitch/dotterelswitch/node/netcount"
 	"github.com/dotterelswitch/dotterelswitch/node/owner"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
-	"github.com/dotterelswitch/dotterelswitch/node/platform"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
 	"github.com/dotterelswitch/dotterelswitch/node/router"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
@@ -59,7 +59,7 @@
 	gateway  *gateway.Gateway
 	peers    *peer.Client
 	gossip   *gossip.Transport
-	platform *platform.Client
+	platform *consul.Client
 	config   *confstore.Store
 	metrics  *metrics.Metrics
 	servers  []*http.Server
@@ -96,7 +96,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.fleet = newFleet(self, h.timing, h.log)
 	h.peers = peer.NewClient(h.bytes.peers.Wrap(opts.Dial), s.PeerKey)
-	h.platform = platform.NewClient(s.Platform, h.bytes.platform.Wrap(opts.Dial))
+	h.platform = consul.NewClient(s.Platform, h.bytes.platform.Wrap(opts.Dial))
 	h.config = confstore.New(h.platform)
 	h.metrics = metrics.New(s.MaxTenantsShown)
 	h.owner = owner.New(owner.Config{
