Let nine hosts judge a primary, sooner once another has; repeat promotion calls after 0.6 s

Nine voters, spread by hashing, judge now; one that hears of another's report believes a silence of 0.5 s.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -11,6 +11,9 @@
 	// SilentFor is how long a member must be silent to count as dead. It is
 	// several times the longest queue of a member under full load.
 	SilentFor = 1200 * time.Millisecond
+	// SilentWithOthers is how long silence must last for a host that another one
+	// has told that the member is dead: one connection attempt.
+	SilentWithOthers = 500 * time.Millisecond
 	// refusalsToBelieve is how many refusals in a row it takes.
 	refusalsToBelieve = 2
 )
@@ -62,12 +65,17 @@
 func (h *Health) Since() time.Duration { return h.failedSince }
 
 // Dead reports whether the evidence is enough to call the member dead.
-func (h *Health) Dead(now time.Duration) bool {
+// Corroborated tells that another host has called it dead.
+func (h *Health) Dead(now time.Duration, corroborated bool) bool {
 	if !h.failing {
 		return false
 	}
 	if h.refusals >= refusalsToBelieve && now-h.failedSince >= RefusedFor {
 		return true
 	}
-	return h.silences > 0 && now-h.failedSince >= SilentFor
+	enough := SilentFor
+	if corroborated {
+		enough = SilentWithOthers
+	}
+	return h.silences > 0 && now-h.failedSince >= enough
 }
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -15,17 +15,19 @@
 	var h health.Health
 	h.Refused(100 * ms)
 	require.True(t, h.Failing())
-	require.False(t, h.Dead(10*time.Second), "a listener that restarts refuses once")
+	require.False(t, h.Dead(10*time.Second, false), "a listener that restarts refuses once")
 	h.Refused(300 * ms)
-	require.False(t, h.Dead(100*ms+health.RefusedFor-1))
-	require.True(t, h.Dead(100*ms+health.RefusedFor))
+	require.False(t, h.Dead(100*ms+health.RefusedFor-1, false))
+	require.True(t, h.Dead(100*ms+health.RefusedFor, false))
 }
 
 func TestSilenceTakesLonger(t *testing.T) {
 	var h health.Health
 	h.Silent(100 * ms)
-	require.False(t, h.Dead(100*ms+health.SilentFor-1))
-	require.True(t, h.Dead(100*ms+health.SilentFor))
+	require.False(t, h.Dead(100*ms+health.SilentFor-1, false))
+	require.True(t, h.Dead(100*ms+health.SilentFor, false))
+	require.True(t, h.Dead(100*ms+health.SilentWithOthers, true), "another host found the same")
+	require.False(t, h.Dead(100*ms+health.SilentWithOthers-1, true))
 }
 
 // TestLateFailureOfAnOldExchange: an answer to something sent later is newer
@@ -44,5 +46,5 @@
 	require.True(t, h.Failing())
 	h.Succeeded(600 * ms)
 	require.False(t, h.Failing())
-	require.False(t, h.Dead(time.Hour))
+	require.False(t, h.Dead(time.Hour, false))
 }
--- a/core/succession/succession_test.go
+++ b/core/succession/succession_test.go
@@ -1,6 +1,8 @@
 package succession_test
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -89,6 +91,29 @@
 	require.True(t, succession.Lost([]string{"a"}, []string{"a"}))
 }
 
+// TestVotersAreFewAndAgreed: all hosts name the same voters whatever order they
+// know the fleet in, and a host that joins or leaves changes few of them.
+func TestVotersAreFewAndAgreed(t *testing.T) {
+	var fleet []string
+	for i := range 60 {
+		fleet = append(fleet, "host-"+strconv.Itoa(i))
+	}
+	voters := succession.Voters("svc", fleet)
+	require.Len(t, voters, succession.MaxVoters)
+	reversed := slices.Clone(fleet)
+	slices.Reverse(reversed)
+	require.Equal(t, voters, succession.Voters("svc", reversed))
+	require.NotEqual(t, voters, succession.Voters("other", fleet))
+	kept := 0
+	for _, v := range succession.Voters("svc", append(fleet, "new")) {
+		if slices.Contains(voters, v) {
+			kept++
+		}
+	}
+	require.GreaterOrEqual(t, kept, succession.MaxVoters-1)
+	require.Len(t, succession.Voters("svc", fleet[:4]), 4)
+}
+
 func TestBelief(t *testing.T) {
 	var b succession.Belief
 	b.Claimed("a", 5)
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -74,6 +74,11 @@
 // let the heap grow to; the rest is for buffers of the system.
 const memoryShare = 0.6
 
+// promotionTimeout bounds one promotion call. The platform answers in
+// milliseconds; a call whose answer is lost is repeated with the same token,
+// and callers wait for it.
+const promotionTimeout = 600 * time.Millisecond
+
 // reservedDescriptors is what is left of a host's descriptors for files and
 // its own connections.
 const reservedDescriptors = 600
@@ -127,7 +132,7 @@
 	return entry.Adapter{
 		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
 		Store:     platform.NewStoreClient(boot.StoreAddress, client, s.callTimeout),
-		Promotion: platform.NewPromotionClient(boot.PromotionAddress, boot.Host, client, s.callTimeout),
+		Promotion: platform.NewPromotionClient(boot.PromotionAddress, boot.Host, client, min(s.callTimeout, promotionTimeout)),
 		ReadyPath: platform.ReadyPath,
 	}
 }
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -66,7 +66,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &Client{
 		http: &http.Client{Transport: &http.Transport{
-			Protocols: protocols, DialContext: boundedDial(dial),
+			Protocols: protocols, DialContext: boundedDial(dial, dialTimeout),
 			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		}},
 		key:   key,
@@ -74,10 +74,10 @@
 	}
 }
 
-// boundedDial returns a dial function that gives up after dialTimeout.
-func boundedDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) func(ctx context.Context, network, addr string) (net.Conn, error) {
+// boundedDial returns a dial function that gives up after a time.
+func boundedDial(dial func(ctx context.Context, network, addr string) (net.Conn, error), limit time.Duration) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		return dial(ctx, network, addr)
 	}
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -21,6 +21,9 @@
 	// is suspect, and no statement takes much longer.
 	gatePing        = time.Second
 	gatePingTimeout = time.Second
+	// gateDialTimeout bounds a connection to a gate, which a caller waits for:
+	// several round trips between regions.
+	gateDialTimeout = 250 * time.Millisecond
 	// answerSlack is what an answer may take beyond the statement's own time:
 	// the way back between regions.
 	answerSlack = 60 * time.Millisecond
@@ -54,7 +57,7 @@
 	return &GateClient{
 		owner: owner, ctx: ctx, gates: map[string]*gateConn{},
 		http: &http.Client{Transport: &http.Transport{
-			Protocols: protocols, DialContext: boundedDial(dial),
+			Protocols: protocols, DialContext: boundedDial(dial, gateDialTimeout),
 			HTTP2: &http.HTTP2Config{SendPingTimeout: gatePing, PingTimeout: gatePingTimeout},
 		}},
 	}
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -11,7 +11,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
-	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -105,11 +104,14 @@
 // look reports what this host sees and acts when it is its turn.
 func (p *Promoter) look(ctx context.Context) {
 	now := clock.Now()
+	p.corroborate()
 	failed := p.failedPrimary(now)
 	if failed == "" {
 		p.verify(ctx, now)
 	}
-	p.report(ctx, failed)
+	if p.votes() {
+		p.report(ctx, failed)
+	}
 	switch {
 	case failed != "" && p.agreed(failed):
 		p.act(ctx, now, func(ctx context.Context, token uint64) error { return p.replace(ctx, failed, token) })
@@ -147,11 +149,28 @@
 // verifyInterval spaces the probes of a primary that other hosts report.
 const verifyInterval = 250 * time.Millisecond
 
+// votes reports whether this host is one of those that judge the primary.
+func (p *Promoter) votes() bool {
+	return slices.Contains(succession.Voters(p.service, p.registry.Hosts()), p.host)
+}
+
+// corroborate passes on what other hosts report of the primary.
+func (p *Promoter) corroborate() {
+	id, found := p.set.Believed()
+	if !found {
+		return
+	}
+	if m, known := p.set.Member(id); known {
+		others := slices.DeleteFunc(p.registry.Suspecting(p.service, id), func(host string) bool { return host == p.host })
+		m.Corroborate(len(others) > 0)
+	}
+}
+
 // verify probes a primary that other hosts report as dead. A host without
 // traffic would have no evidence of its own, and its voice would be missing.
 func (p *Promoter) verify(ctx context.Context, now time.Duration) {
 	id, found := p.set.Believed()
-	if !found || now-p.verifiedAt < verifyInterval || len(p.registry.Suspecting(p.service, id)) == 0 {
+	if !found || !p.votes() || now-p.verifiedAt < verifyInterval || len(p.registry.Suspecting(p.service, id)) == 0 {
 		return
 	}
 	p.verifiedAt = now
@@ -192,7 +211,7 @@
 	if !slices.Contains(suspecting, p.host) {
 		suspecting = append(suspecting, p.host)
 	}
-	return succession.Lost(suspecting, p.registry.Hosts())
+	return succession.Lost(suspecting, succession.Voters(p.service, p.registry.Hosts()))
 }
 
 // act runs a promotion under the lock once it is this host's turn.
@@ -235,15 +254,7 @@
 	}
 }
 
-// rank is this host's place in the order in which hosts try, which differs
-// between services.
+// rank is this host's place in the order in which hosts try.
 func (p *Promoter) rank() int {
-	order := p.registry.Hosts()
-	slices.SortFunc(order, func(a, b string) int {
-		if membership.Score(p.service, a) > membership.Score(p.service, b) {
-			return -1
-		}
-		return 1
-	})
-	return max(slices.Index(order, p.host), 0)
+	return max(slices.Index(succession.Order(p.service, p.registry.Hosts()), p.host), 0)
 }
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -26,7 +26,7 @@
 	surveyTries = 3
 	// callTries is how often an unanswered promotion call is repeated. The same
 	// call with the same token has one effect however often it is carried out.
-	callTries = 3
+	callTries = 5
 	// showTime bounds the wait for a promoted member to lead; the deployments'
 	// members take 300 to 1000 ms.
 	showTime = 2500 * time.Millisecond
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -10,29 +10,55 @@
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
-// avoidFor is how long a host that failed a job is passed over: about the time
-// in which a process restarts.
-const avoidFor = 400 * time.Millisecond
+// A host that failed a job is passed over: at first for about the time in which
+// a process restarts, then for longer each time, because each try costs a
+// caller the time of a dial.
+const (
+	avoidFirst = 400 * time.Millisecond
+	avoidMax   = 5 * time.Second
+)
 
 // avoided remembers the hosts that lately failed. Its lock is a leaf.
 type avoided struct {
 	mu    sync.Mutex
-	until map[string]time.Duration
+	hosts map[string]*avoidance
+}
+
+// avoidance is how long one host is passed over.
+type avoidance struct {
+	until, pause time.Duration
 }
 
 func (a *avoided) add(address string, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.until == nil {
-		a.until = map[string]time.Duration{}
+	if a.hosts == nil {
+		a.hosts = map[string]*avoidance{}
+	}
+	h, found := a.hosts[address]
+	if !found {
+		h = &avoidance{pause: avoidFirst / 2}
+		a.hosts[address] = h
+	}
+	if now < h.until {
+		return
 	}
-	a.until[address] = now + avoidFor
+	h.pause = min(2*h.pause, avoidMax)
+	h.until = now + h.pause
+}
+
+// clear forgets the failures of a host that has answered.
+func (a *avoided) clear(address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.hosts, address)
 }
 
 func (a *avoided) has(address string, now time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now < a.until[address]
+	h, found := a.hosts[address]
+	return found && now < h.until
 }
 
 // dispatch carries a first step out: on a connection of this host if it is a
@@ -52,7 +78,9 @@
 			if !gate.Sent && ctx.Err() == nil {
 				continue
 			}
+			return res, address
 		}
+		s.avoid.clear(address)
 		return res, address
 	}
 	res := s.Execute(ctx, j)
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -55,6 +55,8 @@
 	elsewhere int
 	// deadUntil is how long the word of a gate counts that the member is dead.
 	deadUntil time.Duration
+	// corroborated tells that another host has called the member dead.
+	corroborated bool
 	// openTimer has the pool asked again when a pause ends, surplusTimer when
 	// an idle connection is to be closed; nil while none is set.
 	openTimer    *time.Timer
@@ -110,7 +112,14 @@
 func (m *Member) Dead(now time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.health.Dead(now)
+	return m.health.Dead(now, m.corroborated)
+}
+
+// Corroborate notes whether another host has called the member dead.
+func (m *Member) Corroborate(by bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.corroborated = by
 }
 
 // gateWordFor is how long a gate's word counts that a member is dead: about as
@@ -130,7 +139,7 @@
 func (m *Member) unusable(now time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.health.Dead(now) || now < m.deadUntil
+	return m.health.Dead(now, m.corroborated) || now < m.deadUntil
 }
 
 // Failing reports whether the newest exchange with the member failed.
