--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -91,9 +91,10 @@
 	remote  Remote
 	owner   string
 	host    string
-	avoid   avoided
-	txs     txTable
-	log     zerolog.Logger
+	// gateHealth tells which hosts answer what is sent to them.
+	gateHealth gateHealth
+	txs        txTable
+	log        zerolog.Logger
 	// attention wakes the prober.
 	attention chan struct{}
 
