--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -282,3 +282,7 @@
 
 // Failed reports the error that ended a listener by itself.
 func (h *Host) Failed() <-chan error { return h.failed }
+
+// Known returns how many hosts this one knows to be registered, itself
+// included.
+func (h *Host) Known() int { return len(h.registry.Hosts()) }
--- a/node/entry/failures_test.go
+++ b/node/entry/failures_test.go
@@ -252,3 +252,33 @@
 	require.Contains(t, res.detail, "retry after")
 	require.Zero(t, d.group.Committed(res.id))
 }
+
+// TestStoppingHostEndsWhatOthersBegan: a host that keeps connections stops
+// while transactions of other hosts are open on them.
+func TestStoppingHostEndsWhatOthersBegan(t *testing.T) {
+	for stopped := range 3 {
+		t.Run(fmt.Sprintf("host %d", stopped), func(t *testing.T) {
+			d := deploy(t, 3, options())
+			var clients []*client
+			for i := range d.hosts {
+				if i == stopped {
+					continue
+				}
+				c := d.connect(i, "strict")
+				c.must("BEGIN")
+				c.must("STORE before x")
+				clients = append(clients, c)
+			}
+			ended := make(chan bool, 1)
+			go func() { ended <- d.hosts[stopped].Stop() }()
+			require.Eventually(t, func() bool { return !d.hosts[stopped].Ready() }, eventually, poll)
+			time.Sleep(time.Second)
+			for _, c := range clients {
+				w := c.must("STORE after x")
+				c.must("COMMIT")
+				require.Equal(t, 1, d.group.Committed(w.id))
+			}
+			require.True(t, <-ended)
+		})
+	}
+}
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -66,6 +66,9 @@
 	for range hosts {
 		d.addHost()
 	}
+	for _, h := range d.hosts {
+		require.Eventually(t, func() bool { return h.Known() == hosts }, eventually, poll)
+	}
 	return d
 }
 
