--- a/node/cmd/dotterelctl/demo.go
+++ b/node/cmd/dotterelctl/demo.go
@@ -25,6 +25,7 @@
 		Name:  "demo",
 		Usage: "run stand-ins, hosts and load in one process, with a fault",
 		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "edge", Value: "postgres", Usage: "postgres, or platform for the users' platform with the line protocol (faults: none, primary-crash, drain-primary, store-outage, host-stop)"},
 			workloadFlag(),
 			&cli.StringFlag{Name: "fault", Value: "none", Usage: "none, primary-crash, primary-partition, host-kill, store-outage, az-cut, rolling-restart, drain-primary, or several joined by +"},
 			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "entry hosts, 1 to 64"},
@@ -47,6 +48,13 @@
 }
 
 func runDemo(ctx context.Context, c *cli.Command) error {
+	switch c.String("edge") {
+	case "platform":
+		return runPlatformDemo(ctx, c)
+	case "postgres":
+	default:
+		return &exit.UsageError{Text: fmt.Sprintf("--edge is %q; allowed are postgres and platform", c.String("edge"))}
+	}
 	opts, err := demoOptions(c)
 	if err != nil {
 		return err
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	w := &bootWatch{path: s.boot, current: boot, log: log}
+	w := &bootWatch{path: s.boot, log: log}
 	go w.run()
 	for {
 		select {
@@ -150,39 +150,3 @@
 	}
 	return out
 }
-
-// bootCheck is how often the boot file is looked at for a change that no
-// signal announced.
-const bootCheck = 2 * time.Second
-
-// bootWatch follows the boot file. What a running process cannot change, such
-// as its addresses, takes effect at the next start; a file that is wrong is
-// reported and ignored.
-type bootWatch struct {
-	path    string
-	current platform.Boot
-	changed time.Time
-	log     zerolog.Logger
-}
-
-func (w *bootWatch) run() {
-	for range time.Tick(bootCheck) {
-		info, err := os.Stat(w.path)
-		if err != nil || info.ModTime().Equal(w.changed) {
-			continue
-		}
-		first := w.changed.IsZero()
-		w.changed = info.ModTime()
-		if !first {
-			w.reload("file changed")
-		}
-	}
-}
-
-func (w *bootWatch) reload(reason string) {
-	if _, err := platform.ReadBoot(w.path); err != nil {
-		eventlog.SettingsRejected.Error(w.log).Err(err).Str("reason", reason).Send()
-		return
-	}
-	eventlog.SettingsReloaded.Info(w.log).Str("reason", reason).Send()
-}
--- /dev/null
+++ b/node/platformdemo/demo_test.go
@@ -0,0 +1,26 @@
+package platformdemo_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/node/platformdemo"
+)
+
+// TestPromisesHoldUnderEachFault runs a short load with each fault.
+func TestPromisesHoldUnderEachFault(t *testing.T) {
+	for _, fault := range platformdemo.Faults() {
+		t.Run(string(fault), func(t *testing.T) {
+			r, err := platformdemo.Run(context.Background(), platformdemo.Options{
+				Hosts: 3, Callers: 6, Duration: 6 * time.Second, Fault: fault, Log: zerolog.Nop(),
+			})
+			require.NoError(t, err)
+			require.False(t, r.Broken(), "%+v", r)
+			require.Positive(t, r.Served)
+		})
+	}
+}
--- /dev/null
+++ b/standin/lineplatform/config.go
@@ -0,0 +1,31 @@
+package lineplatform
+
+// configBody is the operators' document as it lies in the store.
+type configBody struct {
+	Version  uint64        `json:"version"`
+	Routes   []routeBody   `json:"routes"`
+	Services []serviceBody `json:"services"`
+	Limits   limitsBody    `json:"limits"`
+}
+
+type routeBody struct {
+	Name string `json:"name"`
+	// Host is the name of the database.
+	Host         string `json:"host"`
+	Type         string `json:"type"`
+	Service      string `json:"service"`
+	Timeout      int64  `json:"timeout_ms"`
+	Target       int64  `json:"target_latency_ms"`
+	Priority     int    `json:"priority"`
+	MaxStaleness int64  `json:"max_staleness_ms"`
+}
+
+type serviceBody struct {
+	Name         string `json:"name"`
+	MaxConns     int    `json:"max_conns"`
+	SyncReplicas int    `json:"sync_replicas"`
+}
+
+type limitsBody struct {
+	TxIdle int64 `json:"tx_idle_ms"`
+}
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -251,6 +251,7 @@
 	m.log = append(m.log, entry{term: m.term, number: uint64(len(m.log) + 1), at: time.Now(), writes: writes})
 	for _, w := range writes {
 		m.group.committed[w.id]++
+		m.group.commitTerms[w.id] = m.term
 	}
 }
 
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -53,12 +53,14 @@
 	runs   []Run
 	// committed counts, for each request id, the commits that kept its write.
 	committed map[string]int
-	nextID    int
+	// commitTerms holds the term of the newest of them.
+	commitTerms map[string]uint64
+	nextID      int
 }
 
 // AddGroup starts a group whose first member is the primary.
 func (p *Platform) AddGroup(service string, o Options) (*Group, error) {
-	g := &Group{platform: p, service: service, opts: o, term: 1, committed: map[string]int{}}
+	g := &Group{platform: p, service: service, opts: o, term: 1, committed: map[string]int{}, commitTerms: map[string]uint64{}}
 	for range o.Members {
 		if _, err := g.AddMember(); err != nil {
 			g.close()
@@ -218,3 +220,18 @@
 	m.group.mu.Unlock()
 	m.announce()
 }
+
+// Term returns the newest term.
+func (g *Group) Term() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term
+}
+
+// CommitTerm returns the term in which a request's write was kept last, or
+// zero.
+func (g *Group) CommitTerm(id string) uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.commitTerms[id]
+}
--- a/standin/lineplatform/platform.go
+++ b/standin/lineplatform/platform.go
@@ -67,19 +67,17 @@
 func (p *Platform) Configure(routes []Route, txIdle time.Duration) uint64 {
 	p.mu.Lock()
 	p.version += 2
-	body := map[string]any{"version": p.version, "limits": map[string]any{"tx_idle_ms": txIdle.Milliseconds()}}
-	var rs, ss []map[string]any
+	body := configBody{Version: p.version, Limits: limitsBody{TxIdle: txIdle.Milliseconds()}}
 	for _, r := range routes {
-		rs = append(rs, map[string]any{
-			"name": "route-" + r.Database, "host": r.Database, "type": r.Consistency, "service": r.Service,
-			"timeout_ms": r.Timeout.Milliseconds(), "target_latency_ms": r.Target.Milliseconds(),
-			"priority": r.Priority, "max_staleness_ms": r.MaxStaleness.Milliseconds(),
+		body.Routes = append(body.Routes, routeBody{
+			Name: "route-" + r.Database, Host: r.Database, Type: r.Consistency, Service: r.Service,
+			Timeout: r.Timeout.Milliseconds(), Target: r.Target.Milliseconds(),
+			Priority: r.Priority, MaxStaleness: r.MaxStaleness.Milliseconds(),
 		})
 	}
 	for _, g := range p.groups {
-		ss = append(ss, map[string]any{"name": g.service, "max_conns": g.opts.MaxConnections, "sync_replicas": 0})
+		body.Services = append(body.Services, serviceBody{Name: g.service, MaxConns: g.opts.MaxConnections})
 	}
-	body["routes"], body["services"] = rs, ss
 	version := p.version
 	p.mu.Unlock()
 	data, err := json.Marshal(body)
