--- /dev/null
+++ b/node/clock/every.go
@@ -0,0 +1,20 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Every calls f after each interval until the context ends.
+func Every(ctx context.Context, interval time.Duration, f func()) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f()
+		}
+	}
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -107,6 +107,10 @@
 		h.cancel()
 		return nil, err
 	}
+	if err := h.newGateway(); err != nil {
+		h.cancel()
+		return nil, err
+	}
 	h.wg.Go(func() { h.registry.Run(h.ctx) })
 	h.wg.Go(func() { h.registry.KeepPresence(h.ctx) })
 	h.wg.Go(func() { h.registry.FollowPeers(h.ctx, h.gates.Listing) })
@@ -124,7 +128,7 @@
 	}
 }
 
-func (h *Host) startGateway() error {
+func (h *Host) newGateway() error {
 	g, err := edge.New(edge.Config{
 		Address: h.settings.CallerAddress, MaxSessions: h.settings.MaxSessions, Workers: h.settings.Workers, Log: h.log, Budget: h.budget,
 	}, h.adapter.Callers, h, h)
@@ -132,9 +136,13 @@
 		return err
 	}
 	h.gateway = g
-	go func() { h.failed <- g.Run() }()
+	return nil
+}
+
+func (h *Host) startGateway() error {
+	go func() { h.failed <- h.gateway.Run() }()
 	select {
-	case <-g.Booted():
+	case <-h.gateway.Booted():
 	case err := <-h.failed:
 		return err
 	}
@@ -263,21 +271,17 @@
 // endIdleTransactions ends the transactions that rest longer than the
 // configuration allows.
 func (h *Host) endIdleTransactions(ctx context.Context) {
-	tick := time.NewTicker(idleCheck)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	clock.Every(ctx, idleCheck, func() {
+		c := h.registry.Catalog()
+		if c == nil || c.TxIdle <= 0 {
 			return
-		case <-tick.C:
 		}
-		if c := h.registry.Catalog(); c != nil && c.TxIdle > 0 && h.gateway != nil {
-			h.gateway.EndIdle(clock.Now() - c.TxIdle)
-			for _, s := range h.allSets() {
-				s.EndUnused(clock.Now() - c.TxIdle - unusedSlack)
-			}
+		now := clock.Now()
+		h.gateway.EndIdle(now - c.TxIdle)
+		for _, s := range h.allSets() {
+			s.EndUnused(now - c.TxIdle - unusedSlack)
 		}
-	}
+	})
 }
 
 // Failed reports the error that ended a listener by itself.
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -45,23 +45,12 @@
 
 // reportGauges keeps the host's gauges up to date.
 func (h *Host) reportGauges(ctx context.Context) {
-	tick := time.NewTicker(gaugeInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			h.gauges(clock.Now())
-		}
-	}
+	clock.Every(ctx, gaugeInterval, func() { h.gauges(clock.Now()) })
 }
 
 func (h *Host) gauges(now time.Duration) {
 	m := h.metrics.metrics
-	if h.gateway != nil {
-		m.Gauge("sessions", float64(h.gateway.Sessions()))
-	}
+	m.Gauge("sessions", float64(h.gateway.Sessions()))
 	if c := h.registry.Catalog(); c != nil {
 		m.Gauge("config_version", float64(c.Version))
 	}
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -89,16 +89,7 @@
 
 // Run looks after the group until the context ends.
 func (p *Promoter) Run(ctx context.Context) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			p.look(ctx)
-		}
-	}
+	clock.Every(ctx, interval, func() { p.look(ctx) })
 }
 
 // look reports what this host sees and acts when it is its turn.
--- /dev/null
+++ b/node/registry/apply.go
@@ -0,0 +1,173 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/directory"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+func (r *Registry) noteAway(err error) {
+	r.mu.Lock()
+	was := r.away
+	r.away = true
+	if !was {
+		r.awaySince = clock.Now()
+	}
+	r.mu.Unlock()
+	if !was {
+		eventlog.PlatformUnreached.Warn(r.log).Err(err).Send()
+	}
+}
+
+// noteBack is called with mu held.
+func (r *Registry) noteBack() {
+	if r.away {
+		r.away = false
+		eventlog.PlatformReached.Info(r.log).Uint64("revision", r.revision).Send()
+	}
+}
+
+// replace takes a complete listing.
+func (r *Registry) replace(l store.Listing) {
+	now := clock.Now()
+	r.mu.Lock()
+	r.noteBack()
+	r.own = newOwnKeys()
+	clear(r.items)
+	var entries []directory.Entry
+	for _, i := range l.Items {
+		r.remember(i)
+		if e, ok := r.decodeEntry(i); ok {
+			entries = append(entries, e)
+			continue
+		}
+		r.takeItem(i)
+	}
+	r.directory.Replace(entries, l.Revision, now)
+	r.expire(now)
+	r.revision, r.listed = l.Revision, true
+	r.mu.Unlock()
+	r.changed()
+}
+
+// apply takes the events of a watch.
+func (r *Registry) apply(l store.Listing) {
+	now := clock.Now()
+	r.mu.Lock()
+	r.noteBack()
+	r.revision = max(r.revision, l.Revision)
+	for _, i := range l.Items {
+		r.remember(i)
+		if id, ok := r.docs.MemberID(i.Key); ok {
+			r.takeMember(id, i, now)
+			continue
+		}
+		r.takeItem(i)
+	}
+	r.scheduleRecheck()
+	r.mu.Unlock()
+	if len(l.Items) > 0 {
+		r.changed()
+	}
+}
+
+func (r *Registry) takeMember(id string, i store.Item, now time.Duration) {
+	if i.Deleted {
+		r.directory.Lose(id, i.Revision, now)
+		return
+	}
+	if e, ok := r.decodeEntry(i); ok {
+		r.directory.Put(e, now)
+	}
+}
+
+// decodeEntry decodes a member's entry; it reports false for other keys and
+// for entries that cannot be read, which are logged.
+func (r *Registry) decodeEntry(i store.Item) (directory.Entry, bool) {
+	if _, ok := r.docs.MemberID(i.Key); !ok || i.Deleted {
+		return directory.Entry{}, false
+	}
+	e, err := r.docs.Entry(i)
+	if err != nil {
+		eventlog.EntryUnreadable.Warn(r.log).Err(err).Str("key", i.Key).Send()
+		return directory.Entry{}, false
+	}
+	return e, true
+}
+
+// takeItem takes a key that is not a member's. It is called with mu held.
+func (r *Registry) takeItem(i store.Item) {
+	if i.Key != r.docs.ConfigKey() {
+		r.own.take(i)
+		return
+	}
+	if i.Deleted {
+		return
+	}
+	next, err := r.docs.Catalog(i.Value)
+	if err != nil {
+		eventlog.ConfigRejected.Error(r.log).Err(err).Send()
+		return
+	}
+	current := r.catalog
+	r.catalog = catalog.Newer(current, next)
+	if r.catalog != current {
+		eventlog.ConfigInForce.Info(r.log).Uint64("version", next.Version).Int("routes", next.Len()).Send()
+	}
+}
+
+// scheduleRecheck lists once more when the grace period of a lost entry is
+// over. It is called with mu held.
+func (r *Registry) scheduleRecheck() {
+	if r.recheck || !r.hasMissing() {
+		return
+	}
+	r.recheck = true
+	time.AfterFunc(tidyAfter, r.relistMembers)
+}
+
+func (r *Registry) hasMissing() bool {
+	for _, m := range r.directory.Members() {
+		if m.Missing {
+			return true
+		}
+	}
+	return false
+}
+
+// relistMembers asks whether lost entries are back. Only the store's own word
+// makes a member gone; while the store is away it stays.
+func (r *Registry) relistMembers() {
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	defer cancel()
+	l, err := r.store.Range(ctx, r.docs.MemberPrefix())
+	now := clock.Now()
+	r.mu.Lock()
+	r.recheck = false
+	if err == nil {
+		var entries []directory.Entry
+		for _, i := range l.Items {
+			if e, ok := r.decodeEntry(i); ok {
+				entries = append(entries, e)
+			}
+		}
+		r.directory.Replace(entries, l.Revision, now)
+		r.expire(now)
+	}
+	r.scheduleRecheck()
+	r.mu.Unlock()
+	r.changed()
+}
+
+// expire drops members whose entries stayed away. It is called with mu held.
+func (r *Registry) expire(now time.Duration) {
+	for _, m := range r.directory.Expire(now) {
+		eventlog.UpstreamGone.Info(r.log).Str("upstream", m.ID).Str("reason", "its entry stayed away").Send()
+	}
+	r.scheduleRecheck()
+}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -1,8 +1,6 @@
 package replicaset
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -14,7 +12,6 @@
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
-	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
@@ -26,12 +23,6 @@
 	behindFor = 150 * time.Millisecond
 )
 
-// grant is what a waiter is told: a connection, or that it waits in vain.
-type grant struct {
-	conn *Conn
-	err  error
-}
-
 // Member is one member of a group, with this host's connections to it.
 type Member struct {
 	id, service, address string
@@ -161,243 +152,6 @@
 	}
 }
 
-// acquire takes a connection, waiting for it as long as the waiter allows.
-func (m *Member) acquire(ctx context.Context, w connpool.Waiter) (*Conn, error) {
-	for {
-		conn, ch, err := m.request(&w)
-		if err != nil {
-			return nil, err
-		}
-		if ch != nil {
-			conn, err = m.await(ctx, w, ch)
-			if err != nil {
-				return nil, err
-			}
-			return conn, nil
-		}
-		if conn.alive() {
-			return conn, nil
-		}
-		conn.broken = true
-		m.release(conn)
-	}
-}
-
-// request asks the pool; it returns a connection or a channel to wait on.
-func (m *Member) request(w *connpool.Waiter) (*Conn, chan grant, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.removed {
-		return nil, nil, &RefusedError{Reason: "the member has left"}
-	}
-	now := clock.Now()
-	m.nextID++
-	w.ID = m.nextID
-	d := m.pool.Acquire(*w, now)
-	switch d.Verdict {
-	case connpool.Granted:
-		c := m.conns[d.Conn]
-		c.takenAt = now
-		return c, nil, nil
-	case connpool.Refused:
-		return nil, nil, &RefusedError{Reason: "too many statements wait for the member", RetryAfter: d.RetryAfter}
-	}
-	ch := make(chan grant, 1)
-	m.waiters[w.ID] = ch
-	m.openMore(now)
-	return nil, ch, nil
-}
-
-// await waits for a queued request.
-func (m *Member) await(ctx context.Context, w connpool.Waiter, ch chan grant) (*Conn, error) {
-	timer := time.NewTimer(w.StartBy - clock.Now())
-	defer timer.Stop()
-	for {
-		select {
-		case g := <-ch:
-			return g.conn, g.err
-		case <-timer.C:
-			if left := m.timeLeft(w); left > 0 {
-				timer.Reset(min(left, holdPoll))
-				continue
-			}
-		case <-ctx.Done():
-		}
-		if m.leave(w) {
-			return nil, &RefusedError{Reason: "no connection to the member was free in time"}
-		}
-		// The grant came at the same moment.
-		g := <-ch
-		return g.conn, g.err
-	}
-}
-
-// holdPoll is how often a statement that is held looks whether it still may be.
-const holdPoll = 20 * time.Millisecond
-
-// timeLeft returns how much longer a waiter may wait.
-func (m *Member) timeLeft(w connpool.Waiter) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.pool.GiveUpAt(w) - clock.Now()
-}
-
-// leave takes a waiter back; it reports false when it was just granted.
-func (m *Member) leave(w connpool.Waiter) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	left := m.pool.Leave(w.ID)
-	delete(m.waiters, w.ID)
-	return left
-}
-
-// openMore opens the connections that the pool asks for. It is called with mu
-// held.
-func (m *Member) openMore(now time.Duration) {
-	for m.pool.ShouldOpen(now) {
-		m.nextID++
-		go m.open(connpool.ConnID(m.nextID))
-	}
-	m.armTimer(now)
-}
-
-// armTimer has the pool asked again when its pause ends. It is called with mu
-// held.
-func (m *Member) armTimer(now time.Duration) {
-	at := m.pool.RetryOpenAt(now)
-	if at == 0 || m.pool.Waiting() == 0 || m.openTimer != nil {
-		return
-	}
-	m.openTimer = time.AfterFunc(at-now, func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.openTimer = nil
-		if !m.removed {
-			m.openMore(clock.Now())
-		}
-	})
-}
-
-func (m *Member) open(id connpool.ConnID) {
-	sent := clock.Now()
-	conn, err := connect(context.Background(), m.set.dial, m.set.proto, m, id)
-	if err == nil {
-		m.opened(conn, sent)
-		return
-	}
-	var ce *ConnectError
-	crowded := errors.As(err, &ce) && ce.Code == statement.TooManyConnections
-	refusedLogin := ce != nil && ce.Code != statement.OK
-	eventlog.ConnectionFailed.Debug(m.log).Err(err).Send()
-	if !refusedLogin {
-		m.failed(sent, ce != nil && ce.Silent)
-	}
-	m.mu.Lock()
-	now := clock.Now()
-	if refusedLogin {
-		m.health.Succeeded(sent)
-	}
-	m.pool.OpenFailed(crowded, now)
-	if !crowded {
-		m.failWaiters(err)
-	}
-	m.openMore(now)
-	m.mu.Unlock()
-}
-
-// failWaiters tells all waiters that no connection can be had, so that they
-// go elsewhere. It is called with mu held.
-func (m *Member) failWaiters(err error) {
-	if m.pool.Open() > 0 {
-		return
-	}
-	for id, ch := range m.waiters {
-		if m.pool.Leave(id) {
-			delete(m.waiters, id)
-			ch <- grant{err: err}
-		}
-	}
-}
-
-func (m *Member) opened(conn *Conn, sent time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := clock.Now()
-	m.health.Succeeded(sent)
-	m.conns[conn.id] = conn
-	w, found := m.pool.Opened(conn.id, now)
-	if found {
-		m.hand(conn, w, now)
-	}
-	if m.removed {
-		m.closeIdle()
-	}
-}
-
-// hand gives a connection to a waiter. It is called with mu held.
-func (m *Member) hand(conn *Conn, w connpool.Waiter, now time.Duration) {
-	conn.takenAt = now
-	ch := m.waiters[w.ID]
-	delete(m.waiters, w.ID)
-	ch <- grant{conn: conn}
-}
-
-// release returns a connection. One that is broken or not idle is closed.
-func (m *Member) release(c *Conn) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := clock.Now()
-	if c.broken || c.lastState != statement.Idle || m.removed {
-		m.pool.Closed()
-		delete(m.conns, c.id)
-		c.close()
-		m.openMore(now)
-		return
-	}
-	w, found := m.pool.Released(c.id, c.valuesKey(), now-c.takenAt, now)
-	if found {
-		m.hand(c, w, now)
-	}
-	m.armSurplus(now)
-}
-
-// armSurplus closes idle connections above the fair share when their time is
-// over. It is called with mu held.
-func (m *Member) armSurplus(now time.Duration) {
-	at := m.pool.SurplusAt()
-	if at == 0 || m.surplusTimer != nil {
-		return
-	}
-	m.surplusTimer = time.AfterFunc(max(at-now, 0), func() {
-		m.mu.Lock()
-		m.surplusTimer = nil
-		m.mu.Unlock()
-		now := clock.Now()
-		m.closeSurplus(now)
-		m.mu.Lock()
-		m.armSurplus(now)
-		m.mu.Unlock()
-	})
-}
-
-// closeIdle closes all idle connections. It is called with mu held.
-func (m *Member) closeIdle() {
-	for _, id := range m.pool.DropIdle() {
-		m.conns[id].close()
-		delete(m.conns, id)
-	}
-}
-
-// closeSurplus closes the idle connections that the pool wants rid of.
-func (m *Member) closeSurplus(now time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, id := range m.pool.Surplus(now) {
-		m.conns[id].close()
-		delete(m.conns, id)
-	}
-}
-
 // remove ends the use of a member that is gone. Statements that run go on.
 func (m *Member) remove() {
 	m.mu.Lock()
--- /dev/null
+++ b/node/replicaset/primary.go
@@ -0,0 +1,133 @@
+package replicaset
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/directory"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+// notePrimary wakes those that wait for a primary when it has changed. It is
+// called with mu held.
+func (s *Set) notePrimary(before, source string) {
+	now := s.belief.Primary()
+	if now == before {
+		return
+	}
+	eventlog.PrimaryChanged.Info(s.log).Str("upstream", now).Str("was", before).Str("source", source).
+		Uint64("term", uint64(s.belief.Term())).Send()
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if now == "" {
+		s.wake()
+	}
+}
+
+// denied notes that a member refused to act as primary.
+func (s *Set) denied(m *Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.belief.Primary()
+	s.belief.Denied(m.id)
+	s.notePrimary(before, "refused as replica")
+}
+
+// proved notes an exchange, sent at the given time, that only the primary can
+// have, and the position that it reported.
+func (s *Set) proved(m *Member, p logpos.Position, sent time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.belief.Primary()
+	s.floors.Observe(p, sent)
+	if _, known := s.members[m.id]; known {
+		s.belief.Proved(m.id, p.Term)
+	}
+	s.notePrimary(before, "proof")
+}
+
+// Primary returns the member believed to be the primary, if it may be used: it
+// is not past its leave, and this host has not found it dead.
+func (s *Set) Primary() (*Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	m, found := s.members[s.belief.Primary()]
+	if found && !s.pastDrain(m.snapshot(), now) && !m.unusable(now) {
+		s.leaderlessSince = 0
+		return m, true
+	}
+	if s.leaderlessSince == 0 {
+		s.leaderlessSince = now
+	}
+	return nil, false
+}
+
+// pastDrain reports whether a leaving member must get no new work any more.
+func (s *Set) pastDrain(e directory.Member, now time.Duration) bool {
+	return e.Leaving && now-e.LeavingSince > s.drain-leaveMargin
+}
+
+const (
+	// failoverTime is how long a group may be without a primary while one is
+	// still expected soon: the silence that counts as death, the hosts' turns,
+	// and a promotion of up to a second. After it statements are refused at once.
+	failoverTime = 3500 * time.Millisecond
+	// leaderPoll is how often a statement that waits for a primary looks whether
+	// the old one answers again.
+	leaderPoll = 50 * time.Millisecond
+)
+
+// awaitPrimary waits until a primary is known, as long as one can be expected.
+// A statement that waited for one gets the time to queue that it would have
+// had without.
+func (s *Set) awaitPrimary(ctx context.Context, w *Work) (*Member, bool) {
+	began := clock.Now()
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		now := clock.Now()
+		if m, found := s.Primary(); found {
+			w.StartBy = min(w.StartBy+now-began, max(w.HoldBy, w.StartBy))
+			return m, true
+		}
+		if now >= s.holdUntil(w) {
+			return nil, false
+		}
+		timer := time.NewTimer(leaderPoll)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, false
+		}
+		timer.Stop()
+	}
+}
+
+// holdUntil returns when a statement is refused unless a primary is found.
+func (s *Set) holdUntil(w *Work) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(w.HoldBy, s.leaderlessSince+failoverTime)
+}
+
+// Believed returns the member that is taken for the primary, whether or not it
+// may still be used.
+func (s *Set) Believed() (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := s.belief.Primary()
+	return id, id != ""
+}
+
+// Term returns the newest term that is known.
+func (s *Set) Term() logpos.Term {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(s.belief.Term(), s.floors.Term())
+}
