--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -196,7 +196,13 @@
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
-	// An empty write queues the close behind the answers.
+	s.closeAfterAnswers()
+}
+
+// closeAfterAnswers closes the connection once what was sent has left: an empty
+// write queues the close behind the answers. It fails only when the connection
+// is closed already.
+func (s *caller) closeAfterAnswers() {
 	_ = s.conn.AsyncWrite(nil, func(c gnet.Conn, _ error) error { return c.Close() })
 }
 
@@ -239,7 +245,7 @@
 		return
 	}
 	s.closed = true
-	_ = s.conn.AsyncWrite(nil, func(c gnet.Conn, _ error) error { return c.Close() })
+	s.closeAfterAnswers()
 }
 
 // abortResting ends a transaction that rests between statements. The caller
--- a/node/edge/gateway.go
+++ b/node/edge/gateway.go
@@ -116,6 +116,7 @@
 	}
 	if err := s.receive(data); err != nil {
 		g.note(eventlog.CallerViolation, func(l *zerolog.Event) { l.Err(err).Str("remote", c.RemoteAddr().String()) })
+		// The connection is closed right after; whether this arrives or not.
 		_, _ = c.Write(g.proto.EncodeFatal(statement.TooLarge, err.Error()))
 		return gnet.Close
 	}
