Say things once: the reason of a lost transaction, waits, the adapter, news of the store

The reason of a transaction that the system ended was kept beside the session's state and survived it: a commit or rollback as the next statement left it behind, and a later failed transaction was answered with it. It is part of core/session now (TestReasonOfALostTransactionIsToldOnce). One wait that a context ends instead of three, one assembly of the adapter instead of three (the demo and the tests now use the shipped 0.6 s for promotion calls), one way to take an event of the store, one name for the local run of a job. Voters are worked out only where they decide, not on every look. Dead code is gone.

--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -91,9 +91,6 @@
 // Waiting returns the number of statements that wait.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
-// Hold returns the smoothed time for which a connection is held.
-func (p *Pool) Hold() time.Duration { return p.hold }
-
 // Verdict says what became of a request for a connection.
 type Verdict uint8
 
--- a/core/session/session.go
+++ b/core/session/session.go
@@ -28,7 +28,9 @@
 	// ReadOnly is set in a transaction that announced no writes.
 	ReadOnly bool
 	// Wrote is set once a transaction has sent a write.
-	Wrote    bool
+	Wrote bool
+	// lost is why the system ended the transaction; the caller is told once.
+	lost     string
 	values   map[string]string
 	prepared map[string]statement.Shape
 }
@@ -111,8 +113,19 @@
 		s.End()
 		return s.refuse(statement.Aborted, "the transaction had failed and was rolled back")
 	default:
+		return s.refuseInFailed()
+	}
+}
+
+// refuseInFailed answers a statement in a failed transaction. The first one
+// after the system ended the transaction is told why.
+func (s *Session) refuseInFailed() statement.Answer {
+	if s.lost == "" {
 		return s.refuse(statement.Invalid, "the transaction has failed; roll it back")
 	}
+	reason := s.lost
+	s.lost = ""
+	return s.refuse(statement.Aborted, reason)
 }
 
 func (s *Session) set(st statement.Statement) statement.Answer {
@@ -147,7 +160,9 @@
 }
 
 // End notes that no transaction is open any more.
-func (s *Session) End() { s.State, s.ReadOnly, s.Wrote = statement.Idle, false, false }
+func (s *Session) End() {
+	s.State, s.ReadOnly, s.Wrote, s.lost = statement.Idle, false, false, ""
+}
 
 // Fail notes that the open transaction is lost.
 func (s *Session) Fail() {
@@ -155,3 +170,9 @@
 		s.State = statement.Failed
 	}
 }
+
+// Lose notes that the system has ended the open transaction, and why.
+func (s *Session) Lose(reason string) {
+	s.Fail()
+	s.lost = reason
+}
--- a/core/session/session_test.go
+++ b/core/session/session_test.go
@@ -66,3 +66,23 @@
 	s := session.New("db")
 	require.Equal(t, statement.Invalid, local(t, s, statement.Statement{Kind: statement.Malformed, Problem: "x"}).Code)
 }
+
+// TestReasonOfALostTransactionIsToldOnce: it must not turn up in a later
+// transaction, whichever statement the caller learns of the loss by.
+func TestReasonOfALostTransactionIsToldOnce(t *testing.T) {
+	for _, first := range []statement.Kind{statement.Read, statement.Commit, statement.Rollback} {
+		s := session.New("db")
+		local(t, s, statement.Statement{Kind: statement.Begin})
+		s.Lose("it rested")
+		a := local(t, s, statement.Statement{Kind: first})
+		if first == statement.Read {
+			require.Equal(t, statement.Aborted, a.Code)
+			require.Equal(t, "it rested", a.Detail)
+			require.Equal(t, statement.Failed, a.State)
+			local(t, s, statement.Statement{Kind: statement.Rollback})
+		}
+		local(t, s, statement.Statement{Kind: statement.Begin})
+		s.Fail()
+		require.Equal(t, statement.Invalid, local(t, s, statement.Statement{Kind: statement.Read}).Code)
+	}
+}
--- a/core/statement/answer.go
+++ b/core/statement/answer.go
@@ -18,7 +18,7 @@
 // Code is the kind of a failure, as callers and upstreams name it.
 type Code uint8
 
-// The codes. Those up to WrongMember promise that nothing of the attempt is
+// The codes. Busy to UnknownStatement promise that nothing of the attempt is
 // kept; the others promise nothing.
 const (
 	// OK means success.
@@ -63,9 +63,6 @@
 
 func (c Code) String() string { return codeNames[c] }
 
-// NotRun reports whether the code promises that the statement had no effect.
-func (c Code) NotRun() bool { return c >= Busy && c <= UnknownStatement }
-
 // Answer is the outcome of one statement.
 type Answer struct {
 	Rows []string
--- a/node/clock/every.go
+++ b/node/clock/every.go
@@ -18,3 +18,15 @@
 		}
 	}
 }
+
+// Sleep waits; it reports false when the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/exit"
+	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
 	"github.com/dotterelswitch/dotterelswitch/platform"
@@ -74,11 +75,6 @@
 // let the heap grow to; the rest is for buffers of the system.
 const memoryShare = 0.6
 
-// promotionTimeout bounds one promotion call. The platform answers in
-// milliseconds; a call whose answer is lost is repeated with the same token,
-// and callers wait for it.
-const promotionTimeout = 600 * time.Millisecond
-
 // reservedDescriptors is what is left of a host's descriptors for files and
 // its own connections.
 const reservedDescriptors = 600
@@ -104,7 +100,7 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	h, err := entry.Start(entrySettings(s, boot), adapter(s, boot), entry.Dial, log)
+	h, err := entry.Start(entrySettings(s, boot), onplatform.Adapter(boot.Host, boot.StoreAddress, boot.PromotionAddress, s.callTimeout), entry.Dial, log)
 	if err != nil {
 		return err
 	}
@@ -127,16 +123,6 @@
 	}
 }
 
-func adapter(s platformSettings, boot platform.Boot) entry.Adapter {
-	client := entry.HTTPClient()
-	return entry.Adapter{
-		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
-		Store:     platform.NewStoreClient(boot.StoreAddress, client, s.callTimeout),
-		Promotion: platform.NewPromotionClient(boot.PromotionAddress, boot.Host, client, min(s.callTimeout, promotionTimeout)),
-		ReadyPath: platform.ReadyPath,
-	}
-}
-
 func entrySettings(s platformSettings, boot platform.Boot) entry.Settings {
 	out := entry.Settings{
 		Host: boot.Host, Places: replicaset.Places{Zone: boot.Zone, Regions: boot.Regions},
--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -46,8 +46,6 @@
 	state *session.Session
 	user  string
 	tx    *replicaset.Tx
-	// lostBecause explains why a resting transaction was ended.
-	lostBecause string
 }
 
 func newCaller(g *Gateway, c gnet.Conn) *caller {
@@ -257,8 +255,7 @@
 		return
 	}
 	s.dropTx()
-	s.state.Fail()
-	s.lostBecause = reason
+	s.state.Lose(reason)
 }
 
 // abortIdle ends a transaction that has rested since before the given time.
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -24,8 +24,6 @@
 	record := Record{Database: s.state.Database, User: s.user, Statement: st}
 	out := replicaset.Outcome{}
 	switch answer, local := s.state.Local(st); {
-	case s.lostBecause != "" && s.state.State == statement.Failed:
-		out = s.reportLost(st)
 	case local:
 		out.Answer = answer
 		if st.Kind == statement.Rollback && s.state.State == statement.Idle {
@@ -44,20 +42,6 @@
 	s.gateway.observer.Finished(record)
 }
 
-// reportLost answers the first statement after a resting transaction was
-// ended.
-func (s *caller) reportLost(st statement.Statement) replicaset.Outcome {
-	reason := s.lostBecause
-	s.lostBecause = ""
-	if st.Kind == statement.Rollback || st.Kind == statement.Commit {
-		s.state.End()
-	}
-	if st.Kind == statement.Rollback {
-		return replicaset.Outcome{Answer: statement.Answer{State: statement.Idle}}
-	}
-	return replicaset.Outcome{Answer: statement.Refuse(statement.Aborted, reason, s.state.State), Cause: reason}
-}
-
 // failStatement fails the open transaction, if there is one, along with an
 // answer.
 func (s *caller) failStatement(a statement.Answer) statement.Answer {
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
+	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
-	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
@@ -139,13 +139,7 @@
 		CallerAddress: free(d.t), ReadyAddress: free(d.t), PeerAddress: free(d.t),
 		MaxSessions: 1000, Workers: 256, Grace: 2 * time.Second, DrainBound: 7 * time.Second,
 	}
-	client := entry.HTTPClient()
-	a := entry.Adapter{
-		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
-		Store:     platform.NewStoreClient(store, client, time.Second),
-		Promotion: platform.NewPromotionClient(d.platform.Address(), name, client, time.Second),
-		ReadyPath: platform.ReadyPath,
-	}
+	a := onplatform.Adapter(name, store, d.platform.Address(), time.Second)
 	h, err := entry.Start(s, a, entry.Dial, zerolog.New(d.logs()))
 	require.NoError(d.t, err)
 	d.t.Cleanup(h.Kill)
--- a/node/host/config_sync.go
+++ b/node/host/config_sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
@@ -53,7 +54,7 @@
 	var index uint64
 	for ctx.Err() == nil {
 		if index != 0 && !h.isRelay() {
-			sleep(ctx, roleInterval)
+			clock.Sleep(ctx, roleInterval)
 			continue
 		}
 		head, next, err := h.config.WatchHead(ctx, index, watchWait)
@@ -65,7 +66,7 @@
 			err = h.catchUp(ctx, head)
 		}
 		if err != nil || next == 0 {
-			sleep(ctx, retryInterval)
+			clock.Sleep(ctx, retryInterval)
 			continue
 		}
 		index = next
@@ -113,9 +114,9 @@
 			h.readLists(ctx, round)
 		}
 		if early {
-			sleep(ctx, earlyListInterval)
+			clock.Sleep(ctx, earlyListInterval)
 		} else {
-			sleep(ctx, listInterval*time.Duration(1+h.Known()/hostsPerListInterval))
+			clock.Sleep(ctx, listInterval*time.Duration(1+h.Known()/hostsPerListInterval))
 		}
 	}
 }
@@ -208,12 +209,3 @@
 		eventlog.PlatformReached.Info(h.log).Send()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/host/gossip.go
+++ b/node/host/gossip.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 )
@@ -28,7 +29,7 @@
 		if found {
 			go h.ping(ctx, target)
 		}
-		sleep(ctx, h.timing.Period(h.Known()))
+		clock.Sleep(ctx, h.timing.Period(h.Known()))
 	}
 }
 
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -15,6 +15,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/group"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/consul"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -171,7 +172,7 @@
 		if err == nil {
 			return
 		}
-		sleep(ctx, retryInterval)
+		clock.Sleep(ctx, retryInterval)
 	}
 }
 
--- a/node/host/stop.go
+++ b/node/host/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
@@ -46,7 +47,7 @@
 	defer cancel()
 	_ = h.platform.Register(bounded, leaving)
 	_ = h.platform.Deregister(bounded, h.self.ID)
-	sleep(ctx, announceTime)
+	clock.Sleep(ctx, announceTime)
 }
 
 // Kill ends the host at once, as a crash does.
--- a/node/platformdemo/demo.go
+++ b/node/platformdemo/demo.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
+	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
-	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
@@ -115,13 +115,8 @@
 		if err != nil {
 			return hosts, nil, err
 		}
-		client := entry.HTTPClient()
-		h, err := entry.Start(s, entry.Adapter{
-			Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
-			Store:     platform.NewStoreClient(p.Address(), client, callTimeout),
-			Promotion: platform.NewPromotionClient(p.Address(), s.Host, client, callTimeout),
-			ReadyPath: platform.ReadyPath,
-		}, entry.Dial, o.Log)
+		a := onplatform.Adapter(s.Host, p.Address(), p.Address(), callTimeout)
+		h, err := entry.Start(s, a, entry.Dial, o.Log)
 		if err != nil {
 			return hosts, nil, err
 		}
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -100,7 +100,7 @@
 	if failed == "" {
 		p.verify(ctx, now)
 	}
-	if p.votes() {
+	if failed != p.reported && p.votes() {
 		p.report(ctx, failed)
 	}
 	switch {
@@ -161,7 +161,7 @@
 // traffic would have no evidence of its own, and its voice would be missing.
 func (p *Promoter) verify(ctx context.Context, now time.Duration) {
 	id, found := p.set.Believed()
-	if !found || !p.votes() || now-p.verifiedAt < verifyInterval || len(p.registry.Suspecting(p.service, id)) == 0 {
+	if !found || now-p.verifiedAt < verifyInterval || len(p.registry.Suspecting(p.service, id)) == 0 || !p.votes() {
 		return
 	}
 	p.verifiedAt = now
@@ -175,9 +175,6 @@
 
 // report keeps this host's word on the primary in the store up to date.
 func (p *Promoter) report(ctx context.Context, failed string) {
-	if failed == p.reported {
-		return
-	}
 	if p.reported != "" {
 		if err := p.registry.Trust(ctx, p.service, p.reported); err != nil {
 			eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "take a report back").Send()
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -63,11 +63,7 @@
 	r.revision = max(r.revision, l.Revision)
 	for _, i := range l.Items {
 		r.remember(i)
-		if id, ok := r.docs.MemberID(i.Key); ok {
-			r.takeMember(id, i, now)
-			continue
-		}
-		r.takeItem(i)
+		r.takeEvent(i, now)
 	}
 	r.scheduleRecheck()
 	r.mu.Unlock()
@@ -76,6 +72,15 @@
 	}
 }
 
+// takeEvent takes one change. It is called with mu held.
+func (r *Registry) takeEvent(i store.Item, now time.Duration) {
+	if id, ok := r.docs.MemberID(i.Key); ok {
+		r.takeMember(id, i, now)
+		return
+	}
+	r.takeItem(i)
+}
+
 func (r *Registry) takeMember(id string, i store.Item, now time.Duration) {
 	if i.Deleted {
 		r.directory.Lose(id, i.Revision, now)
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
@@ -23,7 +24,7 @@
 		if err := r.keepOnce(ctx); err != nil {
 			r.noteAway(err)
 		}
-		sleep(ctx, renewEvery)
+		clock.Sleep(ctx, renewEvery)
 	}
 }
 
@@ -45,13 +46,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.host), Value: encodeHost(r.self), Lease: g.Lease}}})
+	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.self.Name), Value: encodeHost(r.self), Lease: g.Lease}}})
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	r.lease = g.Lease
-	r.own.hosts[r.host] = r.self
+	r.own.hosts[r.self.Name] = r.self
 	r.mu.Unlock()
 	return nil
 }
@@ -60,7 +61,7 @@
 func (r *Registry) registered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, found := r.own.hosts[r.host]
+	_, found := r.own.hosts[r.self.Name]
 	return found
 }
 
@@ -91,14 +92,14 @@
 
 // Suspect reports a member as dead.
 func (r *Registry) Suspect(ctx context.Context, service, member string) error {
-	key := suspectKey(service, member, r.host)
+	key := suspectKey(service, member, r.self.Name)
 	_, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: []byte("dead"), Lease: r.currentLease()}}})
 	return err
 }
 
 // Trust takes the report back.
 func (r *Registry) Trust(ctx context.Context, service, member string) error {
-	_, err := r.store.Commit(ctx, store.Txn{Deletes: []string{suspectKey(service, member, r.host)}})
+	_, err := r.store.Commit(ctx, store.Txn{Deletes: []string{suspectKey(service, member, r.self.Name)}})
 	return err
 }
 
@@ -108,7 +109,7 @@
 	key := lockKey(service)
 	return r.store.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: key, Revision: 0}},
-		Writes:     []store.Write{{Key: key, Value: []byte(r.host), Lease: r.currentLease()}},
+		Writes:     []store.Write{{Key: key, Value: []byte(r.self.Name), Lease: r.currentLease()}},
 	})
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -64,7 +64,6 @@
 type Registry struct {
 	store Store
 	docs  Documents
-	host  string
 	// self is what other hosts are told of this one.
 	self gates.Host
 	log  zerolog.Logger
@@ -100,14 +99,14 @@
 		wait = defaultWait
 	}
 	return &Registry{
-		store: s, docs: docs, host: self.Name, self: self, wait: wait, changed: changed, log: log,
+		store: s, docs: docs, self: self, wait: wait, changed: changed, log: log,
 		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{},
 	}
 }
 
 // Run follows the store until the context ends.
 func (r *Registry) Run(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(uint64(clock.Now()), uint64(len(r.host))))
+	rng := rand.New(rand.NewPCG(uint64(clock.Now()), uint64(len(r.self.Name))))
 	attempt := 0
 	for ctx.Err() == nil {
 		err := r.follow(ctx)
@@ -120,7 +119,7 @@
 			continue
 		}
 		r.noteAway(err)
-		sleep(ctx, backoff.Wait(attempt, rng))
+		clock.Sleep(ctx, backoff.Wait(attempt, rng))
 		attempt++
 	}
 }
@@ -145,7 +144,7 @@
 	}
 	r.apply(l)
 	if took := clock.Now() - began; took < watchSpacing {
-		sleep(ctx, watchSpacing-took)
+		clock.Sleep(ctx, watchSpacing-took)
 	}
 	return nil
 }
@@ -210,12 +209,3 @@
 	l, found := r.own.locks[service]
 	return l, found
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/registry/relay.go
+++ b/node/registry/relay.go
@@ -28,7 +28,7 @@
 // knows: only the store's own word makes a member gone.
 func (r *Registry) FollowPeers(ctx context.Context, ask Relay) {
 	for ctx.Err() == nil {
-		sleep(ctx, relayInterval)
+		clock.Sleep(ctx, relayInterval)
 		if above, cut := r.cutOff(clock.Now()); cut {
 			r.askPeer(ctx, ask, above)
 		}
@@ -49,7 +49,7 @@
 		return
 	}
 	other := fleet[rand.IntN(len(fleet))]
-	if other.Name == r.host {
+	if other.Name == r.self.Name {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
@@ -70,11 +70,7 @@
 	r.mu.Lock()
 	r.relayed = l.Revision
 	for _, i := range l.Items {
-		if id, ok := r.docs.MemberID(i.Key); ok {
-			r.takeMember(id, i, now)
-			continue
-		}
-		r.takeItem(i)
+		r.takeEvent(i, now)
 	}
 	r.mu.Unlock()
 	eventlog.RelayedBy.Info(r.log).Str("peer", from).Uint64("revision", l.Revision).Send()
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -53,9 +53,6 @@
 	nextName int
 }
 
-// Member returns the member that the connection leads to.
-func (c *Conn) Member() *Member { return c.member }
-
 // connect opens a connection and logs in.
 func connect(ctx context.Context, dial DialFunc, proto Protocol, m *Member, id connpool.ConnID) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -144,7 +141,7 @@
 	return err == nil && alive
 }
 
-// Prepare brings the connection's session values to those of a caller. A
+// assign brings the connection's session values to those of a caller. A
 // failure breaks the connection and means that nothing of the caller was sent.
 func (c *Conn) assign(values map[string]string, until time.Duration) error {
 	if c.hasExtra(values) {
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -20,18 +19,19 @@
 			continue
 		}
 		res := s.remoteRun(ctx, m, address, j)
-		var gate *GateError
-		if errors.As(res.Err, &gate) {
-			if !gate.Sent && ctx.Err() == nil {
-				continue
-			}
-			return res, address
+		if gate, failed := res.gateError(); failed && !gate.Sent && ctx.Err() == nil {
+			continue
 		}
 		return res, address
 	}
+	return s.localRun(ctx, m, j), ""
+}
+
+// localRun runs a job on this host and learns from the result.
+func (s *Set) localRun(ctx context.Context, m *Member, j Job) Result {
 	res := s.Execute(ctx, j)
-	s.learn(m, res, 0, false)
-	return res, ""
+	s.learn(m, res)
+	return res
 }
 
 // remoteRun runs a job on another host and learns from the result. What the
@@ -41,16 +41,20 @@
 	m.remoteStarted()
 	s.gateHealth.started(address, began)
 	res := s.remote.Run(ctx, address, s.service, j)
-	var gate *GateError
-	s.gateHealth.ended(address, !errors.As(res.Err, &gate), clock.Now())
-	m.remoteEnded(began, clock.Now(), res.Answer.Signature != "")
-	s.learn(m, res, began, true)
+	_, failed := res.gateError()
+	now := clock.Now()
+	s.gateHealth.ended(address, !failed, now)
+	m.remoteEnded(began, now, res.Answer.Signature != "")
+	if res.Err == nil && res.Proof {
+		s.proved(m, res.Answer.Position, began)
+	}
+	s.learn(m, res)
 	return res
 }
 
-// learn takes what a result shows of a member: its lead, and how far its log
-// reaches.
-func (s *Set) learn(m *Member, res Result, sent time.Duration, remote bool) {
+// learn takes what a result shows of a member: that it is dead, does not lead,
+// or is behind.
+func (s *Set) learn(m *Member, res Result) {
 	var refused *RefusedError
 	if errors.As(res.Err, &refused) && refused.Dead {
 		m.reportedDead(clock.Now())
@@ -58,9 +62,6 @@
 	if res.Err != nil {
 		return
 	}
-	if res.Proof && remote {
-		s.proved(m, res.Answer.Position, sent)
-	}
 	switch res.Answer.Code {
 	case statement.ReadOnlyMember:
 		s.denied(m)
@@ -75,7 +76,5 @@
 	if address != "" {
 		return s.remoteRun(ctx, m, address, j)
 	}
-	res := s.Execute(ctx, j)
-	s.learn(m, res, 0, false)
-	return res
+	return s.localRun(ctx, m, j)
 }
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -25,11 +25,11 @@
 	}
 	m, known := s.Member(j.Member)
 	if !known {
-		return refusedResult(&RefusedError{Reason: "the member is not known here"})
+		return Result{Err: &RefusedError{Reason: "the member is not known here"}}
 	}
 	began := clock.Now()
 	if j.needsLead() && m.Dead(began) {
-		return refusedResult(&RefusedError{Reason: "the member does not answer", Dead: true})
+		return Result{Err: &RefusedError{Reason: "the member does not answer", Dead: true}}
 	}
 	c, err := m.acquire(ctx, j.Work.waiter())
 	waited := clock.Now() - began
@@ -46,7 +46,7 @@
 func (s *Set) executeOn(c *Conn, j Job) Result {
 	if err := c.assign(j.Work.Values, j.Work.EndBy); err != nil {
 		c.member.release(c)
-		return refusedResult(err)
+		return Result{Err: err}
 	}
 	switch j.Kind {
 	case JobBegin:
@@ -65,7 +65,7 @@
 	defer c.member.release(c)
 	floor, err := s.floorNow(j)
 	if err != nil {
-		return refusedResult(err)
+		return Result{Err: err}
 	}
 	x, err := c.run(j.Work.Statement, floor, j.Work.EndBy)
 	return Result{Answer: x.answer, Err: err, Handed: x.handed}
@@ -132,7 +132,7 @@
 		floor, err := s.floorNow(j)
 		if err != nil {
 			c.member.release(c)
-			return refusedResult(err)
+			return Result{Err: err}
 		}
 		op.After = floor
 	}
@@ -183,7 +183,7 @@
 	if j.Kind == JobStatement {
 		if err := tx.conn.assign(j.Work.Values, j.Work.EndBy); err != nil {
 			s.endTx(tx)
-			return refusedResult(err)
+			return Result{Err: err}
 		}
 	}
 	x, err := runWithRoom(ctx, tx.conn, j.Work)
@@ -218,7 +218,7 @@
 		if err != nil || x.answer.Code != statement.Busy || x.answer.State != statement.Open {
 			return x, err
 		}
-		if clock.Now() > w.StartBy || !pause(ctx, roomPause) {
+		if clock.Now() > w.StartBy || !clock.Sleep(ctx, roomPause) {
 			return x, nil
 		}
 	}
--- a/node/replicaset/job.go
+++ b/node/replicaset/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
@@ -84,4 +85,10 @@
 
 func (e *GateError) Unwrap() error { return e.Err }
 
-func refusedResult(err error) Result { return Result{Err: err} }
+// gateError returns the failure of the way to another host, if that is why
+// there is no answer.
+func (r Result) gateError() (*GateError, bool) {
+	var gate *GateError
+	failed := errors.As(r.Err, &gate)
+	return gate, failed
+}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -88,7 +88,7 @@
 	m.mu.Unlock()
 	if now && !was {
 		eventlog.UpstreamSuspected.Warn(m.log).Bool("silent", silent).Send()
-		m.set.suspected(m)
+		m.set.wake()
 	}
 }
 
@@ -145,7 +145,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return balance.Candidate{
-		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.roundTrip(m.entry.Zone),
+		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.places.RoundTrip(m.entry.Zone),
 		Answer: m.answer, InUse: m.pool.InUse() + m.elsewhere, Waiting: m.pool.Waiting(),
 		Idle:  m.pool.Idle() > 0 || len(m.gates) > 0,
 		Slots: m.entry.Slots, Suspect: m.health.Failing(), Missing: m.entry.Missing, Behind: now < m.behindBy,
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -35,7 +35,7 @@
 			s.tidy()
 		case <-s.attention:
 		}
-		for s.probeDoubtful(ctx) && pause(ctx, probeInterval) {
+		for s.probeDoubtful(ctx) && clock.Sleep(ctx, probeInterval) {
 		}
 	}
 }
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -61,7 +61,7 @@
 			tried[m.id] = true
 			continue
 		}
-		if now > s.giveUpAt(m, w) || !pause(ctx, primaryPause) {
+		if now > s.giveUpAt(m, w) || !clock.Sleep(ctx, primaryPause) {
 			break
 		}
 	}
@@ -137,22 +137,13 @@
 // about the time in which a promotion completes.
 const defaultRetryAfter = 500 * time.Millisecond
 
+// errNoPrimary refuses a statement that only a primary could run.
+var errNoPrimary = &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
+
 func retryHint(d time.Duration) string {
 	return fmt.Sprintf("not run, retry after %d ms", d.Milliseconds())
 }
 
-// pause waits; it reports false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // pickReader returns the member to read from. Guarded tells that nothing known
 // bounds the age of a read, so that the primary must prove its lead. While the
 // primary has no connection to spare, other hosts are asked for what they know:
@@ -172,7 +163,7 @@
 	}
 	m, found := s.awaitPrimary(ctx, w)
 	if !found {
-		return nil, true, &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
+		return nil, true, errNoPrimary
 	}
 	return m, true, nil
 }
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -100,7 +100,6 @@
 	members map[string]*Member
 	belief  succession.Belief
 	floors  fresh.Floors
-	spec    catalog.Service
 	// changed is closed and replaced when the primary may have changed.
 	changed chan struct{}
 	// learned is closed and replaced when a peer has told a floor.
@@ -122,13 +121,10 @@
 	}
 }
 
-func (s *Set) roundTrip(zone string) time.Duration { return s.places.RoundTrip(zone) }
-
 // Update takes the members and limits in force.
 func (s *Set) Update(members []directory.Member, spec catalog.Service, hosts []gates.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.spec = spec
 	plan := gates.NewPlan(hosts, s.places.Regions, spec.MaxConnections-reservedConnections)
 	before := s.belief.Primary()
 	listed := map[string]bool{}
@@ -166,9 +162,6 @@
 	}
 }
 
-// suspected notes that an exchange with a member failed.
-func (s *Set) suspected(*Member) { s.wake() }
-
 // readers returns the members that may serve a read, the best first. Members
 // that leave are passed over while there are others.
 func (s *Set) readers(tried map[string]bool, now time.Duration) []*Member {
--- a/node/replicaset/tx.go
+++ b/node/replicaset/tx.go
@@ -53,7 +53,7 @@
 			tried[m.id] = true
 			continue
 		}
-		if clock.Now() > w.StartBy || !pause(ctx, primaryPause) {
+		if clock.Now() > w.StartBy || !clock.Sleep(ctx, primaryPause) {
 			break
 		}
 	}
@@ -67,7 +67,7 @@
 	}
 	m, found := s.awaitPrimary(ctx, w)
 	if !found {
-		return nil, true, &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
+		return nil, true, errNoPrimary
 	}
 	return m, true, nil
 }
--- a/node/replicaset/write.go
+++ b/node/replicaset/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -16,7 +15,7 @@
 	for out.Attempts < maxAttempts && ctx.Err() == nil && clock.Now() < w.EndBy {
 		m, found := s.awaitPrimary(ctx, &w)
 		if !found {
-			last = &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
+			last = errNoPrimary
 			break
 		}
 		out.Attempts++
@@ -33,7 +32,7 @@
 			return out
 		}
 		last = res.failure(m)
-		if clock.Now() > w.StartBy || !pause(ctx, primaryPause) {
+		if clock.Now() > w.StartBy || !clock.Sleep(ctx, primaryPause) {
 			break
 		}
 	}
@@ -46,6 +45,6 @@
 	if r.Err == nil {
 		return false
 	}
-	var gate *GateError
-	return r.Handed || (errors.As(r.Err, &gate) && gate.Sent)
+	gate, failed := r.gateError()
+	return r.Handed || (failed && gate.Sent)
 }
