--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/node/demo"
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -72,13 +73,12 @@
 	return d
 }
 
-// free returns a loopback address that nothing listens on.
+// free returns a loopback address that nothing else takes.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := demo.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (d *deployment) addHost() *entry.Host {
--- a/node/platformdemo/demo.go
+++ b/node/platformdemo/demo.go
@@ -5,12 +5,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/dotterelswitch/dotterelswitch/node/demo"
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -147,7 +147,7 @@
 		MaxSessions: maxSessions, Workers: workers, Grace: grace, DrainBound: 2 * grace,
 	}
 	for _, address := range []*string{&s.CallerAddress, &s.ReadyAddress, &s.PeerAddress} {
-		free, err := freeAddress()
+		free, err := demo.FreeAddress()
 		if err != nil {
 			return s, err
 		}
@@ -156,15 +156,6 @@
 	return s, nil
 }
 
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // inject makes the fault happen.
 func inject(f Fault, p *lineplatform.Platform, group *lineplatform.Group, hosts []*entry.Host) {
 	primary := group.Primary()
