Soak: hosts as processes, harmed from outside, checked by what callers and members saw

Change: node/soak draws faults from a seed, runs dotterelswitch as processes behind loopback proxies (delays, one-way cuts, resets, silence for good) and signals (stop, pause, kill, restart), and holds callers' answers against the stand-in's record: kept once, refused truly, fresh enough, own transaction, own values. Not covered: partial cuts between hosts, jumps of the time of day (the hosts use the boot clock only).

--- a/node/platformdemo/caller.go
+++ b/node/platformdemo/caller.go
@@ -106,7 +106,7 @@
 }
 
 // term returns the term in which a write was kept.
-func (a answer) term(group *lineplatform.Group) uint64 { return group.CommitTerm(a.id) }
+func (a answer) term(group *lineplatform.Group) uint64 { return group.Commit(a.id).Term }
 
 // count notes how a statement ended.
 func (r *Report) count(code string) {
--- /dev/null
+++ b/node/soak/inject.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"bytes"
+	"syscall"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/faultproxy"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+)
+
+// memberDelay is what DelayMember adds each way: several statements' work.
+const memberDelay = 60 * time.Millisecond
+
+// lostAnswers and refusedPromotions are how many answers LoseAnswers loses and
+// how many calls RefusePromotion turns away.
+const (
+	lostAnswers       = 5
+	refusedPromotions = 3
+)
+
+// carryOut makes a fault happen, and undoes it when its time is over.
+func (s *run) carryOut(e Event) {
+	host := s.fleet[e.Target%len(s.fleet)]
+	switch e.Kind {
+	case KillHost:
+		host.signal(syscall.SIGKILL, true)
+	case KillMany:
+		for n := range (len(s.fleet) + 1) / 2 {
+			s.fleet[(e.Target+n)%len(s.fleet)].signal(syscall.SIGKILL, true)
+		}
+	case StopHost:
+		s.stopHost(e, host)
+	case PauseHost:
+		host.pause(e.For)
+	case ReloadHost:
+		host.signal(syscall.SIGHUP, false)
+	case CutStore:
+		during(host.store, faultproxy.Fault{HoldToTarget: true, HoldToClient: true}, e.For)
+	case SilenceStore:
+		host.store.Silence()
+	case StoreRefuses:
+		s.failStore(lineplatform.Refusing, e.For)
+	case StoreSilent:
+		s.failStore(lineplatform.Silent, e.For)
+	case StoreLosesAnswers:
+		s.failStore(lineplatform.LosingAnswers, e.For)
+	case StoreForgets:
+		s.platform.Store.Compact()
+	case RefusePromotion:
+		s.platform.RefusePromotions(refusedPromotions)
+	case ChangeConfig:
+		s.routes.change()
+	default:
+		s.harmMember(e)
+	}
+}
+
+// stopHost ends a host as planned.
+func (s *run) stopHost(e Event, host *process) {
+	if aloneFor(s.plan, e, grace) {
+		s.mu.Lock()
+		s.stops = append(s.stops, stop{host: host, incarnation: host.running(), at: time.Now()})
+		s.mu.Unlock()
+	}
+	host.stop()
+}
+
+func (s *run) failStore(o lineplatform.Outage, d time.Duration) {
+	s.platform.Store.Fail(o)
+	time.Sleep(d)
+	s.platform.Store.Fail(lineplatform.Up)
+}
+
+func during(p *faultproxy.Proxy, f faultproxy.Fault, d time.Duration) {
+	p.Set(f)
+	time.Sleep(d)
+	p.Set(faultproxy.Fault{})
+}
+
+// harmMember carries out the faults of one member.
+func (s *run) harmMember(e Event) {
+	g := s.groups[e.Target%len(s.groups)]
+	all := g.Members()
+	m := all[e.Target/len(s.groups)%len(all)]
+	proxy := s.proxies.of(m)
+	switch e.Kind {
+	case CrashMember:
+		s.crash(m, e.For)
+	case CrashPrimary:
+		if p := g.Primary(); p != nil {
+			s.crash(p, e.For)
+		}
+	case DrainPrimary:
+		s.drainPrimary(g)
+	case DelayMember:
+		during(proxy, faultproxy.Fault{Delay: memberDelay}, e.For)
+	case HoldToMember:
+		during(proxy, faultproxy.Fault{HoldToTarget: true}, e.For)
+	case HoldFromMember:
+		during(proxy, faultproxy.Fault{HoldToClient: true}, e.For)
+	case ResetMember:
+		proxy.Reset()
+	case SilenceMember:
+		proxy.Silence()
+	case DeafReplica:
+		m.Deafen(true)
+		time.Sleep(e.For)
+		m.Deafen(false)
+	case LoseAnswers:
+		m.LoseAnswers(lostAnswers)
+	default:
+		s.found.add("no fault is known as %s", e.Kind)
+	}
+}
+
+// crash ends a member and starts it again.
+func (s *run) crash(m *lineplatform.Member, down time.Duration) {
+	m.Crash()
+	time.Sleep(down)
+	if m.Gone() {
+		return
+	}
+	if err := m.Restart(); err != nil {
+		s.found.add("the stand-in's member %s did not start again: %v", m.ID, err)
+	}
+}
+
+// drainPrimary replaces a primary as planned.
+func (s *run) drainPrimary(g *lineplatform.Group) {
+	p := g.Primary()
+	if p == nil || p.Draining() {
+		return
+	}
+	if _, err := g.AddMember(); err != nil {
+		s.found.add("the stand-in started no member: %v", err)
+		return
+	}
+	p.Drain()
+	time.Sleep(drainBound + time.Second)
+	g.Remove(p)
+}
+
+func containsLine(text []byte, sign string) bool { return bytes.Contains(text, []byte(sign)) }
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +20,8 @@
 	// inTx, readOnly and pending describe the open transaction.
 	inTx, readOnly, failed bool
 	pending                []write
+	// tx names the open transaction; zero while there is none.
+	tx uint64
 }
 
 // reply is the answer to one statement.
@@ -158,18 +162,19 @@
 	case "SET":
 		c.values[name] = value
 	case "PREPARE":
-		c.prepared[name] = strings.Fields(value)[0]
+		c.prepared[name] = value
 	case "RESET":
 		clear(c.values)
 		clear(c.prepared)
 	case "EXECUTE":
-		kind, found := c.prepared[name]
+		shape, found := c.prepared[name]
 		if !found {
 			return refused("NOSTMT")
 		}
-		return c.data(id, kind, value, text)
+		kind, _, _ := strings.Cut(shape, " ")
+		return c.data(kind, value, Run{ID: id, Text: text, Shape: shape})
 	case "FETCH", "STORE":
-		return c.data(id, verb, rest, text)
+		return c.data(verb, rest, Run{ID: id, Text: text})
 	case "BEGIN":
 		return c.begin(rest == "FETCH")
 	case "COMMIT":
@@ -184,7 +189,9 @@
 	return reply{signature: "-"}
 }
 
-func (c *conn) endTx() { c.inTx, c.readOnly, c.failed, c.pending = false, false, false, nil }
+func (c *conn) endTx() {
+	c.inTx, c.readOnly, c.failed, c.pending, c.tx = false, false, false, nil, 0
+}
 
 func (c *conn) begin(readOnly bool) reply {
 	c.member.group.mu.Lock()
@@ -193,14 +200,27 @@
 		return refused("READONLY")
 	}
 	c.inTx, c.readOnly = true, readOnly
+	c.member.group.nextTx++
+	c.tx = c.member.group.nextTx
 	return reply{signature: "-"}
 }
 
 // lostLead reports whether a plain transaction's member no longer leads.
 func (c *conn) lostLead() bool { return c.inTx && !c.readOnly && !c.member.primary }
 
+// record keeps what ran, with the state that it ran in. It is called with the
+// group's lock held.
+func (c *conn) record(run Run) {
+	run.Member, run.Position, run.Tx = c.member.ID, c.member.position(), c.tx
+	for _, name := range slices.Sorted(maps.Keys(c.values)) {
+		run.Values += name + "=" + c.values[name] + " "
+	}
+	c.member.group.runs = append(c.member.group.runs, run)
+}
+
 // data runs a read or a write.
-func (c *conn) data(id, verb, args, text string) reply {
+func (c *conn) data(verb, args string, run Run) reply {
+	id := run.ID
 	m := c.member
 	if m.refuse.Load() > 0 {
 		m.refuse.Add(-1)
@@ -214,10 +234,13 @@
 		c.failed = c.inTx
 		return refused("READONLY")
 	}
-	m.group.runs = append(m.group.runs, Run{ID: id, Member: m.ID, Text: text, Position: m.position()})
 	item, value, _ := strings.Cut(args, " ")
 	if verb == "FETCH" {
-		return reply{rows: []string{m.lookup(item)}, signature: "sig-" + m.ID + "-" + id}
+		run.Row = m.lookup(item)
+	}
+	c.record(run)
+	if verb == "FETCH" {
+		return reply{rows: []string{run.Row}, signature: "sig-" + m.ID + "-" + id}
 	}
 	w := write{id: id, item: item, data: value}
 	if c.inTx {
@@ -234,6 +257,7 @@
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	defer c.endTx()
+	c.record(Run{ID: id, Text: "COMMIT"})
 	if c.failed || !c.inTx {
 		return refused("ABORTED")
 	}
@@ -248,10 +272,11 @@
 
 // keep appends a commit to the primary's log.
 func (m *Member) keep(writes []write) {
-	m.log = append(m.log, entry{term: m.term, number: uint64(len(m.log) + 1), at: time.Now(), writes: writes})
+	at := Place{Term: m.term, Number: uint64(len(m.log) + 1)}
+	m.log = append(m.log, entry{term: at.Term, number: at.Number, at: time.Now(), writes: writes})
 	for _, w := range writes {
 		m.group.committed[w.id]++
-		m.group.commitTerms[w.id] = m.term
+		m.group.commits[w.id] = at
 	}
 }
 
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -19,6 +21,9 @@
 	// PromoteTime is how long a promotion takes.
 	PromoteTime time.Duration
 	Zones       []string
+	// Front returns the address that a member's entry names in place of its own,
+	// such as a proxy's; nil leaves it.
+	Front func(address string) (string, error)
 }
 
 // entry is one commit in a log.
@@ -36,6 +41,21 @@
 	ID, Member, Text string
 	// Position is the end of the log that it ran on.
 	Position string
+	// Row is what a read returned.
+	Row string
+	// Tx tells the transactions of a group apart; zero outside of one.
+	Tx uint64
+	// Values are the connection's session values, in order of their names.
+	Values string
+	// Shape is what a prepared statement was prepared as.
+	Shape string
+}
+
+// Place is a place in a group's log.
+type Place struct{ Term, Number uint64 }
+
+func (p Place) String() string {
+	return strconv.FormatUint(p.Term, 10) + "." + strconv.FormatUint(p.Number, 10)
 }
 
 // Group is one database group. Its lock guards all members' data.
@@ -53,14 +73,18 @@
 	runs   []Run
 	// committed counts, for each request id, the commits that kept its write.
 	committed map[string]int
-	// commitTerms holds the term of the newest of them.
-	commitTerms map[string]uint64
-	nextID      int
+	// commits holds where the newest of them lies in the log.
+	commits map[string]Place
+	// starts holds, for each promotion, the new term and the end of the log that
+	// it started from. What lay above it was rolled back.
+	starts []Place
+	nextTx uint64
+	nextID int
 }
 
 // AddGroup starts a group whose first member is the primary.
 func (p *Platform) AddGroup(service string, o Options) (*Group, error) {
-	g := &Group{platform: p, service: service, opts: o, term: 1, committed: map[string]int{}, commitTerms: map[string]uint64{}}
+	g := &Group{platform: p, service: service, opts: o, term: 1, committed: map[string]int{}, commits: map[string]Place{}}
 	for range o.Members {
 		if _, err := g.AddMember(); err != nil {
 			g.close()
@@ -99,6 +123,23 @@
 	return m, nil
 }
 
+// front returns the address to advertise for a member.
+func (g *Group) front(address string) (string, error) {
+	if g.opts.Front == nil {
+		return address, nil
+	}
+	return g.opts.Front(address)
+}
+
+// Remove ends a member that has announced its leave, for good.
+func (g *Group) Remove(m *Member) {
+	m.Crash()
+	m.Lapse()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members = slices.DeleteFunc(g.members, func(x *Member) bool { return x == m })
+}
+
 func (g *Group) close() {
 	for _, m := range g.Members() {
 		m.Crash()
@@ -160,6 +201,7 @@
 	g.mu.Lock()
 	chosen.receive()
 	g.term++
+	g.starts = append(g.starts, Place{Term: g.term, Number: uint64(len(chosen.log))})
 	g.source = chosen
 	for _, m := range g.members {
 		m.primary, m.held = m == chosen, 0
@@ -187,7 +229,7 @@
 // announce writes the member's entry.
 func (m *Member) announce() {
 	m.group.mu.Lock()
-	body := entryBody{Service: m.group.service, Address: m.address, Zone: m.zone, Capacity: m.group.opts.Slots, State: "ready", Role: "replica"}
+	body := entryBody{Service: m.group.service, Address: m.advertised, Zone: m.zone, Capacity: m.group.opts.Slots, State: "ready", Role: "replica"}
 	if m.leaving {
 		body.State = "draining"
 	}
@@ -228,10 +270,18 @@
 	return g.term
 }
 
-// CommitTerm returns the term in which a request's write was kept last, or
-// zero.
-func (g *Group) CommitTerm(id string) uint64 {
+// Commit returns where a request's write was kept last; zero for one that was
+// not kept.
+func (g *Group) Commit(id string) Place {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.commits[id]
+}
+
+// Starts returns, for each promotion, the new term and the end of the log that
+// it started from.
+func (g *Group) Starts() []Place {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.commitTerms[id]
+	return append([]Place(nil), g.starts...)
 }
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -15,7 +15,9 @@
 	ID      string
 	zone    string
 	address string
-	slots   chan struct{}
+	// advertised is the address in the member's entry.
+	advertised string
+	slots      chan struct{}
 
 	primary bool
 	leaving bool
@@ -39,7 +41,7 @@
 
 // start opens the listener, at the old address after a crash.
 func (m *Member) start() error {
-	address := m.address
+	address, advertised := m.address, m.advertised
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
@@ -47,8 +49,16 @@
 	if err != nil {
 		return err
 	}
+	address = l.Addr().String()
+	if advertised == "" {
+		advertised, err = m.group.front(address)
+		if err != nil {
+			_ = l.Close()
+			return err
+		}
+	}
 	m.group.mu.Lock()
-	m.listener, m.address, m.down = l, l.Addr().String(), false
+	m.listener, m.address, m.advertised, m.down = l, address, advertised, false
 	m.conns = map[*conn]bool{}
 	m.group.mu.Unlock()
 	go m.accept(l)
@@ -68,6 +78,9 @@
 // Address returns where the member listens.
 func (m *Member) Address() string { return m.address }
 
+// Advertised returns the address in the member's entry.
+func (m *Member) Advertised() string { return m.advertised }
+
 // Crash ends the member: its listener and connections are gone.
 func (m *Member) Crash() {
 	m.group.mu.Lock()
@@ -93,6 +106,16 @@
 	return nil
 }
 
+// Draining reports whether the member has announced its leave.
+func (m *Member) Draining() bool {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.leaving
+}
+
+// Gone reports whether the member was removed from its group.
+func (m *Member) Gone() bool { return !slices.Contains(m.group.Members(), m) }
+
 // Silence makes the member answer nothing, or answer again.
 func (m *Member) Silence(on bool) { m.silent.Store(on) }
 
--- a/standin/lineplatform/platform.go
+++ b/standin/lineplatform/platform.go
@@ -6,8 +6,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -88,6 +90,13 @@
 	return version
 }
 
+// Services returns the names of the groups, in order.
+func (p *Platform) Services() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.groups))
+}
+
 // RefusePromotions makes the next n promotion calls fail with 503.
 func (p *Platform) RefusePromotions(n int) {
 	p.mu.Lock()
