--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -220,12 +220,40 @@
 	return w, true
 }
 
-// GiveUpAt returns when a waiter is to be refused unless it has started.
-func (p *Pool) GiveUpAt(w Waiter) time.Duration {
-	if p.crowded && len(p.idle)+p.inUse == 0 {
-		return max(w.StartBy, w.HoldBy)
+// lateCheck is how often a late statement is judged anew.
+const lateCheck = 50 * time.Millisecond
+
+// KeepUntil returns until when a queued statement waits before it is judged
+// again. It returns false when the statement is to be refused: its time is
+// over, or it cannot be served within it even if only late ones were served
+// from now on. The caller uses up one of a few tries by a refusal, so a
+// statement that may still be served is not refused.
+func (p *Pool) KeepUntil(w Waiter, now time.Duration) (time.Duration, bool) {
+	switch {
+	case now < w.FreshBy:
+		return w.FreshBy, true
+	case now >= w.StartBy || p.hopeless(w, now):
+		return 0, false
+	default:
+		return min(w.StartBy, now+lateCheck), true
+	}
+}
+
+// hopeless reports whether a late statement cannot be served in its time.
+func (p *Pool) hopeless(w Waiter, now time.Duration) bool {
+	usable := len(p.idle) + p.inUse
+	if usable == 0 {
+		// A member that turns connections away still holds those of hosts that
+		// lost power, for seconds. Of one that does not answer nothing is hoped.
+		return !p.crowded
+	}
+	ahead := 0
+	for _, v := range p.waiting {
+		if v.FreshBy < now && v.before(w, now) {
+			ahead++
+		}
 	}
-	return w.StartBy
+	return now+p.hold*time.Duration(ahead+1)/time.Duration(usable) > w.StartBy
 }
 
 // Leave removes a waiter. It reports whether the waiter was still queued.
--- a/core/health/gates.go
+++ b/core/health/gates.go
@@ -67,12 +67,21 @@
 	x.avoidUntil = now + x.pause
 }
 
+// Alive notes that the gate has answered something else than a call.
+func (g *Gates) Alive(address string, now time.Duration) {
+	x := g.get(address)
+	x.quietSince = max(x.quietSince, now)
+}
+
+// Silent reports whether calls to the gate are outstanding and it has answered
+// nothing for SilentGate.
+func (g *Gates) Silent(address string, now time.Duration) bool {
+	x, found := g.byAddress[address]
+	return found && x.outstanding > 0 && now-x.quietSince > SilentGate
+}
+
 // Usable reports whether a call to the gate is of use now.
 func (g *Gates) Usable(address string, now time.Duration) bool {
 	x, found := g.byAddress[address]
-	if !found {
-		return true
-	}
-	silent := x.outstanding > 0 && now-x.quietSince > SilentGate
-	return !silent && now >= x.avoidUntil
+	return !found || (!g.Silent(address, now) && now >= x.avoidUntil)
 }
--- /dev/null
+++ b/core/relay/plan.go
@@ -0,0 +1,77 @@
+// Package relay decides which hosts follow the platform's store themselves and
+// which hear of its changes from another host.
+//
+// Load pattern: every call to the store is paid for and counted against one rate
+// for the whole fleet, and a change is answered to each watch that waits. A
+// watch a host makes both grow with the fleet. So in a large fleet one host of
+// each zone watches and the others of the zone follow it; a zone that is cut off
+// from the rest keeps its own watch.
+package relay
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
+)
+
+const (
+	// SmallFleet is how many hosts may all watch the store: with less than three
+	// hosts a zone a relay saves little, and its loss costs time.
+	SmallFleet = 16
+	// Beat is how often a relay gives a sign of life, and SilentAfter how long
+	// one may be missed. With a listing after it, a change is still in force well
+	// within the shortest bound of a deployment, 3 s.
+	Beat        = 400 * time.Millisecond
+	SilentAfter = 1200 * time.Millisecond
+	// StaleAfter is how much longer than one watch the store may leave a relay
+	// without an answer. Its followers may reach a store that it does not.
+	StaleAfter = 500 * time.Millisecond
+	// AvoidFor is how long a host watches the store itself after its relay has
+	// failed: a dead one is off the list of hosts after the 6 s of its lease.
+	AvoidFor = 8 * time.Second
+)
+
+// Relays is one host's choice of whom to follow. It is not safe for concurrent
+// use.
+type Relays struct {
+	// self is the host that chooses.
+	self gates.Host
+	// avoided maps hosts that failed as relays to when they may be tried again.
+	avoided map[string]time.Duration
+}
+
+// New returns the choice of a host.
+func New(self gates.Host) *Relays {
+	return &Relays{self: self, avoided: map[string]time.Duration{}}
+}
+
+// Pick returns the host to follow; it returns false when this host watches the
+// store itself. Of each zone the host with the highest score is the relay.
+func (r *Relays) Pick(fleet []gates.Host, now time.Duration) (gates.Host, bool) {
+	if len(fleet) <= SmallFleet {
+		return gates.Host{}, false
+	}
+	top := r.self
+	for _, h := range fleet {
+		if h.Zone == r.self.Zone && precedes(h, top) {
+			top = h
+		}
+	}
+	if top.Name == r.self.Name || now < r.avoided[top.Name] {
+		return gates.Host{}, false
+	}
+	return top, true
+}
+
+// precedes reports whether a host goes before another one of its zone.
+func precedes(a, b gates.Host) bool {
+	return cmp.Or(
+		cmp.Compare(membership.Score(b.Zone, b.Name), membership.Score(a.Zone, a.Name)),
+		cmp.Compare(a.Name, b.Name),
+	) < 0
+}
+
+// Failed has a relay passed over for a while.
+func (r *Relays) Failed(host string, now time.Duration) { r.avoided[host] = now + AvoidFor }
--- /dev/null
+++ b/core/relay/plan_test.go
@@ -0,0 +1,77 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
+)
+
+func fleetOf(zones, each int) []gates.Host {
+	var fleet []gates.Host
+	for z := range zones {
+		for n := range each {
+			fleet = append(fleet, gates.Host{Name: fmt.Sprintf("h%d-%d", z, n), Zone: fmt.Sprintf("z%d", z)})
+		}
+	}
+	return fleet
+}
+
+// watchers returns the hosts that watch the store themselves.
+func watchers(fleet []gates.Host) []gates.Host {
+	var out []gates.Host
+	for _, h := range fleet {
+		if _, follows := relay.New(h).Pick(fleet, 0); !follows {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// TestWatchesDoNotGrowWithTheFleet: one host of each zone watches, however many
+// there are.
+func TestWatchesDoNotGrowWithTheFleet(t *testing.T) {
+	for _, each := range []int{5, 10, 100} {
+		w := watchers(fleetOf(6, each))
+		require.Len(t, w, 6)
+		zones := map[string]bool{}
+		for _, h := range w {
+			zones[h.Zone] = true
+		}
+		require.Len(t, zones, 6)
+	}
+}
+
+func TestSmallFleetWatchesItself(t *testing.T) {
+	require.Len(t, watchers(fleetOf(3, 3)), 9)
+}
+
+// TestLostRelayIsPassedOverForAWhile: its followers watch the store themselves,
+// and follow the next relay once the fleet knows that the old one is gone.
+func TestLostRelayIsPassedOverForAWhile(t *testing.T) {
+	fleet := fleetOf(2, 20)
+	next := map[string]bool{}
+	for _, h := range fleet[:20] {
+		r := relay.New(h)
+		first, follows := r.Pick(fleet, 0)
+		if !follows {
+			continue
+		}
+		require.Equal(t, h.Zone, first.Zone)
+		r.Failed(first.Name, 0)
+		_, follows = r.Pick(fleet, relay.AvoidFor-1)
+		require.False(t, follows)
+		again, _ := r.Pick(fleet, relay.AvoidFor)
+		require.Equal(t, first, again)
+		without := slices.DeleteFunc(slices.Clone(fleet), func(x gates.Host) bool { return x.Name == first.Name })
+		if second, follows := r.Pick(without, time.Second); follows {
+			next[second.Name] = true
+		}
+	}
+	require.Len(t, next, 1)
+}
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -13,9 +13,16 @@
 const (
 	// timeoutMargin is what is left of a route's timeout for the way back.
 	timeoutMargin = 20 * time.Millisecond
-	// primaryMargin is what is left of the timeout for running a statement that
-	// has waited for a new primary.
-	primaryMargin = 150 * time.Millisecond
+	// runMargin is what is left of the timeout for running a statement that has
+	// waited: the queue of a busy member (24 statements of 14 ms on three slots)
+	// and a round trip between regions.
+	runMargin = 150 * time.Millisecond
+	// attemptShare and minAttempt bound one attempt of a read: a member whose
+	// answer got lost looks like one that is slow, and another can answer in
+	// time. Half of a target is more than a full queue of a member and the
+	// longest statement take on the deployments.
+	attemptShare = 0.5
+	minAttempt   = 250 * time.Millisecond
 )
 
 // query runs one statement and answers it.
@@ -91,12 +98,13 @@
 
 func (s *caller) newWork(st statement.Statement, route catalog.Route, arrived time.Duration) replicaset.Work {
 	endBy := arrived + route.Timeout - timeoutMargin
-	queueBy := arrived + time.Duration(connpool.QueueShare*float64(route.Target))
+	startBy := endBy - runMargin
+	freshBy := arrived + time.Duration(connpool.FreshShare*float64(route.Target))
 	return replicaset.Work{
 		Statement: st, Values: s.state.Values(), Committed: s.state.Committed, Route: route,
 		ReadOnly: s.state.ReadOnly, Received: arrived,
-		AimBy: arrived + route.Target, StartBy: min(queueBy, endBy), EndBy: endBy,
-		HoldBy: endBy - primaryMargin,
+		AimBy: arrived + route.Target, FreshBy: min(freshBy, startBy), StartBy: startBy, EndBy: endBy,
+		AttemptTime: max(time.Duration(attemptShare*float64(route.Target)), minAttempt),
 	}
 }
 
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -83,22 +83,23 @@
 	wake   chan struct{}
 	failed chan error
 
-	// mu guards sets.
-	mu   sync.RWMutex
-	sets map[string]*replicaset.Set
+	// mu guards sets and promoters, both by service.
+	mu        sync.RWMutex
+	sets      map[string]*replicaset.Set
+	promoters map[string]*promoter.Promoter
 }
 
 // Start runs a host. It returns once the listeners accept.
 func Start(s Settings, a Adapter, dial replicaset.DialFunc, log zerolog.Logger) (*Host, error) {
 	h := &Host{
 		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
-		wake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{},
+		wake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{}, promoters: map[string]*promoter.Promoter{},
 		metrics: newHostMetrics(), budget: eventlog.NewBudget(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
-	h.registry = registry.New(a.Store, a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, s.ConfigBound, h.poke, h.log)
+	h.registry = registry.New(a.Store, a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, s.ConfigBound, h.gates.Follow, h.poke, h.log)
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
@@ -247,20 +248,27 @@
 	s := replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Places: h.settings.Places,
 		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers,
-		Remote: h.gates, Owner: h.owner, Host: h.settings.Host, Log: h.log,
+		Remote: remote{h.gates, h.peers}, Owner: h.owner, Host: h.settings.Host, Log: h.log,
 	})
 	p := promoter.New(promoter.Config{
-		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion,
+		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion, Peers: h,
 		Spec: func() catalog.Service { return h.registry.Catalog().Services[service] }, Log: h.log,
 	})
 	h.wg.Go(func() { s.Probe(ctx) })
 	h.wg.Go(func() { p.Run(ctx) })
 	h.mu.Lock()
-	h.sets[service] = s
+	h.sets[service], h.promoters[service] = s, p
 	h.mu.Unlock()
 	return s
 }
 
+// promoter returns the promoter of a service, or nil while there is none.
+func (h *Host) promoter(service string) *promoter.Promoter {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.promoters[service]
+}
+
 // unusedSlack is how much longer than its caller may rest a transaction is
 // kept for another host, which ends it itself if it lives.
 const unusedSlack = 2 * time.Second
@@ -287,6 +295,9 @@
 // Failed reports the error that ended a listener by itself.
 func (h *Host) Failed() <-chan error { return h.failed }
 
+// Followers returns how many hosts hear of the platform through this one.
+func (h *Host) Followers() int { return h.registry.Followers() }
+
 // Known returns how many hosts this one knows to be registered, itself
 // included.
 func (h *Host) Known() int { return len(h.registry.Hosts()) }
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+	"github.com/dotterelswitch/dotterelswitch/standin/faultproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
@@ -36,6 +37,9 @@
 	group    *lineplatform.Group
 	hosts    []*entry.Host
 	settings []entry.Settings
+	// proxies are the ways to the store of hosts that have one of their own, by
+	// the number of the host.
+	proxies map[int]*faultproxy.Proxy
 }
 
 func options() lineplatform.Options {
@@ -86,6 +90,19 @@
 	return d.addHostWithStore(d.platform.Address())
 }
 
+// addHostsBehindProxies starts hosts with a way to the store of their own.
+func (d *deployment) addHostsBehindProxies(count int) {
+	d.t.Helper()
+	d.proxies = map[int]*faultproxy.Proxy{}
+	for range count {
+		p, err := faultproxy.New(d.platform.Address())
+		require.NoError(d.t, err)
+		d.t.Cleanup(p.Close)
+		d.proxies[len(d.hosts)] = p
+		d.addHostWithStore(p.Address())
+	}
+}
+
 // storeGate passes one host's connections to the store until it is closed.
 type storeGate struct {
 	target   string
--- /dev/null
+++ b/node/entry/outage_test.go
@@ -0,0 +1,64 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+)
+
+// writesComeBack waits until each host acknowledges a write.
+func (d *deployment) writesComeBack() {
+	d.t.Helper()
+	for host := range d.hosts {
+		c := d.connect(host, "own")
+		require.Eventually(d.t, func() bool {
+			res, err := c.try("STORE item x")
+			require.NoError(d.t, err)
+			return res.code == ""
+		}, eventually, poll)
+	}
+}
+
+// awaitLock waits until some host holds the group's lock between promotions.
+func (d *deployment) awaitLock() {
+	d.t.Helper()
+	require.Eventually(d.t, func() bool {
+		return len(d.platform.Store.Keys("dotterelswitch/locks/")) == 1
+	}, eventually, poll)
+	// The holder has to hear of its own lock.
+	time.Sleep(200 * time.Millisecond)
+}
+
+// TestPrimaryIsReplacedWhileTheStoreIsAway: a crash of the primary and an
+// outage of the store together must not stop writes for as long as the outage
+// takes.
+func TestPrimaryIsReplacedWhileTheStoreIsAway(t *testing.T) {
+	for _, outage := range []lineplatform.Outage{lineplatform.Refusing, lineplatform.Silent} {
+		d := deploy(t, 3, options())
+		d.writesComeBack()
+		d.awaitLock()
+		d.platform.Store.Fail(outage)
+		old := d.group.Primary()
+		old.Crash()
+		d.writesComeBack()
+		require.NotEqual(t, old.ID, d.group.Primary().ID)
+	}
+}
+
+// TestLostAnswerToTheLockDoesNotStopPromotions: the lock is taken, but the host
+// that took it was not told.
+func TestLostAnswerToTheLockDoesNotStopPromotions(t *testing.T) {
+	d := deploy(t, 3, options())
+	d.writesComeBack()
+	d.platform.Store.Fail(lineplatform.LosingAnswers)
+	d.group.Primary().Crash()
+	require.Eventually(t, func() bool {
+		return len(d.platform.Store.Keys("dotterelswitch/locks/")) == 1
+	}, eventually, poll)
+	time.Sleep(time.Second)
+	d.platform.Store.Fail(lineplatform.Up)
+	d.writesComeBack()
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
+	"github.com/dotterelswitch/dotterelswitch/node/registry"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
@@ -62,6 +63,11 @@
 // Listing implements peer.GateHandler.
 func (h *Host) Listing(above uint64) store.Listing { return h.registry.Listing(above) }
 
+// Tell implements peer.GateHandler.
+func (h *Host) Tell(ctx context.Context, after uint64, send func(registry.News) error) error {
+	return h.registry.Tell(ctx, after, send)
+}
+
 // Detached implements peer.GateHandler.
 func (h *Host) Detached(owner string) {
 	for _, s := range h.allSets() {
@@ -83,6 +89,9 @@
 func (h *Host) answerPeer(m gossip.Message) gossip.Message {
 	now := clock.Now()
 	var out gossip.Message
+	if q := m.AskLost; q != nil {
+		out.Opinion = h.opinion(*q)
+	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
 		if s == nil {
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -38,12 +38,15 @@
 	OrderFailed       = Event{404, "group_order_failed"}
 	PrimaryReported   = Event{405, "primary_reported_dead"}
 	LockTaken         = Event{406, "promotion_lock_taken"}
+	LockUsedAlone     = Event{407, "promotion_lock_used_without_store"}
 	HostStateChanged  = Event{501, "host_state_changed"}
 	PeerCallFailed    = Event{502, "peer_call_failed"}
 	HistoryLost       = Event{606, "platform_history_lost"}
 	EntryUnreadable   = Event{607, "upstream_entry_unreadable"}
 	LeaseLost         = Event{608, "platform_lease_lost"}
 	RelayedBy         = Event{609, "platform_news_relayed"}
+	RelayFollowed     = Event{610, "platform_relay_followed"}
+	RelayLost         = Event{611, "platform_relay_lost"}
 	EventPrepared     = Event{605, "event_prepared"}
 	ConfigInForce     = Event{601, "configuration_in_force"}
 	ConfigRejected    = Event{602, "configuration_rejected"}
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -29,6 +29,20 @@
 	AskFloors []string
 	// Floors answer AskFloors.
 	Floors []Floor
+	// AskLost asks whether the receiver has lost a primary; nil asks nothing.
+	AskLost *LostQuestion
+	// Opinion answers AskLost.
+	Opinion *Opinion
+}
+
+// LostQuestion names a primary that the sender has lost.
+type LostQuestion struct{ Service, Upstream string }
+
+// Opinion is what a host says of a primary that another one has lost.
+type Opinion struct {
+	Dead bool
+	// StoreReached tells that the host reaches the platform's store.
+	StoreReached bool
 }
 
 // Floor is a log position that covers every commit of a service acknowledged
@@ -70,6 +84,7 @@
 		Sequence: m.Sequence, Answer: m.Answer, Self: hostToProto(m.Self),
 		Rumours: hostsToProto(m.Rumours), ConfigVersion: m.ConfigVersion,
 		AskFloors: m.AskFloors, Floors: floorsToProto(m.Floors),
+		AskLost: questionToProto(m.AskLost), Opinion: opinionToProto(m.Opinion),
 	})
 	if err != nil {
 		return nil, err
@@ -101,9 +116,29 @@
 	for _, f := range p.GetFloors() {
 		m.Floors = append(m.Floors, floorFromProto(f))
 	}
+	if q := p.GetAskLost(); q != nil {
+		m.AskLost = &LostQuestion{Service: q.GetService(), Upstream: q.GetUpstream()}
+	}
+	if o := p.GetOpinion(); o != nil {
+		m.Opinion = &Opinion{Dead: o.GetDead(), StoreReached: o.GetStoreReached()}
+	}
 	return m, nil
 }
 
+func questionToProto(q *LostQuestion) *peerpb.LostQuestion {
+	if q == nil {
+		return nil
+	}
+	return &peerpb.LostQuestion{Service: q.Service, Upstream: q.Upstream}
+}
+
+func opinionToProto(o *Opinion) *peerpb.Opinion {
+	if o == nil {
+		return nil
+	}
+	return &peerpb.Opinion{Dead: o.Dead, StoreReached: o.StoreReached}
+}
+
 func floorsToProto(floors []Floor) []*peerpb.Floor {
 	out := make([]*peerpb.Floor, 0, len(floors))
 	for _, f := range floors {
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb/peerpbconnect"
+	"github.com/dotterelswitch/dotterelswitch/node/registry"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
@@ -29,8 +31,7 @@
 	answerSlack = 60 * time.Millisecond
 )
 
-// GateClient sends jobs to other hosts. It implements replicaset.Remote and is
-// safe for concurrent use.
+// GateClient sends jobs to other hosts. It is safe for concurrent use.
 type GateClient struct {
 	http  *http.Client
 	owner string
@@ -74,13 +75,14 @@
 	return g
 }
 
-// Run implements replicaset.Remote.
+// Run runs a job on another host. A job that must not be broken off needs a
+// context that does not end.
 func (c *GateClient) Run(ctx context.Context, address, service string, j replicaset.Job) replicaset.Result {
 	g := c.gate(address)
 	if j.Kind == replicaset.JobBegin {
 		c.attach(g)
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), clock.Deadline(j.Work.EndBy+answerSlack))
+	ctx, cancel := context.WithDeadline(ctx, clock.Deadline(j.Work.EndBy+answerSlack))
 	defer cancel()
 	resp, err := g.client.Run(ctx, connect.NewRequest(jobToProto(service, j)))
 	if err != nil {
@@ -121,12 +123,32 @@
 	if err != nil {
 		return store.Listing{}, callError(address, err)
 	}
-	l := store.Listing{Revision: resp.Msg.GetRevision()}
-	for _, i := range resp.Msg.GetItems() {
-		l.Items = append(l.Items, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision()})
+	return store.Listing{Revision: resp.Msg.GetRevision(), Items: itemsFromProto(resp.Msg.GetItems())}, nil
+}
+
+// Follow has another host tell what changes in the store after a revision, until
+// the context or the stream ends.
+func (c *GateClient) Follow(ctx context.Context, address string, after uint64, take func(registry.News)) error {
+	stream, err := c.gate(address).client.Follow(ctx, connect.NewRequest(&peerpb.FollowRequest{After: after}))
+	if err != nil {
+		return callError(address, err)
 	}
-	return l, nil
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		m := stream.Msg()
+		take(registry.News{
+			Listing:  store.Listing{Revision: m.GetRevision(), Items: itemsFromProto(m.GetItems())},
+			Complete: m.GetComplete(),
+		})
+	}
+	if stream.Err() == nil {
+		return errStreamEnded
+	}
+	return callError(address, stream.Err())
 }
 
+// errStreamEnded is a stream that the other host has closed in order.
+var errStreamEnded = errors.New("the other host has ended the stream")
+
 // Close drops idle connections.
 func (c *GateClient) Close() { c.http.CloseIdleConnections() }
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -36,7 +36,8 @@
 		Consistency: uint32(w.Route.Consistency), MaxStalenessUs: w.Route.MaxStaleness.Microseconds(),
 		Priority: int32(w.Route.Priority), Floor: positionToProto(j.Floor), Plain: j.Plain, Wrote: j.Wrote,
 		Transaction: j.Tx, Owner: j.Owner,
-		AimUs: left(w.AimBy, now), StartUs: left(w.StartBy, now), EndUs: left(w.EndBy, now), HoldUs: left(w.HoldBy, now),
+		AimUs: left(w.AimBy, now), StartUs: left(w.StartBy, now), EndUs: left(w.EndBy, now),
+		FreshUs: left(w.FreshBy, now), AttemptUs: w.AttemptTime.Microseconds(),
 	}
 }
 
@@ -58,7 +59,8 @@
 				Service: p.GetService(), Consistency: catalog.Consistency(p.GetConsistency()),
 				MaxStaleness: time.Duration(p.GetMaxStalenessUs()) * time.Microsecond, Priority: int(p.GetPriority()),
 			},
-			Received: now, AimBy: at(p.GetAimUs()), StartBy: at(p.GetStartUs()), EndBy: at(p.GetEndUs()), HoldBy: at(p.GetHoldUs()),
+			Received: now, AimBy: at(p.GetAimUs()), StartBy: at(p.GetStartUs()), EndBy: at(p.GetEndUs()),
+			FreshBy: at(p.GetFreshUs()), AttemptTime: time.Duration(p.GetAttemptUs()) * time.Microsecond,
 		},
 	}
 }
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb/peerpbconnect"
+	"github.com/dotterelswitch/dotterelswitch/node/registry"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
@@ -18,6 +19,8 @@
 	RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result
 	// Listing returns what is known of the store above a revision.
 	Listing(above uint64) store.Listing
+	// Tell tells a follower what changes in the store after a revision.
+	Tell(ctx context.Context, after uint64, send func(registry.News) error) error
 	// Detached tells that the host that owns transactions is gone.
 	Detached(owner string)
 }
@@ -34,7 +37,15 @@
 func (s *gateServer) Run(ctx context.Context, req *connect.Request[peerpb.JobRequest]) (*connect.Response[peerpb.JobResponse], error) {
 	// A sender that hangs up must not stop a statement half way; its own times
 	// bound it.
-	res := s.handler.RunJob(context.WithoutCancel(ctx), req.Msg.GetService(), jobFromProto(req.Msg))
+	job := jobFromProto(req.Msg)
+	lasting := context.WithoutCancel(ctx)
+	res := s.handler.RunJob(lasting, req.Msg.GetService(), job)
+	if ctx.Err() != nil && res.Tx != 0 && job.Kind == replicaset.JobBegin {
+		// The sender has given up and does not know the transaction, which would
+		// hold its connection until it counts as unused.
+		job.Kind, job.Tx = replicaset.JobRollback, res.Tx
+		s.handler.RunJob(lasting, req.Msg.GetService(), job)
+	}
 	return connect.NewResponse(resultToProto(res)), nil
 }
 
@@ -48,9 +59,13 @@
 // Listing implements the generated interface.
 func (s *gateServer) Listing(_ context.Context, req *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error) {
 	l := s.handler.Listing(req.Msg.GetAbove())
-	out := &peerpb.ListingResponse{Revision: l.Revision}
-	for _, i := range l.Items {
-		out.Items = append(out.Items, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision})
-	}
-	return connect.NewResponse(out), nil
+	return connect.NewResponse(&peerpb.ListingResponse{Revision: l.Revision, Items: itemsToProto(l.Items)}), nil
+}
+
+// Follow implements the generated interface.
+func (s *gateServer) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest], stream *connect.ServerStream[peerpb.FollowResponse]) error {
+	err := s.handler.Tell(ctx, req.Msg.GetAfter(), func(n registry.News) error {
+		return stream.Send(&peerpb.FollowResponse{Revision: n.Revision, Items: itemsToProto(n.Items), Complete: n.Complete})
+	})
+	return connect.NewError(connect.CodeUnavailable, err)
 }
--- a/node/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/node/peer/peerpb/peerpbconnect/peer.connect.go
@@ -54,6 +54,8 @@
 	GateAttachProcedure = "/dotterelswitch.peer.v1.Gate/Attach"
 	// GateListingProcedure is the fully-qualified name of the Gate's Listing RPC.
 	GateListingProcedure = "/dotterelswitch.peer.v1.Gate/Listing"
+	// GateFollowProcedure is the fully-qualified name of the Gate's Follow RPC.
+	GateFollowProcedure = "/dotterelswitch.peer.v1.Gate/Follow"
 )
 
 // PeerClient is a client for the dotterelswitch.peer.v1.Peer service.
@@ -257,6 +259,9 @@
 	// Listing returns what the receiver knows of the platform's store, for a host
 	// that does not reach it.
 	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
+	// Follow tells what changes in the platform's store after a revision, as the
+	// receiver learns of it. A message without items is a sign of life.
+	Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.ServerStreamForClient[peerpb.FollowResponse], error)
 }
 
 // NewGateClient constructs a client for the dotterelswitch.peer.v1.Gate service. By default, it
@@ -288,6 +293,12 @@
 			connect.WithSchema(gateMethods.ByName("Listing")),
 			connect.WithClientOptions(opts...),
 		),
+		follow: connect.NewClient[peerpb.FollowRequest, peerpb.FollowResponse](
+			httpClient,
+			baseURL+GateFollowProcedure,
+			connect.WithSchema(gateMethods.ByName("Follow")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -296,6 +307,7 @@
 	run     *connect.Client[peerpb.JobRequest, peerpb.JobResponse]
 	attach  *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
 	listing *connect.Client[peerpb.ListingRequest, peerpb.ListingResponse]
+	follow  *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
 }
 
 // Run calls dotterelswitch.peer.v1.Gate.Run.
@@ -313,6 +325,11 @@
 	return c.listing.CallUnary(ctx, req)
 }
 
+// Follow calls dotterelswitch.peer.v1.Gate.Follow.
+func (c *gateClient) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest]) (*connect.ServerStreamForClient[peerpb.FollowResponse], error) {
+	return c.follow.CallServerStream(ctx, req)
+}
+
 // GateHandler is an implementation of the dotterelswitch.peer.v1.Gate service.
 type GateHandler interface {
 	// Run carries out one step of a caller on a member. It may be carried out
@@ -324,6 +341,9 @@
 	// Listing returns what the receiver knows of the platform's store, for a host
 	// that does not reach it.
 	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
+	// Follow tells what changes in the platform's store after a revision, as the
+	// receiver learns of it. A message without items is a sign of life.
+	Follow(context.Context, *connect.Request[peerpb.FollowRequest], *connect.ServerStream[peerpb.FollowResponse]) error
 }
 
 // NewGateHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -351,6 +371,12 @@
 		connect.WithSchema(gateMethods.ByName("Listing")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gateFollowHandler := connect.NewServerStreamHandler(
+		GateFollowProcedure,
+		svc.Follow,
+		connect.WithSchema(gateMethods.ByName("Follow")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dotterelswitch.peer.v1.Gate/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GateRunProcedure:
@@ -359,6 +385,8 @@
 			gateAttachHandler.ServeHTTP(w, r)
 		case GateListingProcedure:
 			gateListingHandler.ServeHTTP(w, r)
+		case GateFollowProcedure:
+			gateFollowHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -379,3 +407,7 @@
 func (UnimplementedGateHandler) Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Listing is not implemented"))
 }
+
+func (UnimplementedGateHandler) Follow(context.Context, *connect.Request[peerpb.FollowRequest], *connect.ServerStream[peerpb.FollowResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Follow is not implemented"))
+}
--- a/node/promoter/call.go
+++ b/node/promoter/call.go
@@ -25,6 +25,12 @@
 // refusal is a promotion error that ends the use of a token.
 type refusal interface{ Refused() bool }
 
+// refused reports whether the platform has refused the token.
+func refused(err error) bool {
+	var r refusal
+	return errors.As(err, &r) && r.Refused()
+}
+
 // call orders a promotion until the platform has answered. Load pattern: the
 // platform loses a third of the answers, or carries calls out late, while all
 // writes of a group wait for the new primary; so the first repeats come soon.
@@ -38,8 +44,7 @@
 		if err = p.callOnce(ctx, member, token, callTime(try)); err == nil {
 			return nil
 		}
-		var r refusal
-		if errors.As(err, &r) && r.Refused() {
+		if refused(err) {
 			return err
 		}
 		if !clock.Sleep(ctx, callSpacing-(clock.Now()-began)) {
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -26,11 +26,20 @@
 type Registry interface {
 	Hosts() []string
 	Suspecting(service, member string) []string
-	Locked(service string) (holder string, locked bool)
+	// Away reports whether this host does not reach the store.
+	Away() bool
+	LockOf(service string) succession.Lock
+	// TakeLock takes a lock that is still as known and returns its token.
+	TakeLock(ctx context.Context, service string, known succession.Lock, acting bool) (token uint64, err error)
 	Suspect(ctx context.Context, service, member string) error
 	Trust(ctx context.Context, service, member string) error
-	Lock(ctx context.Context, service string) (token uint64, err error)
-	Unlock(ctx context.Context, service string, token uint64) error
+}
+
+// Peers is what a promoter asks other hosts directly.
+type Peers interface {
+	// Opinions asks hosts whether they have lost a primary. Hosts that do not
+	// answer in time are left out.
+	Opinions(ctx context.Context, service, member string, hosts []string) []succession.Opinion
 }
 
 const (
@@ -54,6 +63,7 @@
 	set      *replicaset.Set
 	registry Registry
 	caller   Caller
+	peers    Peers
 	spec     func() catalog.Service
 	log      zerolog.Logger
 
@@ -64,6 +74,9 @@
 	// readySince is when the present reason to act was first seen.
 	readySince time.Duration
 	quietUntil time.Duration
+	// fenced is the newest token that the platform has refused; it is not used
+	// again.
+	fenced uint64
 	// verifiedAt is when a reported primary was last probed.
 	verifiedAt time.Duration
 }
@@ -74,6 +87,7 @@
 	Set           *replicaset.Set
 	Registry      Registry
 	Caller        Caller
+	Peers         Peers
 	// Spec returns the operators' declaration of the service.
 	Spec func() catalog.Service
 	Log  zerolog.Logger
@@ -82,7 +96,7 @@
 // New returns a promoter; Run starts it.
 func New(cfg Config) *Promoter {
 	return &Promoter{
-		service: cfg.Service, host: cfg.Host, set: cfg.Set, registry: cfg.Registry, caller: cfg.Caller,
+		service: cfg.Service, host: cfg.Host, set: cfg.Set, registry: cfg.Registry, caller: cfg.Caller, peers: cfg.Peers,
 		spec: cfg.Spec, log: cfg.Log.With().Str("service", cfg.Service).Logger(),
 	}
 }
@@ -104,12 +118,15 @@
 		p.report(ctx, failed)
 	}
 	switch {
+	case failed != "" && p.registry.Away():
+		p.actAlone(ctx, now, failed)
 	case failed != "" && p.agreed(failed):
 		p.act(ctx, now, func(ctx context.Context, token uint64) error { return p.replace(ctx, failed, token) })
 	case failed == "" && p.handoverDue():
 		p.act(ctx, now, p.handOver)
 	default:
 		p.readySince = 0
+		p.keepLock(ctx, now)
 	}
 }
 
@@ -209,7 +226,8 @@
 	if p.readySince == 0 {
 		p.readySince = now
 	}
-	if _, locked := p.registry.Locked(p.service); locked || now < p.quietUntil {
+	lock := p.registry.LockOf(p.service)
+	if !lock.Free(p.host) || now < p.quietUntil {
 		return
 	}
 	if now-p.readySince < succession.Turn(p.rank()) {
@@ -217,31 +235,27 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTime)
 	defer cancel()
-	token, err := p.registry.Lock(ctx, p.service)
+	token, err := p.registry.TakeLock(ctx, p.service, lock, true)
 	if err != nil {
 		eventlog.OrderFailed.Info(p.log).Err(err).Str("order", "lock").Send()
 		p.quietUntil = clock.Now() + pauseAfterFailure
 		return
 	}
 	eventlog.LockTaken.Info(p.log).Uint64("token", token).Send()
+	p.lead(ctx, token, promote)
+	p.release()
+}
+
+// lead runs one promotion under a token.
+func (p *Promoter) lead(ctx context.Context, token uint64, promote func(context.Context, uint64) error) {
 	if err := promote(ctx, token); err != nil {
 		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "promotion").Uint64("token", token).Send()
+		if refused(err) {
+			p.fenced = token
+		}
 	}
 	p.quietUntil = clock.Now() + pauseAfterFailure
 	p.readySince = 0
-	p.unlock(token)
-}
-
-// unlockTimeout bounds the return of a lock; it ends with the host's lease
-// otherwise.
-const unlockTimeout = time.Second
-
-func (p *Promoter) unlock(token uint64) {
-	ctx, cancel := context.WithTimeout(context.Background(), unlockTimeout)
-	defer cancel()
-	if err := p.registry.Unlock(ctx, p.service, token); err != nil {
-		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "unlock").Uint64("token", token).Send()
-	}
 }
 
 // rank is this host's place in the order in which hosts try.
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -50,7 +50,9 @@
 	}
 	r.directory.Replace(entries, l.Revision, now)
 	r.expire(now)
+	r.heardAt = now
 	r.revision, r.listed = l.Revision, true
+	r.forgetHistory()
 	r.mu.Unlock()
 	r.changed()
 }
@@ -60,12 +62,16 @@
 	now := clock.Now()
 	r.mu.Lock()
 	r.noteBack()
+	r.heardAt = now
 	r.revision = max(r.revision, l.Revision)
 	for _, i := range l.Items {
 		r.remember(i)
 		r.takeEvent(i, now)
 	}
 	r.scheduleRecheck()
+	if len(l.Items) > 0 {
+		r.record(l.Items)
+	}
 	r.mu.Unlock()
 	if len(l.Items) > 0 {
 		r.changed()
@@ -150,7 +156,7 @@
 func (r *Registry) relistMembers() {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	l, err := r.store.Range(ctx, r.docs.MemberPrefix())
+	l, err := r.listMembers(ctx)
 	now := clock.Now()
 	r.mu.Lock()
 	r.recheck = false
@@ -169,6 +175,15 @@
 	r.changed()
 }
 
+// listMembers lists the members' entries: from the store, or for a host that
+// follows another one, from what that one has told.
+func (r *Registry) listMembers(ctx context.Context) (store.Listing, error) {
+	if l, follows := r.heard(); follows {
+		return l, nil
+	}
+	return r.store.Range(ctx, r.docs.MemberPrefix())
+}
+
 // expire drops members whose entries stayed away. It is called with mu held.
 func (r *Registry) expire(now time.Duration) {
 	for _, m := range r.directory.Expire(now) {
--- /dev/null
+++ b/node/registry/follow.go
@@ -0,0 +1,174 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+// News is what a relay tells: changes, or everything that there is.
+type News struct {
+	store.Listing
+	// Complete tells that keys which are not listed do not exist.
+	Complete bool
+}
+
+// Followed follows another host's registry from a revision. It calls take for
+// each piece of news, and returns when the stream ends.
+type Followed func(ctx context.Context, address string, after uint64, take func(News)) error
+
+// errSilentRelay ends the stream of a relay that gives no sign of life.
+var errSilentRelay = errors.New("the relay is silent")
+
+// errNotFollowing refuses to relay what this host only hears itself, or has not
+// heard for too long.
+var errNotFollowing = errors.New("this host does not follow the store at present")
+
+// historyLimit bounds the changes that a relay keeps for followers that come
+// back: several seconds of the busiest days. Who lacks more is told everything.
+const historyLimit = 2000
+
+// followRelay follows another host until it fails.
+func (r *Registry) followRelay(ctx context.Context, host gates.Host) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(relay.SilentAfter, func() { cancel(errSilentRelay) })
+	defer watchdog.Stop()
+	r.mu.Lock()
+	after := r.revision
+	r.mu.Unlock()
+	eventlog.RelayFollowed.Info(r.log).Str("peer", host.Name).Uint64("revision", after).Send()
+	err := r.relayed(ctx, host.Address, after, func(n News) {
+		watchdog.Reset(relay.SilentAfter)
+		r.takeNews(n)
+	})
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	eventlog.RelayLost.Info(r.log).Str("peer", host.Name).Err(err).Send()
+	r.mu.Lock()
+	r.relays.Failed(host.Name, clock.Now())
+	r.mu.Unlock()
+}
+
+func (r *Registry) takeNews(n News) {
+	if n.Complete {
+		r.replace(n.Listing)
+		return
+	}
+	r.apply(n.Listing)
+}
+
+// pickRelay returns the host to follow, if this one is not to watch the store.
+func (r *Registry) pickRelay() (gates.Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.relayed == nil || !r.listed || r.leaving {
+		return gates.Host{}, false
+	}
+	return r.relays.Pick(r.own.fleet(), clock.Now())
+}
+
+// Tell tells a follower what changes after a revision, until the context ends
+// or this host loses the store itself. An empty piece of news is a sign of life.
+func (r *Registry) Tell(ctx context.Context, after uint64, send func(News) error) error {
+	r.countFollowers(1)
+	defer r.countFollowers(-1)
+	beat := time.NewTicker(relay.Beat)
+	defer beat.Stop()
+	for {
+		n, changed, err := r.newsAfter(after)
+		if err != nil {
+			return err
+		}
+		if err := send(n); err != nil {
+			return err
+		}
+		after = n.Revision
+		select {
+		case <-changed:
+		case <-beat.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *Registry) countFollowers(by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.followers += by
+}
+
+// Followers returns how many hosts follow this one.
+func (r *Registry) Followers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.followers
+}
+
+// newsAfter returns what changed after a revision, and a channel that is closed
+// by the next change.
+func (r *Registry) newsAfter(after uint64) (News, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.direct || r.away || !r.listed || clock.Now()-r.heardAt > r.wait+relay.StaleAfter {
+		return News{}, nil, errNotFollowing
+	}
+	if after < r.historyStart || after > r.revision {
+		return News{Listing: r.everything(), Complete: true}, r.news, nil
+	}
+	n := News{Listing: store.Listing{Revision: r.revision}}
+	for _, i := range r.history {
+		if i.Revision > after {
+			n.Items = append(n.Items, i)
+		}
+	}
+	return n, r.news, nil
+}
+
+// heard lists what another host has told, if this one follows it.
+func (r *Registry) heard() (store.Listing, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.direct {
+		return store.Listing{}, false
+	}
+	return r.everything(), true
+}
+
+// everything lists what this host knows. It is called with mu held.
+func (r *Registry) everything() store.Listing {
+	l := store.Listing{Revision: r.revision}
+	for _, i := range r.items {
+		l.Items = append(l.Items, i)
+	}
+	return l
+}
+
+// record keeps changes for followers and wakes them. It is called with mu held.
+func (r *Registry) record(items []store.Item) {
+	r.history = append(r.history, items...)
+	if over := len(r.history) - historyLimit; over > 0 {
+		r.historyStart = r.history[over-1].Revision
+		r.history = append([]store.Item(nil), r.history[over:]...)
+	}
+	r.wakeFollowers()
+}
+
+// forgetHistory has followers told everything. It is called with mu held.
+func (r *Registry) forgetHistory() {
+	r.history, r.historyStart = nil, r.revision
+	r.wakeFollowers()
+}
+
+func (r *Registry) wakeFollowers() {
+	close(r.news)
+	r.news = make(chan struct{})
+}
--- a/node/registry/own_keys.go
+++ b/node/registry/own_keys.go
@@ -6,6 +6,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
 )
 
 // The keys that hosts keep for each other.
@@ -29,12 +30,12 @@
 	// hosts are the living hosts by name.
 	hosts    map[string]gates.Host
 	suspects map[string]bool
-	// locks maps a service to the host that leads its promotion.
-	locks map[string]string
+	// locks maps a service to its promotion lock.
+	locks map[string]succession.Lock
 }
 
 func newOwnKeys() ownKeys {
-	return ownKeys{hosts: map[string]gates.Host{}, suspects: map[string]bool{}, locks: map[string]string{}}
+	return ownKeys{hosts: map[string]gates.Host{}, suspects: map[string]bool{}, locks: map[string]succession.Lock{}}
 }
 
 // take applies one key.
@@ -48,10 +49,25 @@
 		return
 	}
 	if service, ok := strings.CutPrefix(i.Key, lockPrefix); ok {
-		setOrDelete(o.locks, service, string(i.Value), i.Deleted)
+		setOrDelete(o.locks, service, decodeLock(i), i.Deleted)
 	}
 }
 
+// actingMark follows the holder in a lock whose holder leads a promotion.
+const actingMark = " acting"
+
+func encodeLock(holder string, acting bool) []byte {
+	if acting {
+		holder += actingMark
+	}
+	return []byte(holder)
+}
+
+func decodeLock(i store.Item) succession.Lock {
+	holder, acting := strings.CutSuffix(string(i.Value), actingMark)
+	return succession.Lock{Holder: holder, Acting: acting, Revision: i.Revision}
+}
+
 // encodeHost writes what other hosts need to know of one.
 func encodeHost(h gates.Host) []byte { return []byte(h.Zone + " " + h.Address) }
 
@@ -68,6 +84,14 @@
 	m[key] = value
 }
 
+func (o ownKeys) fleet() []gates.Host {
+	out := make([]gates.Host, 0, len(o.hosts))
+	for _, h := range o.hosts {
+		out = append(out, h)
+	}
+	return out
+}
+
 func (o ownKeys) hostNames() []string {
 	out := make([]string, 0, len(o.hosts))
 	for name := range o.hosts {
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -103,24 +105,33 @@
 	return err
 }
 
-// Lock takes the promotion lock of a service. The revision of the lock is its
-// fencing token: it is higher than that of every lock before.
-func (r *Registry) Lock(ctx context.Context, service string) (token uint64, err error) {
-	key := lockKey(service)
-	return r.store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: key, Revision: 0}},
-		Writes:     []store.Write{{Key: key, Value: []byte(r.self.Name), Lease: r.currentLease()}},
-	})
-}
+// errNotRegistered refuses a lock to a host without a lease, because it would
+// outlive its holder.
+var errNotRegistered = errors.New("the host has no lease")
 
-// Unlock gives a lock back, if it is still the one with the given token.
-func (r *Registry) Unlock(ctx context.Context, service string, token uint64) error {
+// TakeLock takes the promotion lock of a service, or changes this host's own,
+// provided that it is still as known. The revision of the lock is its fencing
+// token: it is higher than that of every lock before. After an error the lock
+// may be taken all the same; the store's news tell.
+func (r *Registry) TakeLock(ctx context.Context, service string, known succession.Lock, acting bool) (token uint64, err error) {
+	lease := r.currentLease()
+	if lease == 0 {
+		return 0, errNotRegistered
+	}
 	key := lockKey(service)
-	_, err := r.store.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: key, Revision: token}},
-		Deletes:    []string{key},
+	token, err = r.store.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Revision: known.Revision}},
+		Writes:     []store.Write{{Key: key, Value: encodeLock(r.self.Name, acting), Lease: lease}},
 	})
-	return err
+	if err != nil {
+		return 0, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.own.locks[service].Revision < token {
+		r.own.locks[service] = succession.Lock{Holder: r.self.Name, Acting: acting, Revision: token}
+	}
+	return token, nil
 }
 
 // Abandon forgets the lease, so that it runs out by itself, as after a crash.
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -14,8 +14,10 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -71,6 +73,8 @@
 	changed func()
 	// wait is how long one watch waits.
 	wait time.Duration
+	// relayed follows another host; nil where hosts do not reach each other.
+	relayed Followed
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -81,8 +85,22 @@
 	away      bool
 	awaySince time.Duration
 	revision  uint64
-	// relayed is the newest revision that another host told of.
-	relayed uint64
+	// told is the newest revision that another host told of while the store was
+	// away.
+	told uint64
+	// relays chooses the host to follow; direct tells that this host follows the
+	// store itself.
+	relays *relay.Relays
+	direct bool
+	// heardAt is when the store, or the relay, last answered.
+	heardAt time.Duration
+	// history holds the newest changes, those after historyStart, for followers;
+	// news is closed and replaced by each change.
+	history      []store.Item
+	historyStart uint64
+	news         chan struct{}
+	// followers counts the hosts that follow this one.
+	followers int
 	// items are all keys as they were written, for hosts that are cut off.
 	items   map[string]store.Item
 	lease   store.Lease
@@ -91,16 +109,17 @@
 }
 
 // New returns a registry for a host. ConfigBound is how soon a change of the
-// configuration must be in force; zero for no bound. Changed is called after
-// changes.
-func New(s Store, docs Documents, self gates.Host, configBound time.Duration, changed func(), log zerolog.Logger) *Registry {
+// configuration must be in force; zero for no bound. Relayed may be nil. Changed
+// is called after changes.
+func New(s Store, docs Documents, self gates.Host, configBound time.Duration, relayed Followed, changed func(), log zerolog.Logger) *Registry {
 	wait := time.Duration(watchShare * float64(configBound))
 	if wait <= 0 {
 		wait = defaultWait
 	}
 	return &Registry{
-		store: s, docs: docs, self: self, wait: wait, changed: changed, log: log,
+		store: s, docs: docs, self: self, wait: wait, relayed: relayed, changed: changed, log: log,
 		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{},
+		relays: relay.New(self), direct: true, news: make(chan struct{}),
 	}
 }
 
@@ -109,6 +128,12 @@
 	rng := rand.New(rand.NewPCG(uint64(clock.Now()), uint64(len(r.self.Name))))
 	attempt := 0
 	for ctx.Err() == nil {
+		host, follows := r.pickRelay()
+		r.setDirect(!follows)
+		if follows {
+			r.followRelay(ctx, host)
+			continue
+		}
 		err := r.follow(ctx)
 		if err == nil || ctx.Err() != nil {
 			attempt = 0
@@ -124,6 +149,12 @@
 	}
 }
 
+func (r *Registry) setDirect(direct bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.direct = direct
+}
+
 // follow makes one call: a listing, or a watch from the last one.
 func (r *Registry) follow(ctx context.Context) error {
 	r.mu.Lock()
@@ -188,11 +219,7 @@
 func (r *Registry) Fleet() []gates.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]gates.Host, 0, len(r.own.hosts))
-	for _, h := range r.own.hosts {
-		out = append(out, h)
-	}
-	return out
+	return r.own.fleet()
 }
 
 // Suspecting returns the hosts that report a member as dead.
@@ -202,10 +229,16 @@
 	return r.own.suspecting(service, member)
 }
 
-// Locked reports whether some host holds the promotion lock of a service.
-func (r *Registry) Locked(service string) (holder string, locked bool) {
+// LockOf returns the promotion lock of a service.
+func (r *Registry) LockOf(service string) succession.Lock {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own.locks[service]
+}
+
+// Away reports whether this host does not reach the store at present.
+func (r *Registry) Away() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l, found := r.own.locks[service]
-	return l, found
+	return r.away
 }
--- a/node/registry/relay.go
+++ b/node/registry/relay.go
@@ -40,7 +40,7 @@
 func (r *Registry) cutOff(now time.Duration) (uint64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.revision, r.relayed), r.away && now-r.awaySince >= relayAfter
+	return max(r.revision, r.told), r.away && now-r.awaySince >= relayAfter
 }
 
 func (r *Registry) askPeer(ctx context.Context, ask Relay, above uint64) {
@@ -68,7 +68,7 @@
 func (r *Registry) applyRelayed(l store.Listing, from string) {
 	now := clock.Now()
 	r.mu.Lock()
-	r.relayed = l.Revision
+	r.told = l.Revision
 	for _, i := range l.Items {
 		r.takeEvent(i, now)
 	}
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -19,7 +19,8 @@
 			continue
 		}
 		res := s.remoteRun(ctx, m, address, j)
-		if gate, failed := res.gateError(); failed && !gate.Sent && ctx.Err() == nil {
+		gate, failed := res.gateError()
+		if failed && (!gate.Sent || j.repeatable()) && ctx.Err() == nil && clock.Now() < j.Work.StartBy {
 			continue
 		}
 		return res, address
@@ -40,7 +41,7 @@
 	began := clock.Now()
 	m.remoteStarted()
 	s.gateHealth.started(address, began)
-	res := s.remote.Run(ctx, address, s.service, j)
+	res := s.runWatched(ctx, address, j)
 	_, failed := res.gateError()
 	now := clock.Now()
 	s.gateHealth.ended(address, !failed, now)
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return Result{Err: err}
 	}
-	x, err := c.run(j.Work.Statement, floor, j.Work.EndBy)
+	x, err := c.run(j.Work.Statement, floor, j.Work.attemptEnd(clock.Now()))
 	return Result{Answer: x.answer, Err: err, Handed: x.handed}
 }
 
@@ -89,12 +89,13 @@
 // shows every commit acknowledged before. A check made before a plain read
 // would prove nothing about the moment of the read.
 func (s *Set) readGuarded(c *Conn, w Work) Result {
-	a, err := c.Do(statement.Operation{Verb: statement.Start}, w.EndBy)
+	end := w.attemptEnd(clock.Now())
+	a, err := c.Do(statement.Operation{Verb: statement.Start}, end)
 	if err != nil || a.Code != statement.OK {
 		c.member.release(c)
 		return Result{Answer: a, Err: err}
 	}
-	x, err := c.run(w.Statement, logpos.Position{}, w.EndBy)
+	x, err := c.run(w.Statement, logpos.Position{}, end)
 	if err != nil {
 		c.member.release(c)
 		return Result{Err: err, Handed: x.handed}
--- a/node/replicaset/gate_health.go
+++ b/node/replicaset/gate_health.go
@@ -25,6 +25,18 @@
 	g.gates.Ended(address, answered, now)
 }
 
+func (g *gateHealth) alive(address string, now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gates.Alive(address, now)
+}
+
+func (g *gateHealth) silent(address string, now time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.gates.Silent(address, now)
+}
+
 func (g *gateHealth) usable(address string, now time.Duration) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/replicaset/job.go
+++ b/node/replicaset/job.go
@@ -48,6 +48,12 @@
 	Owner string
 }
 
+// repeatable reports whether the job may be carried out twice. A transaction
+// that was begun in vain is rolled back where it was begun.
+func (j Job) repeatable() bool {
+	return j.Kind == JobRead || j.Kind == JobGuardedRead || j.Kind == JobBegin
+}
+
 // needsLead reports whether only the primary can carry the job out.
 func (j Job) needsLead() bool {
 	return j.Kind == JobGuardedRead || j.Kind == JobWrite || (j.Kind == JobBegin && j.Plain)
@@ -71,6 +77,9 @@
 // Remote runs jobs on other hosts. An error of the way there is a *GateError.
 type Remote interface {
 	Run(ctx context.Context, address, service string, j Job) Result
+	// Alive asks a host for a sign of life, which takes it no work, and waits
+	// shortly for it.
+	Alive(ctx context.Context, address string) bool
 }
 
 // GateError is a job that another host did not answer.
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -66,15 +66,15 @@
 
 // await waits for a queued request.
 func (m *Member) await(ctx context.Context, w connpool.Waiter, ch chan grant) (*Conn, error) {
-	timer := time.NewTimer(w.StartBy - clock.Now())
+	timer := time.NewTimer(w.FreshBy - clock.Now())
 	defer timer.Stop()
 	for {
 		select {
 		case g := <-ch:
 			return g.conn, g.err
 		case <-timer.C:
-			if left := m.timeLeft(w); left > 0 {
-				timer.Reset(min(left, holdPoll))
+			if wait, keep := m.keepFor(w); keep {
+				timer.Reset(wait)
 				continue
 			}
 		case <-ctx.Done():
@@ -88,14 +88,14 @@
 	}
 }
 
-// holdPoll is how often a statement that is held looks whether it still may be.
-const holdPoll = 20 * time.Millisecond
-
-// timeLeft returns how much longer a waiter may wait.
-func (m *Member) timeLeft(w connpool.Waiter) time.Duration {
+// keepFor returns how long a waiter waits until it is judged again, and false
+// when it is to be refused.
+func (m *Member) keepFor(w connpool.Waiter) (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.pool.GiveUpAt(w) - clock.Now()
+	now := clock.Now()
+	at, keep := m.pool.KeepUntil(w, now)
+	return at - now, keep
 }
 
 // leave takes a waiter back; it reports false when it was just granted.
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -81,8 +81,8 @@
 )
 
 // awaitPrimary waits until a primary is known, as long as one can be expected.
-// A statement that waited for one gets the time to queue that it would have
-// had without.
+// A statement that waited for one is served in its turn for as long as it would
+// have been without.
 func (s *Set) awaitPrimary(ctx context.Context, w *Work) (*Member, bool) {
 	began := clock.Now()
 	for {
@@ -91,7 +91,7 @@
 		s.mu.Unlock()
 		now := clock.Now()
 		if m, found := s.Primary(); found {
-			w.StartBy = min(w.StartBy+now-began, max(w.HoldBy, w.StartBy))
+			w.FreshBy = min(w.FreshBy+now-began, w.StartBy)
 			return m, true
 		}
 		if now >= s.holdUntil(w) {
@@ -113,7 +113,7 @@
 func (s *Set) holdUntil(w *Work) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(w.HoldBy, s.leaderlessSince+failoverTime)
+	return min(w.StartBy, s.leaderlessSince+failoverTime)
 }
 
 // Believed returns the member that is taken for the primary, whether or not it
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -21,12 +21,6 @@
 	// host, for a read that a replica could serve: other hosts are asked for a
 	// floor again after it.
 	guardedHold = 150 * time.Millisecond
-	// readShare and minReadTime bound one attempt of a read: a member whose
-	// answer got lost looks like one that is slow, and another can answer in
-	// time. Half of a target is more than a full queue of a member and the
-	// longest statement take on the deployments.
-	readShare   = 0.5
-	minReadTime = 250 * time.Millisecond
 )
 
 // Read runs a single read. It may go to several members in turn, because a
@@ -48,7 +42,6 @@
 		out.Attempts++
 		out.Member, out.Primary = m.id, guarded
 		j := s.readJob(w, guarded)
-		j.Work.EndBy = attemptEnd(w, clock.Now())
 		out.Floor = j.Floor
 		res, gate := s.dispatch(ctx, m, j)
 		out.Waited, out.Gate = res.Waited, gate
@@ -61,30 +54,17 @@
 			tried[m.id] = true
 			continue
 		}
-		if now > s.giveUpAt(m, w) || !clock.Sleep(ctx, primaryPause) {
+		if now > w.StartBy || !clock.Sleep(ctx, primaryPause) {
 			break
 		}
 	}
 	return refuse(out, w, last)
 }
 
-// giveUpAt returns when a read that goes to the primary is not tried again.
-func (s *Set) giveUpAt(m *Member, w Work) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.pool.GiveUpAt(w.waiter())
-}
-
-// attemptEnd returns when one attempt of a read is given up.
-func attemptEnd(w Work, now time.Duration) time.Duration {
-	share := time.Duration(readShare * float64(w.Route.Target))
-	return min(w.EndBy, max(now, w.StartBy)+max(share, minReadTime))
-}
-
 func (s *Set) readJob(w Work, guarded bool) Job {
 	if guarded {
 		if w.Route.Consistency != catalog.Primary {
-			w.HoldBy = min(w.HoldBy, clock.Now()+guardedHold)
+			w.StartBy = min(w.StartBy, max(w.FreshBy, clock.Now()+guardedHold))
 		}
 		return Job{Kind: JobGuardedRead, Work: w}
 	}
--- a/node/replicaset/tx.go
+++ b/node/replicaset/tx.go
@@ -100,8 +100,7 @@
 func (t *Tx) Rollback() {
 	go func() {
 		now := clock.Now()
-		w := Work{EndBy: now + undoTimeout, StartBy: now + undoTimeout, AimBy: now + undoTimeout}
-		res := t.set.step(context.Background(), t.member, t.gate, Job{Kind: JobRollback, Work: w, Tx: t.id})
+		res := t.set.step(context.Background(), t.member, t.gate, Job{Kind: JobRollback, Work: until(now + undoTimeout), Tx: t.id})
 		if res.Err != nil {
 			t.set.log.Debug().Err(res.Err).Msg("a rollback was not confirmed; the gate ends the transaction by itself")
 		}
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -24,17 +24,30 @@
 	// Received is when this host got the statement, from the caller or from
 	// another host.
 	Received time.Duration
-	// AimBy, StartBy and EndBy are when it should have started to be on time,
-	// when it is refused unless it has started, and when its time is over.
-	AimBy, StartBy, EndBy time.Duration
-	// HoldBy is how long it may wait while nothing can run it yet: no primary
-	// is known, or its member has no connection for this host at all.
-	HoldBy time.Duration
+	// AimBy is when it should have ended, FreshBy until when it is served in its
+	// turn, StartBy the latest start that is of use, and EndBy when its time is
+	// over.
+	AimBy, FreshBy, StartBy, EndBy time.Duration
+	// AttemptTime bounds one attempt of a read once it has a connection.
+	AttemptTime time.Duration
+}
+
+// attemptEnd returns when an attempt of a read that starts now is given up.
+func (w Work) attemptEnd(now time.Duration) time.Duration {
+	if w.AttemptTime == 0 {
+		return w.EndBy
+	}
+	return min(w.EndBy, now+w.AttemptTime)
+}
+
+// until bounds all of a statement's times, for one that serves the system.
+func until(at time.Duration) Work {
+	return Work{AimBy: at, FreshBy: at, StartBy: at, EndBy: at}
 }
 
 func (w Work) waiter() connpool.Waiter {
 	return connpool.Waiter{
-		Priority: w.Route.Priority, AimBy: w.AimBy, StartBy: w.StartBy, HoldBy: w.HoldBy,
+		Priority: w.Route.Priority, AimBy: w.AimBy, FreshBy: w.FreshBy, StartBy: w.StartBy,
 		Values: session.ValuesKey(w.Values),
 	}
 }
--- a/standin/lineplatform/store.go
+++ b/standin/lineplatform/store.go
@@ -55,6 +55,8 @@
 	deaf   bool
 	closed chan struct{}
 	calls  int
+	// watches counts the calls to watch among them.
+	watches int
 }
 
 func newStore() *Store {
@@ -84,6 +86,13 @@
 	return s.calls
 }
 
+// Watches returns how many calls to watch came.
+func (s *Store) Watches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
+
 // Deafen makes watches that wait hear nothing, or hear again.
 func (s *Store) Deafen(on bool) {
 	s.mu.Lock()
@@ -169,6 +178,9 @@
 func (s *Store) serve(w http.ResponseWriter, r *http.Request, h func(http.ResponseWriter, *http.Request) (int, any)) {
 	s.mu.Lock()
 	s.calls++
+	if strings.HasSuffix(r.URL.Path, "/kv-watch") {
+		s.watches++
+	}
 	outage := s.outage
 	s.mu.Unlock()
 	switch {
