Roll back a transaction that rests for over a second while others wait for its connection

Cause: nothing bounded what callers that rest inside transactions hold until the operators' limit, which may be ten seconds and more away (the users' list of troubles; a test shows it). A member that has no room is asked again after 15, 30, then 60 ms.

--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -87,6 +87,9 @@
 // InUse returns the number of connections that run something.
 func (p *Pool) InUse() int { return p.inUse }
 
+// Exhausted reports whether every connection that may be opened is in use.
+func (p *Pool) Exhausted() bool { return p.inUse >= p.limits.Max }
+
 // Idle returns the number of connections that nobody uses.
 func (p *Pool) Idle() int { return len(p.idle) }
 
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -31,27 +31,29 @@
 	UpstreamSuspected = Event{308, "upstream_suspected"}
 	StatementFailed   = Event{309, "statement_failed"}
 	StatementServed   = Event{310, "statement_served"}
-	GateJobFailed     = Event{311, "gate_job_failed"}
-	TermClaimed       = Event{401, "term_claimed"}
-	Promoted          = Event{402, "primary_promoted"}
-	PrimaryChanged    = Event{403, "primary_changed"}
-	OrderFailed       = Event{404, "group_order_failed"}
-	PrimaryReported   = Event{405, "primary_reported_dead"}
-	LockTaken         = Event{406, "promotion_lock_taken"}
-	LockUsedAlone     = Event{407, "promotion_lock_used_without_store"}
-	HostStateChanged  = Event{501, "host_state_changed"}
-	PeerCallFailed    = Event{502, "peer_call_failed"}
-	HistoryLost       = Event{606, "platform_history_lost"}
-	EntryUnreadable   = Event{607, "upstream_entry_unreadable"}
-	LeaseLost         = Event{608, "platform_lease_lost"}
-	RelayedBy         = Event{609, "platform_news_relayed"}
-	RelayFollowed     = Event{610, "platform_relay_followed"}
-	RelayLost         = Event{611, "platform_relay_lost"}
-	EventPrepared     = Event{605, "event_prepared"}
-	ConfigInForce     = Event{601, "configuration_in_force"}
-	ConfigRejected    = Event{602, "configuration_rejected"}
-	PlatformUnreached = Event{603, "platform_unreachable"}
-	PlatformReached   = Event{604, "platform_reachable"}
+	// TransactionReclaimed is bounded by the transactions that there are.
+	TransactionReclaimed = Event{312, "transaction_reclaimed"}
+	GateJobFailed        = Event{311, "gate_job_failed"}
+	TermClaimed          = Event{401, "term_claimed"}
+	Promoted             = Event{402, "primary_promoted"}
+	PrimaryChanged       = Event{403, "primary_changed"}
+	OrderFailed          = Event{404, "group_order_failed"}
+	PrimaryReported      = Event{405, "primary_reported_dead"}
+	LockTaken            = Event{406, "promotion_lock_taken"}
+	LockUsedAlone        = Event{407, "promotion_lock_used_without_store"}
+	HostStateChanged     = Event{501, "host_state_changed"}
+	PeerCallFailed       = Event{502, "peer_call_failed"}
+	HistoryLost          = Event{606, "platform_history_lost"}
+	EntryUnreadable      = Event{607, "upstream_entry_unreadable"}
+	LeaseLost            = Event{608, "platform_lease_lost"}
+	RelayedBy            = Event{609, "platform_news_relayed"}
+	RelayFollowed        = Event{610, "platform_relay_followed"}
+	RelayLost            = Event{611, "platform_relay_lost"}
+	EventPrepared        = Event{605, "event_prepared"}
+	ConfigInForce        = Event{601, "configuration_in_force"}
+	ConfigRejected       = Event{602, "configuration_rejected"}
+	PlatformUnreached    = Event{603, "platform_unreachable"}
+	PlatformReached      = Event{604, "platform_reachable"}
 )
 
 // All returns every event, in order of number.
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -13,8 +13,10 @@
 	// undoTimeout bounds the end of a transaction that is dropped.
 	undoTimeout = time.Second
 	// roomPause is the wait before a member that had no room for a statement is
-	// asked again.
-	roomPause = 15 * time.Millisecond
+	// asked again: about the work of one. Each further wait is twice as long, up
+	// to maxRoomPause, because all connections of all hosts may be waiting.
+	roomPause    = 15 * time.Millisecond
+	maxRoomPause = 60 * time.Millisecond
 )
 
 // Execute carries a job out on a connection of this host.
@@ -217,12 +219,12 @@
 // is short; a place in it is free again after a few milliseconds.
 func runWithRoom(ctx context.Context, c *Conn, w Work, floor logpos.Position) (exchange, error) {
 	state := c.lastState
-	for {
+	for pause := roomPause; ; pause = min(2*pause, maxRoomPause) {
 		x, err := c.run(w.Statement, floor, w.EndBy)
 		if err != nil || x.answer.Code != statement.Busy || x.answer.State != state {
 			return x, err
 		}
-		if clock.Now() > w.StartBy || !clock.Sleep(ctx, roomPause) {
+		if clock.Now() > w.StartBy || !clock.Sleep(ctx, pause) {
 			return x, nil
 		}
 	}
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -21,6 +21,9 @@
 func (m *Member) acquire(ctx context.Context, w connpool.Waiter) (*Conn, error) {
 	for {
 		conn, ch, err := m.request(&w)
+		if conn == nil {
+			m.set.reclaim(m)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -74,6 +77,7 @@
 			return g.conn, g.err
 		case <-timer.C:
 			if wait, keep := m.keepFor(w); keep {
+				m.set.reclaim(m)
 				timer.Reset(wait)
 				continue
 			}
--- a/node/replicaset/tx_table.go
+++ b/node/replicaset/tx_table.go
@@ -13,10 +13,10 @@
 	id    uint64
 	owner string
 	plain bool
+	conn  *Conn
 
 	// mu orders the steps; it guards the fields below.
 	mu    sync.Mutex
-	conn  *Conn
 	used  time.Duration
 	ended bool
 }
