--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -62,11 +62,11 @@
 		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed,
-		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed,
+		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken, LockUsedAlone,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy,
+		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost,
 	}
 }
 
