--- a/node/entry/failures_test.go
+++ b/node/entry/failures_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
@@ -32,7 +33,7 @@
 			if res.code == "" {
 				require.Equal(t, 1, d.group.Committed(res.id))
 			}
-			if promises[res.code] {
+			if linecaller.Promised(res.code) {
 				require.Zero(t, d.group.Committed(res.id), "%s is a promise", res.code)
 			}
 			return res.code == ""
@@ -218,8 +219,7 @@
 	}
 	require.Positive(t, answered)
 	require.True(t, <-stopped)
-	_, err := idle.line()
-	require.Error(t, err)
+	require.Error(t, idle.session.AwaitClose())
 }
 
 // TestHostCutFromTheStoreHearsOfChangesFromOthers: the store turns one host
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -1,12 +1,11 @@
 package entry_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 	"github.com/dotterelswitch/dotterelswitch/standin/faultproxy"
+	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
@@ -171,34 +171,22 @@
 
 // client is a caller's session.
 type client struct {
-	t    *testing.T
-	net  net.Conn
-	r    *bufio.Reader
-	next int
-	name string
+	t       *testing.T
+	session *linecaller.Session
+	name    string
 }
 
+// sessions makes the ids of all clients unique.
+var sessions atomic.Int64
+
 // connect opens a session on a database through a host.
 func (d *deployment) connect(host int, database string) *client {
 	d.t.Helper()
-	nc, err := net.Dial("tcp", d.settings[host].CallerAddress)
-	require.NoError(d.t, err)
-	d.t.Cleanup(func() { _ = nc.Close() })
-	c := &client{t: d.t, net: nc, r: bufio.NewReader(nc), name: fmt.Sprintf("%s-%s", nc.LocalAddr(), database)}
-	_, err = fmt.Fprintf(nc, "START %s tester\r\n", database)
-	require.NoError(d.t, err)
-	line, err := c.line()
+	name := fmt.Sprintf("%s-%d", database, sessions.Add(1))
+	session, err := linecaller.Open(d.settings[host].CallerAddress, database, name, eventually)
 	require.NoError(d.t, err)
-	require.Equal(d.t, "READY I -", line)
-	return c
-}
-
-func (c *client) line() (string, error) {
-	if err := c.net.SetReadDeadline(time.Now().Add(eventually)); err != nil {
-		return "", err
-	}
-	line, err := c.r.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
+	d.t.Cleanup(session.Close)
+	return &client{t: d.t, session: session, name: name}
 }
 
 // result is the answer to one statement.
@@ -216,29 +204,8 @@
 }
 
 func (c *client) try(text string) (result, error) {
-	c.next++
-	res := result{id: fmt.Sprintf("%s-%d", c.name, c.next)}
-	if _, err := fmt.Fprintf(c.net, "QUERY %s %s\r\n", res.id, text); err != nil {
-		return res, err
-	}
-	for {
-		line, err := c.line()
-		if err != nil {
-			return res, err
-		}
-		word, rest, _ := strings.Cut(line, " ")
-		switch word {
-		case "DATAROW":
-			res.rows = append(res.rows, rest)
-		case "COMPLETE":
-			res.signature = rest
-		case "ERROR":
-			res.code, res.detail, _ = strings.Cut(rest, " ")
-		case "READY":
-			res.state, _, _ = strings.Cut(rest, " ")
-			return res, nil
-		}
-	}
+	a, err := c.session.Run(text)
+	return result{id: a.ID, code: a.Code, detail: a.Detail, signature: a.Signature, state: a.State, rows: a.Rows}, err
 }
 
 // must runs a statement that must succeed.
@@ -248,8 +215,3 @@
 	require.Empty(c.t, res.code, "%s: %s", text, res.detail)
 	return res
 }
-
-// promises are the codes that promise that nothing is kept.
-var promises = map[string]bool{
-	"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MISROUTED": true, "TOOMANY": true,
-}
--- a/standin/linecaller/session.go
+++ b/standin/linecaller/session.go
@@ -29,6 +29,10 @@
 // Promised reports whether a code promises that nothing is kept.
 func Promised(code string) bool { return promises[code] }
 
+// welcome is the answer to a login: no transaction is open, and no position is
+// known.
+const welcome = "READY I -"
+
 // Session is one connection of a caller. It is not safe for concurrent use.
 type Session struct {
 	net     net.Conn
@@ -73,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	if !strings.HasPrefix(line, "READY") {
+	if line != welcome {
 		return &RefusedError{Line: line}
 	}
 	return nil
@@ -90,6 +94,13 @@
 	return strings.TrimRight(line, "\r\n"), err
 }
 
+// AwaitClose waits until the system ends the session and returns the error that
+// shows it; it returns nil when a line came instead, which nobody asked for.
+func (s *Session) AwaitClose() error {
+	_, err := s.line()
+	return err
+}
+
 // NextID returns the id that the next statement will have.
 func (s *Session) NextID() string { return fmt.Sprintf("%s-%d", s.name, s.next+1) }
 
