Report no dead primary to a store that is away

Cause (reading): each look began with the report, so a store that takes calls and does not answer held the promotion up by the 1.5 s of a call, again and again, although the lock's holder can act without it. Change: reports wait until the store is back. Tests: TestPrimaryIsReplacedWhileTheStoreIsAway passes as before; it has no bound on the time that would have shown this.

--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -114,11 +114,13 @@
 	if failed == "" {
 		p.verify(ctx, now)
 	}
-	if failed != p.reported && p.speaks(failed) {
+	// A call to a store that does not answer would hold up all that follows.
+	away := p.registry.Away()
+	if failed != p.reported && !away && p.speaks(failed) {
 		p.report(ctx, failed)
 	}
 	switch {
-	case failed != "" && p.registry.Away():
+	case failed != "" && away:
 		p.actAlone(ctx, now, failed)
 	case failed != "" && p.agreed(failed):
 		p.act(ctx, now, func(ctx context.Context, token uint64) error { return p.replace(ctx, failed, token) })
