Send nothing to a member without room once its answer could not come in time

Cause (reading): a read that was tried again while the member had no room went on after the time of its attempt; what was sent then had no time to be answered, broke the connection, and counted as a silent member. Under overload that is evidence for a failover that nobody needs. Change: the next try must leave time for its answer.

--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -224,7 +224,10 @@
 		if err != nil || x.answer.Code != statement.Busy || x.answer.State != state {
 			return x, err
 		}
-		if clock.Now() > w.StartBy || !clock.Sleep(ctx, pause) {
+		// What starts now must have time left to be answered: a missing answer
+		// would look like a dead member.
+		now := clock.Now()
+		if now > w.StartBy || now+pause+maxRoomPause > w.EndBy || !clock.Sleep(ctx, pause) {
 			return x, nil
 		}
 	}
