--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -74,6 +74,8 @@
 	// readySince is when the present reason to act was first seen.
 	readySince time.Duration
 	quietUntil time.Duration
+	// vacantSince is since when this host is to take a lock that nobody holds.
+	vacantSince time.Duration
 	// fenced is the newest token that the platform has refused; it is not used
 	// again.
 	fenced uint64
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -121,7 +121,11 @@
 	if !r.direct || r.away || !r.listed || clock.Now()-r.heardAt > r.wait+relay.StaleAfter {
 		return News{}, nil, errNotFollowing
 	}
-	if after < r.historyStart || after > r.revision {
+	if after >= r.revision {
+		// A follower that watched the store itself may be ahead for a moment.
+		return News{Listing: store.Listing{Revision: after}}, r.news, nil
+	}
+	if after < r.historyStart {
 		return News{Listing: r.everything(), Complete: true}, r.news, nil
 	}
 	n := News{Listing: store.Listing{Revision: r.revision}}
--- /dev/null
+++ b/node/registry/follow_test.go
@@ -0,0 +1,74 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+// relayAt returns the registry of a relay that has heard of everything up to a
+// revision, and keeps the changes after another one.
+func relayAt(revision, historyStart uint64, changes ...store.Item) *Registry {
+	r := New(nil, nil, gates.Host{Name: "relay"}, 0, nil, func() {}, zerolog.Nop())
+	r.listed, r.heardAt = true, clock.Now()
+	r.revision, r.historyStart, r.history = revision, historyStart, changes
+	for _, i := range changes {
+		r.remember(i)
+	}
+	return r
+}
+
+var errEnough = errors.New("enough")
+
+// firstNews returns what a follower is told first.
+func firstNews(t *testing.T, r *Registry, after uint64) News {
+	t.Helper()
+	var first News
+	err := r.Tell(context.Background(), after, func(n News) error {
+		first = n
+		return errEnough
+	})
+	require.ErrorIs(t, err, errEnough)
+	return first
+}
+
+func TestFollowerIsToldWhatItLacks(t *testing.T) {
+	five, six := store.Item{Key: "a", Revision: 5}, store.Item{Key: "b", Revision: 6}
+	r := relayAt(6, 4, five, six)
+	n := firstNews(t, r, 5)
+	require.False(t, n.Complete)
+	require.Equal(t, []store.Item{six}, n.Items)
+	require.Equal(t, uint64(6), n.Revision)
+	n = firstNews(t, r, 3)
+	require.True(t, n.Complete, "the changes after 3 are not all kept")
+	require.Len(t, n.Items, 2)
+}
+
+// TestFollowerThatIsAheadIsNotTakenBack: it watched the store itself until now.
+func TestFollowerThatIsAheadIsNotTakenBack(t *testing.T) {
+	n := firstNews(t, relayAt(6, 4, store.Item{Key: "a", Revision: 6}), 9)
+	require.False(t, n.Complete)
+	require.Empty(t, n.Items)
+	require.Equal(t, uint64(9), n.Revision)
+}
+
+// TestRelayThatDoesNotHearTheStoreSaysSo: its followers may reach it.
+func TestRelayThatDoesNotHearTheStoreSaysSo(t *testing.T) {
+	for _, harm := range []func(r *Registry){
+		func(r *Registry) { r.away = true },
+		func(r *Registry) { r.direct = false },
+		func(r *Registry) { r.listed = false },
+		func(r *Registry) { r.heardAt -= 10 * r.wait },
+	} {
+		r := relayAt(6, 4)
+		harm(r)
+		require.ErrorIs(t, r.Tell(context.Background(), 6, nil), errNotFollowing)
+	}
+}
