--- a/node/soak/inject.go
+++ b/node/soak/inject.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"syscall"
 	"time"
 
@@ -149,5 +148,3 @@
 	time.Sleep(drainBound + time.Second)
 	g.Remove(p)
 }
-
-func containsLine(text []byte, sign string) bool { return bytes.Contains(text, []byte(sign)) }
--- a/node/soak/soak.go
+++ b/node/soak/soak.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -63,7 +64,8 @@
 	fleet    []*process
 	found    findings
 	routes   *routeWatch
-	// stops are the planned stops that had to cut nobody.
+
+	// mu guards stops, the planned ones that have to cut nobody.
 	mu    sync.Mutex
 	stops []stop
 }
@@ -213,7 +215,7 @@
 			continue
 		}
 		for _, sign := range []string{"panic:", "WARNING: DATA RACE", "fatal error:"} {
-			if containsLine(text, sign) {
+			if bytes.Contains(text, []byte(sign)) {
 				s.found.add("%s logged %q, see %s", h.name, sign, filepath.Base(h.logPath()))
 			}
 		}
