--- a/standin/netem/conn.go
+++ b/standin/netem/conn.go
@@ -26,8 +26,12 @@
 	mu       sync.Mutex
 	deadline time.Time
 	bump     chan struct{}
-	rest     []byte
-	readErr  error
+
+	// reading is held by one Read at a time; it guards the fields below. It is
+	// taken before mu.
+	reading sync.Mutex
+	rest    []byte
+	readErr error
 
 	closeOnce sync.Once
 	closed    chan struct{}
@@ -106,8 +110,10 @@
 	}
 }
 
-// Read returns what has arrived.
+// Read returns what has arrived. Reads from several goroutines take turns.
 func (c *conn) Read(b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
 	for {
 		if len(c.rest) > 0 {
 			n := copy(b, c.rest)
