Say once: a look at a member, a listing of the picture of the store, a harmed way to it

Found by reading the change: the probe that nobody waits for stood three times (replicaset.Set.Check now); the listing of a host's picture of the store stood twice (newerThan); node/entry's tests kept a proxy of their own beside standin/faultproxy. A fault that no plan used is gone from the proxy. The registry's function for following a host is named for what it does, and a comment on AimBy said when a statement starts where it means when its target is over. Behaviour is as it was; no assertion was changed. Not mended: Member.answer and Pool.run both smooth a member's answer times, with other weights and sources; one would change decisions.

--- a/core/connpool/waiter.go
+++ b/core/connpool/waiter.go
@@ -14,7 +14,8 @@
 	ID uint64
 	// Priority 0 is the highest.
 	Priority int
-	// AimBy is when the statement must have started to meet its latency target.
+	// AimBy is when its latency target is over. Of those on time the most urgent
+	// goes first.
 	AimBy time.Duration
 	// FreshBy is until when it is served in its turn. After it, it gets what
 	// those that are on time leave.
--- a/node/entry/failures_test.go
+++ b/node/entry/failures_test.go
@@ -226,9 +226,9 @@
 // away for longer than any bound and serves the other.
 func TestHostCutFromTheStoreHearsOfChangesFromOthers(t *testing.T) {
 	d := deploy(t, 1, options())
-	gate := &storeGate{target: d.platform.Address()}
-	cut := d.addHostWithStore(gate.listen(t))
-	gate.close()
+	d.addHostsBehindProxies(1)
+	cut := d.hosts[1]
+	d.proxies[1].Close()
 	version := d.platform.Configure(routes(7*time.Second), timeout)
 	require.Eventually(t, func() bool { return cut.Catalog().Version == version }, eventually, poll)
 	d.connect(1, "own").must("STORE item x")
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -103,50 +101,6 @@
 	}
 }
 
-// storeGate passes one host's connections to the store until it is closed.
-type storeGate struct {
-	target   string
-	listener net.Listener
-	mu       sync.Mutex
-	conns    []net.Conn
-}
-
-func (g *storeGate) listen(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	g.listener = l
-	t.Cleanup(g.close)
-	go func() {
-		for {
-			in, err := l.Accept()
-			if err != nil {
-				return
-			}
-			out, err := net.Dial("tcp", g.target)
-			if err != nil {
-				_ = in.Close()
-				continue
-			}
-			g.mu.Lock()
-			g.conns = append(g.conns, in, out)
-			g.mu.Unlock()
-			go func() { _, _ = io.Copy(out, in) }()
-			go func() { _, _ = io.Copy(in, out) }()
-		}
-	}()
-	return l.Addr().String()
-}
-
-func (g *storeGate) close() {
-	_ = g.listener.Close()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, c := range g.conns {
-		_ = c.Close()
-	}
-}
-
 // addHostWithStore starts a host that reaches the store at an address.
 func (d *deployment) addHostWithStore(store string) *entry.Host {
 	d.t.Helper()
--- a/node/promoter/lock.go
+++ b/node/promoter/lock.go
@@ -106,9 +106,6 @@
 	if m.Dead(clock.Now()) {
 		return true
 	}
-	go func() {
-		// The member's health keeps what comes of it.
-		_, _ = p.set.Status(ctx, m)
-	}()
+	p.set.Check(ctx, m)
 	return false
 }
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -189,10 +189,7 @@
 	}
 	p.verifiedAt = now
 	if m, known := p.set.Member(id); known {
-		go func() {
-			// The member's health keeps what comes of it.
-			_, _ = p.set.Status(ctx, m)
-		}()
+		p.set.Check(ctx, m)
 	}
 }
 
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -19,9 +19,9 @@
 	Complete bool
 }
 
-// Followed follows another host's registry from a revision. It calls take for
+// FollowFunc follows another host's registry from a revision. It calls take for
 // each piece of news, and returns when the stream ends.
-type Followed func(ctx context.Context, address string, after uint64, take func(News)) error
+type FollowFunc func(ctx context.Context, address string, after uint64, take func(News)) error
 
 // errSilentRelay ends the stream of a relay that gives no sign of life.
 var errSilentRelay = errors.New("the relay is silent")
@@ -44,7 +44,7 @@
 	after := r.revision
 	r.mu.Unlock()
 	eventlog.RelayFollowed.Info(r.log).Str("peer", host.Name).Uint64("revision", after).Send()
-	err := r.relayed(ctx, host.Address, after, func(n News) {
+	err := r.followHost(ctx, host.Address, after, func(n News) {
 		watchdog.Reset(relay.SilentAfter)
 		r.takeNews(n)
 	})
@@ -69,7 +69,7 @@
 func (r *Registry) pickRelay() (gates.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.relayed == nil || !r.listed || r.leaving {
+	if r.followHost == nil || !r.listed || r.leaving {
 		return gates.Host{}, false
 	}
 	return r.relays.Pick(r.own.fleet(), clock.Now())
@@ -126,7 +126,7 @@
 		return News{Listing: store.Listing{Revision: after}}, r.news, nil
 	}
 	if after < r.historyStart {
-		return News{Listing: r.everything(), Complete: true}, r.news, nil
+		return News{Listing: r.newerThan(0), Complete: true}, r.news, nil
 	}
 	n := News{Listing: store.Listing{Revision: r.revision}}
 	for _, i := range r.history {
@@ -144,16 +144,7 @@
 	if r.direct {
 		return store.Listing{}, false
 	}
-	return r.everything(), true
-}
-
-// everything lists what this host knows. It is called with mu held.
-func (r *Registry) everything() store.Listing {
-	l := store.Listing{Revision: r.revision}
-	for _, i := range r.items {
-		l.Items = append(l.Items, i)
-	}
-	return l
+	return r.newerThan(0), true
 }
 
 // record keeps changes for followers and wakes them. It is called with mu held.
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -73,8 +73,8 @@
 	changed func()
 	// wait is how long one watch waits.
 	wait time.Duration
-	// relayed follows another host; nil where hosts do not reach each other.
-	relayed Followed
+	// followHost follows another host; nil where hosts do not reach each other.
+	followHost FollowFunc
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -109,15 +109,15 @@
 }
 
 // New returns a registry for a host. ConfigBound is how soon a change of the
-// configuration must be in force; zero for no bound. Relayed may be nil. Changed
-// is called after changes.
-func New(s Store, docs Documents, self gates.Host, configBound time.Duration, relayed Followed, changed func(), log zerolog.Logger) *Registry {
+// configuration must be in force; zero for no bound. FollowHost may be nil.
+// Changed is called after changes.
+func New(s Store, docs Documents, self gates.Host, configBound time.Duration, followHost FollowFunc, changed func(), log zerolog.Logger) *Registry {
 	wait := time.Duration(watchShare * float64(configBound))
 	if wait <= 0 {
 		wait = defaultWait
 	}
 	return &Registry{
-		store: s, docs: docs, self: self, wait: wait, relayed: relayed, changed: changed, log: log,
+		store: s, docs: docs, self: self, wait: wait, followHost: followHost, changed: changed, log: log,
 		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{},
 		relays: relay.New(self), direct: true, news: make(chan struct{}),
 	}
--- a/node/registry/relay.go
+++ b/node/registry/relay.go
@@ -85,6 +85,12 @@
 	if r.away || r.revision <= above {
 		return store.Listing{}
 	}
+	return r.newerThan(above)
+}
+
+// newerThan lists the keys that were written after a revision; all of them
+// after zero. It is called with mu held.
+func (r *Registry) newerThan(above uint64) store.Listing {
 	l := store.Listing{Revision: r.revision}
 	for _, i := range r.items {
 		if i.Revision > above {
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -65,11 +65,7 @@
 		}
 		doubtful = true
 		if s.probes(m) {
-			go func() {
-				// A failure is noted in the member's health; there is nothing
-				// else to do about it here.
-				_, _ = s.Status(ctx, m)
-			}()
+			s.Check(ctx, m)
 		}
 	}
 	return doubtful
@@ -84,6 +80,15 @@
 	return judges || m.keepsConnections()
 }
 
+// Check asks a member for its status without waiting. What comes of it is kept
+// in the member's health and in the belief of who leads.
+func (s *Set) Check(ctx context.Context, m *Member) {
+	go func() {
+		// A failure is in the member's health; there is nothing else to do.
+		_, _ = s.Status(ctx, m)
+	}()
+}
+
 // Status asks a member for its status.
 func (s *Set) Status(ctx context.Context, m *Member) (statement.Status, error) {
 	return s.Order(ctx, m, statement.Operation{Verb: statement.ReportStatus})
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -16,8 +16,6 @@
 	// HoldToTarget and HoldToClient keep data back, one way each, until the
 	// fault ends, as a partition does.
 	HoldToTarget, HoldToClient bool
-	// Refuse resets new connections.
-	Refuse bool
 }
 
 // Proxy is one listening address in front of one target. It is safe for
@@ -122,10 +120,6 @@
 		if err != nil {
 			return
 		}
-		if f, _ := p.state(); f.Refuse {
-			abort(client)
-			continue
-		}
 		go p.connect(client)
 	}
 }
