Count the connections that a member lost, not its logins, in the test of a member without room

A strict read rolls back its transaction after its answer has gone out, so the next read may find the connection still taken and open a second one. That is allowed; what the test guards is that no connection is given up.

Ruled out: a statement sent when its answer could not come in time. With 24 processes of the test beside 12 busy ones, 16 processes failed, all with the refusal on time and the only member served afterwards.

The stand-in now counts ended connections, and the test wants none.

--- a/node/entry/busy_test.go
+++ b/node/entry/busy_test.go
@@ -7,6 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
+// givenUpWithin is how long a connection that was given up may still look open
+// to its member: a closing loopback connection is seen in far less.
+const givenUpWithin = 200 * time.Millisecond
+
 // TestMemberWithoutRoomIsNotTakenForSilent: a strict read is tried again while
 // the primary has no room. When its attempt is over it is refused; nothing is
 // sent after that, whose missing answer would look like a dead primary.
@@ -21,11 +25,13 @@
 	c := d.connect(0, "strict")
 	c.must("STORE item x")
 	c.must("FETCH item")
-	before := d.logins()
 	primary := d.group.Primary()
+	require.Zero(t, primary.Ended())
 	primary.RefuseNext(1 << 20)
 	require.Equal(t, "BUSY", c.do("FETCH item").code)
 	primary.RefuseNext(0)
 	c.must("FETCH item")
-	require.Equal(t, before, d.logins(), "no connection was given up")
+	// Another connection may have been opened: the read before may not yet have
+	// returned its own. None may have been closed, which shows with a delay.
+	require.Never(t, func() bool { return primary.Ended() > 0 }, givenUpWithin, poll, "a connection was given up")
 }
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -102,6 +102,9 @@
 func (c *conn) leave() {
 	c.member.group.mu.Lock()
 	defer c.member.group.mu.Unlock()
+	if c.member.conns[c] {
+		c.member.ended.Add(1)
+	}
 	delete(c.member.conns, c)
 }
 
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -37,6 +37,8 @@
 	refuse      atomic.Int64
 	logins      atomic.Int64
 	crowded     atomic.Int64
+	// ended counts the connections that were accepted and have ended.
+	ended atomic.Int64
 }
 
 // start opens the listener, at the old address after a crash.
@@ -144,6 +146,9 @@
 // Logins returns how many connections were accepted, and how many turned away.
 func (m *Member) Logins() (accepted, crowded int64) { return m.logins.Load(), m.crowded.Load() }
 
+// Ended returns how many accepted connections have ended since.
+func (m *Member) Ended() int64 { return m.ended.Load() }
+
 // Position returns the end of the member's log.
 func (m *Member) Position() string {
 	m.group.mu.Lock()
