--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
+	"github.com/dotterelswitch/dotterelswitch/node/inspect"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/promoter"
 	"github.com/dotterelswitch/dotterelswitch/node/registry"
@@ -44,7 +45,8 @@
 	Places        replicaset.Places
 	CallerAddress string
 	ReadyAddress  string
-	// MetricsAddress serves the metrics; empty for none.
+	// MetricsAddress serves the metrics and shows the host to operators; empty
+	// for neither.
 	MetricsAddress string
 	// PeerAddress is where other hosts send datagrams.
 	PeerAddress string
@@ -99,7 +101,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
-	h.registry = registry.New(a.Store, a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, s.ConfigBound, h.gates.Follow, h.poke, h.log)
+	h.registry = registry.New(registry.Counted(a.Store, h.metrics.storeCall), a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, s.ConfigBound, h.gates.Follow, h.poke, h.log)
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
@@ -169,6 +171,7 @@
 	}
 	text := http.NewServeMux()
 	text.Handle("GET /metrics", h.metrics.handler())
+	text.Handle(inspect.Handler(h))
 	return h.serve(h.settings.MetricsAddress, text)
 }
 
@@ -252,7 +255,8 @@
 	})
 	p := promoter.New(promoter.Config{
 		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion, Peers: h,
-		Spec: func() catalog.Service { return h.registry.Catalog().Services[service] }, Log: h.log,
+		Spec:    func() catalog.Service { return h.registry.Catalog().Services[service] },
+		Observe: func(r promoter.Result) { h.metrics.promotion(service, r) }, Log: h.log,
 	})
 	h.wg.Go(func() { s.Probe(ctx) })
 	h.wg.Go(func() { p.Run(ctx) })
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -107,7 +107,7 @@
 	name := fmt.Sprintf("host-%d", len(d.hosts)+1)
 	s := entry.Settings{
 		Host: name, Places: replicaset.Places{Zone: "a", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}},
-		CallerAddress: free(d.t), ReadyAddress: free(d.t), PeerAddress: free(d.t),
+		CallerAddress: free(d.t), ReadyAddress: free(d.t), PeerAddress: free(d.t), MetricsAddress: free(d.t),
 		MaxSessions: 1000, Workers: 256, Grace: 2 * time.Second, DrainBound: 7 * time.Second,
 	}
 	a := onplatform.Adapter(name, store, d.platform.Address(), time.Second)
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
+	"github.com/dotterelswitch/dotterelswitch/node/promoter"
+	"github.com/dotterelswitch/dotterelswitch/node/registry"
 )
 
 const (
@@ -29,13 +31,23 @@
 	o := r.Outcome
 	m.metrics.Request(r.Database, r.Statement.Kind.String(), o.Answer.Code.String(), o.Waited, r.Took-o.Waited, r.Took)
 	if r.Statement.Reads() && o.Member != "" {
-		m.metrics.Count("reads", "member", readMember(o.Primary))
+		m.metrics.Count("reads", metrics.Label{Name: "member", Value: readMember(o.Primary)})
 	}
 	if o.Attempts > 1 {
-		m.metrics.Count("retries", "kind", r.Statement.Kind.String())
+		m.metrics.Count("retries", metrics.Label{Name: "kind", Value: r.Statement.Kind.String()})
 	}
 }
 
+// storeCall counts a call to the platform's store.
+func (m *hostMetrics) storeCall(call registry.CallName, result string) {
+	m.metrics.Count("store_calls", metrics.Label{Name: "call", Value: string(call)}, metrics.Label{Name: "result", Value: result})
+}
+
+// promotion counts a promotion that this host has led.
+func (m *hostMetrics) promotion(service string, r promoter.Result) {
+	m.metrics.Count("promotions", metrics.Label{Name: "service", Value: service}, metrics.Label{Name: "result", Value: r.String()})
+}
+
 func readMember(primary bool) string {
 	if primary {
 		return "primary"
--- /dev/null
+++ b/node/entry/show.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/inspect/inspectpb"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+// Show implements inspect.Shower.
+func (h *Host) Show() *inspectpb.ShowResponse {
+	now := clock.Now()
+	return &inspectpb.ShowResponse{
+		Host: h.settings.Host, Zone: h.settings.Places.Zone, Ready: h.Ready(),
+		Sessions: uint32(h.gateway.Sessions()), MaxSessions: uint32(h.settings.MaxSessions), Jobs: uint32(h.jobs.Load()),
+		Configuration: h.showConfiguration(), Store: h.showStore(), Services: h.showServices(now),
+	}
+}
+
+func (h *Host) showConfiguration() *inspectpb.Configuration {
+	c := h.registry.Catalog()
+	if c == nil {
+		return &inspectpb.Configuration{}
+	}
+	return &inspectpb.Configuration{Version: c.Version, Routes: uint32(c.Len())}
+}
+
+func (h *Host) showStore() *inspectpb.Store {
+	st := h.registry.State()
+	return &inspectpb.Store{
+		Away: st.Away, HeardMsAgo: uint32(st.Heard.Milliseconds()), Revision: st.Revision,
+		Direct: st.Direct, Followers: uint32(st.Followers), Hosts: uint32(st.Hosts),
+	}
+}
+
+func (h *Host) showServices(now time.Duration) []*inspectpb.Service {
+	sets := h.allSets()
+	slices.SortFunc(sets, func(a, b *replicaset.Set) int { return strings.Compare(a.Service(), b.Service()) })
+	out := make([]*inspectpb.Service, 0, len(sets))
+	for _, s := range sets {
+		out = append(out, h.showService(s, now))
+	}
+	return out
+}
+
+func (h *Host) showService(s *replicaset.Set, now time.Duration) *inspectpb.Service {
+	primary, _ := s.Believed()
+	lock := h.registry.LockOf(s.Service())
+	out := &inspectpb.Service{
+		Name: s.Service(), Primary: primary, Term: uint64(s.Term()),
+		Lock: &inspectpb.Lock{Holder: lock.Holder, Acting: lock.Acting, Token: lock.Revision},
+	}
+	if f, found := s.Floor(); found {
+		out.Floor = &inspectpb.Position{Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset)}
+		out.FloorMsAgo = uint32((now - f.Sent).Milliseconds())
+	}
+	for _, m := range s.MemberStats(now) {
+		out.Upstreams = append(out.Upstreams, showUpstream(m))
+	}
+	return out
+}
+
+func showUpstream(m replicaset.MemberStats) *inspectpb.Upstream {
+	return &inspectpb.Upstream{
+		Name: m.ID, Address: m.Address, Zone: m.Zone, Slots: uint32(m.Slots),
+		Leaving: m.Leaving, Failing: m.Failing, Dead: m.Dead, Behind: m.Behind,
+		Connections: uint32(m.Connections), InUse: uint32(m.InUse), Waiting: uint32(m.Waiting),
+		Elsewhere: uint32(m.Elsewhere), Gates: m.Gates,
+	}
+}
--- /dev/null
+++ b/node/inspect/inspectpb/generate.go
@@ -0,0 +1,4 @@
+// Package inspectpb holds the generated messages by which a host shows itself.
+package inspectpb
+
+//go:generate sh generate.sh
--- /dev/null
+++ b/node/inspect/text.go
@@ -0,0 +1,108 @@
+package inspect
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/dotterelswitch/dotterelswitch/node/inspect/inspectpb"
+)
+
+// Write prints what a host has shown, for a terminal.
+func Write(w io.Writer, s *inspectpb.ShowResponse) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	p := &printer{w: t}
+	p.printf("host %s in zone %s: %s\n", s.Host, s.Zone, readiness(s.Ready))
+	p.printf("sessions %d of %d, jobs of other hosts %d\n", s.Sessions, s.MaxSessions, s.Jobs)
+	p.printf("configuration %d with %d routes\n", s.GetConfiguration().GetVersion(), s.GetConfiguration().GetRoutes())
+	p.store(s.GetStore())
+	for _, service := range s.Services {
+		p.service(service)
+	}
+	if p.err != nil {
+		return p.err
+	}
+	return t.Flush()
+}
+
+func readiness(ready bool) string {
+	if ready {
+		return "ready"
+	}
+	return "not ready"
+}
+
+// printer keeps the first error, so that lines can be written one by one.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) printf(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format, args...)
+	}
+}
+
+func (p *printer) store(s *inspectpb.Store) {
+	reached := "reached"
+	if s.GetAway() {
+		reached = "AWAY"
+	}
+	way := "through another host"
+	if s.GetDirect() {
+		way = "directly"
+	}
+	p.printf("store %s %s, heard %d ms ago, revision %d; hosts %d, followers %d\n",
+		reached, way, s.GetHeardMsAgo(), s.GetRevision(), s.GetHosts(), s.GetFollowers())
+}
+
+func (p *printer) service(s *inspectpb.Service) {
+	p.printf("\nservice %s: primary %s, term %d, %s, %s\n", s.Name, orNone(s.Primary), s.Term, floorText(s), lockText(s.GetLock()))
+	p.printf("  UPSTREAM\tZONE\tSLOTS\tOPEN\tIN USE\tWAITING\tELSEWHERE\tSTATE\tTHROUGH\n")
+	for _, u := range s.Upstreams {
+		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n",
+			u.Name, u.Zone, u.Slots, u.Connections, u.InUse, u.Waiting, u.Elsewhere, upstreamState(u), orNone(strings.Join(u.Gates, " ")))
+	}
+}
+
+func floorText(s *inspectpb.Service) string {
+	if s.Floor == nil {
+		return "no floor"
+	}
+	return fmt.Sprintf("floor %d/%d of %d ms ago", s.Floor.Term, s.Floor.Offset, s.FloorMsAgo)
+}
+
+func lockText(l *inspectpb.Lock) string {
+	if l.GetHolder() == "" {
+		return "lock free"
+	}
+	if l.GetActing() {
+		return fmt.Sprintf("lock %d held by %s, which promotes", l.GetToken(), l.GetHolder())
+	}
+	return fmt.Sprintf("lock %d held by %s", l.GetToken(), l.GetHolder())
+}
+
+func upstreamState(u *inspectpb.Upstream) string {
+	var words []string
+	for _, w := range []struct {
+		is   bool
+		word string
+	}{{u.Dead, "dead"}, {u.Failing && !u.Dead, "failing"}, {u.Leaving, "leaving"}, {u.Behind, "behind"}} {
+		if w.is {
+			words = append(words, w.word)
+		}
+	}
+	if len(words) == 0 {
+		return "ok"
+	}
+	return strings.Join(words, " ")
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/node/inspect/text_test.go
@@ -0,0 +1,47 @@
+package inspect_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/node/inspect"
+	"github.com/dotterelswitch/dotterelswitch/node/inspect/inspectpb"
+)
+
+// TestHostIsPrinted checks what an operator reads of a host in trouble.
+func TestHostIsPrinted(t *testing.T) {
+	s := &inspectpb.ShowResponse{
+		Host: "h1", Zone: "a", Ready: true, Sessions: 3, MaxSessions: 900,
+		Configuration: &inspectpb.Configuration{Version: 4, Routes: 2},
+		Store:         &inspectpb.Store{Away: true, HeardMsAgo: 700, Revision: 9, Direct: true, Hosts: 5},
+		Services: []*inspectpb.Service{{
+			Name: "db", Primary: "db-1", Term: 2, Floor: &inspectpb.Position{Term: 2, Offset: 7}, FloorMsAgo: 30,
+			Lock: &inspectpb.Lock{Holder: "h2", Acting: true, Token: 8},
+			Upstreams: []*inspectpb.Upstream{
+				{Name: "db-1", Zone: "a", Slots: 3, Connections: 4, InUse: 3, Waiting: 2, Dead: true, Failing: true},
+				{Name: "db-2", Zone: "b", Slots: 3, Elsewhere: 1, Leaving: true, Behind: true, Gates: []string{"10.0.0.2:7"}},
+			},
+		}},
+	}
+	var out bytes.Buffer
+	require.NoError(t, inspect.Write(&out, s))
+	require.Equal(t, `host h1 in zone a: ready
+sessions 3 of 900, jobs of other hosts 0
+configuration 4 with 2 routes
+store AWAY directly, heard 700 ms ago, revision 9; hosts 5, followers 0
+
+service db: primary db-1, term 2, floor 2/7 of 30 ms ago, lock 8 held by h2, which promotes
+  UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE           THROUGH
+  db-1      a     3      4     3       2        0          dead            -
+  db-2      b     3      0     0       0        1          leaving behind  10.0.0.2:7
+`, out.String())
+}
+
+// TestEmptyHostIsPrinted: a host that has just started holds nothing.
+func TestEmptyHostIsPrinted(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, inspect.Write(&out, &inspectpb.ShowResponse{Host: "h1", Zone: "a"}))
+	require.Contains(t, out.String(), "host h1 in zone a: not ready")
+}
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -101,9 +101,16 @@
 // Gauge sets a host-wide value.
 func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
-// Count adds one to a counter with a label. Labels must be few and fixed.
-func (m *Metrics) Count(name, label, value string) {
-	m.scope.Tagged(map[string]string{label: value}).Counter(name).Inc(1)
+// Label tells the values of one metric apart.
+type Label struct{ Name, Value string }
+
+// Count adds one to a counter. Labels must be few, and their values too.
+func (m *Metrics) Count(name string, labels ...Label) {
+	tags := make(map[string]string, len(labels))
+	for _, l := range labels {
+		tags[l.Name] = l.Value
+	}
+	m.scope.Tagged(tags).Counter(name).Inc(1)
 }
 
 // ServiceGauge sets a value of one service.
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -65,6 +65,7 @@
 	caller   Caller
 	peers    Peers
 	spec     func() catalog.Service
+	observe  func(Result)
 	log      zerolog.Logger
 
 	// reported is the member that this host has reported as dead.
@@ -92,14 +93,16 @@
 	Peers         Peers
 	// Spec returns the operators' declaration of the service.
 	Spec func() catalog.Service
-	Log  zerolog.Logger
+	// Observe is told of each promotion that this host has led.
+	Observe func(Result)
+	Log     zerolog.Logger
 }
 
 // New returns a promoter; Run starts it.
 func New(cfg Config) *Promoter {
 	return &Promoter{
 		service: cfg.Service, host: cfg.Host, set: cfg.Set, registry: cfg.Registry, caller: cfg.Caller, peers: cfg.Peers,
-		spec: cfg.Spec, log: cfg.Log.With().Str("service", cfg.Service).Logger(),
+		spec: cfg.Spec, observe: cfg.Observe, log: cfg.Log.With().Str("service", cfg.Service).Logger(),
 	}
 }
 
@@ -249,7 +252,9 @@
 
 // lead runs one promotion under a token.
 func (p *Promoter) lead(ctx context.Context, token uint64, promote func(context.Context, uint64) error) {
-	if err := promote(ctx, token); err != nil {
+	err := promote(ctx, token)
+	p.observe(resultOf(err))
+	if err != nil {
 		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "promotion").Uint64("token", token).Send()
 		if refused(err) {
 			p.fenced = token
--- /dev/null
+++ b/node/registry/counted_test.go
@@ -0,0 +1,63 @@
+package registry_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/registry"
+)
+
+// failingStore answers every call with one error.
+type failingStore struct{ err error }
+
+func (f failingStore) Range(context.Context, string) (store.Listing, error) {
+	return store.Listing{}, f.err
+}
+
+func (f failingStore) Watch(context.Context, string, uint64, time.Duration) (store.Listing, error) {
+	return store.Listing{}, f.err
+}
+
+func (f failingStore) Commit(context.Context, store.Txn) (uint64, error) { return 0, f.err }
+
+func (f failingStore) GrantLease(context.Context, time.Duration) (store.Grant, error) {
+	return store.Grant{}, f.err
+}
+
+func (f failingStore) RenewLease(context.Context, store.Lease) error { return f.err }
+
+func (f failingStore) EndLease(context.Context, store.Lease) error { return f.err }
+
+// counted is a call with its result.
+type counted struct {
+	call   registry.CallName
+	result string
+}
+
+// TestEveryCallIsCountedOnce: each kind of call is counted with how it ended,
+// and its error is passed on.
+func TestEveryCallIsCountedOnce(t *testing.T) {
+	for result, err := range map[string]error{
+		"ok": nil, "throttled": &store.Error{Failure: store.Throttled}, "conflict": &store.Error{Failure: store.Conflict}, "other": errors.New("x"),
+	} {
+		var got []counted
+		s := registry.Counted(failingStore{err}, func(call registry.CallName, result string) { got = append(got, counted{call, result}) })
+		ctx := context.Background()
+		_, e1 := s.Range(ctx, "")
+		_, e2 := s.Watch(ctx, "", 0, 0)
+		_, e3 := s.Commit(ctx, store.Txn{})
+		_, e4 := s.GrantLease(ctx, 0)
+		for _, e := range []error{e1, e2, e3, e4, s.RenewLease(ctx, 1), s.EndLease(ctx, 1)} {
+			require.Equal(t, err, e)
+		}
+		require.Equal(t, []counted{
+			{registry.CallRange, result}, {registry.CallWatch, result}, {registry.CallCommit, result},
+			{registry.CallGrantLease, result}, {registry.CallRenewLease, result}, {registry.CallEndLease, result},
+		}, got)
+	}
+}
--- /dev/null
+++ b/node/registry/state.go
@@ -0,0 +1,29 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+// State is what a registry holds at one moment, as an operator sees it.
+type State struct {
+	// Away tells that neither the store nor a relay answers.
+	Away bool
+	// Heard is how long ago one of them last answered.
+	Heard    time.Duration
+	Revision uint64
+	// Direct tells that this host follows the store itself.
+	Direct           bool
+	Followers, Hosts int
+}
+
+// State returns what the registry holds now.
+func (r *Registry) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return State{
+		Away: r.away, Heard: clock.Now() - r.heardAt, Revision: r.revision,
+		Direct: r.direct, Followers: r.followers, Hosts: len(r.own.hostNames()),
+	}
+}
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -1,6 +1,8 @@
 package replicaset
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
@@ -15,6 +17,19 @@
 	FloorAge time.Duration
 }
 
+// MemberStats is a member as an operator sees it.
+type MemberStats struct {
+	ID, Address, Zone string
+	Slots             int
+	// Leaving is the member's own announcement, Failing and Dead are this host's
+	// evidence; Behind tells that a read has just found its log too short.
+	Leaving, Failing, Dead, Behind bool
+	// Connections, InUse and Waiting are this host's own; Elsewhere counts the
+	// statements that run through Gates.
+	Connections, InUse, Waiting, Elsewhere int
+	Gates                                  []string
+}
+
 // Service returns the name of the service.
 func (s *Set) Service() string { return s.service }
 
@@ -32,3 +47,24 @@
 	}
 	return st
 }
+
+// MemberStats returns the figures of every member, by name.
+func (s *Set) MemberStats(now time.Duration) []MemberStats {
+	members := s.Members()
+	slices.SortFunc(members, func(a, b *Member) int { return strings.Compare(a.id, b.id) })
+	out := make([]MemberStats, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.stats(now))
+	}
+	return out
+}
+
+func (m *Member) stats(now time.Duration) MemberStats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return MemberStats{
+		ID: m.id, Address: m.address, Zone: m.entry.Zone, Slots: m.entry.Slots,
+		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.corroborated), Behind: now < m.behindBy,
+		Connections: m.pool.Open(), InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), Elsewhere: m.elsewhere, Gates: m.gates,
+	}
+}
