Let answers leave a host that stops

Cause: a job of another host counts as over before its answer has left, and the stopping host then closed all connections at once. A commit that had run was in doubt for its caller.

The servers are now shut down in order, for 300 ms at most, and streams to other hosts end with the host. The new test fails with a lost answer when that is left out.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -184,6 +184,8 @@
 	if err != nil {
 		return err
 	}
+	// Streams to other hosts end when this one does.
+	s.BaseContext = func(net.Listener) context.Context { return h.ctx }
 	h.servers = append(h.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -38,6 +39,8 @@
 		eventlog.StopForced.Warn(h.log).Int("callers", h.gateway.Sessions()).Send()
 	}
 	h.awaitPeers(ctx)
+	h.cancel()
+	h.shutDownServers()
 	h.close()
 	eventlog.Stopped.Info(h.log).Send()
 	return clean
@@ -82,6 +85,21 @@
 // closeTimeout bounds the end of each part.
 const closeTimeout = 300 * time.Millisecond
 
+// shutDownServers lets the answers leave that are on their way to other hosts.
+// A commit whose answer is lost here would be in doubt there.
+func (h *Host) shutDownServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, s := range h.servers {
+		wg.Go(func() {
+			// Connections that other hosts keep open are closed after the timeout.
+			_ = s.Shutdown(ctx)
+		})
+	}
+	wg.Wait()
+}
+
 func (h *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- /dev/null
+++ b/node/entry/stop_test.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/node/demo"
+)
+
+// TestAnswerOnItsWayLeavesAStoppingHost: a job counts as over before its answer
+// has left. The answer gets out although the host has nothing left to do; the
+// commit that it tells of would be in doubt otherwise.
+func TestAnswerOnItsWayLeavesAStoppingHost(t *testing.T) {
+	address, err := demo.FreeAddress()
+	require.NoError(t, err)
+	h := &Host{failed: make(chan error, 1)}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	entered := make(chan struct{})
+	require.NoError(t, h.serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		time.Sleep(closeTimeout / 6)
+		_, _ = io.WriteString(w, "committed")
+	})))
+	got := make(chan string, 1)
+	go func() {
+		res, err := http.Get("http://" + address)
+		if err != nil {
+			got <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(res.Body)
+		got <- string(body)
+	}()
+	<-entered
+	h.cancel()
+	h.shutDownServers()
+	for _, s := range h.servers {
+		_ = s.Close()
+	}
+	require.Equal(t, "committed", <-got)
+}
+
+// TestStreamsEndWithTheHost: a host that others follow is not kept from ending.
+func TestStreamsEndWithTheHost(t *testing.T) {
+	address, err := demo.FreeAddress()
+	require.NoError(t, err)
+	h := &Host{failed: make(chan error, 1)}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	entered, ended := make(chan struct{}), make(chan struct{})
+	require.NoError(t, h.serve(address, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		close(ended)
+	})))
+	go func() {
+		if res, err := http.Get("http://" + address); err == nil {
+			_ = res.Body.Close()
+		}
+	}()
+	<-entered
+	h.cancel()
+	<-ended
+	h.shutDownServers()
+}
