Have callers wait for the configuration of a host that has just started

Callers connect again at once, and each refusal for want of a configuration used up one of their three tries within milliseconds: of 5,577 refused tries some 5,000 were logins. Hosts also asked the store only every second by then, so the last one served at 38.05.

Ruled out: connections held by members for dead hosts (350 statements of the 566 that failed later, but far fewer than the logins).

--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -165,7 +165,7 @@
 		s.send(s.gateway.proto.EncodeFatal(statement.Invalid, "the session has started already"))
 		return false
 	}
-	c := s.gateway.backend.Catalog()
+	c := s.gateway.backend.AwaitCatalog(s.ctx)
 	if c == nil {
 		s.send(s.gateway.proto.EncodeFatal(statement.Busy, "the host has no configuration yet"))
 		return false
--- a/node/edge/protocol.go
+++ b/node/edge/protocol.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
@@ -26,8 +27,12 @@
 type Backend interface {
 	// Catalog returns the configuration in force, or nil before the first.
 	Catalog() *catalog.Catalog
-	// Set returns the group of a service, or nil while none is known.
-	Set(service string) *replicaset.Set
+	// AwaitCatalog waits shortly for the first configuration of a host that has
+	// just started; it returns nil if none has come.
+	AwaitCatalog(ctx context.Context) *catalog.Catalog
+	// AwaitSet returns the group of a service. It waits for it, until startBy at
+	// most, where the host has just started; nil while none is known.
+	AwaitSet(ctx context.Context, service string, startBy time.Duration) *replicaset.Set
 }
 
 // Observer is told of finished statements.
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -73,11 +73,11 @@
 	if !found {
 		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.UnknownDatabase, "the route was removed", statement.Idle))}
 	}
-	set := s.gateway.backend.Set(route.Service)
+	w := s.newWork(st, route, arrived)
+	set := s.gateway.backend.AwaitSet(s.ctx, route.Service, w.StartBy)
 	if set == nil {
 		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.Busy, "no member of the service is known", statement.Idle))}
 	}
-	w := s.newWork(st, route, arrived)
 	if s.state.State == statement.Open {
 		return s.inTransaction(set, w)
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -77,6 +77,8 @@
 	servers  []*http.Server
 	peers    *gossip.Transport
 	gates    *peer.GateClient
+	// startedAt is when the host started.
+	startedAt time.Duration
 	// owner names this host and its incarnation to gates.
 	owner    string
 	stopping atomic.Bool
@@ -96,7 +98,7 @@
 	h := &Host{
 		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
 		wake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{}, promoters: map[string]*promoter.Promoter{},
-		metrics: newHostMetrics(), budget: eventlog.NewBudget(),
+		metrics: newHostMetrics(), budget: eventlog.NewBudget(), startedAt: clock.Now(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
@@ -215,7 +217,7 @@
 // Catalog implements edge.Backend.
 func (h *Host) Catalog() *catalog.Catalog { return h.registry.Catalog() }
 
-// Set implements edge.Backend.
+// Set returns the group of a service, or nil while none is known.
 func (h *Host) Set(service string) *replicaset.Set {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -101,8 +101,17 @@
 	}
 }
 
-// addHostWithStore starts a host that reaches the store at an address.
+// addHostWithStore starts a host that reaches the store at an address, and
+// waits until it is ready.
 func (d *deployment) addHostWithStore(store string) *entry.Host {
+	d.t.Helper()
+	h := d.startHost(store)
+	require.Eventually(d.t, h.Ready, eventually, poll)
+	return h
+}
+
+// startHost starts a host that reaches the store at an address.
+func (d *deployment) startHost(store string) *entry.Host {
 	d.t.Helper()
 	name := fmt.Sprintf("host-%d", len(d.hosts)+1)
 	s := entry.Settings{
@@ -116,7 +125,6 @@
 	d.t.Cleanup(h.Kill)
 	d.hosts = append(d.hosts, h)
 	d.settings = append(d.settings, s)
-	require.Eventually(d.t, h.Ready, eventually, poll)
 	return h
 }
 
--- a/node/entry/outage_test.go
+++ b/node/entry/outage_test.go
@@ -62,3 +62,17 @@
 	d.platform.Store.Fail(lineplatform.Up)
 	d.writesComeBack()
 }
+
+// TestCallersWaitForTheConfigurationOfAStartingHost: the store comes back soon
+// after a host has started, and a caller that was there before is served.
+func TestCallersWaitForTheConfigurationOfAStartingHost(t *testing.T) {
+	d := deploy(t, 1, options())
+	d.platform.Store.Fail(lineplatform.Refusing)
+	h := d.startHost(d.platform.Address())
+	back := time.AfterFunc(300*time.Millisecond, func() { d.platform.Store.Fail(lineplatform.Up) })
+	defer back.Stop()
+	require.Nil(t, h.Catalog())
+	c := d.connect(1, "own")
+	c.must("STORE item x")
+	require.Equal(t, []string{"x"}, c.must("FETCH item").rows)
+}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -59,8 +59,19 @@
 	tidyAfter = directory.Grace + 50*time.Millisecond
 )
 
-// backoff spaces the calls to a store that is away.
-var backoff = retry.Backoff{Base: 100 * time.Millisecond, Max: time.Second}
+var (
+	// backoff spaces the calls to a store that is away.
+	backoff = retry.Backoff{Base: 100 * time.Millisecond, Max: time.Second}
+	// firstBackoff spaces the first calls of a host, which serves nobody without
+	// an answer. Load pattern: all hosts lose power and come back while the store
+	// is away; a second more until each of them asks again is a second more
+	// without service.
+	firstBackoff = retry.Backoff{Base: 50 * time.Millisecond, Max: 200 * time.Millisecond}
+)
+
+// firstCalls is how many calls are spaced by firstBackoff: about two seconds of
+// them. A store that is away for longer is not asked more often than needed.
+const firstCalls = 20
 
 // Registry follows the store. It is safe for concurrent use.
 type Registry struct {
@@ -144,11 +155,20 @@
 			continue
 		}
 		r.noteAway(err)
-		clock.Sleep(ctx, backoff.Wait(attempt, rng))
+		clock.Sleep(ctx, r.spacing(attempt, err).Wait(attempt, rng))
 		attempt++
 	}
 }
 
+// spacing returns how calls are spaced after a number of failed ones. A store
+// that is above its rate is not asked sooner by anyone.
+func (r *Registry) spacing(attempt int, err error) retry.Backoff {
+	if r.Catalog() == nil && attempt < firstCalls && !store.Is(err, store.Throttled) {
+		return firstBackoff
+	}
+	return backoff
+}
+
 func (r *Registry) setDirect(direct bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
