Close spare idle connections after a second

In calm a primary needs 5 to 10 of its 28 connections.

A replay of the calm after a wave fails without the rule.

--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -39,6 +39,11 @@
 	// transaction waits for elsewhere; opening it anew costs 12 to 27 ms of a
 	// slot, so it outlives the pauses between statements of a busy host.
 	idleAboveFair = 150 * time.Millisecond
+	// idleSpare is how long a connection may idle beside others. Load pattern:
+	// all hosts lose power, and members hold the dead connections for 3 s; the
+	// fewer there are, the more is left for the hosts that come back. What was
+	// not needed for a second is opened again for a wave, at 12 to 27 ms of a slot.
+	idleSpare = time.Second
 	// idleAtAll is how long any connection may idle. Members close theirs after
 	// 60 s.
 	idleAtAll = 45 * time.Second
@@ -295,29 +300,36 @@
 }
 
 // SurplusAt returns when Surplus next has something to close if nothing
-// changes, or zero while all idle connections are within the fair share.
+// changes, or zero while there is nothing that it might close soon.
 func (p *Pool) SurplusAt() time.Duration {
-	if len(p.idle) == 0 || p.Open() <= p.limits.Fair {
+	if len(p.idle) == 0 || p.Open() <= min(p.limits.Fair, 1) {
 		return 0
 	}
-	return p.idle[0].since + idleAboveFair
+	return p.idle[0].since + p.idleFor(p.Open())
 }
 
-// Surplus removes and returns the idle connections that are to be closed:
-// those unused for long, sooner above the fair share.
+// idleFor returns how long a connection may idle while the given number is
+// open.
+func (p *Pool) idleFor(open int) time.Duration {
+	switch {
+	case open > p.limits.Fair:
+		return idleAboveFair
+	case open > 1:
+		return idleSpare
+	default:
+		return idleAtAll
+	}
+}
+
+// Surplus removes and returns the idle connections that are to be closed. The
+// one that was used last is the last to go.
 func (p *Pool) Surplus(now time.Duration) []ConnID {
 	var out []ConnID
-	kept := p.idle[:0]
-	above := p.Open() - p.limits.Fair
-	for _, c := range p.idle {
-		age := now - c.since
-		if age >= idleAtAll || (above > 0 && age >= idleAboveFair) {
-			out = append(out, c.id)
-			above--
-			continue
-		}
-		kept = append(kept, c)
+	open := p.Open()
+	for len(p.idle) > 0 && now-p.idle[0].since >= p.idleFor(open) {
+		out = append(out, p.idle[0].id)
+		p.idle = p.idle[1:]
+		open--
 	}
-	p.idle = kept
 	return out
 }
--- a/core/connpool/pool_test.go
+++ b/core/connpool/pool_test.go
@@ -57,6 +57,27 @@
 	require.Equal(t, 1, p.Open())
 }
 
+// TestCalmHostHoldsFewConnections replays the calm after a wave: what one
+// statement at a time does not need is closed within a second or so. Members
+// hold the connections of hosts that lose power for seconds.
+func TestCalmHostHoldsFewConnections(t *testing.T) {
+	p := connpool.New(connpool.Limits{Max: 7, Fair: 7, MaxWaiting: 10})
+	open(t, p, 7)
+	for id := range 7 {
+		p.Released(connpool.ConnID(id+1), "", 10*ms, 0)
+	}
+	now := time.Duration(0)
+	for ; now < 1500*ms; now += 100 * ms {
+		d := p.Acquire(waiter(1, 0, time.Hour, time.Hour), now)
+		require.Equal(t, connpool.Granted, d.Verdict)
+		p.Released(d.Conn, "", 10*ms, now+10*ms)
+		p.Surplus(now + 10*ms)
+	}
+	require.Equal(t, 1, p.Open())
+	require.Zero(t, p.SurplusAt())
+	require.Empty(t, p.Surplus(now+time.Second), "the last one stays")
+}
+
 // TestCrowdedMemberIsLeftAlone: every connection that a member turns away is
 // paid for by all.
 func TestCrowdedMemberIsLeftAlone(t *testing.T) {
