Count failed statements by cause; name overload as the cause it is

The verdict on a full queue named an answer that had come late instead; a refusal for want of room now says so first. What another host tells of a lost exchange is no longer told twice in one line.

--- a/node/cmd/dotterelctl/explain.go
+++ b/node/cmd/dotterelctl/explain.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
+	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,8 +18,12 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "tell from the hosts' logs why a request ended as it did",
-		ArgsUsage: "REQUEST LOG...",
+		ArgsUsage: "REQUEST LOG... | --all LOG...",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "all", Usage: "count all failed requests by their cause instead"}},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool("all") {
+				return runSummary(c.Args().Slice())
+			}
 			if c.Args().Len() < 2 {
 				return &exit.UsageError{Text: "explain takes the id of a request and one log or more"}
 			}
@@ -30,13 +36,9 @@
 const maxLogLine = 1 << 20
 
 func runExplain(request string, files []string) error {
-	var lines []explain.Line
-	for _, name := range files {
-		read, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
 	}
 	story, found := explain.Tell(lines, request)
 	if !found {
@@ -50,6 +52,38 @@
 	return nil
 }
 
+// runSummary counts the failed requests of all logs by cause.
+func runSummary(files []string) error {
+	if len(files) == 0 {
+		return &exit.UsageError{Text: "explain --all takes one log or more"}
+	}
+	lines, err := readLogs(files)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	rows := []string{"FAILED\tCODE\tCAUSE\tEXAMPLE"}
+	for _, g := range explain.Summarize(lines) {
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s", g.Count, g.Code, g.Cause, g.Example))
+	}
+	if _, err := fmt.Fprintln(w, strings.Join(rows, "\n")); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func readLogs(files []string) ([]explain.Line, error) {
+	var lines []explain.Line
+	for _, name := range files {
+		read, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLog(name string) ([]explain.Line, error) {
 	f, err := os.Open(name)
 	if err != nil {
--- a/node/explain/story.go
+++ b/node/explain/story.go
@@ -70,14 +70,16 @@
 		changed = changed || l.Name == eventlog.PrimaryChanged.Name
 	}
 	switch {
+	case failed.Cause == eventlog.ReasonFull && failed.Primary:
+		text += " The primary answered, but more was asked of it than it can run: replicas that are behind send their reads to it."
+	case failed.Cause == eventlog.ReasonFull:
+		text += " The member answered, but more was asked of it than it can run."
 	case suspected && changed:
 		text += " The primary was lost and replaced around that time."
 	case suspected:
 		text += " The member had stopped answering."
 	case changed:
 		text += " The primary changed around that time."
-	case failed.Code == "busy" && failed.Primary:
-		text += " The primary answered, but more was asked of it than it can run: replicas that are behind send their reads to it."
 	}
 	return text
 }
--- a/node/explain/story_test.go
+++ b/node/explain/story_test.go
@@ -1,7 +1,9 @@
 package explain_test
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -38,6 +40,11 @@
 
 	s, _ = explain.Tell(lines(t), "r1")
 	require.Contains(t, s.Verdict, "more was asked of it than it can run")
+	alone, _ := explain.Parse(overload)
+	noise, _ := explain.Parse(strings.Replace(silent, `"m2"`, `"m1"`, 1))
+	noise.Time = alone.Time.Add(-time.Second)
+	s, _ = explain.Tell([]explain.Line{noise, alone}, "r1")
+	require.Contains(t, s.Verdict, "more was asked of it than it can run", "an answer that got lost is not why a full queue refuses")
 	s, _ = explain.Tell(lines(t), "r3")
 	require.Contains(t, s.Verdict, "member m4 answered behind")
 	s, _ = explain.Tell(lines(t), "r4")
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -28,6 +28,7 @@
 // LostError is an exchange that got no whole answer. The statement may have
 // run.
 type LostError struct {
+	// Member is empty when the exchange was another host's.
 	Member string
 	// Silent is set when the time ran out, as against a connection that broke.
 	Silent bool
@@ -35,6 +36,10 @@
 }
 
 func (e *LostError) Error() string {
+	if e.Member == "" {
+		// Another host has told it in full.
+		return e.Err.Error()
+	}
 	return fmt.Sprintf("no whole answer from member %s: %v", e.Member, e.Err)
 }
 
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -59,7 +59,7 @@
 		c.takenAt = now
 		return c, nil, nil
 	case connpool.Refused:
-		return nil, nil, &RefusedError{Reason: "too many statements wait for the member", RetryAfter: d.RetryAfter}
+		return nil, nil, &RefusedError{Reason: eventlog.ReasonFull, RetryAfter: d.RetryAfter}
 	}
 	ch := make(chan grant, 1)
 	m.waiters[w.ID] = ch
