Serve reads from replicas that catch up in time; one loop for readers, one for the primary

- The age of a read counts from its arrival, also while it waits; of the floors that two hosts know the lower one serves.
- An answer of another host, a refusal too, tells the newest floor it knows.
- What is behind is judged for each read by the position that a replica was last seen at, in place of 150 ms for all reads.
- The attempt loops of Read, Write and Begin are two now, in one place.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -46,6 +46,10 @@
 	doubtCost = 5 * time.Second
 )
 
+// Usable reports whether a read may be sent to the member now: it is neither in
+// doubt nor behind.
+func (c Candidate) Usable() bool { return !c.Behind && !c.Suspect }
+
 // cost is the time after which the member is expected to have answered, with
 // the charges above.
 func (c Candidate) cost() time.Duration {
--- a/core/fresh/floors.go
+++ b/core/fresh/floors.go
@@ -118,3 +118,40 @@
 	s := f.samples[len(f.samples)-1]
 	return logpos.Position{Term: f.term, Offset: s.offset}, s.sent, true
 }
+
+// Distance returns how much later the primary's log reached a floor than it
+// reached what a replica holds, as far as the samples tell; zero when the
+// replica holds the floor. It returns false for a log of an older term: when it
+// takes up the newer one is not known.
+func (f *Floors) Distance(held, floor logpos.Position) (time.Duration, bool) {
+	if !held.Less(floor) {
+		return 0, true
+	}
+	if len(f.samples) == 0 || held.Term != f.term || floor.Term != f.term {
+		return 0, false
+	}
+	return f.reachedBy(floor.Offset) - f.heldAt(held.Offset), true
+}
+
+// reachedBy returns when the log was first known to reach an offset; one that
+// no sample reaches counts as reached at the newest.
+func (f *Floors) reachedBy(offset logpos.Offset) time.Duration {
+	for _, s := range f.samples {
+		if s.offset >= offset {
+			return s.sent
+		}
+	}
+	return f.samples[len(f.samples)-1].sent
+}
+
+// heldAt returns when the log was last known to be no longer than an offset;
+// one below all samples counts as held at the oldest.
+func (f *Floors) heldAt(offset logpos.Offset) time.Duration {
+	at := f.samples[0].sent
+	for _, s := range f.samples {
+		if s.offset <= offset {
+			at = s.sent
+		}
+	}
+	return at
+}
--- a/core/fresh/floors_test.go
+++ b/core/fresh/floors_test.go
@@ -96,3 +96,31 @@
 		}
 	})
 }
+
+// TestDistanceIsTheTimeBetweenTwoPositions: how far a replica is behind a floor
+// is told by when the primary's log passed both.
+func TestDistanceIsTheTimeBetweenTwoPositions(t *testing.T) {
+	var f fresh.Floors
+	_, known := f.Distance(pos(3, 1), pos(3, 2))
+	require.False(t, known, "nothing is known without samples")
+	for i := range 5 {
+		f.Observe(pos(3, 100+10*i), 10*second+time.Duration(i)*second)
+	}
+	for _, c := range []struct {
+		held, floor int
+		want        time.Duration
+	}{
+		{held: 140, floor: 140, want: 0},
+		{held: 141, floor: 120, want: 0},
+		{held: 110, floor: 130, want: 2 * second},
+		{held: 115, floor: 125, want: 2 * second},
+		{held: 50, floor: 120, want: 2 * second},
+		{held: 130, floor: 999, want: second},
+	} {
+		d, known := f.Distance(pos(3, c.held), pos(3, c.floor))
+		require.True(t, known)
+		require.Equal(t, c.want, d, "%d to %d", c.held, c.floor)
+	}
+	_, known = f.Distance(pos(2, 500), pos(3, 120))
+	require.False(t, known, "a log of an older term may lack anything")
+}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -44,11 +44,12 @@
 func (h *Host) RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result {
 	h.jobs.Add(1)
 	defer h.jobs.Add(-1)
-	s := h.Set(service)
+	s := h.AwaitSet(ctx, service, j.Work.StartBy)
 	if s == nil {
 		return replicaset.Result{Err: &replicaset.RefusedError{Reason: "the service is not known here"}}
 	}
 	res := s.Execute(ctx, j)
+	res.Floor, _ = s.Floor()
 	if res.Err == nil {
 		return res
 	}
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/inspect/inspectpb"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -54,7 +55,7 @@
 		Lock: &inspectpb.Lock{Holder: lock.Holder, Acting: lock.Acting, Token: lock.Revision},
 	}
 	if f, found := s.Floor(); found {
-		out.Floor = &inspectpb.Position{Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset)}
+		out.Floor = showPosition(f.Position)
 		out.FloorMsAgo = uint32((now - f.Sent).Milliseconds())
 	}
 	for _, m := range s.MemberStats(now) {
@@ -64,10 +65,19 @@
 }
 
 func showUpstream(m replicaset.MemberStats) *inspectpb.Upstream {
-	return &inspectpb.Upstream{
+	out := &inspectpb.Upstream{
 		Name: m.ID, Address: m.Address, Zone: m.Zone, Slots: uint32(m.Slots),
-		Leaving: m.Leaving, Failing: m.Failing, Dead: m.Dead, Behind: m.Behind,
+		Leaving: m.Leaving, Failing: m.Failing, Dead: m.Dead,
 		Connections: uint32(m.Connections), InUse: uint32(m.InUse), Waiting: uint32(m.Waiting),
 		Elsewhere: uint32(m.Elsewhere), Gates: m.Gates,
 	}
+	if !m.Held.IsZero() {
+		out.Held = showPosition(m.Held)
+		out.HeldMsAgo = uint32(m.HeldAgo.Milliseconds())
+	}
+	return out
+}
+
+func showPosition(p logpos.Position) *inspectpb.Position {
+	return &inspectpb.Position{Term: uint64(p.Term), Offset: uint64(p.Offset)}
 }
--- a/node/inspect/inspectpb/generate.go
+++ b/node/inspect/inspectpb/generate.go
@@ -1,4 +1,4 @@
 // Package inspectpb holds the generated messages by which a host shows itself.
 package inspectpb
 
-//go:generate sh generate.sh
+//go:generate sh ../../generate_proto.sh inspect.proto
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -60,10 +60,10 @@
 
 func (p *printer) service(s *inspectpb.Service) {
 	p.printf("\nservice %s: primary %s, term %d, %s, %s\n", s.Name, orNone(s.Primary), s.Term, floorText(s), lockText(s.GetLock()))
-	p.printf("  UPSTREAM\tZONE\tSLOTS\tOPEN\tIN USE\tWAITING\tELSEWHERE\tSTATE\tTHROUGH\n")
+	p.printf("  UPSTREAM\tZONE\tSLOTS\tOPEN\tIN USE\tWAITING\tELSEWHERE\tSTATE\tLOG\tTHROUGH\n")
 	for _, u := range s.Upstreams {
-		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n",
-			u.Name, u.Zone, u.Slots, u.Connections, u.InUse, u.Waiting, u.Elsewhere, upstreamState(u), orNone(strings.Join(u.Gates, " ")))
+		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n",
+			u.Name, u.Zone, u.Slots, u.Connections, u.InUse, u.Waiting, u.Elsewhere, upstreamState(u), logText(u), orNone(strings.Join(u.Gates, " ")))
 	}
 }
 
@@ -89,7 +89,7 @@
 	for _, w := range []struct {
 		is   bool
 		word string
-	}{{u.Dead, "dead"}, {u.Failing && !u.Dead, "failing"}, {u.Leaving, "leaving"}, {u.Behind, "behind"}} {
+	}{{u.Dead, "dead"}, {u.Failing && !u.Dead, "failing"}, {u.Leaving, "leaving"}} {
 		if w.is {
 			words = append(words, w.word)
 		}
@@ -100,6 +100,13 @@
 	return strings.Join(words, " ")
 }
 
+func logText(u *inspectpb.Upstream) string {
+	if u.Held == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%d/%d %d ms ago", u.Held.Term, u.Held.Offset, u.HeldMsAgo)
+}
+
 func orNone(s string) string {
 	if s == "" {
 		return "-"
--- a/node/inspect/text_test.go
+++ b/node/inspect/text_test.go
@@ -21,7 +21,7 @@
 			Lock: &inspectpb.Lock{Holder: "h2", Acting: true, Token: 8},
 			Upstreams: []*inspectpb.Upstream{
 				{Name: "db-1", Zone: "a", Slots: 3, Connections: 4, InUse: 3, Waiting: 2, Dead: true, Failing: true},
-				{Name: "db-2", Zone: "b", Slots: 3, Elsewhere: 1, Leaving: true, Behind: true, Gates: []string{"10.0.0.2:7"}},
+				{Name: "db-2", Zone: "b", Slots: 3, Elsewhere: 1, Leaving: true, Held: &inspectpb.Position{Term: 2, Offset: 5}, HeldMsAgo: 40, Gates: []string{"10.0.0.2:7"}},
 			},
 		}},
 	}
@@ -33,9 +33,9 @@
 store AWAY directly, heard 700 ms ago, revision 9; hosts 5, followers 0
 
 service db: primary db-1, term 2, floor 2/7 of 30 ms ago, lock 8 held by h2, which promotes
-  UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE           THROUGH
-  db-1      a     3      4     3       2        0          dead            -
-  db-2      b     3      0     0       0        1          leaving behind  10.0.0.2:7
+  UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE    LOG            THROUGH
+  db-1      a     3      4     3       2        0          dead     -              -
+  db-2      b     3      0     0       0        1          leaving  2/5 40 ms ago  10.0.0.2:7
 `, out.String())
 }
 
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -84,11 +84,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, clock.Deadline(j.Work.EndBy+answerSlack))
 	defer cancel()
+	asked := clock.Now()
 	resp, err := g.client.Run(ctx, connect.NewRequest(jobToProto(service, j)))
 	if err != nil {
 		return replicaset.Result{Err: &replicaset.GateError{Address: address, Sent: maySent(err), Err: err}}
 	}
-	return resultFromProto(resp.Msg)
+	return resultFromProto(resp.Msg, asked)
 }
 
 // attach keeps a stream open, whose end tells the gate that this host is gone.
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
@@ -70,6 +71,7 @@
 		Rows: r.Answer.Rows, Signature: r.Answer.Signature, Code: uint32(r.Answer.Code), Detail: r.Answer.Detail,
 		State: uint32(r.Answer.State), Position: positionToProto(r.Answer.Position),
 		Handed: r.Handed, Proof: r.Proof, Transaction: r.Tx, WaitedUs: r.Waited.Microseconds(),
+		Floor: floorToProto(r.Floor, clock.Now()),
 	}
 	var refused *replicaset.RefusedError
 	var lost *replicaset.LostError
@@ -92,14 +94,39 @@
 	return out
 }
 
-func resultFromProto(p *peerpb.JobResponse) replicaset.Result {
+// floorToProto turns when a floor's position was asked for into its age.
+func floorToProto(f replicaset.Floor, now time.Duration) *peerpb.Floor {
+	if f.Position.IsZero() {
+		return nil
+	}
+	return &peerpb.Floor{
+		Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset),
+		AgeUs: uint64((now - f.Sent).Microseconds()), Primary: f.Primary,
+	}
+}
+
+// floorFromProto takes a floor out of the answer to something asked at the
+// given time. Its age was told after that, so the time that results is not too
+// late, however long the answer took.
+func floorFromProto(p *peerpb.Floor, asked time.Duration) replicaset.Floor {
+	if p == nil {
+		return replicaset.Floor{}
+	}
+	return replicaset.Floor{
+		Position: logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())},
+		Sent:     asked - time.Duration(p.GetAgeUs())*time.Microsecond, Primary: p.GetPrimary(),
+	}
+}
+
+// resultFromProto decodes the answer to a job that was sent at the given time.
+func resultFromProto(p *peerpb.JobResponse, asked time.Duration) replicaset.Result {
 	r := replicaset.Result{
 		Answer: statement.Answer{
 			Rows: p.GetRows(), Signature: p.GetSignature(), Code: statement.Code(p.GetCode()), Detail: p.GetDetail(),
 			State: statement.TxState(p.GetState()), Position: positionFromProto(p.GetPosition()),
 		},
 		Handed: p.GetHanded(), Proof: p.GetProof(), Tx: p.GetTransaction(),
-		Waited: time.Duration(p.GetWaitedUs()) * time.Microsecond,
+		Waited: time.Duration(p.GetWaitedUs()) * time.Microsecond, Floor: floorFromProto(p.GetFloor(), asked),
 	}
 	switch p.GetFailure() {
 	case failureNone:
--- /dev/null
+++ b/node/peer/gate_convert_test.go
@@ -0,0 +1,29 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+)
+
+// TestFloorIsNotMadeYoungerOnItsWay: however long the answer took, the floor
+// claims no more than it did where it was told.
+func TestFloorIsNotMadeYoungerOnItsWay(t *testing.T) {
+	const asked, told, arrived = 10 * time.Second, 11 * time.Second, 12 * time.Second
+	f := replicaset.Floor{Position: logpos.Position{Term: 3, Offset: 7}, Sent: told - 400*time.Millisecond, Primary: "m"}
+	got := floorFromProto(floorToProto(f, told), asked)
+	require.Equal(t, f.Position, got.Position)
+	require.Equal(t, f.Primary, got.Primary)
+	require.LessOrEqual(t, got.Sent, f.Sent)
+	require.Less(t, got.Sent, arrived)
+}
+
+// TestNoFloorStaysNone: a host that knows no floor tells none.
+func TestNoFloorStaysNone(t *testing.T) {
+	require.Nil(t, floorToProto(replicaset.Floor{}, time.Second))
+	require.Zero(t, floorFromProto(nil, time.Second))
+}
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -49,6 +49,7 @@
 	if res.Err == nil && res.Proof {
 		s.proved(m, res.Answer.Position, began)
 	}
+	s.hear(res.Floor)
 	s.learn(m, res)
 	return res
 }
@@ -63,11 +64,9 @@
 	if res.Err != nil {
 		return
 	}
-	switch res.Answer.Code {
-	case statement.ReadOnlyMember:
+	m.holds(res.Answer.Position, clock.Now())
+	if res.Answer.Code == statement.ReadOnlyMember {
 		s.denied(m)
-	case statement.Behind:
-		m.lacked(clock.Now())
 	}
 }
 
--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -7,14 +7,17 @@
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 )
 
-// floor returns the position that a read must find, from what is known now.
-func (s *Set) floor(w Work, now time.Duration) (logpos.Position, bool) {
+// floor returns the lowest position that a read may be served at. How stale a
+// read may be counts from its arrival, however long it waits: load pattern,
+// replicas fall behind, and reads queue at the primary; a floor that rose while
+// they wait would send back those that a replica has just become able to serve.
+func (s *Set) floor(w Work) (logpos.Position, bool) {
 	if w.Route.Consistency == catalog.Primary {
 		return logpos.Position{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.floors.Lookup(now-w.Route.MaxStaleness+stalenessMargin, w.Committed)
+	return s.floors.Lookup(w.Received-w.Route.MaxStaleness+stalenessMargin, w.Committed)
 }
 
 // Floor is a position that covers every commit that was acknowledged before
@@ -53,6 +56,27 @@
 	s.learned = make(chan struct{})
 }
 
+// hear takes a floor that came with an answer of another host, unless one that
+// is as new is known. Load pattern: a primary has no room, so a host's own
+// statements tell it nothing of the log, and without a floor all of its reads
+// would go to that primary.
+func (s *Set) hear(f Floor) {
+	if f.Position.IsZero() {
+		return
+	}
+	s.mu.Lock()
+	known, sent, found := s.floors.Newest()
+	s.mu.Unlock()
+	if found && f.Position.Term <= known.Term && f.Sent < sent+hearSpacing {
+		return
+	}
+	s.LearnFloor(f)
+}
+
+// hearSpacing is how much newer a floor must be to be taken from an answer:
+// closer ones hardly move a bound of a second or more.
+const hearSpacing = 50 * time.Millisecond
+
 // askInterval spaces the questions to peers about one service.
 const askInterval = 50 * time.Millisecond
 
--- a/node/replicaset/job.go
+++ b/node/replicaset/job.go
@@ -72,6 +72,9 @@
 	Tx    uint64
 	// Waited is the time before a connection was had.
 	Waited time.Duration
+	// Floor is the newest that another host knew that carried the job out, or
+	// refused it; zero for a job of this host.
+	Floor Floor
 }
 
 // Remote runs jobs on other hosts. An error of the way there is a *GateError.
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -11,17 +11,13 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
-const (
-	// answerSmoothing is the weight of a new sample in the mean answer time.
-	answerSmoothing = 0.15
-	// behindFor is how long a replica that lacked a position is passed over.
-	// Replicas are 20 to 50 ms behind when all is well.
-	behindFor = 150 * time.Millisecond
-)
+// answerSmoothing is the weight of a new sample in the mean answer time.
+const answerSmoothing = 0.15
 
 // Member is one member of a group, with this host's connections to it.
 type Member struct {
@@ -30,16 +26,18 @@
 	log                  zerolog.Logger
 
 	// mu guards the fields below. Nothing is called out while it is held.
-	mu       sync.Mutex
-	entry    directory.Member
-	pool     *connpool.Pool
-	conns    map[connpool.ConnID]*Conn
-	waiters  map[uint64]chan grant
-	nextID   uint64
-	health   health.Health
-	answer   time.Duration
-	behindBy time.Duration
-	removed  bool
+	mu      sync.Mutex
+	entry   directory.Member
+	pool    *connpool.Pool
+	conns   map[connpool.ConnID]*Conn
+	waiters map[uint64]chan grant
+	nextID  uint64
+	health  health.Health
+	answer  time.Duration
+	removed bool
+	// held is the end of its log when that was last seen, at heldAt.
+	held   logpos.Position
+	heldAt time.Duration
 	// gates are the hosts that keep this member's connections, unless this one
 	// does; elsewhere counts the statements that run there.
 	gates     []string
@@ -93,11 +91,21 @@
 	}
 }
 
-// lacked notes that a read found the member's log too short.
-func (m *Member) lacked(now time.Duration) {
+// holds notes the end of the member's log in an answer.
+func (m *Member) holds(p logpos.Position, now time.Duration) {
+	if p.IsZero() {
+		return
+	}
 	m.mu.Lock()
-	m.behindBy = now + behindFor
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	m.held, m.heldAt = p, now
+}
+
+// lastHeld returns the end of the member's log when it was last seen.
+func (m *Member) lastHeld() (logpos.Position, time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held, m.heldAt
 }
 
 // Dead reports whether this host's evidence makes the member count as dead.
@@ -149,7 +157,7 @@
 		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.places.RoundTrip(m.entry.Zone),
 		Answer: m.answer, InUse: m.pool.InUse() + m.elsewhere, Waiting: m.pool.Waiting(),
 		Idle:  m.pool.Idle() > 0 || len(m.gates) > 0,
-		Slots: m.entry.Slots, Suspect: m.health.Failing(), Missing: m.entry.Missing, Behind: now < m.behindBy,
+		Slots: m.entry.Slots, Suspect: m.health.Failing(), Missing: m.entry.Missing,
 	}
 }
 
--- /dev/null
+++ b/node/replicaset/pick_reader.go
@@ -0,0 +1,129 @@
+package replicaset
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/balance"
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/catchup"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+// reader is the member that a read is sent to.
+type reader struct {
+	member *Member
+	// guarded tells that nothing known bounds the age of the read, so that the
+	// primary must prove its lead.
+	guarded bool
+}
+
+// pickReader returns the member to read from. While the primary has no
+// connection to spare and no floor is known, other hosts are asked for what
+// they know: after a restart of all hosts the primary is the scarcest of all.
+func (a *attempts) pickReader(ctx context.Context, t *tried) (reader, error) {
+	s := a.set
+	if m, found := a.unguardedReader(ctx, t); found {
+		return reader{member: m}, nil
+	}
+	bounded := a.work.Route.Consistency != catalog.Primary
+	if m, found := s.Primary(); found && (!bounded || m.hasIdle()) {
+		return reader{member: m, guarded: true}, nil
+	}
+	if bounded && len(t.asked) == 0 && s.awaitFloor(ctx, a.work) {
+		if m, found := a.unguardedReader(ctx, t); found {
+			return reader{member: m}, nil
+		}
+	}
+	m, found := s.awaitPrimary(ctx, &a.work)
+	if !found {
+		return reader{}, errNoPrimary
+	}
+	return reader{member: m, guarded: true}, nil
+}
+
+// unguardedReader returns the best member for a read whose age is bounded by
+// what this host knows. It waits for a replica that is behind when no other
+// member is left.
+func (a *attempts) unguardedReader(ctx context.Context, t *tried) (*Member, bool) {
+	s := a.set
+	floor, found := s.floor(a.work)
+	if !found {
+		return nil, false
+	}
+	now := clock.Now()
+	readers := s.readers(t.asked, floor, now)
+	if len(readers) > 0 && readers[0].Usable() {
+		return s.Member(readers[0].ID)
+	}
+	if m, found := a.awaitReplica(ctx, t, floor, now); found {
+		return m, true
+	}
+	if len(readers) > 0 {
+		return s.Member(readers[0].ID)
+	}
+	return nil, false
+}
+
+// readers returns the members that may serve a read, the best first. Members
+// that leave are passed over while there are others.
+func (s *Set) readers(asked map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	primary := s.belief.Primary()
+	var staying, leaving []balance.Candidate
+	for id, m := range s.members {
+		e := m.snapshot()
+		if asked[id] || s.pastDrain(e, now) {
+			continue
+		}
+		c := m.candidate(primary, now)
+		c.Behind = id != primary && s.replica(m, floor).Behind(now)
+		if e.Leaving {
+			leaving = append(leaving, c)
+		} else {
+			staying = append(staying, c)
+		}
+	}
+	return append(balance.Order(staying), balance.Order(leaving)...)
+}
+
+// replica describes what is known of a member's log for a read at a floor. It
+// is called with mu held.
+func (s *Set) replica(m *Member, floor logpos.Position) catchup.Replica {
+	held, seen := m.lastHeld()
+	distance, known := s.floors.Distance(held, floor)
+	if !known {
+		distance = catchup.Unknown
+	}
+	return catchup.Replica{ID: m.id, Seen: seen, Holds: !held.Less(floor), Distance: distance}
+}
+
+// awaitReplica waits until a replica that is behind is expected to hold the
+// floor. It returns false at once when none will in the time of the read.
+func (a *attempts) awaitReplica(ctx context.Context, t *tried, floor logpos.Position, now time.Duration) (*Member, bool) {
+	best, at, found := catchup.Soonest(a.set.laggards(t, floor, now), now, a.work.StartBy)
+	if !found || !clock.Sleep(ctx, at-now) {
+		return nil, false
+	}
+	a.out.Held += at - now
+	return a.set.Member(best.ID)
+}
+
+// laggards returns the replicas that a read may wait for.
+func (s *Set) laggards(t *tried, floor logpos.Position, now time.Duration) []catchup.Replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []catchup.Replica
+	for id, m := range s.members {
+		if id == s.belief.Primary() || t.useless[id] || m.Failing() || m.unusable(now) || m.Leaving() {
+			continue
+		}
+		r := s.replica(m, floor)
+		// One that was asked has said that it does not hold this very floor.
+		r.Holds = r.Holds && !t.asked[id]
+		out = append(out, r)
+	}
+	return out
+}
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -125,6 +125,12 @@
 	return id, id != ""
 }
 
+// leads reports whether a member is taken for the primary.
+func (s *Set) leads(m *Member) bool {
+	id, found := s.Believed()
+	return found && id == m.id
+}
+
 // Term returns the newest term that is known.
 func (s *Set) Term() logpos.Term {
 	s.mu.Lock()
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/catchup"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
 const (
-	// maxAttempts bounds the members that one statement is tried on.
-	maxAttempts = 6
 	// primaryPause is the wait before a primary that had no room, or a new one
 	// just after a change, is asked again.
 	primaryPause = 15 * time.Millisecond
@@ -23,60 +23,13 @@
 	guardedHold = 150 * time.Millisecond
 )
 
-// Read runs a single read. It may go to several members in turn, because a
-// read has no effect.
+// Read runs a single read.
 func (s *Set) Read(ctx context.Context, w Work) Outcome {
-	out := Outcome{}
-	tried := map[string]bool{}
-	var last error = &RefusedError{Reason: "no member could be asked"}
-	for out.Attempts < maxAttempts && ctx.Err() == nil {
-		now := clock.Now()
-		if now >= w.EndBy {
-			break
-		}
-		m, guarded, err := s.pickReader(ctx, &w, tried)
-		if err != nil {
-			last = err
-			break
-		}
-		out.Attempts++
-		out.Member, out.Primary = m.id, guarded
-		j := s.readJob(w, guarded)
-		out.Floor = j.Floor
-		res, gate := s.dispatch(ctx, m, j)
-		out.Waited, out.Gate = res.Waited, gate
-		if res.Err == nil && !retryable(res.Answer.Code) {
-			out.Answer = res.Answer
-			return out
-		}
-		last = res.failure(m)
-		if !guarded {
-			tried[m.id] = true
-			continue
-		}
-		if overloaded(res.Err) || now > w.StartBy || !clock.Sleep(ctx, primaryPause) {
-			break
-		}
+	a := s.newAttempts(w)
+	if _, m := a.onReaders(ctx, JobRead); m == nil {
+		return a.refused()
 	}
-	return refuse(out, w, last)
-}
-
-func (s *Set) readJob(w Work, guarded bool) Job {
-	if guarded {
-		if w.Route.Consistency != catalog.Primary {
-			w.StartBy = min(w.StartBy, max(w.FreshBy, clock.Now()+guardedHold))
-		}
-		return Job{Kind: JobGuardedRead, Work: w}
-	}
-	return s.withFloor(Job{Kind: JobRead, Work: w})
-}
-
-// withFloor adds what this host knows of the floor.
-func (s *Set) withFloor(j Job) Job {
-	if floor, found := s.floor(j.Work, clock.Now()); found {
-		j.Floor = floor
-	}
-	return j
+	return a.out
 }
 
 // failure returns why a result is no success.
@@ -124,44 +77,6 @@
 	return fmt.Sprintf("not run, retry after %d ms", d.Milliseconds())
 }
 
-// pickReader returns the member to read from. Guarded tells that nothing known
-// bounds the age of a read, so that the primary must prove its lead. While the
-// primary has no connection to spare, other hosts are asked for what they know:
-// after a restart of all hosts the primary is the scarcest of all.
-func (s *Set) pickReader(ctx context.Context, w *Work, tried map[string]bool) (*Member, bool, error) {
-	if m, found := s.unguardedReader(*w, tried); found {
-		return m, false, nil
-	}
-	bounded := w.Route.Consistency != catalog.Primary
-	if m, found := s.Primary(); found && (!bounded || m.hasIdle()) {
-		return m, true, nil
-	}
-	if bounded && len(tried) == 0 && s.awaitFloor(ctx, *w) {
-		if m, found := s.unguardedReader(*w, tried); found {
-			return m, false, nil
-		}
-	}
-	m, found := s.awaitPrimary(ctx, w)
-	if !found {
-		return nil, true, errNoPrimary
-	}
-	return m, true, nil
-}
-
-// unguardedReader returns the best member for a read whose age is bounded by
-// what this host knows.
-func (s *Set) unguardedReader(w Work, tried map[string]bool) (*Member, bool) {
-	now := clock.Now()
-	if _, found := s.floor(w, now); !found {
-		return nil, false
-	}
-	readers := s.readers(tried, now)
-	if len(readers) == 0 {
-		return nil, false
-	}
-	return readers[0], true
-}
-
 // peerWait bounds the wait for other hosts' floors: twice the longest round
 // trip between regions.
 const peerWait = 80 * time.Millisecond
@@ -172,7 +87,7 @@
 	defer until.Stop()
 	for {
 		learned := s.askPeers(clock.Now())
-		if _, found := s.floor(w, clock.Now()); found {
+		if _, found := s.floor(w); found {
 			return true
 		}
 		select {
@@ -184,3 +99,40 @@
 		}
 	}
 }
+
+// readerJob returns the job for the member that was picked.
+func (a *attempts) readerJob(kind JobKind, r reader) Job {
+	j := Job{Kind: kind, Work: a.work, Plain: kind == JobBegin && r.guarded}
+	if r.guarded {
+		return a.guardedJob(j)
+	}
+	floor, found := a.set.floor(a.work)
+	if !found {
+		return j
+	}
+	j.Floor = floor
+	now := clock.Now()
+	if a.set.leads(r.member) && a.replicaComes(floor, now) {
+		j.Work.StartBy = min(j.Work.StartBy, max(j.Work.FreshBy, now))
+	}
+	return j
+}
+
+// replicaComes reports whether a replica that is behind now can serve the read
+// later. What the primary cannot serve on time is left to it then: the
+// primary's connections are for what only it can serve.
+func (a *attempts) replicaComes(floor logpos.Position, now time.Duration) bool {
+	_, at, found := catchup.Soonest(a.set.laggards(newTried(), floor, now), now, a.work.StartBy)
+	return found && at > now
+}
+
+// guardedJob returns the job for a primary that must prove its lead.
+func (a *attempts) guardedJob(j Job) Job {
+	if j.Kind == JobRead {
+		j.Kind = JobGuardedRead
+	}
+	if a.work.Route.Consistency != catalog.Primary {
+		j.Work.StartBy = min(j.Work.StartBy, max(j.Work.FreshBy, clock.Now()+guardedHold))
+	}
+	return j
+}
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -7,7 +7,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/dotterelswitch/dotterelswitch/core/balance"
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/fresh"
@@ -181,31 +180,6 @@
 	}
 }
 
-// readers returns the members that may serve a read, the best first. Members
-// that leave are passed over while there are others.
-func (s *Set) readers(tried map[string]bool, now time.Duration) []*Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	primary := s.belief.Primary()
-	var staying, leaving []balance.Candidate
-	for id, m := range s.members {
-		e := m.snapshot()
-		if tried[id] || s.pastDrain(e, now) {
-			continue
-		}
-		if e.Leaving {
-			leaving = append(leaving, m.candidate(primary, now))
-		} else {
-			staying = append(staying, m.candidate(primary, now))
-		}
-	}
-	var out []*Member
-	for _, c := range append(balance.Order(staying), balance.Order(leaving)...) {
-		out = append(out, s.members[c.ID])
-	}
-	return out
-}
-
 // Members returns all members.
 func (s *Set) Members() []*Member {
 	s.mu.Lock()
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -22,8 +22,11 @@
 	ID, Address, Zone string
 	Slots             int
 	// Leaving is the member's own announcement, Failing and Dead are this host's
-	// evidence; Behind tells that a read has just found its log too short.
-	Leaving, Failing, Dead, Behind bool
+	// evidence.
+	Leaving, Failing, Dead bool
+	// Held is the end of its log when that was last seen, HeldAgo ago.
+	Held    logpos.Position
+	HeldAgo time.Duration
 	// Connections, InUse and Waiting are this host's own; Elsewhere counts the
 	// statements that run through Gates.
 	Connections, InUse, Waiting, Elsewhere int
@@ -64,7 +67,7 @@
 	defer m.mu.Unlock()
 	return MemberStats{
 		ID: m.id, Address: m.address, Zone: m.entry.Zone, Slots: m.entry.Slots,
-		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.corroborated), Behind: now < m.behindBy,
+		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.corroborated), Held: m.held, HeldAgo: now - m.heldAt,
 		Connections: m.pool.Open(), InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), Elsewhere: m.elsewhere, Gates: m.gates,
 	}
 }
--- a/node/replicaset/tx.go
+++ b/node/replicaset/tx.go
@@ -27,49 +27,23 @@
 // Begin opens a transaction. It returns nil and a refusal when none could be
 // opened; nothing of the caller was sent then.
 func (s *Set) Begin(ctx context.Context, w Work) (*Tx, Outcome) {
-	out := Outcome{}
-	tried := map[string]bool{}
-	var last error = &RefusedError{Reason: "no member could be asked"}
-	for out.Attempts < maxAttempts && ctx.Err() == nil && clock.Now() < w.EndBy {
-		m, plain, err := s.pickForTx(ctx, &w, tried)
-		if err != nil {
-			last = err
-			break
-		}
-		out.Attempts++
-		out.Member, out.Primary = m.id, plain
-		j := Job{Kind: JobBegin, Work: w, Plain: plain}
-		if !plain {
-			j = s.withFloor(j)
-			out.Floor = j.Floor
-		}
-		res, gate := s.dispatch(ctx, m, j)
-		out.Waited, out.Gate = res.Waited, gate
-		if res.Err == nil && res.Answer.Code == statement.OK {
-			return &Tx{set: s, member: m, gate: gate, id: res.Tx}, out
-		}
-		last = res.failure(m)
-		if !plain {
-			tried[m.id] = true
-			continue
-		}
-		if overloaded(res.Err) || clock.Now() > w.StartBy || !clock.Sleep(ctx, primaryPause) {
-			break
-		}
-	}
-	return nil, refuse(out, w, last)
-}
-
-// pickForTx returns the member for a transaction, and whether it must lead.
-func (s *Set) pickForTx(ctx context.Context, w *Work, tried map[string]bool) (*Member, bool, error) {
+	a := s.newAttempts(w)
+	var res Result
+	var m *Member
 	if w.ReadOnly && w.Route.Consistency != catalog.Primary {
-		return s.pickReader(ctx, w, tried)
+		res, m = a.onReaders(ctx, JobBegin)
+	} else {
+		res, m = a.onPrimary(ctx, JobBegin)
+	}
+	if m == nil {
+		return nil, a.refused()
 	}
-	m, found := s.awaitPrimary(ctx, w)
-	if !found {
-		return nil, true, errNoPrimary
+	if res.Answer.Code != statement.OK {
+		a.last = res.failure(m)
+		return nil, a.refused()
 	}
-	return m, true, nil
+	a.out.Answer = statement.Answer{}
+	return &Tx{set: s, member: m, gate: a.out.Gate, id: res.Tx}, a.out
 }
 
 // Do runs a read or a write in the transaction. A lost connection means that
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -64,6 +64,8 @@
 	Attempts int
 	// Waited is the time before the last attempt had a connection.
 	Waited time.Duration
+	// Held is the time for which the statement was held until a replica caught up.
+	Held time.Duration
 	// Floor is the position that a read had to find; zero when the primary had
 	// to prove its lead instead, or for a write.
 	Floor logpos.Position
