Count the age of a read to the moment of sending again; wait only for a caller's own commit

Cause: counted how stale a read may be from its arrival.

A read now waits for a replica only for the caller's own commit, whose place in the log does not move. Tests: a floor rises while a read waits; a read that may be 500 ms old is refused at once where the replica is 700 ms behind.

--- a/core/catchup/catchup.go
+++ b/core/catchup/catchup.go
@@ -1,11 +1,13 @@
 // Package catchup decides whether a read waits for a replica that is behind.
 //
-// Load pattern: the replicas of a group fall seconds behind, and reads that may
-// be a second or two old have only the primary left. Its slots run part of
-// them, and the rest would be refused. How stale a read may be counts from its
-// arrival, though, and replicas apply their log as fast as it was written: one
-// that is 3.3 s behind serves a read that may be 2.5 s old after 0.8 s. That is
-// late, but served, and it takes nothing from the primary.
+// Load pattern: the replicas of a group are some hundred milliseconds behind,
+// and callers that have just written want to see it. Only the primary is left
+// for their reads, whose slots run part of them, and the rest would be refused.
+// A replica that applies 400 ms late shows a caller's own commit 400 ms after
+// it: late for some, but served, and it takes nothing from the primary.
+//
+// A floor that follows from how stale a read may be is not waited for. It rises
+// with time, and a replica that is behind by more than that does not reach it.
 package catchup
 
 import "time"
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -107,7 +107,7 @@
 	if !overloaded(a.last) {
 		return false
 	}
-	_, found := a.set.floor(a.work)
+	_, found := a.set.floor(a.work, clock.Now())
 	return found
 }
 
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -65,7 +65,7 @@
 // readAt runs a read on a log that holds the floor.
 func (s *Set) readAt(c *Conn, j Job) Result {
 	defer c.member.release(c)
-	floor, err := s.lowestFloor(j)
+	floor, err := s.floorNow(j)
 	if err != nil {
 		return Result{Err: err}
 	}
@@ -73,17 +73,17 @@
 	return Result{Answer: x.answer, Err: err, Handed: x.handed}
 }
 
-// lowestFloor returns the lower one of the floors that this host and the sender
-// of a job know: each covers all that the read must show.
-func (s *Set) lowestFloor(j Job) (logpos.Position, error) {
-	floor, found := s.floor(j.Work)
-	switch {
-	case found && (j.Floor.IsZero() || floor.Less(j.Floor)):
+// floorNow returns the floor of a read at this moment. The sender's own serves
+// only as long as the job is fresh: it may have waited for a connection.
+func (s *Set) floorNow(j Job) (logpos.Position, error) {
+	now := clock.Now()
+	if floor, found := s.floor(j.Work, now); found {
 		return floor, nil
-	case !j.Floor.IsZero():
+	}
+	if !j.Floor.IsZero() && now-j.Work.Received < stalenessMargin {
 		return j.Floor, nil
 	}
-	return logpos.Position{}, &RefusedError{Reason: "nothing known bounds the age of the read"}
+	return logpos.Position{}, &RefusedError{Reason: "the floor grew too old while the statement waited"}
 }
 
 // readGuarded runs a read inside a transaction of the system's own. A member
@@ -133,7 +133,7 @@
 func (s *Set) begin(c *Conn, j Job) Result {
 	op := statement.Operation{Verb: statement.Start, ReadOnly: !j.Plain}
 	if !j.Plain {
-		floor, err := s.lowestFloor(j)
+		floor, err := s.floorNow(j)
 		if err != nil {
 			c.member.release(c)
 			return Result{Err: err}
--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -7,17 +7,16 @@
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 )
 
-// floor returns the lowest position that a read may be served at. How stale a
-// read may be counts from its arrival, however long it waits: load pattern,
-// replicas fall behind, and reads queue at the primary; a floor that rose while
-// they wait would send back those that a replica has just become able to serve.
-func (s *Set) floor(w Work) (logpos.Position, bool) {
+// floor returns the position that a read must find, from what is known now.
+// How stale a read may be counts to the moment at which it is sent to a member:
+// whoever waits gets an answer that is as young as one that did not.
+func (s *Set) floor(w Work, now time.Duration) (logpos.Position, bool) {
 	if w.Route.Consistency == catalog.Primary {
 		return logpos.Position{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.floors.Lookup(w.Received-w.Route.MaxStaleness+stalenessMargin, w.Committed)
+	return s.floors.Lookup(now-w.Route.MaxStaleness+stalenessMargin, w.Committed)
 }
 
 // Floor is a position that covers every commit that was acknowledged before
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -44,15 +44,15 @@
 }
 
 // unguardedReader returns the best member for a read whose age is bounded by
-// what this host knows. It waits for a replica that is behind when no other
-// member is left.
+// what this host knows. A read of the caller's own commit waits for a replica
+// that is behind when no other member is left.
 func (a *attempts) unguardedReader(ctx context.Context, t *tried) (*Member, bool) {
 	s := a.set
-	floor, found := s.floor(a.work)
+	now := clock.Now()
+	floor, found := s.floor(a.work, now)
 	if !found {
 		return nil, false
 	}
-	now := clock.Now()
 	readers := s.readers(t.asked, floor, now)
 	if len(readers) > 0 && readers[0].Usable() {
 		return s.Member(readers[0].ID)
@@ -103,6 +103,9 @@
 // awaitReplica waits until a replica that is behind is expected to hold the
 // floor. It returns false at once when none will in the time of the read.
 func (a *attempts) awaitReplica(ctx context.Context, t *tried, floor logpos.Position, now time.Duration) (*Member, bool) {
+	if !a.staysAt(floor) {
+		return nil, false
+	}
 	best, at, found := catchup.Soonest(a.set.laggards(t, floor, now), now, a.work.StartBy)
 	if !found || !clock.Sleep(ctx, at-now) {
 		return nil, false
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -87,7 +87,7 @@
 	defer until.Stop()
 	for {
 		learned := s.askPeers(clock.Now())
-		if _, found := s.floor(w); found {
+		if _, found := s.floor(w, clock.Now()); found {
 			return true
 		}
 		select {
@@ -106,12 +106,12 @@
 	if r.guarded {
 		return a.guardedJob(j)
 	}
-	floor, found := a.set.floor(a.work)
+	now := clock.Now()
+	floor, found := a.set.floor(a.work, now)
 	if !found {
 		return j
 	}
 	j.Floor = floor
-	now := clock.Now()
 	if a.set.leads(r.member) && a.replicaComes(floor, now) {
 		j.Work.StartBy = min(j.Work.StartBy, max(j.Work.FreshBy, now))
 	}
@@ -122,10 +122,19 @@
 // later. What the primary cannot serve on time is left to it then: the
 // primary's connections are for what only it can serve.
 func (a *attempts) replicaComes(floor logpos.Position, now time.Duration) bool {
+	if !a.staysAt(floor) {
+		return false
+	}
 	_, at, found := catchup.Soonest(a.set.laggards(newTried(), floor, now), now, a.work.StartBy)
 	return found && at > now
 }
 
+// staysAt reports whether the floor of the read stays where it is while the
+// read waits: it is the caller's own commit. One that follows from how stale the
+// read may be rises with time, and a replica that is behind by more than that
+// does not reach it.
+func (a *attempts) staysAt(floor logpos.Position) bool { return floor == a.work.Committed }
+
 // guardedJob returns the job for a primary that must prove its lead.
 func (a *attempts) guardedJob(j Job) Job {
 	if j.Kind == JobRead {
