--- a/node/demo/demo.go
+++ b/node/demo/demo.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/consul"
 	"github.com/dotterelswitch/dotterelswitch/node/host"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 	"github.com/dotterelswitch/dotterelswitch/standin/netem"
 	"github.com/dotterelswitch/dotterelswitch/standin/workload"
 )
@@ -145,7 +146,7 @@
 	s := settings.Default()
 	s.ID, s.Zone, s.Platform, s.PeerKey = id, zone, platformAddress, "demo"
 	for _, target := range []*string{&s.Listen, &s.Peer, &s.Metrics} {
-		address, err := FreeAddress()
+		address, err := loopback.FreeAddress()
 		if err != nil {
 			return s, err
 		}
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -10,13 +10,13 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/dotterelswitch/dotterelswitch/node/demo"
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 	"github.com/dotterelswitch/dotterelswitch/standin/faultproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 )
 
 const (
@@ -78,7 +78,7 @@
 // free returns a loopback address that nothing else takes.
 func free(t *testing.T) string {
 	t.Helper()
-	address, err := demo.FreeAddress()
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
 	return address
 }
--- a/node/entry/stop_test.go
+++ b/node/entry/stop_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/dotterelswitch/dotterelswitch/node/demo"
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 )
 
 // TestAnswerOnItsWayLeavesAStoppingHost: a job counts as over before its answer
 // has left. The answer gets out although the host has nothing left to do; the
 // commit that it tells of would be in doubt otherwise.
 func TestAnswerOnItsWayLeavesAStoppingHost(t *testing.T) {
-	address, err := demo.FreeAddress()
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
 	h := &Host{failed: make(chan error, 1)}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
@@ -47,7 +47,7 @@
 
 // TestStreamsEndWithTheHost: a host that others follow is not kept from ending.
 func TestStreamsEndWithTheHost(t *testing.T) {
-	address, err := demo.FreeAddress()
+	address, err := loopback.FreeAddress()
 	require.NoError(t, err)
 	h := &Host{failed: make(chan error, 1)}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/node/host/deployment_test.go
+++ b/node/host/deployment_test.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/demo"
 	"github.com/dotterelswitch/dotterelswitch/node/host"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 	"github.com/dotterelswitch/dotterelswitch/standin/netem"
 	"github.com/dotterelswitch/dotterelswitch/standin/workload"
 )
@@ -46,7 +47,7 @@
 		s := settings.Default()
 		s.ID, s.Zone, s.Platform, s.PeerKey = fmt.Sprintf("host-%d", i), spec.Zone(i), dep.Platform.Addr(), "test"
 		for _, target := range []*string{&s.Listen, &s.Peer, &s.Metrics} {
-			*target, err = demo.FreeAddress()
+			*target, err = loopback.FreeAddress()
 			require.NoError(t, err)
 		}
 		if change != nil {
--- a/node/platformdemo/demo.go
+++ b/node/platformdemo/demo.go
@@ -10,11 +10,11 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/dotterelswitch/dotterelswitch/node/demo"
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 )
 
 // Fault is what goes wrong half way through.
@@ -147,7 +147,7 @@
 		MaxSessions: maxSessions, Workers: workers, Grace: grace, DrainBound: 2 * grace,
 	}
 	for _, address := range []*string{&s.CallerAddress, &s.ReadyAddress, &s.PeerAddress} {
-		free, err := demo.FreeAddress()
+		free, err := loopback.FreeAddress()
 		if err != nil {
 			return s, err
 		}
--- a/node/soak/fleet.go
+++ b/node/soak/fleet.go
@@ -12,10 +12,10 @@
 	"syscall"
 	"time"
 
-	"github.com/dotterelswitch/dotterelswitch/node/demo"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/faultproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 )
 
 const (
@@ -63,7 +63,7 @@
 	}
 	var peer string
 	for _, address := range []*string{&boot.Caller, &boot.Ready, &peer} {
-		if *address, err = demo.FreeAddress(); err != nil {
+		if *address, err = loopback.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -149,12 +149,11 @@
 	m := c.member
 	if rest, found := strings.CutPrefix(text, "AFTER "); found {
 		position, statement, _ := strings.Cut(rest, " ")
-		term, number, _ := strings.Cut(position, ".")
-		m.group.mu.Lock()
-		m.receive()
-		has := m.has(parseNumber(term), parseNumber(number))
-		m.group.mu.Unlock()
-		if !has {
+		holds, err := m.holds(position)
+		if err != nil {
+			return refused("MALFORMED")
+		}
+		if !holds {
 			return refused("LAGGING")
 		}
 		text = statement
@@ -184,14 +183,37 @@
 		return c.commit(id)
 	case "ROLLBACK":
 		c.endTx()
-	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
-		return m.order(verb, parseNumber(rest))
+	case "STATUS", "RESUME":
+		return m.order(verb, 0)
+	case "PAUSE", "STEPDOWN":
+		term, err := number(rest)
+		if err != nil {
+			return refused("MALFORMED")
+		}
+		return m.order(verb, term)
 	default:
 		return refused("MALFORMED")
 	}
 	return reply{signature: "-"}
 }
 
+// holds reports whether the member's log holds a position, written TERM.NUMBER.
+func (m *Member) holds(position string) (bool, error) {
+	first, second, _ := strings.Cut(position, ".")
+	term, err := number(first)
+	if err != nil {
+		return false, err
+	}
+	offset, err := number(second)
+	if err != nil {
+		return false, err
+	}
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	m.receive()
+	return m.has(term, offset), nil
+}
+
 func (c *conn) endTx() {
 	c.inTx, c.readOnly, c.failed, c.pending, c.tx = false, false, false, nil, 0
 }
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 )
 
 // Member is one member of a group. The group's lock guards its fields but for
@@ -41,13 +43,11 @@
 	ended atomic.Int64
 }
 
-// start opens the listener, at the old address after a crash.
+// start opens the listener, at the old address after a crash. While the member
+// is down no outgoing connection can take that address.
 func (m *Member) start() error {
 	address, advertised := m.address, m.advertised
-	if address == "" {
-		address = "127.0.0.1:0"
-	}
-	l, err := net.Listen("tcp", address)
+	l, err := m.listen()
 	if err != nil {
 		return err
 	}
@@ -67,6 +67,13 @@
 	return nil
 }
 
+func (m *Member) listen() (net.Listener, error) {
+	if m.address == "" {
+		return loopback.Listen()
+	}
+	return net.Listen("tcp", m.address)
+}
+
 func (m *Member) accept(l net.Listener) {
 	for {
 		nc, err := l.Accept()
--- a/standin/lineplatform/platform.go
+++ b/standin/lineplatform/platform.go
@@ -114,7 +114,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	token := parseNumber(r.Header.Get("X-Dotterelswitch-Fencing-Token"))
+	token, err := number(r.Header.Get("X-Dotterelswitch-Fencing-Token"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	p.mu.Lock()
 	g, known := p.groups[body.Service]
 	refused := p.refuse > 0
--- a/node/demo/ports.go
+++ b/standin/loopback/ports.go
@@ -1,4 +1,5 @@
-package demo
+// Package loopback hands out addresses for processes of one machine.
+package loopback
 
 import (
 	"errors"
@@ -36,6 +37,23 @@
 	return "", errNoPort
 }
 
+// Listen returns a listener at a free loopback address. The address stays free
+// of outgoing connections when it is closed, so that it can be listened at
+// again.
+func Listen() (net.Listener, error) {
+	for range portCount {
+		address, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			return l, nil
+		}
+		// Another process was faster.
+	}
+	return nil, errNoPort
+}
+
 func free(address string) bool {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- /dev/null
+++ b/standin/loopback/ports_test.go
@@ -0,0 +1,31 @@
+package loopback
+
+import (
+	"net"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestClosedListenersAddressCanBeTakenAgain: it lies below the ports of
+// outgoing connections, so a process that restarts finds it free.
+func TestClosedListenersAddressCanBeTakenAgain(t *testing.T) {
+	seen := map[string]bool{}
+	for range 50 {
+		l, err := Listen()
+		require.NoError(t, err)
+		address := l.Addr().String()
+		require.False(t, seen[address], "each call returns another address")
+		seen[address] = true
+		_, text, err := net.SplitHostPort(address)
+		require.NoError(t, err)
+		port, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		require.Less(t, port, firstPort+portCount)
+		require.NoError(t, l.Close())
+		again, err := net.Listen("tcp", address)
+		require.NoError(t, err)
+		require.NoError(t, again.Close())
+	}
+}
