--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -46,12 +46,11 @@
 // start opens the listener, at the old address after a crash. While the member
 // is down no outgoing connection can take that address.
 func (m *Member) start() error {
-	address, advertised := m.address, m.advertised
 	l, err := m.listen()
 	if err != nil {
 		return err
 	}
-	address = l.Addr().String()
+	address, advertised := l.Addr().String(), m.advertised
 	if advertised == "" {
 		advertised, err = m.group.front(address)
 		if err != nil {
