Say once: a floor heard from another host, a wait, a place in the log, a routes' target

Reading of the whole change; no behaviour is meant to change.

- The time of a floor that another host tells (asked less age, so never too late) stood in the datagrams' and the gates' code: replicaset.HeardFloor.
- The router's pause had its own timer: clock.Sleep.
- A host looked its configuration or group up twice for each login and statement while waiting was possible; awaitStartup returns what it found.
- The metrics' sums over members read what MemberStats reads.
- TERM.NUMBER was written and parsed by hand in three places: lineplatform.Place.
- loopback.Listen listened twice at each address.
- Two tests set the routes' target by the same lines: aimAt.

Left: the floor of a read is looked up when its member is picked, when the job is made and at the gate; it rises with time, and each has to be of its moment.

--- a/node/entry/busy_test.go
+++ b/node/entry/busy_test.go
@@ -16,12 +16,7 @@
 // sent after that, whose missing answer would look like a dead primary.
 func TestMemberWithoutRoomIsNotTakenForSilent(t *testing.T) {
 	d := deploy(t, 1, options())
-	short := routes(2 * time.Second)
-	for i := range short {
-		short[i].Target = 500 * time.Millisecond
-	}
-	version := d.platform.Configure(short, timeout)
-	require.Eventually(t, func() bool { return d.hosts[0].Catalog().Version == version }, eventually, poll)
+	d.aimAt(500*time.Millisecond, 2*time.Second)
 	c := d.connect(0, "strict")
 	c.must("STORE item x")
 	c.must("FETCH item")
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -75,6 +75,18 @@
 	return d
 }
 
+// aimAt has the statements of all routes aim at a latency target and end after a
+// timeout, and waits until that is in force.
+func (d *deployment) aimAt(target, statementTimeout time.Duration) {
+	d.t.Helper()
+	changed := routes(statementTimeout)
+	for i := range changed {
+		changed[i].Target = target
+	}
+	version := d.platform.Configure(changed, timeout)
+	require.Eventually(d.t, func() bool { return d.hosts[0].Catalog().Version == version }, eventually, poll)
+}
+
 // free returns a loopback address that nothing else takes.
 func free(t *testing.T) string {
 	t.Helper()
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -131,7 +131,7 @@
 	}
 	for _, f := range answer.Floors {
 		if s := h.Set(f.Service); s != nil {
-			s.LearnFloor(replicaset.Floor{Position: f.Position, Sent: asked - f.Age, Primary: f.Primary})
+			s.LearnFloor(replicaset.HeardFloor(f.Position, f.Primary, f.Age, asked))
 		}
 	}
 }
--- a/node/entry/startup.go
+++ b/node/entry/startup.go
@@ -16,21 +16,21 @@
 
 // AwaitCatalog implements edge.Backend.
 func (h *Host) AwaitCatalog(ctx context.Context) *catalog.Catalog {
-	until := startup.LoginUntil(h.startedAt, clock.Now())
-	h.awaitStartup(ctx, until, func() bool { return h.registry.Catalog() != nil })
-	return h.registry.Catalog()
+	return awaitStartup(ctx, startup.LoginUntil(h.startedAt, clock.Now()), h.registry.Catalog)
 }
 
 // AwaitSet implements edge.Backend.
 func (h *Host) AwaitSet(ctx context.Context, service string, startBy time.Duration) *replicaset.Set {
-	until := startup.StatementUntil(h.startedAt, startBy)
-	h.awaitStartup(ctx, until, func() bool { return h.Set(service) != nil })
-	return h.Set(service)
+	return awaitStartup(ctx, startup.StatementUntil(h.startedAt, startBy), func() *replicaset.Set { return h.Set(service) })
 }
 
-// awaitStartup waits until something is there, a time is over or the context
-// ends.
-func (h *Host) awaitStartup(ctx context.Context, until time.Duration, there func() bool) {
-	for !there() && clock.Now() < until && clock.Sleep(ctx, startupPoll) {
+// awaitStartup returns what find finds. While that is nothing it looks again,
+// until a time is over or the context ends.
+func awaitStartup[T any](ctx context.Context, until time.Duration, find func() *T) *T {
+	for {
+		found := find()
+		if found != nil || clock.Now() >= until || !clock.Sleep(ctx, startupPoll) {
+			return found
+		}
 	}
 }
--- a/node/entry/statements_test.go
+++ b/node/entry/statements_test.go
@@ -178,12 +178,7 @@
 // answer must not use up the read's whole time.
 func TestReadWhoseAnswerIsLostGoesElsewhere(t *testing.T) {
 	d := deploy(t, 1, options())
-	short := routes(timeout)
-	for i := range short {
-		short[i].Target = 200 * time.Millisecond
-	}
-	version := d.platform.Configure(short, timeout)
-	require.Eventually(t, func() bool { return d.hosts[0].Catalog().Version == version }, eventually, poll)
+	d.aimAt(200*time.Millisecond, timeout)
 	c := d.connect(0, "own")
 	c.must("STORE item x")
 	for _, m := range d.group.Members() {
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -106,16 +106,13 @@
 }
 
 // floorFromProto takes a floor out of the answer to something asked at the
-// given time. Its age was told after that, so the time that results is not too
-// late, however long the answer took.
+// given time.
 func floorFromProto(p *peerpb.Floor, asked time.Duration) replicaset.Floor {
 	if p == nil {
 		return replicaset.Floor{}
 	}
-	return replicaset.Floor{
-		Position: logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())},
-		Sent:     asked - time.Duration(p.GetAgeUs())*time.Microsecond, Primary: p.GetPrimary(),
-	}
+	at := logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())}
+	return replicaset.HeardFloor(at, p.GetPrimary(), time.Duration(p.GetAgeUs())*time.Microsecond, asked)
 }
 
 // resultFromProto decodes the answer to a job that was sent at the given time.
--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -28,6 +28,13 @@
 	Primary  string
 }
 
+// HeardFloor returns a floor that another host has told the age of, in answer to
+// something asked at the given time. The age was told after that, so the time
+// that results is not too late, however long the answer took.
+func HeardFloor(p logpos.Position, primary string, age, asked time.Duration) Floor {
+	return Floor{Position: p, Sent: asked - age, Primary: primary}
+}
+
 // Floor returns the newest floor, for a host that asks.
 func (s *Set) Floor() (Floor, bool) {
 	s.mu.Lock()
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -40,10 +40,9 @@
 func (s *Set) Stats(now time.Duration) Stats {
 	st := Stats{Term: s.Term()}
 	for _, m := range s.Members() {
-		m.mu.Lock()
-		st.Connections += m.pool.Open()
-		st.Waiting += m.pool.Waiting()
-		m.mu.Unlock()
+		of := m.stats(now)
+		st.Connections += of.Connections
+		st.Waiting += of.Waiting
 	}
 	if f, found := s.Floor(); found {
 		st.FloorAge = now - f.Sent
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/route"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/owner"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/request"
@@ -202,14 +203,7 @@
 	if time.Until(deadline) <= wait {
 		return false
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, wait)
 }
 
 func (r *Router) startWaiting(st *serviceTable) bool {
--- a/node/soak/check.go
+++ b/node/soak/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -171,14 +170,12 @@
 
 // place parses a member's position.
 func place(position string) lineplatform.Place {
-	term, number, _ := strings.Cut(position, ".")
-	t, termErr := strconv.ParseUint(term, 10, 64)
-	n, numberErr := strconv.ParseUint(number, 10, 64)
-	if termErr != nil || numberErr != nil {
+	p, err := lineplatform.ParsePlace(position)
+	if err != nil {
 		// The stand-in writes positions itself.
 		panic("soak: a position that is none: " + position)
 	}
-	return lineplatform.Place{Term: t, Number: n}
+	return p
 }
 
 func less(a, b lineplatform.Place) bool {
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -199,19 +199,14 @@
 
 // holds reports whether the member's log holds a position, written TERM.NUMBER.
 func (m *Member) holds(position string) (bool, error) {
-	first, second, _ := strings.Cut(position, ".")
-	term, err := number(first)
-	if err != nil {
-		return false, err
-	}
-	offset, err := number(second)
+	at, err := ParsePlace(position)
 	if err != nil {
 		return false, err
 	}
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	m.receive()
-	return m.has(term, offset), nil
+	return m.has(at.Term, at.Number), nil
 }
 
 func (c *conn) endTx() {
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -54,6 +55,20 @@
 // Place is a place in a group's log.
 type Place struct{ Term, Number uint64 }
 
+// ParsePlace reads the form that String writes, TERM.NUMBER.
+func ParsePlace(text string) (Place, error) {
+	first, second, _ := strings.Cut(text, ".")
+	term, err := number(first)
+	if err != nil {
+		return Place{}, err
+	}
+	n, err := number(second)
+	if err != nil {
+		return Place{}, err
+	}
+	return Place{Term: term, Number: n}, nil
+}
+
 func (p Place) String() string {
 	return strconv.FormatUint(p.Term, 10) + "." + strconv.FormatUint(p.Number, 10)
 }
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,10 +180,10 @@
 
 func (m *Member) position() string {
 	if len(m.log) == 0 {
-		return strconv.FormatUint(m.term, 10) + ".0"
+		return Place{Term: m.term}.String()
 	}
 	last := m.log[len(m.log)-1]
-	return strconv.FormatUint(max(m.term, last.term), 10) + "." + strconv.FormatUint(last.number, 10)
+	return Place{Term: max(m.term, last.term), Number: last.number}.String()
 }
 
 // receive copies from the primary what is older than the lag. It is called
--- a/standin/loopback/ports.go
+++ b/standin/loopback/ports.go
@@ -24,13 +24,17 @@
 
 var errNoPort = errors.New("no port is free")
 
+// nextAddress returns another address on each call, until all had their turn.
+func nextAddress() string {
+	port := firstPort + int(nextPort.Add(1)%portCount)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+}
+
 // FreeAddress returns a loopback address that is free for TCP and UDP. Each
 // call in a process returns another one.
 func FreeAddress() (string, error) {
 	for range portCount {
-		port := firstPort + int(nextPort.Add(1)%portCount)
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if free(address) {
+		if address := nextAddress(); free(address) {
 			return address, nil
 		}
 	}
@@ -42,14 +46,9 @@
 // again.
 func Listen() (net.Listener, error) {
 	for range portCount {
-		address, err := FreeAddress()
-		if err != nil {
-			return nil, err
-		}
-		if l, err := net.Listen("tcp", address); err == nil {
+		if l, err := net.Listen("tcp", nextAddress()); err == nil {
 			return l, nil
 		}
-		// Another process was faster.
 	}
 	return nil, errNoPort
 }
