Refuse members' entries that another writer has left; tell the lives of a member apart

Cause: anybody can write under the members' prefix, and a member may start again under its name. A listing on its way could bring back a member that had left.

Ruled out: ignoring an earlier start time for good (a member whose clock was set back would never be seen again).

The directory takes another start time for a new life, an earlier one only when it is written twice in a row, and remembers departures for 10 s. An unreadable entry counts as lost, by every way, and is logged once a change.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -26,10 +26,18 @@
 	Slots int
 	// ColdFor is how much longer the member is slow after its start.
 	ColdFor time.Duration
+	// StartedAt is when the member's present life began; zero where it does not
+	// tell. A member that starts again under its name has a later one.
+	StartedAt StartTime
 	// Revision is the version of the entry on the platform.
 	Revision uint64
 }
 
+// StartTime is the moment at which a member started, in Unix milliseconds of
+// its own clock. It tells the lives of a member apart; it is no clock to
+// compare with.
+type StartTime uint64
+
 // Member is an entry and what the directory adds to it.
 type Member struct {
 	Entry
@@ -40,6 +48,14 @@
 	// LeavingSince is when Leaving was first seen; zero while it was not.
 	LeavingSince time.Duration
 	lostAt       time.Duration
+	// doubtful is an earlier start time that an entry has named once.
+	doubtful StartTime
+}
+
+// SameLife reports whether two entries of a member are of one life. An entry
+// without a start time says nothing of a new one.
+func (e Entry) SameLife(other Entry) bool {
+	return e.StartedAt == other.StartedAt || e.StartedAt == 0 || other.StartedAt == 0
 }
 
 // Grace is how long a lost entry counts as missing. The platform's members are
@@ -49,27 +65,48 @@
 // Directory is the set of members. It is not safe for concurrent use.
 type Directory struct {
 	members map[string]*Member
+	// gone holds the members that were dropped, so that a listing which was read
+	// before that does not bring them back.
+	gone map[string]departure
 }
 
+// departure is when a member was dropped and the version of that news.
+type departure struct {
+	revision uint64
+	at       time.Duration
+}
+
+// rememberGone is how long a departure is kept: a listing takes 3 s at most,
+// and is on its way for no longer than that again.
+const rememberGone = 10 * time.Second
+
 // New returns an empty directory.
-func New() *Directory { return &Directory{members: make(map[string]*Member)} }
+func New() *Directory {
+	return &Directory{members: make(map[string]*Member), gone: make(map[string]departure)}
+}
 
 // Put takes an entry as it was written. It reports whether anything but the
 // revision changed.
 func (d *Directory) Put(e Entry, now time.Duration) bool {
 	m, found := d.members[e.ID]
 	if !found {
-		m = &Member{Entry: e, RoleRevision: e.Revision}
-		m.noteLeaving(now)
-		d.members[e.ID] = m
-		return true
+		return d.add(e, now)
 	}
-	if e.Revision < m.Revision {
+	if e.Revision < m.Revision || m.isOfEndedLife(e) {
 		return false
 	}
+	if !m.SameLife(e) {
+		*m = Member{Entry: e, RoleRevision: e.Revision}
+		m.noteLeaving(now)
+		return true
+	}
 	if e.Primary != m.Primary {
 		m.RoleRevision = e.Revision
 	}
+	if e.StartedAt == 0 {
+		e.StartedAt = m.StartedAt
+	}
+	m.doubtful = 0
 	old := *m
 	m.Entry, m.Missing, m.lostAt = e, false, 0
 	m.noteLeaving(now)
@@ -77,6 +114,30 @@
 	return old != *m
 }
 
+func (d *Directory) add(e Entry, now time.Duration) bool {
+	if left, found := d.gone[e.ID]; found && e.Revision <= left.revision {
+		return false
+	}
+	delete(d.gone, e.ID)
+	m := &Member{Entry: e, RoleRevision: e.Revision}
+	m.noteLeaving(now)
+	d.members[e.ID] = m
+	return true
+}
+
+// isOfEndedLife reports whether an entry was written by a life before the
+// present one. A write of an ended life may be carried out seconds late, and
+// would bring that life back until the next heartbeat. It comes once, so an
+// earlier start time that is written twice in a row is a member whose clock was
+// set back.
+func (m *Member) isOfEndedLife(e Entry) bool {
+	if e.StartedAt == 0 || e.StartedAt >= m.StartedAt || e.StartedAt == m.doubtful && e.Revision > m.Revision {
+		return false
+	}
+	m.doubtful, m.Revision = e.StartedAt, e.Revision
+	return true
+}
+
 func (m *Member) noteLeaving(now time.Duration) {
 	if m.Leaving && m.LeavingSince == 0 {
 		m.LeavingSince = max(now, 1)
@@ -94,14 +155,20 @@
 		return
 	}
 	if m.Leaving {
-		delete(d.members, id)
+		d.drop(id, revision, now)
 		return
 	}
+	m.Revision = revision
 	if !m.Missing {
 		m.Missing, m.lostAt = true, now
 	}
 }
 
+func (d *Directory) drop(id string, revision uint64, now time.Duration) {
+	delete(d.members, id)
+	d.gone[id] = departure{revision: revision, at: now}
+}
+
 // Replace takes a complete listing: entries that are not in it are lost.
 func (d *Directory) Replace(entries []Entry, revision uint64, now time.Duration) {
 	listed := make(map[string]bool, len(entries))
@@ -123,7 +190,12 @@
 	for id, m := range d.members {
 		if m.Missing && now-m.lostAt >= Grace {
 			gone = append(gone, *m)
-			delete(d.members, id)
+			d.drop(id, m.Revision, now)
+		}
+	}
+	for id, left := range d.gone {
+		if now-left.at >= rememberGone {
+			delete(d.gone, id)
 		}
 	}
 	return gone
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -89,26 +89,36 @@
 
 func (r *Registry) takeMember(id string, i store.Item, now time.Duration) {
 	if i.Deleted {
+		delete(r.unreadable, i.Key)
 		r.directory.Lose(id, i.Revision, now)
 		return
 	}
-	if e, ok := r.decodeEntry(i); ok {
-		r.directory.Put(e, now)
+	e, ok := r.decodeEntry(i)
+	if !ok {
+		// A member that is alive writes over it with its next heartbeat.
+		r.directory.Lose(id, i.Revision, now)
+		return
 	}
+	r.directory.Put(e, now)
 }
 
 // decodeEntry decodes a member's entry; it reports false for other keys and
-// for entries that cannot be read, which are logged.
+// for entries that cannot be read, which are logged once a change. It is called
+// with mu held.
 func (r *Registry) decodeEntry(i store.Item) (directory.Entry, bool) {
 	if _, ok := r.docs.MemberID(i.Key); !ok || i.Deleted {
 		return directory.Entry{}, false
 	}
 	e, err := r.docs.Entry(i)
-	if err != nil {
-		eventlog.EntryUnreadable.Warn(r.log).Err(err).Str("key", i.Key).Send()
-		return directory.Entry{}, false
+	if err == nil {
+		delete(r.unreadable, i.Key)
+		return e, true
+	}
+	if seen, found := r.unreadable[i.Key]; !found || seen < i.Revision {
+		r.unreadable[i.Key] = i.Revision
+		eventlog.EntryUnreadable.Warn(r.log).Err(err).Str("key", i.Key).Uint64("revision", i.Revision).Send()
 	}
-	return e, true
+	return directory.Entry{}, false
 }
 
 // takeItem takes a key that is not a member's. It is called with mu held.
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -113,10 +113,13 @@
 	// followers counts the hosts that follow this one.
 	followers int
 	// items are all keys as they were written, for hosts that are cut off.
-	items   map[string]store.Item
-	lease   store.Lease
-	recheck bool
-	leaving bool
+	items map[string]store.Item
+	// unreadable holds the revisions of the entries that could not be read, so
+	// that each is logged once.
+	unreadable map[string]uint64
+	lease      store.Lease
+	recheck    bool
+	leaving    bool
 }
 
 // New returns a registry for a host. ConfigBound is how soon a change of the
@@ -129,7 +132,7 @@
 	}
 	return &Registry{
 		store: s, docs: docs, self: self, wait: wait, followHost: followHost, changed: changed, log: log,
-		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{},
+		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{}, unreadable: map[string]uint64{},
 		relays: relay.New(self), direct: true, news: make(chan struct{}),
 	}
 }
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -236,15 +236,27 @@
 	Service  string `json:"service"`
 	Address  string `json:"address"`
 	Zone     string `json:"zone"`
+	Version  string `json:"version"`
 	Capacity int    `json:"capacity"`
 	State    string `json:"state"`
+	ColdLeft int    `json:"cold_left_ms"`
 	Role     string `json:"db_role"`
+	Sequence uint64 `json:"sequence"`
+	// Born is the Unix millisecond of the member's start.
+	Born int64 `json:"born"`
 }
 
+// softwareVersion is what the members' entries name.
+const softwareVersion = "v1"
+
 // announce writes the member's entry.
 func (m *Member) announce() {
 	m.group.mu.Lock()
-	body := entryBody{Service: m.group.service, Address: m.advertised, Zone: m.zone, Capacity: m.group.opts.Slots, State: "ready", Role: "replica"}
+	m.sequence++
+	body := entryBody{
+		Service: m.group.service, Address: m.advertised, Zone: m.zone, Version: softwareVersion, Capacity: m.group.opts.Slots,
+		State: "ready", Role: "replica", Sequence: m.sequence, Born: m.born,
+	}
 	if m.leaving {
 		body.State = "draining"
 	}
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -25,6 +25,10 @@
 	leaving bool
 	down    bool
 	term    uint64
+	// born is the Unix millisecond of the present start, and sequence counts the
+	// entries that were written since.
+	born     int64
+	sequence uint64
 	// held is the term of a pause in receiving; zero for none.
 	held     uint64
 	deaf     bool
@@ -62,6 +66,7 @@
 	}
 	m.group.mu.Lock()
 	m.listener, m.address, m.advertised, m.down = l, address, advertised, false
+	m.born, m.sequence = max(time.Now().UnixMilli(), m.born+1), 0
 	m.conns = map[*conn]bool{}
 	m.group.mu.Unlock()
 	go m.accept(l)
@@ -123,6 +128,28 @@
 	return nil
 }
 
+// RestartEmpty starts a crashed member under its id with nothing of what it
+// held. Leads tells that it takes itself for the primary all the same; replicas
+// then receive nothing until one of them is promoted.
+func (m *Member) RestartEmpty(leads bool) error {
+	m.restarts.Lock()
+	defer m.restarts.Unlock()
+	if !m.isDown() {
+		return nil
+	}
+	m.group.mu.Lock()
+	m.log, m.held, m.primary = nil, 0, leads
+	if leads {
+		m.group.source = nil
+	}
+	m.group.mu.Unlock()
+	if err := m.start(); err != nil {
+		return err
+	}
+	m.announce()
+	return nil
+}
+
 func (m *Member) isDown() bool {
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
