--- a/core/fresh/floors.go
+++ b/core/fresh/floors.go
@@ -23,10 +23,10 @@
 	keep = 10 * time.Second
 )
 
-// sample says that offset covers every commit acknowledged before sent.
+// sample says that a position covers every commit acknowledged before sent.
 type sample struct {
-	sent   time.Duration
-	offset logpos.Offset
+	sent     time.Duration
+	position logpos.Position
 }
 
 // Floors holds the samples of the newest term. Times are on a clock that also
@@ -39,22 +39,35 @@
 // Term returns the newest term that a primary has proved.
 func (f *Floors) Term() logpos.Term { return f.term }
 
-// Observe takes a position from an exchange, sent at the given time, that
-// proved the lead of the member that answered. A newer term drops the older
-// samples: a promotion may have rolled back what they cover, and a reader that
-// asked for it would wait for ever.
-func (f *Floors) Observe(p logpos.Position, sent time.Duration) {
-	if p.Term < f.term || p.IsZero() {
+// Observe takes a position of the term that its primary leads.
+func (f *Floors) Observe(p logpos.Position, sent time.Duration) { f.ObserveIn(p.Term, p, sent) }
+
+// ObserveIn takes a position from an exchange, sent at the given time, that
+// proved the lead of the member that answered in a term. A newer term drops the
+// older samples: a promotion may have rolled back what they cover, and a reader
+// that asked for it would wait for ever. Until the new primary has written, its
+// position is still one of an older term.
+func (f *Floors) ObserveIn(term logpos.Term, p logpos.Position, sent time.Duration) {
+	term = max(term, p.Term)
+	if term < f.term || p.IsZero() {
 		return
 	}
-	if p.Term > f.term {
-		f.term = p.Term
+	if term > f.term {
+		f.term = term
 		f.samples = f.samples[:0]
 	}
-	f.insert(sample{sent: sent, offset: p.Offset})
+	f.insert(sample{sent: sent, position: p})
+}
+
+// later returns the position that is further in the log.
+func later(a, b logpos.Position) logpos.Position {
+	if a.Less(b) {
+		return b
+	}
+	return a
 }
 
-// insert keeps samples in order of time with offsets that never fall. Answers
+// insert keeps samples in order of time with positions that never fall. Answers
 // may arrive out of order.
 func (f *Floors) insert(s sample) {
 	at, _ := slices.BinarySearchFunc(f.samples, s, func(a, b sample) int { return int(a.sent - b.sent) })
@@ -63,7 +76,7 @@
 	}
 	if at > 0 {
 		// A later send covers what an earlier one does.
-		s.offset = max(s.offset, f.samples[at-1].offset)
+		s.position = later(s.position, f.samples[at-1].position)
 	}
 	if at > 1 && at == len(f.samples) && s.sent-f.samples[at-2].sent < spacing {
 		f.samples[at-1] = s
@@ -71,7 +84,7 @@
 	}
 	f.samples = slices.Insert(f.samples, at, s)
 	for i := at + 1; i < len(f.samples); i++ {
-		f.samples[i].offset = max(f.samples[i].offset, s.offset)
+		f.samples[i].position = later(f.samples[i].position, s.position)
 	}
 	f.expire(f.samples[len(f.samples)-1].sent - keep)
 }
@@ -96,18 +109,19 @@
 		if s.sent < notBefore {
 			continue
 		}
-		return f.atLeast(s.offset, session), true
+		return f.atLeast(s.position, session), true
 	}
 	return logpos.Position{}, false
 }
 
-// atLeast raises an offset to the session's own. A position of an older term
-// needs nothing more: what survived of it is below every sample of this term.
-func (f *Floors) atLeast(offset logpos.Offset, session logpos.Position) logpos.Position {
+// atLeast raises a position to the session's own. A session's position of an
+// older term needs nothing more: what survived of it is below every sample of
+// this term.
+func (f *Floors) atLeast(p, session logpos.Position) logpos.Position {
 	if session.Term == f.term {
-		offset = max(offset, session.Offset)
+		return later(p, session)
 	}
-	return logpos.Position{Term: f.term, Offset: offset}
+	return p
 }
 
 // Newest returns the newest sample: a position and when its request was sent.
@@ -116,7 +130,7 @@
 		return logpos.Position{}, 0, false
 	}
 	s := f.samples[len(f.samples)-1]
-	return logpos.Position{Term: f.term, Offset: s.offset}, s.sent, true
+	return s.position, s.sent, true
 }
 
 // Distance returns how much later the primary's log reached a floor than it
@@ -130,26 +144,26 @@
 	if len(f.samples) == 0 || held.Term != f.term || floor.Term != f.term {
 		return 0, false
 	}
-	return f.reachedBy(floor.Offset) - f.heldAt(held.Offset), true
+	return f.reachedBy(floor) - f.heldAt(held), true
 }
 
-// reachedBy returns when the log was first known to reach an offset; one that
+// reachedBy returns when the log was first known to reach a position; one that
 // no sample reaches counts as reached at the newest.
-func (f *Floors) reachedBy(offset logpos.Offset) time.Duration {
+func (f *Floors) reachedBy(p logpos.Position) time.Duration {
 	for _, s := range f.samples {
-		if s.offset >= offset {
+		if !s.position.Less(p) {
 			return s.sent
 		}
 	}
 	return f.samples[len(f.samples)-1].sent
 }
 
-// heldAt returns when the log was last known to be no longer than an offset;
+// heldAt returns when the log was last known to go no further than a position;
 // one below all samples counts as held at the oldest.
-func (f *Floors) heldAt(offset logpos.Offset) time.Duration {
+func (f *Floors) heldAt(p logpos.Position) time.Duration {
 	at := f.samples[0].sent
 	for _, s := range f.samples {
-		if s.offset <= offset {
+		if !p.Less(s.position) {
 			at = s.sent
 		}
 	}
--- a/core/fresh/floors_test.go
+++ b/core/fresh/floors_test.go
@@ -124,3 +124,20 @@
 	_, known = f.Distance(pos(2, 500), pos(3, 120))
 	require.False(t, known, "a log of an older term may lack anything")
 }
+
+// TestNewPrimaryThatHasNotWrittenBoundsReads: its position is one of the older
+// term, and lower than what the earlier primary had reached.
+func TestNewPrimaryThatHasNotWrittenBoundsReads(t *testing.T) {
+	var f fresh.Floors
+	f.Observe(pos(1, 39), 10*second)
+	f.ObserveIn(2, pos(1, 38), 11*second)
+	p, found := f.Lookup(0, pos(1, 39))
+	require.True(t, found)
+	require.Equal(t, pos(1, 38), p, "what was rolled back is asked of nobody")
+	f.Observe(pos(1, 39), 12*second)
+	p, _ = f.Lookup(0, logpos.Position{})
+	require.Equal(t, pos(1, 38), p, "a late answer of the old primary changes nothing")
+	f.ObserveIn(2, pos(2, 39), 13*second)
+	p, _ = f.Lookup(12*second, pos(2, 40))
+	require.Equal(t, pos(2, 40), p)
+}
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -58,6 +58,9 @@
 	h.refusals, h.silences = 0, 0
 }
 
+// LastSuccess returns when the newest exchange that succeeded was sent.
+func (h *Health) LastSuccess() time.Duration { return h.lastSuccess }
+
 // Failing reports whether the newest exchange failed.
 func (h *Health) Failing() bool { return h.failing }
 
--- a/core/succession/belief.go
+++ b/core/succession/belief.go
@@ -27,6 +27,20 @@
 // Primary returns the member believed to be the primary, or the empty string.
 func (b *Belief) Primary() string { return b.id }
 
+// Proven returns the member that proved its lead in the newest term, or the empty
+// string.
+func (b *Belief) Proven() string { return b.proven }
+
+// LeadOf returns the term in which a member leads that has just shown a position
+// as a primary. A new primary shows a position of an older term until it has
+// written.
+func (b *Belief) LeadOf(id string, p logpos.Position) logpos.Term {
+	if b.proven == id {
+		return max(b.term, p.Term)
+	}
+	return p.Term
+}
+
 // Term returns the newest term that was proved.
 func (b *Belief) Term() logpos.Term { return b.term }
 
--- a/core/succession/lock.go
+++ b/core/succession/lock.go
@@ -4,48 +4,31 @@
 // revision is the fencing token of the host that holds it: each taking of the
 // lock gives a higher one, and the platform refuses calls with an older one.
 //
-// The lock stays with its holder between promotions, for as long as the host's
-// lease runs. So while the store is away, there is one host that has a token to
-// act with.
+// The holder leads the promotions of the service for as long as its lease runs.
+// So at a loss there is one host that has a token to act with already, whether
+// or not the store answers just then.
 type Lock struct {
 	// Holder is the host that holds the lock; empty while nobody does.
-	Holder string
-	// Acting tells that the holder leads a promotion.
-	Acting   bool
+	Holder   string
 	Revision uint64
 }
 
-// Free reports whether a host may take the lock to lead a promotion. It may
-// take its own lock anew at any time: the answer to an earlier attempt may have
-// been lost.
-func (l Lock) Free(host string) bool { return l.Holder == "" || l.Holder == host || !l.Acting }
-
-// Opinion is what another host says of a primary that this one has lost.
-type Opinion struct {
-	Host string
-	// Dead tells that it has lost that primary as well.
-	Dead bool
-	// StoreReached tells that it reaches the platform's store.
-	StoreReached bool
-}
-
-// MayActAlone reports whether a holder that does not reach the store may lead a
-// promotion with the token that it has: more than half of the voters have lost
-// the primary, and nobody who answered could take the lock from it. The
-// platform's fence is what makes it safe; this keeps two hosts from working
+// MayLead reports whether the holder of a lock may lead a promotion with the
+// token that it has. One that does not reach the store may have lost the lock
+// without hearing of it: the hosts that reach the store must still see it there.
+// The platform's fence is what makes it safe; this keeps two hosts from working
 // against each other.
-func MayActAlone(self string, lock Lock, opinions []Opinion, voters []string) bool {
+func MayLead(self string, lock Lock, storeReached bool, opinions []Opinion) bool {
 	if lock.Holder != self {
 		return false
 	}
-	suspecting := []string{self}
+	if storeReached {
+		return true
+	}
 	for _, o := range opinions {
-		if o.StoreReached {
+		if o.StoreReached && o.Lock != lock.Revision {
 			return false
 		}
-		if o.Dead {
-			suspecting = append(suspecting, o.Host)
-		}
 	}
-	return Lost(suspecting, voters)
+	return true
 }
--- a/core/succession/quorum.go
+++ b/core/succession/quorum.go
@@ -3,19 +3,10 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 )
 
-const (
-	// Stagger separates the hosts that could start the same promotion: longer
-	// than it takes the first one's lock to become known everywhere.
-	Stagger = 150 * time.Millisecond
-	// maxRank bounds the wait of the last host.
-	maxRank = 6
-)
-
 // MaxVoters is how many hosts judge a primary. It is the size of the small
 // fleets, where all do; in a large one every further voice costs a member a
 // connection and the store a write, and adds little: the voters are spread by
@@ -53,7 +44,3 @@
 	}
 	return 2*count > len(voters)
 }
-
-// Turn returns how long a host waits before it tries to lead a promotion. Rank
-// is its place among the hosts that could, from zero.
-func Turn(rank int) time.Duration { return Stagger * time.Duration(min(rank, maxRank)) }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -252,12 +252,13 @@
 	if s := h.Set(service); s != nil {
 		return s
 	}
+	var p *promoter.Promoter
 	s := replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Places: h.settings.Places,
-		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers,
+		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers, Suspected: func() { p.Wake() },
 		Remote: remote{h.gates, h.peers}, Owner: h.owner, Host: h.settings.Host, Log: h.log,
 	})
-	p := promoter.New(promoter.Config{
+	p = promoter.New(promoter.Config{
 		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion, Peers: h,
 		Spec:    func() catalog.Service { return h.registry.Catalog().Services[service] },
 		Observe: func(r promoter.Result) { h.metrics.promotion(service, r) }, Log: h.log,
--- a/node/entry/opinions.go
+++ b/node/entry/opinions.go
@@ -2,47 +2,58 @@
 
 import (
 	"context"
-	"sync"
 
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 )
 
-// opinion says what this host thinks of a primary that another one has lost.
+// opinion says what this host thinks of a primary that another one asks about.
 func (h *Host) opinion(q gossip.LostQuestion) *gossip.Opinion {
-	out := &gossip.Opinion{StoreReached: !h.registry.Away()}
-	if p := h.promoter(q.Service); p != nil {
-		out.Dead = p.Lost(h.ctx, q.Upstream)
+	p := h.promoter(q.Service)
+	if p == nil {
+		return &gossip.Opinion{}
 	}
-	return out
+	o := p.Opinion(h.ctx, q.Upstream)
+	return &gossip.Opinion{Dead: o.Dead, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}
 }
 
-// Opinions implements promoter.Peers.
-func (h *Host) Opinions(ctx context.Context, service, member string, hosts []string) []succession.Opinion {
-	addresses := map[string]string{}
-	for _, other := range h.registry.Fleet() {
-		addresses[other.Name] = other.Address
+// Opinion implements promoter.Peers.
+func (h *Host) Opinion(ctx context.Context, service, primary, host string) (succession.Opinion, bool) {
+	address, known := h.registry.AddressOf(host)
+	if !known {
+		return succession.Opinion{}, false
+	}
+	answer, err := h.peers.Probe(ctx, address, gossip.Message{AskLost: &gossip.LostQuestion{Service: service, Upstream: primary}})
+	if err != nil || answer.Opinion == nil {
+		// A host that does not answer has no voice; it is asked again.
+		h.log.Debug().Err(err).Str("peer", host).Msg("a peer gave no opinion")
+		return succession.Opinion{}, false
 	}
-	var mu sync.Mutex
-	var out []succession.Opinion
-	var wg sync.WaitGroup
-	for _, host := range hosts {
-		address, known := addresses[host]
-		if !known || host == h.settings.Host {
+	o := answer.Opinion
+	return succession.Opinion{Host: host, Dead: o.Dead, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}, true
+}
+
+// Announce implements promoter.Peers.
+func (h *Host) Announce(service, primary string, term logpos.Term) {
+	lead := &gossip.Lead{Service: service, Primary: primary, Term: term}
+	for _, other := range h.registry.Fleet() {
+		if other.Name == h.settings.Host {
 			continue
 		}
-		wg.Go(func() {
-			answer, err := h.peers.Probe(ctx, address, gossip.Message{AskLost: &gossip.LostQuestion{Service: service, Upstream: member}})
-			if err != nil || answer.Opinion == nil {
-				// A host that does not answer has no voice; it is asked again.
-				h.log.Debug().Err(err).Str("peer", host).Msg("a peer gave no opinion")
-				return
+		go func() {
+			ctx, cancel := context.WithTimeout(h.ctx, askTimeout)
+			defer cancel()
+			if _, err := h.peers.Probe(ctx, other.Address, gossip.Message{Lead: lead}); err != nil {
+				// The store, or the next floor, tells a host that this does not reach.
+				h.log.Debug().Err(err).Str("peer", other.Name).Msg("a promotion was not announced")
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			out = append(out, succession.Opinion{Host: host, Dead: answer.Opinion.Dead, StoreReached: answer.Opinion.StoreReached})
-		})
+		}()
 	}
-	wg.Wait()
-	return out
+}
+
+// leads reports whether this host leads a promotion of a service.
+func (h *Host) leads(service string) bool {
+	p := h.promoter(service)
+	return p != nil && p.Leading()
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -93,13 +93,18 @@
 	if q := m.AskLost; q != nil {
 		out.Opinion = h.opinion(*q)
 	}
+	if l := m.Lead; l != nil {
+		if s := h.Set(l.Service); s != nil {
+			s.TakeLead(replicaset.Lead{Primary: l.Primary, Term: l.Term})
+		}
+	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
 		if s == nil {
 			continue
 		}
 		if f, found := s.Floor(); found {
-			out.Floors = append(out.Floors, gossip.Floor{Service: service, Position: f.Position, Primary: f.Primary, Age: now - f.Sent})
+			out.Floors = append(out.Floors, gossip.Floor{Service: service, Position: f.Position, Primary: f.Lead.Primary, LeadTerm: f.Lead.Term, Age: now - f.Sent})
 		}
 	}
 	return out
@@ -131,7 +136,7 @@
 	}
 	for _, f := range answer.Floors {
 		if s := h.Set(f.Service); s != nil {
-			s.LearnFloor(replicaset.HeardFloor(f.Position, f.Primary, f.Age, asked))
+			s.LearnFloor(replicaset.HeardFloor(f.Position, replicaset.Lead{Primary: f.Primary, Term: f.LeadTerm}, f.Age, asked))
 		}
 	}
 }
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -52,7 +52,7 @@
 	lock := h.registry.LockOf(s.Service())
 	out := &inspectpb.Service{
 		Name: s.Service(), Primary: primary, Term: uint64(s.Term()),
-		Lock: &inspectpb.Lock{Holder: lock.Holder, Acting: lock.Acting, Token: lock.Revision},
+		Lock: &inspectpb.Lock{Holder: lock.Holder, Acting: h.leads(s.Service()), Token: lock.Revision},
 	}
 	if f, found := s.Floor(); found {
 		out.Floor = showPosition(f.Position)
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -41,7 +41,10 @@
 	OrderFailed          = Event{404, "group_order_failed"}
 	PrimaryReported      = Event{405, "primary_reported_dead"}
 	LockTaken            = Event{406, "promotion_lock_taken"}
-	LockUsedAlone        = Event{407, "promotion_lock_used_without_store"}
+	PrimaryBelievedDead  = Event{408, "primary_believed_dead"}
+	LossAgreed           = Event{409, "primary_loss_agreed"}
+	PromotionOrdered     = Event{410, "promotion_ordered"}
+	FirstWrite           = Event{411, "primary_first_write"}
 	HostStateChanged     = Event{501, "host_state_changed"}
 	PeerCallFailed       = Event{502, "peer_call_failed"}
 	HistoryLost          = Event{606, "platform_history_lost"}
@@ -64,7 +67,8 @@
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
 		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted,
-		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken, LockUsedAlone,
+		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken,
+		PrimaryBelievedDead, LossAgreed, PromotionOrdered, FirstWrite,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
 		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost,
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -33,6 +33,14 @@
 	AskLost *LostQuestion
 	// Opinion answers AskLost.
 	Opinion *Opinion
+	// Lead tells of a promotion that the sender has led; nil tells of none.
+	Lead *Lead
+}
+
+// Lead is which member leads a service, and in which term.
+type Lead struct {
+	Service, Primary string
+	Term             logpos.Term
 }
 
 // LostQuestion names a primary that the sender has lost.
@@ -43,6 +51,10 @@
 	Dead bool
 	// StoreReached tells that the host reaches the platform's store.
 	StoreReached bool
+	// Lock is the revision of the service's promotion lock that it knows.
+	Lock uint64
+	// Leading tells that it leads a promotion of the service, or is about to.
+	Leading bool
 }
 
 // Floor is a log position that covers every commit of a service acknowledged
@@ -50,9 +62,10 @@
 type Floor struct {
 	Service  string
 	Position logpos.Position
-	// Primary is the member that proved its lead in the position's term; empty
-	// where the sender does not know it.
-	Primary string
+	// Primary is the member that proved its lead in LeadTerm; empty where the
+	// sender does not know it.
+	Primary  string
+	LeadTerm logpos.Term
 	// Age is how long before the message was made that time was. The receiver
 	// counts it from when it asked, so that delays on the way only make the
 	// floor look older than it is.
@@ -84,7 +97,7 @@
 		Sequence: m.Sequence, Answer: m.Answer, Self: hostToProto(m.Self),
 		Rumours: hostsToProto(m.Rumours), ConfigVersion: m.ConfigVersion,
 		AskFloors: m.AskFloors, Floors: floorsToProto(m.Floors),
-		AskLost: questionToProto(m.AskLost), Opinion: opinionToProto(m.Opinion),
+		AskLost: questionToProto(m.AskLost), Opinion: opinionToProto(m.Opinion), Lead: leadToProto(m.Lead),
 	})
 	if err != nil {
 		return nil, err
@@ -120,11 +133,21 @@
 		m.AskLost = &LostQuestion{Service: q.GetService(), Upstream: q.GetUpstream()}
 	}
 	if o := p.GetOpinion(); o != nil {
-		m.Opinion = &Opinion{Dead: o.GetDead(), StoreReached: o.GetStoreReached()}
+		m.Opinion = &Opinion{Dead: o.GetDead(), StoreReached: o.GetStoreReached(), Lock: o.GetLock(), Leading: o.GetLeading()}
+	}
+	if l := p.GetLead(); l != nil {
+		m.Lead = &Lead{Service: l.GetService(), Primary: l.GetPrimary(), Term: logpos.Term(l.GetTerm())}
 	}
 	return m, nil
 }
 
+func leadToProto(l *Lead) *peerpb.Lead {
+	if l == nil {
+		return nil
+	}
+	return &peerpb.Lead{Service: l.Service, Primary: l.Primary, Term: uint64(l.Term)}
+}
+
 func questionToProto(q *LostQuestion) *peerpb.LostQuestion {
 	if q == nil {
 		return nil
@@ -136,7 +159,7 @@
 	if o == nil {
 		return nil
 	}
-	return &peerpb.Opinion{Dead: o.Dead, StoreReached: o.StoreReached}
+	return &peerpb.Opinion{Dead: o.Dead, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}
 }
 
 func floorsToProto(floors []Floor) []*peerpb.Floor {
@@ -144,7 +167,7 @@
 	for _, f := range floors {
 		out = append(out, &peerpb.Floor{
 			Service: f.Service, Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset),
-			AgeUs: uint64(max(f.Age, 0).Microseconds()), Primary: f.Primary,
+			AgeUs: uint64(max(f.Age, 0).Microseconds()), Primary: f.Primary, LeadTerm: uint64(f.LeadTerm),
 		})
 	}
 	return out
@@ -155,6 +178,7 @@
 		Service:  p.GetService(),
 		Position: logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())},
 		Primary:  p.GetPrimary(),
+		LeadTerm: logpos.Term(p.GetLeadTerm()),
 		// One more microsecond makes up for the rounding.
 		Age: time.Duration(p.GetAgeUs()+1) * time.Microsecond,
 	}
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -101,7 +101,7 @@
 	}
 	return &peerpb.Floor{
 		Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset),
-		AgeUs: uint64((now - f.Sent).Microseconds()), Primary: f.Primary,
+		AgeUs: uint64((now - f.Sent).Microseconds()), Primary: f.Lead.Primary, LeadTerm: uint64(f.Lead.Term),
 	}
 }
 
@@ -112,7 +112,8 @@
 		return replicaset.Floor{}
 	}
 	at := logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())}
-	return replicaset.HeardFloor(at, p.GetPrimary(), time.Duration(p.GetAgeUs())*time.Microsecond, asked)
+	lead := replicaset.Lead{Primary: p.GetPrimary(), Term: logpos.Term(p.GetLeadTerm())}
+	return replicaset.HeardFloor(at, lead, time.Duration(p.GetAgeUs())*time.Microsecond, asked)
 }
 
 // resultFromProto decodes the answer to a job that was sent at the given time.
--- a/node/peer/gate_convert_test.go
+++ b/node/peer/gate_convert_test.go
@@ -14,10 +14,10 @@
 // claims no more than it did where it was told.
 func TestFloorIsNotMadeYoungerOnItsWay(t *testing.T) {
 	const asked, told, arrived = 10 * time.Second, 11 * time.Second, 12 * time.Second
-	f := replicaset.Floor{Position: logpos.Position{Term: 3, Offset: 7}, Sent: told - 400*time.Millisecond, Primary: "m"}
+	f := replicaset.Floor{Position: logpos.Position{Term: 3, Offset: 7}, Sent: told - 400*time.Millisecond, Lead: replicaset.Lead{Primary: "m", Term: 4}}
 	got := floorFromProto(floorToProto(f, told), asked)
 	require.Equal(t, f.Position, got.Position)
-	require.Equal(t, f.Primary, got.Primary)
+	require.Equal(t, f.Lead, got.Lead)
 	require.LessOrEqual(t, got.Sent, f.Sent)
 	require.Less(t, got.Sent, arrived)
 }
--- /dev/null
+++ b/node/promoter/keep_store.go
@@ -0,0 +1,97 @@
+package promoter
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+const (
+	// reportAfter is how long a host has lost the primary before it says so in the
+	// store: the hosts that reach each other have agreed by then, and the store
+	// is spared a write a host.
+	reportAfter = 300 * time.Millisecond
+	// vacancyTime is how long a lock is seen without a holder before one takes it.
+	// Load pattern: a fleet starts; each of its hosts knows only itself at first,
+	// and would take the lock of every service.
+	vacancyTime = time.Second
+)
+
+// storeKeeper is what the loop that writes to the store keeps for itself. It runs
+// apart from the loop that acts, which must not wait for a store that is silent.
+type storeKeeper struct {
+	// reported is the primary that this host has reported as dead.
+	reported string
+	// vacantSince is since when this host is to take a lock that nobody holds.
+	vacantSince time.Duration
+}
+
+// keepStore keeps this host's word on the primary in the store up to date, and
+// sees that some host holds the lock.
+func (p *Promoter) keepStore(ctx context.Context) {
+	if p.registry.Away() {
+		return
+	}
+	now := clock.Now()
+	p.mu.Lock()
+	lost, since, quiet := p.lost, p.lostSince, now < p.quietUntil
+	p.mu.Unlock()
+	if lost != "" && (now-since < reportAfter || !p.speaks(lost)) {
+		lost = p.keeper.reported
+	}
+	if lost != p.keeper.reported {
+		p.report(ctx, lost)
+	}
+	lock := p.registry.LockOf(p.service)
+	if !quiet && !p.leading.Load() && p.vacancyIsMine(lock, now) {
+		if _, err := p.takeLock(ctx, lock); err != nil {
+			p.quiet(pauseAfterFailure)
+		}
+	}
+}
+
+// speaks reports whether this host's word on the primary is wanted: it votes, or
+// is the first to find the primary dead. The voters may have no traffic of their
+// own, and look once anyone has spoken.
+func (p *Promoter) speaks(lost string) bool {
+	return p.set.Votes() || len(p.registry.Suspecting(p.service, lost)) == 0
+}
+
+func (p *Promoter) report(ctx context.Context, lost string) {
+	if p.keeper.reported != "" {
+		if err := p.registry.Trust(ctx, p.service, p.keeper.reported); err != nil {
+			eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "take a report back").Send()
+			return
+		}
+		p.keeper.reported = ""
+	}
+	if lost == "" {
+		return
+	}
+	if err := p.registry.Suspect(ctx, p.service, lost); err != nil {
+		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "report a dead primary").Send()
+		return
+	}
+	eventlog.PrimaryReported.Info(p.log).Str("upstream", lost).Send()
+	p.keeper.reported = lost
+}
+
+// vacancyIsMine reports whether this host is to take a lock that nobody holds, or
+// its own, if that is left over from before this host started or its answer was
+// lost.
+func (p *Promoter) vacancyIsMine(lock succession.Lock, now time.Duration) bool {
+	p.mu.Lock()
+	stale := lock.Holder == p.host && lock.Revision != p.token
+	p.mu.Unlock()
+	if !stale && (lock.Holder != "" || p.rank("") > 0) {
+		p.keeper.vacantSince = 0
+		return false
+	}
+	if p.keeper.vacantSince == 0 {
+		p.keeper.vacantSince = now
+	}
+	return now-p.keeper.vacantSince >= vacancyTime
+}
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -1,16 +1,19 @@
 // Package promoter replaces primaries: those that enough hosts have lost, and
-// those that leave as planned. Every host runs it; a lock in the platform's
-// store decides which one acts, and the lock's revision fences its orders.
+// those that leave as planned. Every host runs it; the holder of the service's
+// lock in the platform's store leads, and the lock's revision fences its orders.
 package promoter
 
 import (
 	"context"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -30,27 +33,31 @@
 	Away() bool
 	LockOf(service string) succession.Lock
 	// TakeLock takes a lock that is still as known and returns its token.
-	TakeLock(ctx context.Context, service string, known succession.Lock, acting bool) (token uint64, err error)
+	TakeLock(ctx context.Context, service string, known succession.Lock) (token uint64, err error)
 	Suspect(ctx context.Context, service, member string) error
 	Trust(ctx context.Context, service, member string) error
 }
 
 // Peers is what a promoter asks other hosts directly.
 type Peers interface {
-	// Opinions asks hosts whether they have lost a primary. Hosts that do not
-	// answer in time are left out.
-	Opinions(ctx context.Context, service, member string, hosts []string) []succession.Opinion
+	// Opinion asks a host whether it has lost a primary. It reports false when
+	// the host does not answer in time.
+	Opinion(ctx context.Context, service, primary, host string) (succession.Opinion, bool)
+	// Announce tells all hosts who leads. It does not wait.
+	Announce(service, primary string, term logpos.Term)
 }
 
 const (
-	// interval is how often a group is looked at.
-	interval = 100 * time.Millisecond
+	// interval is how often a group is looked at, and doubtInterval how often
+	// while its primary is in doubt: callers wait meanwhile.
+	interval      = 100 * time.Millisecond
+	doubtInterval = 50 * time.Millisecond
 	// noMember stands for the primary of a group in which nobody leads.
 	noMember = "none"
 	// leaderlessFor is how long a group must be seen without any primary before
 	// that is reported: longer than a promotion that is under way takes to show.
 	leaderlessFor = 1500 * time.Millisecond
-	// attemptTime bounds one promotion, so that a lock is not held for ever.
+	// attemptTime bounds one promotion, so that a group is not held up for ever.
 	attemptTime = 5 * time.Second
 	// pauseAfterFailure spaces attempts.
 	pauseAfterFailure = 500 * time.Millisecond
@@ -68,20 +75,42 @@
 	observe  func(Result)
 	log      zerolog.Logger
 
-	// reported is the member that this host has reported as dead.
-	reported string
+	// wake has the group looked at now.
+	wake chan struct{}
+	// leading tells other hosts that this one leads a promotion, or is about to.
+	leading atomic.Bool
+
+	// The fields up to keeper belong to the loop of Run.
+
 	// leaderlessSince is when no primary was first seen; zero while there is.
 	leaderlessSince time.Duration
 	// readySince is when the present reason to act was first seen.
 	readySince time.Duration
-	quietUntil time.Duration
-	// vacantSince is since when this host is to take a lock that nobody holds.
-	vacantSince time.Duration
+	// verifiedAt is when a primary in doubt was last probed.
+	verifiedAt time.Duration
 	// fenced is the newest token that the platform has refused; it is not used
 	// again.
 	fenced uint64
-	// verifiedAt is when a reported primary was last probed.
-	verifiedAt time.Duration
+
+	// keeper belongs to the loop of keepStore.
+	keeper storeKeeper
+
+	// mu guards the fields below; it is a leaf.
+	mu sync.Mutex
+	// lost is the primary that this host has lost, since lostSince; empty while
+	// it has not.
+	lost      string
+	lostSince time.Duration
+	// askedUntil is until when another host's question keeps the primary in doubt.
+	askedUntil time.Duration
+	quietUntil time.Duration
+	// token is the newest that this host has taken since it started.
+	token    uint64
+	opinions succession.Opinions
+	// askedAt is when each host was last asked.
+	askedAt map[string]time.Duration
+	// leaderSeen is when the holder of the lock last said that it leads.
+	leaderSeen time.Duration
 }
 
 // Config is what a Promoter needs from its surroundings.
@@ -103,38 +132,60 @@
 	return &Promoter{
 		service: cfg.Service, host: cfg.Host, set: cfg.Set, registry: cfg.Registry, caller: cfg.Caller, peers: cfg.Peers,
 		spec: cfg.Spec, observe: cfg.Observe, log: cfg.Log.With().Str("service", cfg.Service).Logger(),
+		wake: make(chan struct{}, 1), askedAt: map[string]time.Duration{},
 	}
 }
 
 // Run looks after the group until the context ends.
 func (p *Promoter) Run(ctx context.Context) {
-	clock.Every(ctx, interval, func() { p.look(ctx) })
+	go clock.Every(ctx, interval, func() { p.keepStore(ctx) })
+	for ctx.Err() == nil {
+		timer := time.NewTimer(p.look(ctx))
+		select {
+		case <-timer.C:
+		case <-p.wake:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+// Leading reports whether this host leads a promotion, or is about to.
+func (p *Promoter) Leading() bool { return p.leading.Load() }
+
+// Wake has the group looked at now.
+func (p *Promoter) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
 }
 
-// look reports what this host sees and acts when it is its turn.
-func (p *Promoter) look(ctx context.Context) {
+// look acts when it is this host's turn. It returns when to look again.
+func (p *Promoter) look(ctx context.Context) time.Duration {
 	now := clock.Now()
-	p.corroborate()
+	p.corroborate(now)
 	failed := p.failedPrimary(now)
-	if failed == "" {
-		p.verify(ctx, now)
-	}
-	// A call to a store that does not answer would hold up all that follows.
-	away := p.registry.Away()
-	if failed != p.reported && !away && p.speaks(failed) {
-		p.report(ctx, failed)
+	p.noteLost(failed, now)
+	leaves := failed == "" && p.handoverDue()
+	doubted := failed != "" || p.doubted()
+	if !doubted && !leaves && !p.asked(now) {
+		p.leading.Store(false)
+		p.readySince = 0
+		return interval
 	}
+	p.verify(ctx, now)
+	p.askOthers(ctx, now, doubted, failed != "")
 	switch {
-	case failed != "" && away:
-		p.actAlone(ctx, now, failed)
-	case failed != "" && p.agreed(failed):
-		p.act(ctx, now, func(ctx context.Context, token uint64) error { return p.replace(ctx, failed, token) })
-	case failed == "" && p.handoverDue():
-		p.act(ctx, now, p.handOver)
+	case failed != "" && p.agreed(failed, now):
+		p.act(ctx, now, failed, func(ctx context.Context, token uint64) error { return p.replace(ctx, failed, token) })
+	case leaves:
+		p.act(ctx, now, "", p.handOver)
 	default:
+		p.leading.Store(false)
 		p.readySince = 0
-		p.keepLock(ctx, now)
 	}
+	return doubtInterval
 }
 
 // failedPrimary returns the member that this host takes for a dead primary,
@@ -161,110 +212,109 @@
 	return ""
 }
 
-// verifyInterval spaces the probes of a primary that other hosts report.
-const verifyInterval = 250 * time.Millisecond
+// noteLost keeps what other hosts and the store are told of.
+func (p *Promoter) noteLost(failed string, now time.Duration) {
+	life := p.life(failed)
+	p.mu.Lock()
+	changed := life != p.lost
+	if changed {
+		p.lost, p.lostSince = life, now
+	}
+	p.mu.Unlock()
+	if changed && life != "" {
+		eventlog.PrimaryBelievedDead.Info(p.log).Str("upstream", failed).Dur("alive_ms_ago", p.aliveAgo(failed, now)).Send()
+	}
+}
 
-// speaks reports whether this host's word on the primary is wanted: it votes,
-// takes a word back, or is the first to find the primary dead. The voters may
-// have no traffic of their own, and look once anyone has spoken.
-func (p *Promoter) speaks(failed string) bool {
-	return failed == "" || p.set.Votes() || len(p.registry.Suspecting(p.service, failed)) == 0
+// aliveAgo returns how long ago the newest thing that a member answered was
+// sent.
+func (p *Promoter) aliveAgo(id string, now time.Duration) time.Duration {
+	if m, known := p.set.Member(id); known {
+		return now - m.LastAlive()
+	}
+	return 0
 }
 
-// corroborate passes on what other hosts report of the primary.
-func (p *Promoter) corroborate() {
+// life names the present life of a member, so that what is said of an earlier
+// one does not count against it.
+func (p *Promoter) life(id string) string {
+	if m, known := p.set.Member(id); known {
+		return m.Life()
+	}
+	return id
+}
+
+// asked reports whether another host asks about the primary.
+func (p *Promoter) asked(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now < p.askedUntil
+}
+
+// doubted reports whether the primary may be lost: an exchange with it failed,
+// or another host has said so in the store.
+func (p *Promoter) doubted() bool {
 	id, found := p.set.Believed()
 	if !found {
-		return
-	}
-	if m, known := p.set.Member(id); known {
-		others := slices.DeleteFunc(p.registry.Suspecting(p.service, id), func(host string) bool { return host == p.host })
-		m.Corroborate(len(others) > 0)
+		return true
 	}
+	m, known := p.set.Member(id)
+	return !known || m.Failing() || len(p.registry.Suspecting(p.service, m.Life())) > 0
 }
 
-// verify probes a primary that other hosts report as dead. A host without
-// traffic would have no evidence of its own, and its voice would be missing.
-func (p *Promoter) verify(ctx context.Context, now time.Duration) {
+// corroborate passes on whether other hosts have lost the primary as well.
+func (p *Promoter) corroborate(now time.Duration) {
 	id, found := p.set.Believed()
-	if !found || now-p.verifiedAt < verifyInterval || len(p.registry.Suspecting(p.service, id)) == 0 || !p.set.Votes() {
+	if !found {
 		return
 	}
-	p.verifiedAt = now
-	if m, known := p.set.Member(id); known {
-		p.set.Check(ctx, m)
+	m, known := p.set.Member(id)
+	if !known {
+		return
 	}
+	others := slices.DeleteFunc(p.suspecting(m.Life(), now), func(host string) bool { return host == p.host })
+	m.Corroborate(len(others) > 0)
 }
 
-// report keeps this host's word on the primary in the store up to date.
-func (p *Promoter) report(ctx context.Context, failed string) {
-	if p.reported != "" {
-		if err := p.registry.Trust(ctx, p.service, p.reported); err != nil {
-			eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "take a report back").Send()
-			return
+// suspecting returns the hosts that have said, directly or in the store, that
+// they have lost a primary.
+func (p *Promoter) suspecting(life string, now time.Duration) []string {
+	p.mu.Lock()
+	told := succession.Suspecting(p.opinions.Of(life, now))
+	p.mu.Unlock()
+	for _, host := range p.registry.Suspecting(p.service, life) {
+		if !slices.Contains(told, host) {
+			told = append(told, host)
 		}
-		p.reported = ""
 	}
-	if failed == "" {
-		return
-	}
-	if err := p.registry.Suspect(ctx, p.service, failed); err != nil {
-		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "report a dead primary").Send()
-		return
-	}
-	eventlog.PrimaryReported.Info(p.log).Str("upstream", failed).Send()
-	p.reported = failed
+	return told
 }
 
 // agreed reports whether enough hosts have lost the primary.
-func (p *Promoter) agreed(failed string) bool {
-	suspecting := p.registry.Suspecting(p.service, failed)
+func (p *Promoter) agreed(failed string, now time.Duration) bool {
+	suspecting := p.suspecting(p.life(failed), now)
 	if !slices.Contains(suspecting, p.host) {
 		suspecting = append(suspecting, p.host)
 	}
-	return succession.Lost(suspecting, succession.Voters(p.service, p.registry.Hosts()))
+	return succession.Lost(suspecting, p.voters())
 }
 
-// act runs a promotion under the lock once it is this host's turn.
-func (p *Promoter) act(ctx context.Context, now time.Duration, promote func(context.Context, uint64) error) {
-	if p.readySince == 0 {
-		p.readySince = now
-	}
-	lock := p.registry.LockOf(p.service)
-	if !lock.Free(p.host) || now < p.quietUntil {
-		return
-	}
-	if now-p.readySince < succession.Turn(p.rank()) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTime)
-	defer cancel()
-	token, err := p.registry.TakeLock(ctx, p.service, lock, true)
-	if err != nil {
-		eventlog.OrderFailed.Info(p.log).Err(err).Str("order", "lock").Send()
-		p.quietUntil = clock.Now() + pauseAfterFailure
-		return
-	}
-	eventlog.LockTaken.Info(p.log).Uint64("token", token).Send()
-	p.lead(ctx, token, promote)
-	p.release()
+func (p *Promoter) voters() []string {
+	return succession.Voters(p.service, p.registry.Hosts())
 }
 
-// lead runs one promotion under a token.
-func (p *Promoter) lead(ctx context.Context, token uint64, promote func(context.Context, uint64) error) {
-	err := promote(ctx, token)
-	p.observe(resultOf(err))
-	if err != nil {
-		eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "promotion").Uint64("token", token).Send()
-		if refused(err) {
-			p.fenced = token
-		}
-	}
-	p.quietUntil = clock.Now() + pauseAfterFailure
-	p.readySince = 0
-}
+// verifyInterval spaces the probes of a primary in doubt.
+const verifyInterval = 100 * time.Millisecond
 
-// rank is this host's place in the order in which hosts try.
-func (p *Promoter) rank() int {
-	return max(slices.Index(succession.Order(p.service, p.registry.Hosts()), p.host), 0)
+// verify probes a primary that is in doubt. A host without traffic would have no
+// evidence of its own, and its voice would be missing.
+func (p *Promoter) verify(ctx context.Context, now time.Duration) {
+	id, found := p.set.Believed()
+	if !found || now-p.verifiedAt < verifyInterval || !p.set.Votes() {
+		return
+	}
+	p.verifiedAt = now
+	if m, known := p.set.Member(id); known {
+		p.set.Check(ctx, m)
+	}
 }
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -27,6 +27,9 @@
 	// members take 300 to 1000 ms.
 	showTime = 2500 * time.Millisecond
 	showPoll = 20 * time.Millisecond
+	// pollsPerProbe is how many looks there are for one probe of the member, which
+	// takes one of its slots for a moment.
+	pollsPerProbe = 3
 )
 
 // replace promotes the replica that has received most, in place of a primary
@@ -78,7 +81,7 @@
 		leading := map[string]bool{}
 		for _, r := range asked {
 			term = max(term, r.Status.Term)
-			if r.Status.Primary && !p.set.LostLog(r.Status.Received) {
+			if r.Status.Primary && !p.set.LostLog(r.ID, r.Status) {
 				return reports, errRecovered
 			}
 			leading[r.ID] = r.Status.Primary
@@ -143,24 +146,35 @@
 // promote orders a promotion and waits until the member leads.
 func (p *Promoter) promote(ctx context.Context, chosen succession.Report, token uint64) error {
 	began := clock.Now()
+	eventlog.PromotionOrdered.Info(p.log).Str("upstream", chosen.ID).Uint64("token", token).Stringer("received", chosen.Status.Received).Send()
 	if err := p.call(ctx, chosen.ID, token); err != nil {
 		return err
 	}
 	if err := p.awaitLead(ctx, chosen.ID); err != nil {
 		return err
 	}
+	p.peers.Announce(p.service, chosen.ID, p.set.Term())
 	eventlog.Promoted.Info(p.log).Str("upstream", chosen.ID).Uint64("token", token).
 		Stringer("received", chosen.Status.Received).Dur("took", clock.Now()-began).Send()
 	return nil
 }
 
+// awaitLead waits until a member that was promoted leads. The store's news tell,
+// and the member itself, which is asked because the store may be away.
 func (p *Promoter) awaitLead(ctx context.Context, id string) error {
-	until := clock.Now() + showTime
-	for clock.Now() < until && ctx.Err() == nil {
+	m, known := p.set.Member(id)
+	if !known {
+		return fmt.Errorf("%w: %s", errNotSeen, id)
+	}
+	began := clock.Now()
+	for tick := 0; clock.Now() < began+showTime && ctx.Err() == nil; tick++ {
 		if p.leads(id) {
 			return nil
 		}
-		time.Sleep(showPoll)
+		if tick%pollsPerProbe == 0 {
+			p.set.Check(ctx, m)
+		}
+		clock.Sleep(ctx, showPoll)
 	}
 	return fmt.Errorf("%w: %s", errNotSeen, id)
 }
--- a/node/registry/own_keys.go
+++ b/node/registry/own_keys.go
@@ -53,19 +53,8 @@
 	}
 }
 
-// actingMark follows the holder in a lock whose holder leads a promotion.
-const actingMark = " acting"
-
-func encodeLock(holder string, acting bool) []byte {
-	if acting {
-		holder += actingMark
-	}
-	return []byte(holder)
-}
-
 func decodeLock(i store.Item) succession.Lock {
-	holder, acting := strings.CutSuffix(string(i.Value), actingMark)
-	return succession.Lock{Holder: holder, Acting: acting, Revision: i.Revision}
+	return succession.Lock{Holder: string(i.Value), Revision: i.Revision}
 }
 
 // encodeHost writes what other hosts need to know of one.
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -127,7 +127,7 @@
 // provided that it is still as known. The revision of the lock is its fencing
 // token: it is higher than that of every lock before. After an error the lock
 // may be taken all the same; the store's news tell.
-func (r *Registry) TakeLock(ctx context.Context, service string, known succession.Lock, acting bool) (token uint64, err error) {
+func (r *Registry) TakeLock(ctx context.Context, service string, known succession.Lock) (token uint64, err error) {
 	lease := r.currentLease()
 	if lease == 0 {
 		return 0, errNotRegistered
@@ -135,7 +135,7 @@
 	key := lockKey(service)
 	token, err = r.store.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: key, Revision: known.Revision}},
-		Writes:     []store.Write{{Key: key, Value: encodeLock(r.self.Name, acting), Lease: lease}},
+		Writes:     []store.Write{{Key: key, Value: []byte(r.self.Name), Lease: lease}},
 	})
 	if err != nil {
 		return 0, err
@@ -143,7 +143,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.own.locks[service].Revision < token {
-		r.own.locks[service] = succession.Lock{Holder: r.self.Name, Acting: acting, Revision: token}
+		r.own.locks[service] = succession.Lock{Holder: r.self.Name, Revision: token}
 	}
 	return token, nil
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -245,6 +245,14 @@
 	return r.own.fleet()
 }
 
+// AddressOf returns where a registered host takes datagrams and calls.
+func (r *Registry) AddressOf(host string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, found := r.own.hosts[host]
+	return h.Address, found
+}
+
 // Suspecting returns the hosts that report a member as dead.
 func (r *Registry) Suspecting(service, member string) []string {
 	r.mu.Lock()
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -118,7 +118,7 @@
 		c.member.release(c)
 		return Result{Answer: a, Err: err}
 	}
-	if s.forgot(a.Position, sent) {
+	if s.forgot(c.member, a.Position, sent) {
 		go s.undo(c)
 		return lostLog()
 	}
@@ -141,7 +141,16 @@
 	if err != nil {
 		return Result{Err: err, Handed: x.handed}
 	}
-	return s.proven(c, x)
+	return s.written(c, x)
+}
+
+// written turns the answer to a write, or to a commit of writes, into a result.
+func (s *Set) written(c *Conn, x exchange) Result {
+	res := s.proven(c, x)
+	if res.Proof {
+		s.noteWrite(c.member, x.answer.Position)
+	}
+	return res
 }
 
 // proven turns an answer that only a primary gives into a result, and learns
@@ -171,7 +180,7 @@
 		c.member.release(c)
 		return Result{Answer: a, Err: err}
 	}
-	if j.Plain && s.forgot(a.Position, sent) {
+	if j.Plain && s.forgot(c.member, a.Position, sent) {
 		go s.undo(c)
 		return lostLog()
 	}
@@ -231,8 +240,11 @@
 		return Result{Err: err, Handed: x.handed}
 	}
 	res := Result{Answer: x.answer, Handed: x.handed}
-	if tx.plain && (j.Kind == JobStatement || j.Wrote) {
+	switch {
+	case tx.plain && j.Kind == JobStatement:
 		res = s.proven(tx.conn, x)
+	case tx.plain && j.Wrote:
+		res = s.written(tx.conn, x)
 	}
 	if j.Kind == JobCommit || x.answer.State != statement.Open {
 		s.endTx(tx)
--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -21,19 +21,25 @@
 }
 
 // Floor is a position that covers every commit that was acknowledged before
-// the time Sent, and the member that proved its lead with it; Primary is empty
-// where that is not known.
+// the time Sent, and the member that proved its lead with it.
 type Floor struct {
 	Position logpos.Position
 	Sent     time.Duration
-	Primary  string
+	Lead     Lead
+}
+
+// Lead is which member leads a group, and in which term. Primary is empty where
+// that is not known.
+type Lead struct {
+	Primary string
+	Term    logpos.Term
 }
 
 // HeardFloor returns a floor that another host has told the age of, in answer to
 // something asked at the given time. The age was told after that, so the time
 // that results is not too late, however long the answer took.
-func HeardFloor(p logpos.Position, primary string, age, asked time.Duration) Floor {
-	return Floor{Position: p, Sent: asked - age, Primary: primary}
+func HeardFloor(p logpos.Position, lead Lead, age, asked time.Duration) Floor {
+	return Floor{Position: p, Sent: asked - age, Lead: lead}
 }
 
 // Floor returns the newest floor, for a host that asks.
@@ -41,9 +47,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, sent, found := s.floors.Newest()
-	f := Floor{Position: p, Sent: sent}
-	if s.belief.Term() == p.Term {
-		f.Primary = s.belief.Primary()
+	f := Floor{Position: p, Sent: sent, Lead: Lead{Term: s.floors.Term()}}
+	if s.belief.Term() == f.Lead.Term {
+		f.Lead.Primary = s.belief.Proven()
 	}
 	return f, found
 }
@@ -53,17 +59,31 @@
 func (s *Set) LearnFloor(f Floor) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.floors.Observe(f.Position, f.Sent)
-	s.reached.Heard(f.Position, clock.Now())
-	before := s.belief.Primary()
-	if _, known := s.members[f.Primary]; known {
-		s.belief.Told(f.Primary, f.Position.Term)
-		s.notePrimary(before, "peer")
+	s.floors.ObserveIn(f.Lead.Term, f.Position, f.Sent)
+	if f.Lead.Primary != "" {
+		s.reached.Heard(f.Lead.Primary, f.Lead.Term, f.Position, clock.Now())
 	}
+	s.told(f.Lead)
 	close(s.learned)
 	s.learned = make(chan struct{})
 }
 
+// TakeLead takes another host's word on who leads.
+func (s *Set) TakeLead(l Lead) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told(l)
+}
+
+// told takes another host's word on who leads. It is called with mu held.
+func (s *Set) told(l Lead) {
+	before := s.belief.Primary()
+	if _, known := s.members[l.Primary]; known {
+		s.belief.Told(l.Primary, l.Term)
+		s.notePrimary(before, "peer")
+	}
+}
+
 // hear takes a floor that came with an answer of another host, unless one that
 // is as new is known. Load pattern: a primary has no room, so a host's own
 // statements tell it nothing of the log, and without a floor all of its reads
@@ -73,9 +93,10 @@
 		return
 	}
 	s.mu.Lock()
-	known, sent, found := s.floors.Newest()
+	_, sent, found := s.floors.Newest()
+	term := s.floors.Term()
 	s.mu.Unlock()
-	if found && f.Position.Term <= known.Term && f.Sent < sent+hearSpacing {
+	if found && f.Lead.Term <= term && f.Sent < sent+hearSpacing {
 		return
 	}
 	s.LearnFloor(f)
--- a/node/replicaset/floors_test.go
+++ b/node/replicaset/floors_test.go
@@ -16,8 +16,8 @@
 	s := distantSet(&fullRemote{})
 	now := clock.Now()
 	old, young := logpos.Position{Term: 2, Offset: 10}, logpos.Position{Term: 2, Offset: 20}
-	s.LearnFloor(Floor{Position: old, Sent: now - 1600*time.Millisecond, Primary: "m"})
-	s.LearnFloor(Floor{Position: young, Sent: now - 200*time.Millisecond, Primary: "m"})
+	s.LearnFloor(Floor{Position: old, Sent: now - 1600*time.Millisecond, Lead: Lead{Primary: "m", Term: 2}})
+	s.LearnFloor(Floor{Position: young, Sent: now - 200*time.Millisecond, Lead: Lead{Primary: "m", Term: 2}})
 	w := boundedRead(time.Second)
 	w.Route.MaxStaleness = 1500 * time.Millisecond
 	w.Received = now - 300*time.Millisecond
--- a/node/replicaset/lag_test.go
+++ b/node/replicaset/lag_test.go
@@ -38,7 +38,7 @@
 		r.onPrimary++
 		res := Result{Err: &RefusedError{Reason: "too many statements wait for the member", RetryAfter: time.Second}}
 		if r.tells {
-			res.Floor = Floor{Position: r.position(clock.Now()), Sent: clock.Now(), Primary: "primary"}
+			res.Floor = Floor{Position: r.position(clock.Now()), Sent: clock.Now(), Lead: Lead{Primary: "primary", Term: 1}}
 		}
 		return res
 	}
@@ -62,7 +62,7 @@
 	}
 	s.Update([]directory.Member{entry("primary"), entry("replica")}, catalog.Service{MaxConnections: 16}, hosts)
 	for at := r.began - 900*time.Millisecond; at <= r.began; at += 20 * time.Millisecond {
-		s.LearnFloor(Floor{Position: r.position(at), Sent: at, Primary: "primary"})
+		s.LearnFloor(Floor{Position: r.position(at), Sent: at, Lead: Lead{Primary: "primary", Term: 1}})
 	}
 	return s
 }
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -95,6 +95,7 @@
 	if now && !was {
 		eventlog.UpstreamSuspected.Warn(m.log).Bool("silent", silent).Send()
 		m.set.wake()
+		m.set.suspected()
 	}
 }
 
@@ -149,6 +150,13 @@
 	return m.health.Dead(now, m.corroborated) || now < max(m.deadUntil, m.absentUntil)
 }
 
+// LastAlive returns when the newest thing that the member answered was sent.
+func (m *Member) LastAlive() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.health.LastSuccess()
+}
+
 // Failing reports whether the newest exchange with the member failed.
 func (m *Member) Failing() bool {
 	m.mu.Lock()
--- a/node/replicaset/overload_test.go
+++ b/node/replicaset/overload_test.go
@@ -43,7 +43,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := &fullRemote{}
 			s := distantSet(f)
-			s.LearnFloor(Floor{Position: logpos.Position{Term: 2, Offset: 1}, Sent: clock.Now(), Primary: "m"})
+			s.LearnFloor(Floor{Position: logpos.Position{Term: 2, Offset: 1}, Sent: clock.Now(), Lead: Lead{Primary: "m", Term: 2}})
 			w := boundedRead(time.Minute)
 			w.Route.Consistency = catalog.Primary
 			out := c.run(s, w)
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -6,6 +6,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -40,31 +41,60 @@
 func (s *Set) proved(m *Member, p logpos.Position, sent time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.provedIn(m, s.belief.LeadOf(m.id, p), p, sent)
+}
+
+// provedIn notes that a member has proved its lead in a term. It is called with
+// mu held.
+func (s *Set) provedIn(m *Member, term logpos.Term, p logpos.Position, sent time.Duration) {
 	before := s.belief.Primary()
-	if s.reached.Forgotten(p, sent) {
+	if s.reached.Forgotten(m.id, term, p, sent) {
 		s.belief.Denied(m.id)
 		s.notePrimary(before, "lost its log")
 		return
 	}
-	s.reached.Heard(p, clock.Now())
-	s.floors.Observe(p, sent)
+	s.reached.Heard(m.id, term, p, clock.Now())
+	s.floors.ObserveIn(term, p, sent)
 	if _, known := s.members[m.id]; known {
-		s.belief.Proved(m.id, p.Term)
+		s.belief.Proved(m.id, term)
 	}
 	s.notePrimary(before, "proof")
 }
 
+// saysToLead notes a status in which a member calls itself the primary of its
+// term.
+func (s *Set) saysToLead(m *Member, st statement.Status, p logpos.Position, sent time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.provedIn(m, st.Term, p, sent)
+}
+
+// noteWrite logs the first write that was acknowledged in a term.
+func (s *Set) noteWrite(m *Member, p logpos.Position) {
+	s.mu.Lock()
+	first := p.Term > s.wroteIn
+	s.wroteIn = max(s.wroteIn, p.Term)
+	s.mu.Unlock()
+	if first {
+		eventlog.FirstWrite.Info(s.log).Str("upstream", m.id).Stringer("position", p).Send()
+	}
+}
+
 // forgot reports whether a position, in answer to something sent at the given
-// time, shows that a member has lost a part of its log.
-func (s *Set) forgot(p logpos.Position, sent time.Duration) bool {
+// time, shows that a primary has lost a part of its log.
+func (s *Set) forgot(m *Member, p logpos.Position, sent time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reached.Forgotten(p, sent)
+	return s.reached.Forgotten(m.id, s.belief.LeadOf(m.id, p), p, sent)
 }
 
-// LostLog reports whether what a member has received, as it says now, is less
-// than it is known to have had as the primary of that term.
-func (s *Set) LostLog(p logpos.Position) bool { return s.forgot(p, clock.Now()) }
+// LostLog reports whether what a member says of itself as a primary shows that it
+// has less of its log than it had.
+func (s *Set) LostLog(id string, st statement.Status) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reached.Forgotten(id, st.Term, st.Received, clock.Now())
+}
 
 // Primary returns the member believed to be the primary, if it may be used: it
 // is not past its leave, and this host has not found it dead.
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -116,8 +116,8 @@
 	if err != nil {
 		return st, err
 	}
-	if st.Primary && a.Position.Term == st.Term {
-		s.proved(m, a.Position, sent)
+	if st.Primary {
+		s.saysToLead(m, st, a.Position, sent)
 	}
 	return st, nil
 }
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -11,6 +11,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/fresh"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -66,6 +67,9 @@
 	// AskPeers asks other hosts for a floor; it does not wait. Answers come
 	// through LearnFloor.
 	AskPeers func(service string)
+	// Suspected is called, without a lock, when an exchange with a member fails
+	// after others succeeded; nil for nobody.
+	Suspected func()
 	// Remote runs jobs on other hosts; nil keeps all of them here.
 	Remote Remote
 	// Owner names this host and its incarnation in transactions that it opens
@@ -85,6 +89,7 @@
 	places  Places
 	drain   time.Duration
 	ask     func(service string)
+	suspect func()
 	remote  Remote
 	owner   string
 	host    string
@@ -104,6 +109,8 @@
 	// reached is how far the newest primary's log is known to go.
 	reached succession.HighWater
 	floors  fresh.Floors
+	// wroteIn is the newest term in which a write was acknowledged here.
+	wroteIn logpos.Term
 	// changed is closed and replaced when the primary may have changed.
 	changed chan struct{}
 	// learned is closed and replaced when a peer has told a floor.
@@ -119,7 +126,7 @@
 func New(cfg Config) *Set {
 	return &Set{
 		service: cfg.Service, dial: cfg.Dial, proto: cfg.Proto, places: cfg.Places, drain: cfg.DrainBound,
-		ask: cfg.AskPeers, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, learned: make(chan struct{}),
+		ask: cfg.AskPeers, suspect: cfg.Suspected, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, learned: make(chan struct{}),
 		log:       cfg.Log.With().Str("service", cfg.Service).Logger(),
 		attention: make(chan struct{}, 1), members: map[string]*Member{}, changed: make(chan struct{}),
 	}
@@ -194,6 +201,13 @@
 	return s.votes
 }
 
+// suspected tells that a member may be lost.
+func (s *Set) suspected() {
+	if s.suspect != nil {
+		s.suspect()
+	}
+}
+
 // wake has the prober look now.
 func (s *Set) wake() {
 	select {
--- a/node/replicaset/watch_gate_test.go
+++ b/node/replicaset/watch_gate_test.go
@@ -111,7 +111,7 @@
 func TestWriteWaitsForItsGate(t *testing.T) {
 	r := &fakeRemote{}
 	s := distantSet(r)
-	s.LearnFloor(Floor{Position: logpos.Position{Term: 2, Offset: 1}, Sent: clock.Now(), Primary: "m"})
+	s.LearnFloor(Floor{Position: logpos.Position{Term: 2, Offset: 1}, Sent: clock.Now(), Lead: Lead{Primary: "m", Term: 2}})
 	out := s.Write(context.Background(), boundedRead(time.Second))
 	require.Equal(t, statement.InDoubt, out.Answer.Code)
 	require.Len(t, r.calls, 1)
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -205,12 +205,14 @@
 	return m.position()
 }
 
+// position is the place of the newest entry: of an older term, on a new primary
+// that has not written yet.
 func (m *Member) position() string {
 	if len(m.log) == 0 {
 		return Place{Term: m.term}.String()
 	}
 	last := m.log[len(m.log)-1]
-	return Place{Term: max(m.term, last.term), Number: last.number}.String()
+	return Place{Term: last.term, Number: last.number}.String()
 }
 
 // receive copies from the primary what is older than the lag. It is called
--- a/standin/lineplatform/store.go
+++ b/standin/lineplatform/store.go
@@ -118,6 +118,15 @@
 	}
 }
 
+// Get returns a key's value and the revision of its last change; zero for a key
+// that does not exist.
+func (s *Store) Get(key string) ([]byte, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.items[key]
+	return i.Value, i.Revision
+}
+
 // Keys returns the keys with a prefix.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
