Ask a store that is silent once more while a host knows nothing yet

Ruled out: shorter calls (a store that takes a quarter of a second would never answer in time); asking peers (they know nothing either).

Change: a host without a configuration lists again every 0.3 s beside the calls that are outstanding, five at most, and takes the first answer.

Tests: node/registry/first_listing_test.go; the first failed before (one call, outstanding until the end of the test).

--- a/node/registry/entries_test.go
+++ b/node/registry/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"testing"
 
@@ -25,7 +26,9 @@
 // testRegistry returns a registry without a store, and what it logs.
 func testRegistry() (*Registry, *bytes.Buffer) {
 	var log bytes.Buffer
-	return New(nil, platform.Documents{}, gates.Host{Name: "self"}, 0, nil, func() {}, zerolog.New(&log)), &log
+	// What is lost is looked for again later, after the test.
+	away := &wakingStore{fails: errors.New("unavailable")}
+	return New(away, platform.Documents{}, gates.Host{Name: "self"}, 0, nil, func() {}, zerolog.New(&log)), &log
 }
 
 func listing(revision uint64, items ...store.Item) store.Listing {
--- /dev/null
+++ b/node/registry/first_listing_test.go
@@ -0,0 +1,67 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/platform"
+)
+
+// wakingStore answers nothing that was asked before it woke.
+type wakingStore struct {
+	Store
+	wakes time.Time
+	calls atomic.Int32
+	fails error
+}
+
+func (s *wakingStore) Range(ctx context.Context, _ string) (store.Listing, error) {
+	s.calls.Add(1)
+	if s.fails != nil {
+		return store.Listing{}, s.fails
+	}
+	if time.Now().Before(s.wakes) {
+		<-ctx.Done()
+		return store.Listing{}, ctx.Err()
+	}
+	return store.Listing{Revision: 7}, nil
+}
+
+func startingRegistry(s Store) *Registry {
+	return New(s, platform.Documents{}, gates.Host{Name: "self"}, 0, nil, func() {}, zerolog.Nop())
+}
+
+// TestHostThatStartsBesideASilentStoreIsThereSoonAfterIt: a call that was made
+// while the store was silent is never answered.
+func TestHostThatStartsBesideASilentStoreIsThereSoonAfterIt(t *testing.T) {
+	s := &wakingStore{wakes: time.Now().Add(400 * time.Millisecond)}
+	r := startingRegistry(s)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, r.follow(ctx))
+	require.Equal(t, int32(3), s.calls.Load())
+}
+
+// TestSilentStoreIsNotAskedWithoutEnd: calls that are outstanding are few.
+func TestSilentStoreIsNotAskedWithoutEnd(t *testing.T) {
+	s := &wakingStore{wakes: time.Now().Add(time.Hour)}
+	ctx, cancel := context.WithTimeout(t.Context(), (maxHedged+3)*hedgeAfter)
+	defer cancel()
+	require.Error(t, startingRegistry(s).follow(ctx))
+	require.Equal(t, int32(maxHedged), s.calls.Load())
+}
+
+// TestFailureOfTheFirstListingIsPassedOn: the caller spaces the next one.
+func TestFailureOfTheFirstListingIsPassedOn(t *testing.T) {
+	s := &wakingStore{fails: errors.New("unavailable")}
+	require.ErrorIs(t, startingRegistry(s).follow(t.Context()), s.fails)
+	require.Equal(t, int32(1), s.calls.Load())
+}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -181,10 +181,14 @@
 // follow makes one call: a listing, or a watch from the last one.
 func (r *Registry) follow(ctx context.Context) error {
 	r.mu.Lock()
-	after, listed := r.revision, r.listed
+	after, listed, first := r.revision, r.listed, r.catalog == nil
 	r.mu.Unlock()
 	if !listed {
-		l, err := r.store.Range(ctx, "")
+		list := r.listAll
+		if first {
+			list = r.listFirst
+		}
+		l, err := list(ctx)
 		if err != nil {
 			return err
 		}
@@ -203,6 +207,10 @@
 	return nil
 }
 
+func (r *Registry) listAll(ctx context.Context) (store.Listing, error) {
+	return r.store.Range(ctx, "")
+}
+
 // forgetRevision has everything listed again.
 func (r *Registry) forgetRevision() {
 	r.mu.Lock()
