Send statements for a primary around a cut through hosts that reach it

Cause: a primary that too few hosts have lost is not replaced, and the callers of those hosts were refused until the cut healed. A host that keeps no connection to it took its gates' word, even while it reached the member itself.

Ruled out: replacing it sooner (the other hosts' acknowledged writes would be rolled back).

Change: an opinion also says whether the primary has answered that host lately; a host that has lost it sends its statements to such hosts, and one that reaches it while its gates do not uses its own few connections. What waits for connections to a primary that is superseded is sent to the next one.

Tests: node/entry/detour_test.go failed before.

--- a/core/succession/opinion.go
+++ b/core/succession/opinion.go
@@ -1,12 +1,17 @@
 package succession
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Opinion is what another host says of a primary that this one has lost.
 type Opinion struct {
 	Host string
 	// Dead tells that it has lost that primary as well.
 	Dead bool
+	// Reaches tells that the primary has answered it lately.
+	Reaches bool
 	// StoreReached tells that it reaches the platform's store.
 	StoreReached bool
 	// Lock is the revision of the service's promotion lock that it knows; zero
@@ -58,6 +63,18 @@
 	return out
 }
 
+// Reaching returns the hosts that the primary answers.
+func Reaching(opinions []Opinion) []string {
+	var out []string
+	for _, o := range opinions {
+		if o.Reaches && !o.Dead {
+			out = append(out, o.Host)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Suspecting returns the hosts that have lost the primary.
 func Suspecting(opinions []Opinion) []string {
 	var out []string
--- /dev/null
+++ b/node/entry/detour_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/node/entry"
+)
+
+// cutDial refuses connections to one address.
+type cutDial struct{ address atomic.Pointer[string] }
+
+func (c *cutDial) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if cut := c.address.Load(); cut != nil && *cut == address {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
+	return entry.Dial(ctx, network, address)
+}
+
+// TestHostThatDoesNotReachThePrimaryWritesThroughAnother: one host of three is cut
+// off from the primary. That is too few to replace it, and its callers are served
+// all the same.
+func TestHostThatDoesNotReachThePrimaryWritesThroughAnother(t *testing.T) {
+	d := deploy(t, 2, options())
+	var cut cutDial
+	address := d.group.Primary().Advertised()
+	cut.address.Store(&address)
+	d.dial = cut.dial
+	d.addHost()
+	for _, h := range d.hosts {
+		require.Eventually(t, func() bool { return h.Known() == 3 }, eventually, poll)
+	}
+	d.awaitLock()
+	primary := d.group.Primary()
+	for _, database := range []string{"strict", "own", "bounded"} {
+		c := d.connect(2, database)
+		if database != "bounded" {
+			c.eventuallyWrites("item")
+		}
+		for range 10 {
+			res := c.do("FETCH item")
+			if database != "bounded" {
+				require.Empty(t, res.code, res.detail)
+			}
+		}
+	}
+	c := d.connect(2, "strict")
+	for range 20 {
+		c.must("STORE item y")
+		c.must("BEGIN")
+		require.Equal(t, []string{"y"}, c.must("FETCH item").rows)
+		w := c.must("STORE item z")
+		c.must("COMMIT")
+		require.Equal(t, 1, d.group.Committed(w.id))
+	}
+	require.Equal(t, primary.ID, d.group.Primary().ID, "the others reach it")
+}
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -38,6 +38,8 @@
 	// proxies are the ways to the store of hosts that have one of their own, by
 	// the number of the host.
 	proxies map[int]*faultproxy.Proxy
+	// dial is what hosts that are started next connect with.
+	dial replicaset.DialFunc
 }
 
 func options() lineplatform.Options {
@@ -65,7 +67,7 @@
 	g, err := p.AddGroup("svc", o)
 	require.NoError(t, err)
 	p.Configure(routes(timeout), timeout)
-	d := &deployment{t: t, platform: p, group: g}
+	d := &deployment{t: t, platform: p, group: g, dial: entry.Dial}
 	for range hosts {
 		d.addHost()
 	}
@@ -132,7 +134,7 @@
 		MaxSessions: 1000, Workers: 256, Grace: 2 * time.Second, DrainBound: 7 * time.Second,
 	}
 	a := onplatform.Adapter(name, store, d.platform.Address(), time.Second)
-	h, err := entry.Start(s, a, entry.Dial, zerolog.New(d.logs()))
+	h, err := entry.Start(s, a, d.dial, zerolog.New(d.logs()))
 	require.NoError(d.t, err)
 	d.t.Cleanup(h.Kill)
 	d.hosts = append(d.hosts, h)
--- a/node/entry/opinions.go
+++ b/node/entry/opinions.go
@@ -15,9 +15,12 @@
 		return &gossip.Opinion{}
 	}
 	o := p.Opinion(h.ctx, q.Upstream)
-	return &gossip.Opinion{Dead: o.Dead, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}
+	return &gossip.Opinion{Dead: o.Dead, Reaches: o.Reaches, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}
 }
 
+// AddressOf implements promoter.Peers.
+func (h *Host) AddressOf(host string) (string, bool) { return h.registry.AddressOf(host) }
+
 // Opinion implements promoter.Peers.
 func (h *Host) Opinion(ctx context.Context, service, primary, host string) (succession.Opinion, bool) {
 	address, known := h.registry.AddressOf(host)
@@ -31,7 +34,7 @@
 		return succession.Opinion{}, false
 	}
 	o := answer.Opinion
-	return succession.Opinion{Host: host, Dead: o.Dead, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}, true
+	return succession.Opinion{Host: host, Dead: o.Dead, Reaches: o.Reaches, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}, true
 }
 
 // Announce implements promoter.Peers.
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -49,6 +49,8 @@
 // Opinion is what a host says of a primary that another one has lost.
 type Opinion struct {
 	Dead bool
+	// Reaches tells that the primary has answered the host lately.
+	Reaches bool
 	// StoreReached tells that the host reaches the platform's store.
 	StoreReached bool
 	// Lock is the revision of the service's promotion lock that it knows.
@@ -133,7 +135,7 @@
 		m.AskLost = &LostQuestion{Service: q.GetService(), Upstream: q.GetUpstream()}
 	}
 	if o := p.GetOpinion(); o != nil {
-		m.Opinion = &Opinion{Dead: o.GetDead(), StoreReached: o.GetStoreReached(), Lock: o.GetLock(), Leading: o.GetLeading()}
+		m.Opinion = &Opinion{Dead: o.GetDead(), Reaches: o.GetReaches(), StoreReached: o.GetStoreReached(), Lock: o.GetLock(), Leading: o.GetLeading()}
 	}
 	if l := p.GetLead(); l != nil {
 		m.Lead = &Lead{Service: l.GetService(), Primary: l.GetPrimary(), Term: logpos.Term(l.GetTerm())}
@@ -159,7 +161,7 @@
 	if o == nil {
 		return nil
 	}
-	return &peerpb.Opinion{Dead: o.Dead, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}
+	return &peerpb.Opinion{Dead: o.Dead, Reaches: o.Reaches, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}
 }
 
 func floorsToProto(floors []Floor) []*peerpb.Floor {
--- a/node/promoter/ask.go
+++ b/node/promoter/ask.go
@@ -6,6 +6,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
 const (
@@ -96,7 +97,7 @@
 	p.mu.Unlock()
 	o := succession.Opinion{
 		Host: p.host, StoreReached: !p.registry.Away(), Lock: p.registry.LockOf(p.service).Revision,
-		Dead: p.hasLost(life, now) && !p.stoodStill(now), Leading: p.leading.Load(),
+		Dead: p.hasLost(life, now) && !p.stoodStill(now), Reaches: p.reaches(life, now), Leading: p.leading.Load(),
 	}
 	if !o.Dead {
 		p.Wake()
@@ -104,16 +105,29 @@
 	return o
 }
 
+// reaches reports whether a primary has answered this host lately, so that others
+// may send it statements through this one.
+func (p *Promoter) reaches(life string, now time.Duration) bool {
+	m, known := p.member(life)
+	return known && m.Reached(now)
+}
+
+// member returns the member with a life of that name.
+func (p *Promoter) member(life string) (*replicaset.Member, bool) {
+	for _, m := range p.set.Members() {
+		if m.Life() == life {
+			return m, true
+		}
+	}
+	return nil, false
+}
+
 // hasLost reports whether this host has lost a primary.
 func (p *Promoter) hasLost(life string, now time.Duration) bool {
 	if life == noMember {
 		_, found := p.set.Believed()
 		return !found
 	}
-	for _, m := range p.set.Members() {
-		if m.Life() == life {
-			return m.Dead(now)
-		}
-	}
-	return false
+	m, known := p.member(life)
+	return known && m.Dead(now)
 }
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -43,6 +43,8 @@
 	// Opinion asks a host whether it has lost a primary. It reports false when
 	// the host does not answer in time.
 	Opinion(ctx context.Context, service, primary, host string) (succession.Opinion, bool)
+	// AddressOf returns where a host takes statements of others.
+	AddressOf(host string) (string, bool)
 	// Announce tells all hosts who leads. It does not wait.
 	Announce(service, primary string, term logpos.Term)
 }
@@ -182,6 +184,7 @@
 	}
 	p.verify(ctx, now)
 	p.askOthers(ctx, now, doubted, failed != "")
+	p.detour(failed, now)
 	switch {
 	case failed != "" && p.agreed(failed, now):
 		p.act(ctx, now, failed, func(ctx context.Context, token uint64) error { return p.replace(ctx, failed, token) })
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -50,6 +50,10 @@
 	// absentUntil is until when the member is not asked, because another one
 	// answered at its address.
 	absentUntil time.Duration
+	// detours are hosts that reach the member while this one does not, known until
+	// detoursUntil.
+	detours      []string
+	detoursUntil time.Duration
 	// deadUntil is how long the word of a gate counts that the member is dead.
 	deadUntil time.Duration
 	// corroborated tells that another host has called the member dead.
@@ -153,12 +157,72 @@
 	m.deadUntil = now + gateWordFor
 }
 
-// unusable reports whether the member is dead by this host's evidence or by
-// the word of a gate.
+// unusable reports whether no way to the member is known that may work.
 func (m *Member) unusable(now time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.health.Dead(now, m.corroborated) || now < max(m.deadUntil, m.absentUntil)
+	if now < m.absentUntil {
+		return true
+	}
+	switch {
+	case m.health.Dead(now, m.corroborated):
+		return now >= m.detoursUntil
+	case now < m.deadUntil:
+		return !m.reached(now)
+	}
+	return false
+}
+
+// reachedLately is how old an answer of a member may be for it to count as reached
+// although others have lost it.
+const reachedLately = time.Second
+
+// reached reports whether the member has answered this host lately. It is called
+// with mu held.
+func (m *Member) reached(now time.Duration) bool {
+	last := m.health.LastSuccess()
+	return last > 0 && now-last < reachedLately
+}
+
+// Reached reports whether the member has answered this host lately and counts as
+// living here.
+func (m *Member) Reached(now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reached(now) && !m.health.Dead(now, m.corroborated)
+}
+
+// route returns the hosts to send a statement for the member to, the best first;
+// none for this host itself.
+func (m *Member) route(now time.Duration) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.health.Dead(now, m.corroborated) && now < m.detoursUntil:
+		return m.detours
+	case now < m.deadUntil && m.reached(now):
+		return nil
+	}
+	return m.gates
+}
+
+// detourFor is how long other hosts count as reaching a member: several questions
+// to them.
+const detourFor = 500 * time.Millisecond
+
+// Detour notes which other hosts reach a member that this one has lost.
+func (s *Set) Detour(member string, hosts []string, now time.Duration) {
+	m, known := s.Member(member)
+	if !known || len(hosts) == 0 {
+		return
+	}
+	m.mu.Lock()
+	first := now >= m.detoursUntil
+	m.detours, m.detoursUntil = hosts, now+detourFor
+	m.mu.Unlock()
+	if first {
+		eventlog.DetourTaken.Info(m.log).Strs("hosts", hosts).Send()
+	}
 }
 
 // LastAlive returns when the newest thing that the member answered was sent.
@@ -215,14 +279,29 @@
 	defer m.mu.Unlock()
 	m.removed = true
 	m.closeIdle()
+	m.sendAway(&RefusedError{Reason: "the member has left"})
+}
+
+// sendAway ends the wait of all that wait for a connection. It is called with mu
+// held.
+func (m *Member) sendAway(err error) {
 	for id, ch := range m.waiters {
 		if m.pool.Leave(id) {
 			delete(m.waiters, id)
-			ch <- grant{err: &RefusedError{Reason: "the member has left"}}
+			ch <- grant{err: err}
 		}
 	}
 }
 
+// superseded sends away what waits for the member as a primary that it is not any
+// more. Fault pattern: a primary goes dark, and statements wait for connections to
+// it that do not come; the next primary would serve them.
+func (m *Member) superseded() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sendAway(&RefusedError{Reason: "another member leads now"})
+}
+
 // sameLife reports whether an entry is of the life that this member stands for.
 func (m *Member) sameLife(e directory.Member) bool { return m.snapshot().SameLife(e.Entry) }
 
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -175,12 +175,7 @@
 	if m.pool.Open() > 0 {
 		return
 	}
-	for id, ch := range m.waiters {
-		if m.pool.Leave(id) {
-			delete(m.waiters, id)
-			ch <- grant{err: err}
-		}
-	}
+	m.sendAway(err)
 }
 
 func (m *Member) opened(conn *Conn, sent time.Duration) {
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -22,6 +22,9 @@
 		Uint64("term", uint64(s.belief.Term())).Send()
 	close(s.changed)
 	s.changed = make(chan struct{})
+	if old, known := s.members[before]; known && now != "" {
+		old.superseded()
+	}
 	if now == "" {
 		s.wake()
 	}
