Let short statements pass dear ones of the same priority when a member is overloaded

Of the same priority the most urgent went first: the 15 ms statements of one route (target 0.8 s) before the 9 ms of another (1.0 s). Of the first 7 % were refused in that group, of the second 48 %.

Ruled out: that the replicas could serve (their apply is delayed by up to 50 s); that hosts lacked floors (refusals tell them).

Change: core/worktime learns, for each member, how much longer one kind of statement takes than the shortest, from the difference of their mean answer times, which the queue does not change; a statement lets others pass by for 50 times that.

--- a/core/connpool/waiter.go
+++ b/core/connpool/waiter.go
@@ -17,6 +17,11 @@
 	// AimBy is when its latency target is over. Of those on time the most urgent
 	// goes first.
 	AimBy time.Duration
+	// Kind names the kind of statement; the pool only keeps it.
+	Kind string
+	// Extra is how much longer than the shortest kind of statement this one takes
+	// of a slot.
+	Extra time.Duration
 	// FreshBy is until when it is served in its turn. After it, it gets what
 	// those that are on time leave.
 	FreshBy time.Duration
@@ -26,8 +31,20 @@
 	Values string
 }
 
-// before orders waiters: a higher priority first; then those that are on time,
-// the most urgent first; then those that are late, the oldest first.
+// stretch is how many times its extra work a statement lets others of its priority
+// pass by. Load pattern: a group's replicas are behind, and its primary is offered
+// a third more than its two slots can run, for most of a minute. Statements of
+// 15 ms that were the most urgent left too few slots to those of 9 ms, of which
+// 48 % were refused against 7 %; a slot serves more callers with the short ones:
+// on loaded days worth rose by 0.001 to 0.019. With 200 times,
+// long ones are shut out, and the gain is half.
+const stretch = 50
+
+// turn orders the statements of one priority.
+func (w Waiter) turn() time.Duration { return w.AimBy + stretch*w.Extra }
+
+// before orders waiters: a higher priority first; then those that are on time, the
+// most urgent first, dear ones later; then those that are late, the oldest first.
 func (w Waiter) before(v Waiter, now time.Duration) bool {
 	if w.Priority != v.Priority {
 		return w.Priority < v.Priority
@@ -36,7 +53,7 @@
 	if wFresh != vFresh {
 		return wFresh
 	}
-	return w.AimBy < v.AimBy
+	return w.turn() < v.turn()
 }
 
 // first returns the index of the waiter that is served next.
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -48,8 +48,10 @@
 	// lastState is the state after the newest answer.
 	lastState statement.TxState
 	// broken is set once the connection cannot be used any more.
-	broken   bool
-	takenAt  time.Duration
+	broken  bool
+	takenAt time.Duration
+	// kind is the kind of the statements that its present user runs.
+	kind     string
 	nextName int
 }
 
@@ -114,7 +116,7 @@
 		return statement.Answer{}, c.lost(err, sent)
 	}
 	c.lastState = a.State
-	c.member.answered(sent, clock.Now(), a)
+	c.member.answered(sent, clock.Now(), a, c.kind)
 	return a, nil
 }
 
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/core/worktime"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -36,6 +37,8 @@
 	nextID  uint64
 	health  health.Health
 	answer  time.Duration
+	// times tells the kinds of statements, which are the databases, apart.
+	times   worktime.Times
 	removed bool
 	// held is the end of its log when that was last seen, at heldAt.
 	held   logpos.Position
@@ -76,12 +79,13 @@
 func (m *Member) ID() string { return m.id }
 
 // answered notes an answer to something sent at the given time.
-func (m *Member) answered(sent, now time.Duration, a statement.Answer) {
+func (m *Member) answered(sent, now time.Duration, a statement.Answer, kind string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.health.Answered(sent, now)
 	if a.Signature != "" {
 		m.pool.Ran(now - sent)
+		m.times.Ran(kind, now-sent, now)
 		m.answer += time.Duration(answerSmoothing * float64(now-sent-m.answer))
 	}
 }
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -52,11 +52,12 @@
 	now := clock.Now()
 	m.nextID++
 	w.ID = m.nextID
+	w.Extra = m.times.Extra(w.Kind, now)
 	d := m.pool.Acquire(*w, now)
 	switch d.Verdict {
 	case connpool.Granted:
 		c := m.conns[d.Conn]
-		c.takenAt = now
+		c.takenAt, c.kind = now, w.Kind
 		return c, nil, nil
 	case connpool.Refused:
 		return nil, nil, &RefusedError{Reason: eventlog.ReasonFull, RetryAfter: d.RetryAfter}
@@ -195,7 +196,7 @@
 
 // hand gives a connection to a waiter. It is called with mu held.
 func (m *Member) hand(conn *Conn, w connpool.Waiter, now time.Duration) {
-	conn.takenAt = now
+	conn.takenAt, conn.kind = now, w.Kind
 	ch := m.waiters[w.ID]
 	delete(m.waiters, w.ID)
 	ch <- grant{conn: conn}
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -47,7 +47,7 @@
 
 func (w Work) waiter() connpool.Waiter {
 	return connpool.Waiter{
-		Priority: w.Route.Priority, AimBy: w.AimBy, FreshBy: w.FreshBy, StartBy: w.StartBy,
+		Priority: w.Route.Priority, Kind: w.Route.Database, AimBy: w.AimBy, FreshBy: w.FreshBy, StartBy: w.StartBy,
 		Values: session.ValuesKey(w.Values),
 	}
 }
