--- a/core/gates/plan.go
+++ b/core/gates/plan.go
@@ -83,6 +83,12 @@
 	return min(p.usable, perSlot*m.Slots)
 }
 
+// Even returns the share of a host where every host keeps connections of its own.
+func (p Plan) Even() Share {
+	each := max(p.usable/max(len(p.hosts), 1), 1)
+	return Share{Limits: connpool.Limits{Max: each, Fair: each, MaxWaiting: maxWaiting}}
+}
+
 // For returns the share of the named host in a member.
 func (p Plan) For(m Member, host string) Share {
 	useful := p.useful(m)
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -29,6 +29,8 @@
 // Health is the evidence on one member. It is not safe for concurrent use.
 // Times are on a clock that also counts suspended time.
 type Health struct {
+	// TimeoutsOnly leaves silence out that is not the end of an exchange's time.
+	TimeoutsOnly bool
 	// lastSuccess is when the newest exchange that succeeded was sent.
 	lastSuccess time.Duration
 	failing     bool
@@ -118,7 +120,7 @@
 // Doubtful reports whether the newest exchange failed, or the member is silent
 // for longer than answers usually take: it should be probed.
 func (h *Health) Doubtful(now time.Duration) bool {
-	return h.failing || h.quiet.doubtful(now)
+	return h.failing || !h.TimeoutsOnly && h.quiet.doubtful(now)
 }
 
 // Failing reports whether the newest exchange failed.
@@ -136,7 +138,7 @@
 // Dead reports whether the evidence is enough to call the member dead.
 // Corroborated tells that another host has called it dead.
 func (h *Health) Dead(now time.Duration, corroborated bool) bool {
-	if h.quiet.dead(now) {
+	if !h.TimeoutsOnly && h.quiet.dead(now) {
 		return true
 	}
 	if !h.failing {
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/exit"
@@ -30,6 +31,8 @@
 	workers     int
 	logLevel    string
 	callTimeout time.Duration
+	// without names the mechanisms to leave out, to measure what they are worth.
+	without []string
 }
 
 func platformCommand() *cli.Command {
@@ -43,11 +46,13 @@
 			&cli.IntFlag{Name: "workers", Usage: "statements that run at once; each costs a goroutine", Value: 4096, Destination: &s.workers, Sources: cli.EnvVars(settings.EnvName("workers"))},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info", Destination: &s.logLevel, Sources: cli.EnvVars(settings.EnvName("log-level"))},
 			&cli.DurationFlag{Name: "platform-timeout", Usage: "time for one call to the platform", Value: 1500 * time.Millisecond, Destination: &s.callTimeout, Sources: cli.EnvVars(settings.EnvName("platform-timeout"))},
+			&cli.StringSliceFlag{Name: "without", Usage: "leave a mechanism out, to measure what it is worth; may be repeated", Sources: cli.EnvVars(settings.EnvName("without"))},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Len() > 0 {
 				return &exit.UsageError{Text: "unexpected argument " + c.Args().First()}
 			}
+			s.without = c.StringSlice("without")
 			return runOnPlatform(s)
 		},
 	}
@@ -87,6 +92,10 @@
 	if err != nil {
 		return &exit.UsageError{Text: "--log-level: " + err.Error()}
 	}
+	without, err := mechanism.Parse(s.without)
+	if err != nil {
+		return &exit.UsageError{Text: "--without: " + err.Error()}
+	}
 	zerolog.TimeFieldFormat = logTime
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Close()
@@ -100,7 +109,7 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	h, err := entry.Start(entrySettings(s, boot), onplatform.Adapter(boot.Host, boot.StoreAddress, boot.PromotionAddress, s.callTimeout), entry.Dial, log)
+	h, err := entry.Start(entrySettings(s, boot, without), onplatform.Adapter(boot.Host, boot.StoreAddress, boot.PromotionAddress, s.callTimeout), entry.Dial, log)
 	if err != nil {
 		return err
 	}
@@ -123,13 +132,13 @@
 	}
 }
 
-func entrySettings(s platformSettings, boot platform.Boot) entry.Settings {
+func entrySettings(s platformSettings, boot platform.Boot, without mechanism.Without) entry.Settings {
 	out := entry.Settings{
 		Host: boot.Host, Places: replicaset.Places{Zone: boot.Zone, Regions: boot.Regions},
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress,
 		MaxSessions: max(boot.MaxDescriptors-reservedDescriptors, 100), Workers: s.workers,
 		Grace: boot.Grace, DrainBound: boot.DrainBound, ConfigBound: boot.ConfigBound,
-		PeerAddress: net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPort)),
+		PeerAddress: net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPort)), Without: without,
 	}
 	if s.metricsPort > 0 {
 		out.MetricsAddress = net.JoinHostPort(boot.IP, strconv.Itoa(s.metricsPort))
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -59,6 +60,8 @@
 	DrainBound time.Duration
 	// ConfigBound is how soon a change of the configuration must be in force.
 	ConfigBound time.Duration
+	// Without is what the host is run without.
+	Without mechanism.Without
 }
 
 // Host is one running entry host.
@@ -103,7 +106,11 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
-	h.registry = registry.New(registry.Counted(a.Store, h.metrics.storeCall), a.Documents, gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress}, s.ConfigBound, h.gates.Follow, h.poke, h.log)
+	h.registry = registry.New(registry.Config{
+		Store: registry.Counted(a.Store, h.metrics.storeCall), Documents: a.Documents,
+		Self:        gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress},
+		ConfigBound: s.ConfigBound, FollowHost: h.gates.Follow, Without: s.Without, Changed: h.poke, Log: h.log,
+	})
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
@@ -151,7 +158,7 @@
 	case err := <-h.failed:
 		return err
 	}
-	eventlog.Started.Info(h.log).Str("listen", h.settings.CallerAddress).Str("zone", h.settings.Places.Zone).Send()
+	eventlog.Started.Info(h.log).Str("listen", h.settings.CallerAddress).Str("zone", h.settings.Places.Zone).Strs("without", h.settings.Without.Names()).Send()
 	return nil
 }
 
@@ -256,10 +263,11 @@
 	s := replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Places: h.settings.Places,
 		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers, Suspected: func() { p.Wake() },
-		Remote: remote{h.gates, h.peers}, Owner: h.owner, Host: h.settings.Host, Log: h.log,
+		Remote: remote{h.gates, h.peers}, Owner: h.owner, Host: h.settings.Host, Without: h.settings.Without, Log: h.log,
 	})
 	p = promoter.New(promoter.Config{
 		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion, Peers: h,
+		Without: h.settings.Without,
 		Spec:    func() catalog.Service { return h.registry.Catalog().Services[service] },
 		Observe: func(r promoter.Result) { h.metrics.promotion(service, r) }, Log: h.log,
 	})
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -49,7 +50,9 @@
 		return replicaset.Result{Err: &replicaset.RefusedError{Reason: "the service is not known here"}}
 	}
 	res := s.Execute(ctx, j)
-	res.Floor, _ = s.Floor()
+	if h.settings.Without.Has(mechanism.RefusalFloors) {
+		res.Floor, _ = s.Floor()
+	}
 	if res.Err == nil {
 		return res
 	}
@@ -112,6 +115,9 @@
 
 // askPeers asks some other hosts for the floor of a service. It does not wait.
 func (h *Host) askPeers(service string) {
+	if !h.settings.Without.Has(mechanism.PeerFloors) {
+		return
+	}
 	var peers []string
 	for _, other := range h.registry.Fleet() {
 		if other.Name != h.settings.Host {
--- a/node/entry/startup.go
+++ b/node/entry/startup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/startup"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -16,6 +17,9 @@
 
 // AwaitCatalog implements edge.Backend.
 func (h *Host) AwaitCatalog(ctx context.Context) *catalog.Catalog {
+	if !h.settings.Without.Has(mechanism.StartupWait) {
+		return h.registry.Catalog()
+	}
 	return awaitStartup(ctx, startup.LoginUntil(h.startedAt, clock.Now()), h.registry.Catalog)
 }
 
--- a/node/promoter/detour.go
+++ b/node/promoter/detour.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 )
 
@@ -11,7 +12,7 @@
 // few to replace it; their callers would be refused until the cut heals, though
 // the primary works.
 func (p *Promoter) detour(failed string, now time.Duration) {
-	if failed == "" || failed == noMember {
+	if failed == "" || failed == noMember || !p.without.Has(mechanism.Detours) {
 		return
 	}
 	p.mu.Lock()
--- a/node/promoter/lead.go
+++ b/node/promoter/lead.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -23,7 +24,7 @@
 	opinions := p.opinions.Of(p.lost, now)
 	p.mu.Unlock()
 	away := p.registry.Away()
-	able := !quiet && holds && succession.MayLead(p.host, lock, !away, opinions)
+	able := !quiet && holds && p.without.Has(mechanism.StandingLeader) && succession.MayLead(p.host, lock, !away, opinions)
 	p.leading.Store(able)
 	switch {
 	case able:
@@ -39,7 +40,7 @@
 func (p *Promoter) turn(lock succession.Lock) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	vacant := lock.Holder == "" || lock.Holder == p.host
+	vacant := lock.Holder == "" || lock.Holder == p.host || !p.without.Has(mechanism.StandingLeader)
 	return succession.Turn(p.rank(lock.Holder), vacant, p.readySince, p.leaderSeen)
 }
 
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -75,6 +76,7 @@
 	peers    Peers
 	spec     func() catalog.Service
 	observe  func(Result)
+	without  mechanism.Without
 	log      zerolog.Logger
 
 	// wake has the group looked at now.
@@ -128,6 +130,8 @@
 	Spec func() catalog.Service
 	// Observe is told of each promotion that this host has led.
 	Observe func(Result)
+	// Without is what the host is run without.
+	Without mechanism.Without
 	Log     zerolog.Logger
 }
 
@@ -135,7 +139,7 @@
 func New(cfg Config) *Promoter {
 	return &Promoter{
 		service: cfg.Service, host: cfg.Host, set: cfg.Set, registry: cfg.Registry, caller: cfg.Caller, peers: cfg.Peers,
-		spec: cfg.Spec, observe: cfg.Observe, log: cfg.Log.With().Str("service", cfg.Service).Logger(),
+		spec: cfg.Spec, observe: cfg.Observe, without: cfg.Without, log: cfg.Log.With().Str("service", cfg.Service).Logger(),
 		wake: make(chan struct{}, 1), askedAt: map[string]time.Duration{},
 	}
 }
@@ -303,6 +307,9 @@
 	p.mu.Lock()
 	told := succession.Suspecting(p.opinions.Of(life, now))
 	p.mu.Unlock()
+	if !p.without.Has(mechanism.DirectVotes) {
+		told = nil
+	}
 	for _, host := range p.registry.Suspecting(p.service, life) {
 		if !slices.Contains(told, host) {
 			told = append(told, host)
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -153,7 +154,9 @@
 	if err := p.awaitLead(ctx, chosen.ID); err != nil {
 		return err
 	}
-	p.peers.Announce(p.service, chosen.ID, p.set.Term())
+	if p.without.Has(mechanism.Announcement) {
+		p.peers.Announce(p.service, chosen.ID, p.set.Term())
+	}
 	eventlog.Promoted.Info(p.log).Str("upstream", chosen.ID).Uint64("token", token).
 		Stringer("received", chosen.Status.Received).Dur("took", clock.Now()-began).Send()
 	return nil
--- a/node/registry/entries_test.go
+++ b/node/registry/entries_test.go
@@ -28,7 +28,7 @@
 	var log bytes.Buffer
 	// What is lost is looked for again later, after the test.
 	away := &wakingStore{fails: errors.New("unavailable")}
-	return New(away, platform.Documents{}, gates.Host{Name: "self"}, 0, nil, func() {}, zerolog.New(&log)), &log
+	return New(Config{Store: away, Documents: platform.Documents{}, Self: gates.Host{Name: "self"}, Changed: func() {}, Log: zerolog.New(&log)}), &log
 }
 
 func listing(revision uint64, items ...store.Item) store.Listing {
--- a/node/registry/first_listing_test.go
+++ b/node/registry/first_listing_test.go
@@ -36,7 +36,7 @@
 }
 
 func startingRegistry(s Store) *Registry {
-	return New(s, platform.Documents{}, gates.Host{Name: "self"}, 0, nil, func() {}, zerolog.Nop())
+	return New(Config{Store: s, Documents: platform.Documents{}, Self: gates.Host{Name: "self"}, Changed: func() {}, Log: zerolog.Nop()})
 }
 
 // TestHostThatStartsBesideASilentStoreIsThereSoonAfterIt: a call that was made
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -16,7 +16,7 @@
 // relayAt returns the registry of a relay that has heard of everything up to a
 // revision, and keeps the changes after another one.
 func relayAt(revision, historyStart uint64, changes ...store.Item) *Registry {
-	r := New(nil, nil, gates.Host{Name: "relay"}, 0, nil, func() {}, zerolog.Nop())
+	r := New(Config{Self: gates.Host{Name: "relay"}, Changed: func() {}, Log: zerolog.Nop()})
 	r.listed, r.heardAt = true, clock.Now()
 	r.revision, r.historyStart, r.history = revision, historyStart, changes
 	for _, i := range changes {
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
@@ -86,6 +87,7 @@
 	wait time.Duration
 	// followHost follows another host; nil where hosts do not reach each other.
 	followHost FollowFunc
+	without    mechanism.Without
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -122,16 +124,36 @@
 	leaving    bool
 }
 
-// New returns a registry for a host. ConfigBound is how soon a change of the
-// configuration must be in force; zero for no bound. FollowHost may be nil.
-// Changed is called after changes.
-func New(s Store, docs Documents, self gates.Host, configBound time.Duration, followHost FollowFunc, changed func(), log zerolog.Logger) *Registry {
-	wait := time.Duration(watchShare * float64(configBound))
+// Config is what a Registry needs from its surroundings.
+type Config struct {
+	Store     Store
+	Documents Documents
+	// Self is what other hosts are told of this one.
+	Self gates.Host
+	// ConfigBound is how soon a change of the configuration must be in force; zero
+	// for no bound.
+	ConfigBound time.Duration
+	// FollowHost follows another host; nil where hosts do not reach each other.
+	FollowHost FollowFunc
+	Without    mechanism.Without
+	// Changed is called, without a lock, after changes.
+	Changed func()
+	Log     zerolog.Logger
+}
+
+// New returns a registry for a host.
+func New(cfg Config) *Registry {
+	wait := time.Duration(watchShare * float64(cfg.ConfigBound))
 	if wait <= 0 {
 		wait = defaultWait
 	}
+	followHost := cfg.FollowHost
+	if !cfg.Without.Has(mechanism.Relays) {
+		followHost = nil
+	}
+	self := cfg.Self
 	return &Registry{
-		store: s, docs: docs, self: self, wait: wait, followHost: followHost, changed: changed, log: log,
+		store: cfg.Store, docs: cfg.Documents, self: self, wait: wait, followHost: followHost, without: cfg.Without, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{}, unreadable: map[string]uint64{},
 		relays: relay.New(self), direct: true, news: make(chan struct{}),
 	}
@@ -185,7 +207,7 @@
 	r.mu.Unlock()
 	if !listed {
 		list := r.listAll
-		if first {
+		if first && r.without.Has(mechanism.HedgedListing) {
 			list = r.listFirst
 		}
 		l, err := list(ctx)
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/core/worktime"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -68,11 +69,13 @@
 }
 
 func newMember(s *Set, e directory.Member, share gates.Share) *Member {
-	return &Member{
+	m := &Member{
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
 		pool: connpool.New(share.Limits), gates: share.Gates, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
 	}
+	m.health.TimeoutsOnly = !s.without.Has(mechanism.ObservedSilence)
+	return m
 }
 
 // ID returns the member's name.
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -52,7 +53,9 @@
 	now := clock.Now()
 	m.nextID++
 	w.ID = m.nextID
-	w.Extra = m.times.Extra(w.Kind, now)
+	if m.set.without.Has(mechanism.ShortFirst) {
+		w.Extra = m.times.Extra(w.Kind, now)
+	}
 	d := m.pool.Acquire(*w, now)
 	switch d.Verdict {
 	case connpool.Granted:
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/catchup"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
@@ -103,7 +104,7 @@
 // awaitReplica waits until a replica that is behind is expected to hold the
 // floor. It returns false at once when none will in the time of the read.
 func (a *attempts) awaitReplica(ctx context.Context, t *tried, floor logpos.Position, now time.Duration) (*Member, bool) {
-	if !a.staysAt(floor) {
+	if !a.staysAt(floor) || !a.set.without.Has(mechanism.ReplicaWait) {
 		return nil, false
 	}
 	best, at, found := catchup.Soonest(a.set.laggards(t, floor, now), now, a.work.StartBy)
--- a/node/replicaset/reclaim.go
+++ b/node/replicaset/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -10,6 +11,9 @@
 // of a member, because a statement waits for one. Its caller is told when it
 // goes on; nothing of it is kept.
 func (s *Set) reclaim(m *Member) {
+	if !s.without.Has(mechanism.Reclaim) {
+		return
+	}
 	if !m.exhausted() {
 		return
 	}
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/fresh"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -77,7 +78,9 @@
 	Owner string
 	// Host is this host's name among those that Update lists.
 	Host string
-	Log  zerolog.Logger
+	// Without is what the host is run without.
+	Without mechanism.Without
+	Log     zerolog.Logger
 }
 
 // Set is one database group. It is safe for concurrent use. Set.mu is taken
@@ -93,6 +96,7 @@
 	remote  Remote
 	owner   string
 	host    string
+	without mechanism.Without
 	// gateHealth tells which hosts answer what is sent to them.
 	gateHealth gateHealth
 	txs        txTable
@@ -126,7 +130,7 @@
 func New(cfg Config) *Set {
 	return &Set{
 		service: cfg.Service, dial: cfg.Dial, proto: cfg.Proto, places: cfg.Places, drain: cfg.DrainBound,
-		ask: cfg.AskPeers, suspect: cfg.Suspected, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, learned: make(chan struct{}),
+		ask: cfg.AskPeers, suspect: cfg.Suspected, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, without: cfg.Without, learned: make(chan struct{}),
 		log:       cfg.Log.With().Str("service", cfg.Service).Logger(),
 		attention: make(chan struct{}, 1), members: map[string]*Member{}, changed: make(chan struct{}),
 	}
@@ -142,7 +146,7 @@
 	listed := map[string]bool{}
 	for _, e := range members {
 		listed[e.ID] = true
-		share := plan.For(gates.Member{ID: e.ID, Zone: e.Zone, Slots: e.Slots}, s.host)
+		share := s.shareOf(plan, gates.Member{ID: e.ID, Zone: e.Zone, Slots: e.Slots})
 		m := s.present(e, share)
 		if e.Primary && m.mayClaim(e) {
 			s.belief.Claimed(e.ID, e.RoleRevision)
@@ -162,6 +166,14 @@
 	s.notePrimary(before, "directory")
 }
 
+// shareOf returns this host's share of a member's connections.
+func (s *Set) shareOf(plan gates.Plan, m gates.Member) gates.Share {
+	if !s.without.Has(mechanism.Gates) {
+		return plan.Even()
+	}
+	return plan.For(m, s.host)
+}
+
 // present returns the member of an entry with the entry taken in. It is called
 // with mu held.
 func (s *Set) present(e directory.Member, share gates.Share) *Member {
--- a/node/replicaset/watch_gate.go
+++ b/node/replicaset/watch_gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/health"
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
@@ -14,6 +15,9 @@
 // alone does not tell the two apart; a sign of life does. What may be run twice
 // is given up, to be run elsewhere; a write waits for its answer.
 func (s *Set) runWatched(ctx context.Context, address string, j Job) Result {
+	if !s.without.Has(mechanism.GateWatch) {
+		return s.remote.Run(ctx, address, s.service, j)
+	}
 	if !j.repeatable() {
 		ctx = context.WithoutCancel(ctx)
 	}
