Measure the failover gap by its parts, and where reads are served, from the hosts' logs

dotterelctl measure LOG... gives, for each primary that was lost, when it was believed lost, agreed, ordered, led, known and first written to, counted from its last proof of life, and whether it lived; and for each kind of route the share of reads on replicas with the reasons of the rest (text or JSON). Hosts log counts of reads every five seconds: a line for each service and kind.

--- a/node/cmd/dotterelctl/explain.go
+++ b/node/cmd/dotterelctl/explain.go
@@ -75,7 +75,7 @@
 func readLogs(files []string) ([]explain.Line, error) {
 	var lines []explain.Line
 	for _, name := range files {
-		read, err := readLog(name)
+		read, err := readLog(name, explain.Parse)
 		if err != nil {
 			return nil, err
 		}
@@ -84,17 +84,18 @@
 	return lines, nil
 }
 
-func readLog(name string) ([]explain.Line, error) {
+// readLog reads the lines of a log that can be parsed.
+func readLog[L any](name string, parse func(string) (L, bool)) ([]L, error) {
 	f, err := os.Open(name)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = f.Close() }()
-	var out []explain.Line
+	var out []L
 	scanner := bufio.NewScanner(f)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
-		if l, ok := explain.Parse(scanner.Text()); ok {
+		if l, ok := parse(scanner.Text()); ok {
 			out = append(out, l)
 		}
 	}
--- /dev/null
+++ b/node/cmd/dotterelctl/measure.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/dotterelswitch/dotterelswitch/node/exit"
+	"github.com/dotterelswitch/dotterelswitch/node/measure"
+)
+
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "measure",
+		Usage:     "tell from the hosts' logs how long writes were unavailable and where reads were served",
+		ArgsUsage: "LOG...",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return &exit.UsageError{Text: "measure takes one log or more"}
+			}
+			return runMeasure(c.Args().Slice(), c.String("output"))
+		},
+	}
+}
+
+// measures is what the command prints.
+type measures struct {
+	Losses []measure.Loss
+	Reads  []measure.Reads
+}
+
+func runMeasure(files []string, output string) error {
+	var lines []measure.Line
+	for _, name := range files {
+		read, err := readLog(name, measure.Parse)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, read...)
+	}
+	m := measures{Losses: measure.Losses(lines), Reads: measure.CountReads(lines)}
+	switch output {
+	case "json":
+		return json.NewEncoder(os.Stdout).Encode(m)
+	case "text":
+		return m.print()
+	}
+	return &exit.UsageError{Text: "--output must be text or json"}
+}
+
+func (m measures) print() error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	rows := []string{"SERVICE\tLOST\tNEXT\tBELIEVED\tAGREED\tORDERED\tLEADS\tKNOWN HALF\tKNOWN ALL\tFIRST WRITE\tLIVED"}
+	for _, l := range m.Losses {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%t", l.Service, l.Lost, l.Next,
+			inMS(l.Believed), inMS(l.Agreed), inMS(l.Ordered), inMS(l.Leads), inMS(l.KnownHalf), inMS(l.KnownAll), inMS(l.FirstWrite), l.Living))
+	}
+	rows = append(rows, "", "READS\tTOTAL\tREPLICAS\tBY ROUTE\tNO FLOOR\tBEHIND\tDOUBT\tSOONER")
+	for _, r := range m.Reads {
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d", r.Consistency, r.Total(), r.Share(), r.ByRoute, r.NoFloor, r.Behind, r.Doubt, r.Sooner))
+	}
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(w, row); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// inMS writes a time in milliseconds, and nothing for one that is not known.
+func inMS(d time.Duration) string {
+	if d == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d ms", d.Milliseconds())
+}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -74,6 +74,7 @@
 	gateway  *edge.Gateway
 	metrics  *hostMetrics
 	budget   *eventlog.Budget
+	reads    readCounts
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -129,6 +130,7 @@
 	h.wg.Go(func() { h.reconcile(h.ctx) })
 	h.wg.Go(func() { h.endIdleTransactions(h.ctx) })
 	h.wg.Go(func() { h.reportGauges(h.ctx) })
+	h.wg.Go(func() { h.logReads(h.ctx) })
 	return h, h.startGateway()
 }
 
--- a/node/entry/observe.go
+++ b/node/entry/observe.go
@@ -11,6 +11,7 @@
 // ended as it did. Statements that needed no member are only counted.
 func (h *Host) Finished(r edge.Record) {
 	h.metrics.observe(r)
+	h.reads.observe(r)
 	event := eventlog.StatementServed
 	if r.Outcome.Answer.Code != statement.OK {
 		event = eventlog.StatementFailed
--- /dev/null
+++ b/node/measure/reads.go
@@ -0,0 +1,56 @@
+package measure
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+// Reads counts where the reads of a kind of route were served.
+type Reads struct {
+	Consistency string
+	Replica     int
+	// The reads of the primary, by why they went there.
+	ByRoute, NoFloor, Behind, Doubt, Sooner int
+}
+
+// Total returns how many reads there were.
+func (r Reads) Total() int {
+	return r.Replica + r.ByRoute + r.NoFloor + r.Behind + r.Doubt + r.Sooner
+}
+
+// Share returns the share of the reads that replicas served; zero for none.
+func (r Reads) Share() float64 {
+	if r.Total() == 0 {
+		return 0
+	}
+	return float64(r.Replica) / float64(r.Total())
+}
+
+// CountReads sums what the hosts counted, by kind of route.
+func CountReads(lines []Line) []Reads {
+	at := map[string]*Reads{}
+	for _, l := range lines {
+		if l.Event != eventlog.ReadsCounted.Number {
+			continue
+		}
+		r, found := at[l.Consistency]
+		if !found {
+			r = &Reads{Consistency: l.Consistency}
+			at[l.Consistency] = r
+		}
+		r.Replica += l.Replica
+		r.ByRoute += l.PrimaryByRoute
+		r.NoFloor += l.PrimaryNoFloor
+		r.Behind += l.PrimaryBehind
+		r.Doubt += l.PrimaryDoubt
+		r.Sooner += l.PrimarySooner
+	}
+	var out []Reads
+	for _, r := range at {
+		out = append(out, *r)
+	}
+	slices.SortFunc(out, func(a, b Reads) int { return cmp.Compare(a.Consistency, b.Consistency) })
+	return out
+}
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -82,6 +82,7 @@
 			a.last = err
 			break
 		}
+		a.out.Source = a.source(r)
 		res, done := a.try(ctx, r.member, a.readerJob(kind, r), r.guarded)
 		if done {
 			return res, r.member
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -20,6 +20,39 @@
 	guarded bool
 }
 
+// source says why a read goes to a member. It is asked before the read is sent.
+func (a *attempts) source(r reader) ReadSource {
+	switch {
+	case r.guarded && a.work.Route.Consistency == catalog.Primary:
+		return PrimaryByRoute
+	case r.guarded:
+		return PrimaryNoFloor
+	case !a.set.leads(r.member):
+		return ByReplica
+	}
+	now := clock.Now()
+	floor, found := a.set.floor(a.work, now)
+	if !found {
+		return PrimaryNoFloor
+	}
+	return whyPrimary(a.set.readers(nil, floor, now))
+}
+
+// whyPrimary says why the primary goes before the replicas.
+func whyPrimary(candidates []balance.Candidate) ReadSource {
+	source := PrimaryBehind
+	for _, c := range candidates {
+		switch {
+		case c.Primary || c.Behind:
+		case c.Suspect || c.Missing:
+			source = max(source, PrimaryDoubt)
+		default:
+			source = PrimarySooner
+		}
+	}
+	return source
+}
+
 // pickReader returns the member to read from. While the primary has no
 // connection to spare and no floor is known, other hosts are asked for what
 // they know: after a restart of all hosts the primary is the scarcest of all.
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -69,6 +69,8 @@
 	// Floor is the position that a read had to find; zero when the primary had
 	// to prove its lead instead, or for a write.
 	Floor logpos.Position
+	// Source tells where a read was sent last, and why.
+	Source ReadSource
 	// Cause explains a failure.
 	Cause string
 }
