--- a/node/explain/line.go
+++ b/node/explain/line.go
@@ -4,8 +4,9 @@
 
 import (
 	"encoding/json"
-	"strings"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
 // Line is one line of a log, decoded as far as a story needs it.
@@ -24,17 +25,13 @@
 	Text string `json:"-"`
 }
 
-// Parse decodes a line. Whatever stands before the JSON object, such as a
-// collector's prefix, is passed over. It reports false for other lines.
+// Parse decodes a line. It reports false for lines that are no event.
 func Parse(text string) (Line, bool) {
-	start := strings.IndexByte(text, '{')
-	if start < 0 {
-		return Line{}, false
-	}
 	var l Line
-	if err := json.Unmarshal([]byte(text[start:]), &l); err != nil || l.Event == 0 {
+	object, found := eventlog.Object(text)
+	if !found || json.Unmarshal([]byte(object), &l) != nil || l.Event == 0 {
 		return Line{}, false
 	}
-	l.Text = strings.TrimSpace(text[start:])
+	l.Text = object
 	return l, true
 }
--- a/node/measure/line.go
+++ b/node/measure/line.go
@@ -5,8 +5,9 @@
 
 import (
 	"encoding/json"
-	"strings"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
 // Line is one line of a log, decoded as far as the measures need it.
@@ -31,15 +32,11 @@
 	PrimarySooner  int `json:"primary_sooner"`
 }
 
-// Parse decodes a line. Whatever stands before the JSON object, such as a
-// collector's prefix, is passed over. It reports false for other lines.
+// Parse decodes a line. It reports false for lines that are no event.
 func Parse(text string) (Line, bool) {
-	start := strings.IndexByte(text, '{')
-	if start < 0 {
-		return Line{}, false
-	}
 	var l Line
-	if err := json.Unmarshal([]byte(text[start:]), &l); err != nil || l.Event == 0 {
+	object, found := eventlog.Object(text)
+	if !found || json.Unmarshal([]byte(object), &l) != nil || l.Event == 0 {
 		return Line{}, false
 	}
 	return l, true
--- a/node/promoter/lead.go
+++ b/node/promoter/lead.go
@@ -17,11 +17,11 @@
 	if p.readySince == 0 {
 		p.readySince = now
 	}
-	lock := p.registry.LockOf(p.service)
+	lock, life := p.registry.LockOf(p.service), p.subject()
 	p.mu.Lock()
 	quiet := now < p.quietUntil
 	holds := lock.Holder == p.host && lock.Revision == p.token && lock.Revision > p.fenced
-	opinions := p.opinions.Of(p.lost, now)
+	opinions := p.opinions.Of(life, now)
 	p.mu.Unlock()
 	away := p.registry.Away()
 	able := !quiet && holds && p.without.Has(mechanism.StandingLeader) && succession.MayLead(p.host, lock, !away, opinions)
@@ -38,10 +38,11 @@
 
 // turn returns when this host may take the lock.
 func (p *Promoter) turn(lock succession.Lock) time.Duration {
+	rank := p.rank(lock.Holder)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	vacant := lock.Holder == "" || lock.Holder == p.host || !p.without.Has(mechanism.StandingLeader)
-	return succession.Turn(p.rank(lock.Holder), vacant, p.readySince, p.leaderSeen)
+	return succession.Turn(rank, vacant, p.readySince, p.leaderSeen)
 }
 
 // rank is this host's place in the order in which hosts take the lock from its
