--- a/node/promoter/ask.go
+++ b/node/promoter/ask.go
@@ -23,8 +23,8 @@
 // askOthers asks other hosts about a primary in doubt. The holder of the lock
 // asks the voters at the first sign, so that their opinions are there when it has
 // found the primary dead; the others tell the holder by asking it, and ask the
-// voters as well once it may be their turn.
-// One that was only asked itself does not: questions would go round for ever.
+// voters as well once it may be their turn. A host that was only asked itself asks
+// nobody but as the holder: questions would go round for ever.
 func (p *Promoter) askOthers(ctx context.Context, now time.Duration, doubted, lost bool) {
 	life := p.subject()
 	lock := p.registry.LockOf(p.service)
