Bound reads by all that a promoted member has received, applied or not

Cause: found by reading. A status gives the end of the log and, with the answer, the position that was applied; the latter was taken for the floor.

Change: the later of the two.

--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -65,8 +65,13 @@
 }
 
 // saysToLead notes a status in which a member calls itself the primary of its
-// term.
+// term. What it has received counts, applied or not: a member that has just been
+// promoted leads with all of it, and a floor below would let a replica serve a
+// read without commits that were acknowledged.
 func (s *Set) saysToLead(m *Member, st statement.Status, p logpos.Position, sent time.Duration) {
+	if p.Less(st.Received) {
+		p = st.Received
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.provedIn(m, st.Term, p, sent)
