Say once what stood twice in the change; drop a question that nobody asks

Found by reading the whole change; no behaviour is meant to change.

- A member of the directory whose life begins was built in two places: newMember.
- The share of a host that keeps connections stood twice after Even came: keeping.
- listFirst listed by hand what listAll lists.
- What notes a connection's fate moves beside a member's other evidence.
- Health.Since has had no caller; registry.New needs no copy of Self.

Left: measure.Line and explain.Line share six fields, and their Parse; one generic decoder would change the literals of both tests. The source of a read on the primary looks the candidates up a second time, for the reason that is logged.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -96,8 +96,7 @@
 		return false
 	}
 	if !m.SameLife(e) {
-		*m = Member{Entry: e, RoleRevision: e.Revision}
-		m.noteLeaving(now)
+		d.members[e.ID] = newMember(e, now)
 		return true
 	}
 	if e.Primary != m.Primary {
@@ -119,10 +118,15 @@
 		return false
 	}
 	delete(d.gone, e.ID)
+	d.members[e.ID] = newMember(e, now)
+	return true
+}
+
+// newMember returns a member whose life begins with an entry.
+func newMember(e Entry, now time.Duration) *Member {
 	m := &Member{Entry: e, RoleRevision: e.Revision}
 	m.noteLeaving(now)
-	d.members[e.ID] = m
-	return true
+	return m
 }
 
 // isOfEndedLife reports whether an entry was written by a life before the
--- a/core/gates/plan.go
+++ b/core/gates/plan.go
@@ -86,7 +86,12 @@
 // Even returns the share of a host where every host keeps connections of its own.
 func (p Plan) Even() Share {
 	each := max(p.usable/max(len(p.hosts), 1), 1)
-	return Share{Limits: connpool.Limits{Max: each, Fair: each, MaxWaiting: maxWaiting}}
+	return keeping(each)
+}
+
+// keeping returns the share of a host that keeps connections of its own.
+func keeping(connections int) Share {
+	return Share{Limits: connpool.Limits{Max: connections, Fair: connections, MaxWaiting: maxWaiting}}
 }
 
 // For returns the share of the named host in a member.
@@ -99,7 +104,7 @@
 	chosen := p.ranked(m)[:count]
 	each := max(useful/count, 1)
 	if slices.ContainsFunc(chosen, func(h Host) bool { return h.Name == host }) {
-		return Share{Limits: connpool.Limits{Max: each, Fair: each, MaxWaiting: maxWaiting}}
+		return keeping(each)
 	}
 	return Share{
 		Limits: connpool.Limits{Max: min(strayConnections, each), MaxWaiting: maxWaiting},
--- a/core/health/health.go
+++ b/core/health/health.go
@@ -132,9 +132,6 @@
 // LastSuccess returns when the newest exchange that succeeded was sent.
 func (h *Health) LastSuccess() time.Duration { return h.lastSuccess }
 
-// Since returns when the first of the failed exchanges was sent.
-func (h *Health) Since() time.Duration { return h.failedSince }
-
 // Dead reports whether the evidence is enough to call the member dead.
 // Corroborated tells that another host has called it dead.
 func (h *Health) Dead(now time.Duration, corroborated bool) bool {
--- a/node/registry/first_listing.go
+++ b/node/registry/first_listing.go
@@ -33,7 +33,7 @@
 	defer cancel()
 	ended := make(chan listed, maxHedged)
 	ask := func() {
-		l, err := r.store.Range(ctx, "")
+		l, err := r.listAll(ctx)
 		ended <- listed{l, err}
 	}
 	again := time.NewTicker(hedgeAfter)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -151,11 +151,10 @@
 	if !cfg.Without.Has(mechanism.Relays) {
 		followHost = nil
 	}
-	self := cfg.Self
 	return &Registry{
-		store: cfg.Store, docs: cfg.Documents, self: self, wait: wait, followHost: followHost, without: cfg.Without, changed: cfg.Changed, log: cfg.Log,
+		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, wait: wait, followHost: followHost, without: cfg.Without, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{}, unreadable: map[string]uint64{},
-		relays: relay.New(self), direct: true, news: make(chan struct{}),
+		relays: relay.New(cfg.Self), direct: true, news: make(chan struct{}),
 	}
 }
 
--- a/node/replicaset/knock.go
+++ b/node/replicaset/knock.go
@@ -10,27 +10,6 @@
 // knockTimeout bounds a knock: several round trips between regions.
 const knockTimeout = 300 * time.Millisecond
 
-// dialled notes that a connection to the member is tried.
-func (m *Member) dialled(now time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.health.Dialled(now)
-}
-
-// connected notes that a connection stands and that the login is sent.
-func (m *Member) connected(now time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.health.Connected(now)
-}
-
-// listens notes that the member's machine took a connection.
-func (m *Member) listens() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.health.Listens()
-}
-
 // Knock looks, without waiting, whether the machine of a member still refuses
 // connections. The member itself is not asked, which would cost it a login, and
 // the pause of the pool after a failed connection does not hold this up.
--- a/node/replicaset/member_health.go
+++ b/node/replicaset/member_health.go
@@ -27,6 +27,27 @@
 	m.health.Asked(now)
 }
 
+// dialled notes that a connection to the member is tried.
+func (m *Member) dialled(now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.Dialled(now)
+}
+
+// connected notes that a connection stands and that the login is sent.
+func (m *Member) connected(now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.Connected(now)
+}
+
+// listens notes that the member's machine took a connection.
+func (m *Member) listens() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.Listens()
+}
+
 // failed notes an exchange without an answer.
 func (m *Member) failed(sent time.Duration, how failure) {
 	m.mu.Lock()
