Send a read without a floor to a replica's gate, which finds one for all

Cause: 295 hosts share 20 groups, so a host has less than one statement a second for each, and its newest floor is nearly always older than its reads may be. Of the reads that replicas may serve, 35 % went to the primary for want of a floor (6,022 of 17,350 in the first 8 s; 62 % of those counted in the first 4), where each takes a transaction of its own; members turned statements away meanwhile.

Ruled out: asking eight hosts at random, which know no more (only a host whose primary had no room did even that); a question of each host to the primary's gates, which is a round trip for nearly every read.

Change: a host without a floor sends the read to the best replica, whose gate carries the reads of 50 hosts; where that gate knows no floor it asks the primary's gates, once for all that wait, before it takes a connection. What stays unbounded is refused as not run, and the primary proves its lead for it. The lower bound of what is known, however old, still passes over replicas that lag.

TestRefusalOfAFullPrimaryTellsAFloor keeps its assertions; its stand-in of the replica's gate refuses what comes without a floor now, as a gate without one does.

--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -22,6 +22,8 @@
 	PeerFloors Name = "peer-floors"
 	// RefusalFloors tells a floor with each answer to another host.
 	RefusalFloors Name = "refusal-floors"
+	// GateFloors sends a read without a floor to a replica's gate, which finds one.
+	GateFloors Name = "gate-floors"
 	// ReplicaWait has a read of a caller's own commit wait for a replica.
 	ReplicaWait Name = "replica-wait"
 	// StartupWait has callers wait for the configuration of a host that starts.
@@ -49,7 +51,7 @@
 // All returns all names, in the order of the table above.
 func All() []Name {
 	return []Name{
-		Gates, Relays, PeerFloors, RefusalFloors, ReplicaWait, StartupWait, HedgedListing, GateWatch, Reclaim,
+		Gates, Relays, PeerFloors, RefusalFloors, GateFloors, ReplicaWait, StartupWait, HedgedListing, GateWatch, Reclaim,
 		ShortFirst, Detours, StandingLeader, DirectVotes, ObservedSilence, Announcement,
 	}
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
@@ -21,9 +22,10 @@
 	// peerKey tells the deployment's datagrams from others. The platform gives
 	// hosts no secret of their own; its network keeps others out.
 	peerKey = "dotterelswitch"
-	// askAtOnce is how many hosts are asked for a floor: enough that one of them
-	// has had an answer of the primary lately, however large the fleet is.
-	askAtOnce = 8
+	// askAtOnce is how many hosts are asked for a floor: the primary's gates, which
+	// know, and where they are few, unknown or lost some other hosts, one of which
+	// may have had an answer of the primary lately.
+	askAtOnce = 4
 	// askTimeout bounds the wait for their answers.
 	askTimeout = 300 * time.Millisecond
 )
@@ -118,18 +120,30 @@
 	if !h.settings.Without.Has(mechanism.PeerFloors) {
 		return
 	}
-	var peers []string
-	for _, other := range h.registry.Fleet() {
-		if other.Name != h.settings.Host {
-			peers = append(peers, other.Address)
-		}
-	}
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, address := range peers[:min(len(peers), askAtOnce)] {
+	for _, address := range h.floorSources(service) {
 		go h.askPeer(address, service)
 	}
 }
 
+// floorSources returns the hosts to ask for a floor: the primary's gates first,
+// then any others.
+func (h *Host) floorSources(service string) []string {
+	var sources []string
+	if s := h.Set(service); s != nil {
+		sources = slices.Clone(s.KnowingHosts())
+	}
+	fleet := h.registry.Fleet()
+	for _, i := range rand.Perm(len(fleet)) {
+		if len(sources) >= askAtOnce {
+			break
+		}
+		if other := fleet[i]; other.Name != h.settings.Host && !slices.Contains(sources, other.Address) {
+			sources = append(sources, other.Address)
+		}
+	}
+	return sources[:min(len(sources), askAtOnce)]
+}
+
 func (h *Host) askPeer(address, service string) {
 	ctx, cancel := context.WithTimeout(h.ctx, askTimeout)
 	defer cancel()
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -87,6 +87,11 @@
 		if done {
 			return res, r.member
 		}
+		if r.unbounded && unbounded(res.Err) {
+			// The member was not asked; once a floor is known it may serve the read.
+			t.unbounded = true
+			continue
+		}
 		if !r.guarded {
 			t.failed(r.member, res.Err == nil && res.Answer.Code == statement.Behind)
 			continue
@@ -117,6 +122,8 @@
 	// asked are the members that were tried, and useless those of them that
 	// failed for another reason than a log that was too short.
 	asked, useless map[string]bool
+	// unbounded tells that a gate has found no floor for the read either.
+	unbounded bool
 }
 
 func newTried() *tried { return &tried{asked: map[string]bool{}, useless: map[string]bool{}} }
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -37,6 +37,9 @@
 	if j.needsLead() && m.Dead(began) {
 		return Result{Err: &RefusedError{Reason: "the member does not answer", Dead: true}}
 	}
+	if err := s.bound(ctx, j); err != nil {
+		return Result{Err: err}
+	}
 	c, err := m.acquire(ctx, j.Work.waiter())
 	waited := clock.Now() - began
 	if err != nil {
@@ -47,6 +50,19 @@
 	return res
 }
 
+// errUnbounded refuses a read for which neither its host nor this one knows a
+// floor; the primary has to prove its lead for it.
+var errUnbounded = &RefusedError{Reason: "nothing known bounds the age of the read"}
+
+// bound has this host know a floor for a read that came without one, before the
+// read takes a connection.
+func (s *Set) bound(ctx context.Context, j Job) error {
+	if !j.needsFloor() || s.awaitFloor(ctx, j.Work) {
+		return nil
+	}
+	return errUnbounded
+}
+
 // notConnected returns the result of a job for which there was no connection.
 // That another member answers at the address is an answer, which other hosts
 // are told as such.
--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -20,6 +20,18 @@
 	return s.floors.Lookup(now-w.Route.MaxStaleness+stalenessMargin, w.Committed)
 }
 
+// lowerBound returns a position that a read has to find at least, however old
+// what is known of the log: a member that lacks it cannot serve the read.
+func (s *Set) lowerBound(w Work) logpos.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest, _, _ := s.floors.Newest()
+	if newest.Less(w.Committed) {
+		return w.Committed
+	}
+	return newest
+}
+
 // Floor is a position that covers every commit that was acknowledged before
 // the time Sent, and the member that proved its lead with it.
 type Floor struct {
--- a/node/replicaset/job.go
+++ b/node/replicaset/job.go
@@ -54,6 +54,12 @@
 	return j.Kind == JobRead || j.Kind == JobGuardedRead || j.Kind == JobBegin
 }
 
+// needsFloor reports whether the job is a read of a replica that came without a
+// floor.
+func (j Job) needsFloor() bool {
+	return (j.Kind == JobRead || (j.Kind == JobBegin && !j.Plain)) && j.Floor.IsZero()
+}
+
 // needsLead reports whether only the primary can carry the job out.
 func (j Job) needsLead() bool {
 	return j.Kind == JobGuardedRead || j.Kind == JobWrite || (j.Kind == JobBegin && j.Plain)
--- a/node/replicaset/lag_test.go
+++ b/node/replicaset/lag_test.go
@@ -42,6 +42,9 @@
 		}
 		return res
 	}
+	if j.Floor.IsZero() {
+		return Result{Err: errUnbounded}
+	}
 	r.onReplica++
 	held := r.position(clock.Now() - r.behindBy)
 	if held.Less(j.Floor) {
@@ -52,6 +55,8 @@
 
 func (r *lagRemote) Alive(context.Context, string) bool { return true }
 
+func (*lagRemote) Drop(string) {}
+
 // laggedSet returns a set whose primary has no room and whose replica is
 // behind, with the floors of the last 900 ms.
 func laggedSet(r *lagRemote) *Set {
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -18,6 +18,9 @@
 	// guarded tells that nothing known bounds the age of the read, so that the
 	// primary must prove its lead.
 	guarded bool
+	// unbounded tells that this host knows no floor, and that the member's gate is
+	// to find one.
+	unbounded bool
 }
 
 // source says why a read goes to a member. It is asked before the read is sent.
@@ -62,6 +65,9 @@
 		return reader{member: m}, nil
 	}
 	bounded := a.work.Route.Consistency != catalog.Primary
+	if m, found := a.unboundedReader(t); bounded && found {
+		return reader{member: m, unbounded: true}, nil
+	}
 	if m, found := s.Primary(); found && (!bounded || m.hasIdle()) {
 		return reader{member: m, guarded: true}, nil
 	}
@@ -100,6 +106,25 @@
 	return nil, false
 }
 
+// unboundedReader returns a replica for a read for which this host knows no
+// floor; the replica's gate finds one. Load pattern: 300 hosts share 20 groups,
+// so that a host has less than a statement a second for each, and its newest
+// floor is nearly always older than its reads may be. A third of all reads that
+// replicas may serve went to the primary for that, beside its writes; a gate
+// carries the reads of 50 hosts, and asks for a floor once for all of them.
+func (a *attempts) unboundedReader(t *tried) (*Member, bool) {
+	s := a.set
+	if t.unbounded || !s.without.Has(mechanism.GateFloors) {
+		return nil, false
+	}
+	now := clock.Now()
+	readers := s.readers(t.asked, s.lowerBound(a.work), now)
+	if len(readers) == 0 || readers[0].Primary || !readers[0].Usable() {
+		return nil, false
+	}
+	return s.Member(readers[0].ID)
+}
+
 // readers returns the members that may serve a read, the best first. Members
 // that leave are passed over while there are others.
 func (s *Set) readers(asked map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -121,6 +121,19 @@
 	return nil, false
 }
 
+// KnowingHosts returns the addresses of the hosts that carry this host's
+// statements to the primary. All of the group's writes pass through them, so they
+// know the newest floors; none where this host is one of them.
+func (s *Set) KnowingHosts() []string {
+	s.mu.Lock()
+	m, found := s.members[s.belief.Primary()]
+	s.mu.Unlock()
+	if !found {
+		return nil
+	}
+	return m.gateAddresses()
+}
+
 // pastDrain reports whether a leaving member must get no new work any more.
 func (s *Set) pastDrain(e directory.Member, now time.Duration) bool {
 	return e.Leaving && now-e.LeavingSince > s.drain-leaveMargin
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -81,8 +81,12 @@
 // trip between regions.
 const peerWait = 80 * time.Millisecond
 
-// awaitFloor waits shortly for a floor that serves the read.
+// awaitFloor waits shortly for a floor that serves the read. It asks other hosts
+// where none is known.
 func (s *Set) awaitFloor(ctx context.Context, w Work) bool {
+	if _, found := s.floor(w, clock.Now()); found {
+		return true
+	}
 	until := time.NewTimer(peerWait)
 	defer until.Stop()
 	for {
