Count what a host sends for control by purpose; a table of it from the logs

Each host now logs, every five seconds, its calls to the store by name and result and its datagrams by purpose (event 316); dotterelctl measure sums them, with the rate of one host.

The streams between hosts, probes to members and bytes are not counted yet.

--- a/node/cmd/dotterelctl/measure.go
+++ b/node/cmd/dotterelctl/measure.go
@@ -17,7 +17,7 @@
 func measureCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "measure",
-		Usage:     "tell from the hosts' logs how long writes were unavailable and where reads were served",
+		Usage:     "tell from the hosts' logs how long writes were unavailable, where reads were served and what control sent",
 		ArgsUsage: "LOG...",
 		Flags:     []cli.Flag{&cli.StringFlag{Name: "output", Value: "text", Usage: "text or json"}},
 		Action: func(_ context.Context, c *cli.Command) error {
@@ -33,6 +33,7 @@
 type measures struct {
 	Losses []measure.Loss
 	Reads  []measure.Reads
+	Talk   []measure.Talk
 }
 
 func runMeasure(files []string, output string) error {
@@ -44,7 +45,7 @@
 		}
 		lines = append(lines, read...)
 	}
-	m := measures{Losses: measure.Losses(lines), Reads: measure.CountReads(lines)}
+	m := measures{Losses: measure.Losses(lines), Reads: measure.CountReads(lines), Talk: measure.CountTalk(lines)}
 	switch output {
 	case "json":
 		return json.NewEncoder(os.Stdout).Encode(m)
@@ -65,6 +66,10 @@
 	for _, r := range m.Reads {
 		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d", r.Consistency, r.Total(), r.Share(), r.ByRoute, r.NoFloor, r.Behind, r.Doubt, r.Sooner))
 	}
+	rows = append(rows, "", "SENT FOR CONTROL\tTOTAL\tA HOST AND SECOND")
+	for _, t := range m.Talk {
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%.3f", t.Purpose, t.Count, t.PerHostSecond))
+	}
 	for _, row := range rows {
 		if _, err := fmt.Fprintln(w, row); err != nil {
 			return err
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -75,6 +75,7 @@
 	metrics  *hostMetrics
 	budget   *eventlog.Budget
 	reads    readCounts
+	talk     *talkCounts
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -102,13 +103,13 @@
 	h := &Host{
 		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
 		wake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{}, promoters: map[string]*promoter.Promoter{},
-		metrics: newHostMetrics(), budget: eventlog.NewBudget(), startedAt: clock.Now(),
+		metrics: newHostMetrics(), budget: eventlog.NewBudget(), talk: newTalkCounts(), startedAt: clock.Now(),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
 	h.registry = registry.New(registry.Config{
-		Store: registry.Counted(a.Store, h.metrics.storeCall), Documents: a.Documents,
+		Store: registry.Counted(a.Store, h.storeCalled), Documents: a.Documents,
 		Self:        gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress},
 		ConfigBound: s.ConfigBound, FollowHost: h.gates.Follow, Without: s.Without, Changed: h.poke, Log: h.log,
 	})
@@ -131,6 +132,7 @@
 	h.wg.Go(func() { h.endIdleTransactions(h.ctx) })
 	h.wg.Go(func() { h.reportGauges(h.ctx) })
 	h.wg.Go(func() { h.logReads(h.ctx) })
+	h.wg.Go(func() { h.logTalk(h.ctx) })
 	return h, h.startGateway()
 }
 
@@ -266,7 +268,7 @@
 	s := replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Places: h.settings.Places,
 		DrainBound: h.settings.DrainBound, AskPeers: h.askPeers, Suspected: func() { p.Wake() },
-		Remote: remote{h.gates, h.peers}, Owner: h.owner, Host: h.settings.Host, Without: h.settings.Without, Log: h.log,
+		Remote: remote{h.gates, h.peers, h.talk}, Owner: h.owner, Host: h.settings.Host, Without: h.settings.Without, Log: h.log,
 	})
 	p = promoter.New(promoter.Config{
 		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Caller: h.adapter.Promotion, Peers: h,
--- a/node/entry/opinions.go
+++ b/node/entry/opinions.go
@@ -27,6 +27,7 @@
 	if !known {
 		return succession.Opinion{}, false
 	}
+	h.talk.add(talkOpinion)
 	answer, err := h.peers.Probe(ctx, address, gossip.Message{AskLost: &gossip.LostQuestion{Service: service, Upstream: primary}})
 	if err != nil || answer.Opinion == nil {
 		// A host that does not answer has no voice; it is asked again.
@@ -47,6 +48,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(h.ctx, askTimeout)
 			defer cancel()
+			h.talk.add(talkAnnouncement)
 			if _, err := h.peers.Probe(ctx, other.Address, gossip.Message{Lead: lead}); err != nil {
 				// The store, or the next floor, tells a host that this does not reach.
 				h.log.Debug().Err(err).Str("peer", other.Name).Msg("a promotion was not announced")
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -148,6 +148,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, askTimeout)
 	defer cancel()
 	asked := clock.Now()
+	h.talk.add(talkFloor)
 	answer, err := h.peers.Probe(ctx, address, gossip.Message{AskFloors: []string{service}})
 	if err != nil {
 		// Datagrams get lost; the next question goes to other hosts.
--- a/node/entry/remote.go
+++ b/node/entry/remote.go
@@ -20,6 +20,7 @@
 type remote struct {
 	*peer.GateClient
 	datagrams *gossip.Transport
+	talk      *talkCounts
 }
 
 // Alive implements replicaset.Remote.
@@ -35,6 +36,7 @@
 func (r remote) answers(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, aliveTime)
 	defer cancel()
+	r.talk.add(talkAlive)
 	_, err := r.datagrams.Probe(ctx, address, gossip.Message{})
 	return err == nil
 }
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -34,6 +34,7 @@
 	UpstreamRestarted = Event{313, "upstream_restarted"}
 	DetourTaken       = Event{314, "upstream_detour"}
 	ReadsCounted      = Event{315, "reads_counted"}
+	TalkCounted       = Event{316, "talk_counted"}
 	// TransactionReclaimed is bounded by the transactions that there are.
 	TransactionReclaimed = Event{312, "transaction_reclaimed"}
 	GateJobFailed        = Event{311, "gate_job_failed"}
@@ -68,7 +69,7 @@
 		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, TalkCounted,
 		TermClaimed, Promoted, PrimaryChanged, OrderFailed, PrimaryReported, LockTaken,
 		PrimaryBelievedDead, LossAgreed, PromotionOrdered, FirstWrite,
 		HostStateChanged, PeerCallFailed,
--- a/node/measure/line.go
+++ b/node/measure/line.go
@@ -30,6 +30,8 @@
 	PrimaryBehind  int `json:"primary_behind"`
 	PrimaryDoubt   int `json:"primary_doubt"`
 	PrimarySooner  int `json:"primary_sooner"`
+	// Talk is what the host sent for control, as counts by purpose.
+	Talk map[string]int `json:"talk"`
 }
 
 // Parse decodes a line. It reports false for lines that are no event.
--- a/node/measure/measure_test.go
+++ b/node/measure/measure_test.go
@@ -76,3 +76,17 @@
 		require.False(t, ok, text)
 	}
 }
+
+// TestTalkByPurpose: a rate is of one host and second, over the time of the logs.
+func TestTalkByPurpose(t *testing.T) {
+	lines := parse(t,
+		`{"host":"a","event":101,"name":"host_started","time":"2026-06-22T10:00:00Z"}`,
+		`{"host":"a","event":316,"name":"talk_counted","talk":{"store watch ok":12,"datagram floor":3},"time":"2026-06-22T10:00:05Z"}`,
+		`{"host":"b","event":316,"name":"talk_counted","talk":{"datagram floor":1},"time":"2026-06-22T10:00:04Z"}`,
+	)
+	require.Equal(t, []measure.Talk{
+		{Purpose: "store watch ok", Count: 12, PerHostSecond: 1.2},
+		{Purpose: "datagram floor", Count: 4, PerHostSecond: 0.4},
+	}, measure.CountTalk(lines))
+	require.Empty(t, measure.CountTalk(nil))
+}
