--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -57,8 +57,9 @@
 	r.changed()
 }
 
-// apply takes the events of a watch.
-func (r *Registry) apply(l store.Listing) {
+// apply takes the events of a watch. It returns the greatest effect that one of
+// them has.
+func (r *Registry) apply(l store.Listing) effect {
 	now := clock.Now()
 	r.mu.Lock()
 	r.noteBack()
@@ -82,6 +83,7 @@
 	if most == rerouted {
 		r.changed()
 	}
+	return most
 }
 
 // takeEvent takes one change. It is called with mu held.
