Follow the next host of the zone when a relay is lost

Cause: the store turned a third of the hosts away, two relays of six among them, and all followers of each watched the store themselves for eight seconds.

Ruled out: more than two hosts in turn, as each may be silent for 1.2 s and a change must be in force within 3 s.

Change: the two first hosts of a zone are relays in turn. A host that goes from the store to a relay, or back, keeps its followers as long as it hears of the store.

In TestRelayThatDoesNotHearTheStoreSaysSo the host that follows another refuses once it has not heard of the store; that it tells what it does hear is TestHostKeepsItsFollowersAsItChangesItsOwnWay.

--- a/core/relay/plan.go
+++ b/core/relay/plan.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
@@ -28,9 +29,19 @@
 	// StaleAfter is how much longer than one watch the store may leave a relay
 	// without an answer. Its followers may reach a store that it does not.
 	StaleAfter = 500 * time.Millisecond
-	// AvoidFor is how long a host watches the store itself after its relay has
-	// failed: a dead one is off the list of hosts after the 6 s of its lease.
+	// AvoidFor is how long a relay that failed is passed over: a dead one is off
+	// the list of hosts after the 6 s of its lease.
 	AvoidFor = 8 * time.Second
+	// inTurn is how many hosts of a zone are tried as relays before a host watches
+	// the store itself. Load pattern: the store turns a third of the hosts away, a
+	// relay among them, and its 48 followers would all watch the store, 10 calls a
+	// second each; with two in turn a change is still in force within 3 s if both
+	// are silent, as each is given up after SilentAfter.
+	inTurn = 2
+	// Settle is the wait before the next relay is followed, once or twice as long
+	// by chance: it has lost the first one at the same moment, and needs a moment to
+	// watch the store itself. Its followers do not come all at once.
+	Settle = 50 * time.Millisecond
 )
 
 // Relays is one host's choice of whom to follow. It is not safe for concurrent
@@ -48,29 +59,48 @@
 }
 
 // Pick returns the host to follow; it returns false when this host watches the
-// store itself. Of each zone the host with the highest score is the relay.
+// store itself. Of each zone the host with the highest score is the relay, and the
+// one after it for those that have lost the first.
 func (r *Relays) Pick(fleet []gates.Host, now time.Duration) (gates.Host, bool) {
 	if len(fleet) <= SmallFleet {
 		return gates.Host{}, false
 	}
-	top := r.self
-	for _, h := range fleet {
-		if h.Zone == r.self.Zone && precedes(h, top) {
-			top = h
+	for _, h := range r.turns(fleet) {
+		if h.Name == r.self.Name {
+			return gates.Host{}, false
+		}
+		if now >= r.avoided[h.Name] {
+			return h, true
 		}
 	}
-	if top.Name == r.self.Name || now < r.avoided[top.Name] {
-		return gates.Host{}, false
+	return gates.Host{}, false
+}
+
+// turns returns the hosts of the zone that are tried as relays, in their order.
+// This host always counts, registered or not: it follows only hosts that go before
+// it, so that however much the hosts' pictures of the fleet differ, none follows
+// itself by way of others.
+func (r *Relays) turns(fleet []gates.Host) []gates.Host {
+	out := []gates.Host{r.self}
+	for _, h := range fleet {
+		if h.Zone != r.self.Zone || h.Name == r.self.Name {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(out, h, precedes)
+		if at < inTurn {
+			out = slices.Insert(out, at, h)
+			out = out[:min(len(out), inTurn)]
+		}
 	}
-	return top, true
+	return out
 }
 
-// precedes reports whether a host goes before another one of its zone.
-func precedes(a, b gates.Host) bool {
+// precedes orders the hosts of a zone.
+func precedes(a, b gates.Host) int {
 	return cmp.Or(
 		cmp.Compare(membership.Score(b.Zone, b.Name), membership.Score(a.Zone, a.Name)),
 		cmp.Compare(a.Name, b.Name),
-	) < 0
+	)
 }
 
 // Failed has a relay passed over for a while.
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
@@ -26,8 +27,7 @@
 // errSilentRelay ends the stream of a relay that gives no sign of life.
 var errSilentRelay = errors.New("the relay is silent")
 
-// errNotFollowing refuses to relay what this host only hears itself, or has not
-// heard for too long.
+// errNotFollowing refuses to relay what this host has not heard of for too long.
 var errNotFollowing = errors.New("this host does not follow the store at present")
 
 // historyLimit bounds the changes that a relay keeps for followers that come
@@ -35,8 +35,8 @@
 const historyLimit = 2000
 
 // followRelay follows another host until it fails.
-func (r *Registry) followRelay(ctx context.Context, host gates.Host) {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (r *Registry) followRelay(outer context.Context, host gates.Host) {
+	ctx, cancel := context.WithCancelCause(outer)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(relay.SilentAfter, func() { cancel(errSilentRelay) })
 	defer watchdog.Stop()
@@ -55,6 +55,7 @@
 	r.mu.Lock()
 	r.relays.Failed(host.Name, clock.Now())
 	r.mu.Unlock()
+	clock.Sleep(outer, relay.Settle+rand.N(relay.Settle))
 }
 
 func (r *Registry) takeNews(n News) {
@@ -113,12 +114,23 @@
 	return r.followers
 }
 
+// hears reports whether this host has lately heard of the store, by itself or
+// from the host that it follows: hosts follow only those that go before them, so
+// that what one hears has come from the store. A host that changes from one way to
+// the other keeps its followers. It is called with mu held.
+func (r *Registry) hears(now time.Duration) bool {
+	if !r.listed || (r.direct && r.away) {
+		return false
+	}
+	return now-r.heardAt <= r.wait+relay.StaleAfter
+}
+
 // newsAfter returns what changed after a revision, and a channel that is closed
 // by the next change.
 func (r *Registry) newsAfter(after uint64) (News, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.direct || r.away || !r.listed || clock.Now()-r.heardAt > r.wait+relay.StaleAfter {
+	if !r.hears(clock.Now()) {
 		return News{}, nil, errNotFollowing
 	}
 	if after >= r.revision {
