Take the calm watches back; say what events there are

The talk counted at full size shows it: in a calm five seconds the six relays have 6 to 12 watches answered, all of them at the end of their wait. On the users' platform a member's entry changes only when more than its count does, so heartbeats end no watch.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -85,8 +85,8 @@
 	return &Directory{members: make(map[string]*Member), gone: make(map[string]departure)}
 }
 
-// Put takes an entry as it was written. It reports whether it tells anything
-// new: a heartbeat changes the revision only.
+// Put takes an entry as it was written. It reports whether anything but the
+// revision changed.
 func (d *Directory) Put(e Entry, now time.Duration) bool {
 	m, found := d.members[e.ID]
 	if !found {
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -57,9 +57,8 @@
 	r.changed()
 }
 
-// apply takes the events of a watch. It returns the greatest effect that one of
-// them has.
-func (r *Registry) apply(l store.Listing) effect {
+// apply takes the events of a watch.
+func (r *Registry) apply(l store.Listing) {
 	now := clock.Now()
 	r.mu.Lock()
 	r.noteBack()
@@ -83,7 +82,6 @@
 	if most == rerouted {
 		r.changed()
 	}
-	return most
 }
 
 // takeEvent takes one change. It is called with mu held.
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -54,12 +54,6 @@
 	// watchSpacing is the least time between two watches. A fleet that starts
 	// makes an event a host, and each would cost every host a call.
 	watchSpacing = 100 * time.Millisecond
-	// calmSpacing is the least time between two watches while the store tells
-	// nothing new. Each member's heartbeat ends a watch, so that those who watch
-	// would call as often as they may, and every call is paid for. News come that
-	// much later at most; with the wait of a watch that hears nothing, more than a
-	// second of the shortest bound on a change, 3 s, is left.
-	calmSpacing = 400 * time.Millisecond
 	// listTimeout bounds a listing of the members.
 	listTimeout = 3 * time.Second
 	// tidyAfter is when a listing looks again for entries that were lost.
@@ -227,25 +221,11 @@
 	if err != nil {
 		return err
 	}
-	heard := r.apply(l)
-	clock.Sleep(ctx, watchPause(heard == nothingNew && !r.anySuspected(), clock.Now()-began))
-	return nil
-}
-
-// watchPause returns the wait before the next watch, after one that took a time.
-// In calm it told nothing new, and no primary is reported dead: who leads next is
-// awaited by callers.
-func watchPause(calm bool, took time.Duration) time.Duration {
-	if calm {
-		return max(calmSpacing-took, 0)
+	r.apply(l)
+	if took := clock.Now() - began; took < watchSpacing {
+		clock.Sleep(ctx, watchSpacing-took)
 	}
-	return max(watchSpacing-took, 0)
-}
-
-func (r *Registry) anySuspected() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.own.suspects) > 0
+	return nil
 }
 
 func (r *Registry) listAll(ctx context.Context) (store.Listing, error) {
