Give up a gate that cannot be reached after 120 ms

Cause: the fleet was cut in two beside a primary's cut from its replicas, and a host found a third of its gates out of reach without a word. Three gates took 250 ms each, after which a caller with 800 ms had no time left: 1,653 statements refused with "dial tcp: i/o timeout" in the log's sample of 6 s at 295 hosts, two thirds of them reads that replicas may serve.

Ruled out: the look at a silent gate, which takes over only once a connection stands; a shorter wait, which three round trips between far regions would pass.

Change: gateDialTimeout 250 to 120 ms, three round trips of the furthest regions.

TestGatesOutOfReachLeaveTimeForAnotherWay fails with 250 ms.

--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -25,9 +25,13 @@
 	// second on each was most of what the hosts sent.
 	gatePing        = 10 * time.Second
 	gatePingTimeout = time.Second
-	// gateDialTimeout bounds a connection to a gate, which a caller waits for:
-	// several round trips between regions.
-	gateDialTimeout = 250 * time.Millisecond
+	// gateDialTimeout bounds a connection to a gate, which a caller waits for: three
+	// round trips between the regions that are furthest apart, 40 ms. Fault pattern:
+	// the fleet is cut in two, and a host finds a third of its gates out of reach,
+	// one statement after another. All three gates of a member are tried within 400
+	// ms, which leaves a caller with 500 ms time for a connection of this host's own;
+	// with 250 ms each its time was over first.
+	gateDialTimeout = 120 * time.Millisecond
 	// answerSlack is what an answer may take beyond the statement's own time:
 	// the way back between regions.
 	answerSlack = 60 * time.Millisecond
