--- a/core/relay/plan.go
+++ b/core/relay/plan.go
@@ -39,7 +39,7 @@
 	// so that a change is still in force within 3 s if both are silent: each is given
 	// up after SilentAfter.
 	inTurn = 2
-	// Settle is the wait before the next relay is followed, once or twice as long
+	// Settle is the wait before the next relay is followed, up to twice as long
 	// by chance: it has lost the first one at the same moment, and needs a moment to
 	// watch the store itself. Its followers do not come all at once.
 	Settle = 50 * time.Millisecond
