--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -87,7 +87,7 @@
 		if done {
 			return res, r.member
 		}
-		if r.unbounded && unbounded(res.Err) {
+		if r.unbounded && refusedUnbounded(res.Err) {
 			// The member was not asked; once a floor is known it may serve the read.
 			t.unbounded = true
 			continue
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -67,9 +67,9 @@
 	return errors.As(err, &refused) && refused.RetryAfter > 0
 }
 
-// unbounded reports whether an error refuses a read because nothing bounds its
+// refusedUnbounded reports whether an error refuses a read because nothing bounds its
 // age: neither for want of room nor because the member is dead.
-func unbounded(err error) bool {
+func refusedUnbounded(err error) bool {
 	var refused *RefusedError
 	return errors.As(err, &refused) && refused.RetryAfter == 0 && !refused.Dead
 }
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -65,8 +65,10 @@
 		return reader{member: m}, nil
 	}
 	bounded := a.work.Route.Consistency != catalog.Primary
-	if m, found := a.unboundedReader(t); bounded && found {
-		return reader{member: m, unbounded: true}, nil
+	if bounded {
+		if m, found := a.unboundedReader(t); found {
+			return reader{member: m, unbounded: true}, nil
+		}
 	}
 	if m, found := s.Primary(); found && (!bounded || m.hasIdle()) {
 		return reader{member: m, guarded: true}, nil
