Work out shares and votes of what a restart concerns only

Cause: docs/CAPACITY.md names it as the first thing to break at 5,000 hosts before 27,000 databases: each time a host joins or leaves, every host ranked the hosts of a zone for every member, and sorted the whole fleet for the voters of every service (which the page had not counted): 1,750 and 2,170 ms of processor time for one restart with 1,000 services, worked out 47 and 59 s with 27,000.

Change: a fleet tells what has changed since the one before it, and membership.Top keeps the few best hosts of a key while hosts join and leave. Shares and Electorate keep one for each member and service; plans made anew use the same code.

Conclusion: kept; the cost of a restart follows what it concerns.

--- a/core/gates/plan.go
+++ b/core/gates/plan.go
@@ -9,8 +9,6 @@
 package gates
 
 import (
-	"slices"
-
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 )
@@ -94,25 +92,34 @@
 
 // For returns the share of the named host in a member.
 func (p Plan) For(m Member, host string) Share {
+	return p.share(m, host, p.fleet.nearest(m, p.gateCount(m)))
+}
+
+// gateCount returns how many gates a member has.
+func (p Plan) gateCount(m Member) int {
+	return min(max(p.useful(m)/perGate, 1), p.fleet.Size())
+}
+
+// share returns the share of the named host in a member whose gates are known.
+func (p Plan) share(m Member, host string, top *membership.Top) Share {
 	useful := p.useful(m)
-	count := min(max(useful/perGate, 1), p.fleet.Size())
+	count := top.Size()
 	if count == 0 {
 		return Share{Limits: connpool.Limits{Max: useful, Fair: 1, MaxWaiting: maxWaiting}}
 	}
-	chosen := p.fleet.nearest(m, count)
 	each := max(useful/count, 1)
-	if slices.ContainsFunc(chosen, func(h Host) bool { return h.Name == host }) {
+	if top.Contains(host) {
 		return keeping(each)
 	}
 	return Share{
 		Limits: connpool.Limits{Max: min(strayConnections, each), MaxWaiting: maxWaiting},
-		Gates:  p.addresses(chosen, m.ID, host),
+		Gates:  addresses(p.fleet.called(top.Names()), m.ID, host),
 	}
 }
 
 // addresses orders a member's gates for one host, so that the hosts that are
 // no gates spread over them.
-func (p Plan) addresses(chosen []Host, member, host string) []string {
+func addresses(chosen []Host, member, host string) []string {
 	out := make([]string, 0, len(chosen))
 	for _, h := range membership.RankBy(member+"\x00"+host, chosen, hostName) {
 		out = append(out, h.Address)
--- a/core/succession/quorum.go
+++ b/core/succession/quorum.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 )
 
@@ -19,9 +20,53 @@
 }
 
 // Voters returns the hosts that judge the primary of a service.
-func Voters(service string, live []string) []string {
-	order := Order(service, live)
-	return order[:min(len(order), MaxVoters)]
+func Voters(service string, live []string) []string { return topVoters(service, live).Names() }
+
+func topVoters(service string, live []string) *membership.Top {
+	top := membership.NewTop(service, MaxVoters)
+	for _, host := range live {
+		top.Join(host, 0)
+	}
+	return top
+}
+
+// Electorate keeps the voters of a service from one fleet to the next. Load
+// pattern: hosts restart all day, and every host has to know for every service
+// whether it votes. A restart among 5,000 hosts takes 5 ms of processor time for
+// 1,000 services, in place of 2,170 ms with a sort of the fleet for each
+// (BenchmarkElectorate). It is not safe for
+// concurrent use.
+type Electorate struct {
+	service string
+	// generation is that of the fleet which the voters are of.
+	generation uint64
+	voters     *membership.Top
+}
+
+// NewElectorate returns the voters of no fleet.
+func NewElectorate(service string) *Electorate { return &Electorate{service: service} }
+
+// Votes reports whether a host judges the primary.
+func (e *Electorate) Votes(host string, f gates.Fleet) bool {
+	e.follow(f)
+	return e.voters.Contains(host)
+}
+
+// follow brings the voters in step with a fleet.
+func (e *Electorate) follow(f gates.Fleet) {
+	change, known := f.Since(e.generation)
+	e.generation = f.Generation()
+	if known {
+		for _, h := range change.Left {
+			e.voters.Leave(h.Name)
+		}
+		for _, h := range change.Joined {
+			e.voters.Join(h.Name, 0)
+		}
+	}
+	if !known || e.voters.Stale() {
+		e.voters = topVoters(e.service, f.Names())
+	}
 }
 
 // Lost reports whether enough hosts have lost the primary to replace it: more
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -94,6 +94,8 @@
 	jobs   atomic.Int64
 	wake   chan struct{}
 	failed chan error
+	// fleet is the hosts that the sets were last told of; it belongs to reconcile.
+	fleet gates.Fleet
 
 	// mu guards sets and promoters, both by service.
 	mu        sync.RWMutex
@@ -106,7 +108,7 @@
 	h := &Host{
 		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
 		wake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{}, promoters: map[string]*promoter.Promoter{},
-		metrics: newHostMetrics(), budget: eventlog.NewBudget(), talk: newTalkCounts(), startedAt: clock.Now(),
+		metrics: newHostMetrics(), budget: eventlog.NewBudget(), talk: newTalkCounts(), startedAt: clock.Now(), fleet: gates.NewFleet(nil, s.Places.Regions),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
@@ -256,10 +258,10 @@
 	if c == nil {
 		return
 	}
-	fleet := gates.NewFleet(h.registry.Fleet(), h.settings.Places.Regions)
+	h.fleet = h.fleet.Next(h.registry.Fleet())
 	groups := h.registry.Groups()
 	for name, spec := range c.Services {
-		h.ensureSet(ctx, name).Update(groups[name], spec, fleet)
+		h.ensureSet(ctx, name).Update(groups[name], spec, h.fleet)
 	}
 }
 
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -1,7 +1,6 @@
 package replicaset
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -107,9 +106,12 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	members map[string]*Member
+	// shares are this host's in the members' connections.
+	shares *gates.Shares
 	// votes tells that this host is one of those that judge the primary.
-	votes  bool
-	belief succession.Belief
+	votes      bool
+	electorate *succession.Electorate
+	belief     succession.Belief
 	// reached is how far the newest primary's log is known to go.
 	reached succession.HighWater
 	floors  fresh.Floors
@@ -133,6 +135,7 @@
 		ask: cfg.AskPeers, suspect: cfg.Suspected, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, without: cfg.Without, learned: make(chan struct{}),
 		log:       cfg.Log.With().Str("service", cfg.Service).Logger(),
 		attention: make(chan struct{}, 1), members: map[string]*Member{}, changed: make(chan struct{}),
+		shares: gates.NewShares(cfg.Host), electorate: succession.NewElectorate(cfg.Service),
 	}
 }
 
@@ -141,7 +144,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	plan := gates.NewPlan(fleet, spec.MaxConnections-reservedConnections)
-	s.votes = slices.Contains(succession.Voters(s.service, fleet.Names()), s.host)
+	s.votes = s.electorate.Votes(s.host, fleet)
 	before := s.belief.Primary()
 	listed := map[string]bool{}
 	for _, e := range members {
@@ -158,6 +161,7 @@
 	for id, m := range s.members {
 		if !listed[id] {
 			delete(s.members, id)
+			s.shares.Forget(id)
 			s.belief.Resigned(id)
 			m.remove()
 			eventlog.UpstreamGone.Info(s.log).Str("upstream", id).Send()
@@ -166,12 +170,13 @@
 	s.notePrimary(before, "directory")
 }
 
-// shareOf returns this host's share of a member's connections.
+// shareOf returns this host's share of a member's connections. It is called with
+// mu held.
 func (s *Set) shareOf(plan gates.Plan, m gates.Member) gates.Share {
 	if !s.without.Has(mechanism.Gates) {
 		return plan.Even()
 	}
-	return plan.For(m, s.host)
+	return s.shares.For(plan, m)
 }
 
 // present returns the member of an entry with the entry taken in. It is called
