Count connections that are given up, not those closed in order, in the test of a member without room

It counted every connection that ended. While the first one rolls back, a second is opened; the pool closes the spare one in order after a second, which the read without room takes.

Ruled out: a statement given up without an answer: the host had no such event, and its connections were closed as spare.

Conclusion: the test was wrong; mended.

--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -22,6 +22,8 @@
 	pending                []write
 	// tx names the open transaction; zero while there is none.
 	tx uint64
+	// goodbye tells that the other end has taken its leave.
+	goodbye bool
 }
 
 // reply is the answer to one statement.
@@ -53,6 +55,7 @@
 		}
 		line = strings.TrimRight(line, "\r\n")
 		if line == "TERMINATE" {
+			c.goodbye = true
 			return
 		}
 		if m.silent.Load() {
@@ -102,8 +105,8 @@
 func (c *conn) leave() {
 	c.member.group.mu.Lock()
 	defer c.member.group.mu.Unlock()
-	if c.member.conns[c] {
-		c.member.ended.Add(1)
+	if c.member.conns[c] && !c.goodbye {
+		c.member.abandoned.Add(1)
 	}
 	delete(c.member.conns, c)
 }
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -45,8 +45,9 @@
 	refuse      atomic.Int64
 	logins      atomic.Int64
 	crowded     atomic.Int64
-	// ended counts the connections that were accepted and have ended.
-	ended atomic.Int64
+	// abandoned counts the connections that were accepted and have ended without a
+	// word.
+	abandoned atomic.Int64
 }
 
 // start opens the listener, at the old address after a crash. While the member
@@ -195,8 +196,9 @@
 // Logins returns how many connections were accepted, and how many turned away.
 func (m *Member) Logins() (accepted, crowded int64) { return m.logins.Load(), m.crowded.Load() }
 
-// Ended returns how many accepted connections have ended since.
-func (m *Member) Ended() int64 { return m.ended.Load() }
+// Abandoned returns how many accepted connections have ended without a word: a
+// host gives up one whose answer did not come, and takes its leave of others.
+func (m *Member) Abandoned() int64 { return m.abandoned.Load() }
 
 // Position returns the end of the member's log.
 func (m *Member) Position() string {
