Keep no connections before the fleet is known

The store answers at 37.80 s; configuration in force at 37.89 s in the median. Each host then found itself nearly alone, took itself for a gate of all members and opened connections: the members, which take 88, reset 8,258, at 12 ms of a slot each; 138 statements were served from 38.0 to 38.5 s and 2,076 in the next half second; gate_job_failed "no connection to the member was free in time" 7,400 times in that second.

Ruled out: late configurations (38.67 s at the last host), dead connections (the hosts were killed, so that their kernels closed them).

Change: core/startup judges whether a host that has just started knows the fleet: at once if it was registered when it started, else when the fleet has not grown by a tenth for 150 ms, and after 600 ms in any case. Until then its groups are not set up, callers' statements wait as they do for a configuration, and the host is not ready. fleet-wait leaves it out.

--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -28,6 +28,8 @@
 	ReplicaWait Name = "replica-wait"
 	// StartupWait has callers wait for the configuration of a host that starts.
 	StartupWait Name = "startup-wait"
+	// FleetWait has a host that starts wait until it knows the others.
+	FleetWait Name = "fleet-wait"
 	// HedgedListing asks a silent store again while nothing is known.
 	HedgedListing Name = "hedged-listing"
 	// GateWatch gives up what was sent to a gate that is silent.
@@ -51,7 +53,7 @@
 // All returns all names, in the order of the table above.
 func All() []Name {
 	return []Name{
-		Gates, Relays, PeerFloors, RefusalFloors, GateFloors, ReplicaWait, StartupWait, HedgedListing, GateWatch, Reclaim,
+		Gates, Relays, PeerFloors, RefusalFloors, GateFloors, ReplicaWait, StartupWait, FleetWait, HedgedListing, GateWatch, Reclaim,
 		ShortFirst, Detours, StandingLeader, DirectVotes, ObservedSilence, Announcement,
 	}
 }
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
+	"github.com/dotterelswitch/dotterelswitch/core/startup"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -94,8 +95,12 @@
 	jobs   atomic.Int64
 	wake   chan struct{}
 	failed chan error
-	// fleet is the hosts that the sets were last told of; it belongs to reconcile.
-	fleet gates.Fleet
+	// fleet is the hosts that the sets were last told of, and starting judges
+	// whether they are known well enough; fleetKnown tells that they are. They
+	// belong to reconcile.
+	fleet      gates.Fleet
+	starting   startup.Fleet
+	fleetKnown bool
 
 	// mu guards sets and promoters, both by service.
 	mu        sync.RWMutex
@@ -258,7 +263,11 @@
 	if c == nil {
 		return
 	}
-	h.fleet = h.fleet.Next(h.registry.Fleet())
+	hosts := h.registry.Fleet()
+	if !h.knowsFleet(hosts) {
+		return
+	}
+	h.fleet = h.fleet.Next(hosts)
 	groups := h.registry.Groups()
 	for name, spec := range c.Services {
 		h.ensureSet(ctx, name).Update(groups[name], spec, h.fleet)
--- a/node/entry/startup.go
+++ b/node/entry/startup.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/startup"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
@@ -38,3 +40,21 @@
 		}
 	}
 }
+
+// knowsFleet reports whether the other hosts are known well enough to share the
+// members' connections with them. While they are not, statements wait for their
+// group, and the sets are looked at again when they should be.
+func (h *Host) knowsFleet(hosts []gates.Host) bool {
+	if h.fleetKnown || !h.settings.Without.Has(mechanism.FleetWait) {
+		return true
+	}
+	now := clock.Now()
+	h.starting.Seen(len(hosts), h.registry.Remembered(), now)
+	if !h.starting.Settled(now) {
+		time.AfterFunc(h.starting.SettlesAt()-now, h.poke)
+		return false
+	}
+	h.fleetKnown = true
+	eventlog.FleetKnown.Info(h.log).Int("hosts", len(hosts)).Bool("remembered", h.registry.Remembered()).Send()
+	return true
+}
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -56,6 +56,7 @@
 	RelayedBy            = Event{609, "platform_news_relayed"}
 	RelayFollowed        = Event{610, "platform_relay_followed"}
 	RelayLost            = Event{611, "platform_relay_lost"}
+	FleetKnown           = Event{612, "fleet_known"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -74,7 +75,7 @@
 		PrimaryBelievedDead, LossAgreed, PromotionOrdered, FirstWrite,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost,
+		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost, FleetKnown,
 	}
 }
 
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -50,6 +50,9 @@
 	}
 	r.directory.Replace(entries, l.Revision, now)
 	r.expire(now)
+	if r.heardAt == 0 {
+		r.noteRemembered()
+	}
 	r.heardAt = now
 	r.revision, r.listed = l.Revision, true
 	r.forgetHistory()
--- a/node/registry/first_listing_test.go
+++ b/node/registry/first_listing_test.go
@@ -117,3 +117,34 @@
 	require.True(t, seen.after(4*time.Millisecond))
 	require.False(t, seen.after(5*time.Millisecond))
 }
+
+// TestEarlierLifeIsRemembered: a host that was registered when it started is told
+// apart from one that finds only what it has just written itself, or nothing.
+func TestEarlierLifeIsRemembered(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// registered is the revision of this life's registration; zero before it.
+		registered uint64
+		// listed is the revision of the host's key in the listing; zero for none.
+		listed     uint64
+		remembered bool
+	}{
+		{"the lease has lapsed", 0, 0, false},
+		{"the lease still runs", 0, 5, true},
+		{"registered meanwhile", 9, 9, false},
+		{"listed before it registered", 9, 5, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := startingRegistry(&slowListings{})
+			r.registeredAt = c.registered
+			l := store.Listing{Revision: 10}
+			if c.listed > 0 {
+				l.Items = []store.Item{{Key: hostKey("self"), Value: encodeHost(gates.Host{Zone: "z", Address: "a"}), Revision: c.listed}}
+			}
+			r.replace(l)
+			require.Equal(t, c.remembered, r.Remembered())
+			r.replace(store.Listing{Revision: 11})
+			require.Equal(t, c.remembered, r.Remembered(), "only the first listing tells")
+		})
+	}
+}
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -65,13 +65,14 @@
 	}
 	r.seen.answered(asked)
 	asked = clock.Now()
-	_, err = r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.self.Name), Value: encodeHost(r.self), Lease: g.Lease}}})
+	revision, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.self.Name), Value: encodeHost(r.self), Lease: g.Lease}}})
 	if err != nil {
 		return err
 	}
 	r.seen.answered(asked)
 	r.mu.Lock()
 	r.lease = g.Lease
+	r.registeredAt = revision
 	r.own.hosts[r.self.Name] = r.self
 	r.mu.Unlock()
 	return nil
@@ -85,6 +86,22 @@
 	return found
 }
 
+// noteRemembered notes whether a listing names this host although it has not
+// registered: an earlier life has, and its lease has not ended. It is called with
+// mu held.
+func (r *Registry) noteRemembered() {
+	own, found := r.items[hostKey(r.self.Name)]
+	r.remembered = found && (r.registeredAt == 0 || own.Revision < r.registeredAt)
+}
+
+// Remembered reports whether this host was registered already when it first
+// listed the store.
+func (r *Registry) Remembered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.remembered
+}
+
 func (r *Registry) currentLease() store.Lease {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -122,6 +122,10 @@
 	// that each is logged once.
 	unreadable map[string]uint64
 	lease      store.Lease
+	// registeredAt is the revision of this host's registration; zero before it.
+	registeredAt uint64
+	// remembered tells that an earlier life was registered at the first listing.
+	remembered bool
 	recheck    bool
 	leaving    bool
 }
