Space the renewals of a lease while the store is away

Change: after a renewal that failed the pause doubles from 500 ms to 2 s. An answer of the store to this host, or of its relay, cuts one pause of a row short, so that it still registers as soon as the store is back.

--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// forgetReached drops a signal that is older than the attempt that begins now.
+func (r *Registry) forgetReached() {
+	select {
+	case <-r.reached:
+	default:
+	}
+}
+
 // noteBack is called with mu held.
 func (r *Registry) noteBack() {
 	if r.away {
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -19,55 +19,39 @@
 	// renewEvery is half of the lease. Each renewal is a write of the store, and
 	// the whole fleet makes them.
 	renewEvery = leaseTTL / 2
-	// renewRetry is the pause after a renewal that failed: several more fit into
-	// what is left of the lease, and a host is back soon after the store.
-	renewRetry = 500 * time.Millisecond
 )
 
 // KeepPresence keeps the host registered until the context ends.
 func (r *Registry) KeepPresence(ctx context.Context) {
+	var spacing renewals
 	for ctx.Err() == nil && !r.isLeaving() {
+		r.forgetReached()
 		err := r.keepOnce(ctx)
 		if err != nil {
 			r.noteAway(err)
 		}
-		r.awaitRenewal(ctx, err)
+		spacing.ended(err)
+		r.awaitRenewal(ctx, &spacing)
 	}
 }
 
-// awaitRenewal waits until the lease is to be renewed, or after a failure until the
-// store answers this host. Load pattern: all hosts start beside a store that is
-// away, and register when it is back. Had each waited out its pause, the others
-// would know of it half a second later, and take themselves for fewer than they
-// are.
-func (r *Registry) awaitRenewal(ctx context.Context, err error) {
-	pause := renewPause(err)
-	reached := r.reached
-	switch {
-	case err == nil:
-		reached = nil
-	case r.Catalog() == nil:
-		// The first listing is asked for all the while, and tells.
-		pause = renewEvery
-	}
-	timer := time.NewTimer(pause)
+// awaitRenewal waits until the lease is to be renewed, or after a failure perhaps
+// only until the store answers this host.
+func (r *Registry) awaitRenewal(ctx context.Context, spacing *renewals) {
+	timer := time.NewTimer(spacing.pause(r.Catalog() != nil))
 	defer timer.Stop()
+	var reached <-chan struct{}
+	if spacing.mayHurry() {
+		reached = r.reached
+	}
 	select {
 	case <-timer.C:
 	case <-reached:
+		spacing.hurry()
 	case <-ctx.Done():
 	}
 }
 
-// renewPause returns the wait before the next renewal, by how the last one
-// ended. A store that is above its rate is given as long as one that answers.
-func renewPause(err error) time.Duration {
-	if err == nil || store.Is(err, store.Throttled) {
-		return renewEvery
-	}
-	return renewRetry
-}
-
 // keepOnce renews the lease, or takes a new one and registers with it.
 func (r *Registry) keepOnce(ctx context.Context) error {
 	lease := r.currentLease()
