Tell followers of every change of an entry, known to the relay or not

Its relay had heard of the entries from another host that reached the store sooner; its own watch then told it the loss, which it passed on, and the entry, which was nothing new to it and which it kept to itself.

Change: what followers are told is judged by what the store told the relay before, not by what the relay knows. An entry that is written again unchanged is no news as before. TestFollowersHearWhatTheirRelayKnewAlready fails without.

--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -88,9 +88,10 @@
 	var news []store.Item
 	most := nothingNew
 	for _, i := range l.Items {
+		before, known := r.items[i.Key]
 		r.remember(i)
 		e := r.takeEvent(i, now)
-		if e != nothingNew {
+		if e != nothingNew || r.changesEntry(before, known, i) {
 			news = append(news, i)
 		}
 		most = max(most, e)
@@ -136,6 +137,26 @@
 	}
 }
 
+// changesEntry reports whether a change makes a member's entry another one than
+// this host was told by the store. Followers have to hear of that even if this host
+// knows it already, from a host that reached the store sooner. It is called with mu
+// held.
+func (r *Registry) changesEntry(before store.Item, known bool, i store.Item) bool {
+	if _, ok := r.docs.MemberID(i.Key); !ok {
+		return false
+	}
+	if !known || i.Deleted {
+		return true
+	}
+	old, err := r.docs.Entry(before)
+	if err != nil {
+		return true
+	}
+	now, err := r.docs.Entry(i)
+	old.Revision = now.Revision
+	return err != nil || old != now
+}
+
 // decodeEntry decodes a member's entry; it reports false for other keys and
 // for entries that cannot be read, which are logged once a change. It is called
 // with mu held.
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -80,3 +80,27 @@
 		require.ErrorIs(t, r.Tell(context.Background(), 6, nil), errNotFollowing)
 	}
 }
+
+// TestFollowersHearWhatTheirRelayKnewAlready replays the return of a store that was
+// away while the members' entries lapsed. The relay has heard from another host
+// that a member is back before its own watch tells that its entry was lost and is
+// back. Its followers heard nothing from that host: told of the loss alone, they
+// took a living member for gone.
+func TestFollowersHearWhatTheirRelayKnewAlready(t *testing.T) {
+	relay, _ := countingRegistry()
+	follower, _ := countingRegistry()
+	back := livingItem("m", 9, 30, 500)
+	relay.applyRelayed(listing(9, back), "another host")
+	relay.apply(listing(9, store.Item{Key: back.Key, Revision: 8, Deleted: true}, back))
+
+	follower.takeNews(firstNews(t, relay, 1))
+	for name, r := range map[string]*Registry{"relay": relay, "follower": follower} {
+		members := r.Groups()["svc"]
+		require.Len(t, members, 1, name)
+		require.False(t, members[0].Missing, name)
+		follower.direct = false
+		l, follows := follower.heard()
+		require.True(t, follows)
+		require.Len(t, l.Items, 1, "what a follower lists again holds the entry")
+	}
+}
