--- a/core/startup/fleet.go
+++ b/core/startup/fleet.go
@@ -19,9 +19,9 @@
 // they had registered lapses. When the store is back each of them finds itself
 // nearly alone, and takes itself for a host that keeps connections to all members:
 // 295 hosts open connections to members that take 88, at 12 ms of one of two slots
-// each. The members turned 8,258 of them away within two seconds, and ran 138
-// statements in the first half second in place of some 3,000. It is not safe for
-// concurrent use.
+// each. The members turned 8,258 of them away; callers had 138 statements served
+// in the first half second, and 2,076 in the next. It is not safe for concurrent
+// use.
 type Fleet struct {
 	since, grownAt time.Duration
 	size           int
