--- a/core/relay/plan.go
+++ b/core/relay/plan.go
@@ -119,9 +119,9 @@
 	}
 }
 
-// Relays reports whether this host is one that others of its zone may follow, or
+// Serves reports whether this host is one that others of its zone may follow, or
 // in a small fleet watches the store like all others. One that is neither watches
 // the store only while it has no relay.
-func (r *Relays) Relays(fleet []gates.Host) bool {
+func (r *Relays) Serves(fleet []gates.Host) bool {
 	return len(fleet) <= SmallFleet || slices.ContainsFunc(r.turns(fleet), func(h gates.Host) bool { return h.Name == r.self.Name })
 }
--- a/core/relay/plan_test.go
+++ b/core/relay/plan_test.go
@@ -95,7 +95,7 @@
 		r := relay.New(h)
 		first, follows := r.Pick(fleet, 0)
 		if !follows {
-			require.True(t, r.Relays(fleet))
+			require.True(t, r.Serves(fleet))
 			continue
 		}
 		r.Failed(first.Name, true, 0)
@@ -111,7 +111,7 @@
 	count := func(fleet []gates.Host) int {
 		n := 0
 		for _, h := range fleet {
-			if relay.New(h).Relays(fleet) {
+			if relay.New(h).Serves(fleet) {
 				n++
 			}
 		}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -217,7 +217,7 @@
 func (r *Registry) standsIn() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.followHost != nil && r.listed && !r.relays.Relays(r.own.fleet())
+	return r.followHost != nil && r.listed && !r.relays.Serves(r.own.fleet())
 }
 
 func (r *Registry) setDirect(direct bool) {
