Wait for a listing as long as it may take in the test of a host's registration

Not load: the test runs on a fake clock. Its host asks for the first listing at random pauses of up to 200 ms, and after 20 calls of up to 1 s; 1.8 s may hold 20 calls, and the test waited 400 ms for the next.

Ruled out: the signal that hurries the registration; it comes with the listing.

Change: the store is away for 1 s, and the test waits as long as the pauses may be, which is checked to lie before the moment at which the host would ask without a word of the store. It still fails without the signal.

--- a/node/registry/first_listing_test.go
+++ b/node/registry/first_listing_test.go
@@ -190,10 +190,15 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.Run(ctx)
 		go r.KeepPresence(ctx)
-		time.Sleep(1800 * time.Millisecond)
+		time.Sleep(time.Second)
 		require.Equal(t, int32(1), s.grants.Load())
 		s.back.Store(true)
-		time.Sleep(2 * firstBackoff.Max)
+		// After many calls the first listing is asked for less often. The lease would
+		// be asked for without a word of the store after renewEvery.
+		const soonest = time.Second + 50*time.Millisecond
+		require.Less(t, time.Second+soonest, renewEvery)
+		require.Less(t, backoff.Max, soonest)
+		time.Sleep(soonest)
 		require.Equal(t, int32(2), s.grants.Load())
 		require.True(t, r.registered())
 		cancel()
