Say once what ends the failures of a member

Cause: Expire wrote the reset of Succeeded again. Change: both call one method. No behaviour changes, and no test is touched. Ruled out: the reset in fail, which starts a row of failures and keeps the time of the first.

--- a/core/health/health.go
+++ b/core/health/health.go
@@ -71,8 +71,7 @@
 	if now-h.newest < EvidenceLasts {
 		return
 	}
-	h.failing, h.failedSince = false, 0
-	h.refusals, h.breaks, h.silences = 0, 0, 0
+	h.forgetFailures()
 	h.quiet.forget(now)
 }
 
@@ -95,11 +94,15 @@
 func (h *Health) Succeeded(sent time.Duration) {
 	h.lastSuccess = max(h.lastSuccess, sent)
 	if h.failing && sent >= h.failedSince {
-		h.failing, h.failedSince = false, 0
-		h.refusals, h.breaks, h.silences = 0, 0, 0
+		h.forgetFailures()
 	}
 }
 
+func (h *Health) forgetFailures() {
+	h.failing, h.failedSince = false, 0
+	h.refusals, h.breaks, h.silences = 0, 0, 0
+}
+
 // Refused notes that the member's machine refused a connection tried at the
 // given time.
 func (h *Health) Refused(sent, now time.Duration) {
