Teams: callers prove themselves with a key, members' connections belong to a team

Change: the catalog holds teams, the digests of their keys and public routes; a session is admitted at login and anew at each statement, so that a key that was taken away is refused in open sessions as well. A connection to a member is opened in a team's name and serves that team only (core/connpool): the one that was idle longest gives way for a team that has none; a team that always has something waiting gives one up to a statement that waited 60 ms longer; fewer connections may run something than are kept open. A team's statements for a member meet at one of its gates (gates.Share.RouteOf) and its reads prefer one replica (balance), both by rendezvous hashing.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -24,6 +24,8 @@
 	InUse, Waiting int
 	// Idle tells that a connection is free.
 	Idle bool
+	// Foreign tells that the caller's team has its connections at another replica.
+	Foreign bool
 	// Slots is how many statements the member runs at once.
 	Slots int
 	// Suspect is set while its newest exchange failed.
@@ -38,6 +40,10 @@
 	// connectCost is what a new connection adds: 12 to 27 ms of a slot on the
 	// deployments, and two round trips.
 	connectCost = 25 * time.Millisecond
+	// foreignCost has a team's reads meet at one replica, where a connection of the
+	// team is likely to be open, unless another one answers sooner by more than a new
+	// connection takes.
+	foreignCost = connectCost
 	// primaryCost keeps reads away from the one member that can write, as long
 	// as a replica answers within this much of it: three times the trip to another
 	// region and back. At one such trip a quarter of all reads went to the primary
@@ -63,6 +69,9 @@
 	if !c.Idle {
 		cost += connectCost
 	}
+	if c.Foreign {
+		cost += foreignCost
+	}
 	if c.Primary {
 		cost += primaryCost
 	}
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -37,6 +37,8 @@
 	// Priority 0 is the highest.
 	Priority     int
 	MaxStaleness time.Duration
+	// Public admits callers without a known key.
+	Public bool
 }
 
 // Service is one database group as the operators declare it.
@@ -49,32 +51,52 @@
 	SyncReplicas int
 }
 
+// Spec is what one version of the configuration declares.
+type Spec struct {
+	Version uint64
+	// TxIdle is how long a transaction may rest before it may be ended.
+	TxIdle   time.Duration
+	Routes   []Route
+	Services []Service
+	// Teams is nil where callers are not asked for a key.
+	Teams *Teams
+}
+
 // Catalog is one version of the configuration. It is never changed.
 type Catalog struct {
 	Version uint64
 	// TxIdle is how long a transaction may rest before it may be ended.
 	TxIdle   time.Duration
 	Services map[string]Service
+	Teams    *Teams
 	routes   map[string]Route
 }
 
 // New returns a catalog. Of two routes for one database the first counts.
-func New(version uint64, txIdle time.Duration, routes []Route, services []Service) *Catalog {
+func New(s Spec) *Catalog {
 	c := &Catalog{
-		Version: version, TxIdle: txIdle,
-		Services: make(map[string]Service, len(services)), routes: make(map[string]Route, len(routes)),
+		Version: s.Version, TxIdle: s.TxIdle, Teams: s.Teams,
+		Services: make(map[string]Service, len(s.Services)), routes: make(map[string]Route, len(s.Routes)),
 	}
-	for _, r := range routes {
+	for _, r := range s.Routes {
 		if _, found := c.routes[r.Database]; !found {
 			c.routes[r.Database] = r
 		}
 	}
-	for _, s := range services {
-		c.Services[s.Name] = s
+	for _, service := range s.Services {
+		c.Services[service.Name] = service
 	}
 	return c
 }
 
+// Admit returns the team in whose name a caller uses a route. It reports false
+// for a caller that may not use it. A caller without a known key has no team; a
+// public route admits it.
+func (c *Catalog) Admit(r Route, credential Credential) (Team, bool) {
+	team, known := c.Teams.Identify(credential)
+	return team, known || r.Public
+}
+
 // Route returns the route of a database.
 func (c *Catalog) Route(database string) (Route, bool) {
 	r, found := c.routes[database]
--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -9,6 +9,7 @@
 package connpool
 
 import (
+	"maps"
 	"time"
 )
 
@@ -19,6 +20,9 @@
 type Limits struct {
 	// Max is the most connections that this host opens.
 	Max int
+	// Busy is the most of them that run something at once; zero for all. What is
+	// more only keeps connections of other teams at hand.
+	Busy int
 	// Fair is this host's share of the member's connections. Above it, idle
 	// connections are closed soon, because another host may want them.
 	Fair int
@@ -55,20 +59,32 @@
 	firstHold = 30 * time.Millisecond
 )
 
+// Conn describes a connection to a pool.
+type Conn struct {
+	ID ConnID
+	// Team is in whose name it was opened: only that team's statements may run on
+	// it.
+	Team string
+	// Values identifies the session values that it has.
+	Values string
+}
+
 // idleConn is a connection that nobody uses.
 type idleConn struct {
-	id     ConnID
-	values string
-	since  time.Duration
+	Conn
+	since time.Duration
 }
 
 // Pool decides for one member. It is not safe for concurrent use. Times are
 // offsets on any steady clock.
 type Pool struct {
-	limits  Limits
-	idle    []idleConn
-	inUse   int
-	opening int
+	limits Limits
+	// idle holds the connections that nobody uses, the one used last at the end.
+	idle []idleConn
+	// used counts the connections that run something, by team.
+	used map[string]int
+	// opening counts the connections that are being opened, by team.
+	opening map[string]int
 	waiting []Waiter
 	// quietUntil is when the next connection may be tried.
 	quietUntil time.Duration
@@ -81,19 +97,52 @@
 }
 
 // New returns an empty pool.
-func New(limits Limits) *Pool { return &Pool{limits: limits, hold: firstHold} }
+func New(limits Limits) *Pool {
+	return &Pool{limits: limits, used: map[string]int{}, opening: map[string]int{}, hold: firstHold}
+}
 
 // SetLimits changes the limits from the next decision on.
 func (p *Pool) SetLimits(l Limits) { p.limits = l }
 
 // Open returns the number of connections, those being opened included.
-func (p *Pool) Open() int { return len(p.idle) + p.inUse + p.opening }
+func (p *Pool) Open() int { return len(p.idle) + p.InUse() + p.beingOpened() }
+
+// beingOpened returns the number of connections that are being opened.
+func (p *Pool) beingOpened() int { return total(p.opening) }
+
+// total returns the sum over all teams.
+func total(byTeam map[string]int) int {
+	sum := 0
+	for _, n := range byTeam {
+		sum += n
+	}
+	return sum
+}
+
+// less takes one off a team's count.
+func less(byTeam map[string]int, team string) {
+	byTeam[team]--
+	if byTeam[team] == 0 {
+		delete(byTeam, team)
+	}
+}
+
+// busy returns the most connections that may run something at once.
+func (p *Pool) busy() int {
+	if p.limits.Busy > 0 {
+		return min(p.limits.Busy, p.limits.Max)
+	}
+	return p.limits.Max
+}
+
+// hasRoom reports whether one more connection may run something.
+func (p *Pool) hasRoom() bool { return p.InUse()+p.beingOpened() < p.busy() }
 
 // InUse returns the number of connections that run something.
-func (p *Pool) InUse() int { return p.inUse }
+func (p *Pool) InUse() int { return total(p.used) }
 
-// Exhausted reports whether every connection that may be opened is in use.
-func (p *Pool) Exhausted() bool { return p.inUse >= p.limits.Max }
+// Exhausted reports whether every connection that may run something is in use.
+func (p *Pool) Exhausted() bool { return p.InUse() >= p.busy() }
 
 // Idle returns the number of connections that nobody uses.
 func (p *Pool) Idle() int { return len(p.idle) }
@@ -122,12 +171,11 @@
 	RetryAfter time.Duration
 }
 
-// Acquire asks for a connection. Values identifies the session values that the
-// statement needs; a connection that has them already is preferred.
+// Acquire asks for a connection. One that has the session values already that the
+// statement needs is preferred.
 func (p *Pool) Acquire(w Waiter, now time.Duration) Decision {
-	if len(p.idle) > 0 {
-		p.inUse++
-		return Decision{Verdict: Granted, Conn: p.takeIdle(w.Values)}
+	if at, found := p.fitting(w); found && !p.Exhausted() {
+		return Decision{Verdict: Granted, Conn: p.takeIdle(at)}
 	}
 	wait := p.expectedWait(w, now)
 	if len(p.waiting) >= p.limits.MaxWaiting || now+wait > p.latest(w) {
@@ -141,7 +189,7 @@
 // Only what is served before it counts: an urgent statement must not be
 // refused because of many that will let it pass.
 func (p *Pool) expectedWait(w Waiter, now time.Duration) time.Duration {
-	if p.Open() < p.limits.Max {
+	if p.hasRoom() {
 		return 0
 	}
 	ahead := 0
@@ -150,32 +198,117 @@
 			ahead++
 		}
 	}
-	return p.hold * time.Duration(ahead+1) / time.Duration(max(p.Open(), 1))
+	return p.hold * time.Duration(ahead+1) / time.Duration(max(p.InUse()+p.beingOpened(), 1))
 }
 
-// takeIdle removes the idle connection that fits best: equal values, else the
-// one used last, so that the rest can idle long enough to be closed.
-func (p *Pool) takeIdle(values string) ConnID {
-	best := len(p.idle) - 1
-	for i := best; i >= 0; i-- {
-		if p.idle[i].values == values {
+// fitting returns where the idle connection is that fits a statement best: of its
+// team, and with its values if there is one; else the one used last, so that the
+// rest can idle long enough to be closed.
+func (p *Pool) fitting(w Waiter) (int, bool) {
+	best := -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if !w.fits(c.Team) {
+			continue
+		}
+		if c.Values == w.Values {
+			return i, true
+		}
+		if best < 0 {
 			best = i
-			break
 		}
 	}
-	id := p.idle[best].id
-	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	return best, best >= 0
+}
+
+// takeIdle puts an idle connection into use.
+func (p *Pool) takeIdle(at int) ConnID {
+	p.used[p.idle[at].Team]++
+	return p.removeIdle(at)
+}
+
+func (p *Pool) removeIdle(at int) ConnID {
+	id := p.idle[at].ID
+	p.idle = append(p.idle[:at], p.idle[at+1:]...)
 	return id
 }
 
-// ShouldOpen reports whether a connection is to be opened now, and counts it
-// as being opened. Call it until it returns false.
-func (p *Pool) ShouldOpen(now time.Duration) bool {
-	if now < p.quietUntil || p.Open() >= p.limits.Max || p.opening >= len(p.waiting) {
-		return false
+// Assign hands an idle connection to a waiter that could not have it while all
+// that may run something did. Call it until it returns false.
+func (p *Pool) Assign(now time.Duration) (ConnID, Waiter, bool) {
+	if p.Exhausted() || len(p.idle) == 0 {
+		return 0, Waiter{}, false
+	}
+	at, found := first(p.waiting, now, func(w Waiter) bool {
+		_, fits := p.fitting(w)
+		return fits
+	})
+	if !found {
+		return 0, Waiter{}, false
 	}
-	p.opening++
-	return true
+	w := p.takeWaiter(at)
+	conn, _ := p.fitting(w)
+	return p.takeIdle(conn), w, true
+}
+
+func (p *Pool) takeWaiter(at int) Waiter {
+	w := p.waiting[at]
+	p.waiting = append(p.waiting[:at], p.waiting[at+1:]...)
+	return w
+}
+
+// Order is a connection that is to be opened.
+type Order struct {
+	// Team is in whose name it is to be opened.
+	Team string
+	// Evicted is an idle connection that is to be closed for it, if Evicts.
+	Evicted ConnID
+	Evicts  bool
+}
+
+// ShouldOpen returns a connection that is to be opened now, and counts it as being
+// opened. Call it until it returns false.
+//
+// Load pattern: a member takes a third as many connections as there are teams, and
+// a connection serves one team. The connection that was idle longest gives way: of
+// the teams that call now and then, the ones that called last are the likeliest to
+// call again.
+func (p *Pool) ShouldOpen(now time.Duration) (Order, bool) {
+	if now < p.quietUntil || len(p.waiting) == 0 || !p.hasRoom() {
+		return Order{}, false
+	}
+	team, found := p.nextTeam(now)
+	if !found {
+		return Order{}, false
+	}
+	o := Order{Team: team}
+	if p.Open() >= p.limits.Max || (p.crowded && len(p.idle) > 0) {
+		if len(p.idle) == 0 {
+			return Order{}, false
+		}
+		o.Evicts, o.Evicted = true, p.removeIdle(0)
+	}
+	p.opening[team]++
+	return o, true
+}
+
+// nextTeam returns the team of the first waiter for which no connection is being
+// opened yet.
+func (p *Pool) nextTeam(now time.Duration) (string, bool) {
+	lacking := make(map[string]int, len(p.waiting))
+	for _, w := range p.waiting {
+		lacking[w.Team]++
+	}
+	best := -1
+	for i, w := range p.waiting {
+		if lacking[w.Team] > p.opening[w.Team] && (best < 0 || w.before(p.waiting[best], now)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return p.waiting[best].Team, true
 }
 
 // RetryOpenAt returns when ShouldOpen may change its answer because a pause
@@ -188,16 +321,16 @@
 }
 
 // Opened adds a connection that ShouldOpen asked for and hands it to a waiter.
-func (p *Pool) Opened(id ConnID, now time.Duration) (Waiter, bool) {
-	p.opening--
+func (p *Pool) Opened(c Conn, now time.Duration) (Waiter, bool) {
+	less(p.opening, c.Team)
 	p.crowded = false
-	return p.pass(id, "", now)
+	return p.pass(c, now)
 }
 
-// OpenFailed notes that a connection could not be opened. Crowded tells that
-// the member answered and has too many.
-func (p *Pool) OpenFailed(crowded bool, now time.Duration) {
-	p.opening--
+// OpenFailed notes that a connection could not be opened in the name of a team.
+// Crowded tells that the member answered and has too many.
+func (p *Pool) OpenFailed(team string, crowded bool, now time.Duration) {
+	less(p.opening, team)
 	p.crowded = crowded
 	pause := failurePause
 	if crowded {
@@ -206,28 +339,44 @@
 	p.quietUntil = max(p.quietUntil, now+pause)
 }
 
-// Released returns a connection that is fit for use, with the values that it
-// has, and hands it to a waiter if there is one.
-func (p *Pool) Released(id ConnID, values string, held, now time.Duration) (Waiter, bool) {
-	p.inUse--
+// Released returns a connection that is fit for use and hands it to a waiter if
+// there is one for it.
+func (p *Pool) Released(c Conn, held, now time.Duration) (Waiter, bool) {
+	less(p.used, c.Team)
 	p.hold += time.Duration(smoothing * float64(held-p.hold))
-	return p.pass(id, values, now)
+	return p.pass(c, now)
 }
 
-// Closed notes that a connection in use is gone.
-func (p *Pool) Closed() { p.inUse-- }
+// Closed notes that a connection of a team that was in use is gone.
+func (p *Pool) Closed(team string) { less(p.used, team) }
 
-// pass gives a free connection to the first waiter, or keeps it idle.
-func (p *Pool) pass(id ConnID, values string, now time.Duration) (Waiter, bool) {
-	if len(p.waiting) == 0 {
-		p.idle = append(p.idle, idleConn{id: id, values: values, since: now})
+// pass gives a free connection to the first waiter that may use it, or keeps it
+// idle.
+func (p *Pool) pass(c Conn, now time.Duration) (Waiter, bool) {
+	at, found := p.successor(c.Team, now)
+	if !found {
+		p.idle = append(p.idle, idleConn{Conn: c, since: now})
 		return Waiter{}, false
 	}
-	at := first(p.waiting, now)
-	w := p.waiting[at]
-	p.waiting = append(p.waiting[:at], p.waiting[at+1:]...)
-	p.inUse++
-	return w, true
+	p.used[c.Team]++
+	return p.takeWaiter(at), true
+}
+
+// successor returns the waiter that a free connection of a team goes to. It
+// returns false where it goes to none: there is none for it, or one of another
+// team has waited for so long that the connection is to be closed for it.
+func (p *Pool) successor(team string, now time.Duration) (int, bool) {
+	at, found := first(p.waiting, now, func(w Waiter) bool { return w.fits(team) })
+	if !found || p.Exhausted() {
+		return 0, false
+	}
+	if p.beingOpened() == 0 && p.Open()+1 >= p.busy() {
+		other, waits := first(p.waiting, now, func(w Waiter) bool { return !w.fits(team) })
+		if waits && p.waiting[other].passes(p.waiting[at], now) {
+			return 0, false
+		}
+	}
+	return at, true
 }
 
 // lateCheck is how often a late statement is judged anew.
@@ -262,7 +411,7 @@
 
 // hopeless reports whether a late statement cannot be served in its time.
 func (p *Pool) hopeless(w Waiter, now time.Duration) bool {
-	usable := len(p.idle) + p.inUse
+	usable := len(p.idle) + p.InUse()
 	if usable == 0 {
 		// A member that turns connections away still holds those of hosts that
 		// lost power, for seconds. Of one that does not answer nothing is hoped.
@@ -293,7 +442,7 @@
 func (p *Pool) DropIdle() []ConnID {
 	var ids []ConnID
 	for _, c := range p.idle {
-		ids = append(ids, c.id)
+		ids = append(ids, c.ID)
 	}
 	p.idle = nil
 	return ids
@@ -305,16 +454,35 @@
 	if len(p.idle) == 0 || p.Open() <= min(p.limits.Fair, 1) {
 		return 0
 	}
-	return p.idle[0].since + p.idleFor(p.Open())
+	open := p.openByTeam()
+	var soonest time.Duration
+	for i, c := range p.idle {
+		if at := c.since + p.idleFor(p.Open(), open[c.Team]); i == 0 || at < soonest {
+			soonest = at
+		}
+	}
+	return soonest
+}
+
+// openByTeam counts all connections by team.
+func (p *Pool) openByTeam() map[string]int {
+	open := maps.Clone(p.used)
+	for team, n := range p.opening {
+		open[team] += n
+	}
+	for _, c := range p.idle {
+		open[c.Team]++
+	}
+	return open
 }
 
 // idleFor returns how long a connection may idle while the given number is
-// open.
-func (p *Pool) idleFor(open int) time.Duration {
+// open, and of its own team.
+func (p *Pool) idleFor(open, ofTeam int) time.Duration {
 	switch {
 	case open > p.limits.Fair:
 		return idleAboveFair
-	case open > 1:
+	case ofTeam > 1:
 		return idleSpare
 	default:
 		return idleAtAll
@@ -322,14 +490,20 @@
 }
 
 // Surplus removes and returns the idle connections that are to be closed. The
-// one that was used last is the last to go.
+// one of a team that was used last is the last to go.
 func (p *Pool) Surplus(now time.Duration) []ConnID {
 	var out []ConnID
-	open := p.Open()
-	for len(p.idle) > 0 && now-p.idle[0].since >= p.idleFor(open) {
-		out = append(out, p.idle[0].id)
-		p.idle = p.idle[1:]
+	open, byTeam := p.Open(), p.openByTeam()
+	kept := p.idle[:0:0]
+	for _, c := range p.idle {
+		if now-c.since < p.idleFor(open, byTeam[c.Team]) {
+			kept = append(kept, c)
+			continue
+		}
+		out = append(out, c.ID)
 		open--
+		byTeam[c.Team]--
 	}
+	p.idle = kept
 	return out
 }
--- a/core/connpool/waiter.go
+++ b/core/connpool/waiter.go
@@ -12,6 +12,11 @@
 // Waiter is a statement that needs a connection.
 type Waiter struct {
 	ID uint64
+	// Team is in whose name the statement runs; it needs a connection that was
+	// opened in that name.
+	Team string
+	// AnyTeam tells that any connection will do, for what the system asks by itself.
+	AnyTeam bool
 	// Priority 0 is the highest.
 	Priority int
 	// AimBy is when its latency target is over. Of those on time the most urgent
@@ -55,13 +60,30 @@
 	return w.turn() < v.turn()
 }
 
-// first returns the index of the waiter that is served next.
-func first(waiting []Waiter, now time.Duration) int {
-	best := 0
-	for i := range waiting {
-		if waiting[i].before(waiting[best], now) {
+// fits reports whether the statement may run on a connection of a team.
+func (w Waiter) fits(team string) bool { return w.AnyTeam || w.Team == team }
+
+// handOver is by how much a statement may be more urgent than one of the
+// connection's own team and still wait for it: about five new connections. Load
+// pattern: more teams wait than a member takes connections. Each change of hands
+// costs 12 to 27 ms of a slot; without a bound, a team that always has something
+// waiting would keep its connections to itself.
+const handOver = 60 * time.Millisecond
+
+// passes reports whether the statement goes before one for which the connection
+// need not change hands.
+func (w Waiter) passes(own Waiter, now time.Duration) bool {
+	w.AimBy += handOver
+	return w.before(own, now)
+}
+
+// first returns the index of the waiter that is served next, of those that match.
+func first(waiting []Waiter, now time.Duration, match func(Waiter) bool) (int, bool) {
+	best := -1
+	for i, w := range waiting {
+		if match(w) && (best < 0 || w.before(waiting[best], now)) {
 			best = i
 		}
 	}
-	return best
+	return best, best >= 0
 }
--- a/core/gates/plan.go
+++ b/core/gates/plan.go
@@ -29,6 +29,9 @@
 	// The connections left over also serve a fleet that has lost power, as
 	// members keep the dead ones for seconds.
 	perSlot = 11
+	// keptShare is the percentage of a member's connections that its gates keep for
+	// teams that call now and then.
+	keptShare = 100
 	// strayConnections is how many connections a host that is no gate may open
 	// while it reaches none.
 	strayConnections = 2
@@ -58,6 +61,8 @@
 	Limits connpool.Limits
 	// Gates are where to send statements, the best first; none for a gate.
 	Gates []string
+	// All are the gates of the member, this host included if it is one.
+	All []Host
 }
 
 // Plan divides the connections of the members of one service.
@@ -79,15 +84,21 @@
 	return min(p.usable, perSlot*m.Slots)
 }
 
+// kept returns how many connections the gates of a member keep where they belong
+// to different teams: all but those that are left over for a fleet that comes back
+// from a loss of power while the member still holds the dead ones.
+func (p Plan) kept(m Member) int { return max(p.useful(m), p.usable*keptShare/100) }
+
 // Even returns the share of a host where every host keeps connections of its own.
 func (p Plan) Even() Share {
 	each := max(p.usable/max(p.fleet.Size(), 1), 1)
-	return keeping(each)
+	return keeping(each, each)
 }
 
-// keeping returns the share of a host that keeps connections of its own.
-func keeping(connections int) Share {
-	return Share{Limits: connpool.Limits{Max: connections, Fair: connections, MaxWaiting: maxWaiting}}
+// keeping returns the share of a host that keeps connections of its own, of which
+// some run something at once.
+func keeping(connections, busy int) Share {
+	return Share{Limits: connpool.Limits{Max: connections, Busy: busy, Fair: connections, MaxWaiting: maxWaiting}}
 }
 
 // For returns the share of the named host in a member.
@@ -108,15 +119,38 @@
 		return Share{Limits: connpool.Limits{Max: useful, Fair: 1, MaxWaiting: maxWaiting}}
 	}
 	each := max(useful/count, 1)
+	chosen := p.fleet.called(top.Names())
 	if top.Contains(host) {
-		return keeping(each)
+		share := keeping(max(p.kept(m)/count, each), each)
+		share.All = chosen
+		return share
 	}
 	return Share{
 		Limits: connpool.Limits{Max: min(strayConnections, each), MaxWaiting: maxWaiting},
-		Gates:  addresses(p.fleet.called(top.Names()), m.ID, host),
+		Gates:  addresses(chosen, m.ID, host), All: chosen,
 	}
 }
 
+// RouteOf returns where one host sends a team's statements for a member, the best
+// first; none for the host itself, which also comes after the gates that it ranks
+// behind.
+//
+// Load pattern: a connection serves one team, and there are more teams than a
+// member takes connections. Where each gate serves every team, each keeps a
+// connection for the same few of them; where a team's statements meet at one
+// gate, the gates together keep connections for several times as many. A gate
+// that is lost moves only its own teams.
+func (s Share) RouteOf(team, member, host string) []string {
+	out := make([]string, 0, len(s.All))
+	for _, h := range membership.RankBy(member+"\x00"+team, s.All, hostName) {
+		if h.Name == host {
+			break
+		}
+		out = append(out, h.Address)
+	}
+	return out
+}
+
 // addresses orders a member's gates for one host, so that the hosts that are
 // no gates spread over them.
 func addresses(chosen []Host, member, host string) []string {
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -46,6 +46,10 @@
 	DirectVotes Name = "direct-votes"
 	// ObservedSilence judges silence by what is usual for a member.
 	ObservedSilence Name = "observed-silence"
+	// TeamGates has a team's statements for a member meet at one of its gates.
+	TeamGates Name = "team-gates"
+	// TeamReplicas has a team's reads prefer one replica of a group.
+	TeamReplicas Name = "team-replicas"
 	// Announcement tells all hosts of a promotion.
 	Announcement Name = "announcement"
 )
@@ -54,7 +58,7 @@
 func All() []Name {
 	return []Name{
 		Gates, Relays, PeerFloors, RefusalFloors, GateFloors, ReplicaWait, StartupWait, FleetWait, HedgedListing, GateWatch, Reclaim,
-		ShortFirst, Detours, StandingLeader, DirectVotes, ObservedSilence, Announcement,
+		ShortFirst, Detours, StandingLeader, DirectVotes, ObservedSilence, TeamGates, TeamReplicas, Announcement,
 	}
 }
 
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -98,7 +98,8 @@
 type Message struct {
 	Kind      MessageKind
 	Statement Statement
-	// Database and User belong to a Login.
+	// Database and Key belong to a Login; Key is what the caller proves itself
+	// with.
 	Database string
-	User     string
+	Key      string
 }
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -102,7 +102,7 @@
 	tuneCollector(boot.MemoryMB)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	h, err := entry.Start(entrySettings(s, boot, without), onplatform.Adapter(boot.Host, boot.StoreAddress, boot.PromotionAddress, s.callTimeout), entry.Dial, log)
+	h, err := entry.Start(entrySettings(s, boot, without), adapterFor(s, boot), entry.Dial, log)
 	if err != nil {
 		return err
 	}
@@ -125,6 +125,13 @@
 	}
 }
 
+func adapterFor(s platformSettings, boot platform.Boot) entry.Adapter {
+	return onplatform.Adapter(onplatform.Options{
+		Host: boot.Host, Store: boot.StoreAddress, Promotion: boot.PromotionAddress,
+		Timeout: s.callTimeout, RequireTeams: boot.Teams,
+	})
+}
+
 func entrySettings(s platformSettings, boot platform.Boot, without mechanism.Without) entry.Settings {
 	out := entry.Settings{
 		Host: boot.Host, Places: replicaset.Places{Zone: boot.Zone, Regions: boot.Regions},
--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -8,6 +8,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/session"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -44,8 +45,11 @@
 	// The fields below belong to the worker that runs the session, or to the
 	// holder of mu while none does.
 	state *session.Session
-	user  string
-	tx    *replicaset.Tx
+	// credential proves who the caller is; team is in whose name its newest
+	// statement was admitted.
+	credential catalog.Credential
+	team       catalog.Team
+	tx         *replicaset.Tx
 }
 
 func newCaller(g *Gateway, c gnet.Conn) *caller {
@@ -170,14 +174,24 @@
 		s.send(s.gateway.proto.EncodeFatal(statement.Busy, "the host has no configuration yet"))
 		return false
 	}
-	if _, found := c.Route(m.Database); !found {
+	route, found := c.Route(m.Database)
+	if !found {
 		s.gateway.note(eventlog.CallerRejected, func(l *zerolog.Event) {
 			l.Str("database", m.Database).Uint64("version", c.Version).Str("reason", "unknown database")
 		})
 		s.send(s.gateway.proto.EncodeFatal(statement.UnknownDatabase, "no route has this name"))
 		return false
 	}
-	s.state, s.user = session.New(m.Database), m.User
+	credential := catalog.NewCredential(m.Key)
+	team, admitted := c.Admit(route, credential)
+	if !admitted {
+		s.gateway.note(eventlog.CallerRejected, func(l *zerolog.Event) {
+			l.Str("database", m.Database).Str("key", credential.Fingerprint()).Uint64("version", c.Version).Str("reason", "unknown key")
+		})
+		s.send(s.gateway.proto.EncodeFatal(statement.Unauthorized, "no team holds this key"))
+		return false
+	}
+	s.state, s.credential, s.team = session.New(m.Database), credential, team
 	s.send(s.gateway.proto.EncodeWelcome())
 	return true
 }
--- a/node/edge/protocol.go
+++ b/node/edge/protocol.go
@@ -42,8 +42,13 @@
 
 // Record describes one finished statement.
 type Record struct {
-	Database, User string
-	Statement      statement.Statement
+	Database string
+	// Team is in whose name the statement was admitted; empty where callers have
+	// none.
+	Team string
+	// Key is the fingerprint of the key that the caller proved itself with.
+	Key       string
+	Statement statement.Statement
 	// Route and Version are of the configuration that the statement ran under;
 	// zero for one that needed no member.
 	Route   catalog.Route
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -27,26 +27,64 @@
 
 // query runs one statement and answers it.
 func (s *caller) query(a arrival) {
+	c := s.gateway.backend.Catalog()
+	record := Record{Database: s.state.Database, Key: s.credential.Fingerprint(), Version: c.Version}
+	out := s.answer(c, a, &record)
+	if out.Answer.Code != statement.OK && out.Cause == "" {
+		out.Cause = out.Answer.Detail
+	}
+	s.send(s.gateway.proto.EncodeAnswer(out.Answer))
+	record.Team, record.Outcome, record.Took = s.team.Name, out, clock.Now()-a.at
+	s.gateway.observer.Finished(record)
+}
+
+// answer returns what becomes of one statement under a configuration.
+func (s *caller) answer(c *catalog.Catalog, a arrival, record *Record) replicaset.Outcome {
 	st, known := s.state.Resolve(a.message.Statement)
-	record := Record{Database: s.state.Database, User: s.user, Statement: st}
-	out := replicaset.Outcome{}
-	switch answer, local := s.state.Local(st); {
-	case local:
-		out.Answer = answer
+	record.Statement = st
+	route, found := c.Route(s.state.Database)
+	if found && !s.admit(c, route) && st.Kind != statement.Rollback {
+		return replicaset.Outcome{Answer: s.refuseSession(st)}
+	}
+	if answer, local := s.state.Local(st); local {
 		if st.Kind == statement.Rollback && s.state.State == statement.Idle {
 			s.dropOwnTx()
 		}
-	case !known:
-		out.Answer = s.failStatement(statement.Refuse(statement.Invalid, "no statement is prepared under this name", statement.Idle))
-	default:
-		out = s.runRemote(st, a.at, &record)
+		return replicaset.Outcome{Answer: answer}
 	}
-	if out.Answer.Code != statement.OK && out.Cause == "" {
-		out.Cause = out.Answer.Detail
+	if !known {
+		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.Invalid, "no statement is prepared under this name", statement.Idle))}
 	}
-	s.send(s.gateway.proto.EncodeAnswer(out.Answer))
-	record.Outcome, record.Took = out, clock.Now()-a.at
-	s.gateway.observer.Finished(record)
+	if !found {
+		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.UnknownDatabase, "the route was removed", statement.Idle))}
+	}
+	record.Route = route
+	return s.runRemote(st, route, a.at)
+}
+
+// refuseSession refuses a statement of a caller whose key was taken away. An open
+// transaction is rolled back; a commit ends it.
+func (s *caller) refuseSession(st statement.Statement) statement.Answer {
+	a := s.failStatement(statement.Refuse(statement.Unauthorized, "no team holds this session's key any more", statement.Idle))
+	if st.Kind == statement.Commit {
+		s.state.End()
+		a.State = s.state.State
+	}
+	return a
+}
+
+// admit finds the caller's team under a configuration. It reports false for a
+// caller that may not use the route: its key was taken away while its session
+// was open. A transaction that began in the name of another team is dropped, as
+// its connection belongs to that team.
+func (s *caller) admit(c *catalog.Catalog, route catalog.Route) bool {
+	team, admitted := c.Admit(route, s.credential)
+	if s.tx != nil && team.Name != s.team.Name {
+		s.dropOwnTx()
+		s.state.Lose("the caller's team has changed")
+	}
+	s.team = team
+	return admitted
 }
 
 // failStatement fails the open transaction, if there is one, along with an
@@ -66,13 +104,7 @@
 }
 
 // runRemote runs a statement on a member.
-func (s *caller) runRemote(st statement.Statement, arrived time.Duration, record *Record) replicaset.Outcome {
-	c := s.gateway.backend.Catalog()
-	route, found := c.Route(s.state.Database)
-	record.Route, record.Version = route, c.Version
-	if !found {
-		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.UnknownDatabase, "the route was removed", statement.Idle))}
-	}
+func (s *caller) runRemote(st statement.Statement, route catalog.Route, arrived time.Duration) replicaset.Outcome {
 	w := s.newWork(st, route, arrived)
 	set := s.gateway.backend.AwaitSet(s.ctx, route.Service, w.StartBy)
 	if set == nil {
@@ -101,7 +133,7 @@
 	startBy := endBy - runMargin
 	freshBy := arrived + time.Duration(connpool.FreshShare*float64(route.Target))
 	return replicaset.Work{
-		Statement: st, Values: s.state.Values(), Committed: s.state.Committed, Route: route,
+		Statement: st, Values: s.state.Values(), Committed: s.state.Committed, Route: route, Team: s.team.Name,
 		ReadOnly: s.state.ReadOnly, Received: arrived,
 		AimBy: arrived + route.Target, FreshBy: min(freshBy, startBy), StartBy: startBy, EndBy: endBy,
 		AttemptTime: max(time.Duration(attemptShare*float64(route.Target)), minAttempt),
--- a/node/entry/observe.go
+++ b/node/entry/observe.go
@@ -23,7 +23,7 @@
 		return
 	}
 	o := r.Outcome
-	event.Info(h.log).Str("request", r.Statement.ID).Str("database", r.Database).Str("tenant", r.User).
+	event.Info(h.log).Str("request", r.Statement.ID).Str("database", r.Database).Str("team", r.Team).Str("key", r.Key).
 		Stringer("kind", r.Statement.Kind).Stringer("consistency", r.Route.Consistency).Uint64("version", r.Version).
 		Stringer("code", o.Answer.Code).Str("detail", o.Answer.Detail).
 		Str("upstream", o.Member).Str("gate", o.Gate).Bool("primary", o.Primary).Int("attempts", o.Attempts).
--- a/node/onplatform/adapter.go
+++ b/node/onplatform/adapter.go
@@ -14,14 +14,25 @@
 // and callers wait for it.
 const promotionTimeout = 600 * time.Millisecond
 
-// Adapter returns the way to the platform for the named host. Timeout bounds
-// each call but a watch.
-func Adapter(host, store, promotion string, timeout time.Duration) entry.Adapter {
+// Options say how the platform is met.
+type Options struct {
+	// Host is this host's name.
+	Host string
+	// Store and Promotion are where the platform's calls go.
+	Store, Promotion string
+	// Timeout bounds each call but a watch.
+	Timeout time.Duration
+	// RequireTeams refuses a configuration that asks callers for no key.
+	RequireTeams bool
+}
+
+// Adapter returns the way to the platform.
+func Adapter(o Options) entry.Adapter {
 	client := entry.HTTPClient()
 	return entry.Adapter{
-		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{},
-		Store:     platform.NewStoreClient(store, client, timeout),
-		Promotion: platform.NewPromotionClient(promotion, host, client, min(timeout, promotionTimeout)),
+		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{RequireTeams: o.RequireTeams},
+		Store:     platform.NewStoreClient(o.Store, client, o.Timeout),
+		Promotion: platform.NewPromotionClient(o.Promotion, o.Host, client, min(o.Timeout, promotionTimeout)),
 		ReadyPath: platform.ReadyPath,
 	}
 }
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -36,7 +36,7 @@
 		Values: w.Values, Committed: positionToProto(w.Committed),
 		Consistency: uint32(w.Route.Consistency), MaxStalenessUs: w.Route.MaxStaleness.Microseconds(),
 		Priority: int32(w.Route.Priority), Floor: positionToProto(j.Floor), Plain: j.Plain, Wrote: j.Wrote,
-		Transaction: j.Tx, Owner: j.Owner,
+		Transaction: j.Tx, Owner: j.Owner, Team: w.Team,
 		AimUs: left(w.AimBy, now), StartUs: left(w.StartBy, now), EndUs: left(w.EndBy, now),
 		FreshUs: left(w.FreshBy, now), AttemptUs: w.AttemptTime.Microseconds(),
 	}
@@ -55,7 +55,7 @@
 				Kind: statement.Kind(st.GetKind()), ID: st.GetId(), Text: st.GetText(), Value: st.GetValue(),
 				Shape: statement.Shape{Write: st.GetShapeWrite(), Text: st.GetShape()},
 			},
-			Values: p.GetValues(), Committed: positionFromProto(p.GetCommitted()),
+			Values: p.GetValues(), Committed: positionFromProto(p.GetCommitted()), Team: p.GetTeam(),
 			Route: catalog.Route{
 				Service: p.GetService(), Consistency: catalog.Consistency(p.GetConsistency()),
 				MaxStaleness: time.Duration(p.GetMaxStalenessUs()) * time.Microsecond, Priority: int(p.GetPriority()),
--- a/node/platformdemo/demo.go
+++ b/node/platformdemo/demo.go
@@ -115,7 +115,7 @@
 		if err != nil {
 			return hosts, nil, err
 		}
-		a := onplatform.Adapter(s.Host, p.Address(), p.Address(), callTimeout)
+		a := onplatform.Adapter(onplatform.Options{Host: s.Host, Store: p.Address(), Promotion: p.Address(), Timeout: callTimeout})
 		h, err := entry.Start(s, a, entry.Dial, o.Log)
 		if err != nil {
 			return hosts, nil, err
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -37,6 +37,8 @@
 type Conn struct {
 	id     connpool.ConnID
 	member *Member
+	// team is in whose name the connection was opened; empty for the system's.
+	team   string
 	net    net.Conn
 	raw    syscall.RawConn
 	reader *bufio.Reader
@@ -55,8 +57,8 @@
 	nextName int
 }
 
-// connect opens a connection and logs in.
-func connect(ctx context.Context, dial DialFunc, proto Protocol, m *Member, id connpool.ConnID) (*Conn, error) {
+// connect opens a connection in the name of a team and logs in.
+func connect(ctx context.Context, dial DialFunc, proto Protocol, m *Member, id connpool.ConnID, team string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	m.dialled(clock.Now())
@@ -66,7 +68,7 @@
 	}
 	m.connected(clock.Now())
 	c := &Conn{
-		id: id, member: m, net: nc, proto: proto, reader: bufio.NewReaderSize(nc, readBuffer),
+		id: id, member: m, team: team, net: nc, proto: proto, reader: bufio.NewReaderSize(nc, readBuffer),
 		values: map[string]string{}, names: map[statement.Shape]string{},
 	}
 	if sc, ok := nc.(syscall.Conn); ok {
@@ -87,7 +89,7 @@
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return &ConnectError{Member: m.id, Err: err}
 	}
-	if _, err := c.net.Write(c.proto.EncodeLogin(m.service, m.id)); err != nil {
+	if _, err := c.net.Write(c.proto.EncodeLogin(m.service, c.team, m.id)); err != nil {
 		return &ConnectError{Member: m.id, Failure: failureOf(err), Err: err}
 	}
 	a, err := c.proto.ReadWelcome(c.reader)
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -14,7 +14,7 @@
 func (s *Set) dispatch(ctx context.Context, m *Member, j Job) (Result, string) {
 	j.Member = m.id
 	j.Owner = s.owner
-	for _, address := range m.route(clock.Now()) {
+	for _, address := range m.route(j.Work.Team, clock.Now()) {
 		if s.remote == nil || !s.gateHealth.usable(address, clock.Now()) {
 			continue
 		}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -45,6 +45,8 @@
 	// does; elsewhere counts the statements that run there.
 	gates     []string
 	elsewhere int
+	// share is where the gates come from; its route depends on the team.
+	share gates.Share
 	// restarted is the version of the role that a new life of the member began
 	// with; zero for a first life. What it says of its role then is not believed.
 	restarted uint64
@@ -69,7 +71,7 @@
 	m := &Member{
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
-		pool: connpool.New(share.Limits), gates: share.Gates, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+		pool: connpool.New(share.Limits), gates: share.Gates, share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
 	}
 	m.health.TimeoutsOnly = !s.without.Has(mechanism.ObservedSilence)
 	return m
@@ -193,7 +195,7 @@
 	defer m.mu.Unlock()
 	m.entry = e
 	m.pool.SetLimits(share.Limits)
-	m.gates = share.Gates
+	m.gates, m.share = share.Gates, share
 }
 
 // gateAddresses returns the hosts to send this host's statements to, the best
--- a/node/replicaset/member_health.go
+++ b/node/replicaset/member_health.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -130,9 +131,9 @@
 	return m.reached(now) && !m.health.Dead(now, m.corroborated)
 }
 
-// route returns the hosts to send a statement for the member to, the best first;
-// none for this host itself.
-func (m *Member) route(now time.Duration) []string {
+// route returns the hosts to send a team's statement for the member to, the best
+// first; none for this host itself.
+func (m *Member) route(team string, now time.Duration) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
@@ -140,6 +141,8 @@
 		return m.detours
 	case now < m.deadUntil && m.reached(now):
 		return nil
+	case team != "" && m.set.without.Has(mechanism.TeamGates):
+		return m.share.RouteOf(team, m.id, m.set.host)
 	}
 	return m.gates
 }
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -115,12 +115,27 @@
 	return left
 }
 
-// openMore opens the connections that the pool asks for. It is called with mu
-// held.
+// openMore hands out idle connections that have become usable and opens those
+// that the pool asks for. It is called with mu held.
 func (m *Member) openMore(now time.Duration) {
-	for m.pool.ShouldOpen(now) {
+	for {
+		id, w, found := m.pool.Assign(now)
+		if !found {
+			break
+		}
+		m.hand(m.conns[id], w, now)
+	}
+	for {
+		order, due := m.pool.ShouldOpen(now)
+		if !due {
+			break
+		}
+		if order.Evicts {
+			m.conns[order.Evicted].close()
+			delete(m.conns, order.Evicted)
+		}
 		m.nextID++
-		go m.open(connpool.ConnID(m.nextID))
+		go m.open(connpool.ConnID(m.nextID), order.Team)
 	}
 	m.armTimer(now)
 }
@@ -142,9 +157,9 @@
 	})
 }
 
-func (m *Member) open(id connpool.ConnID) {
+func (m *Member) open(id connpool.ConnID, team string) {
 	sent := clock.Now()
-	conn, err := connect(context.Background(), m.set.dial, m.set.proto, m, id)
+	conn, err := connect(context.Background(), m.set.dial, m.set.proto, m, id, team)
 	if err == nil {
 		m.opened(conn, sent)
 		return
@@ -165,7 +180,7 @@
 	if refusedLogin {
 		m.health.Answered(sent, now)
 	}
-	m.pool.OpenFailed(crowded, now)
+	m.pool.OpenFailed(team, crowded, now)
 	if !crowded {
 		m.failWaiters(err)
 	}
@@ -188,7 +203,7 @@
 	now := clock.Now()
 	m.health.Answered(sent, now)
 	m.conns[conn.id] = conn
-	w, found := m.pool.Opened(conn.id, now)
+	w, found := m.pool.Opened(connpool.Conn{ID: conn.id, Team: conn.team}, now)
 	if found {
 		m.hand(conn, w, now)
 	}
@@ -211,16 +226,17 @@
 	defer m.mu.Unlock()
 	now := clock.Now()
 	if c.broken || c.lastState != statement.Idle || m.removed {
-		m.pool.Closed()
+		m.pool.Closed(c.team)
 		delete(m.conns, c.id)
 		c.close()
 		m.openMore(now)
 		return
 	}
-	w, found := m.pool.Released(c.id, c.valuesKey(), now-c.takenAt, now)
+	w, found := m.pool.Released(connpool.Conn{ID: c.id, Team: c.team, Values: c.valuesKey()}, now-c.takenAt, now)
 	if found {
 		m.hand(c, w, now)
 	}
+	m.openMore(now)
 	m.armSurplus(now)
 }
 
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catchup"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
@@ -38,7 +39,7 @@
 	if !found {
 		return PrimaryNoFloor
 	}
-	return whyPrimary(a.set.readers(nil, floor, now))
+	return whyPrimary(a.set.readers(a.work.Team, nil, floor, now))
 }
 
 // whyPrimary says why the primary goes before the replicas.
@@ -104,7 +105,7 @@
 	if !found {
 		return nil, false
 	}
-	readers := s.readers(t.asked, floor, now)
+	readers := s.readers(a.work.Team, t.asked, floor, now)
 	if len(readers) > 0 && readers[0].Usable() {
 		return s.Member(readers[0].ID)
 	}
@@ -129,7 +130,7 @@
 		return nil, false
 	}
 	now := clock.Now()
-	readers := s.readers(t.asked, s.lowerBound(a.work), now)
+	readers := s.readers(a.work.Team, t.asked, s.lowerBound(a.work), now)
 	if len(readers) == 0 || readers[0].Primary || !readers[0].Usable() {
 		return nil, false
 	}
@@ -138,10 +139,11 @@
 
 // readers returns the members that may serve a read, the best first. Members
 // that leave are passed over while there are others.
-func (s *Set) readers(asked map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
+func (s *Set) readers(team string, asked map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	primary := s.belief.Primary()
+	home := s.homeOf(team, primary)
 	var staying, leaving []balance.Candidate
 	for id, m := range s.members {
 		e := m.snapshot()
@@ -149,6 +151,7 @@
 			continue
 		}
 		c := m.candidate(primary, now)
+		c.Foreign = home != "" && id != home && id != primary
 		c.Behind = id != primary && s.replica(m, floor).Behind(now)
 		if e.Leaving {
 			leaving = append(leaving, c)
@@ -159,6 +162,24 @@
 	return append(balance.Order(staying), balance.Order(leaving)...)
 }
 
+// homeOf returns the replica at which a team's reads meet; none where callers have
+// no team. It is called with mu held.
+func (s *Set) homeOf(team, primary string) string {
+	if team == "" || !s.without.Has(mechanism.TeamReplicas) {
+		return ""
+	}
+	home, best := "", uint64(0)
+	for id := range s.members {
+		if id == primary {
+			continue
+		}
+		if score := membership.Score(team, id); home == "" || score > best {
+			home, best = id, score
+		}
+	}
+	return home
+}
+
 // replica describes what is known of a member's log for a read at a floor. It
 // is called with mu held.
 func (s *Set) replica(m *Member, floor logpos.Position) catchup.Replica {
--- a/node/replicaset/protocol.go
+++ b/node/replicaset/protocol.go
@@ -11,7 +11,9 @@
 
 // Protocol is how members are spoken to.
 type Protocol interface {
-	EncodeLogin(service, member string) []byte
+	// EncodeLogin opens a connection in the name of a team; empty for the system's
+	// own.
+	EncodeLogin(service, team, member string) []byte
 	EncodeGoodbye() []byte
 	Encode(op statement.Operation) []byte
 	ReadWelcome(r *bufio.Reader) (statement.Answer, error)
--- a/node/replicaset/work.go
+++ b/node/replicaset/work.go
@@ -19,6 +19,8 @@
 	// Committed is the caller's newest commit in this service.
 	Committed logpos.Position
 	Route     catalog.Route
+	// Team is in whose name members are asked; empty where callers have none.
+	Team string
 	// ReadOnly tells that the transaction to begin announced no writes.
 	ReadOnly bool
 	// Received is when this host got the statement, from the caller or from
@@ -48,7 +50,7 @@
 func (w Work) waiter() connpool.Waiter {
 	return connpool.Waiter{
 		Priority: w.Route.Priority, Kind: w.Route.Database, AimBy: w.AimBy, FreshBy: w.FreshBy, StartBy: w.StartBy,
-		Values: session.ValuesKey(w.Values),
+		Team: w.Team, Values: session.ValuesKey(w.Values),
 	}
 }
 
