Limits of teams over all hosts, counted by one host a team

Change: core/quota (a counter a team, paced ledger of the window, deputy, a small reserve a host to run ahead); node/limits carries the questions by datagram; an operation beyond the limit is refused at once as not run, with when to come back. One operation is one statement, or a transaction from its first statement on a member; one that no member ran is taken back while it is a debt.

--- a/core/gates/fleet.go
+++ b/core/gates/fleet.go
@@ -132,3 +132,12 @@
 }
 
 func hostName(h Host) string { return h.Name }
+
+// Addresses returns where the hosts are reached, by name.
+func (f Fleet) Addresses() map[string]string {
+	out := make(map[string]string, len(f.byName))
+	for name, h := range f.byName {
+		out[name] = h.Address
+	}
+	return out
+}
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -1,16 +1,9 @@
-// Package quota holds the teams' limits: how many operations a team may run,
-// over all hosts together.
 package quota
 
-import "time"
-
-// Tolerance is by how much a team may exceed its limit: in any Window by the
-// given share of what the limit allows in it, and by a number of operations.
-type Tolerance struct {
-	Window     time.Duration
-	Share      float64
-	Operations float64
-}
+import (
+	"math"
+	"time"
+)
 
 // Limit bounds the operations of one team over all hosts. The zero value is no
 // limit.
@@ -21,3 +14,46 @@
 	// Burst how many more at once.
 	Rate, Burst float64
 }
+
+// Tolerance is by how much a team may exceed its limit: in any Window by the
+// given share of what the limit allows in it, and by a number of operations.
+type Tolerance struct {
+	Window     time.Duration
+	Share      float64
+	Operations float64
+}
+
+// The parts of the tolerance. What is refused within it is lost service, so most of
+// it is the counter's.
+const (
+	aheadPart   = 0.1
+	deputyPart  = 0.1
+	countedPart = 1 - aheadPart - deputyPart
+)
+
+// defaultWindow is the window where the platform names none.
+const defaultWindow = 5 * time.Second
+
+// WithDefaults returns the tolerance with a window that can be counted in.
+func (t Tolerance) WithDefaults() Tolerance {
+	if t.Window <= 0 {
+		t.Window = defaultWindow
+	}
+	return t
+}
+
+// allowed returns how many operations the limit itself allows in any window.
+func (t Tolerance) allowed(l Limit) float64 { return l.Rate*t.Window.Seconds() + l.Burst }
+
+// tolerated returns how many more may run.
+func (t Tolerance) tolerated(l Limit) float64 { return t.Share*t.allowed(l) + t.Operations }
+
+// ahead returns how many operations all hosts together may run before the counter
+// has answered.
+func (t Tolerance) ahead(l Limit) int { return int(math.Floor(aheadPart * t.tolerated(l))) }
+
+// deputy returns how many operations the deputy pays for in any window.
+func (t Tolerance) deputy(l Limit) float64 { return deputyPart * t.tolerated(l) }
+
+// counted returns how many operations the counter pays for in any window.
+func (t Tolerance) counted(l Limit) float64 { return t.allowed(l) + countedPart*t.tolerated(l) }
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -137,7 +137,7 @@
 		Host: boot.Host, Places: replicaset.Places{Zone: boot.Zone, Regions: boot.Regions},
 		CallerAddress: boot.CallerAddress, ReadyAddress: boot.ReadyAddress,
 		MaxSessions: max(boot.MaxDescriptors-reservedDescriptors, 100), Workers: s.workers,
-		Grace: boot.Grace, DrainBound: boot.DrainBound, ConfigBound: boot.ConfigBound,
+		Grace: boot.Grace, DrainBound: boot.DrainBound, ConfigBound: boot.ConfigBound, Quota: boot.Quota,
 		PeerAddress: net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPort)), Without: without,
 	}
 	if s.metricsPort > 0 {
--- a/node/edge/protocol.go
+++ b/node/edge/protocol.go
@@ -33,6 +33,12 @@
 	// AwaitSet returns the group of a service. It waits for it, until startBy at
 	// most, where the host has just started; nil while none is known.
 	AwaitSet(ctx context.Context, service string, startBy time.Duration) *replicaset.Set
+	// AdmitOperation decides whether a team may run one more operation. It reports
+	// false for one beyond the team's limit, and when it is of use to come back.
+	AdmitOperation(ctx context.Context, team catalog.Team) (time.Duration, bool)
+	// OperationUnused takes back an operation that was admitted and that no member
+	// has run.
+	OperationUnused(team catalog.Team)
 }
 
 // Observer is told of finished statements.
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -7,6 +7,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
@@ -110,10 +111,26 @@
 	if set == nil {
 		return replicaset.Outcome{Answer: s.failStatement(statement.Refuse(statement.Busy, "no member of the service is known", statement.Idle))}
 	}
+	if s.tx != nil {
+		return s.inTransaction(set, w)
+	}
+	if retryAfter, admitted := s.gateway.backend.AdmitOperation(s.ctx, s.team); !admitted {
+		return s.refuseOperation(st, retryAfter)
+	}
+	out := s.startOperation(set, w)
+	if out.Answer.Code == statement.Busy && out.Answer.Signature == "" && s.tx == nil {
+		s.gateway.backend.OperationUnused(s.team)
+	}
+	return out
+}
+
+// startOperation runs the first statement of an operation: a single one, or the
+// first of a transaction that needs a member.
+func (s *caller) startOperation(set *replicaset.Set, w replicaset.Work) replicaset.Outcome {
 	if s.state.State == statement.Open {
 		return s.inTransaction(set, w)
 	}
-	if st.Writes() {
+	if w.Statement.Writes() {
 		out := set.Write(s.ctx, w)
 		s.noteCommit(out.Answer)
 		return out
@@ -121,6 +138,17 @@
 	return set.Read(s.ctx, w)
 }
 
+// refuseOperation refuses an operation beyond the team's limit. Nothing of it was
+// sent to a member.
+func (s *caller) refuseOperation(st statement.Statement, retryAfter time.Duration) replicaset.Outcome {
+	a := s.failStatement(statement.Refuse(statement.Busy, replicaset.RetryHint(retryAfter), statement.Idle))
+	if st.Kind == statement.Commit {
+		s.state.End()
+		a.State = s.state.State
+	}
+	return replicaset.Outcome{Answer: a, Cause: eventlog.ReasonQuota}
+}
+
 // noteCommit remembers the position of a commit that the caller is told of.
 func (s *caller) noteCommit(a statement.Answer) {
 	if a.Code == statement.OK && s.state.Committed.Less(a.Position) {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -19,12 +19,14 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
 	"github.com/dotterelswitch/dotterelswitch/core/startup"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
 	"github.com/dotterelswitch/dotterelswitch/node/inspect"
+	"github.com/dotterelswitch/dotterelswitch/node/limits"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
 	"github.com/dotterelswitch/dotterelswitch/node/promoter"
 	"github.com/dotterelswitch/dotterelswitch/node/registry"
@@ -62,6 +64,8 @@
 	DrainBound time.Duration
 	// ConfigBound is how soon a change of the configuration must be in force.
 	ConfigBound time.Duration
+	// Quota is how exactly the teams' limits are to be kept.
+	Quota quota.Tolerance
 	// Without is what the host is run without.
 	Without mechanism.Without
 }
@@ -84,6 +88,7 @@
 	servers  []*http.Server
 	peers    *gossip.Transport
 	gates    *peer.GateClient
+	limiter  *limits.Limiter
 	// looks are shared by all groups of the host.
 	looks singleflight.Group
 	// startedAt is when the host started.
@@ -123,6 +128,7 @@
 		Self:        gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress},
 		ConfigBound: s.ConfigBound, FollowHost: h.gates.Follow, Without: s.Without, Changed: h.poke, Log: h.log,
 	})
+	h.limiter = limits.New(limits.Config{Host: s.Host, Tolerance: s.Quota, Ask: h.askPayment, Limit: h.limitOf})
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
@@ -267,7 +273,7 @@
 	if !h.knowsFleet(hosts) {
 		return
 	}
-	h.fleet = h.fleet.Next(hosts)
+	h.setFleet(h.fleet.Next(hosts))
 	groups := h.registry.Groups()
 	for name, spec := range c.Services {
 		h.ensureSet(ctx, name).Update(groups[name], spec, h.fleet)
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -103,6 +103,10 @@
 			s.TakeLead(replicaset.Lead{Primary: l.Primary, Term: l.Term})
 		}
 	}
+	if q := m.AskQuota; q != nil {
+		p := h.limiter.Pay(q.Team, q.Operations)
+		out.Payment = &p
+	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
 		if s == nil {
--- a/node/entry/talk.go
+++ b/node/entry/talk.go
@@ -22,6 +22,7 @@
 	talkOpinion      = "datagram opinion"
 	talkAnnouncement = "datagram announcement"
 	talkAlive        = "datagram alive"
+	talkQuota        = "datagram quota"
 	talkStore        = "store "
 )
 
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 )
 
@@ -35,6 +36,16 @@
 	Opinion *Opinion
 	// Lead tells of a promotion that the sender has led; nil tells of none.
 	Lead *Lead
+	// AskQuota asks the receiver to pay for operations; nil asks nothing.
+	AskQuota *QuotaQuestion
+	// Payment answers AskQuota.
+	Payment *quota.Payment
+}
+
+// QuotaQuestion asks to pay for operations of a team.
+type QuotaQuestion struct {
+	Team       string
+	Operations int
 }
 
 // Lead is which member leads a service, and in which term.
@@ -100,6 +111,7 @@
 		Rumours: hostsToProto(m.Rumours), ConfigVersion: m.ConfigVersion,
 		AskFloors: m.AskFloors, Floors: floorsToProto(m.Floors),
 		AskLost: questionToProto(m.AskLost), Opinion: opinionToProto(m.Opinion), Lead: leadToProto(m.Lead),
+		AskQuota: quotaQuestionToProto(m.AskQuota), Payment: paymentToProto(m.Payment),
 	})
 	if err != nil {
 		return nil, err
@@ -140,9 +152,29 @@
 	if l := p.GetLead(); l != nil {
 		m.Lead = &Lead{Service: l.GetService(), Primary: l.GetPrimary(), Term: logpos.Term(l.GetTerm())}
 	}
+	if q := p.GetAskQuota(); q != nil {
+		m.AskQuota = &QuotaQuestion{Team: q.GetTeam(), Operations: int(q.GetOperations())}
+	}
+	if q := p.GetPayment(); q != nil {
+		m.Payment = &quota.Payment{Paid: int(q.GetPaid()), RetryAfter: time.Duration(q.GetRetryAfterUs()) * time.Microsecond}
+	}
 	return m, nil
 }
 
+func quotaQuestionToProto(q *QuotaQuestion) *peerpb.QuotaQuestion {
+	if q == nil {
+		return nil
+	}
+	return &peerpb.QuotaQuestion{Team: q.Team, Operations: uint32(q.Operations)}
+}
+
+func paymentToProto(p *quota.Payment) *peerpb.QuotaPayment {
+	if p == nil {
+		return nil
+	}
+	return &peerpb.QuotaPayment{Paid: uint32(p.Paid), RetryAfterUs: p.RetryAfter.Microseconds()}
+}
+
 func leadToProto(l *Lead) *peerpb.Lead {
 	if l == nil {
 		return nil
--- /dev/null
+++ b/node/limits/limiter.go
@@ -0,0 +1,268 @@
+// Package limits keeps the teams' limits on one host. The decisions are those of
+// core/quota; this package carries the questions to the host that counts a team,
+// and holds the operations that wait for an answer.
+package limits
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+const (
+	// answerTime bounds the wait for one answer: a round trip between the regions
+	// that are furthest apart, 40 ms, and a busy host's turn.
+	answerTime = 60 * time.Millisecond
+	// tries is how often the counter is asked before its deputy, because datagrams
+	// get lost.
+	tries = 2
+	// silentFor is how long a counter that has not answered is passed over: less
+	// than a process takes to start again.
+	silentFor = 400 * time.Millisecond
+	// staleAfter is the age at which an answer is dropped: this host has stood still,
+	// and what was paid for belongs to a window that is over.
+	staleAfter = 500 * time.Millisecond
+)
+
+// AskFunc asks another host to pay for operations of a team. It reports false
+// where no answer came.
+type AskFunc func(ctx context.Context, address, team string, wanted int) (quota.Payment, bool)
+
+// Config is what a Limiter needs from its surroundings.
+type Config struct {
+	// Host is this host's name.
+	Host      string
+	Tolerance quota.Tolerance
+	Ask       AskFunc
+	// Limit returns the limit of a team in the newest configuration; false for a
+	// team that it does not have.
+	Limit func(team string) (quota.Limit, bool)
+}
+
+// Limiter decides on operations, and pays for those that other hosts ask for. It
+// is safe for concurrent use; its lock is a leaf.
+type Limiter struct {
+	cfg Config
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	meter   *quota.Meter
+	counter *quota.Counter
+	// waiting holds the operations that wait for an answer, by team, the oldest
+	// first.
+	waiting map[string][]chan outcome
+	// hosts are the registered hosts, and addresses where they take datagrams.
+	hosts     []string
+	addresses map[string]string
+	// placed are the placements that follow from hosts, by team.
+	placed map[string]placed
+	// silentUntil is until when a host is not asked, by name.
+	silentUntil map[string]time.Duration
+}
+
+// placed is a placement and the limit that it was worked out for.
+type placed struct {
+	quota.Placement
+	limit quota.Limit
+}
+
+// outcome is what an operation that waited is told.
+type outcome struct {
+	runs       bool
+	retryAfter time.Duration
+}
+
+// New returns a limiter that knows of no other host.
+func New(cfg Config) *Limiter {
+	cfg.Tolerance = cfg.Tolerance.WithDefaults()
+	return &Limiter{
+		cfg: cfg, meter: quota.NewMeter(), counter: quota.NewCounter(cfg.Tolerance, clock.Now()),
+		waiting: map[string][]chan outcome{}, addresses: map[string]string{}, placed: map[string]placed{}, silentUntil: map[string]time.Duration{},
+	}
+}
+
+// SetFleet takes the hosts that are registered, with their addresses.
+func (l *Limiter) SetFleet(addresses map[string]string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addresses = addresses
+	l.hosts = make([]string, 0, len(addresses))
+	for name := range addresses {
+		l.hosts = append(l.hosts, name)
+	}
+	clear(l.placed)
+	l.counter.FleetChanged(clock.Now())
+}
+
+// Admit decides on one operation of a team; it may wait for the counter. It
+// reports false for one that is refused, and when it is of use to come back.
+func (l *Limiter) Admit(ctx context.Context, team catalog.Team) (time.Duration, bool) {
+	if !team.Limit.Bounded {
+		return 0, true
+	}
+	now := clock.Now()
+	l.mu.Lock()
+	place := l.placeOf(team.Name, team.Limit)
+	d := l.meter.Admit(team.Name, team.Limit, place.Ahead, now)
+	var ch chan outcome
+	if d.Verdict == quota.Asking {
+		ch = make(chan outcome, 1)
+		l.waiting[team.Name] = append(l.waiting[team.Name], ch)
+	}
+	if d.Verdict != quota.Refused {
+		l.askNow(team, place, now)
+	}
+	l.mu.Unlock()
+	if ch == nil {
+		return d.RetryAfter, d.Verdict == quota.Admitted
+	}
+	select {
+	case o := <-ch:
+		return o.retryAfter, o.runs
+	case <-ctx.Done():
+		// The caller has left; the place in the queue is answered in its turn.
+		return 0, false
+	}
+}
+
+// Unused takes back an operation that was admitted and that no member has run.
+func (l *Limiter) Unused(team catalog.Team) {
+	if !team.Limit.Bounded {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.meter.Unused(team.Name)
+}
+
+// Pay pays for operations that another host asks for, or this one.
+func (l *Limiter) Pay(team string, wanted int) quota.Payment {
+	limit, known := l.cfg.Limit(team)
+	if !known {
+		// The host that asks has a newer configuration than this one.
+		return quota.Payment{RetryAfter: silentFor}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pay(team, limit, wanted, clock.Now())
+}
+
+// pay is called with mu held.
+func (l *Limiter) pay(team string, limit quota.Limit, wanted int, now time.Duration) quota.Payment {
+	switch place := l.placeOf(team, limit); l.cfg.Host {
+	case place.Counter:
+		return l.counter.Pay(team, limit, wanted, now)
+	case place.Deputy:
+		return l.counter.PayAsDeputy(team, limit, wanted, now)
+	default:
+		// The hosts do not agree on who is registered yet.
+		return quota.Payment{RetryAfter: answerTime}
+	}
+}
+
+// placeOf is called with mu held.
+func (l *Limiter) placeOf(team string, limit quota.Limit) quota.Placement {
+	p, found := l.placed[team]
+	if found && p.limit == limit {
+		return p.Placement
+	}
+	hosts := l.hosts
+	if len(hosts) == 0 {
+		hosts = []string{l.cfg.Host}
+	}
+	p = placed{Placement: quota.Place(team, limit, l.cfg.Tolerance, hosts, l.cfg.Host), limit: limit}
+	l.placed[team] = p
+	return p.Placement
+}
+
+// askNow asks for what is owed and waited for, unless that is under way. It is
+// called with mu held.
+func (l *Limiter) askNow(team catalog.Team, place quota.Placement, now time.Duration) {
+	wanted := l.meter.Question(team.Name, now)
+	if wanted == 0 {
+		return
+	}
+	if place.Counter == l.cfg.Host {
+		l.settle(team, l.counter.Pay(team.Name, team.Limit, wanted, now), now)
+		return
+	}
+	go l.ask(team, place, wanted)
+}
+
+// ask asks the counter, and its deputy where it does not answer.
+func (l *Limiter) ask(team catalog.Team, place quota.Placement, wanted int) {
+	asked := clock.Now()
+	p, answered := l.askHost(place.Counter, team.Name, wanted, tries)
+	if !answered && place.Deputy != "" {
+		p, answered = l.askHost(place.Deputy, team.Name, wanted, 1)
+	}
+	now := clock.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !answered || now-asked > staleAfter {
+		l.tell(team.Name, 0, l.meter.Unanswered(team.Name, now), answerTime)
+		return
+	}
+	l.settle(team, p, now)
+}
+
+// settle takes a payment and asks again for what has come meanwhile. It is called
+// with mu held.
+func (l *Limiter) settle(team catalog.Team, p quota.Payment, now time.Duration) {
+	run, refused := l.meter.Answered(team.Name, p, now)
+	l.tell(team.Name, run, refused, p.RetryAfter)
+	l.askNow(team, l.placeOf(team.Name, team.Limit), now)
+}
+
+// tell answers the operations that have waited longest. It is called with mu held.
+func (l *Limiter) tell(team string, run, refused int, retryAfter time.Duration) {
+	queue := l.waiting[team]
+	for i := range min(run+refused, len(queue)) {
+		queue[i] <- outcome{runs: i < run, retryAfter: retryAfter}
+	}
+	l.waiting[team] = queue[min(run+refused, len(queue)):]
+	if len(l.waiting[team]) == 0 {
+		delete(l.waiting, team)
+	}
+}
+
+// askHost asks one host, some times, unless it has just been silent.
+func (l *Limiter) askHost(name, team string, wanted, times int) (quota.Payment, bool) {
+	if name == l.cfg.Host {
+		return l.Pay(team, wanted), true
+	}
+	address, ok := l.usable(name)
+	if !ok {
+		return quota.Payment{}, false
+	}
+	for range times {
+		ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+		p, answered := l.cfg.Ask(ctx, address, team, wanted)
+		cancel()
+		if answered {
+			return p, true
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silentUntil[name] = clock.Now() + silentFor
+	return quota.Payment{}, false
+}
+
+// usable returns the address of a host that has not just been silent.
+func (l *Limiter) usable(name string) (string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if until, found := l.silentUntil[name]; found {
+		if clock.Now() < until {
+			return "", false
+		}
+		delete(l.silentUntil, name)
+	}
+	address, known := l.addresses[name]
+	return address, known
+}
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -59,9 +59,9 @@
 	case errors.As(err, &lost) && clock.Now() >= w.EndBy:
 		out.Answer = statement.Refuse(statement.TimedOut, "the statement's time is over", statement.Idle)
 	case errors.As(err, &refused) && refused.RetryAfter > 0:
-		out.Answer = statement.Refuse(statement.Busy, retryHint(refused.RetryAfter), statement.Idle)
+		out.Answer = statement.Refuse(statement.Busy, RetryHint(refused.RetryAfter), statement.Idle)
 	default:
-		out.Answer = statement.Refuse(statement.Busy, retryHint(defaultRetryAfter), statement.Idle)
+		out.Answer = statement.Refuse(statement.Busy, RetryHint(defaultRetryAfter), statement.Idle)
 	}
 	return out
 }
@@ -73,7 +73,8 @@
 // errNoPrimary refuses a statement that only a primary could run.
 var errNoPrimary = &RefusedError{Reason: "no primary is known", RetryAfter: defaultRetryAfter}
 
-func retryHint(d time.Duration) string {
+// RetryHint tells a caller that nothing ran, and when it is of use to come back.
+func RetryHint(d time.Duration) string {
 	return fmt.Sprintf("not run, retry after %d ms", d.Milliseconds())
 }
 
