--- /dev/null
+++ b/core/quota/counter_test.go
@@ -0,0 +1,165 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+const window = 5 * time.Second
+
+// tolerance is that of the archive: a tenth, and twenty operations.
+var tolerance = quota.Tolerance{Window: window, Share: 0.1, Operations: 20}
+
+func limitOf(rate, burst float64) quota.Limit {
+	return quota.Limit{Bounded: true, Rate: rate, Burst: burst}
+}
+
+// bound is the most operations that may run in any window.
+func bound(l quota.Limit, t quota.Tolerance) float64 {
+	return (l.Rate*t.Window.Seconds()+l.Burst)*(1+t.Share) + t.Operations
+}
+
+// TestNoWindowIsOverTheLimit: whatever is asked for and when, what a counter pays
+// for in any window stays within the limit and its part of the tolerance.
+func TestNoWindowIsOverTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := limitOf(rapid.Float64Range(0, 200).Draw(t, "rate"), rapid.Float64Range(0, 200).Draw(t, "burst"))
+		c := quota.NewCounter(tolerance, -time.Hour)
+		var paid []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 120).Draw(t, "questions") {
+			now += time.Duration(rapid.IntRange(0, 600).Draw(t, "pause")) * time.Millisecond
+			for range c.Pay("a", l, rapid.IntRange(0, 300).Draw(t, "wanted"), now).Paid {
+				paid = append(paid, now)
+			}
+		}
+		if most := busiest(paid); float64(most) > bound(l, tolerance) {
+			t.Fatalf("%d in a window, %.0f allowed", most, bound(l, tolerance))
+		}
+	})
+}
+
+// busiest returns the most times that lie in one window. The times rise.
+func busiest(times []time.Duration) int {
+	most, from := 0, 0
+	for i, at := range times {
+		for at-times[from] >= window {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// TestTeamWithinItsLimitIsNeverRefused replays a team of two or three operations a
+// second, in twos and threes, whose limit is 1.6 times that.
+func TestTeamWithinItsLimitIsNeverRefused(t *testing.T) {
+	l := limitOf(4, 4)
+	c := quota.NewCounter(tolerance, -time.Hour)
+	now := time.Duration(0)
+	for i := range 200 {
+		now += time.Second
+		wanted := 2 + i%2
+		require.Equal(t, wanted, c.Pay("a", l, wanted, now).Paid, "at %v", now)
+	}
+}
+
+// TestHotTeamIsServedEvenly replays a team that asks for eight times its limit: once
+// its first burst has left the window it gets its rate in every second, and it is
+// told when to come back.
+func TestHotTeamIsServedEvenly(t *testing.T) {
+	l := limitOf(50, 50)
+	c := quota.NewCounter(tolerance, -time.Hour)
+	perSecond := map[time.Duration]int{}
+	for now := time.Duration(0); now < 20*time.Second; now += 2500 * time.Microsecond {
+		p := c.Pay("a", l, 1, now)
+		if p.Paid == 0 {
+			require.Positive(t, p.RetryAfter)
+			require.LessOrEqual(t, p.RetryAfter, window)
+		}
+		perSecond[now.Truncate(time.Second)] += p.Paid
+	}
+	for second, n := range perSecond {
+		if second >= window {
+			require.GreaterOrEqual(t, float64(n), l.Rate, "second %v", second)
+		}
+	}
+}
+
+// TestLoweredLimitBindsAtOnce: the payments of the window count under the new limit.
+func TestLoweredLimitBindsAtOnce(t *testing.T) {
+	c := quota.NewCounter(tolerance, -time.Hour)
+	now := time.Duration(0)
+	for range 50 {
+		now += 100 * time.Millisecond
+		c.Pay("a", limitOf(100, 100), 10, now)
+	}
+	p := c.Pay("a", limitOf(5, 5), 10, now)
+	require.Zero(t, p.Paid)
+	require.Positive(t, p.RetryAfter)
+}
+
+// TestCounterWithoutMemoryExceedsNothing replays a counter that is killed while a
+// team asks for far more than its limit, and is back after half a second.
+func TestCounterWithoutMemoryExceedsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := limitOf(rapid.Float64Range(1, 200).Draw(t, "rate"), rapid.Float64Range(1, 200).Draw(t, "burst"))
+		killedAt := time.Duration(rapid.IntRange(0, 15000).Draw(t, "killed at")) * time.Millisecond
+		c := quota.NewCounter(tolerance, -time.Hour)
+		var paid []time.Duration
+		alive := true
+		for now := time.Duration(0); now < 20*time.Second; now += 5 * time.Millisecond {
+			switch {
+			case alive && now >= killedAt && now < killedAt+500*time.Millisecond:
+				alive = false
+			case !alive && now >= killedAt+500*time.Millisecond:
+				alive, c = true, quota.NewCounter(tolerance, now)
+			}
+			if !alive {
+				continue
+			}
+			for range c.Pay("a", l, 100, now).Paid {
+				paid = append(paid, now)
+			}
+		}
+		if most := busiest(paid); float64(most) > bound(l, tolerance) {
+			t.Fatalf("%d in a window, %.0f allowed", most, bound(l, tolerance))
+		}
+	})
+}
+
+// TestTeamWithoutLimitIsPaidFor: no limit is no limit of zero.
+func TestTeamWithoutLimitIsPaidFor(t *testing.T) {
+	c := quota.NewCounter(tolerance, 0)
+	require.Equal(t, quota.Payment{Paid: 1000}, c.Pay("a", quota.Limit{}, 1000, 0))
+	require.Zero(t, quota.NewCounter(quota.Tolerance{Window: window}, 0).Pay("a", limitOf(0, 0), 1, time.Hour).Paid)
+}
+
+// TestReservesOfAllHostsAddUp: what the hosts may run ahead is no more than its part
+// of the tolerance, however many they are, and all agree on who counts.
+func TestReservesOfAllHostsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := limitOf(rapid.Float64Range(0, 300).Draw(t, "rate"), rapid.Float64Range(0, 300).Draw(t, "burst"))
+		hosts := rapid.SliceOfNDistinct(rapid.StringMatching(`h[0-9]{1,3}`), 1, 60, rapid.ID[string]).Draw(t, "hosts")
+		sum, counters, deputies := 0, map[string]bool{}, map[string]bool{}
+		for _, h := range hosts {
+			p := quota.Place("team", l, tolerance, hosts, h)
+			sum += p.Ahead
+			counters[p.Counter], deputies[p.Deputy] = true, true
+		}
+		if tolerated := bound(l, tolerance) - l.Rate*window.Seconds() - l.Burst; float64(sum) > tolerated/10 {
+			t.Fatalf("%d run ahead, %.1f are tolerated", sum, tolerated)
+		}
+		if len(counters) != 1 || len(deputies) != 1 || (len(hosts) > 1 && deputies[hosts[0]] && counters[hosts[0]]) {
+			t.Fatalf("counters %v, deputies %v", counters, deputies)
+		}
+	})
+}
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -27,7 +27,8 @@
 //   - an answer is used only while its question is waited for, and not after the host
 //     has stood still: a late or repeated answer pays for nothing. A repeated question
 //     is paid twice in the ledger, which errs on the safe side;
-//   - a host that dies takes what was paid for with it;
+//   - a host that dies takes what was paid for with it, and runs nothing ahead for a
+//     window once it is back;
 //   - a limit that is lowered binds at the counter as soon as that knows of it,
 //     whatever the others know;
 //   - a counter that starts again has no memory of the window, but payments come in
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -14,7 +14,7 @@
 type ledger struct {
 	// tokens may be paid for at once; they come in at the pace of the limit.
 	tokens float64
-	// at is when tokens was right.
+	// at is when tokens was right; it lies ahead while the window has no room.
 	at time.Duration
 	// entries are the payments of the last window, the oldest first, and sum is
 	// their total.
@@ -48,7 +48,12 @@
 		l.at = now
 	}
 	l.tokens = min(l.tokens, burst(limit))
-	room := int(limit) - l.sum
+	room := max(int(limit)-l.sum, 0)
+	if room == 0 && len(l.entries) > 0 {
+		// What comes in until the window has room again would make a burst then, and
+		// the same gap a window later.
+		l.tokens, l.at = 0, l.entries[0].at+window
+	}
 	paid := max(min(wanted, int(l.tokens+rounding), room), 0)
 	if paid > 0 {
 		l.tokens -= float64(paid)
@@ -58,7 +63,7 @@
 	if paid == wanted {
 		return Payment{Paid: paid}
 	}
-	return Payment{Paid: paid, RetryAfter: l.wait(pace, room-paid, window, now)}
+	return Payment{Paid: paid, RetryAfter: l.wait(pace, now)}
 }
 
 // forget drops the payments up to a time.
@@ -72,13 +77,10 @@
 }
 
 // wait returns the time until the next operation can be paid for.
-func (l *ledger) wait(pace float64, room int, window, now time.Duration) time.Duration {
+func (l *ledger) wait(pace float64, now time.Duration) time.Duration {
 	if pace <= 0 {
 		return maxWait
 	}
-	wait := time.Duration(max(1-l.tokens, 0) / pace * float64(time.Second))
-	if room <= 0 && len(l.entries) > 0 {
-		wait = max(wait, l.entries[0].at+window-now)
-	}
+	wait := l.at - now + time.Duration(max(1-l.tokens, 0)/pace*float64(time.Second))
 	return min(max(wait, time.Millisecond), maxWait)
 }
--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -42,12 +42,17 @@
 // Meter decides for one host which operations of the teams run. It is not safe for
 // concurrent use.
 type Meter struct {
-	teams    map[string]*meter
-	tidiedAt time.Duration
+	// aheadFrom is when operations may first run ahead of their payment: the process
+	// before this one may have used the reserve in the same window.
+	aheadFrom time.Duration
+	teams     map[string]*meter
+	tidiedAt  time.Duration
 }
 
-// NewMeter returns a meter that knows of no debt.
-func NewMeter() *Meter { return &Meter{teams: map[string]*meter{}} }
+// NewMeter returns the meter of a host that starts now and knows of no debt.
+func NewMeter(t Tolerance, now time.Duration) *Meter {
+	return &Meter{aheadFrom: now + t.Window, teams: map[string]*meter{}}
+}
 
 // Admit decides on an operation of a team that may run a number ahead.
 func (m *Meter) Admit(team string, l Limit, ahead int, now time.Duration) Decision {
@@ -58,7 +63,7 @@
 	t := m.of(team)
 	t.used = now
 	switch {
-	case t.debt < ahead:
+	case t.debt < ahead && now >= m.aheadFrom:
 		t.debt++
 		return Decision{Verdict: Admitted}
 	case now < t.closedUntil:
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
 	"github.com/dotterelswitch/dotterelswitch/node/entry"
 	"github.com/dotterelswitch/dotterelswitch/node/onplatform"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -40,6 +41,10 @@
 	proxies map[int]*faultproxy.Proxy
 	// dial is what hosts that are started next connect with.
 	dial replicaset.DialFunc
+	// tolerance is how exactly hosts that are started next keep the teams' limits,
+	// and logTo where they write; nil for the test's log.
+	tolerance quota.Tolerance
+	logTo     io.Writer
 }
 
 func options() lineplatform.Options {
@@ -61,13 +66,7 @@
 // deploy starts a platform and hosts and waits until the hosts are ready.
 func deploy(t *testing.T, hosts int, o lineplatform.Options) *deployment {
 	t.Helper()
-	p, err := lineplatform.Start()
-	require.NoError(t, err)
-	t.Cleanup(p.Close)
-	g, err := p.AddGroup("svc", o)
-	require.NoError(t, err)
-	p.Configure(routes(timeout), timeout)
-	d := &deployment{t: t, platform: p, group: g, dial: entry.Dial}
+	d := deployPlatform(t, o)
 	for range hosts {
 		d.addHost()
 	}
@@ -77,6 +76,18 @@
 	return d
 }
 
+// deployPlatform starts a platform without hosts.
+func deployPlatform(t *testing.T, o lineplatform.Options) *deployment {
+	t.Helper()
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	g, err := p.AddGroup("svc", o)
+	require.NoError(t, err)
+	p.Configure(routes(timeout), timeout)
+	return &deployment{t: t, platform: p, group: g, dial: entry.Dial}
+}
+
 // aimAt has the statements of all routes aim at a latency target and end after a
 // timeout, and waits until that is in force.
 func (d *deployment) aimAt(target, statementTimeout time.Duration) {
@@ -132,6 +143,7 @@
 		Host: name, Places: replicaset.Places{Zone: "a", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}},
 		CallerAddress: free(d.t), ReadyAddress: free(d.t), PeerAddress: free(d.t), MetricsAddress: free(d.t),
 		MaxSessions: 1000, Workers: 256, Grace: 2 * time.Second, DrainBound: 7 * time.Second,
+		Quota: d.tolerance,
 	}
 	a := onplatform.Adapter(onplatform.Options{Host: name, Store: store, Promotion: d.platform.Address(), Timeout: time.Second})
 	h, err := entry.Start(s, a, d.dial, zerolog.New(d.logs()))
@@ -142,8 +154,14 @@
 	return h
 }
 
-// logs writes the hosts' lines to the test's log, which is shown on failure.
-func (d *deployment) logs() io.Writer { return zerolog.NewTestWriter(d.t) }
+// logs writes the hosts' lines to the test's log, which is shown on failure, unless
+// the test wants them elsewhere.
+func (d *deployment) logs() io.Writer {
+	if d.logTo != nil {
+		return d.logTo
+	}
+	return zerolog.NewTestWriter(d.t)
+}
 
 // client is a caller's session.
 type client struct {
@@ -157,9 +175,15 @@
 
 // connect opens a session on a database through a host.
 func (d *deployment) connect(host int, database string) *client {
+	d.t.Helper()
+	return d.connectAs(host, database, "tester")
+}
+
+// connectAs opens a session with a key.
+func (d *deployment) connectAs(host int, database, key string) *client {
 	d.t.Helper()
 	name := fmt.Sprintf("%s-%d", database, sessions.Add(1))
-	session, err := linecaller.Open(d.settings[host].CallerAddress, database, name, eventually)
+	session, err := linecaller.OpenWithKey(d.settings[host].CallerAddress, database, key, name, eventually)
 	require.NoError(d.t, err)
 	d.t.Cleanup(session.Close)
 	return &client{t: d.t, session: session, name: name}
--- /dev/null
+++ b/node/entry/teams_test.go
@@ -0,0 +1,221 @@
+package entry_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
+	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+)
+
+// The teams of these tests.
+var (
+	schools = lineplatform.Team{Name: "schools", Keys: []string{"key-schools-1", "key-schools-2"}}
+	clubs   = lineplatform.Team{Name: "clubs", Keys: []string{"key-clubs"}}
+)
+
+// setTeams has callers asked for a key, on all hosts.
+func (d *deployment) setTeams(teams ...lineplatform.Team) {
+	d.t.Helper()
+	d.platform.SetTeams(teams...)
+	version := d.platform.Configure(routes(timeout), timeout)
+	for _, h := range d.hosts {
+		require.Eventually(d.t, func() bool { return h.Catalog().Version == version }, eventually, poll)
+	}
+}
+
+func TestMembersAreToldTheTeamNeverTheKey(t *testing.T) {
+	d := deploy(t, 2, options())
+	d.setTeams(schools, clubs)
+	want := map[string]string{}
+	for host := range d.hosts {
+		for key, team := range map[string]string{"key-schools-1": "schools", "key-schools-2": "schools", "key-clubs": "clubs"} {
+			c := d.connectAs(host, "own", key)
+			want[c.must("STORE item-1 x").id] = team
+			want[c.must("FETCH item-1").id] = team
+			c.must("BEGIN")
+			want[c.must("STORE item-2 y").id] = team
+			c.must("COMMIT")
+		}
+	}
+	for _, r := range d.group.Runs() {
+		if team, found := want[r.ID]; found {
+			require.Equal(t, team, r.Team, r.Text)
+			delete(want, r.ID)
+		}
+		require.NotContains(t, r.Team, "key-")
+	}
+	require.Empty(t, want, "statements that no member ran")
+}
+
+func TestUnknownKeyIsRefusedAtLogin(t *testing.T) {
+	d := deploy(t, 1, options())
+	d.setTeams(schools)
+	_, err := linecaller.OpenWithKey(d.settings[0].CallerAddress, "own", "key-of-nobody", "x", eventually)
+	var refused *linecaller.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, "UNAUTH", refused.Code())
+}
+
+// TestKeyThatIsTakenAwayEndsOpenSessions: a session that was open before, and a
+// transaction in it, get nothing more run; other keys of the team stay.
+func TestKeyThatIsTakenAwayEndsOpenSessions(t *testing.T) {
+	d := deploy(t, 1, options())
+	d.setTeams(schools, clubs)
+	idle, open, other := d.connectAs(0, "own", "key-schools-1"), d.connectAs(0, "own", "key-schools-1"), d.connectAs(0, "own", "key-schools-2")
+	idle.must("FETCH a")
+	other.must("FETCH a")
+	open.must("BEGIN")
+	written := open.must("STORE a x").id
+
+	left := schools
+	left.Keys = schools.Keys[1:]
+	d.setTeams(left, clubs)
+	require.Equal(t, "UNAUTH", idle.do("FETCH a").code)
+	refused := open.do("COMMIT")
+	require.Equal(t, "UNAUTH", refused.code)
+	require.Equal(t, "I", refused.state, "the transaction has ended")
+	require.Equal(t, 0, d.group.Committed(written))
+	other.must("FETCH a")
+}
+
+// TestRevokedTransactionIsRolledBack: the rollback that a caller sends after the
+// refusal ends its transaction.
+func TestRevokedTransactionIsRolledBack(t *testing.T) {
+	d := deploy(t, 1, options())
+	d.setTeams(schools, clubs)
+	c := d.connectAs(0, "own", "key-schools-1")
+	c.must("BEGIN")
+	c.must("STORE a x")
+	d.setTeams(clubs)
+	require.Equal(t, "E", c.do("FETCH a").state)
+	require.Equal(t, "I", c.must("ROLLBACK").state)
+}
+
+// tolerance is by how much a team may exceed its limit in these tests.
+var tolerance = quota.Tolerance{Window: time.Second, Share: 0.1, Operations: 20}
+
+// TestHotTeamIsLimitedOverAllHosts: a team asks three hosts for many times its
+// limit. In no window more run than may; what is refused has not run and says when
+// to come back; another team is served all the while.
+func TestHotTeamIsLimitedOverAllHosts(t *testing.T) {
+	d := deployPlatform(t, options())
+	d.tolerance = tolerance
+	for range 3 {
+		d.addHost()
+	}
+	hot := schools
+	hot.Rate, hot.Burst = 20, 20
+	d.setTeams(hot, clubs)
+	var wg sync.WaitGroup
+	until := time.Now().Add(4 * time.Second)
+	refused := make([]int, len(d.hosts))
+	for host := range d.hosts {
+		c := d.connectAs(host, "bounded", "key-schools-1")
+		wg.Go(func() {
+			for time.Now().Before(until) {
+				if res := c.do("FETCH a"); res.code != "" {
+					refused[host]++
+					require.Equal(t, "BUSY", res.code)
+					require.Contains(t, res.detail, "retry after")
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	quiet := d.connectAs(0, "bounded", "key-clubs")
+	for range 20 {
+		quiet.must("FETCH b")
+		time.Sleep(20 * time.Millisecond)
+	}
+	wg.Wait()
+	for host, n := range refused {
+		require.Positive(t, n, "host %d", host)
+	}
+	most := busiestWindow(d.group.Runs(), "schools", tolerance.Window)
+	require.LessOrEqual(t, float64(most), (20+20)*1.1+20)
+	require.GreaterOrEqual(t, most, 30, "what the limit allows is served")
+}
+
+// TestTransactionIsOneOperation: its statements are not counted one by one.
+func TestTransactionIsOneOperation(t *testing.T) {
+	d := deployPlatform(t, options())
+	d.tolerance = quota.Tolerance{Window: 5 * time.Second}
+	d.addHost()
+	limited := schools
+	limited.Rate = 1
+	d.setTeams(limited)
+	c := d.connectAs(0, "own", "key-schools-1")
+	require.Eventually(t, func() bool {
+		c.must("BEGIN")
+		if c.do("STORE a x").code == "" {
+			return true
+		}
+		c.must("ROLLBACK")
+		return false
+	}, eventually, 50*time.Millisecond)
+	for range 50 {
+		c.must("STORE a x")
+	}
+	c.must("COMMIT")
+}
+
+// busiestWindow returns the most statements of a team that ran in one window.
+func busiestWindow(runs []lineplatform.Run, team string, window time.Duration) int {
+	var times []time.Time
+	for _, r := range runs {
+		if r.Team == team {
+			times = append(times, r.At)
+		}
+	}
+	most, from := 0, 0
+	for i, at := range times {
+		for at.Sub(times[from]) >= window {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// lockedLog is a log that several goroutines write.
+type lockedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// TestLogsShowNoKey: neither a served, a refused nor a revoked caller's.
+func TestLogsShowNoKey(t *testing.T) {
+	log := &lockedLog{}
+	d := deploy(t, 1, options())
+	d.logTo = log
+	d.addHost()
+	d.setTeams(schools, clubs)
+	d.connectAs(1, "own", "key-schools-1").must("FETCH a")
+	_, err := linecaller.OpenWithKey(d.settings[1].CallerAddress, "own", "key-of-nobody", "x", eventually)
+	require.Error(t, err)
+	d.setTeams(clubs)
+	d.hosts[1].Kill()
+	text := log.String()
+	require.Contains(t, text, "schools")
+	for _, key := range append([]string{"key-of-nobody"}, schools.Keys...) {
+		require.NotContains(t, text, key)
+	}
+}
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -79,8 +79,9 @@
 // New returns a limiter that knows of no other host.
 func New(cfg Config) *Limiter {
 	cfg.Tolerance = cfg.Tolerance.WithDefaults()
+	now := clock.Now()
 	return &Limiter{
-		cfg: cfg, meter: quota.NewMeter(), counter: quota.NewCounter(cfg.Tolerance, clock.Now()),
+		cfg: cfg, meter: quota.NewMeter(cfg.Tolerance, now), counter: quota.NewCounter(cfg.Tolerance, now),
 		waiting: map[string][]chan outcome{}, addresses: map[string]string{}, placed: map[string]placed{}, silentUntil: map[string]time.Duration{},
 	}
 }
--- a/standin/linecaller/session.go
+++ b/standin/linecaller/session.go
@@ -54,23 +54,31 @@
 	return code
 }
 
+// defaultKey is what a caller says where nobody asks for a key.
+const defaultKey = "tester"
+
 // Open opens a session on a database. Name makes the ids of its statements
 // unique; timeout bounds the wait for each answer.
 func Open(address, database, name string, timeout time.Duration) (*Session, error) {
+	return OpenWithKey(address, database, defaultKey, name, timeout)
+}
+
+// OpenWithKey is Open for a caller that proves itself with a team's key.
+func OpenWithKey(address, database, key, name string, timeout time.Duration) (*Session, error) {
 	nc, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
 		return nil, err
 	}
 	s := &Session{net: nc, r: bufio.NewReader(nc), name: name, timeout: timeout}
-	if err := s.login(database); err != nil {
+	if err := s.login(database, key); err != nil {
 		_ = nc.Close()
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *Session) login(database string) error {
-	if _, err := fmt.Fprintf(s.net, "START %s tester\r\n", database); err != nil {
+func (s *Session) login(database, key string) error {
+	if _, err := fmt.Fprintf(s.net, "START %s %s\r\n", database, key); err != nil {
 		return err
 	}
 	line, err := s.line()
--- a/standin/lineplatform/config.go
+++ b/standin/lineplatform/config.go
@@ -6,6 +6,15 @@
 	Routes   []routeBody   `json:"routes"`
 	Services []serviceBody `json:"services"`
 	Limits   limitsBody    `json:"limits"`
+	Tenants  []tenantBody  `json:"tenants,omitempty"`
+}
+
+type tenantBody struct {
+	Name string   `json:"name"`
+	Keys []string `json:"api_keys"`
+	// Rate and Burst are missing for a team without a limit.
+	Rate  float64 `json:"rate_per_s,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
 }
 
 type routeBody struct {
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -13,8 +13,10 @@
 
 // conn is one connection to a member.
 type conn struct {
-	member   *Member
-	net      net.Conn
+	member *Member
+	net    net.Conn
+	// team is in whose name the connection was opened.
+	team     string
 	prepared map[string]string
 	values   map[string]string
 	// inTx, readOnly and pending describe the open transaction.
@@ -96,6 +98,7 @@
 		_, _ = fmt.Fprintf(c.net, "ERROR %s %s\r\n", code, m.ID)
 		return false
 	}
+	c.team = f[2]
 	m.logins.Add(1)
 	m.work()
 	_, err := fmt.Fprintf(c.net, "READY I %s\r\n", m.Position())
@@ -235,6 +238,7 @@
 // group's lock held.
 func (c *conn) record(run Run) {
 	run.Member, run.Position, run.Tx = c.member.ID, c.member.position(), c.tx
+	run.Team, run.At = c.team, time.Now()
 	for _, name := range slices.Sorted(maps.Keys(c.values)) {
 		run.Values += name + "=" + c.values[name] + " "
 	}
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -50,6 +50,10 @@
 	Values string
 	// Shape is what a prepared statement was prepared as.
 	Shape string
+	// Team is in whose name its connection was opened.
+	Team string
+	// At is when it ran.
+	At time.Time
 }
 
 // Place is a place in a group's log.
--- a/standin/lineplatform/platform.go
+++ b/standin/lineplatform/platform.go
@@ -25,6 +25,7 @@
 	fences  map[string]uint64
 	version uint64
 	refuse  int
+	teams   []Team
 }
 
 // Start runs a platform without groups.
@@ -65,6 +66,21 @@
 	Priority                       int
 }
 
+// Team is an organisation whose callers hold keys; a zero Rate is no limit.
+type Team struct {
+	Name        string
+	Keys        []string
+	Rate, Burst float64
+}
+
+// SetTeams has the following configurations ask callers for a key of these teams.
+// Without any, nobody is asked for one.
+func (p *Platform) SetTeams(teams ...Team) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.teams = teams
+}
+
 // Configure writes the next version of the configuration and returns it.
 func (p *Platform) Configure(routes []Route, txIdle time.Duration) uint64 {
 	p.mu.Lock()
@@ -80,6 +96,9 @@
 	for _, g := range p.groups {
 		body.Services = append(body.Services, serviceBody{Name: g.service, MaxConns: g.opts.MaxConnections})
 	}
+	for _, t := range p.teams {
+		body.Tenants = append(body.Tenants, tenantBody{Name: t.Name, Keys: t.Keys, Rate: t.Rate, Burst: t.Burst})
+	}
 	version := p.version
 	p.mu.Unlock()
 	data, err := json.Marshal(body)
