--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,5 +1,5 @@
-// Package admit shares the slots of one upstream among tenants. It is
-// start-time fair queueing (Goyal, Vin and Cheng, 1996) over cost: a tenant
+// Package admit shares the slots of one upstream among teams. It is
+// start-time fair queueing (Goyal, Vin and Cheng, 1996) over cost: a team
 // that is alone uses every slot, and one that returns is served next, because
 // its virtual start time is not behind the queue's.
 package admit
@@ -13,18 +13,18 @@
 type Config struct {
 	// Slots is the number of requests that may run at once.
 	Slots int
-	// MaxQueued bounds the requests that wait, over all tenants.
+	// MaxQueued bounds the requests that wait, over all teams.
 	MaxQueued int
-	// MaxTenantShare is the part of MaxQueued that one tenant may fill while
+	// MaxTeamShare is the part of MaxQueued that one team may fill while
 	// others wait too, from 0 to 1.
-	MaxTenantShare float64
+	MaxTeamShare float64
 }
 
 // Request is one unit of work.
 type Request struct {
-	ID     uint64
-	Tenant string
-	// Weight scales the tenant's share; 1 is the norm.
+	ID   uint64
+	Team string
+	// Weight scales the team's share; 1 is the norm.
 	Weight float64
 	// Cost is the expected slot time.
 	Cost time.Duration
@@ -41,7 +41,7 @@
 	Run Verdict = iota
 	// Wait means the request is queued.
 	Wait
-	// Full means the queue has no room for this tenant.
+	// Full means the queue has no room for this team.
 	Full
 	// Late means the request would miss its deadline.
 	Late
@@ -53,7 +53,7 @@
 	cfg      Config
 	running  int
 	virtual  float64
-	tenants  map[string]*tenantState
+	teams    map[string]*teamState
 	waiting  requestHeap
 	byID     map[uint64]*entry
 	sequence uint64
@@ -61,15 +61,15 @@
 	service time.Duration
 }
 
-// tenantState is the fair-queueing state of one tenant.
-type tenantState struct {
+// teamState is the fair-queueing state of one team.
+type teamState struct {
 	finish float64
 	queued int
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(cfg Config) *Queue {
-	return &Queue{cfg: cfg, tenants: make(map[string]*tenantState), byID: make(map[uint64]*entry)}
+	return &Queue{cfg: cfg, teams: make(map[string]*teamState), byID: make(map[uint64]*entry)}
 }
 
 // Running returns the number of slots in use.
@@ -91,7 +91,7 @@
 		q.running++
 		return Run
 	}
-	if q.full(r.Tenant) {
+	if q.full(r.Team) {
 		return Full
 	}
 	q.push(r)
@@ -106,24 +106,24 @@
 	return q.service * time.Duration(len(q.waiting)) / time.Duration(q.cfg.Slots)
 }
 
-func (q *Queue) full(tenant string) bool {
+func (q *Queue) full(team string) bool {
 	if len(q.waiting) >= q.cfg.MaxQueued {
 		return true
 	}
-	ts := q.tenants[tenant]
+	ts := q.teams[team]
 	if ts == nil || ts.queued == len(q.waiting) {
 		return false
 	}
-	return float64(ts.queued) >= q.cfg.MaxTenantShare*float64(q.cfg.MaxQueued)
+	return float64(ts.queued) >= q.cfg.MaxTeamShare*float64(q.cfg.MaxQueued)
 }
 
-// charge advances the tenant's virtual time by the cost of r and returns the
+// charge advances the team's virtual time by the cost of r and returns the
 // virtual start of r.
 func (q *Queue) charge(r Request) float64 {
-	ts := q.tenants[r.Tenant]
+	ts := q.teams[r.Team]
 	if ts == nil {
-		ts = &tenantState{}
-		q.tenants[r.Tenant] = ts
+		ts = &teamState{}
+		q.teams[r.Team] = ts
 	}
 	start := max(q.virtual, ts.finish)
 	ts.finish = start + float64(max(r.Cost, time.Microsecond))/max(r.Weight, minWeight)
@@ -135,7 +135,7 @@
 
 func (q *Queue) push(r Request) {
 	start := q.charge(r)
-	q.tenants[r.Tenant].queued++
+	q.teams[r.Team].queued++
 	q.sequence++
 	e := &entry{request: r, start: start, sequence: q.sequence}
 	q.byID[r.ID] = e
@@ -169,10 +169,10 @@
 	return start, late
 }
 
-// reset forgets the tenants' past once the upstream is idle.
+// reset forgets the teams' past once the upstream is idle.
 func (q *Queue) reset() {
 	q.virtual = 0
-	clear(q.tenants)
+	clear(q.teams)
 }
 
 // Remove takes a queued request out, for a caller that gave up. It reports
@@ -189,7 +189,7 @@
 
 func (q *Queue) forget(e *entry) {
 	delete(q.byID, e.request.ID)
-	if ts := q.tenants[e.request.Tenant]; ts != nil {
+	if ts := q.teams[e.request.Team]; ts != nil {
 		ts.queued--
 	}
 }
--- a/core/admit/queue_test.go
+++ b/core/admit/queue_test.go
@@ -13,23 +13,23 @@
 
 func TestMain(m *testing.M) { fixedseed.Main(m) }
 
-// TestFairnessBound keeps two or more tenants backlogged and checks that, at
+// TestFairnessBound keeps two or more teams backlogged and checks that, at
 // any time, the service that two of them got differs by no more than one
 // request of each plus what the slots hold (the bound of start-time fair
 // queueing, times the number of slots).
 func TestFairnessBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 5).Draw(t, "slots")
-		tenants := []string{"a", "b", "c"}[:rapid.IntRange(2, 3).Draw(t, "tenants")]
-		q := admit.NewQueue(admit.Config{Slots: slots, MaxQueued: 100_000, MaxTenantShare: 1})
+		teams := []string{"a", "b", "c"}[:rapid.IntRange(2, 3).Draw(t, "teams")]
+		q := admit.NewQueue(admit.Config{Slots: slots, MaxQueued: 100_000, MaxTeamShare: 1})
 		const maxCost = 20 * time.Millisecond
 		served := map[string]time.Duration{}
 		var running []admit.Request
 		id := uint64(0)
-		offer := func(tenant string) {
+		offer := func(team string) {
 			id++
 			r := admit.Request{
-				ID: id, Tenant: tenant, Weight: 1, Deadline: time.Hour,
+				ID: id, Team: team, Weight: 1, Deadline: time.Hour,
 				Cost: time.Duration(rapid.IntRange(1, 20).Draw(t, "cost")) * time.Millisecond,
 			}
 			if q.Offer(r, 0) == admit.Run {
@@ -39,9 +39,9 @@
 		for range slots {
 			offer("filler")
 		}
-		for _, tenant := range tenants {
+		for _, team := range teams {
 			for range 60 {
-				offer(tenant)
+				offer(team)
 			}
 		}
 		for range 50 {
@@ -51,12 +51,12 @@
 			start, late := q.Done(done.Cost, 0)
 			require.Empty(t, late)
 			for _, r := range start {
-				served[r.Tenant] += r.Cost
+				served[r.Team] += r.Cost
 				running = append(running, r)
 			}
 			require.LessOrEqual(t, q.Running(), slots)
-			for _, x := range tenants {
-				for _, y := range tenants {
+			for _, x := range teams {
+				for _, y := range teams {
 					require.LessOrEqual(t, served[x]-served[y], 2*maxCost, "%s got %s, %s got %s", x, served[x], y, served[y])
 				}
 			}
@@ -69,7 +69,7 @@
 func TestNothingIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 4).Draw(t, "slots")
-		q := admit.NewQueue(admit.Config{Slots: slots, MaxQueued: 8, MaxTenantShare: 0.5})
+		q := admit.NewQueue(admit.Config{Slots: slots, MaxQueued: 8, MaxTeamShare: 0.5})
 		now := time.Duration(0)
 		waiting, running := map[uint64]bool{}, []uint64{}
 		settle := func(start, late []admit.Request) {
@@ -87,7 +87,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1:
 				r := admit.Request{
-					ID: id, Tenant: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "tenant"), Weight: 1, Cost: 2,
+					ID: id, Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Weight: 1, Cost: 2,
 					Deadline: now + time.Duration(rapid.IntRange(0, 40).Draw(t, "left")),
 				}
 				switch q.Offer(r, now) {
@@ -115,12 +115,12 @@
 	})
 }
 
-// TestIdleCapacity checks that one tenant alone gets every slot, and that
+// TestIdleCapacity checks that one team alone gets every slot, and that
 // another that returns is next in line.
 func TestIdleCapacity(t *testing.T) {
-	q := admit.NewQueue(admit.Config{Slots: 2, MaxQueued: 100, MaxTenantShare: 0.5})
-	request := func(id uint64, tenant string) admit.Request {
-		return admit.Request{ID: id, Tenant: tenant, Weight: 1, Cost: 1, Deadline: time.Hour}
+	q := admit.NewQueue(admit.Config{Slots: 2, MaxQueued: 100, MaxTeamShare: 0.5})
+	request := func(id uint64, team string) admit.Request {
+		return admit.Request{ID: id, Team: team, Weight: 1, Cost: 1, Deadline: time.Hour}
 	}
 	require.Equal(t, admit.Run, q.Offer(request(1, "flood"), 0))
 	require.Equal(t, admit.Run, q.Offer(request(2, "flood"), 0))
@@ -131,5 +131,5 @@
 	start, _ := q.Done(1, 0)
 	require.Len(t, start, 1)
 	start2, _ := q.Done(1, 0)
-	require.True(t, start[0].Tenant == "victim" || start2[0].Tenant == "victim", "the returning tenant waits behind the flood")
+	require.True(t, start[0].Team == "victim" || start2[0].Team == "victim", "the returning team waits behind the flood")
 }
--- a/core/conf/change.go
+++ b/core/conf/change.go
@@ -17,7 +17,7 @@
 	Zones    []Zone    `json:"zones,omitempty"`
 	Services []Service `json:"services,omitempty"`
 	Classes  []Class   `json:"classes,omitempty"`
-	Tenants  []Tenant  `json:"tenants,omitempty"`
+	Teams    []Team    `json:"teams,omitempty"`
 	Events   []Event   `json:"events,omitempty"`
 	Drains   []Drain   `json:"drains,omitempty"`
 }
@@ -27,7 +27,7 @@
 	Zones    []string `json:"zones,omitempty"`
 	Services []string `json:"services,omitempty"`
 	Classes  []string `json:"classes,omitempty"`
-	Tenants  []string `json:"tenants,omitempty"`
+	Teams    []string `json:"teams,omitempty"`
 	Events   []string `json:"events,omitempty"`
 	Drains   []Drain  `json:"drains,omitempty"`
 }
@@ -45,7 +45,7 @@
 		Zones:    merge(c.Zones, ch.Put.Zones, ch.Delete.Zones, zoneName),
 		Services: merge(c.Services, ch.Put.Services, ch.Delete.Services, serviceName),
 		Classes:  merge(c.Classes, ch.Put.Classes, ch.Delete.Classes, className),
-		Tenants:  merge(c.Tenants, ch.Put.Tenants, ch.Delete.Tenants, tenantName),
+		Teams:    merge(c.Teams, ch.Put.Teams, ch.Delete.Teams, teamName),
 		Events:   merge(c.Events, ch.Put.Events, ch.Delete.Events, eventName),
 		Drains:   merge(c.Drains, ch.Put.Drains, drainKeys(ch.Delete.Drains), drainKey),
 	}, nil
@@ -54,7 +54,7 @@
 func zoneName(z Zone) string       { return z.Name }
 func serviceName(s Service) string { return s.Name }
 func className(c Class) string     { return c.Name }
-func tenantName(t Tenant) string   { return t.Name }
+func teamName(t Team) string       { return t.Name }
 func eventName(e Event) string     { return e.Name }
 func drainKey(d Drain) string      { return string(d.Kind) + "/" + d.Name }
 
@@ -85,7 +85,7 @@
 	touch(keys, "zone", ch.Put.Zones, ch.Delete.Zones, zoneName)
 	touch(keys, "service", ch.Put.Services, ch.Delete.Services, serviceName)
 	touch(keys, "class", ch.Put.Classes, ch.Delete.Classes, className)
-	touch(keys, "tenant", ch.Put.Tenants, ch.Delete.Tenants, tenantName)
+	touch(keys, "team", ch.Put.Teams, ch.Delete.Teams, teamName)
 	touch(keys, "event", ch.Put.Events, ch.Delete.Events, eventName)
 	touch(keys, "drain", ch.Put.Drains, drainKeys(ch.Delete.Drains), drainKey)
 	return keys
--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -15,19 +15,19 @@
 
 func TestMain(m *testing.M) { fixedseed.Main(m) }
 
-// drawChange puts some tenants and deletes others.
+// drawChange puts some teams and deletes others.
 func drawChange(t *rapid.T, version uint64) conf.Change {
 	ch := conf.Change{Version: version, ChangeID: fmt.Sprint(version)}
 	for i := range 6 {
 		name := fmt.Sprintf("t%d", i)
 		switch rapid.IntRange(0, 3).Draw(t, name) {
 		case 0:
-			ch.Put.Tenants = append(ch.Put.Tenants, conf.Tenant{Name: name, Weight: float64(version)})
+			ch.Put.Teams = append(ch.Put.Teams, conf.Team{Name: name, Weight: float64(version)})
 		case 1:
-			ch.Delete.Tenants = append(ch.Delete.Tenants, name)
+			ch.Delete.Teams = append(ch.Delete.Teams, name)
 		}
 	}
-	slices.Reverse(ch.Put.Tenants)
+	slices.Reverse(ch.Put.Teams)
 	return ch
 }
 
@@ -37,26 +37,26 @@
 		cfg, want := &conf.Config{}, map[string]float64{}
 		for v := range uint64(rapid.IntRange(1, 12).Draw(t, "changes")) {
 			ch := drawChange(t, v+1)
-			before := slices.Clone(cfg.Tenants)
+			before := slices.Clone(cfg.Teams)
 			next, err := cfg.Apply(ch)
 			require.NoError(t, err)
-			require.Equal(t, before, cfg.Tenants, "the old version is untouched")
-			for _, n := range ch.Delete.Tenants {
+			require.Equal(t, before, cfg.Teams, "the old version is untouched")
+			for _, n := range ch.Delete.Teams {
 				delete(want, n)
 			}
-			for _, x := range ch.Put.Tenants {
+			for _, x := range ch.Put.Teams {
 				want[x.Name] = x.Weight
 			}
 			cfg = next
-			require.Len(t, cfg.Tenants, len(want))
-			require.True(t, slices.IsSortedFunc(cfg.Tenants, func(a, b conf.Tenant) int {
+			require.Len(t, cfg.Teams, len(want))
+			require.True(t, slices.IsSortedFunc(cfg.Teams, func(a, b conf.Team) int {
 				if a.Name < b.Name {
 					return -1
 				}
 				return 1
 			}))
 			for name, weight := range want {
-				got, found := cfg.Tenant(name)
+				got, found := cfg.Team(name)
 				require.True(t, found)
 				require.Equal(t, weight, got.Weight)
 			}
@@ -94,7 +94,7 @@
 			if err != nil {
 				require.ErrorAs(t, err, &gap)
 			}
-			require.Equal(t, versions[after].Tenants, tr.Current().Tenants)
+			require.Equal(t, versions[after].Teams, tr.Current().Teams)
 			if list, complete := tr.Since(before); complete {
 				require.Len(t, list, int(after-before))
 			}
@@ -103,8 +103,8 @@
 }
 
 func TestOverlap(t *testing.T) {
-	a := conf.Change{Put: conf.Items{Tenants: []conf.Tenant{{Name: "x"}}}}
-	b := conf.Change{Delete: conf.Names{Tenants: []string{"x"}}}
+	a := conf.Change{Put: conf.Items{Teams: []conf.Team{{Name: "x"}}}}
+	b := conf.Change{Delete: conf.Names{Teams: []string{"x"}}}
 	c := conf.Change{Put: conf.Items{Classes: []conf.Class{{Name: "x"}}}}
 	require.True(t, a.Overlaps(b))
 	require.False(t, a.Overlaps(c), "items of two kinds may share a name")
@@ -114,7 +114,7 @@
 	cfg := &conf.Config{
 		Services: []conf.Service{{Name: "S", Upstreams: []conf.Upstream{{Name: "a", Zone: "nowhere", Address: "x", Slots: 0, Connections: -1}}}, {Name: "empty"}},
 		Classes:  []conf.Class{{Name: "c", Staleness: -time.Second}, {Name: "c"}},
-		Tenants:  []conf.Tenant{{Name: "t", Weight: -1, Connections: -1}},
+		Teams:    []conf.Team{{Name: "t", Weight: -1, Connections: -1}},
 		Events:   []conf.Event{{Name: "e", Services: []string{"missing"}}},
 		Drains:   []conf.Drain{{Kind: "moon", Name: "a"}, {Kind: conf.DrainUpstream, Name: "nobody"}},
 	}
--- a/core/conf/config.go
+++ b/core/conf/config.go
@@ -1,5 +1,5 @@
 // Package conf holds the operators' configuration: services and their
-// upstreams, tenants, request classes, events and drains. Values are immutable
+// upstreams, teams, request classes, events and drains. Values are immutable
 // once published; every accepted change makes a new version.
 package conf
 
@@ -16,7 +16,7 @@
 	Zones    []Zone    `json:"zones"`
 	Services []Service `json:"services"`
 	Classes  []Class   `json:"classes"`
-	Tenants  []Tenant  `json:"tenants"`
+	Teams    []Team    `json:"teams"`
 	Events   []Event   `json:"events"`
 	Drains   []Drain   `json:"drains"`
 }
@@ -53,11 +53,11 @@
 	Staleness time.Duration `json:"staleness"`
 }
 
-// Tenant is a caller's organisation, for fair sharing.
-type Tenant struct {
+// Team is a caller's organisation, for fair sharing.
+type Team struct {
 	Name   string  `json:"name"`
 	Weight float64 `json:"weight"`
-	// Connections bounds the tenant's client connections on one host; zero
+	// Connections bounds the team's client connections on one host; zero
 	// means the host's default.
 	Connections int `json:"connections"`
 }
--- a/core/conf/diff.go
+++ b/core/conf/diff.go
@@ -33,7 +33,7 @@
 	out = diff(out, "zone", c.Zones, put.Zones, del.Zones, zoneName)
 	out = diff(out, "service", c.Services, put.Services, del.Services, serviceName)
 	out = diff(out, "class", c.Classes, put.Classes, del.Classes, className)
-	out = diff(out, "tenant", c.Tenants, put.Tenants, del.Tenants, tenantName)
+	out = diff(out, "team", c.Teams, put.Teams, del.Teams, teamName)
 	out = diff(out, "event", c.Events, put.Events, del.Events, eventName)
 	return diff(out, "drain", c.Drains, put.Drains, drainKeys(del.Drains), drainKey)
 }
--- a/core/conf/lookup.go
+++ b/core/conf/lookup.go
@@ -50,8 +50,8 @@
 	return cl.Staleness, found
 }
 
-// Tenant returns a tenant by name.
-func (c *Config) Tenant(name string) (Tenant, bool) { return find(c.Tenants, name, tenantName) }
+// Team returns a team by name.
+func (c *Config) Team(name string) (Team, bool) { return find(c.Teams, name, teamName) }
 
 func staleness(classes []Class, name string) (time.Duration, bool) {
 	i := slices.IndexFunc(classes, func(c Class) bool { return c.Name == name })
@@ -61,10 +61,10 @@
 	return classes[i].Staleness, true
 }
 
-// Weight returns the tenant's share; tenants that are not declared have 1, so
+// Weight returns the team's share; teams that are not declared have 1, so
 // that all are treated alike.
-func (c *Config) Weight(tenant string) float64 {
-	t, found := find(c.Tenants, tenant, tenantName)
+func (c *Config) Weight(team string) float64 {
+	t, found := find(c.Teams, team, teamName)
 	if !found || t.Weight == 0 {
 		return 1
 	}
--- a/core/conf/validate.go
+++ b/core/conf/validate.go
@@ -29,7 +29,7 @@
 	v.zones()
 	v.services()
 	v.classes("class", c.Classes)
-	v.tenants()
+	v.teams()
 	v.events()
 	v.drains()
 	if len(v.problems) > 0 {
@@ -44,7 +44,7 @@
 func (c *Config) ValidateItems(items Items) error {
 	part := &Config{
 		Zones: items.Zones, Services: items.Services, Classes: items.Classes,
-		Tenants: items.Tenants, Events: items.Events, Drains: items.Drains,
+		Teams: items.Teams, Events: items.Events, Drains: items.Drains,
 	}
 	return part.validate(c)
 }
@@ -121,15 +121,15 @@
 	}
 }
 
-func (v *validator) tenants() {
+func (v *validator) teams() {
 	seen := make(map[string]bool)
-	for _, t := range v.cfg.Tenants {
-		v.name("tenant", t.Name, seen)
+	for _, t := range v.cfg.Teams {
+		v.name("team", t.Name, seen)
 		if t.Weight < 0 || t.Weight > 1000 {
-			v.addf("tenant %q: weight is %g, allowed are 0 to 1000", t.Name, t.Weight)
+			v.addf("team %q: weight is %g, allowed are 0 to 1000", t.Name, t.Weight)
 		}
 		if t.Connections < 0 {
-			v.addf("tenant %q: connections is %d, allowed are 0 and more", t.Name, t.Connections)
+			v.addf("team %q: connections is %d, allowed are 0 and more", t.Name, t.Connections)
 		}
 	}
 }
--- a/core/lang/compile.go
+++ b/core/lang/compile.go
@@ -35,13 +35,13 @@
 	p.Put.Zones = append(p.Put.Zones, q.Put.Zones...)
 	p.Put.Services = append(p.Put.Services, q.Put.Services...)
 	p.Put.Classes = append(p.Put.Classes, q.Put.Classes...)
-	p.Put.Tenants = append(p.Put.Tenants, q.Put.Tenants...)
+	p.Put.Teams = append(p.Put.Teams, q.Put.Teams...)
 	p.Put.Events = append(p.Put.Events, q.Put.Events...)
 	p.Put.Drains = append(p.Put.Drains, q.Put.Drains...)
 	p.Delete.Zones = append(p.Delete.Zones, q.Delete.Zones...)
 	p.Delete.Services = append(p.Delete.Services, q.Delete.Services...)
 	p.Delete.Classes = append(p.Delete.Classes, q.Delete.Classes...)
-	p.Delete.Tenants = append(p.Delete.Tenants, q.Delete.Tenants...)
+	p.Delete.Teams = append(p.Delete.Teams, q.Delete.Teams...)
 	p.Delete.Events = append(p.Delete.Events, q.Delete.Events...)
 	p.Delete.Drains = append(p.Delete.Drains, q.Delete.Drains...)
 }
@@ -58,8 +58,8 @@
 			return err
 		}
 		p.Put.Classes = append(p.Put.Classes, conf.Class{Name: st.Class.Name, Staleness: bound})
-	case st.Tenant != nil:
-		p.Put.Tenants = append(p.Put.Tenants, conf.Tenant{Name: st.Tenant.Name, Weight: st.Tenant.Weight, Connections: st.Tenant.Connections})
+	case st.Team != nil:
+		p.Put.Teams = append(p.Put.Teams, conf.Team{Name: st.Team.Name, Weight: st.Team.Weight, Connections: st.Team.Connections})
 	case st.Event != nil:
 		e, err := st.Event.compile()
 		if err != nil {
@@ -108,8 +108,8 @@
 		p.Delete.Services = append(p.Delete.Services, d.Name)
 	case "CLASS":
 		p.Delete.Classes = append(p.Delete.Classes, d.Name)
-	case "TENANT":
-		p.Delete.Tenants = append(p.Delete.Tenants, d.Name)
+	case "TEAM":
+		p.Delete.Teams = append(p.Delete.Teams, d.Name)
 	default:
 		p.Delete.Events = append(p.Delete.Events, d.Name)
 	}
--- a/core/lang/grammar.go
+++ b/core/lang/grammar.go
@@ -18,7 +18,7 @@
 	Zone    *zoneDecl    `parser:"( @@"`
 	Service *serviceDecl `parser:"| @@"`
 	Class   *classDecl   `parser:"| @@"`
-	Tenant  *tenantDecl  `parser:"| @@"`
+	Team    *teamDecl    `parser:"| @@"`
 	Event   *eventDecl   `parser:"| @@"`
 	Drop    *dropStmt    `parser:"| @@"`
 	Drain   *drainStmt   `parser:"| @@ ) ';'"`
@@ -47,8 +47,8 @@
 	Staleness literal `parser:"'STALENESS' @@"`
 }
 
-type tenantDecl struct {
-	Name        string  `parser:"'TENANT' @Name"`
+type teamDecl struct {
+	Name        string  `parser:"'TEAM' @Name"`
 	Weight      float64 `parser:"( 'WEIGHT' @Number )?"`
 	Connections int     `parser:"( 'CONNECTIONS' @Number )?"`
 }
@@ -72,7 +72,7 @@
 }
 
 type dropStmt struct {
-	Kind string `parser:"'DROP' @( 'ZONE' | 'SERVICE' | 'CLASS' | 'TENANT' | 'EVENT' )"`
+	Kind string `parser:"'DROP' @( 'ZONE' | 'SERVICE' | 'CLASS' | 'TEAM' | 'EVENT' )"`
 	Name string `parser:"@Name"`
 }
 
--- a/core/lang/lang_test.go
+++ b/core/lang/lang_test.go
@@ -17,8 +17,8 @@
   UPSTREAM vsarchive-1-a ZONE regina-hall ADDRESS '10.0.0.1:5432' SLOTS 2 CONNECTIONS 15,
   UPSTREAM vsarchive-1-b ZONE regina-hall ADDRESS '10.0.0.2:5432' SLOTS 2 CONNECTIONS 15;
 CLASS lightcurve STALENESS '5s';
-TENANT schools WEIGHT 1.5 CONNECTIONS 40;
-tenant colleges;
+TEAM schools WEIGHT 1.5 CONNECTIONS 40;
+team colleges;
 EVENT clear-night START '2026-12-02T17:30:00-06:00' SERVICES vsarchive-1 STALENESS lightcurve '10s';
 DRAIN UPSTREAM vsarchive-1-b;
 UNDRAIN HOST host-1;
@@ -51,7 +51,7 @@
 		"CLASS a STALENESS 'soon';":                        "f:1:19: 'soon' is not a duration",
 		"EVENT a START 'x' SERVICES b;":                    "f:1:15: 'x' is not a time",
 		"CLASS a STALENESS 'no end;":                       "f:1:19: ",
-		"TENANT a WEIGHT many;":                            "f:1:17: ",
+		"TEAM a WEIGHT many;":                              "f:1:15: ",
 		"SERVICE a UPSTREAM b ZONE c ADDRESS 'x' SLOTS 1;": "expected \"CONNECTIONS\"",
 	} {
 		_, err := lang.Compile("f", text)
--- a/core/lang/syntax_error.go
+++ b/core/lang/syntax_error.go
@@ -31,7 +31,7 @@
 // keywords are the words that a near miss is compared with.
 var keywords = []string{
 	"ZONE", "REGION", "SERVICE", "UPSTREAM", "ADDRESS", "SLOTS", "CONNECTIONS", "CLASS", "STALENESS",
-	"TENANT", "WEIGHT", "EVENT", "START", "SERVICES", "DROP", "DRAIN", "UNDRAIN", "HOST",
+	"TEAM", "WEIGHT", "EVENT", "START", "SERVICES", "DROP", "DRAIN", "UNDRAIN", "HOST",
 }
 
 // syntaxError turns the parser's error into one with a near name.
--- a/core/ledger/key.go
+++ b/core/ledger/key.go
@@ -59,8 +59,8 @@
 	return age > AcceptFor || age < -ClockSkew
 }
 
-// Row returns the ledger's primary key: tenants do not share keys.
-func (k Key) Row(tenant string) string { return tenant + "/" + k.id.String() }
+// Row returns the ledger's primary key: teams do not share keys.
+func (k Key) Row(team string) string { return team + "/" + k.id.String() }
 
 // TrimBefore returns the age limit of ledger rows as the text that sorts
 // before every row that must stay.
--- a/core/ledger/key_test.go
+++ b/core/ledger/key_test.go
@@ -38,7 +38,7 @@
 	require.GreaterOrEqual(t, written, ledger.TrimBefore(trimmer.Add(-2*time.Second)))
 }
 
-func TestTenantsDoNotShareKeys(t *testing.T) {
+func TestTeamsDoNotShareKeys(t *testing.T) {
 	id, err := uuid.NewV7()
 	require.NoError(t, err)
 	key, err := ledger.ParseKey(id.String())
--- a/node/confstore/store_test.go
+++ b/node/confstore/store_test.go
@@ -20,9 +20,9 @@
 
 func TestMain(m *testing.M) { fixedseed.Main(m) }
 
-func putTenant(name string, weight float64) confstore.Edit {
+func putTeam(name string, weight float64) confstore.Edit {
 	return func(*conf.Config) (conf.Items, conf.Names, error) {
-		return conf.Items{Tenants: []conf.Tenant{{Name: name, Weight: weight}}}, conf.Names{}, nil
+		return conf.Items{Teams: []conf.Team{{Name: name, Weight: weight}}}, conf.Names{}, nil
 	}
 }
 
@@ -37,12 +37,12 @@
 	kv := consultest.NewMemory(nil)
 	s := confstore.New(kv)
 	for i := range 200 {
-		require.Equal(t, uint64(i+1), submit(t, s, fmt.Sprintf("c%d", i), putTenant(fmt.Sprintf("t%d", i%50), float64(i))))
+		require.Equal(t, uint64(i+1), submit(t, s, fmt.Sprintf("c%d", i), putTeam(fmt.Sprintf("t%d", i%50), float64(i))))
 	}
 	cfg, _, err := s.Load(context.Background())
 	require.NoError(t, err)
 	require.Equal(t, uint64(200), cfg.Version)
-	require.Len(t, cfg.Tenants, 50)
+	require.Len(t, cfg.Teams, 50)
 	require.Equal(t, 199.0, cfg.Weight("t49"))
 	const kept = 1 + 2 + 128 // the head, two snapshots, the changes since the older
 	require.LessOrEqual(t, kv.Len(), kept, "old changes and snapshots are trimmed")
@@ -50,8 +50,8 @@
 
 func TestSameChangeIDIsAppliedOnce(t *testing.T) {
 	s := confstore.New(consultest.NewMemory(nil))
-	first := submit(t, s, "same", putTenant("a", 1))
-	require.Equal(t, first, submit(t, s, "same", putTenant("a", 2)))
+	first := submit(t, s, "same", putTeam("a", 1))
+	require.Equal(t, first, submit(t, s, "same", putTeam("a", 2)))
 	cfg, _, err := s.Load(context.Background())
 	require.NoError(t, err)
 	require.Equal(t, 1.0, cfg.Weight("a"))
@@ -59,7 +59,7 @@
 
 func TestInvalidChangeChangesNothing(t *testing.T) {
 	kv := consultest.NewMemory(nil)
-	_, err := confstore.New(kv).Submit(context.Background(), "bad", putTenant("NOT A NAME", 1))
+	_, err := confstore.New(kv).Submit(context.Background(), "bad", putTeam("NOT A NAME", 1))
 	var invalid *conf.InvalidError
 	require.ErrorAs(t, err, &invalid)
 	require.Zero(t, kv.Len())
@@ -92,7 +92,7 @@
 					name = "shared"
 				}
 				wg.Go(func() {
-					_, errs[i] = s.Submit(context.Background(), fmt.Sprintf("op%d", i), putTenant(name, float64(i+1)))
+					_, errs[i] = s.Submit(context.Background(), fmt.Sprintf("op%d", i), putTeam(name, float64(i+1)))
 				})
 			}
 			wg.Wait()
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// maxTenants bounds the databases that have labels of their own.
-	maxTenants = 50
+	// maxTeams bounds the databases that have labels of their own.
+	maxTeams = 50
 	// gaugeInterval is how often gauges are brought up to date.
 	gaugeInterval = 2 * time.Second
 )
@@ -22,7 +22,7 @@
 // hostMetrics turns what a host does into metrics.
 type hostMetrics struct{ metrics *metrics.Metrics }
 
-func newHostMetrics() *hostMetrics { return &hostMetrics{metrics: metrics.New(maxTenants)} }
+func newHostMetrics() *hostMetrics { return &hostMetrics{metrics: metrics.New(maxTeams)} }
 
 func (m *hostMetrics) handler() http.Handler { return m.metrics.Handler() }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -32,9 +32,9 @@
 	MaxMessage int
 	// MaxConnections bounds the callers of one host.
 	MaxConnections int
-	// MaxTenantConnections bounds the callers of one tenant on one host, where
+	// MaxTeamConnections bounds the callers of one team on one host, where
 	// the configuration does not say otherwise.
-	MaxTenantConnections int
+	MaxTeamConnections int
 	// StartupTimeout bounds the time until a caller is logged in.
 	StartupTimeout time.Duration
 	// StatementTimeout is the deadline of a request that sets none.
@@ -61,7 +61,7 @@
 	// mu guards the fields below.
 	mu       sync.Mutex
 	sessions map[uint32]*session
-	tenants  map[string]int
+	teams    map[string]int
 	nextPID  uint32
 }
 
@@ -74,7 +74,7 @@
 	return &Gateway{
 		cfg: cfg, router: r, config: config, metrics: m, workers: workers,
 		booted:   make(chan struct{}),
-		sessions: make(map[uint32]*session), tenants: make(map[string]int),
+		sessions: make(map[uint32]*session), teams: make(map[string]int),
 	}, nil
 }
 
@@ -130,10 +130,10 @@
 	}
 	g.mu.Lock()
 	delete(g.sessions, s.pid)
-	if s.tenantCounted {
-		g.tenants[s.tenant]--
-		if g.tenants[s.tenant] == 0 {
-			delete(g.tenants, s.tenant)
+	if s.teamCounted {
+		g.teams[s.team]--
+		if g.teams[s.team] == 0 {
+			delete(g.teams, s.team)
 		}
 	}
 	g.mu.Unlock()
@@ -176,19 +176,19 @@
 	return startupCheck, gnet.None
 }
 
-// countTenant admits a session of a tenant, within the tenant's limit.
-func (g *Gateway) countTenant(s *session) bool {
-	limit := g.cfg.MaxTenantConnections
-	if t, found := g.config().Tenant(s.tenant); found && t.Connections > 0 {
+// countTeam admits a session of a team, within the team's limit.
+func (g *Gateway) countTeam(s *session) bool {
+	limit := g.cfg.MaxTeamConnections
+	if t, found := g.config().Team(s.team); found && t.Connections > 0 {
 		limit = t.Connections
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.tenants[s.tenant] >= limit {
+	if g.teams[s.team] >= limit {
 		return false
 	}
-	g.tenants[s.tenant]++
-	s.tenantCounted = true
+	g.teams[s.team]++
+	s.teamCounted = true
 	return true
 }
 
--- a/node/gateway/own_settings.go
+++ b/node/gateway/own_settings.go
@@ -17,7 +17,7 @@
 // and the setting that takes it back.
 const tokenParameter = settingPrefix + "token"
 
-// maxLabel bounds the length of a tenant's name.
+// maxLabel bounds the length of a team's name.
 const maxLabel = 63
 
 // setOwn changes one of the session's own settings; name lacks the prefix.
@@ -29,17 +29,17 @@
 		return s.setClass(value)
 	case "idempotency_key":
 		return s.setKey(value)
-	case "tenant":
+	case "team":
 		if s.started.Load() {
-			return outcome.Refuse(outcome.Unsupported, "the tenant is fixed at start-up")
+			return outcome.Refuse(outcome.Unsupported, "the team is fixed at start-up")
 		}
 		if value == "" || len(value) > maxLabel {
-			return outcome.Refuse(outcome.ProtocolViolation, "tenant %q is not 1 to %d bytes long", value, maxLabel)
+			return outcome.Refuse(outcome.ProtocolViolation, "team %q is not 1 to %d bytes long", value, maxLabel)
 		}
-		s.tenant = value
+		s.team = value
 		return nil
 	default:
-		return outcome.Refuse(outcome.Unsupported, "there is no setting %s%s; there are token, class, idempotency_key and tenant", settingPrefix, name)
+		return outcome.Refuse(outcome.Unsupported, "there is no setting %s%s; there are token, class, idempotency_key and team", settingPrefix, name)
 	}
 }
 
@@ -154,7 +154,7 @@
 	}
 	values := map[string]string{
 		"TOKEN": s.token.Encode(), "CLASS": s.class, "IDEMPOTENCY_KEY": s.key,
-		"TENANT": s.tenant, "SERVICE": s.service, "HOST": s.gateway.router.Sender(),
+		"TEAM": s.team, "SERVICE": s.service, "HOST": s.gateway.router.Sender(),
 	}
 	value, known := values[words[2]]
 	if !known {
--- a/node/gateway/run.go
+++ b/node/gateway/run.go
@@ -79,7 +79,7 @@
 func (s *session) request(w work) (*request.Request, *outcome.Refusal) {
 	now := time.Now()
 	req := &request.Request{
-		Service: s.service, Tenant: s.tenant, Class: s.class, Frames: w.frames,
+		Service: s.service, Team: s.team, Class: s.class, Frames: w.frames,
 		Deadline: now.Add(s.timeout),
 	}
 	if unknown := w.statement.Hints.Unknown; len(unknown) > 0 {
@@ -145,7 +145,7 @@
 	if class == "" {
 		class = defaultClass
 	}
-	s.gateway.metrics.Request(s.tenant, class, code.String(), resp.Queue, resp.Service, whole)
+	s.gateway.metrics.Request(s.team, class, code.String(), resp.Queue, resp.Service, whole)
 }
 
 // answer gives the caller the outcome of an exchange.
--- a/node/gateway/session.go
+++ b/node/gateway/session.go
@@ -46,7 +46,7 @@
 
 	// The fields below belong to the worker that runs the session.
 	service  string
-	tenant   string
+	team     string
 	class    string
 	key      string
 	token    token.Token
@@ -55,8 +55,8 @@
 	pin      *pin
 	prepared map[string]preparedStatement
 	batch    batch
-	// tenantCounted is guarded by Gateway.mu.
-	tenantCounted bool
+	// teamCounted is guarded by Gateway.mu.
+	teamCounted bool
 }
 
 // pin is the place of an open transaction.
--- a/node/gateway/startup.go
+++ b/node/gateway/startup.go
@@ -61,8 +61,8 @@
 		s.write(fatalMessage(refusal))
 		return false
 	}
-	if !s.gateway.countTenant(s) {
-		s.write(fatalMessage(outcome.Refuse(outcome.TooManyConnections, "tenant %s", s.tenant)))
+	if !s.gateway.countTeam(s) {
+		s.write(fatalMessage(outcome.Refuse(outcome.TooManyConnections, "team %s", s.team)))
 		return false
 	}
 	s.started.Store(true)
@@ -70,10 +70,10 @@
 	return true
 }
 
-// takeParameters reads the session's service, tenant and settings. The
-// database names the service; the user is the tenant unless one is given.
+// takeParameters reads the session's service, team and settings. The
+// database names the service; the user is the team unless one is given.
 func (s *session) takeParameters(params map[string]string) *outcome.Refusal {
-	s.service, s.tenant = params["database"], params["user"]
+	s.service, s.team = params["database"], params["user"]
 	if s.service == "" {
 		s.service = params["user"]
 	}
--- a/node/host/config_test.go
+++ b/node/host/config_test.go
@@ -46,7 +46,7 @@
 
 func (d *deployment) changeAndWait(b *testing.B, store *confstore.Store, i int, out bool) time.Duration {
 	ch, err := store.Submit(b.Context(), fmt.Sprintf("bench-%d", i), func(*conf.Config) (conf.Items, conf.Names, error) {
-		return conf.Items{Tenants: []conf.Tenant{{Name: "bench", Weight: float64(i + 1)}}}, conf.Names{}, nil
+		return conf.Items{Teams: []conf.Team{{Name: "bench", Weight: float64(i + 1)}}}, conf.Names{}, nil
 	})
 	require.NoError(b, err)
 	accepted := time.Now()
@@ -84,7 +84,7 @@
 	defer d.kill()
 	store := confstore.New(consul.NewClient(d.dep.Platform.Addr(), (&net.Dialer{}).DialContext))
 	ch, err := store.Submit(t.Context(), "one", func(*conf.Config) (conf.Items, conf.Names, error) {
-		return conf.Items{Tenants: []conf.Tenant{{Name: "late", Weight: 3}}}, conf.Names{}, nil
+		return conf.Items{Teams: []conf.Team{{Name: "late", Weight: 3}}}, conf.Names{}, nil
 	})
 	require.NoError(t, err)
 	d.dep.Platform.SetOutage(true)
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -99,7 +99,7 @@
 	h.peers = peer.NewClient(h.bytes.peers.Wrap(opts.Dial), s.PeerKey)
 	h.platform = consul.NewClient(s.Platform, h.bytes.platform.Wrap(opts.Dial))
 	h.config = confstore.New(h.platform)
-	h.metrics = metrics.New(s.MaxTenantsShown)
+	h.metrics = metrics.New(s.MaxTeamsShown)
 	h.owner = owner.New(owner.Config{
 		Host: self, User: s.UpstreamUser, Password: s.UpstreamPassword, Dial: opts.Dial,
 		ControlDial: upstream.DialFunc(h.bytes.control.Wrap(opts.Dial)), Pace: group.DefaultPace(),
@@ -226,7 +226,7 @@
 	s := h.opts.Settings
 	g, err := gateway.New(gateway.Config{
 		Address: s.Listen, MaxMessage: s.MaxMessage, MaxConnections: s.MaxConnections,
-		MaxTenantConnections: s.MaxTenantConnections, StartupTimeout: s.StartupTimeout,
+		MaxTeamConnections: s.MaxTeamConnections, StartupTimeout: s.StartupTimeout,
 		StatementTimeout: s.StatementTimeout, Workers: s.Workers, Log: h.log,
 	}, h.router, h.fleet.Config, h.metrics)
 	if err != nil {
--- a/node/host/session_test.go
+++ b/node/host/session_test.go
@@ -126,9 +126,9 @@
 	requireState(t, err, "08P01")
 	_, err = conn.Exec(t.Context(), "SET statement_timeout = 'soon'")
 	requireState(t, err, "08P01")
-	var tenant string
-	require.NoError(t, conn.QueryRow(t.Context(), "SHOW dotterelswitch.tenant", pgx.QueryExecModeSimpleProtocol).Scan(&tenant))
-	require.Equal(t, "schools", tenant)
+	var team string
+	require.NoError(t, conn.QueryRow(t.Context(), "SHOW dotterelswitch.team", pgx.QueryExecModeSimpleProtocol).Scan(&team))
+	require.Equal(t, "schools", team)
 	cfg := conn.Config().Copy()
 	cfg.Database = "nonesuch"
 	_, err = pgx.ConnectConfig(t.Context(), cfg)
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -12,27 +12,27 @@
 	"github.com/uber-go/tally/v4/prometheus"
 )
 
-// otherTenant is the label of the tenants past the limit.
-const otherTenant = "other"
+// otherTeam is the label of the teams past the limit.
+const otherTeam = "other"
 
 // reportInterval is how often counters reach the reporter.
 const reportInterval = time.Second
 
 // Metrics holds a host's measurements. It is safe for concurrent use.
 type Metrics struct {
-	scope      tally.Scope
-	closer     io.Closer
-	reporter   prometheus.Reporter
-	maxTenants int
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+	maxTeams int
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	tenants map[string]bool
-	scopes  map[scopeKey]*requestScope
+	mu     sync.Mutex
+	teams  map[string]bool
+	scopes map[scopeKey]*requestScope
 }
 
 // scopeKey is one combination of labels.
-type scopeKey struct{ tenant, class string }
+type scopeKey struct{ team, class string }
 
 // requestScope holds the histograms of one combination of labels.
 type requestScope struct {
@@ -43,9 +43,9 @@
 // buckets are the histograms' bounds: 100 µs to about 26 s by factors of two.
 var buckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
 
-// New returns the metrics of a host. At most maxTenants tenants have labels of
+// New returns the metrics of a host. At most maxTeams teams have labels of
 // their own, in order of their first request; the rest share one.
-func New(maxTenants int) *Metrics {
+func New(maxTeams int) *Metrics {
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
 		DefaultTimerType: prometheus.HistogramTimerType, Registerer: registry, Gatherer: registry,
@@ -55,8 +55,8 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{
-		scope: scope, closer: closer, reporter: reporter, maxTenants: maxTenants,
-		tenants: make(map[string]bool), scopes: make(map[scopeKey]*requestScope),
+		scope: scope, closer: closer, reporter: reporter, maxTeams: maxTeams,
+		teams: make(map[string]bool), scopes: make(map[scopeKey]*requestScope),
 	}
 }
 
@@ -67,28 +67,28 @@
 func (m *Metrics) Close() { _ = m.closer.Close() }
 
 // Request records one finished request. Outcome is its name in the vocabulary.
-func (m *Metrics) Request(tenant, class, outcome string, queue, service, whole time.Duration) {
-	rs := m.requestScope(tenant, class)
+func (m *Metrics) Request(team, class, outcome string, queue, service, whole time.Duration) {
+	rs := m.requestScope(team, class)
 	rs.queue.RecordDuration(queue)
 	rs.service.RecordDuration(service)
 	rs.whole.RecordDuration(whole)
 	rs.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
 }
 
-func (m *Metrics) requestScope(tenant, class string) *requestScope {
+func (m *Metrics) requestScope(team, class string) *requestScope {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.tenants[tenant] {
-		if len(m.tenants) >= m.maxTenants {
-			tenant = otherTenant
+	if !m.teams[team] {
+		if len(m.teams) >= m.maxTeams {
+			team = otherTeam
 		} else {
-			m.tenants[tenant] = true
+			m.teams[team] = true
 		}
 	}
-	key := scopeKey{tenant, class}
+	key := scopeKey{team, class}
 	rs, found := m.scopes[key]
 	if !found {
-		s := m.scope.Tagged(map[string]string{"tenant": tenant, "class": class})
+		s := m.scope.Tagged(map[string]string{"team": team, "class": class})
 		rs = &requestScope{
 			scope: s, queue: s.Histogram("queue_seconds", buckets),
 			service: s.Histogram("service_seconds", buckets), whole: s.Histogram("whole_seconds", buckets),
--- a/node/owner/continue.go
+++ b/node/owner/continue.go
@@ -17,7 +17,7 @@
 		return request.Refused(outcome.Refuse(outcome.TransactionLost, "upstream %s", req.Upstream))
 	}
 	arrived := time.Now()
-	if refusal := p.enter(ctx, req.Tenant, o.weight(req.Tenant), req.Deadline); refusal != nil {
+	if refusal := p.enter(ctx, req.Team, o.weight(req.Team), req.Deadline); refusal != nil {
 		o.drop(tx)
 		return request.Refused(outcome.Refuse(outcome.TransactionLost, "%s", refusal.Error()))
 	}
--- a/node/owner/execute.go
+++ b/node/owner/execute.go
@@ -112,7 +112,7 @@
 // runNew takes a slot and a connection for a request outside a transaction.
 func (o *Owner) runNew(ctx context.Context, p *pool, req *request.Request, need group.ReadNeed) *request.Response {
 	arrived := time.Now()
-	if refusal := p.enter(ctx, req.Tenant, o.weight(req.Tenant), req.Deadline); refusal != nil {
+	if refusal := p.enter(ctx, req.Team, o.weight(req.Team), req.Deadline); refusal != nil {
 		return request.Refused(refusal)
 	}
 	if req.MayCommit && p.stalled() {
--- a/node/owner/keyed.go
+++ b/node/owner/keyed.go
@@ -27,7 +27,7 @@
 	if key.Expired(time.Now()) {
 		return upstream.Answer{}, request.Refused(outcome.Refuse(outcome.KeyExpired, ""))
 	}
-	k := keyedRun{ctx: ctx, conn: conn, row: key.Row(req.Tenant), fingerprint: ledger.Fingerprint(req.Frames)}
+	k := keyedRun{ctx: ctx, conn: conn, row: key.Row(req.Team), fingerprint: ledger.Fingerprint(req.Frames)}
 	answer, refusal := k.run(req.Frames)
 	if refusal != nil {
 		return upstream.Answer{}, request.Refused(refusal)
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -192,10 +192,10 @@
 	return h.await(ctx)
 }
 
-func (o *Owner) weight(tenant string) float64 {
+func (o *Owner) weight(team string) float64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.config.Weight(tenant)
+	return o.config.Weight(team)
 }
 
 func (o *Owner) deadHosts() []membership.Host {
--- a/node/owner/pool.go
+++ b/node/owner/pool.go
@@ -28,8 +28,8 @@
 	// maxUnconfirmedPerSlot bounds the writes that have run and wait for a
 	// majority. It is what the slots run in about a tenth of a second.
 	maxUnconfirmedPerSlot = 32
-	// tenantShare is the part of a full queue that one tenant may hold.
-	tenantShare = 0.5
+	// teamShare is the part of a full queue that one team may hold.
+	teamShare = 0.5
 	// initialCost is the slot time assumed before any was measured.
 	initialCost = 2 * time.Millisecond
 )
@@ -63,7 +63,7 @@
 	return &pool{
 		spec: spec, target: target, watcher: w, limit: answerLimit, log: log, origin: time.Now(),
 		queue: admit.NewQueue(admit.Config{
-			Slots: spec.Slots, MaxQueued: spec.Slots * queuePerSlot, MaxTenantShare: tenantShare,
+			Slots: spec.Slots, MaxQueued: spec.Slots * queuePerSlot, MaxTeamShare: teamShare,
 		}),
 		tickets: make(map[uint64]chan bool),
 		freed:   make(chan struct{}),
@@ -78,12 +78,12 @@
 func (p *pool) capacity() int { return max(p.spec.Connections-controlReserve, p.spec.Slots) }
 
 // enter takes a slot, waiting in the fair queue if none is free.
-func (p *pool) enter(ctx context.Context, tenant string, weight float64, deadline time.Time) *outcome.Refusal {
+func (p *pool) enter(ctx context.Context, team string, weight float64, deadline time.Time) *outcome.Refusal {
 	p.mu.Lock()
 	p.nextID++
 	id := p.nextID
 	verdict := p.queue.Offer(admit.Request{
-		ID: id, Tenant: tenant, Weight: weight, Cost: p.cost, Deadline: p.now() + time.Until(deadline),
+		ID: id, Team: team, Weight: weight, Cost: p.cost, Deadline: p.now() + time.Until(deadline),
 	}, p.now())
 	if verdict != admit.Wait {
 		p.mu.Unlock()
--- a/node/owner/trim.go
+++ b/node/owner/trim.go
@@ -38,7 +38,7 @@
 
 // trim takes a slot like any other request.
 func (h *holding) trim(ctx context.Context, now time.Time) error {
-	if refusal := h.pool.enter(ctx, trimTenant, 1, now.Add(trimTimeout)); refusal != nil {
+	if refusal := h.pool.enter(ctx, trimTeam, 1, now.Add(trimTimeout)); refusal != nil {
 		return refusal
 	}
 	started := time.Now()
@@ -57,5 +57,5 @@
 	return err
 }
 
-// trimTenant is the name under which trims queue; callers cannot have it.
-const trimTenant = "(ledger)"
+// trimTeam is the name under which trims queue; callers cannot have it.
+const trimTeam = "(ledger)"
--- a/node/peer/convert.go
+++ b/node/peer/convert.go
@@ -24,7 +24,7 @@
 	}
 	return &peerpb.ExecuteRequest{
 		RequestId: r.ID, Sender: r.Sender, Service: r.Service, Upstream: r.Upstream,
-		Tenant: r.Tenant, Class: r.Class, Mode: mode,
+		Team: r.Team, Class: r.Class, Mode: mode,
 		DeadlineUs: time.Until(r.Deadline).Microseconds(),
 		Frames:     r.Frames, Token: positionToProto(r.Token),
 		StalenessUs: r.Staleness.Microseconds(), Transaction: r.Transaction,
@@ -35,7 +35,7 @@
 func requestFromProto(m *peerpb.ExecuteRequest) *request.Request {
 	return &request.Request{
 		ID: m.GetRequestId(), Sender: m.GetSender(), Service: m.GetService(), Upstream: m.GetUpstream(),
-		Tenant: m.GetTenant(), Class: m.GetClass(), Write: m.GetMode() == peerpb.Mode_MODE_WRITE,
+		Team: m.GetTeam(), Class: m.GetClass(), Write: m.GetMode() == peerpb.Mode_MODE_WRITE,
 		Deadline: time.Now().Add(microseconds(m.GetDeadlineUs())),
 		Frames:   m.GetFrames(), Token: positionFromProto(m.GetToken()),
 		Staleness: microseconds(m.GetStalenessUs()), Transaction: m.GetTransaction(),
--- a/node/request/request.go
+++ b/node/request/request.go
@@ -17,7 +17,7 @@
 	Sender   string
 	Service  string
 	Upstream string
-	Tenant   string
+	Team     string
 	Class    string
 	// Write asks for the primary.
 	Write bool
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -24,16 +24,16 @@
 	UpstreamUser     string
 	UpstreamPassword string
 
-	MaxMessage           int
-	MaxAnswer            int
-	MaxConnections       int
-	MaxTenantConnections int
-	MaxTenantsShown      int
-	Workers              int
-	StartupTimeout       time.Duration
-	StatementTimeout     time.Duration
-	DrainTimeout         time.Duration
-	LogLevel             string
+	MaxMessage         int
+	MaxAnswer          int
+	MaxConnections     int
+	MaxTeamConnections int
+	MaxTeamsShown      int
+	Workers            int
+	StartupTimeout     time.Duration
+	StatementTimeout   time.Duration
+	DrainTimeout       time.Duration
+	LogLevel           string
 	// Profile serves runtime profiles next to the metrics.
 	Profile bool
 }
@@ -63,8 +63,8 @@
 		checkRange("max-message", s.MaxMessage, 1024, 1<<30),
 		checkRange("max-answer", s.MaxAnswer, 1024, 1<<30),
 		checkRange("max-connections", s.MaxConnections, 1, 1_000_000),
-		checkRange("max-tenant-connections", s.MaxTenantConnections, 1, 1_000_000),
-		checkRange("max-tenants-shown", s.MaxTenantsShown, 1, 10_000),
+		checkRange("max-team-connections", s.MaxTeamConnections, 1, 1_000_000),
+		checkRange("max-teams-shown", s.MaxTeamsShown, 1, 10_000),
 		checkRange("workers", s.Workers, 1, 1_000_000),
 		checkDuration("startup-timeout", s.StartupTimeout, 100*time.Millisecond, time.Hour),
 		checkDuration("statement-timeout", s.StatementTimeout, 100*time.Millisecond, time.Hour),
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -16,22 +16,22 @@
 	good.ID, good.Zone = "host-1", "zone-a"
 	require.NoError(t, good.Check())
 	for name, spoil := range map[string]func(s *settings.Settings){
-		"id":                     func(s *settings.Settings) { s.ID = "Host 1" },
-		"zone":                   func(s *settings.Settings) { s.Zone = "" },
-		"listen":                 func(s *settings.Settings) { s.Listen = "localhost" },
-		"peer":                   func(s *settings.Settings) { s.Peer = "name:1" },
-		"metrics":                func(s *settings.Settings) { s.Metrics = ":" },
-		"platform":               func(s *settings.Settings) { s.Platform = "1.2.3.4" },
-		"max-message":            func(s *settings.Settings) { s.MaxMessage = 1 },
-		"max-answer":             func(s *settings.Settings) { s.MaxAnswer = -1 },
-		"max-connections":        func(s *settings.Settings) { s.MaxConnections = 0 },
-		"max-tenant-connections": func(s *settings.Settings) { s.MaxTenantConnections = 0 },
-		"max-tenants-shown":      func(s *settings.Settings) { s.MaxTenantsShown = 0 },
-		"workers":                func(s *settings.Settings) { s.Workers = 0 },
-		"startup-timeout":        func(s *settings.Settings) { s.StartupTimeout = 1 },
-		"statement-timeout":      func(s *settings.Settings) { s.StatementTimeout = 1 },
-		"drain-timeout":          func(s *settings.Settings) { s.DrainTimeout = -1 },
-		"log-level":              func(s *settings.Settings) { s.LogLevel = "loud" },
+		"id":                   func(s *settings.Settings) { s.ID = "Host 1" },
+		"zone":                 func(s *settings.Settings) { s.Zone = "" },
+		"listen":               func(s *settings.Settings) { s.Listen = "localhost" },
+		"peer":                 func(s *settings.Settings) { s.Peer = "name:1" },
+		"metrics":              func(s *settings.Settings) { s.Metrics = ":" },
+		"platform":             func(s *settings.Settings) { s.Platform = "1.2.3.4" },
+		"max-message":          func(s *settings.Settings) { s.MaxMessage = 1 },
+		"max-answer":           func(s *settings.Settings) { s.MaxAnswer = -1 },
+		"max-connections":      func(s *settings.Settings) { s.MaxConnections = 0 },
+		"max-team-connections": func(s *settings.Settings) { s.MaxTeamConnections = 0 },
+		"max-teams-shown":      func(s *settings.Settings) { s.MaxTeamsShown = 0 },
+		"workers":              func(s *settings.Settings) { s.Workers = 0 },
+		"startup-timeout":      func(s *settings.Settings) { s.StartupTimeout = 1 },
+		"statement-timeout":    func(s *settings.Settings) { s.StatementTimeout = 1 },
+		"drain-timeout":        func(s *settings.Settings) { s.DrainTimeout = -1 },
+		"log-level":            func(s *settings.Settings) { s.LogLevel = "loud" },
 	} {
 		s := good
 		spoil(&s)
--- a/standin/lineplatform/platform.go
+++ b/standin/lineplatform/platform.go
@@ -97,7 +97,7 @@
 		body.Services = append(body.Services, serviceBody{Name: g.service, MaxConns: g.opts.MaxConnections})
 	}
 	for _, t := range p.teams {
-		body.Tenants = append(body.Tenants, tenantBody{Name: t.Name, Keys: t.Keys, Rate: t.Rate, Burst: t.Burst})
+		body.Tenants = append(body.Tenants, tenantBody(t))
 	}
 	version := p.version
 	p.mu.Unlock()
--- a/standin/workload/caller.go
+++ b/standin/workload/caller.go
@@ -35,7 +35,7 @@
 	id       int
 	rng      *rand.Rand
 	service  string
-	tenant   string
+	team     string
 	conn     *pgx.Conn
 	token    string
 	entry    int
@@ -76,7 +76,7 @@
 // connect opens a session on the next entry address, with the token so far.
 func (c *caller) connect(ctx context.Context) bool {
 	entry := c.run.entries[c.entry%len(c.run.entries)]
-	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", c.tenant, entry.Address, c.service))
+	cfg, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", c.team, entry.Address, c.service))
 	if err != nil {
 		return false
 	}
--- a/standin/workload/deployment.go
+++ b/standin/workload/deployment.go
@@ -75,8 +75,8 @@
 	for _, cl := range d.Spec.Classes {
 		c.Classes = append(c.Classes, cl.Class)
 	}
-	for _, t := range d.Spec.Tenants {
-		c.Tenants = append(c.Tenants, conf.Tenant{Name: t, Weight: 1})
+	for _, t := range d.Spec.Teams {
+		c.Teams = append(c.Teams, conf.Team{Name: t, Weight: 1})
 	}
 	return c
 }
--- a/standin/workload/run.go
+++ b/standin/workload/run.go
@@ -71,7 +71,7 @@
 			run: l.run, id: i, entry: i, own: make(map[string][]string),
 			rng:     rand.New(rand.NewPCG(opts.Seed, uint64(i))),
 			service: services[i%len(services)],
-			tenant:  opts.Spec.Tenants[i%len(opts.Spec.Tenants)],
+			team:    opts.Spec.Teams[i%len(opts.Spec.Teams)],
 		}
 		wg.Go(func() { c.loop(ctx) })
 	}
--- a/standin/workload/spec.go
+++ b/standin/workload/spec.go
@@ -24,7 +24,7 @@
 	Classes     []ClassShare
 	// WriteShare is the part of requests that write.
 	WriteShare float64
-	Tenants    []string
+	Teams      []string
 	// Think is a caller's mean pause between requests.
 	Think time.Duration
 }
@@ -77,7 +77,7 @@
 			{conf.Class{Name: "latest", Staleness: 0}, 0.03},
 		},
 		WriteShare: 0.08,
-		Tenants:    []string{"observers", "schools", "colleges", "researchers"},
+		Teams:      []string{"observers", "schools", "colleges", "researchers"},
 		Think:      40 * time.Millisecond,
 	}
 }
@@ -103,7 +103,7 @@
 			{conf.Class{Name: "confirmation", Staleness: 0}, 0.10},
 		},
 		WriteShare: 0.30,
-		Tenants:    []string{"levis", "vieux-port", "outremont", "magog", "rosemont"},
+		Teams:      []string{"levis", "vieux-port", "outremont", "magog", "rosemont"},
 		Think:      40 * time.Millisecond,
 	}
 }
