A counter in each region shares a team's limit

Change: up to three counters a team, one in each region, share the limit; a host asks that of its region, and the others where it has nothing left or does not answer. Each is a token bucket whose burst and pace add up to its part of a window, so that a counter without memory exceeds nothing, and the ledger of payments goes.

--- a/core/gates/fleet.go
+++ b/core/gates/fleet.go
@@ -133,11 +133,11 @@
 
 func hostName(h Host) string { return h.Name }
 
-// Addresses returns where the hosts are reached, by name.
-func (f Fleet) Addresses() map[string]string {
-	out := make(map[string]string, len(f.byName))
-	for name, h := range f.byName {
-		out[name] = h.Address
+// Hosts returns the hosts, in no order.
+func (f Fleet) Hosts() []Host {
+	out := make([]Host, 0, len(f.byName))
+	for _, h := range f.byName {
+		out = append(out, h)
 	}
 	return out
 }
--- /dev/null
+++ b/core/quota/bucket.go
@@ -0,0 +1,52 @@
+package quota
+
+import "time"
+
+// bucket pays for at most limit operations in any window: burst of them at once,
+// and the rest at an even pace. A team that asks for eight times its limit would
+// otherwise have all of it in the first half second of a window, and nothing for
+// the rest; and a bucket that takes over from another without its memory, and starts
+// empty, exceeds the limit by nothing.
+type bucket struct {
+	tokens float64
+	// at is when tokens was right.
+	at time.Duration
+}
+
+const (
+	// burstShare is the part of a window's limit that is paid for at once.
+	burstShare = 0.05
+	// leastBurst lets a team of a few operations a second run some at once.
+	leastBurst = 3
+	// rounding makes up for the inexact sum of fractions of a token.
+	rounding = 1e-9
+	// maxWait bounds what a team without any limit left is told to wait.
+	maxWait = 5 * time.Second
+)
+
+// pay takes up to a number of operations and returns how many are paid for, and
+// when the next one can be where it is not all.
+func (b *bucket) pay(limit float64, window time.Duration, wanted int, now time.Duration) Payment {
+	burst := min(max(burstShare*limit, leastBurst), limit)
+	pace := (limit - burst) / window.Seconds()
+	if now > b.at {
+		b.tokens += pace * (now - b.at).Seconds()
+		b.at = now
+	}
+	b.tokens = min(b.tokens, burst)
+	paid := max(min(wanted, int(b.tokens+rounding)), 0)
+	b.tokens -= float64(paid)
+	if paid == wanted {
+		return Payment{Paid: paid}
+	}
+	return Payment{Paid: paid, RetryAfter: b.wait(pace)}
+}
+
+// wait returns the time until the next operation can be paid for.
+func (b *bucket) wait(pace float64) time.Duration {
+	if pace <= 0 {
+		return maxWait
+	}
+	wait := time.Duration((1 - b.tokens) / pace * float64(time.Second))
+	return min(max(wait, time.Millisecond), maxWait)
+}
--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -17,52 +17,38 @@
 	RetryAfter time.Duration
 }
 
-// Counter pays for the operations of the teams that this host counts. It is not
-// safe for concurrent use.
+// Counter pays for operations of the teams that this host counts. It is not safe
+// for concurrent use.
 type Counter struct {
 	tolerance Tolerance
-	// since is when this host may last have become the counter of a team.
-	since time.Duration
-	// own holds the ledgers of the teams that this host is first for, deputy those
-	// of the teams that it is second for.
-	own, deputy map[string]*ledger
-	tidiedAt    time.Duration
+	// since is when this host may last have become a counter of a team, for which it
+	// has paid nothing before.
+	since    time.Duration
+	teams    map[string]*bucket
+	tidiedAt time.Duration
 }
 
-// NewCounter returns a counter that knows of nothing that was paid before.
+// NewCounter returns a counter that has paid for nothing.
 func NewCounter(t Tolerance, now time.Duration) *Counter {
-	return &Counter{tolerance: t, since: now, own: map[string]*ledger{}, deputy: map[string]*ledger{}}
+	return &Counter{tolerance: t, since: now, teams: map[string]*bucket{}}
 }
 
-// FleetChanged notes that this host may have become the counter of other teams.
+// FleetChanged notes that this host may have become a counter of other teams.
 func (c *Counter) FleetChanged(now time.Duration) { c.since = now }
 
-// Pay pays for operations of a team as its counter.
-func (c *Counter) Pay(team string, l Limit, wanted int, now time.Duration) Payment {
-	return c.pay(c.own, team, l, c.tolerance.counted(l), wanted, now)
-}
-
-// PayAsDeputy pays for operations of a team whose counter does not answer the host
-// that asks.
-func (c *Counter) PayAsDeputy(team string, l Limit, wanted int, now time.Duration) Payment {
-	return c.pay(c.deputy, team, l, c.tolerance.deputy(l), wanted, now)
-}
-
-func (c *Counter) pay(ledgers map[string]*ledger, team string, l Limit, limit float64, wanted int, now time.Duration) Payment {
+// Pay pays for operations of a team, out of this host's part of its limit, which
+// it shares with the other counters.
+func (c *Counter) Pay(team string, l Limit, counters, wanted int, now time.Duration) Payment {
 	if !l.Bounded {
 		return Payment{Paid: wanted}
 	}
 	c.tidy(now)
-	led, found := ledgers[team]
+	b, found := c.teams[team]
 	if !found {
-		led = &ledger{at: now}
-		if now-c.since >= c.tolerance.Window {
-			// Nothing was paid for the team in this window.
-			led.tokens = burst(limit)
-		}
-		ledgers[team] = led
+		b = &bucket{at: c.since}
+		c.teams[team] = b
 	}
-	return led.pay(limit, c.tolerance.Window, wanted, now)
+	return b.pay(c.tolerance.counted(l)/float64(max(counters, 1)), c.tolerance.Window, wanted, now)
 }
 
 // tidy forgets the teams that nobody asks for, so that the counter holds no more
@@ -72,14 +58,12 @@
 		return
 	}
 	c.tidiedAt = now
-	for _, ledgers := range []map[string]*ledger{c.own, c.deputy} {
-		for team, l := range ledgers {
-			if now-l.at > forgetAfter {
-				delete(ledgers, team)
-			}
+	for team, b := range c.teams {
+		if now-b.at > forgetAfter {
+			delete(c.teams, team)
 		}
 	}
 }
 
 // Teams returns how many teams this host counts now.
-func (c *Counter) Teams() int { return len(c.own) }
+func (c *Counter) Teams() int { return len(c.teams) }
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -23,13 +23,9 @@
 	Operations float64
 }
 
-// The parts of the tolerance. What is refused within it is lost service, so most of
-// it is the counter's.
-const (
-	aheadPart   = 0.1
-	deputyPart  = 0.1
-	countedPart = 1 - aheadPart - deputyPart
-)
+// aheadPart is the part of the tolerance that hosts may run ahead of a payment. What
+// is refused within the tolerance is lost service, so the rest is paid for.
+const aheadPart = 0.1
 
 // defaultWindow is the window where the platform names none.
 const defaultWindow = 5 * time.Second
@@ -48,12 +44,9 @@
 // tolerated returns how many more may run.
 func (t Tolerance) tolerated(l Limit) float64 { return t.Share*t.allowed(l) + t.Operations }
 
-// ahead returns how many operations all hosts together may run before the counter
+// ahead returns how many operations all hosts together may run before a counter
 // has answered.
 func (t Tolerance) ahead(l Limit) int { return int(math.Floor(aheadPart * t.tolerated(l))) }
 
-// deputy returns how many operations the deputy pays for in any window.
-func (t Tolerance) deputy(l Limit) float64 { return deputyPart * t.tolerated(l) }
-
-// counted returns how many operations the counter pays for in any window.
-func (t Tolerance) counted(l Limit) float64 { return t.allowed(l) + countedPart*t.tolerated(l) }
+// counted returns how many operations the counters pay for in any window.
+func (t Tolerance) counted(l Limit) float64 { return t.allowed(l) + (1-aheadPart)*t.tolerated(l) }
--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -9,7 +9,7 @@
 const (
 	// Admitted means that it may run.
 	Admitted Verdict = iota
-	// Asking means that it waits for the counter's answer.
+	// Asking means that it waits for the answer of a counter.
 	Asking
 	// Refused means that the team has used up its limit.
 	Refused
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -45,5 +45,11 @@
 		return
 	}
 	h.fleet = f
-	h.limiter.SetFleet(f.Addresses())
+	var hosts []quota.Host
+	addresses := map[string]string{}
+	for _, other := range f.Hosts() {
+		hosts = append(hosts, quota.Host{Name: other.Name, Region: h.settings.Places.Region(other.Zone)})
+		addresses[other.Name] = other.Address
+	}
+	h.limiter.SetFleet(hosts, addresses)
 }
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 	// answerTime bounds the wait for one answer: a round trip between the regions
 	// that are furthest apart, 40 ms, and a busy host's turn.
 	answerTime = 60 * time.Millisecond
-	// tries is how often the counter is asked before its deputy, because datagrams
+	// tries is how often a counter is asked before the next one, because datagrams
 	// get lost.
 	tries = 2
 	// silentFor is how long a counter that has not answered is passed over: less
@@ -34,8 +35,8 @@
 
 // Config is what a Limiter needs from its surroundings.
 type Config struct {
-	// Host is this host's name.
-	Host      string
+	// Self is this host.
+	Self      quota.Host
 	Tolerance quota.Tolerance
 	Ask       AskFunc
 	// Limit returns the limit of a team in the newest configuration; false for a
@@ -56,12 +57,14 @@
 	// first.
 	waiting map[string][]chan outcome
 	// hosts are the registered hosts, and addresses where they take datagrams.
-	hosts     []string
+	hosts     []quota.Host
 	addresses map[string]string
 	// placed are the placements that follow from hosts, by team.
 	placed map[string]placed
-	// silentUntil is until when a host is not asked, by name.
+	// silentUntil is until when a host is not asked at all, by name, and emptyUntil
+	// until when not for a team.
 	silentUntil map[string]time.Duration
+	emptyUntil  map[account]time.Duration
 }
 
 // placed is a placement and the limit that it was worked out for.
@@ -70,6 +73,9 @@
 	limit quota.Limit
 }
 
+// account is a team at one of its counters.
+type account struct{ team, counter string }
+
 // outcome is what an operation that waited is told.
 type outcome struct {
 	runs       bool
@@ -82,20 +88,17 @@
 	now := clock.Now()
 	return &Limiter{
 		cfg: cfg, meter: quota.NewMeter(cfg.Tolerance, now), counter: quota.NewCounter(cfg.Tolerance, now),
-		waiting: map[string][]chan outcome{}, addresses: map[string]string{}, placed: map[string]placed{}, silentUntil: map[string]time.Duration{},
+		waiting: map[string][]chan outcome{}, addresses: map[string]string{}, placed: map[string]placed{}, silentUntil: map[string]time.Duration{}, emptyUntil: map[account]time.Duration{},
 	}
 }
 
-// SetFleet takes the hosts that are registered, with their addresses.
-func (l *Limiter) SetFleet(addresses map[string]string) {
+// SetFleet takes the hosts that are registered, with where they take datagrams.
+func (l *Limiter) SetFleet(hosts []quota.Host, addresses map[string]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addresses = addresses
-	l.hosts = make([]string, 0, len(addresses))
-	for name := range addresses {
-		l.hosts = append(l.hosts, name)
-	}
+	l.hosts, l.addresses = hosts, addresses
 	clear(l.placed)
+	clear(l.emptyUntil)
 	l.counter.FleetChanged(clock.Now())
 }
 
@@ -140,7 +143,7 @@
 	l.meter.Unused(team.Name)
 }
 
-// Pay pays for operations that another host asks for, or this one.
+// Pay pays for operations that a host asks for.
 func (l *Limiter) Pay(team string, wanted int) quota.Payment {
 	limit, known := l.cfg.Limit(team)
 	if !known {
@@ -149,20 +152,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.pay(team, limit, wanted, clock.Now())
-}
-
-// pay is called with mu held.
-func (l *Limiter) pay(team string, limit quota.Limit, wanted int, now time.Duration) quota.Payment {
-	switch place := l.placeOf(team, limit); l.cfg.Host {
-	case place.Counter:
-		return l.counter.Pay(team, limit, wanted, now)
-	case place.Deputy:
-		return l.counter.PayAsDeputy(team, limit, wanted, now)
-	default:
+	place := l.placeOf(team, limit)
+	if !slices.Contains(place.Counters, l.cfg.Self.Name) {
 		// The hosts do not agree on who is registered yet.
 		return quota.Payment{RetryAfter: answerTime}
 	}
+	return l.counter.Pay(team, limit, len(place.Counters), wanted, clock.Now())
 }
 
 // placeOf is called with mu held.
@@ -173,9 +168,9 @@
 	}
 	hosts := l.hosts
 	if len(hosts) == 0 {
-		hosts = []string{l.cfg.Host}
+		hosts = []quota.Host{l.cfg.Self}
 	}
-	p = placed{Placement: quota.Place(team, limit, l.cfg.Tolerance, hosts, l.cfg.Host), limit: limit}
+	p = placed{Placement: quota.Place(team, limit, l.cfg.Tolerance, hosts, l.cfg.Self), limit: limit}
 	l.placed[team] = p
 	return p.Placement
 }
@@ -187,28 +182,49 @@
 	if wanted == 0 {
 		return
 	}
-	if place.Counter == l.cfg.Host {
-		l.settle(team, l.counter.Pay(team.Name, team.Limit, wanted, now), now)
+	if place.Counters[0] != l.cfg.Self.Name {
+		go l.ask(team, place, wanted)
+		return
+	}
+	p := l.counter.Pay(team.Name, team.Limit, len(place.Counters), wanted, now)
+	if p.Paid == wanted {
+		l.settle(team, p, now)
 		return
 	}
-	go l.ask(team, place, wanted)
+	l.emptyUntil[account{team.Name, l.cfg.Self.Name}] = now + p.RetryAfter
+	go l.askOthers(team, place.Counters[1:], wanted, p)
 }
 
-// ask asks the counter, and its deputy where it does not answer.
+// ask asks the counters in turn until all is paid for.
 func (l *Limiter) ask(team catalog.Team, place quota.Placement, wanted int) {
+	l.askOthers(team, place.Counters, wanted, quota.Payment{})
+}
+
+// askOthers asks counters for what is not paid for yet, and settles what has come of
+// it. Without any answer, the operations are refused and what has run stays a debt.
+func (l *Limiter) askOthers(team catalog.Team, counters []string, wanted int, sum quota.Payment) {
 	asked := clock.Now()
-	p, answered := l.askHost(place.Counter, team.Name, wanted, tries)
-	if !answered && place.Deputy != "" {
-		p, answered = l.askHost(place.Deputy, team.Name, wanted, 1)
+	for _, counter := range counters {
+		if sum.Paid == wanted {
+			break
+		}
+		p := l.askOne(counter, team.Name, wanted-sum.Paid)
+		sum.Paid += p.Paid
+		if sum.RetryAfter == 0 || (p.RetryAfter > 0 && p.RetryAfter < sum.RetryAfter) {
+			sum.RetryAfter = p.RetryAfter
+		}
 	}
 	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !answered || now-asked > staleAfter {
+	if now-asked > staleAfter {
 		l.tell(team.Name, 0, l.meter.Unanswered(team.Name, now), answerTime)
 		return
 	}
-	l.settle(team, p, now)
+	if sum.Paid == wanted {
+		sum.RetryAfter = 0
+	}
+	l.settle(team, sum, now)
 }
 
 // settle takes a payment and asks again for what has come meanwhile. It is called
@@ -231,39 +247,51 @@
 	}
 }
 
-// askHost asks one host, some times, unless it has just been silent.
-func (l *Limiter) askHost(name, team string, wanted, times int) (quota.Payment, bool) {
-	if name == l.cfg.Host {
-		return l.Pay(team, wanted), true
-	}
-	address, ok := l.usable(name)
-	if !ok {
-		return quota.Payment{}, false
+// askOne asks one counter, some times, unless it has just been silent or had nothing
+// left. What it cannot tell it does not pay for.
+func (l *Limiter) askOne(counter, team string, wanted int) quota.Payment {
+	address, wait := l.usable(counter, team)
+	if wait > 0 {
+		return quota.Payment{RetryAfter: wait}
 	}
-	for range times {
+	for range tries {
 		ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 		p, answered := l.cfg.Ask(ctx, address, team, wanted)
 		cancel()
 		if answered {
-			return p, true
+			l.noteEmpty(counter, team, p)
+			return p
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silentUntil[name] = clock.Now() + silentFor
-	return quota.Payment{}, false
+	l.silentUntil[counter] = clock.Now() + silentFor
+	return quota.Payment{RetryAfter: silentFor}
 }
 
-// usable returns the address of a host that has not just been silent.
-func (l *Limiter) usable(name string) (string, bool) {
+// noteEmpty remembers that a counter has nothing left for a team.
+func (l *Limiter) noteEmpty(counter, team string, p quota.Payment) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if until, found := l.silentUntil[name]; found {
-		if clock.Now() < until {
-			return "", false
-		}
-		delete(l.silentUntil, name)
+	if p.RetryAfter > 0 {
+		l.emptyUntil[account{team, counter}] = clock.Now() + p.RetryAfter
+	}
+}
+
+// usable returns where a counter takes datagrams, or how long it is not to be asked.
+func (l *Limiter) usable(counter, team string) (string, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := clock.Now()
+	until := max(l.silentUntil[counter], l.emptyUntil[account{team, counter}])
+	address, known := l.addresses[counter]
+	switch {
+	case now < until:
+		return "", until - now
+	case !known:
+		return "", silentFor
 	}
-	address, known := l.addresses[name]
-	return address, known
+	delete(l.silentUntil, counter)
+	delete(l.emptyUntil, account{team, counter})
+	return address, 0
 }
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -35,6 +35,14 @@
 	Regions map[string]string
 }
 
+// Region returns the region of a zone; a zone of no known region is one by itself.
+func (p Places) Region(zone string) string {
+	if region := p.Regions[zone]; region != "" {
+		return region
+	}
+	return zone
+}
+
 // The round trips between places: typical figures of the deployments, used only
 // to order members.
 const (
