A counter that starts pays for what has come in since its start

Only a host that leaves gives teams to others. Test first: the counter paid for none of three operations a second after its start.

--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -33,8 +33,12 @@
 	return &Counter{tolerance: t, since: now, teams: map[string]*bucket{}}
 }
 
-// FleetChanged notes that this host may have become a counter of other teams.
-func (c *Counter) FleetChanged(now time.Duration) { c.since = now }
+// HostLeft notes that this host may have become a counter of other teams. Load
+// pattern: all hosts come back from a loss of power and register one after the other,
+// while all callers return at once. A host that joins takes teams over, and has paid
+// for nothing since its start; it gives none to others, so that what has come in for
+// them since their start stays.
+func (c *Counter) HostLeft(now time.Duration) { c.since = now }
 
 // Pay pays for operations of a team, out of this host's part of its limit, which
 // it shares with the other counters.
--- a/core/quota/counter_test.go
+++ b/core/quota/counter_test.go
@@ -196,3 +196,13 @@
 		}
 	}
 }
+
+// TestCounterThatStartsPaysForItsCallersAtOnce replays a return of all hosts from a
+// loss of power: what has come in since the start is there when the callers are.
+func TestCounterThatStartsPaysForItsCallersAtOnce(t *testing.T) {
+	l := limitOf(10, 10)
+	c := quota.NewCounter(tolerance, 0)
+	require.GreaterOrEqual(t, c.Pay("a", l, 3, 3, time.Second).Paid, 3)
+	c.HostLeft(2 * time.Second)
+	require.Zero(t, c.Pay("b", l, 3, 1, 2*time.Second).Paid, "the host that has left may have paid for it")
+}
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -96,10 +96,14 @@
 func (l *Limiter) SetFleet(hosts []quota.Host, addresses map[string]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for name := range l.addresses {
+		if _, stays := addresses[name]; !stays {
+			l.counter.HostLeft(clock.Now())
+		}
+	}
 	l.hosts, l.addresses = hosts, addresses
 	clear(l.placed)
 	clear(l.emptyUntil)
-	l.counter.FleetChanged(clock.Now())
 }
 
 // Admit decides on one operation of a team; it may wait for the counter. It
