Show operators the teams: use, limit, who counts, connections; small limits are served

dotterelctl show lists the 20 busiest teams of a host; metrics count operations by team and result, and statements that found, opened or took another team's connection; explain names a used-up limit and a key that no team holds. Connection counts are in the talk line, so that measure gives their rates.

A limit of a few operations was never paid for: three counters shared two operations and the burst left nothing to come in.

--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -91,6 +91,7 @@
 	// crowded tells that the member answered the newest attempt, but had too
 	// many connections.
 	crowded bool
+	counts  Counts
 	// hold is the mean time that a connection is kept, run that of one answer of
 	// the member, its own queue included.
 	hold, run time.Duration
@@ -150,6 +151,31 @@
 // Waiting returns the number of statements that wait.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
+// Counts are what a pool has done since they were last taken.
+type Counts struct {
+	// Found counts statements that ran on a connection that was open, Opened the
+	// connections that were opened, and Evicted those of them for which another
+	// team's was closed.
+	Found, Opened, Evicted int
+}
+
+// Add sums counts of several pools.
+func (c *Counts) Add(o Counts) {
+	c.Found += o.Found
+	c.Opened += o.Opened
+	c.Evicted += o.Evicted
+}
+
+// TakeCounts returns the counts since it was last called.
+func (p *Pool) TakeCounts() Counts {
+	c := p.counts
+	p.counts = Counts{}
+	return c
+}
+
+// OpenByTeam counts the connections, those being opened included, by team.
+func (p *Pool) OpenByTeam() map[string]int { return p.openByTeam() }
+
 // Verdict says what became of a request for a connection.
 type Verdict uint8
 
@@ -223,6 +249,7 @@
 
 // takeIdle puts an idle connection into use.
 func (p *Pool) takeIdle(at int) ConnID {
+	p.counts.Found++
 	p.used[p.idle[at].Team]++
 	return p.removeIdle(at)
 }
@@ -287,7 +314,9 @@
 			return Order{}, false
 		}
 		o.Evicts, o.Evicted = true, p.removeIdle(0)
+		p.counts.Evicted++
 	}
+	p.counts.Opened++
 	p.opening[team]++
 	return o, true
 }
@@ -344,7 +373,11 @@
 func (p *Pool) Released(c Conn, held, now time.Duration) (Waiter, bool) {
 	less(p.used, c.Team)
 	p.hold += time.Duration(smoothing * float64(held-p.hold))
-	return p.pass(c, now)
+	w, found := p.pass(c, now)
+	if found {
+		p.counts.Found++
+	}
+	return w, found
 }
 
 // Closed notes that a connection of a team that was in use is gone.
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -16,19 +16,30 @@
 const (
 	// burstShare is the part of a window's limit that is paid for at once.
 	burstShare = 0.05
-	// leastBurst lets a team of a few operations a second run some at once.
-	leastBurst = 3
+	// leastBurst lets a team of a few operations a second run some at once, as far as
+	// that is no more than smallBurstShare of its limit.
+	leastBurst      = 3
+	smallBurstShare = 0.2
 	// rounding makes up for the inexact sum of fractions of a token.
 	rounding = 1e-9
 	// maxWait bounds what a team without any limit left is told to wait.
 	maxWait = 5 * time.Second
 )
 
+// burstOf returns how many operations are paid for at once. What goes at once does not
+// come in evenly, so it is a small part of a small limit as well; but a whole operation.
+func burstOf(limit float64) float64 {
+	if limit < 1 {
+		return 0
+	}
+	return max(min(max(burstShare*limit, leastBurst), smallBurstShare*limit), 1)
+}
+
 // pay takes up to a number of operations and returns how many are paid for, and
 // when the next one can be where it is not all.
 func (b *bucket) pay(limit float64, window time.Duration, wanted int, now time.Duration) Payment {
-	burst := min(max(burstShare*limit, leastBurst), limit)
-	pace := (limit - burst) / window.Seconds()
+	burst := burstOf(limit)
+	pace := max(limit-burst, 0) / window.Seconds()
 	if now > b.at {
 		b.tokens += pace * (now - b.at).Seconds()
 		b.at = now
--- a/core/quota/counter_test.go
+++ b/core/quota/counter_test.go
@@ -206,3 +206,21 @@
 	c.HostLeft(2 * time.Second)
 	require.Zero(t, c.Pay("b", l, 3, 1, 2*time.Second).Paid, "the host that has left may have paid for it")
 }
+
+// TestSmallLimitIsServed: a team of one operation a second and no tolerance gets most
+// of its limit, and never more.
+func TestSmallLimitIsServed(t *testing.T) {
+	l := limitOf(1, 0)
+	exact := quota.Tolerance{Window: window}
+	hosts := []quota.Host{{Name: "a", Region: "x"}, {Name: "b", Region: "y"}, {Name: "c", Region: "z"}}
+	require.Len(t, quota.Place("team", l, exact, hosts, hosts[0]).Counters, 1, "a part of it would be less than an operation")
+	c := quota.NewCounter(exact, 0)
+	var paid []time.Duration
+	for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+		for range c.Pay("a", l, 1, 1, now).Paid {
+			paid = append(paid, now)
+		}
+	}
+	require.LessOrEqual(t, busiest(paid), 5)
+	require.GreaterOrEqual(t, len(paid), 30, "of 60")
+}
--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -37,6 +37,24 @@
 	// closedUntil is until when the counter cannot pay.
 	closedUntil time.Duration
 	used        time.Duration
+	// admitted and refused count its operations.
+	admitted, refused int
+}
+
+// Use is what a host has decided of a team, since it last was idle for long.
+type Use struct {
+	Admitted, Refused int
+	// Debt is what runs or has run ahead of its payment.
+	Debt int
+}
+
+// Uses returns the use of every team that is active.
+func (m *Meter) Uses() map[string]Use {
+	out := make(map[string]Use, len(m.teams))
+	for team, t := range m.teams {
+		out[team] = Use{Admitted: t.admitted, Refused: t.refused, Debt: t.debt}
+	}
+	return out
 }
 
 // Meter decides for one host which operations of the teams run. It is not safe for
@@ -65,10 +83,13 @@
 	switch {
 	case t.debt < ahead && now >= m.aheadFrom:
 		t.debt++
+		t.admitted++
 		return Decision{Verdict: Admitted}
 	case now < t.closedUntil:
+		t.refused++
 		return Decision{Verdict: Refused, RetryAfter: t.closedUntil - now}
 	case t.waiting >= maxAsking:
+		t.refused++
 		return Decision{Verdict: Refused, RetryAfter: maxAskingPause}
 	}
 	t.waiting++
@@ -110,6 +131,8 @@
 	run = min(p.Paid-settled, t.askedFor, t.waiting)
 	refused = min(t.askedFor, t.waiting) - run
 	t.waiting -= run + refused
+	t.admitted += run
+	t.refused += refused
 	if p.RetryAfter > 0 {
 		t.closedUntil = now + p.RetryAfter
 	}
--- a/core/quota/placement.go
+++ b/core/quota/placement.go
@@ -19,6 +19,9 @@
 	mostCounters = 3
 	// leastCounters is how many share it in a fleet of one region.
 	leastCounters = 2
+	// leastCounted is the least part of a window's limit that makes it worth a
+	// counter: a part of one or two operations would be used up by chance.
+	leastCounted = 6
 )
 
 // Placement is who pays for a team's operations, and what one host may run ahead
@@ -42,6 +45,8 @@
 func Place(team string, l Limit, t Tolerance, hosts []Host, self Host) Placement {
 	ranked := rank(team, hosts)
 	chosen := choose(ranked)
+	worth := max(int(t.counted(l)/leastCounted), 1)
+	chosen = chosen[:min(worth, len(chosen))]
 	slices.SortStableFunc(chosen, func(a, b scored) int {
 		return cmp.Compare(distance(a.Host, self), distance(b.Host, self))
 	})
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -12,7 +12,11 @@
 
 // AdmitOperation implements edge.Backend.
 func (h *Host) AdmitOperation(ctx context.Context, team catalog.Team) (time.Duration, bool) {
-	return h.limiter.Admit(ctx, team)
+	retryAfter, admitted := h.limiter.Admit(ctx, team)
+	if team.Limit.Bounded {
+		h.metrics.operation(team.Name, admitted)
+	}
+	return retryAfter, admitted
 }
 
 // OperationUnused implements edge.Backend.
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
@@ -13,7 +14,7 @@
 )
 
 const (
-	// maxTeams bounds the databases that have labels of their own.
+	// maxTeams bounds the teams, or databases, that have labels of their own.
 	maxTeams = 50
 	// gaugeInterval is how often gauges are brought up to date.
 	gaugeInterval = 2 * time.Second
@@ -26,10 +27,15 @@
 
 func (m *hostMetrics) handler() http.Handler { return m.metrics.Handler() }
 
-// observe counts a finished statement, by database and kind.
+// observe counts a finished statement, by kind and by team, or by database where
+// callers have no team.
 func (m *hostMetrics) observe(r edge.Record) {
 	o := r.Outcome
-	m.metrics.Request(r.Database, r.Statement.Kind.String(), o.Answer.Code.String(), o.Waited, r.Took-o.Waited, r.Took)
+	label := r.Team
+	if label == "" {
+		label = r.Database
+	}
+	m.metrics.Request(label, r.Statement.Kind.String(), o.Answer.Code.String(), o.Waited, r.Took-o.Waited, r.Took)
 	if r.Statement.Reads() && o.Member != "" {
 		m.metrics.Count("reads", metrics.Label{Name: "member", Value: readMember(o.Primary)})
 	}
@@ -48,6 +54,23 @@
 	m.metrics.Count("promotions", metrics.Label{Name: "service", Value: service}, metrics.Label{Name: "result", Value: r.String()})
 }
 
+// operation counts what was decided on an operation of a team.
+func (m *hostMetrics) operation(team string, admitted bool) {
+	result := "refused"
+	if admitted {
+		result = "admitted"
+	}
+	m.metrics.CountTeam("operations", team, metrics.Label{Name: "result", Value: result})
+}
+
+// connections counts what became of the statements that needed a connection.
+func (m *hostMetrics) connections(service string, c connpool.Counts) {
+	of := metrics.Label{Name: "service", Value: service}
+	m.metrics.Add("connections_found", c.Found, of)
+	m.metrics.Add("connections_opened", c.Opened, of)
+	m.metrics.Add("connections_evicted", c.Evicted, of)
+}
+
 func readMember(primary bool) string {
 	if primary {
 		return "primary"
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -14,10 +14,12 @@
 // Show implements inspect.Shower.
 func (h *Host) Show() *inspectpb.ShowResponse {
 	now := clock.Now()
+	teams, more := h.showTeams(now)
 	return &inspectpb.ShowResponse{
 		Host: h.settings.Host, Zone: h.settings.Places.Zone, Ready: h.Ready(),
 		Sessions: uint32(h.gateway.Sessions()), MaxSessions: uint32(h.settings.MaxSessions), Jobs: uint32(h.jobs.Load()),
 		Configuration: h.showConfiguration(), Store: h.showStore(), Services: h.showServices(now),
+		Teams: teams, MoreTeams: uint32(more),
 	}
 }
 
@@ -26,7 +28,7 @@
 	if c == nil {
 		return &inspectpb.Configuration{}
 	}
-	return &inspectpb.Configuration{Version: c.Version, Routes: uint32(c.Len())}
+	return &inspectpb.Configuration{Version: c.Version, Routes: uint32(c.Len()), Teams: uint32(c.Teams.Len())}
 }
 
 func (h *Host) showStore() *inspectpb.Store {
--- a/node/entry/talk.go
+++ b/node/entry/talk.go
@@ -26,6 +26,14 @@
 	talkStore        = "store "
 )
 
+// What became of the statements that needed a connection to a member. An opened one
+// costs the member as much as a statement.
+const (
+	connectionFound   = "connection found"
+	connectionOpened  = "connection opened"
+	connectionEvicted = "connection closed for another team"
+)
+
 // talkCounts counts what a host sends for control, by purpose. It is safe for
 // concurrent use; its lock is a leaf.
 type talkCounts struct {
@@ -35,10 +43,15 @@
 
 func newTalkCounts() *talkCounts { return &talkCounts{counts: map[string]int{}} }
 
-func (c *talkCounts) add(purpose string) {
+func (c *talkCounts) add(purpose string) { c.addMany(purpose, 1) }
+
+func (c *talkCounts) addMany(purpose string, n int) {
+	if n == 0 {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counts[purpose]++
+	c.counts[purpose] += n
 }
 
 // take returns the counts since it was last called.
@@ -50,6 +63,17 @@
 	return out
 }
 
+// countConnections takes what the pools have done into the counts and the metrics.
+func (h *Host) countConnections() {
+	for _, s := range h.allSets() {
+		c := s.TakeConnectionCounts()
+		h.talk.addMany(connectionFound, c.Found)
+		h.talk.addMany(connectionOpened, c.Opened)
+		h.talk.addMany(connectionEvicted, c.Evicted)
+		h.metrics.connections(s.Service(), c)
+	}
+}
+
 // logTalk logs what this host sent for control, until the context ends and once
 // more then.
 func (h *Host) logTalk(ctx context.Context) {
@@ -64,6 +88,7 @@
 }
 
 func (h *Host) writeTalk() {
+	h.countConnections()
 	if counts := h.talk.take(); len(counts) > 0 {
 		eventlog.TalkCounted.Info(h.log).Interface("talk", counts).Send()
 	}
--- a/node/entry/teams_test.go
+++ b/node/entry/teams_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
+	"github.com/dotterelswitch/dotterelswitch/node/inspect"
 	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
@@ -228,3 +229,39 @@
 		require.NotContains(t, text, key)
 	}
 }
+
+// TestOperatorSeesTeams: who uses the host, within which limit, who counts it, and
+// what was refused, without a key.
+func TestOperatorSeesTeams(t *testing.T) {
+	d := deployPlatform(t, options())
+	d.tolerance = quota.Tolerance{Window: time.Second}
+	d.addHost()
+	limited := schools
+	limited.Rate = 20
+	d.setTeams(limited, clubs)
+	c := d.connectAs(0, "strict", "key-schools-1")
+	refused := 0
+	for range 30 {
+		if c.do("FETCH a").code != "" {
+			refused++
+		}
+	}
+	require.Positive(t, refused)
+	require.Less(t, refused, 30)
+	d.connectAs(0, "strict", "key-clubs").must("FETCH a")
+	s := d.show(0)
+	require.EqualValues(t, 2, s.Configuration.Teams)
+	require.Equal(t, "schools", s.Teams[0].Name)
+	require.True(t, s.Teams[0].Limited)
+	require.EqualValues(t, refused, s.Teams[0].Refused)
+	require.Equal(t, []string{"host-1"}, s.Teams[0].Counters)
+	require.Positive(t, s.Teams[0].Connections)
+	var text strings.Builder
+	require.NoError(t, inspect.Write(&text, s))
+	require.Contains(t, text.String(), "20/s + 0")
+	require.NotContains(t, text.String(), "key-")
+	require.Eventually(t, func() bool {
+		m := d.metrics(0)
+		return strings.Contains(m, `team="schools"`) && strings.Contains(m, "dotterelswitch_operations")
+	}, eventually, poll)
+}
--- a/node/explain/story.go
+++ b/node/explain/story.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
@@ -70,6 +71,10 @@
 		changed = changed || l.Name == eventlog.PrimaryChanged.Name
 	}
 	switch {
+	case failed.Cause == eventlog.ReasonQuota:
+		text += " Its team has used up the limit that the operators have set, over all hosts; no member was asked."
+	case failed.Code == statement.Unauthorized.String():
+		text += " No team of the configuration that was in force holds the caller's key."
 	case failed.Cause == eventlog.ReasonFull && failed.Primary:
 		text += " The primary answered, but more was asked of it than it can run: replicas that are behind send their reads to it."
 	case failed.Cause == eventlog.ReasonFull:
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -15,11 +15,12 @@
 	p := &printer{w: t}
 	p.printf("host %s in zone %s: %s\n", s.Host, s.Zone, readiness(s.Ready))
 	p.printf("sessions %d of %d, jobs of other hosts %d\n", s.Sessions, s.MaxSessions, s.Jobs)
-	p.printf("configuration %d with %d routes\n", s.GetConfiguration().GetVersion(), s.GetConfiguration().GetRoutes())
+	p.configuration(s.GetConfiguration())
 	p.store(s.GetStore())
 	for _, service := range s.Services {
 		p.service(service)
 	}
+	p.teams(s)
 	if p.err != nil {
 		return p.err
 	}
@@ -45,6 +46,14 @@
 	}
 }
 
+func (p *printer) configuration(c *inspectpb.Configuration) {
+	p.printf("configuration %d with %d routes", c.GetVersion(), c.GetRoutes())
+	if c.GetTeams() > 0 {
+		p.printf(" and %d teams", c.GetTeams())
+	}
+	p.printf("\n")
+}
+
 func (p *printer) store(s *inspectpb.Store) {
 	reached := "reached"
 	if s.GetAway() {
@@ -67,6 +76,28 @@
 	}
 }
 
+func (p *printer) teams(s *inspectpb.ShowResponse) {
+	if len(s.Teams) == 0 {
+		return
+	}
+	p.printf("\nteams, the busiest first\n")
+	p.printf("  TEAM\tLIMIT\tADMITTED\tREFUSED\tNOT PAID\tCONNECTIONS\tCOUNTED BY\n")
+	for _, t := range s.Teams {
+		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%s\n",
+			t.Name, limitText(t), t.Admitted, t.Refused, t.Debt, t.Connections, orNone(strings.Join(t.Counters, " ")))
+	}
+	if s.MoreTeams > 0 {
+		p.printf("  and %d more\n", s.MoreTeams)
+	}
+}
+
+func limitText(t *inspectpb.Team) string {
+	if !t.Limited {
+		return "none"
+	}
+	return fmt.Sprintf("%g/s + %g", t.Rate, t.Burst)
+}
+
 func floorText(s *inspectpb.Service) string {
 	if s.Floor == nil {
 		return "no floor"
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -147,6 +147,25 @@
 	l.meter.Unused(team.Name)
 }
 
+// Uses returns the use of every team that is active here.
+func (l *Limiter) Uses() map[string]quota.Use {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.meter.Uses()
+}
+
+// CountersOf returns the hosts that count a team, in the order in which this one
+// asks them.
+func (l *Limiter) CountersOf(team string) []string {
+	limit, known := l.cfg.Limit(team)
+	if !known {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.placeOf(team, limit).Counters
+}
+
 // Pay pays for operations that a host asks for.
 func (l *Limiter) Pay(team string, wanted int) quota.Payment {
 	limit, known := l.cfg.Limit(team)
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -75,16 +75,30 @@
 	rs.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
 }
 
+// CountTeam adds one to a counter of a team; teams past the limit share a label.
+func (m *Metrics) CountTeam(name, team string, label Label) {
+	m.mu.Lock()
+	team = m.labelOf(team)
+	m.mu.Unlock()
+	m.Count(name, Label{Name: "team", Value: team}, label)
+}
+
+// labelOf returns the label of a team. It is called with mu held.
+func (m *Metrics) labelOf(team string) string {
+	if m.teams[team] {
+		return team
+	}
+	if len(m.teams) >= m.maxTeams {
+		return otherTeam
+	}
+	m.teams[team] = true
+	return team
+}
+
 func (m *Metrics) requestScope(team, class string) *requestScope {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.teams[team] {
-		if len(m.teams) >= m.maxTeams {
-			team = otherTeam
-		} else {
-			m.teams[team] = true
-		}
-	}
+	team = m.labelOf(team)
 	key := scopeKey{team, class}
 	rs, found := m.scopes[key]
 	if !found {
@@ -105,12 +119,15 @@
 type Label struct{ Name, Value string }
 
 // Count adds one to a counter. Labels must be few, and their values too.
-func (m *Metrics) Count(name string, labels ...Label) {
+func (m *Metrics) Count(name string, labels ...Label) { m.Add(name, 1, labels...) }
+
+// Add adds to a counter. Labels must be few, and their values too.
+func (m *Metrics) Add(name string, n int, labels ...Label) {
 	tags := make(map[string]string, len(labels))
 	for _, l := range labels {
 		tags[l.Name] = l.Value
 	}
-	m.scope.Tagged(tags).Counter(name).Inc(1)
+	m.scope.Tagged(tags).Counter(name).Inc(int64(n))
 }
 
 // ServiceGauge sets a value of one service.
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 )
 
@@ -31,6 +32,20 @@
 	// statements that run through Gates.
 	Connections, InUse, Waiting, Elsewhere int
 	Gates                                  []string
+	// ByTeam counts this host's connections by team.
+	ByTeam map[string]int
+}
+
+// TakeConnectionCounts returns what this host's pools have done since it was last
+// called.
+func (s *Set) TakeConnectionCounts() connpool.Counts {
+	var sum connpool.Counts
+	for _, m := range s.Members() {
+		m.mu.Lock()
+		sum.Add(m.pool.TakeCounts())
+		m.mu.Unlock()
+	}
+	return sum
 }
 
 // Service returns the name of the service.
@@ -68,5 +83,6 @@
 		ID: m.id, Address: m.address, Zone: m.entry.Zone, Slots: m.entry.Slots,
 		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.corroborated), Held: m.held, HeldAgo: now - m.heldAt,
 		Connections: m.pool.Open(), InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), Elsewhere: m.elsewhere, Gates: m.gates,
+		ByTeam: m.pool.OpenByTeam(),
 	}
 }
