Soak with teams: keys, names and limits checked from what members saw

Callers belong to teams with keys; one of them asks for many times its limit, and one key is taken away with the second configuration. The soak finds a statement that ran in another team's name, more operations in a window than the limit and its tolerance allow, and a host that still admits the key. Wrong names and one operation too many are noticed in tests.

--- a/node/soak/caller.go
+++ b/node/soak/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
 const (
@@ -32,6 +33,7 @@
 	fleet []*process
 	// group is the number of the group whose databases the caller uses.
 	group int
+	team  lineplatform.Team
 	history
 	sessions int
 }
@@ -59,7 +61,7 @@
 			caller: c, id: fmt.Sprintf("%s-%d", c.name, c.sessions), database: databases[c.rng.IntN(len(databases))],
 			host: host, incarnation: host.running(), values: map[string]string{}, shapes: map[string]string{},
 		}
-		session, err := linecaller.Open(host.caller, databaseOf(c.group, t.database), t.id, answerTimeout)
+		session, err := linecaller.OpenWithKey(host.caller, databaseOf(c.group, t.database), c.team.Keys[0], t.id, answerTimeout)
 		if err != nil {
 			// A host that is down or full; the platform would choose another.
 			c.rest()
@@ -125,7 +127,7 @@
 // ask sends a statement that a member has to run, and notes what came of it.
 func (t *talk) ask(v verb, text, shape string) *request {
 	r := &request{
-		verb: v, text: text, shape: shape, database: t.database, session: t.id, tx: t.tx,
+		verb: v, text: text, shape: shape, database: t.database, team: t.team.Name, session: t.id, tx: t.tx,
 		host: t.host, incarnation: t.incarnation, values: t.valuesText(), sent: time.Now(),
 	}
 	var err error
--- a/node/soak/check.go
+++ b/node/soak/check.go
@@ -45,6 +45,7 @@
 	required := newRequirement(acks, e)
 	for _, r := range known {
 		c.checkRuns(r)
+		c.checkTeams(r)
 		c.checkAnswer(r)
 		c.checkKept(r)
 		if r.verb == read && r.ok() {
--- a/node/soak/fleet.go
+++ b/node/soak/fleet.go
@@ -60,6 +60,7 @@
 	boot := lineplatform.Boot{
 		Host: h.name, Zone: zones[n%len(zones)], Platform: store.Address(),
 		Grace: grace, DrainBound: drainBound, ConfigIn: configBound,
+		QuotaWindow: quotaWindow, QuotaShare: quotaShare, QuotaSlack: quotaSlack,
 	}
 	var peer string
 	for _, address := range []*string{&boot.Caller, &boot.Ready, &peer} {
--- a/node/soak/history.go
+++ b/node/soak/history.go
@@ -31,6 +31,8 @@
 	verb     verb
 	text     string
 	database string
+	// team is the caller's.
+	team string
 	// session names the connection, tx its transaction; both are unique in a run,
 	// and tx is nil outside of a transaction.
 	session string
--- a/node/soak/routes.go
+++ b/node/soak/routes.go
@@ -58,6 +58,7 @@
 			routes = append(routes, r)
 		}
 	}
+	w.platform.SetTeams(teamsOf(w.version)...)
 	w.platform.Configure(routes, idleTime)
 }
 
--- a/node/soak/service.go
+++ b/node/soak/service.go
@@ -45,6 +45,9 @@
 	if newest > 1 && !lacksRoute(h, newest-1) {
 		return "still has a route that was removed"
 	}
+	if newest > 1 && admitsLeft(h, newest) {
+		return "admits a key that was taken away"
+	}
 	for n := range s.groups {
 		for _, database := range []string{strict, own, bounded} {
 			name := fmt.Sprintf("%s%s-%d-%d-%s", serviceCaller, h.name, attempt, n, database)
--- a/node/soak/soak.go
+++ b/node/soak/soak.go
@@ -147,7 +147,7 @@
 	for n := range s.Callers {
 		c := &caller{
 			name: fmt.Sprintf("c%d", n), fleet: s.fleet, rng: rand.New(rand.NewPCG(s.Seed, uint64(n))),
-			group: n % s.Groups,
+			group: n % s.Groups, team: callerTeams[n%len(callerTeams)],
 		}
 		out = append(out, c)
 		wg.Go(func() { c.run(ctx) })
@@ -175,6 +175,8 @@
 	for _, e := range s.plan {
 		r.Faults = append(r.Faults, e.String())
 	}
+	var evidences []evidence
+	var all []history
 	for n, g := range s.groups {
 		var histories []history
 		for _, c := range callers {
@@ -184,11 +186,13 @@
 		}
 		e := evidence{runs: g.Runs(), starts: g.Starts(), committed: g.Committed, commit: g.Commit}
 		check(e, histories, &s.found)
+		evidences, all = append(evidences, e), append(all, histories...)
 		s.checkStops(histories, e.runs)
 		for _, h := range histories {
 			r.count(h)
 		}
 	}
+	checkLimits(evidences, all, &s.found)
 	s.checkLogs()
 	r.Findings = s.found.all()
 	return r
--- a/standin/linecaller/session.go
+++ b/standin/linecaller/session.go
@@ -54,13 +54,13 @@
 	return code
 }
 
-// defaultKey is what a caller says where nobody asks for a key.
-const defaultKey = "tester"
+// DefaultKey is what a caller says where nobody asks for a key.
+const DefaultKey = "tester"
 
 // Open opens a session on a database. Name makes the ids of its statements
 // unique; timeout bounds the wait for each answer.
 func Open(address, database, name string, timeout time.Duration) (*Session, error) {
-	return OpenWithKey(address, database, defaultKey, name, timeout)
+	return OpenWithKey(address, database, DefaultKey, name, timeout)
 }
 
 // OpenWithKey is Open for a caller that proves itself with a team's key.
--- a/standin/lineplatform/boot.go
+++ b/standin/lineplatform/boot.go
@@ -16,6 +16,10 @@
 	Platform             string
 	Grace                time.Duration
 	DrainBound, ConfigIn time.Duration
+	// QuotaWindow, QuotaShare and QuotaSlack say by how much a team may be over its
+	// limit; no window asks callers for no key.
+	QuotaWindow            time.Duration
+	QuotaShare, QuotaSlack float64
 }
 
 type bootBody struct {
@@ -30,6 +34,7 @@
 	Bounds   map[string]float64 `json:"bounds"`
 	Platform bootAddress        `json:"platform"`
 	Cloud    bootAddress        `json:"cloud_api"`
+	Policies []string           `json:"policies"`
 }
 
 type bootAddress struct {
@@ -57,6 +62,10 @@
 		},
 		Platform: bootAddress{b.Platform}, Cloud: bootAddress{b.Platform},
 	}
+	if b.QuotaWindow > 0 {
+		body.Policies = []string{"tenants", "quota"}
+		body.Bounds["quota_window_s"], body.Bounds["quota_overage"], body.Bounds["quota_slack"] = b.QuotaWindow.Seconds(), b.QuotaShare, b.QuotaSlack
+	}
 	data, err := json.Marshal(body)
 	if err != nil {
 		// The type holds nothing that cannot be encoded.
