--- a/node/platformdemo/demo.go
+++ b/node/platformdemo/demo.go
@@ -27,11 +27,13 @@
 	DrainPrimary Fault = "drain-primary"
 	StoreOutage  Fault = "store-outage"
 	HostStop     Fault = "host-stop"
+	KeyRevoked   Fault = "key-revoked"
+	LimitLowered Fault = "limit-lowered"
 )
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{NoFault, PrimaryCrash, DrainPrimary, StoreOutage, HostStop}
+	return []Fault{NoFault, PrimaryCrash, DrainPrimary, StoreOutage, HostStop, KeyRevoked, LimitLowered}
 }
 
 // Options describe a run.
@@ -75,6 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.SetTeams(teams()...)
 	p.Configure(routes(), statementTime)
 	hosts, addresses, err := startHosts(p, o)
 	defer func() {
@@ -87,7 +90,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	report := &Report{Hosts: o.Hosts, Callers: o.Callers, Fault: string(o.Fault)}
+	report := &Report{Hosts: o.Hosts, Callers: o.Callers, Fault: string(o.Fault), Teams: map[string]*TeamReport{}}
+	for _, t := range teams() {
+		report.Teams[t.Name] = &TeamReport{}
+	}
 	var wg sync.WaitGroup
 	for i := range o.Callers {
 		wg.Go(func() { runCaller(ctx, i, addresses[i%len(addresses)], group, report) })
@@ -95,6 +101,7 @@
 	timer := time.AfterFunc(o.Duration/2, func() { inject(o.Fault, p, group, hosts) })
 	defer timer.Stop()
 	wg.Wait()
+	report.checkTeams(group.Runs())
 	return report, nil
 }
 
@@ -145,6 +152,7 @@
 	s := entry.Settings{
 		Host: fmt.Sprintf("host-%d", i+1), Places: replicaset.Places{Zone: zone},
 		MaxSessions: maxSessions, Workers: workers, Grace: grace, DrainBound: 2 * grace,
+		Quota: tolerance,
 	}
 	for _, address := range []*string{&s.CallerAddress, &s.ReadyAddress, &s.PeerAddress} {
 		free, err := loopback.FreeAddress()
@@ -160,6 +168,12 @@
 func inject(f Fault, p *lineplatform.Platform, group *lineplatform.Group, hosts []*entry.Host) {
 	primary := group.Primary()
 	switch {
+	case f == KeyRevoked:
+		p.SetTeams(withoutKey()...)
+		p.Configure(routes(), statementTime)
+	case f == LimitLowered:
+		p.SetTeams(lowered()...)
+		p.Configure(routes(), statementTime)
 	case f == StoreOutage:
 		p.Store.Fail(lineplatform.Refusing)
 	case f == HostStop:
--- a/node/platformdemo/demo_test.go
+++ b/node/platformdemo/demo_test.go
@@ -24,3 +24,18 @@
 		})
 	}
 }
+
+// TestTeamsAreKeptApart: the team that asks for more than its limit is held to it and
+// the others are served; a key that was taken away serves nobody.
+func TestTeamsAreKeptApart(t *testing.T) {
+	r, err := platformdemo.Run(context.Background(), platformdemo.Options{
+		Hosts: 3, Callers: 6, Duration: 6 * time.Second, Fault: platformdemo.KeyRevoked, Log: zerolog.Nop(),
+	})
+	require.NoError(t, err)
+	require.Zero(t, r.WrongTeam)
+	require.Positive(t, r.Teams["colleges"].Refused)
+	require.Positive(t, r.Teams["colleges"].Served)
+	require.Positive(t, r.Teams["clubs"].Unauthorized)
+	require.Greater(t, r.Teams["schools"].Served, 2*r.Teams["colleges"].Served)
+	require.Zero(t, r.Teams["schools"].Unauthorized)
+}
--- a/node/platformdemo/report.go
+++ b/node/platformdemo/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -28,17 +30,26 @@
 	Twice             int `json:"twice"`
 	KeptThoughRefused int `json:"kept_though_refused"`
 	LostOwnWrite      int `json:"lost_own_write"`
+	// WrongTeam counts statements that ran in another team's name.
+	WrongTeam int `json:"wrong_team"`
+	// Teams is what each team saw.
+	Teams map[string]*TeamReport `json:"teams"`
 }
 
 // Broken reports whether a promise was broken.
-func (r *Report) Broken() bool { return r.Twice+r.KeptThoughRefused+r.LostOwnWrite > 0 }
+func (r *Report) Broken() bool { return r.Twice+r.KeptThoughRefused+r.LostOwnWrite+r.WrongTeam > 0 }
 
 // WriteText prints the report for people.
 func (r *Report) WriteText(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%d hosts, %d callers, fault %s\n", r.Hosts, r.Callers, r.Fault)
 	_, _ = fmt.Fprintf(w, "served %d, refused as not run %d, in doubt %d, failed %d, reconnects %d\n", r.Served, r.Refused, r.InDoubt, r.Failed, r.Reconnects)
 	_, _ = fmt.Fprintf(w, "longest time without a successful write: %d ms\n", r.LongestGapMillis)
-	_, _ = fmt.Fprintf(w, "broken promises: kept twice %d, kept though refused %d, own write not seen %d\n", r.Twice, r.KeptThoughRefused, r.LostOwnWrite)
+	_, _ = fmt.Fprintf(w, "broken promises: kept twice %d, kept though refused %d, own write not seen %d, run in another team's name %d\n", r.Twice, r.KeptThoughRefused, r.LostOwnWrite, r.WrongTeam)
+	for _, name := range slices.Sorted(maps.Keys(r.Teams)) {
+		t := r.Teams[name]
+		_, _ = fmt.Fprintf(w, "team %-9s served %d, refused as not run %d, refused for the key %d; at most %d statements in %s\n",
+			name, t.Served, t.Refused, t.Unauthorized, t.Busiest, tolerance.Window)
+	}
 }
 
 func (r *Report) add(count *int) {
