--- /dev/null
+++ b/node/limits/limiter_test.go
@@ -0,0 +1,134 @@
+package limits_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
+	"github.com/dotterelswitch/dotterelswitch/node/limits"
+)
+
+// team is limited to more than a test asks for.
+var team = catalog.Team{Name: "schools", Limit: quota.Limit{Bounded: true, Rate: 1000, Burst: 1000}}
+
+// network carries the questions of one limiter to made-up counters.
+type network struct {
+	mu sync.Mutex
+	// silent are the addresses that do not answer, and empty those that pay nothing.
+	silent, empty map[string]bool
+	asked         []string
+}
+
+func (n *network) ask(ctx context.Context, address, _ string, wanted int) (quota.Payment, bool) {
+	n.mu.Lock()
+	n.asked = append(n.asked, address)
+	silent, empty := n.silent[address], n.empty[address]
+	n.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return quota.Payment{}, false
+	}
+	if empty {
+		return quota.Payment{RetryAfter: time.Second}, true
+	}
+	return quota.Payment{Paid: wanted}, true
+}
+
+func (n *network) questions() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asked
+}
+
+// limiter returns a limiter of a host that counts nothing itself, and the addresses
+// of the team's counters in the order in which it asks them.
+func limiter(t *testing.T, n *network) (*limits.Limiter, []string) {
+	t.Helper()
+	l := limits.New(limits.Config{
+		Self: quota.Host{Name: "self", Region: "a"}, Ask: n.ask,
+		Limit: func(name string) (quota.Limit, bool) { return team.Limit, name == team.Name },
+	})
+	hosts := []quota.Host{{Name: "a1", Region: "a"}, {Name: "b1", Region: "b"}, {Name: "c1", Region: "c"}}
+	l.SetFleet(hosts, map[string]string{"a1": "a1:1", "b1": "b1:1", "c1": "c1:1"})
+	var addresses []string
+	for _, name := range l.CountersOf(team.Name) {
+		addresses = append(addresses, name+":1")
+	}
+	require.Len(t, addresses, 3)
+	require.Equal(t, "a1:1", addresses[0], "the counter of its own region first")
+	return l, addresses
+}
+
+func TestCounterOfTheRegionPays(t *testing.T) {
+	n := &network{}
+	l, _ := limiter(t, n)
+	_, admitted := l.Admit(context.Background(), team)
+	require.True(t, admitted)
+	require.Equal(t, []string{"a1:1"}, n.questions())
+}
+
+// TestOtherCountersPayForASilentOne: the operation is admitted, and the silent
+// counter is not asked again by the next one.
+func TestOtherCountersPayForASilentOne(t *testing.T) {
+	n := &network{silent: map[string]bool{"a1:1": true}}
+	l, counters := limiter(t, n)
+	_, admitted := l.Admit(context.Background(), team)
+	require.True(t, admitted)
+	before := len(n.questions())
+	_, admitted = l.Admit(context.Background(), team)
+	require.True(t, admitted)
+	require.Equal(t, []string{counters[1]}, n.questions()[before:])
+}
+
+func TestOtherCountersPayForAnEmptyOne(t *testing.T) {
+	n := &network{empty: map[string]bool{"a1:1": true}}
+	l, counters := limiter(t, n)
+	_, admitted := l.Admit(context.Background(), team)
+	require.True(t, admitted)
+	require.Equal(t, counters[:2], n.questions())
+}
+
+// TestRefusedOnceAllAreEmpty: and the next one at once, without a question.
+func TestRefusedOnceAllAreEmpty(t *testing.T) {
+	n := &network{empty: map[string]bool{"a1:1": true, "b1:1": true, "c1:1": true}}
+	l, _ := limiter(t, n)
+	retryAfter, admitted := l.Admit(context.Background(), team)
+	require.False(t, admitted)
+	require.Positive(t, retryAfter)
+	before := len(n.questions())
+	_, admitted = l.Admit(context.Background(), team)
+	require.False(t, admitted)
+	require.Len(t, n.questions(), before)
+}
+
+// TestCutOffHostRefusesInTime: without any answer an operation is refused well before
+// its caller's time is over.
+func TestCutOffHostRefusesInTime(t *testing.T) {
+	n := &network{silent: map[string]bool{"a1:1": true, "b1:1": true, "c1:1": true}}
+	l, _ := limiter(t, n)
+	began := time.Now()
+	_, admitted := l.Admit(context.Background(), team)
+	require.False(t, admitted)
+	require.Less(t, time.Since(began), 2*time.Second)
+}
+
+// TestUnknownTeamIsNotPaidFor: a host that has not heard of a team yet sends the one
+// that asks to another counter.
+func TestUnknownTeamIsNotPaidFor(t *testing.T) {
+	l, _ := limiter(t, &network{})
+	require.Zero(t, l.Pay("newer", 1).Paid)
+	require.Zero(t, l.Pay(team.Name, 1).Paid, "this host counts no team")
+}
+
+func TestTeamWithoutLimitAsksNobody(t *testing.T) {
+	n := &network{}
+	l, _ := limiter(t, n)
+	_, admitted := l.Admit(context.Background(), catalog.Team{Name: "free"})
+	require.True(t, admitted)
+	require.Empty(t, n.questions())
+}
