PostgreSQL path: teams prove themselves with a key as their password

TEAM … CREDENTIAL declares the digest of a key; once a team has one, every caller names its team and gives a key of it. A wrong one is 28P01 (unauthorized) without the key; one that is taken away ends the sessions that it has opened at their next statement. The new test could not run before: declarations had no keys, and nobody was asked.

--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
 )
@@ -140,3 +141,23 @@
 	_, found := cfg.Staleness("nonesuch", "s", start)
 	require.False(t, found)
 }
+
+// TestKeysAreChecked: a key is a digest, and belongs to one team.
+func TestKeysAreChecked(t *testing.T) {
+	digest := catalog.NewCredential("k").String()
+	good := &conf.Config{Teams: []conf.Team{{Name: "a", Credentials: []string{digest}}, {Name: "b"}}}
+	require.NoError(t, good.Validate())
+	require.True(t, good.AsksForKeys())
+	require.True(t, good.Admits("a", catalog.NewCredential("k")))
+	require.False(t, good.Admits("b", catalog.NewCredential("k")))
+	require.False(t, good.Admits("undeclared", catalog.NewCredential("k")))
+	require.True(t, (&conf.Config{Teams: []conf.Team{{Name: "a"}}}).Admits("anybody", catalog.Credential{}))
+	for _, bad := range []*conf.Config{
+		{Teams: []conf.Team{{Name: "a", Credentials: []string{"the key itself"}}}},
+		{Teams: []conf.Team{{Name: "a", Credentials: []string{digest}}, {Name: "b", Credentials: []string{digest}}}},
+	} {
+		err := bad.Validate()
+		require.Error(t, err)
+		require.NotContains(t, err.Error(), "the key itself")
+	}
+}
--- a/core/conf/config.go
+++ b/core/conf/config.go
@@ -60,6 +60,9 @@
 	// Connections bounds the team's client connections on one host; zero
 	// means the host's default.
 	Connections int `json:"connections"`
+	// Credentials are the digests of the keys with which its callers prove
+	// themselves. Where no team has any, callers are not asked for a key.
+	Credentials []string `json:"credentials,omitempty"`
 }
 
 // Event is a declared start of heavy traffic.
--- a/core/conf/lookup.go
+++ b/core/conf/lookup.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"time"
 )
 
@@ -53,6 +55,20 @@
 // Team returns a team by name.
 func (c *Config) Team(name string) (Team, bool) { return find(c.Teams, name, teamName) }
 
+// AsksForKeys reports whether callers have to prove themselves.
+func (c *Config) AsksForKeys() bool {
+	return slices.ContainsFunc(c.Teams, func(t Team) bool { return len(t.Credentials) > 0 })
+}
+
+// Admits reports whether a caller who holds a key may act for a team.
+func (c *Config) Admits(team string, credential catalog.Credential) bool {
+	if !c.AsksForKeys() {
+		return true
+	}
+	t, found := c.Team(team)
+	return found && slices.Contains(t.Credentials, credential.String())
+}
+
 func staleness(classes []Class, name string) (time.Duration, bool) {
 	i := slices.IndexFunc(classes, func(c Class) bool { return c.Name == name })
 	if i < 0 {
--- a/core/conf/validate.go
+++ b/core/conf/validate.go
@@ -5,6 +5,8 @@
 	"net"
 	"regexp"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 )
 
 // Limits of a configuration.
@@ -121,8 +123,25 @@
 	}
 }
 
+// credentials checks the keys of one team; holders are the teams before it by their
+// keys. A key of two teams would not tell which one its caller acts for.
+func (v *validator) credentials(t Team, holders map[catalog.Credential]string) {
+	for _, text := range t.Credentials {
+		c, err := catalog.ParseCredential(text)
+		if err != nil {
+			v.addf("team %q: %v", t.Name, err)
+			continue
+		}
+		if other, found := holders[c]; found && other != t.Name {
+			v.addf("team %q: key %s is also that of team %q", t.Name, c.Fingerprint(), other)
+		}
+		holders[c] = t.Name
+	}
+}
+
 func (v *validator) teams() {
 	seen := make(map[string]bool)
+	holders := make(map[catalog.Credential]string)
 	for _, t := range v.cfg.Teams {
 		v.name("team", t.Name, seen)
 		if t.Weight < 0 || t.Weight > 1000 {
@@ -131,6 +150,7 @@
 		if t.Connections < 0 {
 			v.addf("team %q: connections is %d, allowed are 0 and more", t.Name, t.Connections)
 		}
+		v.credentials(t, holders)
 	}
 }
 
--- a/core/lang/compile.go
+++ b/core/lang/compile.go
@@ -59,7 +59,7 @@
 		}
 		p.Put.Classes = append(p.Put.Classes, conf.Class{Name: st.Class.Name, Staleness: bound})
 	case st.Team != nil:
-		p.Put.Teams = append(p.Put.Teams, conf.Team{Name: st.Team.Name, Weight: st.Team.Weight, Connections: st.Team.Connections})
+		p.Put.Teams = append(p.Put.Teams, teamOf(st.Team))
 	case st.Event != nil:
 		e, err := st.Event.compile()
 		if err != nil {
@@ -133,3 +133,12 @@
 	}
 	return d, nil
 }
+
+// teamOf returns the team of a declaration.
+func teamOf(d *teamDecl) conf.Team {
+	t := conf.Team{Name: d.Name, Weight: d.Weight, Connections: d.Connections}
+	for _, text := range d.Credentials {
+		t.Credentials = append(t.Credentials, unquote(text))
+	}
+	return t
+}
--- a/core/lang/grammar.go
+++ b/core/lang/grammar.go
@@ -51,6 +51,8 @@
 	Name        string  `parser:"'TEAM' @Name"`
 	Weight      float64 `parser:"( 'WEIGHT' @Number )?"`
 	Connections int     `parser:"( 'CONNECTIONS' @Number )?"`
+	// Credentials are digests of keys.
+	Credentials []string `parser:"( 'CREDENTIAL' @String )*"`
 }
 
 type eventDecl struct {
--- a/core/lang/lang_test.go
+++ b/core/lang/lang_test.go
@@ -77,3 +77,11 @@
 		require.ErrorAs(t, err, &syntax)
 	})
 }
+
+// TestTeamHoldsKeys: a declaration carries digests of keys, one or more.
+func TestTeamHoldsKeys(t *testing.T) {
+	p, err := lang.Compile("f", "TEAM schools WEIGHT 2 CREDENTIAL 'aa' CREDENTIAL 'bb'; TEAM clubs CREDENTIAL 'cc';")
+	require.NoError(t, err)
+	require.Equal(t, []string{"aa", "bb"}, p.Put.Teams[0].Credentials)
+	require.Equal(t, []string{"cc"}, p.Put.Teams[1].Credentials)
+}
--- a/core/outcome/code.go
+++ b/core/outcome/code.go
@@ -50,6 +50,7 @@
 	WrongMember
 	TooManyConnections
 	TransactionLost
+	Unauthorized
 	codeCount
 )
 
@@ -94,6 +95,7 @@
 	WrongMember:         {"wrong_member", "57P04", RanNo, true, "the upstream is not in the role that the request needs"},
 	TooManyConnections:  {"too_many_connections", "53300", RanNo, true, "the connection limit is reached"},
 	TransactionLost:     {"transaction_lost", "40001", RanNo, true, "the connection under the transaction failed and the transaction was rolled back"},
+	Unauthorized:        {"unauthorized", "28P01", RanNo, false, "the team does not hold the key"},
 }
 
 // Info returns the description of c.
--- a/node/gateway/handle.go
+++ b/node/gateway/handle.go
@@ -12,6 +12,14 @@
 	if fr.kind == 0 {
 		return s.startup(fr.body)
 	}
+	if s.awaitsKey {
+		return s.takeCredential(fr)
+	}
+	// A key that was taken away ends the session at its next statement; an open
+	// transaction is rolled back with its connection.
+	if (fr.kind == 'Q' || fr.kind == 'S') && !s.authorized() {
+		return false
+	}
 	switch fr.kind {
 	case 'X':
 		return false
--- a/node/gateway/session.go
+++ b/node/gateway/session.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/panjf2000/gnet/v2"
 
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/core/token"
@@ -33,9 +34,13 @@
 	pid     uint32
 	secret  uint32
 	started atomic.Bool
-	ctx     context.Context
-	end     context.CancelFunc
-	framer  framer
+	// credential proves for whom the caller acts; awaitsKey tells that it was asked
+	// for. They belong to the worker that runs the session.
+	credential catalog.Credential
+	awaitsKey  bool
+	ctx        context.Context
+	end        context.CancelFunc
+	framer     framer
 
 	// mu guards the fields below.
 	mu        sync.Mutex
--- a/node/gateway/startup.go
+++ b/node/gateway/startup.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -13,6 +14,9 @@
 // settingPrefix begins the names of the settings that callers may set.
 const settingPrefix = "dotterelswitch."
 
+// passwordMessage is the type of a message with a key.
+const passwordMessage = 'p'
+
 const (
 	sslRequestCode    = 80877103
 	gssRequestCode    = 80877104
@@ -61,6 +65,43 @@
 		s.write(fatalMessage(refusal))
 		return false
 	}
+	if s.gateway.config().AsksForKeys() {
+		s.awaitsKey = true
+		s.write(encode(nil, &pgproto3.AuthenticationCleartextPassword{}))
+		return true
+	}
+	return s.admit()
+}
+
+// takeCredential takes the key that the caller was asked for.
+func (s *session) takeCredential(fr frame) bool {
+	var msg pgproto3.PasswordMessage
+	if fr.kind != passwordMessage || msg.Decode(fr.body) != nil {
+		s.write(fatalMessage(outcome.Refuse(outcome.ProtocolViolation, "a key was asked for")))
+		return false
+	}
+	s.awaitsKey = false
+	s.credential = catalog.NewCredential(msg.Password)
+	if !s.authorized() {
+		return false
+	}
+	return s.admit()
+}
+
+// authorized ends the session of a caller whose team does not hold its key, or does
+// not hold it any more.
+func (s *session) authorized() bool {
+	if s.gateway.config().Admits(s.team, s.credential) {
+		return true
+	}
+	refusal := outcome.Refuse(outcome.Unauthorized, "team %s, key %s", s.team, s.credential.Fingerprint())
+	eventlog.CallerRejected.Warn(s.gateway.cfg.Log).Str("remote", s.remote).Err(refusal).Send()
+	s.write(fatalMessage(refusal))
+	return false
+}
+
+// admit opens the session, within the team's limit of connections.
+func (s *session) admit() bool {
 	if !s.gateway.countTeam(s) {
 		s.write(fatalMessage(outcome.Refuse(outcome.TooManyConnections, "team %s", s.team)))
 		return false
