--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -8,10 +8,7 @@
 // refused in time, rather than there, where they cannot.
 package connpool
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // ConnID names a connection; the caller chooses it.
 type ConnID uint64
@@ -92,6 +89,8 @@
 	// many connections.
 	crowded bool
 	counts  Counts
+	// popular tells which teams are likely to ask again.
+	popular *popularity
 	// hold is the mean time that a connection is kept, run that of one answer of
 	// the member, its own queue included.
 	hold, run time.Duration
@@ -99,7 +98,7 @@
 
 // New returns an empty pool.
 func New(limits Limits) *Pool {
-	return &Pool{limits: limits, used: map[string]int{}, opening: map[string]int{}, hold: firstHold}
+	return &Pool{limits: limits, used: map[string]int{}, opening: map[string]int{}, popular: newPopularity(), hold: firstHold}
 }
 
 // SetLimits changes the limits from the next decision on.
@@ -151,31 +150,6 @@
 // Waiting returns the number of statements that wait.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
-// Counts are what a pool has done since they were last taken.
-type Counts struct {
-	// Found counts statements that ran on a connection that was open, Opened the
-	// connections that were opened, and Evicted those of them for which another
-	// team's was closed.
-	Found, Opened, Evicted int
-}
-
-// Add sums counts of several pools.
-func (c *Counts) Add(o Counts) {
-	c.Found += o.Found
-	c.Opened += o.Opened
-	c.Evicted += o.Evicted
-}
-
-// TakeCounts returns the counts since it was last called.
-func (p *Pool) TakeCounts() Counts {
-	c := p.counts
-	p.counts = Counts{}
-	return c
-}
-
-// OpenByTeam counts the connections, those being opened included, by team.
-func (p *Pool) OpenByTeam() map[string]int { return p.openByTeam() }
-
 // Verdict says what became of a request for a connection.
 type Verdict uint8
 
@@ -200,6 +174,7 @@
 // Acquire asks for a connection. One that has the session values already that the
 // statement needs is preferred.
 func (p *Pool) Acquire(w Waiter, now time.Duration) Decision {
+	p.popular.asked(w.Team, now)
 	if at, found := p.fitting(w); found && !p.Exhausted() {
 		return Decision{Verdict: Granted, Conn: p.takeIdle(at)}
 	}
@@ -227,119 +202,6 @@
 	return p.hold * time.Duration(ahead+1) / time.Duration(max(p.InUse()+p.beingOpened(), 1))
 }
 
-// fitting returns where the idle connection is that fits a statement best: of its
-// team, and with its values if there is one; else the one used last, so that the
-// rest can idle long enough to be closed.
-func (p *Pool) fitting(w Waiter) (int, bool) {
-	best := -1
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		c := p.idle[i]
-		if !w.fits(c.Team) {
-			continue
-		}
-		if c.Values == w.Values {
-			return i, true
-		}
-		if best < 0 {
-			best = i
-		}
-	}
-	return best, best >= 0
-}
-
-// takeIdle puts an idle connection into use.
-func (p *Pool) takeIdle(at int) ConnID {
-	p.counts.Found++
-	p.used[p.idle[at].Team]++
-	return p.removeIdle(at)
-}
-
-func (p *Pool) removeIdle(at int) ConnID {
-	id := p.idle[at].ID
-	p.idle = append(p.idle[:at], p.idle[at+1:]...)
-	return id
-}
-
-// Assign hands an idle connection to a waiter that could not have it while all
-// that may run something did. Call it until it returns false.
-func (p *Pool) Assign(now time.Duration) (ConnID, Waiter, bool) {
-	if p.Exhausted() || len(p.idle) == 0 {
-		return 0, Waiter{}, false
-	}
-	at, found := first(p.waiting, now, func(w Waiter) bool {
-		_, fits := p.fitting(w)
-		return fits
-	})
-	if !found {
-		return 0, Waiter{}, false
-	}
-	w := p.takeWaiter(at)
-	conn, _ := p.fitting(w)
-	return p.takeIdle(conn), w, true
-}
-
-func (p *Pool) takeWaiter(at int) Waiter {
-	w := p.waiting[at]
-	p.waiting = append(p.waiting[:at], p.waiting[at+1:]...)
-	return w
-}
-
-// Order is a connection that is to be opened.
-type Order struct {
-	// Team is in whose name it is to be opened.
-	Team string
-	// Evicted is an idle connection that is to be closed for it, if Evicts.
-	Evicted ConnID
-	Evicts  bool
-}
-
-// ShouldOpen returns a connection that is to be opened now, and counts it as being
-// opened. Call it until it returns false.
-//
-// Load pattern: a member takes a third as many connections as there are teams, and
-// a connection serves one team. The connection that was idle longest gives way: of
-// the teams that call now and then, the ones that called last are the likeliest to
-// call again.
-func (p *Pool) ShouldOpen(now time.Duration) (Order, bool) {
-	if now < p.quietUntil || len(p.waiting) == 0 || !p.hasRoom() {
-		return Order{}, false
-	}
-	team, found := p.nextTeam(now)
-	if !found {
-		return Order{}, false
-	}
-	o := Order{Team: team}
-	if p.Open() >= p.limits.Max || (p.crowded && len(p.idle) > 0) {
-		if len(p.idle) == 0 {
-			return Order{}, false
-		}
-		o.Evicts, o.Evicted = true, p.removeIdle(0)
-		p.counts.Evicted++
-	}
-	p.counts.Opened++
-	p.opening[team]++
-	return o, true
-}
-
-// nextTeam returns the team of the first waiter for which no connection is being
-// opened yet.
-func (p *Pool) nextTeam(now time.Duration) (string, bool) {
-	lacking := make(map[string]int, len(p.waiting))
-	for _, w := range p.waiting {
-		lacking[w.Team]++
-	}
-	best := -1
-	for i, w := range p.waiting {
-		if lacking[w.Team] > p.opening[w.Team] && (best < 0 || w.before(p.waiting[best], now)) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return "", false
-	}
-	return p.waiting[best].Team, true
-}
-
 // RetryOpenAt returns when ShouldOpen may change its answer because a pause
 // ends, or zero while none is under way.
 func (p *Pool) RetryOpenAt(now time.Duration) time.Duration {
@@ -469,74 +331,3 @@
 	}
 	return false
 }
-
-// DropIdle removes all idle connections, which the caller closes, because the
-// member failed.
-func (p *Pool) DropIdle() []ConnID {
-	var ids []ConnID
-	for _, c := range p.idle {
-		ids = append(ids, c.ID)
-	}
-	p.idle = nil
-	return ids
-}
-
-// SurplusAt returns when Surplus next has something to close if nothing
-// changes, or zero while there is nothing that it might close soon.
-func (p *Pool) SurplusAt() time.Duration {
-	if len(p.idle) == 0 || p.Open() <= min(p.limits.Fair, 1) {
-		return 0
-	}
-	open := p.openByTeam()
-	var soonest time.Duration
-	for i, c := range p.idle {
-		if at := c.since + p.idleFor(p.Open(), open[c.Team]); i == 0 || at < soonest {
-			soonest = at
-		}
-	}
-	return soonest
-}
-
-// openByTeam counts all connections by team.
-func (p *Pool) openByTeam() map[string]int {
-	open := maps.Clone(p.used)
-	for team, n := range p.opening {
-		open[team] += n
-	}
-	for _, c := range p.idle {
-		open[c.Team]++
-	}
-	return open
-}
-
-// idleFor returns how long a connection may idle while the given number is
-// open, and of its own team.
-func (p *Pool) idleFor(open, ofTeam int) time.Duration {
-	switch {
-	case open > p.limits.Fair:
-		return idleAboveFair
-	case ofTeam > 1:
-		return idleSpare
-	default:
-		return idleAtAll
-	}
-}
-
-// Surplus removes and returns the idle connections that are to be closed. The
-// one of a team that was used last is the last to go.
-func (p *Pool) Surplus(now time.Duration) []ConnID {
-	var out []ConnID
-	open, byTeam := p.Open(), p.openByTeam()
-	kept := p.idle[:0:0]
-	for _, c := range p.idle {
-		if now-c.since < p.idleFor(open, byTeam[c.Team]) {
-			kept = append(kept, c)
-			continue
-		}
-		out = append(out, c.ID)
-		open--
-		byTeam[c.Team]--
-	}
-	p.idle = kept
-	return out
-}
--- a/core/connpool/team_test.go
+++ b/core/connpool/team_test.go
@@ -11,15 +11,17 @@
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 )
 
-// asking is a statement of a team that has time.
-func asking(id uint64, team string) connpool.Waiter {
-	return connpool.Waiter{ID: id, Team: team, AimBy: 500 * ms, FreshBy: 250 * ms, StartBy: time.Second}
+// asking is a statement of a team that comes at time zero and has time.
+func asking(id uint64, team string) connpool.Waiter { return askingAt(id, team, 0) }
+
+func askingAt(id uint64, team string, now time.Duration) connpool.Waiter {
+	return connpool.Waiter{ID: id, Team: team, AimBy: now + 500*ms, FreshBy: now + 250*ms, StartBy: now + time.Second}
 }
 
 // openFor has the pool open a connection for a waiter and end its statement.
 func openFor(t *testing.T, p *connpool.Pool, id connpool.ConnID, team string, now time.Duration) {
 	t.Helper()
-	require.Equal(t, connpool.Queued, p.Acquire(asking(uint64(id), team), now).Verdict)
+	require.Equal(t, connpool.Queued, p.Acquire(askingAt(uint64(id), team, now), now).Verdict)
 	o, due := p.ShouldOpen(now)
 	require.True(t, due)
 	require.Equal(t, team, o.Team)
@@ -38,8 +40,8 @@
 	require.Equal(t, connpool.ConnID(1), d.Conn)
 }
 
-// TestLongestIdleGivesWay: the connection that was idle longest is closed for a
-// team that has none.
+// TestLongestIdleGivesWay: of two teams that have asked once, the connection of the
+// one that did so longer ago is closed for a team that has none.
 func TestLongestIdleGivesWay(t *testing.T) {
 	p := connpool.New(connpool.Limits{Max: 2, Fair: 2, MaxWaiting: 4})
 	openFor(t, p, 1, "schools", 0)
@@ -51,6 +53,25 @@
 	require.Equal(t, 2, p.Open())
 }
 
+// TestPopularTeamKeepsItsConnection: a team that calls every second keeps its
+// connection when another one has called once after it.
+func TestPopularTeamKeepsItsConnection(t *testing.T) {
+	p := connpool.New(connpool.Limits{Max: 2, Fair: 2, MaxWaiting: 4})
+	openFor(t, p, 1, "popular", 0)
+	now := time.Duration(0)
+	for range 5 {
+		now += time.Second
+		require.Equal(t, connpool.Granted, p.Acquire(askingAt(9, "popular", now), now).Verdict)
+		p.Released(connpool.Conn{ID: 1, Team: "popular"}, ms, now)
+	}
+	openFor(t, p, 2, "once", now)
+	later := now + 500*ms
+	require.Equal(t, connpool.Queued, p.Acquire(askingAt(3, "newcomer", later), later).Verdict)
+	o, due := p.ShouldOpen(later)
+	require.True(t, due)
+	require.Equal(t, connpool.ConnID(2), o.Evicted)
+}
+
 // TestStatusNeedsNoConnectionOfItsOwn: what the system asks by itself runs on any
 // team's connection.
 func TestStatusNeedsNoConnectionOfItsOwn(t *testing.T) {
