--- a/core/gates/plan.go
+++ b/core/gates/plan.go
@@ -29,9 +29,12 @@
 	// The connections left over also serve a fleet that has lost power, as
 	// members keep the dead ones for seconds.
 	perSlot = 11
-	// keptShare is the percentage of a member's connections that its gates keep for
-	// teams that call now and then.
-	keptShare = 100
+	// returnPerSlot is how many connections for each slot of a member its gates do not
+	// keep for teams. Load pattern: all hosts lose power, and the member holds their dead
+	// connections for seconds. Those left over are all that the hosts that come back
+	// can open: one that runs, one that waits and one that is being opened keep a slot
+	// at work.
+	returnPerSlot = 3
 	// strayConnections is how many connections a host that is no gate may open
 	// while it reaches none.
 	strayConnections = 2
@@ -86,8 +89,8 @@
 
 // kept returns how many connections the gates of a member keep where they belong
 // to different teams: all but those that are left over for a fleet that comes back
-// from a loss of power while the member still holds the dead ones.
-func (p Plan) kept(m Member) int { return max(p.useful(m), p.usable*keptShare/100) }
+// from a loss of power.
+func (p Plan) kept(m Member) int { return max(p.useful(m), p.usable-returnPerSlot*m.Slots) }
 
 // Even returns the share of a host where every host keeps connections of its own.
 func (p Plan) Even() Share {
--- a/core/gates/plan_test.go
+++ b/core/gates/plan_test.go
@@ -120,3 +120,63 @@
 	require.LessOrEqual(t, sum, 66)
 	require.GreaterOrEqual(t, sum, 60, "a member is kept at work")
 }
+
+// TestConnectionsAreLeftForAFleetThatReturns: of 33 connections of a member with two
+// slots, the gates keep 27 for teams and use 22 at once.
+func TestConnectionsAreLeftForAFleetThatReturns(t *testing.T) {
+	hosts := fleet("a1", "a1", "a1", "a1", "a2", "a2", "b1", "b1")
+	plan := gates.NewPlan(gates.NewFleet(hosts, regions), 33)
+	kept, busy := 0, 0
+	for _, h := range hosts {
+		if s := plan.For(gates.Member{ID: "m", Zone: "a1", Slots: 2}, h.Name); len(s.Gates) == 0 {
+			kept += s.Limits.Max
+			busy += s.Limits.Busy
+		}
+	}
+	require.Equal(t, 27, kept)
+	require.LessOrEqual(t, busy, 22)
+}
+
+// TestTeamMeetsAtOneGate: all hosts send a team's statements to the same gate, teams
+// spread over the gates, and a gate that is lost moves only its own teams.
+func TestTeamMeetsAtOneGate(t *testing.T) {
+	hosts := fleet("a1", "a1", "a1", "a1", "a2", "a2", "b1", "b1")
+	m := gates.Member{ID: "m", Zone: "a1", Slots: 2}
+	gateOf := func(hosts []gates.Host, team string) string {
+		gate := ""
+		for _, h := range hosts {
+			share := gates.NewPlan(gates.NewFleet(hosts, regions), 33).For(m, h.Name)
+			route := share.RouteOf(team, m.ID, h.Name)
+			first := h.Address
+			if len(route) > 0 {
+				first = route[0]
+			}
+			if gate != "" && gate != first {
+				t.Fatalf("team %s meets at %s and at %s", team, gate, first)
+			}
+			gate = first
+		}
+		return gate
+	}
+	before := map[string]string{}
+	used := map[string]int{}
+	for i := range 60 {
+		team := fmt.Sprint("team-", i)
+		before[team] = gateOf(hosts, team)
+		used[before[team]]++
+	}
+	require.Len(t, used, 3)
+	lost := before["team-0"]
+	var left []gates.Host
+	for _, h := range hosts {
+		if h.Address != lost {
+			left = append(left, h)
+		}
+	}
+	for team, gate := range before {
+		after := gateOf(left, team)
+		if gate != lost && after != gate && used[after] > 0 {
+			t.Fatalf("team %s has moved from %s to %s, which both stay", team, gate, after)
+		}
+	}
+}
