--- a/core/connpool/popularity.go
+++ b/core/connpool/popularity.go
@@ -20,9 +20,6 @@
 // Load pattern: 88 teams, of which ten make half of the statements, share 33
 // connections. The connection used longest ago is often that of a team that calls
 // every second or two, and the one used last that of a team that calls once a minute.
-// On the statements of a calm day, 0.79 of them find a connection of their team where
-// the oldest one gives way, 0.82 where that of the least popular team does, and 0.89
-// could if the future were known.
 type popularity struct {
 	teams    map[string]weight
 	tidiedAt time.Duration
--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -146,16 +146,10 @@
 	return refused
 }
 
-// unansweredPause is how long a counter that does not answer, nor its deputy, is
-// not asked: about as long as a process takes to come back.
+// unansweredPause is how long nobody is asked after a question whose answer could not
+// be used: about as long as a process takes to come back.
 const unansweredPause = 200 * time.Millisecond
 
-// Left takes back an operation that no longer waits.
-func (m *Meter) Left(team string) {
-	t := m.of(team)
-	t.waiting = max(t.waiting-1, 0)
-}
-
 // Unused takes back an operation that was admitted and that no member has run. It
 // shortens the debt; what is paid for already is not given back.
 func (m *Meter) Unused(team string) {
