--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// bucket pays for at most limit operations in any window: burst of them at once,
+// bucket grants at most limit operations in any window: burst of them at once,
 // and the rest at an even pace. A team that asks for eight times its limit would
 // otherwise have all of it in the first half second of a window, and nothing for
 // the rest; and a bucket that takes over from another without its memory, and starts
@@ -14,7 +14,7 @@
 }
 
 const (
-	// burstShare is the part of a window's limit that is paid for at once.
+	// burstShare is the part of a window's limit that is granted at once.
 	burstShare = 0.05
 	// leastBurst lets a team of a few operations a second run some at once, as far as
 	// that is no more than smallBurstShare of its limit.
@@ -26,7 +26,7 @@
 	maxWait = 5 * time.Second
 )
 
-// burstOf returns how many operations are paid for at once. What goes at once does not
+// burstOf returns how many operations are granted at once. What goes at once does not
 // come in evenly, so it is a small part of a small limit as well; but a whole operation.
 func burstOf(limit float64) float64 {
 	if limit < 1 {
@@ -35,9 +35,9 @@
 	return max(min(max(burstShare*limit, leastBurst), smallBurstShare*limit), 1)
 }
 
-// pay takes up to a number of operations and returns how many are paid for, and
+// take takes up to a number of tokens and returns how many are granted, and
 // when the next one can be where it is not all.
-func (b *bucket) pay(limit float64, window time.Duration, wanted int, now time.Duration) Payment {
+func (b *bucket) take(limit float64, window time.Duration, wanted int, now time.Duration) Grant {
 	burst := burstOf(limit)
 	pace := max(limit-burst, 0) / window.Seconds()
 	if now > b.at {
@@ -45,15 +45,15 @@
 		b.at = now
 	}
 	b.tokens = min(b.tokens, burst)
-	paid := max(min(wanted, int(b.tokens+rounding)), 0)
-	b.tokens -= float64(paid)
-	if paid == wanted {
-		return Payment{Paid: paid}
+	granted := max(min(wanted, int(b.tokens+rounding)), 0)
+	b.tokens -= float64(granted)
+	if granted == wanted {
+		return Grant{Granted: granted}
 	}
-	return Payment{Paid: paid, RetryAfter: b.wait(pace)}
+	return Grant{Granted: granted, RetryAfter: b.wait(pace)}
 }
 
-// wait returns the time until the next operation can be paid for.
+// wait returns the time until the next operation can be granted.
 func (b *bucket) wait(pace float64) time.Duration {
 	if pace <= 0 {
 		return maxWait
--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -9,42 +9,42 @@
 	tidyInterval = 10 * time.Second
 )
 
-// Payment answers a host that asks for a number of operations.
-type Payment struct {
-	// Paid is how many of them may run.
-	Paid int
-	// RetryAfter is when more can be paid; zero where all were paid.
+// Grant answers a host that asks for a number of operations.
+type Grant struct {
+	// Granted is how many of them may run.
+	Granted int
+	// RetryAfter is when more can be granted; zero where all were granted.
 	RetryAfter time.Duration
 }
 
-// Counter pays for operations of the teams that this host counts. It is not safe
+// Counter grants operations of the teams that this host counts. It is not safe
 // for concurrent use.
 type Counter struct {
 	tolerance Tolerance
 	// since is when this host may last have become a counter of a team, for which it
-	// has paid nothing before.
+	// has granted nothing before.
 	since    time.Duration
 	teams    map[string]*bucket
 	tidiedAt time.Duration
 }
 
-// NewCounter returns a counter that has paid for nothing.
+// NewCounter returns a counter that has granted nothing.
 func NewCounter(t Tolerance, now time.Duration) *Counter {
 	return &Counter{tolerance: t, since: now, teams: map[string]*bucket{}}
 }
 
 // HostLeft notes that this host may have become a counter of other teams. Load
 // pattern: all hosts come back from a loss of power and register one after the other,
-// while all callers return at once. A host that joins takes teams over, and has paid
+// while all callers return at once. A host that joins takes teams over, and has granted
 // for nothing since its start; it gives none to others, so that what has come in for
 // them since their start stays.
 func (c *Counter) HostLeft(now time.Duration) { c.since = now }
 
-// Pay pays for operations of a team, out of this host's part of its limit, which
+// Acquire grants operations of a team, out of this host's part of its limit, which
 // it shares with the other counters.
-func (c *Counter) Pay(team string, l Limit, counters, wanted int, now time.Duration) Payment {
+func (c *Counter) Acquire(team string, l Limit, counters, wanted int, now time.Duration) Grant {
 	if !l.Bounded {
-		return Payment{Paid: wanted}
+		return Grant{Granted: wanted}
 	}
 	c.tidy(now)
 	b, found := c.teams[team]
@@ -52,7 +52,7 @@
 		b = &bucket{at: c.since}
 		c.teams[team] = b
 	}
-	return b.pay(c.tolerance.counted(l)/float64(max(counters, 1)), c.tolerance.Window, wanted, now)
+	return b.take(c.tolerance.counted(l)/float64(max(counters, 1)), c.tolerance.Window, wanted, now)
 }
 
 // tidy forgets the teams that nobody asks for, so that the counter holds no more
--- a/core/quota/counter_test.go
+++ b/core/quota/counter_test.go
@@ -29,21 +29,21 @@
 	return (l.Rate*t.Window.Seconds()+l.Burst)*(1+t.Share) + t.Operations
 }
 
-// TestNoWindowIsOverTheLimit: whatever is asked for and when, what a counter pays
-// for in any window stays within the limit and its part of the tolerance.
+// TestNoWindowIsOverTheLimit: whatever is asked for and when, what a counter grants
+// in any window stays within the limit and its part of the tolerance.
 func TestNoWindowIsOverTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := limitOf(rapid.Float64Range(0, 200).Draw(t, "rate"), rapid.Float64Range(0, 200).Draw(t, "burst"))
 		c := quota.NewCounter(tolerance, -time.Hour)
-		var paid []time.Duration
+		var granted []time.Duration
 		now := time.Duration(0)
-		for range rapid.IntRange(1, 120).Draw(t, "questions") {
+		for range rapid.IntRange(1, 120).Draw(t, "requests") {
 			now += time.Duration(rapid.IntRange(0, 600).Draw(t, "pause")) * time.Millisecond
-			for range c.Pay("a", l, 1, rapid.IntRange(0, 300).Draw(t, "wanted"), now).Paid {
-				paid = append(paid, now)
+			for range c.Acquire("a", l, 1, rapid.IntRange(0, 300).Draw(t, "wanted"), now).Granted {
+				granted = append(granted, now)
 			}
 		}
-		if most := busiest(paid); float64(most) > bound(l, tolerance) {
+		if most := busiest(granted); float64(most) > bound(l, tolerance) {
 			t.Fatalf("%d in a window, %.0f allowed", most, bound(l, tolerance))
 		}
 	})
@@ -70,7 +70,7 @@
 	for i := range 200 {
 		now += time.Second
 		wanted := 2 + i%2
-		require.Equal(t, wanted, c.Pay("a", l, 1, wanted, now).Paid, "at %v", now)
+		require.Equal(t, wanted, c.Acquire("a", l, 1, wanted, now).Granted, "at %v", now)
 	}
 }
 
@@ -81,36 +81,36 @@
 	c := quota.NewCounter(tolerance, -time.Hour)
 	perSecond := map[time.Duration]int{}
 	for now := time.Duration(0); now < 20*time.Second; now += 2500 * time.Microsecond {
-		p := c.Pay("a", l, 1, 1, now)
-		if p.Paid == 0 {
+		p := c.Acquire("a", l, 1, 1, now)
+		if p.Granted == 0 {
 			require.Positive(t, p.RetryAfter)
 			require.LessOrEqual(t, p.RetryAfter, window)
 		}
-		perSecond[now.Truncate(time.Second)] += p.Paid
+		perSecond[now.Truncate(time.Second)] += p.Granted
 	}
 	for second, n := range perSecond {
 		require.GreaterOrEqual(t, float64(n), l.Rate, "second %v", second)
 	}
 }
 
-// TestLoweredLimitBindsAtOnce: what the old limit would still have paid at once is
+// TestLoweredLimitBindsAtOnce: what the old limit would still have granted at once is
 // void, and from then on the new one holds in every window.
 func TestLoweredLimitBindsAtOnce(t *testing.T) {
 	c := quota.NewCounter(tolerance, -time.Hour)
 	now := time.Duration(0)
 	for range 50 {
 		now += 100 * time.Millisecond
-		c.Pay("a", limitOf(100, 100), 1, 5, now)
+		c.Acquire("a", limitOf(100, 100), 1, 5, now)
 	}
 	lowered := limitOf(5, 5)
-	var paid []time.Duration
+	var granted []time.Duration
 	for range 1000 {
 		now += 10 * time.Millisecond
-		for range c.Pay("a", lowered, 1, 10, now).Paid {
-			paid = append(paid, now)
+		for range c.Acquire("a", lowered, 1, 10, now).Granted {
+			granted = append(granted, now)
 		}
 	}
-	require.LessOrEqual(t, float64(busiest(paid)), bound(lowered, tolerance))
+	require.LessOrEqual(t, float64(busiest(granted)), bound(lowered, tolerance))
 }
 
 // TestCounterWithoutMemoryExceedsNothing replays a counter that is killed while a
@@ -120,17 +120,17 @@
 		l := limitOf(rapid.Float64Range(1, 200).Draw(t, "rate"), rapid.Float64Range(1, 200).Draw(t, "burst"))
 		killedAt := time.Duration(rapid.IntRange(0, 15000).Draw(t, "killed at")) * time.Millisecond
 		c := quota.NewCounter(tolerance, -time.Hour)
-		var paid []time.Duration
+		var granted []time.Duration
 		alive := true
 		for now := time.Duration(0); now < 20*time.Second; now += 5 * time.Millisecond {
 			if alive && now >= killedAt {
 				alive, c = false, quota.NewCounter(tolerance, now)
 			}
-			for range c.Pay("a", l, 1, 100, now).Paid {
-				paid = append(paid, now)
+			for range c.Acquire("a", l, 1, 100, now).Granted {
+				granted = append(granted, now)
 			}
 		}
-		if most := busiest(paid); float64(most) > bound(l, tolerance) {
+		if most := busiest(granted); float64(most) > bound(l, tolerance) {
 			t.Fatalf("%d in a window, %.0f allowed", most, bound(l, tolerance))
 		}
 	})
@@ -139,13 +139,13 @@
 // TestTeamWithoutLimitIsPaidFor: no limit is no limit of zero.
 func TestTeamWithoutLimitIsPaidFor(t *testing.T) {
 	c := quota.NewCounter(tolerance, 0)
-	require.Equal(t, quota.Payment{Paid: 1000}, c.Pay("a", quota.Limit{}, 1, 1000, 0))
-	require.Zero(t, quota.NewCounter(quota.Tolerance{Window: window}, 0).Pay("a", limitOf(0, 0), 1, 1, time.Hour).Paid)
+	require.Equal(t, quota.Grant{Granted: 1000}, c.Acquire("a", quota.Limit{}, 1, 1000, 0))
+	require.Zero(t, quota.NewCounter(quota.Tolerance{Window: window}, 0).Acquire("a", limitOf(0, 0), 1, 1, time.Hour).Granted)
 }
 
-// TestReservesOfAllHostsAddUp: what the hosts may run ahead is no more than its part
+// TestAllowancesOfAllHostsAddUp: what the hosts may run unconfirmed is no more than its part
 // of the tolerance, however many they are, and all agree on who counts.
-func TestReservesOfAllHostsAddUp(t *testing.T) {
+func TestAllowancesOfAllHostsAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := limitOf(rapid.Float64Range(0, 300).Draw(t, "rate"), rapid.Float64Range(0, 300).Draw(t, "burst"))
 		names := rapid.SliceOfNDistinct(rapid.StringMatching(`h[0-9]{1,3}`), 1, 60, rapid.ID[string]).Draw(t, "hosts")
@@ -158,7 +158,7 @@
 		var agreed []string
 		for _, h := range hosts {
 			p := quota.Place("team", l, tolerance, hosts, h)
-			sum += p.Ahead
+			sum += p.MaxUnconfirmed
 			sorted := slices.Sorted(slices.Values(p.Counters))
 			if agreed == nil {
 				agreed = sorted
@@ -171,12 +171,12 @@
 			}
 		}
 		if tolerated := bound(l, tolerance) - l.Rate*window.Seconds() - l.Burst; float64(sum) > tolerated/10 {
-			t.Fatalf("%d run ahead, %.1f are tolerated", sum, tolerated)
+			t.Fatalf("%d run unconfirmed, %.1f are tolerated", sum, tolerated)
 		}
 	})
 }
 
-// TestHostAsksItsOwnRegionFirst: a question to another region takes longer, and its
+// TestHostAsksItsOwnRegionFirst: a request to another region takes longer, and its
 // bytes are dear.
 func TestHostAsksItsOwnRegionFirst(t *testing.T) {
 	var hosts []quota.Host
@@ -197,14 +197,14 @@
 	}
 }
 
-// TestCounterThatStartsPaysForItsCallersAtOnce replays a return of all hosts from a
+// TestCounterThatStartsServesItsCallersAtOnce replays a return of all hosts from a
 // loss of power: what has come in since the start is there when the callers are.
-func TestCounterThatStartsPaysForItsCallersAtOnce(t *testing.T) {
+func TestCounterThatStartsServesItsCallersAtOnce(t *testing.T) {
 	l := limitOf(10, 10)
 	c := quota.NewCounter(tolerance, 0)
-	require.GreaterOrEqual(t, c.Pay("a", l, 3, 3, time.Second).Paid, 3)
+	require.GreaterOrEqual(t, c.Acquire("a", l, 3, 3, time.Second).Granted, 3)
 	c.HostLeft(2 * time.Second)
-	require.Zero(t, c.Pay("b", l, 3, 1, 2*time.Second).Paid, "the host that has left may have paid for it")
+	require.Zero(t, c.Acquire("b", l, 3, 1, 2*time.Second).Granted, "the host that has left may have granted it")
 }
 
 // TestSmallLimitIsServed: a team of one operation a second and no tolerance gets most
@@ -215,12 +215,12 @@
 	hosts := []quota.Host{{Name: "a", Region: "x"}, {Name: "b", Region: "y"}, {Name: "c", Region: "z"}}
 	require.Len(t, quota.Place("team", l, exact, hosts, hosts[0]).Counters, 1, "a part of it would be less than an operation")
 	c := quota.NewCounter(exact, 0)
-	var paid []time.Duration
+	var granted []time.Duration
 	for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
-		for range c.Pay("a", l, 1, 1, now).Paid {
-			paid = append(paid, now)
+		for range c.Acquire("a", l, 1, 1, now).Granted {
+			granted = append(granted, now)
 		}
 	}
-	require.LessOrEqual(t, busiest(paid), 5)
-	require.GreaterOrEqual(t, len(paid), 30, "of 60")
+	require.LessOrEqual(t, busiest(granted), 5)
+	require.GreaterOrEqual(t, len(granted), 30, "of 60")
 }
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -28,16 +28,16 @@
 // The flaws. The fleet without one keeps the bound.
 const (
 	none flaw = ""
-	// reserveReturns gives a host its reserve back once a second.
-	reserveReturns flaw = "a host's reserve comes back with time"
-	// lateAnswersCount runs what an answer pays for however late it is.
+	// allowanceReturns gives a host its allowance back once a second.
+	allowanceReturns flaw = "a host's allowance comes back with time"
+	// lateAnswersCount runs what an answer grants however late it is.
 	lateAnswersCount flaw = "a late or repeated answer is used"
-	// aheadAtOnce lets a host run ahead as soon as it has started.
-	aheadAtOnce flaw = "a host that starts runs ahead"
+	// unconfirmedAtOnce lets a host run operations unconfirmed as soon as it has started.
+	unconfirmedAtOnce flaw = "a host that starts runs operations unconfirmed"
 	// everySideCounts has each side of a cut fleet choose a counter of its own.
 	everySideCounts flaw = "each side of a cut has a counter"
-	// eachPaysAll has each counter pay as if it were the only one.
-	eachPaysAll flaw = "each counter pays the whole limit"
+	// eachGrantsAll has each counter grant as if it were the only one.
+	eachGrantsAll flaw = "each counter grants the whole limit"
 )
 
 // simHost is one host of a simulated fleet.
@@ -49,15 +49,15 @@
 	side int
 	// downUntil and frozenUntil are until when it is dead, or stands still.
 	downUntil, frozenUntil time.Duration
-	// asked is the question under way.
+	// asked is the request under way.
 	asked    time.Duration
 	asking   bool
 	sequence int
 	wanted   int
-	// left are the counters that it has not asked yet, and paid is what the others
-	// have paid.
-	left []string
-	paid int
+	// left are the counters that it has not asked yet, and granted is what the others
+	// have granted.
+	left    []string
+	granted int
 }
 
 type simMessage struct {
@@ -66,7 +66,7 @@
 	sequence int
 	answer   bool
 	wanted   int
-	payment  quota.Payment
+	grant    quota.Grant
 }
 
 // simFleet plays hosts whose datagrams are late, lost and repeated.
@@ -100,7 +100,7 @@
 
 func (s *simFleet) start(h *simHost, at time.Duration) {
 	started := at
-	if s.flaw == aheadAtOnce {
+	if s.flaw == unconfirmedAtOnce {
 		started = -time.Hour
 	}
 	h.meter, h.counter, h.asking = quota.NewMeter(tolerance, started), quota.NewCounter(tolerance, at), false
@@ -143,7 +143,7 @@
 			h.downUntil = 0
 			s.start(h, s.now)
 		}
-		if s.flaw == reserveReturns && s.now%time.Second == 0 {
+		if s.flaw == allowanceReturns && s.now%time.Second == 0 {
 			h.meter, h.asking = quota.NewMeter(tolerance, -time.Hour), false
 		}
 		s.play(h)
@@ -154,7 +154,7 @@
 func (s *simFleet) play(h *simHost) {
 	p := s.place(h)
 	for range s.arrivals() {
-		if h.meter.Admit(team, s.limit, p.Ahead, s.now).Verdict == quota.Admitted {
+		if h.meter.Admit(team, s.limit, p.MaxUnconfirmed, s.now).Verdict == quota.Admitted {
 			s.runs = append(s.runs, s.now)
 		}
 	}
@@ -164,28 +164,28 @@
 	if h.asking {
 		return
 	}
-	if wanted := h.meter.Question(team, s.now); wanted > 0 {
-		h.asking, h.left, h.wanted, h.paid = true, p.Counters, wanted, 0
+	if wanted := h.meter.Request(team, s.now); wanted > 0 {
+		h.asking, h.left, h.wanted, h.granted = true, p.Counters, wanted, 0
 		s.askNext(h)
 	}
 }
 
-// askNext asks the next counter for what is not paid for yet, and settles where there
+// askNext asks the next counter for what is not granted yet, and settles where there
 // is none.
 func (s *simFleet) askNext(h *simHost) {
-	if len(h.left) > 0 && h.paid < h.wanted {
+	if len(h.left) > 0 && h.granted < h.wanted {
 		h.sequence++
 		h.asked = s.now
-		s.send(simMessage{from: h.name, to: h.left[0], sequence: h.sequence, wanted: h.wanted - h.paid})
+		s.send(simMessage{from: h.name, to: h.left[0], sequence: h.sequence, wanted: h.wanted - h.granted})
 		h.left = h.left[1:]
 		return
 	}
 	h.asking = false
-	payment := quota.Payment{Paid: h.paid}
-	if h.paid < h.wanted {
-		payment.RetryAfter = 20 * time.Millisecond
+	grant := quota.Grant{Granted: h.granted}
+	if h.granted < h.wanted {
+		grant.RetryAfter = 20 * time.Millisecond
 	}
-	run, _ := h.meter.Answered(team, payment, s.now)
+	run, _ := h.meter.TakeGrant(team, grant, s.now)
 	for range run {
 		s.runs = append(s.runs, s.now)
 	}
@@ -240,35 +240,35 @@
 		if m.answer {
 			s.answered(s.find(m.to), m)
 		} else {
-			s.pay(s.find(m.to), m)
+			s.grant(s.find(m.to), m)
 		}
 	}
 }
 
-func (s *simFleet) pay(h *simHost, m simMessage) {
+func (s *simFleet) grant(h *simHost, m simMessage) {
 	p := s.place(h)
-	payment := quota.Payment{RetryAfter: answerTime}
+	grant := quota.Grant{RetryAfter: answerTime}
 	if slices.Contains(p.Counters, h.name) {
 		counters := len(p.Counters)
-		if s.flaw == eachPaysAll {
+		if s.flaw == eachGrantsAll {
 			counters = 1
 		}
-		payment = h.counter.Pay(team, s.limit, counters, m.wanted, s.now)
+		grant = h.counter.Acquire(team, s.limit, counters, m.wanted, s.now)
 	}
-	s.send(simMessage{from: h.name, to: m.from, sequence: m.sequence, answer: true, payment: payment})
+	s.send(simMessage{from: h.name, to: m.from, sequence: m.sequence, answer: true, grant: grant})
 }
 
 func (s *simFleet) answered(h *simHost, m simMessage) {
 	late := !h.asking || m.sequence != h.sequence || s.now-h.asked > answerTime
 	if late && s.flaw == lateAnswersCount {
-		for range m.payment.Paid {
+		for range m.grant.Granted {
 			s.runs = append(s.runs, s.now)
 		}
 	}
 	if late {
 		return
 	}
-	h.paid += m.payment.Paid
+	h.granted += m.grant.Granted
 	s.askNext(h)
 }
 
@@ -352,17 +352,17 @@
 		limit   quota.Limit
 		mishaps []mishap
 	}{
-		{reserveReturns, small, befall(mishap{at: 5 * time.Second, kind: "cut off"})},
+		{allowanceReturns, small, befall(mishap{at: 5 * time.Second, kind: "cut off"})},
 		{lateAnswersCount, small, nil},
-		{aheadAtOnce, limitOf(200, 200), again(befall(mishap{at: 5 * time.Second, kind: "kill"}), restartTime+50*time.Millisecond)},
+		{unconfirmedAtOnce, limitOf(200, 200), again(befall(mishap{at: 5 * time.Second, kind: "kill"}), restartTime+50*time.Millisecond)},
 		{everySideCounts, small, []mishap{{at: 6 * time.Second, kind: "cut", host: 0}}},
-		{eachPaysAll, small, nil},
+		{eachGrantsAll, small, nil},
 	} {
 		t.Run(string(p.flaw), func(t *testing.T) {
 			broken := false
 			for seed := range uint64(20) {
 				healthy, flawed := newSimFleet(none, seed, flawedSize, p.limit, 4), newSimFleet(p.flaw, seed, flawedSize, p.limit, 4)
-				// What is lost is not paid for again, and would hide the flaw.
+				// What is lost is not granted again, and would hide the flaw.
 				healthy.calm, flawed.calm = p.flaw != lateAnswersCount, p.flaw != lateAnswersCount
 				healthy.repeats, flawed.repeats = 0.5, 0.5
 				healthy.play20(p.mishaps)
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -23,9 +23,9 @@
 	Operations float64
 }
 
-// aheadPart is the part of the tolerance that hosts may run ahead of a payment. What
-// is refused within the tolerance is lost service, so the rest is paid for.
-const aheadPart = 0.1
+// unconfirmedPart is the part of the tolerance for operations that run before they are
+// granted. What is refused within the tolerance is lost service, so the rest is granted.
+const unconfirmedPart = 0.1
 
 // defaultWindow is the window where the platform names none.
 const defaultWindow = 5 * time.Second
@@ -44,9 +44,9 @@
 // tolerated returns how many more may run.
 func (t Tolerance) tolerated(l Limit) float64 { return t.Share*t.allowed(l) + t.Operations }
 
-// ahead returns how many operations all hosts together may run before a counter
+// unconfirmed returns how many operations all hosts together may run before a counter
 // has answered.
-func (t Tolerance) ahead(l Limit) int { return int(math.Floor(aheadPart * t.tolerated(l))) }
+func (t Tolerance) unconfirmed(l Limit) int { return int(math.Floor(unconfirmedPart * t.tolerated(l))) }
 
-// counted returns how many operations the counters pay for in any window.
-func (t Tolerance) counted(l Limit) float64 { return t.allowed(l) + (1-aheadPart)*t.tolerated(l) }
+// counted returns how many operations the counters grant in any window.
+func (t Tolerance) counted(l Limit) float64 { return t.allowed(l) + (1-unconfirmedPart)*t.tolerated(l) }
--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -27,14 +27,14 @@
 
 // meter is what one host keeps of one team.
 type meter struct {
-	// debt is what was run ahead of the payment.
-	debt int
-	// waiting counts the operations that wait for an answer, asked those that the
-	// present question covers, and asked debt that it covers.
-	waiting             int
-	askedDebt, askedFor int
-	asking              bool
-	// closedUntil is until when the counter cannot pay.
+	// unconfirmed counts the operations that were admitted before a grant.
+	unconfirmed int
+	// waiting counts the operations that wait for a grant. The request under way is for
+	// askedFor of these, and for askedUnconfirmed that were admitted already.
+	waiting                    int
+	askedUnconfirmed, askedFor int
+	asking                     bool
+	// closedUntil is until when no counter has anything left.
 	closedUntil time.Duration
 	used        time.Duration
 	// admitted and refused count its operations.
@@ -44,15 +44,15 @@
 // Use is what a host has decided of a team, since it last was idle for long.
 type Use struct {
 	Admitted, Refused int
-	// Debt is what runs or has run ahead of its payment.
-	Debt int
+	// Unconfirmed counts operations that were admitted and are not granted yet.
+	Unconfirmed int
 }
 
 // Uses returns the use of every team that is active.
 func (m *Meter) Uses() map[string]Use {
 	out := make(map[string]Use, len(m.teams))
 	for team, t := range m.teams {
-		out[team] = Use{Admitted: t.admitted, Refused: t.refused, Debt: t.debt}
+		out[team] = Use{Admitted: t.admitted, Refused: t.refused, Unconfirmed: t.unconfirmed}
 	}
 	return out
 }
@@ -60,20 +60,20 @@
 // Meter decides for one host which operations of the teams run. It is not safe for
 // concurrent use.
 type Meter struct {
-	// aheadFrom is when operations may first run ahead of their payment: the process
-	// before this one may have used the reserve in the same window.
-	aheadFrom time.Duration
-	teams     map[string]*meter
-	tidiedAt  time.Duration
+	// unconfirmedFrom is when operations may first run before they are granted: the
+	// process before this one may have used the allowance in the same window.
+	unconfirmedFrom time.Duration
+	teams           map[string]*meter
+	tidiedAt        time.Duration
 }
 
-// NewMeter returns the meter of a host that starts now and knows of no debt.
+// NewMeter returns the meter of a host that starts now.
 func NewMeter(t Tolerance, now time.Duration) *Meter {
-	return &Meter{aheadFrom: now + t.Window, teams: map[string]*meter{}}
+	return &Meter{unconfirmedFrom: now + t.Window, teams: map[string]*meter{}}
 }
 
-// Admit decides on an operation of a team that may run a number ahead.
-func (m *Meter) Admit(team string, l Limit, ahead int, now time.Duration) Decision {
+// Admit decides on an operation of a team of which some may run unconfirmed.
+func (m *Meter) Admit(team string, l Limit, unconfirmed int, now time.Duration) Decision {
 	if !l.Bounded {
 		return Decision{Verdict: Admitted}
 	}
@@ -81,8 +81,8 @@
 	t := m.of(team)
 	t.used = now
 	switch {
-	case t.debt < ahead && now >= m.aheadFrom:
-		t.debt++
+	case t.unconfirmed < unconfirmed && now >= m.unconfirmedFrom:
+		t.unconfirmed++
 		t.admitted++
 		return Decision{Verdict: Admitted}
 	case now < t.closedUntil:
@@ -109,26 +109,26 @@
 	return t
 }
 
-// Question returns how many operations the counter is to be asked for now. It
-// returns zero while it has been asked already, or has just said that it cannot
-// pay. Each question is ended by Answered or Unanswered.
-func (m *Meter) Question(team string, now time.Duration) int {
+// Request returns how many operations the counters are to be asked for now. It
+// returns zero while they have been asked already, or have just said that they have
+// nothing left. Each request is ended by TakeGrant or RequestFailed.
+func (m *Meter) Request(team string, now time.Duration) int {
 	t := m.of(team)
-	if t.asking || now < t.closedUntil || t.debt+t.waiting == 0 {
+	if t.asking || now < t.closedUntil || t.unconfirmed+t.waiting == 0 {
 		return 0
 	}
-	t.asking, t.askedDebt, t.askedFor = true, t.debt, t.waiting
-	return t.askedDebt + t.askedFor
+	t.asking, t.askedUnconfirmed, t.askedFor = true, t.unconfirmed, t.waiting
+	return t.askedUnconfirmed + t.askedFor
 }
 
-// Answered takes a payment. It returns how many of the operations that wait run
+// TakeGrant takes a grant. It returns how many of the operations that wait run
 // now, the oldest first, and how many of them are refused.
-func (m *Meter) Answered(team string, p Payment, now time.Duration) (run, refused int) {
+func (m *Meter) TakeGrant(team string, p Grant, now time.Duration) (run, refused int) {
 	t := m.of(team)
 	t.asking = false
-	settled := min(p.Paid, t.askedDebt, t.debt)
-	t.debt -= settled
-	run = min(p.Paid-settled, t.askedFor, t.waiting)
+	settled := min(p.Granted, t.askedUnconfirmed, t.unconfirmed)
+	t.unconfirmed -= settled
+	run = min(p.Granted-settled, t.askedFor, t.waiting)
 	refused = min(t.askedFor, t.waiting) - run
 	t.waiting -= run + refused
 	t.admitted += run
@@ -139,34 +139,34 @@
 	return run, refused
 }
 
-// Unanswered ends a question without an answer. The operations that it asked for
-// are refused; what was run ahead stays a debt.
-func (m *Meter) Unanswered(team string, now time.Duration) (refused int) {
-	_, refused = m.Answered(team, Payment{RetryAfter: unansweredPause}, now)
+// RequestFailed ends a request without a grant. The operations that it asked for are
+// refused; what was admitted already stays unconfirmed.
+func (m *Meter) RequestFailed(team string, now time.Duration) (refused int) {
+	_, refused = m.TakeGrant(team, Grant{RetryAfter: failedPause}, now)
 	return refused
 }
 
-// unansweredPause is how long nobody is asked after a question whose answer could not
+// failedPause is how long nobody is asked after a request whose grant could not
 // be used: about as long as a process takes to come back.
-const unansweredPause = 200 * time.Millisecond
+const failedPause = 200 * time.Millisecond
 
-// Unused takes back an operation that was admitted and that no member has run. It
-// shortens the debt; what is paid for already is not given back.
-func (m *Meter) Unused(team string) {
+// Refund takes back an operation that was admitted and that no member has run, as long
+// as it is unconfirmed; a grant is not given back.
+func (m *Meter) Refund(team string) {
 	t := m.of(team)
-	if t.debt > 0 && !t.asking {
-		t.debt--
+	if t.unconfirmed > 0 && !t.asking {
+		t.unconfirmed--
 	}
 }
 
-// tidy forgets the teams that have no debt and are not used.
+// tidy forgets the teams that are not used and have nothing unconfirmed.
 func (m *Meter) tidy(now time.Duration) {
 	if now-m.tidiedAt < tidyInterval {
 		return
 	}
 	m.tidiedAt = now
 	for team, t := range m.teams {
-		if t.debt == 0 && t.waiting == 0 && !t.asking && now-t.used > forgetAfter {
+		if t.unconfirmed == 0 && t.waiting == 0 && !t.asking && now-t.used > forgetAfter {
 			delete(m.teams, team)
 		}
 	}
--- a/core/quota/meter_test.go
+++ b/core/quota/meter_test.go
@@ -11,74 +11,74 @@
 
 var limited = limitOf(10, 10)
 
-func TestOperationRunsAheadOfItsPayment(t *testing.T) {
+func TestOperationRunsBeforeItsGrant(t *testing.T) {
 	m := quota.NewMeter(tolerance, -time.Hour)
 	require.Equal(t, quota.Admitted, m.Admit("a", limited, 1, 0).Verdict)
 	require.Equal(t, quota.Asking, m.Admit("a", limited, 1, 0).Verdict, "the reserve is used up")
-	require.Equal(t, 2, m.Question("a", 0), "the debt and the one that waits")
-	require.Zero(t, m.Question("a", 0), "one question at a time")
-	run, refused := m.Answered("a", quota.Payment{Paid: 2}, 0)
+	require.Equal(t, 2, m.Request("a", 0), "the unconfirmed one and the one that waits")
+	require.Zero(t, m.Request("a", 0), "one request at a time")
+	run, refused := m.TakeGrant("a", quota.Grant{Granted: 2}, 0)
 	require.Equal(t, 1, run)
 	require.Zero(t, refused)
-	require.Equal(t, quota.Admitted, m.Admit("a", limited, 1, 0).Verdict, "the debt is paid")
+	require.Equal(t, quota.Admitted, m.Admit("a", limited, 1, 0).Verdict, "what was unconfirmed is granted")
 }
 
-// TestDebtIsPaidFirst: a payment that does not cover all settles what has run.
-func TestDebtIsPaidFirst(t *testing.T) {
+// TestUnconfirmedIsGrantedFirst: a grant that does not cover all confirms what has run.
+func TestUnconfirmedIsGrantedFirst(t *testing.T) {
 	m := quota.NewMeter(tolerance, -time.Hour)
 	m.Admit("a", limited, 1, 0)
 	m.Admit("a", limited, 1, 0)
-	m.Question("a", 0)
-	run, refused := m.Answered("a", quota.Payment{Paid: 1, RetryAfter: time.Second}, 0)
+	m.Request("a", 0)
+	run, refused := m.TakeGrant("a", quota.Grant{Granted: 1, RetryAfter: time.Second}, 0)
 	require.Zero(t, run)
 	require.Equal(t, 1, refused)
 	require.Equal(t, quota.Admitted, m.Admit("a", limited, 1, 0).Verdict)
 	d := m.Admit("a", limited, 1, 100*time.Millisecond)
-	require.Equal(t, quota.Refused, d.Verdict, "refused at once, without a question")
+	require.Equal(t, quota.Refused, d.Verdict, "refused at once, without a request")
 	require.Equal(t, 900*time.Millisecond, d.RetryAfter)
 }
 
-// TestCutOffHostRunsItsReserveOnce: without a payment nothing comes back, however
+// TestCutOffHostRunsItsAllowanceOnce: without a grant nothing comes back, however
 // long it takes.
-func TestCutOffHostRunsItsReserveOnce(t *testing.T) {
+func TestCutOffHostRunsItsAllowanceOnce(t *testing.T) {
 	m := quota.NewMeter(tolerance, -time.Hour)
 	admitted := 0
 	for now := time.Duration(0); now < 10*time.Minute; now += 10 * time.Millisecond {
 		if m.Admit("a", limited, 2, now).Verdict == quota.Admitted {
 			admitted++
 		}
-		if m.Question("a", now) > 0 {
-			m.Unanswered("a", now)
+		if m.Request("a", now) > 0 {
+			m.RequestFailed("a", now)
 		}
 	}
 	require.Equal(t, 2, admitted)
 }
 
-// TestPaymentCoversWhatWasAskedFor: operations that came after the question wait for
+// TestGrantCoversWhatWasAskedFor: operations that came after the request wait for
 // the next one.
-func TestPaymentCoversWhatWasAskedFor(t *testing.T) {
+func TestGrantCoversWhatWasAskedFor(t *testing.T) {
 	m := quota.NewMeter(tolerance, -time.Hour)
 	m.Admit("a", limited, 0, 0)
-	m.Question("a", 0)
+	m.Request("a", 0)
 	m.Admit("a", limited, 0, 0)
-	run, refused := m.Answered("a", quota.Payment{Paid: 5}, 0)
+	run, refused := m.TakeGrant("a", quota.Grant{Granted: 5}, 0)
 	require.Equal(t, 1, run)
 	require.Zero(t, refused)
-	require.Equal(t, 1, m.Question("a", 0))
+	require.Equal(t, 1, m.Request("a", 0))
 }
 
-func TestUnusedOperationShortensTheDebt(t *testing.T) {
+func TestRefundOfAnUnconfirmedOperation(t *testing.T) {
 	m := quota.NewMeter(tolerance, -time.Hour)
 	m.Admit("a", limited, 1, 0)
-	m.Unused("a")
+	m.Refund("a")
 	require.Equal(t, quota.Admitted, m.Admit("a", limited, 1, 0).Verdict)
-	m.Question("a", 0)
-	m.Unused("a")
-	require.Equal(t, quota.Asking, m.Admit("a", limited, 1, 0).Verdict, "what is being paid for is not taken back")
+	m.Request("a", 0)
+	m.Refund("a")
+	require.Equal(t, quota.Asking, m.Admit("a", limited, 1, 0).Verdict, "what was asked for is not taken back")
 }
 
 // TestHostThatStartsRunsNothingAhead: the process before it may have used up the
-// reserve just before it was killed.
+// allowance just before it was killed.
 func TestHostThatStartsRunsNothingAhead(t *testing.T) {
 	m := quota.NewMeter(tolerance, 0)
 	require.Equal(t, quota.Asking, m.Admit("a", limited, 3, 0).Verdict)
@@ -88,5 +88,5 @@
 func TestTeamWithoutLimitNeedsNoCounter(t *testing.T) {
 	m := quota.NewMeter(tolerance, -time.Hour)
 	require.Equal(t, quota.Admitted, m.Admit("a", quota.Limit{}, 0, 0).Verdict)
-	require.Zero(t, m.Question("a", 0))
+	require.Zero(t, m.Request("a", 0))
 }
--- a/core/quota/placement.go
+++ b/core/quota/placement.go
@@ -25,14 +25,14 @@
 	leastCounted = 6
 )
 
-// Placement is who pays for a team's operations, and what one host may run ahead
-// of the payment.
+// Placement is who grants a team's operations, and how many one host may run before
+// they are granted.
 type Placement struct {
 	// Counters are the hosts that share the team's limit, in the order in which this
 	// host asks them: itself, that of its region, the others.
 	Counters []string
-	// Ahead is the host's part of the hosts' reserve.
-	Ahead int
+	// MaxUnconfirmed is how many operations this host may run before they are granted.
+	MaxUnconfirmed int
 }
 
 // scored is a host with its score for a team.
@@ -51,7 +51,7 @@
 	})
 	p := Placement{}
 	if r.listed {
-		p.Ahead = share(t.ahead(l), len(hosts), r.before)
+		p.MaxUnconfirmed = share(t.unconfirmed(l), len(hosts), r.before)
 	}
 	for _, h := range chosen {
 		p.Counters = append(p.Counters, h.Name)
--- a/node/edge/protocol.go
+++ b/node/edge/protocol.go
@@ -36,9 +36,9 @@
 	// AdmitOperation decides whether a team may run one more operation. It reports
 	// false for one beyond the team's limit, and when it is of use to come back.
 	AdmitOperation(ctx context.Context, team catalog.Team) (time.Duration, bool)
-	// OperationUnused takes back an operation that was admitted and that no member
+	// RefundOperation takes back an operation that was admitted and that no member
 	// has run.
-	OperationUnused(team catalog.Team)
+	RefundOperation(team catalog.Team)
 }
 
 // Observer is told of finished statements.
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -119,7 +119,7 @@
 	}
 	out := s.startOperation(set, w)
 	if out.Answer.Code == statement.Busy && out.Answer.Signature == "" && s.tx == nil {
-		s.gateway.backend.OperationUnused(s.team)
+		s.gateway.backend.RefundOperation(s.team)
 	}
 	return out
 }
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -19,8 +19,8 @@
 	return retryAfter, admitted
 }
 
-// OperationUnused implements edge.Backend.
-func (h *Host) OperationUnused(team catalog.Team) { h.limiter.Unused(team) }
+// RefundOperation implements edge.Backend.
+func (h *Host) RefundOperation(team catalog.Team) { h.limiter.Refund(team) }
 
 // limitOf returns the limit of a team in the newest configuration.
 func (h *Host) limitOf(team string) (quota.Limit, bool) {
@@ -32,15 +32,15 @@
 	return t.Limit, found
 }
 
-// askPayment asks the host that counts a team to pay for operations.
-func (h *Host) askPayment(ctx context.Context, address, team string, wanted int) (quota.Payment, bool) {
+// requestGrant asks a host that counts a team to grant operations.
+func (h *Host) requestGrant(ctx context.Context, address, team string, wanted int) (quota.Grant, bool) {
 	h.talk.add(talkQuota)
-	answer, err := h.peers.Probe(ctx, address, gossip.Message{AskQuota: &gossip.QuotaQuestion{Team: team, Operations: wanted}})
-	if err != nil || answer.Payment == nil {
-		h.log.Debug().Err(err).Str("peer", address).Str("team", team).Msg("a question for a payment had no answer")
-		return quota.Payment{}, false
+	answer, err := h.peers.Probe(ctx, address, gossip.Message{QuotaRequest: &gossip.QuotaRequest{Team: team, Operations: wanted}})
+	if err != nil || answer.Grant == nil {
+		h.log.Debug().Err(err).Str("peer", address).Str("team", team).Msg("a request for a grant had no answer")
+		return quota.Grant{}, false
 	}
-	return *answer.Payment, true
+	return *answer.Grant, true
 }
 
 // setFleet takes the hosts that are registered. It belongs to reconcile.
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -103,9 +103,9 @@
 			s.TakeLead(replicaset.Lead{Primary: l.Primary, Term: l.Term})
 		}
 	}
-	if q := m.AskQuota; q != nil {
-		p := h.limiter.Pay(q.Team, q.Operations)
-		out.Payment = &p
+	if q := m.QuotaRequest; q != nil {
+		p := h.limiter.Acquire(q.Team, q.Operations)
+		out.Grant = &p
 	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
--- a/node/entry/show_teams.go
+++ b/node/entry/show_teams.go
@@ -27,7 +27,7 @@
 	}
 	for name, use := range h.limiter.Uses() {
 		t := of(name)
-		t.Admitted, t.Refused, t.Debt = uint64(use.Admitted), uint64(use.Refused), uint32(use.Debt)
+		t.Admitted, t.Refused, t.Unconfirmed = uint64(use.Admitted), uint64(use.Refused), uint32(use.Unconfirmed)
 	}
 	for _, s := range h.allSets() {
 		for _, m := range s.MemberStats(now) {
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -36,14 +36,14 @@
 	Opinion *Opinion
 	// Lead tells of a promotion that the sender has led; nil tells of none.
 	Lead *Lead
-	// AskQuota asks the receiver to pay for operations; nil asks nothing.
-	AskQuota *QuotaQuestion
-	// Payment answers AskQuota.
-	Payment *quota.Payment
+	// QuotaRequest asks the receiver to grant operations; nil asks nothing.
+	QuotaRequest *QuotaRequest
+	// Grant answers a QuotaRequest.
+	Grant *quota.Grant
 }
 
-// QuotaQuestion asks to pay for operations of a team.
-type QuotaQuestion struct {
+// QuotaRequest asks for a grant of operations of a team.
+type QuotaRequest struct {
 	Team       string
 	Operations int
 }
@@ -111,7 +111,7 @@
 		Rumours: hostsToProto(m.Rumours), ConfigVersion: m.ConfigVersion,
 		AskFloors: m.AskFloors, Floors: floorsToProto(m.Floors),
 		AskLost: questionToProto(m.AskLost), Opinion: opinionToProto(m.Opinion), Lead: leadToProto(m.Lead),
-		AskQuota: quotaQuestionToProto(m.AskQuota), Payment: paymentToProto(m.Payment),
+		QuotaRequest: quotaRequestToProto(m.QuotaRequest), Grant: grantToProto(m.Grant),
 	})
 	if err != nil {
 		return nil, err
@@ -152,27 +152,27 @@
 	if l := p.GetLead(); l != nil {
 		m.Lead = &Lead{Service: l.GetService(), Primary: l.GetPrimary(), Term: logpos.Term(l.GetTerm())}
 	}
-	if q := p.GetAskQuota(); q != nil {
-		m.AskQuota = &QuotaQuestion{Team: q.GetTeam(), Operations: int(q.GetOperations())}
+	if q := p.GetQuotaRequest(); q != nil {
+		m.QuotaRequest = &QuotaRequest{Team: q.GetTeam(), Operations: int(q.GetOperations())}
 	}
-	if q := p.GetPayment(); q != nil {
-		m.Payment = &quota.Payment{Paid: int(q.GetPaid()), RetryAfter: time.Duration(q.GetRetryAfterUs()) * time.Microsecond}
+	if q := p.GetGrant(); q != nil {
+		m.Grant = &quota.Grant{Granted: int(q.GetGranted()), RetryAfter: time.Duration(q.GetRetryAfterUs()) * time.Microsecond}
 	}
 	return m, nil
 }
 
-func quotaQuestionToProto(q *QuotaQuestion) *peerpb.QuotaQuestion {
+func quotaRequestToProto(q *QuotaRequest) *peerpb.QuotaRequest {
 	if q == nil {
 		return nil
 	}
-	return &peerpb.QuotaQuestion{Team: q.Team, Operations: uint32(q.Operations)}
+	return &peerpb.QuotaRequest{Team: q.Team, Operations: uint32(q.Operations)}
 }
 
-func paymentToProto(p *quota.Payment) *peerpb.QuotaPayment {
+func grantToProto(p *quota.Grant) *peerpb.QuotaGrant {
 	if p == nil {
 		return nil
 	}
-	return &peerpb.QuotaPayment{Paid: uint32(p.Paid), RetryAfterUs: p.RetryAfter.Microseconds()}
+	return &peerpb.QuotaGrant{Granted: uint32(p.Granted), RetryAfterUs: p.RetryAfter.Microseconds()}
 }
 
 func leadToProto(l *Lead) *peerpb.Lead {
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -81,10 +81,10 @@
 		return
 	}
 	p.printf("\nteams, the busiest first\n")
-	p.printf("  TEAM\tLIMIT\tADMITTED\tREFUSED\tNOT PAID\tCONNECTIONS\tCOUNTED BY\n")
+	p.printf("  TEAM\tLIMIT\tADMITTED\tREFUSED\tNOT GRANTED\tCONNECTIONS\tCOUNTED BY\n")
 	for _, t := range s.Teams {
 		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%s\n",
-			t.Name, limitText(t), t.Admitted, t.Refused, t.Debt, t.Connections, orNone(strings.Join(t.Counters, " ")))
+			t.Name, limitText(t), t.Admitted, t.Refused, t.Unconfirmed, t.Connections, orNone(strings.Join(t.Counters, " ")))
 	}
 	if s.MoreTeams > 0 {
 		p.printf("  and %d more\n", s.MoreTeams)
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -1,5 +1,5 @@
 // Package limits keeps the teams' limits on one host. The decisions are those of
-// core/quota; this package carries the questions to the host that counts a team,
+// core/quota; this package carries the requests to the hosts that count a team,
 // and holds the operations that wait for an answer.
 package limits
 
@@ -25,13 +25,13 @@
 	// than a process takes to start again.
 	silentFor = 400 * time.Millisecond
 	// staleAfter is the age at which an answer is dropped: this host has stood still,
-	// and what was paid for belongs to a window that is over.
+	// and the grant belongs to a window that is over.
 	staleAfter = 500 * time.Millisecond
 )
 
-// AskFunc asks another host to pay for operations of a team. It reports false
+// AskFunc asks another host to grant operations of a team. It reports false
 // where no answer came.
-type AskFunc func(ctx context.Context, address, team string, wanted int) (quota.Payment, bool)
+type AskFunc func(ctx context.Context, address, team string, wanted int) (quota.Grant, bool)
 
 // Config is what a Limiter needs from its surroundings.
 type Config struct {
@@ -44,7 +44,7 @@
 	Limit func(team string) (quota.Limit, bool)
 }
 
-// Limiter decides on operations, and pays for those that other hosts ask for. It
+// Limiter decides on operations, and grants those that other hosts ask for. It
 // is safe for concurrent use; its lock is a leaf.
 type Limiter struct {
 	cfg Config
@@ -115,7 +115,7 @@
 	now := clock.Now()
 	l.mu.Lock()
 	place := l.placeOf(team.Name, team.Limit)
-	d := l.meter.Admit(team.Name, team.Limit, place.Ahead, now)
+	d := l.meter.Admit(team.Name, team.Limit, place.MaxUnconfirmed, now)
 	var ch chan outcome
 	if d.Verdict == quota.Asking {
 		ch = make(chan outcome, 1)
@@ -137,14 +137,14 @@
 	}
 }
 
-// Unused takes back an operation that was admitted and that no member has run.
-func (l *Limiter) Unused(team catalog.Team) {
+// Refund takes back an operation that was admitted and that no member has run.
+func (l *Limiter) Refund(team catalog.Team) {
 	if !team.Limit.Bounded {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.meter.Unused(team.Name)
+	l.meter.Refund(team.Name)
 }
 
 // Uses returns the use of every team that is active here.
@@ -166,21 +166,21 @@
 	return l.placeOf(team, limit).Counters
 }
 
-// Pay pays for operations that a host asks for.
-func (l *Limiter) Pay(team string, wanted int) quota.Payment {
+// Acquire grants operations that a host asks for.
+func (l *Limiter) Acquire(team string, wanted int) quota.Grant {
 	limit, known := l.cfg.Limit(team)
 	if !known {
 		// The host that asks has a newer configuration than this one.
-		return quota.Payment{RetryAfter: silentFor}
+		return quota.Grant{RetryAfter: silentFor}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	place := l.placeOf(team, limit)
 	if !slices.Contains(place.Counters, l.cfg.Self.Name) {
 		// The hosts do not agree on who is registered yet.
-		return quota.Payment{RetryAfter: answerTime}
+		return quota.Grant{RetryAfter: answerTime}
 	}
-	return l.counter.Pay(team, limit, len(place.Counters), wanted, clock.Now())
+	return l.counter.Acquire(team, limit, len(place.Counters), wanted, clock.Now())
 }
 
 // placeOf is called with mu held.
@@ -201,7 +201,7 @@
 // askNow asks for what is owed and waited for, unless that is under way. It is
 // called with mu held.
 func (l *Limiter) askNow(team catalog.Team, place quota.Placement, now time.Duration) {
-	wanted := l.meter.Question(team.Name, now)
+	wanted := l.meter.Request(team.Name, now)
 	if wanted == 0 {
 		return
 	}
@@ -209,8 +209,8 @@
 		go l.ask(team, place, wanted)
 		return
 	}
-	p := l.counter.Pay(team.Name, team.Limit, len(place.Counters), wanted, now)
-	if p.Paid == wanted {
+	p := l.counter.Acquire(team.Name, team.Limit, len(place.Counters), wanted, now)
+	if p.Granted == wanted {
 		l.settle(team, p, now)
 		return
 	}
@@ -218,21 +218,21 @@
 	go l.askOthers(team, place.Counters[1:], wanted, p)
 }
 
-// ask asks the counters in turn until all is paid for.
+// ask asks the counters in turn until all is granted.
 func (l *Limiter) ask(team catalog.Team, place quota.Placement, wanted int) {
-	l.askOthers(team, place.Counters, wanted, quota.Payment{})
+	l.askOthers(team, place.Counters, wanted, quota.Grant{})
 }
 
-// askOthers asks counters for what is not paid for yet, and settles what has come of
-// it. Without any answer, the operations are refused and what has run stays a debt.
-func (l *Limiter) askOthers(team catalog.Team, counters []string, wanted int, sum quota.Payment) {
+// askOthers asks counters for what is not granted yet, and settles what has come of it.
+// Without any answer, the operations are refused and what has run stays unconfirmed.
+func (l *Limiter) askOthers(team catalog.Team, counters []string, wanted int, sum quota.Grant) {
 	asked := clock.Now()
 	for _, counter := range counters {
-		if sum.Paid == wanted {
+		if sum.Granted == wanted {
 			break
 		}
-		p := l.askOne(counter, team.Name, wanted-sum.Paid)
-		sum.Paid += p.Paid
+		p := l.askOne(counter, team.Name, wanted-sum.Granted)
+		sum.Granted += p.Granted
 		if sum.RetryAfter == 0 || (p.RetryAfter > 0 && p.RetryAfter < sum.RetryAfter) {
 			sum.RetryAfter = p.RetryAfter
 		}
@@ -241,19 +241,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if now-asked > staleAfter {
-		l.tell(team.Name, 0, l.meter.Unanswered(team.Name, now), answerTime)
+		l.tell(team.Name, 0, l.meter.RequestFailed(team.Name, now), answerTime)
 		return
 	}
-	if sum.Paid == wanted {
+	if sum.Granted == wanted {
 		sum.RetryAfter = 0
 	}
 	l.settle(team, sum, now)
 }
 
-// settle takes a payment and asks again for what has come meanwhile. It is called
+// settle takes a grant and asks again for what has come meanwhile. It is called
 // with mu held.
-func (l *Limiter) settle(team catalog.Team, p quota.Payment, now time.Duration) {
-	run, refused := l.meter.Answered(team.Name, p, now)
+func (l *Limiter) settle(team catalog.Team, p quota.Grant, now time.Duration) {
+	run, refused := l.meter.TakeGrant(team.Name, p, now)
 	l.tell(team.Name, run, refused, p.RetryAfter)
 	l.askNow(team, l.placeOf(team.Name, team.Limit), now)
 }
@@ -271,11 +271,11 @@
 }
 
 // askOne asks one counter, some times, unless it has just been silent or had nothing
-// left. What it cannot tell it does not pay for.
-func (l *Limiter) askOne(counter, team string, wanted int) quota.Payment {
+// left. No answer grants nothing.
+func (l *Limiter) askOne(counter, team string, wanted int) quota.Grant {
 	address, wait := l.usable(counter, team)
 	if wait > 0 {
-		return quota.Payment{RetryAfter: wait}
+		return quota.Grant{RetryAfter: wait}
 	}
 	for range tries {
 		ctx, cancel := context.WithTimeout(context.Background(), answerTime)
@@ -289,11 +289,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silentUntil[counter] = clock.Now() + silentFor
-	return quota.Payment{RetryAfter: silentFor}
+	return quota.Grant{RetryAfter: silentFor}
 }
 
 // noteEmpty remembers that a counter has nothing left for a team.
-func (l *Limiter) noteEmpty(counter, team string, p quota.Payment) {
+func (l *Limiter) noteEmpty(counter, team string, p quota.Grant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if p.RetryAfter > 0 {
--- a/node/limits/limiter_test.go
+++ b/node/limits/limiter_test.go
@@ -16,30 +16,30 @@
 // team is limited to more than a test asks for.
 var team = catalog.Team{Name: "schools", Limit: quota.Limit{Bounded: true, Rate: 1000, Burst: 1000}}
 
-// network carries the questions of one limiter to made-up counters.
+// network carries the requests of one limiter to made-up counters.
 type network struct {
 	mu sync.Mutex
-	// silent are the addresses that do not answer, and empty those that pay nothing.
+	// silent are the addresses that do not answer, and empty those that have nothing left.
 	silent, empty map[string]bool
 	asked         []string
 }
 
-func (n *network) ask(ctx context.Context, address, _ string, wanted int) (quota.Payment, bool) {
+func (n *network) ask(ctx context.Context, address, _ string, wanted int) (quota.Grant, bool) {
 	n.mu.Lock()
 	n.asked = append(n.asked, address)
 	silent, empty := n.silent[address], n.empty[address]
 	n.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return quota.Payment{}, false
+		return quota.Grant{}, false
 	}
 	if empty {
-		return quota.Payment{RetryAfter: time.Second}, true
+		return quota.Grant{RetryAfter: time.Second}, true
 	}
-	return quota.Payment{Paid: wanted}, true
+	return quota.Grant{Granted: wanted}, true
 }
 
-func (n *network) questions() []string {
+func (n *network) requests() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.asked
@@ -64,46 +64,46 @@
 	return l, addresses
 }
 
-func TestCounterOfTheRegionPays(t *testing.T) {
+func TestCounterOfTheRegionIsAsked(t *testing.T) {
 	n := &network{}
 	l, _ := limiter(t, n)
 	_, admitted := l.Admit(context.Background(), team)
 	require.True(t, admitted)
-	require.Equal(t, []string{"a1:1"}, n.questions())
+	require.Equal(t, []string{"a1:1"}, n.requests())
 }
 
-// TestOtherCountersPayForASilentOne: the operation is admitted, and the silent
+// TestOtherCountersStandInForASilentOne: the operation is admitted, and the silent
 // counter is not asked again by the next one.
-func TestOtherCountersPayForASilentOne(t *testing.T) {
+func TestOtherCountersStandInForASilentOne(t *testing.T) {
 	n := &network{silent: map[string]bool{"a1:1": true}}
 	l, counters := limiter(t, n)
 	_, admitted := l.Admit(context.Background(), team)
 	require.True(t, admitted)
-	before := len(n.questions())
+	before := len(n.requests())
 	_, admitted = l.Admit(context.Background(), team)
 	require.True(t, admitted)
-	require.Equal(t, []string{counters[1]}, n.questions()[before:])
+	require.Equal(t, []string{counters[1]}, n.requests()[before:])
 }
 
-func TestOtherCountersPayForAnEmptyOne(t *testing.T) {
+func TestOtherCountersStandInForAnEmptyOne(t *testing.T) {
 	n := &network{empty: map[string]bool{"a1:1": true}}
 	l, counters := limiter(t, n)
 	_, admitted := l.Admit(context.Background(), team)
 	require.True(t, admitted)
-	require.Equal(t, counters[:2], n.questions())
+	require.Equal(t, counters[:2], n.requests())
 }
 
-// TestRefusedOnceAllAreEmpty: and the next one at once, without a question.
+// TestRefusedOnceAllAreEmpty: and the next one at once, without a request.
 func TestRefusedOnceAllAreEmpty(t *testing.T) {
 	n := &network{empty: map[string]bool{"a1:1": true, "b1:1": true, "c1:1": true}}
 	l, _ := limiter(t, n)
 	retryAfter, admitted := l.Admit(context.Background(), team)
 	require.False(t, admitted)
 	require.Positive(t, retryAfter)
-	before := len(n.questions())
+	before := len(n.requests())
 	_, admitted = l.Admit(context.Background(), team)
 	require.False(t, admitted)
-	require.Len(t, n.questions(), before)
+	require.Len(t, n.requests(), before)
 }
 
 // TestCutOffHostRefusesInTime: without any answer an operation is refused well before
@@ -117,12 +117,12 @@
 	require.Less(t, time.Since(began), 2*time.Second)
 }
 
-// TestUnknownTeamIsNotPaidFor: a host that has not heard of a team yet sends the one
+// TestUnknownTeamIsGrantedNothing: a host that has not heard of a team yet sends the one
 // that asks to another counter.
-func TestUnknownTeamIsNotPaidFor(t *testing.T) {
+func TestUnknownTeamIsGrantedNothing(t *testing.T) {
 	l, _ := limiter(t, &network{})
-	require.Zero(t, l.Pay("newer", 1).Paid)
-	require.Zero(t, l.Pay(team.Name, 1).Paid, "this host counts no team")
+	require.Zero(t, l.Acquire("newer", 1).Granted)
+	require.Zero(t, l.Acquire(team.Name, 1).Granted, "this host counts no team")
 }
 
 func TestTeamWithoutLimitAsksNobody(t *testing.T) {
@@ -130,5 +130,5 @@
 	l, _ := limiter(t, n)
 	_, admitted := l.Admit(context.Background(), catalog.Team{Name: "free"})
 	require.True(t, admitted)
-	require.Empty(t, n.questions())
+	require.Empty(t, n.requests())
 }
