--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -123,18 +123,18 @@
 
 // TakeGrant takes a grant. It returns how many of the operations that wait run
 // now, the oldest first, and how many of them are refused.
-func (m *Meter) TakeGrant(team string, p Grant, now time.Duration) (run, refused int) {
+func (m *Meter) TakeGrant(team string, g Grant, now time.Duration) (run, refused int) {
 	t := m.of(team)
 	t.asking = false
-	settled := min(p.Granted, t.askedUnconfirmed, t.unconfirmed)
+	settled := min(g.Granted, t.askedUnconfirmed, t.unconfirmed)
 	t.unconfirmed -= settled
-	run = min(p.Granted-settled, t.askedFor, t.waiting)
+	run = min(g.Granted-settled, t.askedFor, t.waiting)
 	refused = min(t.askedFor, t.waiting) - run
 	t.waiting -= run + refused
 	t.admitted += run
 	t.refused += refused
-	if p.RetryAfter > 0 {
-		t.closedUntil = now + p.RetryAfter
+	if g.RetryAfter > 0 {
+		t.closedUntil = now + g.RetryAfter
 	}
 	return run, refused
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -104,8 +104,8 @@
 		}
 	}
 	if q := m.QuotaRequest; q != nil {
-		p := h.limiter.Acquire(q.Team, q.Operations)
-		out.Grant = &p
+		grant := h.limiter.Acquire(q.Team, q.Operations)
+		out.Grant = &grant
 	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -209,13 +209,13 @@
 		go l.ask(team, place, wanted)
 		return
 	}
-	p := l.counter.Acquire(team.Name, team.Limit, len(place.Counters), wanted, now)
-	if p.Granted == wanted {
-		l.settle(team, p, now)
+	g := l.counter.Acquire(team.Name, team.Limit, len(place.Counters), wanted, now)
+	if g.Granted == wanted {
+		l.settle(team, g, now)
 		return
 	}
-	l.emptyUntil[account{team.Name, l.cfg.Self.Name}] = now + p.RetryAfter
-	go l.askOthers(team, place.Counters[1:], wanted, p)
+	l.emptyUntil[account{team.Name, l.cfg.Self.Name}] = now + g.RetryAfter
+	go l.askOthers(team, place.Counters[1:], wanted, g)
 }
 
 // ask asks the counters in turn until all is granted.
@@ -231,10 +231,10 @@
 		if sum.Granted == wanted {
 			break
 		}
-		p := l.askOne(counter, team.Name, wanted-sum.Granted)
-		sum.Granted += p.Granted
-		if sum.RetryAfter == 0 || (p.RetryAfter > 0 && p.RetryAfter < sum.RetryAfter) {
-			sum.RetryAfter = p.RetryAfter
+		g := l.askOne(counter, team.Name, wanted-sum.Granted)
+		sum.Granted += g.Granted
+		if sum.RetryAfter == 0 || (g.RetryAfter > 0 && g.RetryAfter < sum.RetryAfter) {
+			sum.RetryAfter = g.RetryAfter
 		}
 	}
 	now := clock.Now()
@@ -252,9 +252,9 @@
 
 // settle takes a grant and asks again for what has come meanwhile. It is called
 // with mu held.
-func (l *Limiter) settle(team catalog.Team, p quota.Grant, now time.Duration) {
-	run, refused := l.meter.TakeGrant(team.Name, p, now)
-	l.tell(team.Name, run, refused, p.RetryAfter)
+func (l *Limiter) settle(team catalog.Team, g quota.Grant, now time.Duration) {
+	run, refused := l.meter.TakeGrant(team.Name, g, now)
+	l.tell(team.Name, run, refused, g.RetryAfter)
 	l.askNow(team, l.placeOf(team.Name, team.Limit), now)
 }
 
@@ -279,11 +279,11 @@
 	}
 	for range tries {
 		ctx, cancel := context.WithTimeout(context.Background(), answerTime)
-		p, answered := l.cfg.Ask(ctx, address, team, wanted)
+		g, answered := l.cfg.Ask(ctx, address, team, wanted)
 		cancel()
 		if answered {
-			l.noteEmpty(counter, team, p)
-			return p
+			l.noteEmpty(counter, team, g)
+			return g
 		}
 	}
 	l.mu.Lock()
@@ -293,11 +293,11 @@
 }
 
 // noteEmpty remembers that a counter has nothing left for a team.
-func (l *Limiter) noteEmpty(counter, team string, p quota.Grant) {
+func (l *Limiter) noteEmpty(counter, team string, g quota.Grant) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if p.RetryAfter > 0 {
-		l.emptyUntil[account{team, counter}] = clock.Now() + p.RetryAfter
+	if g.RetryAfter > 0 {
+		l.emptyUntil[account{team, counter}] = clock.Now() + g.RetryAfter
 	}
 }
 
