--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -130,6 +130,11 @@
 	t.unconfirmed -= settled
 	run = min(g.Granted-settled, t.askedFor, t.waiting)
 	refused = min(t.askedFor, t.waiting) - run
+	if g.RetryAfter > 0 {
+		// Nothing is asked for until then, so that no answer would reach those that came
+		// while this one was under way.
+		refused = t.waiting - run
+	}
 	t.waiting -= run + refused
 	t.admitted += run
 	t.refused += refused
--- a/core/quota/meter_test.go
+++ b/core/quota/meter_test.go
@@ -90,3 +90,17 @@
 	require.Equal(t, quota.Admitted, m.Admit("a", quota.Limit{}, 0, 0).Verdict)
 	require.Zero(t, m.Request("a", 0))
 }
+
+// TestNobodyWaitsAtAnEmptyCounter: operations that came while the request was under way
+// are refused with the answer that nothing is left; no later answer would wake them.
+func TestNobodyWaitsAtAnEmptyCounter(t *testing.T) {
+	m := quota.NewMeter(tolerance, -time.Hour)
+	require.Equal(t, quota.Asking, m.Admit("a", limited, 0, 0).Verdict)
+	require.Equal(t, 1, m.Request("a", 0))
+	require.Equal(t, quota.Asking, m.Admit("a", limited, 0, 0).Verdict)
+	require.Equal(t, quota.Asking, m.Admit("a", limited, 0, 0).Verdict)
+	run, refused := m.TakeGrant("a", quota.Grant{RetryAfter: time.Second}, 0)
+	require.Zero(t, run)
+	require.Equal(t, 3, refused)
+	require.Zero(t, m.Request("a", 2*time.Second))
+}
--- a/node/limits/limiter_test.go
+++ b/node/limits/limiter_test.go
@@ -21,7 +21,9 @@
 	mu sync.Mutex
 	// silent are the addresses that do not answer, and empty those that have nothing left.
 	silent, empty map[string]bool
-	asked         []string
+	// held keeps answers back until it is closed; nil for none.
+	held  chan struct{}
+	asked []string
 }
 
 func (n *network) ask(ctx context.Context, address, _ string, wanted int) (quota.Grant, bool) {
@@ -29,6 +31,13 @@
 	n.asked = append(n.asked, address)
 	silent, empty := n.silent[address], n.empty[address]
 	n.mu.Unlock()
+	if n.held != nil {
+		select {
+		case <-n.held:
+		case <-ctx.Done():
+			return quota.Grant{}, false
+		}
+	}
 	if silent {
 		<-ctx.Done()
 		return quota.Grant{}, false
@@ -132,3 +141,30 @@
 	require.True(t, admitted)
 	require.Empty(t, n.requests())
 }
+
+// TestNobodyIsLeftWaiting: callers that come while a request is under way, whose answer
+// is that nothing is left, are told so with it.
+func TestNobodyIsLeftWaiting(t *testing.T) {
+	answer := make(chan struct{})
+	n := &network{empty: map[string]bool{"a1:1": true, "b1:1": true, "c1:1": true}, held: answer}
+	l, _ := limiter(t, n)
+	const callers = 5
+	done := make(chan bool, callers)
+	for range callers {
+		go func() {
+			_, admitted := l.Admit(context.Background(), team)
+			done <- admitted
+		}()
+	}
+	require.Eventually(t, func() bool { return len(n.requests()) > 0 }, time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	close(answer)
+	for range callers {
+		select {
+		case admitted := <-done:
+			require.False(t, admitted)
+		case <-time.After(2 * time.Second):
+			t.Fatal("a caller is left waiting")
+		}
+	}
+}
