--- a/node/soak/regressions_test.go
+++ b/node/soak/regressions_test.go
@@ -27,4 +27,11 @@
 		{At: 1500 * time.Millisecond, Kind: EmptyPrimary, Target: 1, For: 200 * time.Millisecond},
 		{At: 1600 * time.Millisecond, Kind: ForeignEntry, Target: 3, For: time.Second},
 	}},
+	// Seed 7001: a statement of a team without anything left waited for an answer that
+	// nobody was asked for, and was cut with the host that stopped.
+	{name: "a team is over its limit while hosts stop", seed: 7001, plan: []Event{
+		{At: 600 * time.Millisecond, Kind: StopHost, Target: 38321, For: time.Second},
+		{At: 1200 * time.Millisecond, Kind: StopHost, Target: 31719, For: time.Second},
+		{At: 1900 * time.Millisecond, Kind: StopHost, Target: 11869, For: time.Second},
+	}},
 }
