A kept share follows a change of a member's connections

Cause: found by reading. A share is worked out again only where the connections that may run something change; what is kept for teams depends on all that the member takes. After an operator's change of that number, gates kept the former one until the next change of their fleet. The test failed before, at 60 connections after 15.

Change: a share is worked out again when anything that it follows from has changed, the member as a whole and its connections.

--- a/core/gates/shares.go
+++ b/core/gates/shares.go
@@ -20,7 +20,8 @@
 // kept is what is kept of one member.
 type kept struct {
 	member Member
-	useful int
+	// usable is how many connections the member took.
+	usable int
 	top    *membership.Top
 	share  Share
 	// current tells that share follows from the rest.
@@ -33,14 +34,13 @@
 // For returns the share in a member, as the plan gives it.
 func (s *Shares) For(p Plan, m Member) Share {
 	s.follow(p.fleet)
-	useful := p.useful(m)
 	k, found := s.byMember[m.ID]
 	if !found || k.member.Zone != m.Zone || k.top.Stale() || k.top.Size() != p.gateCount(m) {
 		k = &kept{top: p.fleet.nearest(m, p.gateCount(m))}
 		s.byMember[m.ID] = k
 	}
-	if !k.current || k.useful != useful {
-		k.member, k.useful = m, useful
+	if !k.current || k.member != m || k.usable != p.usable {
+		k.member, k.usable = m, p.usable
 		k.share, k.current = p.share(m, s.host, k.top), true
 	}
 	return k.share
--- a/core/gates/shares_test.go
+++ b/core/gates/shares_test.go
@@ -72,3 +72,17 @@
 	_, known = gates.NewFleet(hosts, regions).Since(0)
 	require.False(t, known, "fleets without a history have nothing in common")
 }
+
+// TestKeptShareFollowsTheConnections: an operator changes how many connections a
+// member takes; what may run at once stays, but what is kept for teams does not.
+func TestKeptShareFollowsTheConnections(t *testing.T) {
+	f := gates.NewFleet(nil, regions).Next(fleet("a1", "a1"))
+	m := gates.Member{ID: "m", Zone: "a1", Slots: 1}
+	for _, host := range []string{"h0", "h1"} {
+		shares := gates.NewShares(host)
+		for _, connections := range []int{15, 60, 15} {
+			plan := gates.NewPlan(f, connections)
+			require.Equal(t, plan.For(m, host), shares.For(plan, m), "%s, %d connections", host, connections)
+		}
+	}
+}
