Say once what fails an operation; drop state and work that could be derived

A refused statement that may be a commit stood three times (now failWith); a member kept its gates beside the share that names them; two names for one count of connections; the next look at idle connections was worked out at every release although a timer stood; a wrapper around asking counters; a count that nobody called.

--- a/core/connpool/counts.go
+++ b/core/connpool/counts.go
@@ -21,6 +21,3 @@
 	p.counts = Counts{}
 	return c
 }
-
-// OpenByTeam counts the connections, those being opened included, by team.
-func (p *Pool) OpenByTeam() map[string]int { return p.openByTeam() }
--- a/core/connpool/idle.go
+++ b/core/connpool/idle.go
@@ -79,7 +79,7 @@
 	if len(p.idle) == 0 || p.Open() <= min(p.limits.Fair, 1) {
 		return 0
 	}
-	open := p.openByTeam()
+	open := p.OpenByTeam()
 	var soonest time.Duration
 	for i, c := range p.idle {
 		if at := c.since + p.idleFor(p.Open(), open[c.Team]); i == 0 || at < soonest {
@@ -89,8 +89,8 @@
 	return soonest
 }
 
-// openByTeam counts all connections by team.
-func (p *Pool) openByTeam() map[string]int {
+// OpenByTeam counts the connections, those being opened included, by team.
+func (p *Pool) OpenByTeam() map[string]int {
 	open := maps.Clone(p.used)
 	for team, n := range p.opening {
 		open[team] += n
@@ -118,7 +118,7 @@
 // one of a team that was used last is the last to go.
 func (p *Pool) Surplus(now time.Duration) []ConnID {
 	var out []ConnID
-	open, byTeam := p.Open(), p.openByTeam()
+	open, byTeam := p.Open(), p.OpenByTeam()
 	kept := p.idle[:0:0]
 	for _, c := range p.idle {
 		if now-c.since < p.idleFor(open, byTeam[c.Team]) {
--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -325,7 +325,7 @@
 func (p *Pool) Leave(id uint64) bool {
 	for i, w := range p.waiting {
 		if w.ID == id {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			p.takeWaiter(i)
 			return true
 		}
 	}
--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -36,7 +36,7 @@
 // HostLeft notes that this host may have become a counter of other teams. Load
 // pattern: all hosts come back from a loss of power and register one after the other,
 // while all callers return at once. A host that joins takes teams over, and has granted
-// for nothing since its start; it gives none to others, so that what has come in for
+// nothing since its start; it gives none to others, so that what has come in for
 // them since their start stays.
 func (c *Counter) HostLeft(now time.Duration) { c.since = now }
 
@@ -68,6 +68,3 @@
 		}
 	}
 }
-
-// Teams returns how many teams this host counts now.
-func (c *Counter) Teams() int { return len(c.teams) }
--- a/core/quota/meter.go
+++ b/core/quota/meter.go
@@ -134,13 +134,11 @@
 		// Nothing is asked for until then, so that no answer would reach those that came
 		// while this one was under way.
 		refused = t.waiting - run
+		t.closedUntil = now + g.RetryAfter
 	}
 	t.waiting -= run + refused
 	t.admitted += run
 	t.refused += refused
-	if g.RetryAfter > 0 {
-		t.closedUntil = now + g.RetryAfter
-	}
 	return run, refused
 }
 
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -45,7 +45,7 @@
 	record.Statement = st
 	route, found := c.Route(s.state.Database)
 	if found && !s.admit(c, route) && st.Kind != statement.Rollback {
-		return replicaset.Outcome{Answer: s.refuseSession(st)}
+		return replicaset.Outcome{Answer: s.failWith(st, statement.Refuse(statement.Unauthorized, "no team holds this session's key any more", statement.Idle))}
 	}
 	if answer, local := s.state.Local(st); local {
 		if st.Kind == statement.Rollback && s.state.State == statement.Idle {
@@ -63,17 +63,6 @@
 	return s.runRemote(st, route, a.at)
 }
 
-// refuseSession refuses a statement of a caller whose key was taken away. An open
-// transaction is rolled back; a commit ends it.
-func (s *caller) refuseSession(st statement.Statement) statement.Answer {
-	a := s.failStatement(statement.Refuse(statement.Unauthorized, "no team holds this session's key any more", statement.Idle))
-	if st.Kind == statement.Commit {
-		s.state.End()
-		a.State = s.state.State
-	}
-	return a
-}
-
 // admit finds the caller's team under a configuration. It reports false for a
 // caller that may not use the route: its key was taken away while its session
 // was open. A transaction that began in the name of another team is dropped, as
@@ -97,6 +86,17 @@
 	return a
 }
 
+// failWith is failStatement for a statement that may be a commit, which ends its
+// transaction whatever comes of it.
+func (s *caller) failWith(st statement.Statement, a statement.Answer) statement.Answer {
+	a = s.failStatement(a)
+	if st.Kind == statement.Commit {
+		s.state.End()
+		a.State = s.state.State
+	}
+	return a
+}
+
 func (s *caller) dropOwnTx() {
 	if s.tx != nil {
 		s.tx.Rollback()
@@ -141,11 +141,7 @@
 // refuseOperation refuses an operation beyond the team's limit. Nothing of it was
 // sent to a member.
 func (s *caller) refuseOperation(st statement.Statement, retryAfter time.Duration) replicaset.Outcome {
-	a := s.failStatement(statement.Refuse(statement.Busy, replicaset.RetryHint(retryAfter), statement.Idle))
-	if st.Kind == statement.Commit {
-		s.state.End()
-		a.State = s.state.State
-	}
+	a := s.failWith(st, statement.Refuse(statement.Busy, replicaset.RetryHint(retryAfter), statement.Idle))
 	return replicaset.Outcome{Answer: a, Cause: eventlog.ReasonQuota}
 }
 
@@ -176,11 +172,7 @@
 		tx, begun := set.Begin(s.ctx, w)
 		out = begun
 		if tx == nil {
-			out.Answer = s.failStatement(out.Answer)
-			if w.Statement.Kind == statement.Commit {
-				s.state.End()
-				out.Answer.State = statement.Idle
-			}
+			out.Answer = s.failWith(w.Statement, out.Answer)
 			return out
 		}
 		s.tx = tx
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -45,7 +45,7 @@
 
 // setFleet takes the hosts that are registered. It belongs to reconcile.
 func (h *Host) setFleet(f gates.Fleet) {
-	if f.Generation() == h.fleet.Generation() && h.fleet.Generation() > 0 {
+	if f.Generation() == h.fleet.Generation() {
 		return
 	}
 	h.fleet = f
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -206,7 +206,7 @@
 		return
 	}
 	if place.Counters[0] != l.cfg.Self.Name {
-		go l.ask(team, place, wanted)
+		go l.ask(team, place.Counters, wanted, quota.Grant{})
 		return
 	}
 	g := l.counter.Acquire(team.Name, team.Limit, len(place.Counters), wanted, now)
@@ -215,17 +215,12 @@
 		return
 	}
 	l.emptyUntil[account{team.Name, l.cfg.Self.Name}] = now + g.RetryAfter
-	go l.askOthers(team, place.Counters[1:], wanted, g)
+	go l.ask(team, place.Counters[1:], wanted, g)
 }
 
-// ask asks the counters in turn until all is granted.
-func (l *Limiter) ask(team catalog.Team, place quota.Placement, wanted int) {
-	l.askOthers(team, place.Counters, wanted, quota.Grant{})
-}
-
-// askOthers asks counters for what is not granted yet, and settles what has come of it.
+// ask asks counters in turn for what is not granted yet, and settles what has come of it.
 // Without any answer, the operations are refused and what has run stays unconfirmed.
-func (l *Limiter) askOthers(team catalog.Team, counters []string, wanted int, sum quota.Grant) {
+func (l *Limiter) ask(team catalog.Team, counters []string, wanted int, sum quota.Grant) {
 	asked := clock.Now()
 	for _, counter := range counters {
 		if sum.Granted == wanted {
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -41,12 +41,10 @@
 	// held is the end of its log when that was last seen, at heldAt.
 	held   logpos.Position
 	heldAt time.Duration
-	// gates are the hosts that keep this member's connections, unless this one
+	// share names the hosts that keep this member's connections, unless this one
 	// does; elsewhere counts the statements that run there.
-	gates     []string
+	share     gates.Share
 	elsewhere int
-	// share is where the gates come from; its route depends on the team.
-	share gates.Share
 	// restarted is the version of the role that a new life of the member began
 	// with; zero for a first life. What it says of its role then is not believed.
 	restarted uint64
@@ -71,7 +69,7 @@
 	m := &Member{
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
-		pool: connpool.New(share.Limits), gates: share.Gates, share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+		pool: connpool.New(share.Limits), share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
 	}
 	m.health.TimeoutsOnly = !s.without.Has(mechanism.ObservedSilence)
 	return m
@@ -104,7 +102,7 @@
 	return balance.Candidate{
 		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.places.RoundTrip(m.entry.Zone),
 		Answer: m.answer, InUse: m.pool.InUse() + m.elsewhere, Waiting: m.pool.Waiting(),
-		Idle:  m.pool.Idle() > 0 || len(m.gates) > 0,
+		Idle:  m.pool.Idle() > 0 || len(m.share.Gates) > 0,
 		Slots: m.entry.Slots, Suspect: m.health.Doubtful(now), Missing: m.entry.Missing,
 	}
 }
@@ -195,7 +193,7 @@
 	defer m.mu.Unlock()
 	m.entry = e
 	m.pool.SetLimits(share.Limits)
-	m.gates, m.share = share.Gates, share
+	m.share = share
 }
 
 // gateAddresses returns the hosts to send this host's statements to, the best
@@ -203,7 +201,7 @@
 func (m *Member) gateAddresses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.gates
+	return m.share.Gates
 }
 
 // keepsConnections reports whether this host is one of those that keep the
@@ -239,5 +237,5 @@
 func (m *Member) hasIdle() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.pool.Idle() > 0 || len(m.gates) > 0
+	return m.pool.Idle() > 0 || len(m.share.Gates) > 0
 }
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -243,8 +243,11 @@
 // armSurplus closes idle connections above the fair share when their time is
 // over. It is called with mu held.
 func (m *Member) armSurplus(now time.Duration) {
+	if m.surplusTimer != nil {
+		return
+	}
 	at := m.pool.SurplusAt()
-	if at == 0 || m.surplusTimer != nil {
+	if at == 0 {
 		return
 	}
 	m.surplusTimer = time.AfterFunc(max(at-now, 0), func() {
