Logs and metrics tell how far a host has heard of the store, and from whom

Added, with no change of what a host does: event 613 every five seconds, event 614 on a relay whose new follower has a newer revision than it, and three gauges.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -150,6 +150,7 @@
 	h.wg.Go(func() { h.reportGauges(h.ctx) })
 	h.wg.Go(func() { h.logReads(h.ctx) })
 	h.wg.Go(func() { h.logTalk(h.ctx) })
+	h.wg.Go(func() { h.logNews(h.ctx) })
 	return h, h.startGateway()
 }
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -89,7 +89,11 @@
 	if c := h.registry.Catalog(); c != nil {
 		m.Gauge("config_version", float64(c.Version))
 	}
-	m.Gauge("hosts", float64(len(h.registry.Hosts())))
+	st := h.registry.State()
+	m.Gauge("hosts", float64(st.Hosts))
+	m.Gauge("platform_revision", float64(st.Revision))
+	m.Gauge("platform_heard_seconds", st.Heard.Seconds())
+	m.Gauge("platform_followers", float64(st.Followers))
 	m.Gauge("log_lines_left_out", float64(h.budget.LeftOut()))
 	for _, s := range h.allSets() {
 		st := s.Stats(now)
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -57,6 +57,8 @@
 	RelayFollowed        = Event{610, "platform_relay_followed"}
 	RelayLost            = Event{611, "platform_relay_lost"}
 	FleetKnown           = Event{612, "fleet_known"}
+	NewsCounted          = Event{613, "platform_news_counted"}
+	FollowerAhead        = Event{614, "platform_follower_ahead"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -75,7 +77,7 @@
 		PrimaryBelievedDead, LossAgreed, PromotionOrdered, FirstWrite,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost, FleetKnown,
+		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost, FleetKnown, NewsCounted, FollowerAhead,
 	}
 }
 
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -54,6 +54,7 @@
 	now := clock.Now()
 	r.mu.Lock()
 	r.noteBack()
+	r.countNews(len(l.Items))
 	r.own = newOwnKeys()
 	clear(r.items)
 	var entries []directory.Entry
@@ -83,6 +84,7 @@
 	now := clock.Now()
 	r.mu.Lock()
 	r.noteBack()
+	r.countNews(len(l.Items))
 	r.heardAt = now
 	r.revision = max(r.revision, l.Revision)
 	var news []store.Item
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -51,6 +51,7 @@
 	defer watchdog.Stop()
 	r.mu.Lock()
 	after := r.revision
+	r.followed = host.Name
 	r.mu.Unlock()
 	eventlog.RelayFollowed.Info(r.log).Str("peer", host.Name).Uint64("revision", after).Send()
 	err := r.followHost(ctx, host.Address, after, func(n News) {
@@ -63,6 +64,7 @@
 	eventlog.RelayLost.Info(r.log).Str("peer", host.Name).Err(err).Send()
 	var refused *RelayRefusedError
 	r.mu.Lock()
+	r.followed = ""
 	r.relays.Failed(host.Name, errors.As(err, &refused), clock.Now())
 	r.mu.Unlock()
 	clock.Sleep(outer, relay.Settle+rand.N(relay.Settle))
@@ -93,6 +95,7 @@
 	defer r.countFollowers(-1)
 	beat := time.NewTicker(relay.Beat)
 	defer beat.Stop()
+	r.noteAhead(after)
 	for {
 		n, changed, err := r.newsAfter(after)
 		if err != nil {
@@ -101,6 +104,7 @@
 		if err := send(n); err != nil {
 			return err
 		}
+		r.countTold(len(n.Items))
 		after = n.Revision
 		select {
 		case <-changed:
@@ -111,6 +115,16 @@
 	}
 }
 
+// noteAhead logs a follower that has heard of a newer revision than this host.
+func (r *Registry) noteAhead(after uint64) {
+	r.mu.Lock()
+	revision := r.revision
+	r.mu.Unlock()
+	if after > revision {
+		eventlog.FollowerAhead.Warn(r.log).Uint64("after", after).Uint64("revision", revision).Send()
+	}
+}
+
 func (r *Registry) countFollowers(by int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -118,6 +118,8 @@
 	// store itself.
 	relays *relay.Relays
 	direct bool
+	// followed is the host that this one follows; empty while it follows none.
+	followed string
 	// heardAt is when the store, or the relay, last answered.
 	heardAt time.Duration
 	// history holds the newest changes, those after historyStart, for followers;
@@ -126,7 +128,8 @@
 	historyStart uint64
 	news         chan struct{}
 	// followers counts the hosts that follow this one.
-	followers int
+	followers  int
+	newsCounts NewsCounts
 	// items are all keys as they were written, for hosts that are cut off.
 	items map[string]store.Item
 	// unreadable holds the revisions of the entries that could not be read, so
--- a/node/registry/relay.go
+++ b/node/registry/relay.go
@@ -69,6 +69,7 @@
 	now := clock.Now()
 	r.mu.Lock()
 	r.told = l.Revision
+	r.newsCounts.FromPeers += len(l.Items)
 	for _, i := range l.Items {
 		r.takeEvent(i, now)
 	}
--- a/node/registry/state.go
+++ b/node/registry/state.go
@@ -13,8 +13,10 @@
 	// Heard is how long ago one of them last answered.
 	Heard    time.Duration
 	Revision uint64
-	// Direct tells that this host follows the store itself.
+	// Direct tells that this host follows the store itself; Relay is the host that it
+	// follows otherwise.
 	Direct           bool
+	Relay            string
 	Followers, Hosts int
 }
 
@@ -24,6 +26,6 @@
 	defer r.mu.Unlock()
 	return State{
 		Away: r.away, Heard: clock.Now() - r.heardAt, Revision: r.revision,
-		Direct: r.direct, Followers: r.followers, Hosts: len(r.own.hostNames()),
+		Direct: r.direct, Relay: r.followed, Followers: r.followers, Hosts: len(r.own.hostNames()),
 	}
 }
