Failing test: followers are deaf after the store came back from an older copy

The relay runs on the next configuration at once, the follower never: it is ahead of the relay and is told nothing.

--- /dev/null
+++ b/node/registry/restored_store_test.go
@@ -0,0 +1,115 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
+	"github.com/dotterelswitch/dotterelswitch/platform"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+)
+
+const (
+	// eventually bounds waits for something that must come.
+	eventually = 20 * time.Second
+	poll       = 5 * time.Millisecond
+	// callTime bounds one call to the stand-in store.
+	callTime = time.Second
+)
+
+// runAgainst runs the registry of a host against the stand-in store until the test
+// ends. Follow is nil for a host that follows nobody.
+func runAgainst(t *testing.T, p *lineplatform.Platform, self gates.Host, follow FollowFunc) *Registry {
+	t.Helper()
+	r := New(Config{
+		Store:     platform.NewStoreClient(p.Address(), http.DefaultClient, callTime),
+		Documents: platform.Documents{}, Self: self, FollowHost: follow, Changed: func() {}, Log: zerolog.New(zerolog.NewTestWriter(t)),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r
+}
+
+// registerFleet writes enough hosts of one zone for a relay, and returns them.
+func registerFleet(p *lineplatform.Platform) []gates.Host {
+	var fleet []gates.Host
+	for n := range relay.SmallFleet + 2 {
+		h := gates.Host{Name: fmt.Sprintf("host-%d", n), Zone: "a", Address: "unused"}
+		p.Store.Put(hostKey(h.Name), encodeHost(h))
+		fleet = append(fleet, h)
+	}
+	return fleet
+}
+
+// relayAndFollower picks the host of a fleet that watches the store, and one that
+// follows it.
+func relayAndFollower(t *testing.T, fleet []gates.Host) (relayed, follower gates.Host) {
+	t.Helper()
+	i := slices.IndexFunc(fleet, func(h gates.Host) bool {
+		_, follows := relay.New(h).Pick(fleet, 0)
+		return !follows
+	})
+	require.GreaterOrEqual(t, i, 0)
+	return fleet[i], fleet[(i+1)%len(fleet)]
+}
+
+// churn has the store's revision rise.
+func churn(p *lineplatform.Platform, changes int) {
+	for n := range changes {
+		p.Store.Put("op/unrelated", fmt.Append(nil, n))
+	}
+}
+
+// knows waits until a host runs on a version of the configuration.
+func knows(t *testing.T, name string, r *Registry, version uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool { c := r.Catalog(); return c != nil && c.Version == version }, eventually, poll, name)
+}
+
+// TestFollowersHearOfChangesAfterTheStoreWentBack: the revisions of a store that
+// comes back from an older copy are lower than what followers have heard of.
+func TestFollowersHearOfChangesAfterTheStoreWentBack(t *testing.T) {
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	first := p.Configure(nil, time.Second)
+	relayed, follower := relayAndFollower(t, registerFleet(p))
+	watching := runAgainst(t, p, relayed, func(context.Context, string, uint64, func(News)) error {
+		return errNotFollowing
+	})
+	following := runAgainst(t, p, follower, func(ctx context.Context, _ string, after uint64, take func(News)) error {
+		return watching.Tell(ctx, after, func(n News) error {
+			take(n)
+			return nil
+		})
+	})
+	for name, r := range map[string]*Registry{"relay": watching, "follower": following} {
+		knows(t, name, r, first)
+	}
+	older := p.Store.Copy()
+	churn(p, 300)
+	require.Eventually(t, func() bool {
+		return following.State().Relay == relayed.Name && following.State().Revision >= older.Revision()+300
+	}, eventually, poll, "the follower has heard of everything through its relay")
+
+	p.Store.Restore(older)
+	changed := p.Configure(nil, time.Second)
+	knows(t, "relay", watching, changed)
+	knows(t, "follower", following, changed)
+}
--- a/standin/lineplatform/store.go
+++ b/standin/lineplatform/store.go
@@ -31,9 +31,14 @@
 	LosingAnswers
 )
 
+// firstEra is the era of a store that has never lost anything.
+const firstEra = 1
+
 // Store is the key-value store. It is safe for concurrent use.
 type Store struct {
-	mu        sync.Mutex
+	mu sync.Mutex
+	// era rises by one each time the store comes back from a copy.
+	era       uint64
 	revision  uint64
 	compacted uint64
 	items     map[string]kvItem
@@ -50,7 +55,7 @@
 }
 
 func newStore() *Store {
-	return &Store{items: map[string]kvItem{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), closed: make(chan struct{})}
+	return &Store{era: firstEra, items: map[string]kvItem{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), closed: make(chan struct{})}
 }
 
 func (s *Store) close() {
--- a/standin/lineplatform/store_calls.go
+++ b/standin/lineplatform/store_calls.go
@@ -59,6 +59,7 @@
 func (s *Store) serve(w http.ResponseWriter, r *http.Request, call storeCall) {
 	switch outage := s.count(r); {
 	case outage == Refusing:
+		w.Header().Set("Store-Era", strconv.FormatUint(s.Era(), 10))
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case outage == Silent:
 		select {
@@ -86,6 +87,7 @@
 
 func (s *Store) answer(w http.ResponseWriter, r *http.Request, call storeCall) {
 	status, body := call(r)
+	w.Header().Set("Store-Era", strconv.FormatUint(s.Era(), 10))
 	w.WriteHeader(status)
 	if body != nil {
 		// A caller that has hung up does not read its answer.
@@ -141,7 +143,8 @@
 }
 
 // since returns the changes after a revision, and a channel that is closed by
-// the next one. It returns false when the history does not reach back so far.
+// the next one. It returns false when the history does not reach back so far, or
+// not up to the revision.
 func (s *Store) since(prefix string, after uint64) (watchAnswer, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,7 +154,7 @@
 			answer.Events = append(answer.Events, i)
 		}
 	}
-	return answer, s.changed, after >= s.compacted
+	return answer, s.changed, after >= s.compacted && after <= s.revision
 }
 
 func (s *Store) txn(r *http.Request) (int, any) {
--- a/standin/lineplatform/store_lease.go
+++ b/standin/lineplatform/store_lease.go
@@ -47,10 +47,15 @@
 	s.revision++
 	id := s.revision
 	ttl := time.Duration(body.TTL) * time.Millisecond
-	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.EndLease(id) })}
+	s.leases[id] = s.startLease(id, ttl)
 	return http.StatusOK, leaseAnswer{ID: id, TTL: body.TTL}
 }
 
+// startLease has a lease run from now on. It is called with mu held.
+func (s *Store) startLease(id uint64, ttl time.Duration) *lease {
+	return &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.EndLease(id) })}
+}
+
 func (s *Store) keep(r *http.Request) (int, any) {
 	id, err := number(r.PathValue("id"))
 	if err != nil {
