Order positions in the store by its epoch, then its revision

Cause: a store that returns from an older copy gives out lower revisions. Hosts kept the highest that they had seen, and a relay tells a follower only what is above that, so a follower that had not listed the store itself was told nothing until the numbers had caught up.

store.Revision now holds the epoch that the store names in its answers in its upper bits, so that every comparison that exists, between hosts as well, orders what came after a restore behind all that came before. Fencing tokens are the whole number: they rise across a restore and no two are equal.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -10,6 +10,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
 // Entry is what a member says of itself.
@@ -30,7 +32,7 @@
 	// tell. A member that starts again under its name has a later one.
 	StartedAt StartTime
 	// Revision is the version of the entry on the platform.
-	Revision uint64
+	Revision store.Revision
 }
 
 // StartTime is the moment at which a member started, in Unix milliseconds of
@@ -44,7 +46,7 @@
 	// Missing is set during the grace period of a lost entry.
 	Missing bool
 	// RoleRevision is the version in which the role last changed.
-	RoleRevision uint64
+	RoleRevision store.Revision
 	// LeavingSince is when Leaving was first seen; zero while it was not.
 	LeavingSince time.Duration
 	lostAt       time.Duration
@@ -72,7 +74,7 @@
 
 // departure is when a member was dropped and the version of that news.
 type departure struct {
-	revision uint64
+	revision store.Revision
 	at       time.Duration
 }
 
@@ -160,7 +162,7 @@
 
 // Lose notes that an entry is not on the platform any more. A member that had
 // announced its end is gone at once.
-func (d *Directory) Lose(id string, revision uint64, now time.Duration) {
+func (d *Directory) Lose(id string, revision store.Revision, now time.Duration) {
 	m, found := d.members[id]
 	if !found || revision < m.Revision {
 		return
@@ -175,13 +177,13 @@
 	}
 }
 
-func (d *Directory) drop(id string, revision uint64, now time.Duration) {
+func (d *Directory) drop(id string, revision store.Revision, now time.Duration) {
 	delete(d.members, id)
 	d.gone[id] = departure{revision: revision, at: now}
 }
 
 // Replace takes a complete listing: entries that are not in it are lost.
-func (d *Directory) Replace(entries []Entry, revision uint64, now time.Duration) {
+func (d *Directory) Replace(entries []Entry, revision store.Revision, now time.Duration) {
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -7,9 +7,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
-func entry(id string, revision uint64) directory.Entry {
+func entry(id string, revision store.Revision) directory.Entry {
 	return directory.Entry{ID: id, Service: "s", Address: "a:1", Revision: revision}
 }
 
@@ -67,11 +68,11 @@
 	d.Put(e, 0)
 	e.Revision = 8
 	d.Put(e, 0)
-	require.Equal(t, uint64(3), d.Members()[0].RoleRevision)
+	require.EqualValues(t, 3, d.Members()[0].RoleRevision)
 }
 
 // started returns an entry of the life that began at a time.
-func started(revision uint64, at directory.StartTime) directory.Entry {
+func started(revision store.Revision, at directory.StartTime) directory.Entry {
 	e := entry("a", revision)
 	e.StartedAt = at
 	return e
@@ -85,7 +86,7 @@
 	require.True(t, d.Put(started(5, 200), 2*time.Second))
 	m := d.Members()[0]
 	require.Equal(t, directory.StartTime(200), m.StartedAt)
-	require.Equal(t, uint64(5), m.RoleRevision, "its role is a new claim")
+	require.EqualValues(t, 5, m.RoleRevision, "its role is a new claim")
 	require.Zero(t, m.LeavingSince)
 }
 
--- a/core/store/errors.go
+++ b/core/store/errors.go
@@ -25,11 +25,15 @@
 	Compacted
 	// NotFound means that the key does not exist.
 	NotFound
+	// Restored means that the store has returned from an older copy since the caller
+	// last heard of it: what the call was based on may not hold there. A change may
+	// have been carried out.
+	Restored
 	// Rejected means that the store did not accept the call as it was.
 	Rejected
 )
 
-var failureNames = [...]string{"unanswered", "unavailable", "throttled", "conflict", "lease_ended", "compacted", "not_found", "rejected"}
+var failureNames = [...]string{"unanswered", "unavailable", "throttled", "conflict", "lease_ended", "compacted", "not_found", "restored", "rejected"}
 
 func (f Failure) String() string { return failureNames[f] }
 
@@ -39,7 +43,9 @@
 	Failure Failure
 	// Current is the state of the conditions' keys after a Conflict.
 	Current []Item
-	Err     error
+	// Epoch is the store's at its answer, after a Restored.
+	Epoch Epoch
+	Err   error
 }
 
 func (e *Error) Error() string {
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -8,8 +8,9 @@
 type Item struct {
 	Key   string
 	Value []byte
-	// Revision is the store's version of the last change of this key.
-	Revision uint64
+	// Revision is the store's version of the last change of this key. In the epoch
+	// after a restore it counts as a change of that epoch.
+	Revision Revision
 	Deleted  bool
 }
 
@@ -18,14 +19,14 @@
 	Items []Item
 	// Revision is the store's version that the listing is complete up to. A
 	// watch continues from it.
-	Revision uint64
+	Revision Revision
 }
 
 // Condition holds while a key was last changed in the given revision; zero
 // means that the key does not exist.
 type Condition struct {
 	Key      string
-	Revision uint64
+	Revision Revision
 }
 
 // Write sets a key. A lease that is not zero removes the key when it ends.
@@ -42,8 +43,31 @@
 	Deletes    []string
 }
 
-// Lease names a lease; zero is none.
-type Lease uint64
+// Holds reports whether a change says in an epoch of the store what it said to its
+// author: its conditions and leases are of that epoch.
+func (t Txn) Holds(in Epoch) bool {
+	for _, c := range t.Conditions {
+		if c.Revision != 0 && c.Revision.Epoch() != in {
+			return false
+		}
+	}
+	for _, w := range t.Writes {
+		if !w.Lease.None() && w.Lease.Epoch != in {
+			return false
+		}
+	}
+	return true
+}
+
+// Lease names a lease; the zero value is none. The store may grant a number again
+// after it has returned from an older copy, so a lease is one of its epoch.
+type Lease struct {
+	ID    uint64
+	Epoch Epoch
+}
+
+// None reports whether this is no lease.
+func (l Lease) None() bool { return l == Lease{} }
 
 // Grant is a lease and how long it runs from the arrival of the call.
 type Grant struct {
--- a/core/succession/belief.go
+++ b/core/succession/belief.go
@@ -6,7 +6,10 @@
 // and which replica holds the most of its log.
 package succession
 
-import "github.com/dotterelswitch/dotterelswitch/core/logpos"
+import (
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+)
 
 // Belief is what one host takes to be the primary of one group. It is not safe
 // for concurrent use.
@@ -21,7 +24,7 @@
 	// term is the newest term in which a member proved its lead to this host.
 	term logpos.Term
 	// revision is the version of the directory entry behind the newest claim.
-	revision uint64
+	revision store.Revision
 }
 
 // Primary returns the member believed to be the primary, or the empty string.
@@ -46,7 +49,7 @@
 
 // Claimed notes a directory entry in which a member calls itself primary since
 // the given version. Claims are heard in the order of their versions.
-func (b *Belief) Claimed(id string, revision uint64) {
+func (b *Belief) Claimed(id string, revision store.Revision) {
 	if revision > b.revision {
 		b.revision, b.id = revision, id
 	}
--- a/core/succession/lock.go
+++ b/core/succession/lock.go
@@ -1,8 +1,11 @@
 package succession
 
+import "github.com/dotterelswitch/dotterelswitch/core/store"
+
 // Lock is the promotion lock of a service as the platform's store has it. Its
 // revision is the fencing token of the host that holds it: each taking of the
-// lock gives a higher one, and the platform refuses calls with an older one.
+// lock gives a higher one, also after the store has returned from an older copy, and
+// the platform refuses calls with an older one.
 //
 // The holder leads the promotions of the service for as long as its lease runs.
 // So at a loss there is one host that has a token to act with already, whether
@@ -10,9 +13,12 @@
 type Lock struct {
 	// Holder is the host that holds the lock; empty while nobody does.
 	Holder   string
-	Revision uint64
+	Revision store.Revision
 }
 
+// Token returns the fencing token of the host that holds the lock.
+func (l Lock) Token() uint64 { return uint64(l.Revision) }
+
 // MayLead reports whether the holder of a lock may lead a promotion with the
 // token that it has. One that does not reach the store may have lost the lock
 // without hearing of it: the hosts that reach the store must still see it there.
@@ -26,7 +32,7 @@
 		return true
 	}
 	for _, o := range opinions {
-		if o.StoreReached && o.Lock != lock.Revision {
+		if o.StoreReached && o.Lock != lock.Token() {
 			return false
 		}
 	}
--- a/core/succession/opinion.go
+++ b/core/succession/opinion.go
@@ -14,8 +14,8 @@
 	Reaches bool
 	// StoreReached tells that it reaches the platform's store.
 	StoreReached bool
-	// Lock is the revision of the service's promotion lock that it knows; zero
-	// while nobody holds the lock.
+	// Lock is the token of the service's promotion lock that it knows; zero while
+	// nobody holds the lock.
 	Lock uint64
 	// Leading tells that it leads a promotion of the service, or is about to.
 	Leading bool
--- a/node/entry/news.go
+++ b/node/entry/news.go
@@ -21,7 +21,7 @@
 	if c := h.registry.Catalog(); c != nil {
 		version = c.Version
 	}
-	eventlog.NewsCounted.Info(h.log).Uint64("revision", st.Revision).Uint64("version", version).
+	eventlog.NewsCounted.Info(h.log).Stringer("revision", st.Revision).Uint64("version", version).
 		Bool("away", st.Away).Bool("direct", st.Direct).Str("relay", st.Relay).Dur("heard_ms", st.Heard).
 		Int("from_store", counts.FromStore).Int("from_relay", counts.FromRelay).Int("from_peers", counts.FromPeers).
 		Int("told", counts.Told).Int("followers", st.Followers).Send()
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -67,10 +67,10 @@
 }
 
 // Listing implements peer.GateHandler.
-func (h *Host) Listing(above uint64) store.Listing { return h.registry.Listing(above) }
+func (h *Host) Listing(above store.Revision) store.Listing { return h.registry.Listing(above) }
 
 // Tell implements peer.GateHandler.
-func (h *Host) Tell(ctx context.Context, after uint64, send func(registry.News) error) error {
+func (h *Host) Tell(ctx context.Context, after store.Revision, send func(registry.News) error) error {
 	return h.registry.Tell(ctx, after, send)
 }
 
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -34,7 +34,7 @@
 func (h *Host) showStore() *inspectpb.Store {
 	st := h.registry.State()
 	return &inspectpb.Store{
-		Away: st.Away, HeardMsAgo: uint32(st.Heard.Milliseconds()), Revision: st.Revision,
+		Away: st.Away, HeardMsAgo: uint32(st.Heard.Milliseconds()), Revision: st.Revision.Number(), Epoch: uint64(st.Revision.Epoch()), Relay: st.Relay,
 		Direct: st.Direct, Followers: uint32(st.Followers), Hosts: uint32(st.Hosts),
 	}
 }
@@ -54,7 +54,7 @@
 	lock := h.registry.LockOf(s.Service())
 	out := &inspectpb.Service{
 		Name: s.Service(), Primary: primary, Term: uint64(s.Term()),
-		Lock: &inspectpb.Lock{Holder: lock.Holder, Acting: h.leads(s.Service()), Token: lock.Revision},
+		Lock: &inspectpb.Lock{Holder: lock.Holder, Acting: h.leads(s.Service()), Token: lock.Token()},
 	}
 	if f, found := s.Floor(); found {
 		out.Floor = showPosition(f.Position)
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -59,6 +59,7 @@
 	FleetKnown           = Event{612, "fleet_known"}
 	NewsCounted          = Event{613, "platform_news_counted"}
 	FollowerAhead        = Event{614, "platform_follower_ahead"}
+	StoreRestored        = Event{615, "platform_restored"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -77,7 +78,7 @@
 		PrimaryBelievedDead, LossAgreed, PromotionOrdered, FirstWrite,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreached, PlatformReached, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost, FleetKnown, NewsCounted, FollowerAhead,
+		HistoryLost, EntryUnreadable, LeaseLost, RelayedBy, RelayFollowed, RelayLost, FleetKnown, NewsCounted, FollowerAhead, StoreRestored,
 	}
 }
 
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -64,7 +64,7 @@
 	Reaches bool
 	// StoreReached tells that the host reaches the platform's store.
 	StoreReached bool
-	// Lock is the revision of the service's promotion lock that it knows.
+	// Lock is the token of the service's promotion lock that it knows.
 	Lock uint64
 	// Leading tells that it leads a promotion of the service, or is about to.
 	Leading bool
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -59,12 +59,12 @@
 	if s.GetAway() {
 		reached = "AWAY"
 	}
-	way := "through another host"
+	way := "through " + orNone(s.GetRelay())
 	if s.GetDirect() {
 		way = "directly"
 	}
-	p.printf("store %s %s, heard %d ms ago, revision %d; hosts %d, followers %d\n",
-		reached, way, s.GetHeardMsAgo(), s.GetRevision(), s.GetHosts(), s.GetFollowers())
+	p.printf("store %s %s, heard %d ms ago, epoch %d, revision %d; hosts %d, followers %d\n",
+		reached, way, s.GetHeardMsAgo(), s.GetEpoch(), s.GetRevision(), s.GetHosts(), s.GetFollowers())
 }
 
 func (p *printer) service(s *inspectpb.Service) {
--- a/node/inspect/text_test.go
+++ b/node/inspect/text_test.go
@@ -15,7 +15,7 @@
 	s := &inspectpb.ShowResponse{
 		Host: "h1", Zone: "a", Ready: true, Sessions: 3, MaxSessions: 900,
 		Configuration: &inspectpb.Configuration{Version: 4, Routes: 2},
-		Store:         &inspectpb.Store{Away: true, HeardMsAgo: 700, Revision: 9, Direct: true, Hosts: 5},
+		Store:         &inspectpb.Store{Away: true, HeardMsAgo: 700, Epoch: 3, Revision: 9, Direct: true, Hosts: 5},
 		Services: []*inspectpb.Service{{
 			Name: "db", Primary: "db-1", Term: 2, Floor: &inspectpb.Position{Term: 2, Offset: 7}, FloorMsAgo: 30,
 			Lock: &inspectpb.Lock{Holder: "h2", Acting: true, Token: 8},
@@ -30,7 +30,7 @@
 	require.Equal(t, `host h1 in zone a: ready
 sessions 3 of 900, jobs of other hosts 0
 configuration 4 with 2 routes
-store AWAY directly, heard 700 ms ago, revision 9; hosts 5, followers 0
+store AWAY directly, heard 700 ms ago, epoch 3, revision 9; hosts 5, followers 0
 
 service db: primary db-1, term 2, floor 2/7 of 30 ms ago, lock 8 held by h2, which promotes
   UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE    LOG            THROUGH
--- a/node/peer/compress_test.go
+++ b/node/peer/compress_test.go
@@ -30,11 +30,11 @@
 	return replicaset.Result{Answer: statement.Answer{Code: statement.OK, Signature: "signature", Rows: []string{"a row"}}}
 }
 
-func (answering) Listing(uint64) store.Listing {
+func (answering) Listing(store.Revision) store.Listing {
 	return store.Listing{Revision: 7, Items: []store.Item{{Key: "config", Value: bytes.Repeat([]byte("route "), 17_000)}}}
 }
 
-func (answering) Tell(context.Context, uint64, func(registry.News) error) error { return nil }
+func (answering) Tell(context.Context, store.Revision, func(registry.News) error) error { return nil }
 
 func (answering) Detached(string) {}
 
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -128,18 +128,18 @@
 }
 
 // Listing asks another host what it knows of the store above a revision.
-func (c *GateClient) Listing(ctx context.Context, address string, above uint64) (store.Listing, error) {
-	resp, err := c.gate(address).client.Listing(ctx, connect.NewRequest(&peerpb.ListingRequest{Above: above}))
+func (c *GateClient) Listing(ctx context.Context, address string, above store.Revision) (store.Listing, error) {
+	resp, err := c.gate(address).client.Listing(ctx, connect.NewRequest(&peerpb.ListingRequest{Above: uint64(above)}))
 	if err != nil {
 		return store.Listing{}, callError(address, err)
 	}
-	return store.Listing{Revision: resp.Msg.GetRevision(), Items: itemsFromProto(resp.Msg.GetItems())}, nil
+	return store.Listing{Revision: store.Revision(resp.Msg.GetRevision()), Items: itemsFromProto(resp.Msg.GetItems())}, nil
 }
 
 // Follow has another host tell what changes in the store after a revision, until
 // the context or the stream ends.
-func (c *GateClient) Follow(ctx context.Context, address string, after uint64, take func(registry.News)) error {
-	stream, err := c.gate(address).client.Follow(ctx, connect.NewRequest(&peerpb.FollowRequest{After: after}))
+func (c *GateClient) Follow(ctx context.Context, address string, after store.Revision, take func(registry.News)) error {
+	stream, err := c.gate(address).client.Follow(ctx, connect.NewRequest(&peerpb.FollowRequest{After: uint64(after)}))
 	if err != nil {
 		return callError(address, err)
 	}
@@ -147,7 +147,7 @@
 	for stream.Receive() {
 		m := stream.Msg()
 		take(registry.News{
-			Listing:  store.Listing{Revision: m.GetRevision(), Items: itemsFromProto(m.GetItems())},
+			Listing:  store.Listing{Revision: store.Revision(m.GetRevision()), Items: itemsFromProto(m.GetItems())},
 			Complete: m.GetComplete(),
 		})
 	}
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -18,9 +18,9 @@
 	// RunJob carries a job out on a connection of this host.
 	RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result
 	// Listing returns what is known of the store above a revision.
-	Listing(above uint64) store.Listing
+	Listing(above store.Revision) store.Listing
 	// Tell tells a follower what changes in the store after a revision.
-	Tell(ctx context.Context, after uint64, send func(registry.News) error) error
+	Tell(ctx context.Context, after store.Revision, send func(registry.News) error) error
 	// Detached tells that the host that owns transactions is gone.
 	Detached(owner string)
 }
@@ -57,14 +57,14 @@
 
 // Listing implements the generated interface.
 func (s *gateServer) Listing(_ context.Context, req *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error) {
-	l := s.handler.Listing(req.Msg.GetAbove())
-	return connect.NewResponse(&peerpb.ListingResponse{Revision: l.Revision, Items: itemsToProto(l.Items)}), nil
+	l := s.handler.Listing(store.Revision(req.Msg.GetAbove()))
+	return connect.NewResponse(&peerpb.ListingResponse{Revision: uint64(l.Revision), Items: itemsToProto(l.Items)}), nil
 }
 
 // Follow implements the generated interface.
 func (s *gateServer) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest], stream *connect.ServerStream[peerpb.FollowResponse]) error {
-	err := s.handler.Tell(ctx, req.Msg.GetAfter(), func(n registry.News) error {
-		return stream.Send(&peerpb.FollowResponse{Revision: n.Revision, Items: itemsToProto(n.Items), Complete: n.Complete})
+	err := s.handler.Tell(ctx, store.Revision(req.Msg.GetAfter()), func(n registry.News) error {
+		return stream.Send(&peerpb.FollowResponse{Revision: uint64(n.Revision), Items: itemsToProto(n.Items), Complete: n.Complete})
 	})
 	return connect.NewError(connect.CodeUnavailable, err)
 }
--- a/node/peer/items.go
+++ b/node/peer/items.go
@@ -8,7 +8,7 @@
 func itemsToProto(items []store.Item) []*peerpb.StoreItem {
 	out := make([]*peerpb.StoreItem, 0, len(items))
 	for _, i := range items {
-		out = append(out, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+		out = append(out, &peerpb.StoreItem{Key: i.Key, Value: i.Value, Revision: uint64(i.Revision), Deleted: i.Deleted})
 	}
 	return out
 }
@@ -16,7 +16,7 @@
 func itemsFromProto(items []*peerpb.StoreItem) []store.Item {
 	out := make([]store.Item, 0, len(items))
 	for _, i := range items {
-		out = append(out, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: i.GetRevision(), Deleted: i.GetDeleted()})
+		out = append(out, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: store.Revision(i.GetRevision()), Deleted: i.GetDeleted()})
 	}
 	return out
 }
--- a/node/promoter/ask.go
+++ b/node/promoter/ask.go
@@ -96,7 +96,7 @@
 	p.askedUntil = now + askedFor
 	p.mu.Unlock()
 	o := succession.Opinion{
-		Host: p.host, StoreReached: !p.registry.Away(), Lock: p.registry.LockOf(p.service).Revision,
+		Host: p.host, StoreReached: !p.registry.Away(), Lock: p.registry.LockOf(p.service).Token(),
 		Dead: p.hasLost(life, now) && !p.stoodStill(now), Reaches: p.reaches(life, now), Leading: p.leading.Load(),
 	}
 	if !o.Dead {
--- a/node/promoter/keep_store.go
+++ b/node/promoter/keep_store.go
@@ -123,7 +123,7 @@
 // lost.
 func (p *Promoter) vacancyIsMine(lock succession.Lock, now time.Duration) bool {
 	p.mu.Lock()
-	stale := lock.Holder == p.host && lock.Revision != p.token
+	stale := lock.Holder == p.host && lock.Token() != p.token
 	p.mu.Unlock()
 	if !stale && (lock.Holder != "" || p.rank("") > 0) {
 		p.keeper.vacantSince = 0
--- a/node/promoter/lead.go
+++ b/node/promoter/lead.go
@@ -20,7 +20,7 @@
 	lock, life := p.registry.LockOf(p.service), p.subject()
 	p.mu.Lock()
 	quiet := now < p.quietUntil
-	holds := lock.Holder == p.host && lock.Revision == p.token && lock.Revision > p.fenced
+	holds := lock.Holder == p.host && lock.Token() == p.token && lock.Token() > p.fenced
 	opinions := p.opinions.Of(life, now)
 	p.mu.Unlock()
 	away := p.registry.Away()
@@ -28,9 +28,9 @@
 	p.leading.Store(able)
 	switch {
 	case able:
-		eventlog.LossAgreed.Info(p.log).Str("upstream", failed).Uint64("token", lock.Revision).
+		eventlog.LossAgreed.Info(p.log).Str("upstream", failed).Uint64("token", lock.Token()).
 			Bool("store_away", away).Int("opinions", len(opinions)).Send()
-		p.lead(ctx, lock.Revision, promote)
+		p.lead(ctx, lock.Token(), promote)
 	case !quiet && !away && now >= p.turn(lock):
 		p.takeOver(ctx, lock, promote)
 	}
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
@@ -45,14 +46,24 @@
 	if r.away {
 		r.away = false
 		r.noteReached()
-		eventlog.PlatformReached.Info(r.log).Uint64("revision", r.revision).Send()
+		eventlog.PlatformReached.Info(r.log).Stringer("revision", r.revision).Send()
 	}
 }
 
-// replace takes a complete listing.
-func (r *Registry) replace(l store.Listing) {
+// errOlderEpoch is an answer that was given before the store returned from a copy,
+// to a host that has heard of the store since.
+var errOlderEpoch = errors.New("the answer is of an older epoch of the store")
+
+// replace takes a complete listing. It fails on one of an older epoch than this host
+// has heard of.
+func (r *Registry) replace(l store.Listing) error {
 	now := clock.Now()
 	r.mu.Lock()
+	if l.Revision.Epoch() < r.revision.Epoch() {
+		r.mu.Unlock()
+		return errOlderEpoch
+	}
+	r.noteEpoch(l.Revision)
 	r.noteBack()
 	r.countNews(len(l.Items))
 	r.own = newOwnKeys()
@@ -77,6 +88,15 @@
 	r.forgetHistory()
 	r.mu.Unlock()
 	r.changed()
+	return nil
+}
+
+// noteEpoch logs that the store has returned from an older copy. It is called with
+// mu held.
+func (r *Registry) noteEpoch(next store.Revision) {
+	if r.heardAt > 0 && next.Epoch() > r.revision.Epoch() {
+		eventlog.StoreRestored.Warn(r.log).Stringer("revision", next).Stringer("was", r.revision).Send()
+	}
 }
 
 // apply takes the events of a watch.
@@ -173,7 +193,7 @@
 	}
 	if seen, found := r.unreadable[i.Key]; !found || seen < i.Revision {
 		r.unreadable[i.Key] = i.Revision
-		eventlog.EntryUnreadable.Warn(r.log).Err(err).Str("key", i.Key).Uint64("revision", i.Revision).Send()
+		eventlog.EntryUnreadable.Warn(r.log).Err(err).Str("key", i.Key).Stringer("revision", i.Revision).Send()
 	}
 	return directory.Entry{}, false
 }
--- a/node/registry/counted.go
+++ b/node/registry/counted.go
@@ -64,14 +64,14 @@
 }
 
 // Watch implements Store.
-func (c *countedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Listing, error) {
+func (c *countedStore) Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Listing, error) {
 	l, err := c.store.Watch(ctx, prefix, after, wait)
 	c.done(CallWatch, err)
 	return l, err
 }
 
 // Commit implements Store.
-func (c *countedStore) Commit(ctx context.Context, txn store.Txn) (uint64, error) {
+func (c *countedStore) Commit(ctx context.Context, txn store.Txn) (store.Revision, error) {
 	revision, err := c.store.Commit(ctx, txn)
 	c.done(CallCommit, err)
 	return revision, err
--- a/node/registry/counted_test.go
+++ b/node/registry/counted_test.go
@@ -19,11 +19,11 @@
 	return store.Listing{}, f.err
 }
 
-func (f failingStore) Watch(context.Context, string, uint64, time.Duration) (store.Listing, error) {
+func (f failingStore) Watch(context.Context, string, store.Revision, time.Duration) (store.Listing, error) {
 	return store.Listing{}, f.err
 }
 
-func (f failingStore) Commit(context.Context, store.Txn) (uint64, error) { return 0, f.err }
+func (f failingStore) Commit(context.Context, store.Txn) (store.Revision, error) { return 0, f.err }
 
 func (f failingStore) GrantLease(context.Context, time.Duration) (store.Grant, error) {
 	return store.Grant{}, f.err
@@ -52,7 +52,7 @@
 		_, e2 := s.Watch(ctx, "", 0, 0)
 		_, e3 := s.Commit(ctx, store.Txn{})
 		_, e4 := s.GrantLease(ctx, 0)
-		for _, e := range []error{e1, e2, e3, e4, s.RenewLease(ctx, 1), s.EndLease(ctx, 1)} {
+		for _, e := range []error{e1, e2, e3, e4, s.RenewLease(ctx, store.Lease{ID: 1}), s.EndLease(ctx, store.Lease{ID: 1})} {
 			require.Equal(t, err, e)
 		}
 		require.Equal(t, []counted{
--- a/node/registry/effect_test.go
+++ b/node/registry/effect_test.go
@@ -13,7 +13,7 @@
 )
 
 // livingItem is a heartbeat of a member in one of its lives.
-func livingItem(id string, revision, beat, startedAt uint64) store.Item {
+func livingItem(id string, revision store.Revision, beat, startedAt uint64) store.Item {
 	value := fmt.Sprintf(`{"service":"svc","address":"10.1.0.9:8080","zone":"z","version":"v1","capacity":2,"state":"ready","cold_left_ms":0,"db_role":"replica","sequence":%d,"born":%d}`, beat, startedAt)
 	return store.Item{Key: "servers/" + id, Revision: revision, Value: []byte(value)}
 }
@@ -36,7 +36,8 @@
 	_, woken, err := r.newsAfter(1)
 	require.NoError(t, err)
 	for beat := range uint64(50) {
-		r.apply(listing(beat+2, livingItem("m", beat+2, beat+2, 500)))
+		revision := store.Revision(beat + 2)
+		r.apply(listing(revision, livingItem("m", revision, beat+2, 500)))
 	}
 	require.Zero(t, *changes)
 	select {
@@ -61,8 +62,8 @@
 func TestFollowersHearOfADoubtfulLife(t *testing.T) {
 	r, _ := countingRegistry()
 	follower, _ := countingRegistry()
-	for revision := uint64(2); revision < 5; revision++ {
-		r.apply(listing(revision, livingItem("m", revision, revision, 300)))
+	for revision := store.Revision(2); revision < 5; revision++ {
+		r.apply(listing(revision, livingItem("m", revision, uint64(revision), 300)))
 		follower.takeNews(firstNews(t, r, revision-1))
 	}
 	require.Equal(t, r.Groups()["svc"][0].StartedAt, follower.Groups()["svc"][0].StartedAt)
--- a/node/registry/entries_test.go
+++ b/node/registry/entries_test.go
@@ -14,12 +14,12 @@
 	"github.com/dotterelswitch/dotterelswitch/platform"
 )
 
-func memberItem(id string, revision uint64) store.Item {
+func memberItem(id string, revision store.Revision) store.Item {
 	value := `{"service":"svc","address":"10.1.0.9:8080","zone":"z","version":"v1","capacity":2,"state":"ready","cold_left_ms":0,"db_role":"replica","sequence":4}`
 	return store.Item{Key: "servers/" + id, Revision: revision, Value: []byte(value)}
 }
 
-func badItem(id string, revision uint64) store.Item {
+func badItem(id string, revision store.Revision) store.Item {
 	return store.Item{Key: "servers/" + id, Revision: revision, Value: []byte("{")}
 }
 
@@ -31,7 +31,7 @@
 	return New(Config{Store: away, Documents: platform.Documents{}, Self: gates.Host{Name: "self"}, Changed: func() {}, Log: zerolog.New(&log)}), &log
 }
 
-func listing(revision uint64, items ...store.Item) store.Listing {
+func listing(revision store.Revision, items ...store.Item) store.Listing {
 	return store.Listing{Revision: revision, Items: items}
 }
 
--- a/node/registry/first_listing_test.go
+++ b/node/registry/first_listing_test.go
@@ -88,10 +88,10 @@
 }
 
 func (s *slowListings) GrantLease(context.Context, time.Duration) (store.Grant, error) {
-	return store.Grant{Lease: 1}, nil
+	return store.Grant{Lease: store.Lease{ID: 1}}, nil
 }
 
-func (s *slowListings) Commit(context.Context, store.Txn) (uint64, error) { return 6, nil }
+func (s *slowListings) Commit(context.Context, store.Txn) (store.Revision, error) { return 6, nil }
 
 // TestBusyStoreIsNotAskedTwiceForAListing replays the return of a whole fleet:
 // the store answers, and the first listing is on its way. A second one would only
@@ -126,9 +126,9 @@
 	for _, c := range []struct {
 		name string
 		// registered is the revision of this life's registration; zero before it.
-		registered uint64
+		registered store.Revision
 		// listed is the revision of the host's key in the listing; zero for none.
-		listed     uint64
+		listed     store.Revision
 		remembered bool
 	}{
 		{"the lease has lapsed", 0, 0, false},
@@ -167,7 +167,7 @@
 	return store.Listing{Revision: 7}, nil
 }
 
-func (s *awayStore) Watch(context.Context, string, uint64, time.Duration) (store.Listing, error) {
+func (s *awayStore) Watch(context.Context, string, store.Revision, time.Duration) (store.Listing, error) {
 	s.watches.Add(1)
 	return store.Listing{}, errAway
 }
@@ -177,7 +177,7 @@
 	if !s.back.Load() {
 		return store.Grant{}, errAway
 	}
-	return store.Grant{Lease: 1}, nil
+	return store.Grant{Lease: store.Lease{ID: 1}}, nil
 }
 
 // TestHostRegistersAsSoonAsTheStoreIsBack replays a host that starts beside a
@@ -222,7 +222,9 @@
 			s := &awayStore{}
 			r := New(Config{
 				Store: s, Documents: platform.Documents{}, Self: gates.Host{Name: fmt.Sprint("host-", i), Zone: "z"}, Changed: func() {}, Log: zerolog.Nop(),
-				FollowHost: func(context.Context, string, uint64, func(News)) error { return &RelayRefusedError{Err: errAway} },
+				FollowHost: func(context.Context, string, store.Revision, func(News)) error {
+					return &RelayRefusedError{Err: errAway}
+				},
 			})
 			r.replace(store.Listing{Revision: 7, Items: fleet})
 			r.catalog = &catalog.Catalog{}
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -23,7 +23,7 @@
 // FollowFunc follows another host's registry from a revision. It calls take for
 // each piece of news, and returns when the stream ends: with a *RelayRefusedError
 // where the other host has ended it.
-type FollowFunc func(ctx context.Context, address string, after uint64, take func(News)) error
+type FollowFunc func(ctx context.Context, address string, after store.Revision, take func(News)) error
 
 // RelayRefusedError reports a relay that has said itself that it does not relay at
 // present.
@@ -53,10 +53,12 @@
 	after := r.revision
 	r.followed = host.Name
 	r.mu.Unlock()
-	eventlog.RelayFollowed.Info(r.log).Str("peer", host.Name).Uint64("revision", after).Send()
+	eventlog.RelayFollowed.Info(r.log).Str("peer", host.Name).Stringer("revision", after).Send()
 	err := r.followHost(ctx, host.Address, after, func(n News) {
 		watchdog.Reset(relay.SilentAfter)
-		r.takeNews(n)
+		if err := r.takeNews(n); err != nil {
+			cancel(err)
+		}
 	})
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
@@ -70,12 +72,14 @@
 	clock.Sleep(outer, relay.Settle+rand.N(relay.Settle))
 }
 
-func (r *Registry) takeNews(n News) {
+// takeNews takes what a relay tells. It fails on news of an older epoch than this
+// host has heard of; a relay of a newer one tells everything.
+func (r *Registry) takeNews(n News) error {
 	if n.Complete {
-		r.replace(n.Listing)
-		return
+		return r.replace(n.Listing)
 	}
 	r.apply(n.Listing)
+	return nil
 }
 
 // pickRelay returns the host to follow, if this one is not to watch the store.
@@ -90,7 +94,7 @@
 
 // Tell tells a follower what changes after a revision, until the context ends
 // or this host loses the store itself. An empty piece of news is a sign of life.
-func (r *Registry) Tell(ctx context.Context, after uint64, send func(News) error) error {
+func (r *Registry) Tell(ctx context.Context, after store.Revision, send func(News) error) error {
 	r.countFollowers(1)
 	defer r.countFollowers(-1)
 	beat := time.NewTicker(relay.Beat)
@@ -116,12 +120,12 @@
 }
 
 // noteAhead logs a follower that has heard of a newer revision than this host.
-func (r *Registry) noteAhead(after uint64) {
+func (r *Registry) noteAhead(after store.Revision) {
 	r.mu.Lock()
 	revision := r.revision
 	r.mu.Unlock()
 	if after > revision {
-		eventlog.FollowerAhead.Warn(r.log).Uint64("after", after).Uint64("revision", revision).Send()
+		eventlog.FollowerAhead.Warn(r.log).Stringer("after", after).Stringer("revision", revision).Send()
 	}
 }
 
@@ -151,12 +155,16 @@
 
 // newsAfter returns what changed after a revision, and a channel that is closed
 // by the next change.
-func (r *Registry) newsAfter(after uint64) (News, <-chan struct{}, error) {
+func (r *Registry) newsAfter(after store.Revision) (News, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.hears(clock.Now()) {
 		return News{}, nil, errNotFollowing
 	}
+	if after.Epoch() > r.revision.Epoch() {
+		r.hearOfEpoch(after.Epoch())
+		return News{}, nil, errOlderEpoch
+	}
 	if after >= r.revision {
 		// A follower that watched the store itself may be ahead for a moment.
 		return News{Listing: store.Listing{Revision: after}}, r.news, nil
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -15,7 +15,7 @@
 
 // relayAt returns the registry of a relay that has heard of everything up to a
 // revision, and keeps the changes after another one.
-func relayAt(revision, historyStart uint64, changes ...store.Item) *Registry {
+func relayAt(revision, historyStart store.Revision, changes ...store.Item) *Registry {
 	r := New(Config{Self: gates.Host{Name: "relay"}, Changed: func() {}, Log: zerolog.Nop()})
 	r.listed, r.heardAt = true, clock.Now()
 	r.revision, r.historyStart, r.history = revision, historyStart, changes
@@ -28,7 +28,7 @@
 var errEnough = errors.New("enough")
 
 // firstNews returns what a follower is told first.
-func firstNews(t *testing.T, r *Registry, after uint64) News {
+func firstNews(t *testing.T, r *Registry, after store.Revision) News {
 	t.Helper()
 	var first News
 	err := r.Tell(context.Background(), after, func(n News) error {
@@ -45,7 +45,7 @@
 	n := firstNews(t, r, 5)
 	require.False(t, n.Complete)
 	require.Equal(t, []store.Item{six}, n.Items)
-	require.Equal(t, uint64(6), n.Revision)
+	require.EqualValues(t, 6, n.Revision)
 	n = firstNews(t, r, 3)
 	require.True(t, n.Complete, "the changes after 3 are not all kept")
 	require.Len(t, n.Items, 2)
@@ -56,7 +56,7 @@
 	n := firstNews(t, relayAt(6, 4, store.Item{Key: "a", Revision: 6}), 9)
 	require.False(t, n.Complete)
 	require.Empty(t, n.Items)
-	require.Equal(t, uint64(9), n.Revision)
+	require.EqualValues(t, 9, n.Revision)
 }
 
 // TestHostKeepsItsFollowersAsItChangesItsOwnWay: the second relay of a zone goes
@@ -104,3 +104,49 @@
 		require.Len(t, l.Items, 1, "what a follower lists again holds the entry")
 	}
 }
+
+// inEpoch returns a position of an epoch.
+func inEpoch(t *testing.T, epoch store.Epoch, number uint64) store.Revision {
+	t.Helper()
+	r, err := store.NewRevision(epoch, number)
+	require.NoError(t, err)
+	return r
+}
+
+// TestFollowerOfAnOlderEpochIsToldEverything: its number may be the higher one.
+func TestFollowerOfAnOlderEpochIsToldEverything(t *testing.T) {
+	r := relayAt(inEpoch(t, 2, 20), inEpoch(t, 2, 20), store.Item{Key: "a", Revision: inEpoch(t, 2, 20)})
+	n := firstNews(t, r, inEpoch(t, 1, 300))
+	require.True(t, n.Complete)
+	require.Len(t, n.Items, 1)
+}
+
+// TestRelayOfAnOlderEpochListsTheStore: its follower knows that the store has
+// returned from a copy, and the relay's own watch may wait for seconds.
+func TestRelayOfAnOlderEpochListsTheStore(t *testing.T) {
+	r := relayAt(inEpoch(t, 1, 300), inEpoch(t, 1, 200))
+	interrupted := false
+	r.interrupt = func() { interrupted = true }
+	require.ErrorIs(t, r.Tell(context.Background(), inEpoch(t, 2, 20), nil), errOlderEpoch)
+	require.False(t, r.listed)
+	require.True(t, interrupted)
+}
+
+// TestAnswerOfAnOlderEpochIsDropped: it was on its way while the store returned from
+// a copy.
+func TestAnswerOfAnOlderEpochIsDropped(t *testing.T) {
+	r, _ := countingRegistry()
+	require.NoError(t, r.replace(listing(inEpoch(t, 2, 20), livingItem("m", inEpoch(t, 2, 20), 3, 500))))
+	require.ErrorIs(t, r.replace(listing(inEpoch(t, 1, 300))), errOlderEpoch)
+	require.Equal(t, inEpoch(t, 2, 20), r.State().Revision)
+	require.Len(t, r.Groups()["svc"], 1)
+	require.ErrorIs(t, r.takeNews(News{Listing: listing(inEpoch(t, 1, 300)), Complete: true}), errOlderEpoch)
+}
+
+// TestStoreWithoutEpochsIsListedAgain: its numbers may go back all the same.
+func TestStoreWithoutEpochsIsListedAgain(t *testing.T) {
+	r, _ := countingRegistry()
+	require.NoError(t, r.replace(listing(300)))
+	require.NoError(t, r.replace(listing(20)))
+	require.EqualValues(t, 20, r.State().Revision)
+}
--- a/node/registry/news_counts_test.go
+++ b/node/registry/news_counts_test.go
@@ -33,5 +33,5 @@
 	require.Empty(t, lines.String())
 	firstNews(t, r, 9)
 	require.Contains(t, lines.String(), `"event":614`)
-	require.Contains(t, lines.String(), `"after":9,"revision":6`)
+	require.Contains(t, lines.String(), `"after":"0.9","revision":"0.6"`)
 }
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -55,16 +55,27 @@
 // keepOnce renews the lease, or takes a new one and registers with it.
 func (r *Registry) keepOnce(ctx context.Context) error {
 	lease := r.currentLease()
-	if lease != 0 && r.registered() {
+	if !lease.None() && r.registered() {
 		err := r.store.RenewLease(ctx, lease)
-		if !store.Is(err, store.LeaseEnded) {
+		r.noteRestored(err)
+		if !store.Is(err, store.LeaseEnded) && !store.Is(err, store.Restored) {
 			return err
 		}
-		eventlog.LeaseLost.Warn(r.log).Uint64("lease", uint64(lease)).Send()
+		eventlog.LeaseLost.Warn(r.log).Err(err).Uint64("lease", lease.ID).Uint64("epoch", uint64(lease.Epoch)).Send()
 	}
 	return r.register(ctx)
 }
 
+// noteRestored takes what a failed call tells of the store's epoch.
+func (r *Registry) noteRestored(err error) {
+	var e *store.Error
+	if errors.As(err, &e) && e.Failure == store.Restored {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.hearOfEpoch(e.Epoch)
+	}
+}
+
 func (r *Registry) register(ctx context.Context) error {
 	asked := clock.Now()
 	g, err := r.store.GrantLease(ctx, leaseTTL)
@@ -123,7 +134,7 @@
 	r.leaving = true
 	lease := r.lease
 	r.mu.Unlock()
-	if lease == 0 {
+	if lease.None() {
 		return nil
 	}
 	return r.store.EndLease(ctx, lease)
@@ -158,11 +169,11 @@
 // may be taken all the same; the store's news tell.
 func (r *Registry) TakeLock(ctx context.Context, service string, known succession.Lock) (token uint64, err error) {
 	lease := r.currentLease()
-	if lease == 0 {
+	if lease.None() {
 		return 0, errNotRegistered
 	}
 	key := lockKey(service)
-	token, err = r.store.Commit(ctx, store.Txn{
+	revision, err := r.store.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: key, Revision: known.Revision}},
 		Writes:     []store.Write{{Key: key, Value: []byte(r.self.Name), Lease: lease}},
 	})
@@ -171,15 +182,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.own.locks[service].Revision < token {
-		r.own.locks[service] = succession.Lock{Holder: r.self.Name, Revision: token}
+	lock := succession.Lock{Holder: r.self.Name, Revision: revision}
+	if r.own.locks[service].Revision < revision {
+		r.own.locks[service] = lock
 	}
-	return token, nil
+	return lock.Token(), nil
 }
 
 // Abandon forgets the lease, so that it runs out by itself, as after a crash.
 func (r *Registry) Abandon() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease = 0
+	r.lease = store.Lease{}
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -27,8 +27,8 @@
 // *store.Error.
 type Store interface {
 	Range(ctx context.Context, prefix string) (store.Listing, error)
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (store.Listing, error)
-	Commit(ctx context.Context, txn store.Txn) (uint64, error)
+	Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Listing, error)
+	Commit(ctx context.Context, txn store.Txn) (store.Revision, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (store.Grant, error)
 	RenewLease(ctx context.Context, lease store.Lease) error
 	EndLease(ctx context.Context, lease store.Lease) error
@@ -110,14 +110,16 @@
 	listed    bool
 	away      bool
 	awaySince time.Duration
-	revision  uint64
+	revision  store.Revision
 	// told is the newest revision that another host told of while the store was
 	// away.
-	told uint64
+	told store.Revision
 	// relays chooses the host to follow; direct tells that this host follows the
 	// store itself.
 	relays *relay.Relays
 	direct bool
+	// interrupt ends the call under way by which this host follows the store.
+	interrupt context.CancelFunc
 	// followed is the host that this one follows; empty while it follows none.
 	followed string
 	// heardAt is when the store, or the relay, last answered.
@@ -125,7 +127,7 @@
 	// history holds the newest changes, those after historyStart, for followers;
 	// news is closed and replaced by each change.
 	history      []store.Item
-	historyStart uint64
+	historyStart store.Revision
 	news         chan struct{}
 	// followers counts the hosts that follow this one.
 	followers  int
@@ -134,10 +136,10 @@
 	items map[string]store.Item
 	// unreadable holds the revisions of the entries that could not be read, so
 	// that each is logged once.
-	unreadable map[string]uint64
+	unreadable map[string]store.Revision
 	lease      store.Lease
 	// registeredAt is the revision of this host's registration; zero before it.
-	registeredAt uint64
+	registeredAt store.Revision
 	// remembered tells that an earlier life was registered at the first listing.
 	remembered bool
 	recheck    bool
@@ -173,7 +175,7 @@
 	}
 	return &Registry{
 		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, wait: wait, followHost: followHost, without: cfg.Without, changed: cfg.Changed, log: cfg.Log,
-		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{}, unreadable: map[string]uint64{},
+		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
 		relays: relay.New(cfg.Self), direct: true, news: make(chan struct{}), reached: make(chan struct{}, 1),
 	}
 }
@@ -194,10 +196,6 @@
 			attempt = 0
 			continue
 		}
-		if store.Is(err, store.Compacted) {
-			r.forgetRevision()
-			continue
-		}
 		r.noteAway(err)
 		clock.Sleep(ctx, r.spacing(attempt, err).Wait(attempt, rng))
 		attempt++
@@ -243,11 +241,17 @@
 		if err != nil {
 			return err
 		}
-		r.replace(l)
-		return nil
+		return r.replace(l)
 	}
 	began := clock.Now()
-	l, err := r.store.Watch(ctx, "", after, r.wait)
+	l, err := r.watch(ctx, after)
+	if !r.isListed() {
+		return nil
+	}
+	if store.Is(err, store.Compacted) || store.Is(err, store.Restored) {
+		r.forgetRevision(err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -262,16 +266,46 @@
 	return nil
 }
 
+// watch waits for changes of the store, or until hearOfEpoch interrupts it.
+func (r *Registry) watch(ctx context.Context, after store.Revision) (store.Listing, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.interrupt = cancel
+	r.mu.Unlock()
+	return r.store.Watch(ctx, "", after, r.wait)
+}
+
+func (r *Registry) isListed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
+// hearOfEpoch has the store listed again if it has returned from an older copy
+// since this host last heard of it. A watch that waits may not tell. It is called
+// with mu held.
+func (r *Registry) hearOfEpoch(epoch store.Epoch) {
+	if !r.direct || !r.listed || epoch <= r.revision.Epoch() {
+		return
+	}
+	r.listed = false
+	if r.interrupt != nil {
+		r.interrupt()
+	}
+}
+
 func (r *Registry) listAll(ctx context.Context) (store.Listing, error) {
 	return r.store.Range(ctx, "")
 }
 
-// forgetRevision has everything listed again.
-func (r *Registry) forgetRevision() {
+// forgetRevision has everything listed again, because a watch from the revision that
+// this host has heard of fails.
+func (r *Registry) forgetRevision(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed = false
-	eventlog.HistoryLost.Info(r.log).Uint64("revision", r.revision).Send()
+	eventlog.HistoryLost.Info(r.log).Err(err).Stringer("revision", r.revision).Send()
 }
 
 // Catalog returns the configuration in force, or nil.
--- a/node/registry/relay.go
+++ b/node/registry/relay.go
@@ -11,7 +11,7 @@
 )
 
 // Relay asks another host what it knows of the store above a revision.
-type Relay func(ctx context.Context, address string, above uint64) (store.Listing, error)
+type Relay func(ctx context.Context, address string, above store.Revision) (store.Listing, error)
 
 const (
 	// relayAfter is how long the store must be away before other hosts are
@@ -37,13 +37,13 @@
 
 // cutOff reports whether the store has been away for long enough, and the
 // newest revision that this host has heard of.
-func (r *Registry) cutOff(now time.Duration) (uint64, bool) {
+func (r *Registry) cutOff(now time.Duration) (store.Revision, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return max(r.revision, r.told), r.away && now-r.awaySince >= relayAfter
 }
 
-func (r *Registry) askPeer(ctx context.Context, ask Relay, above uint64) {
+func (r *Registry) askPeer(ctx context.Context, ask Relay, above store.Revision) {
 	fleet := r.Fleet()
 	if len(fleet) == 0 {
 		return
@@ -74,13 +74,13 @@
 		r.takeEvent(i, now)
 	}
 	r.mu.Unlock()
-	eventlog.RelayedBy.Info(r.log).Str("peer", from).Uint64("revision", l.Revision).Send()
+	eventlog.RelayedBy.Info(r.log).Str("peer", from).Stringer("revision", l.Revision).Send()
 	r.changed()
 }
 
 // Listing returns what this host knows of the store above a revision, for a
 // host that does not reach it. It is empty while this host does not either.
-func (r *Registry) Listing(above uint64) store.Listing {
+func (r *Registry) Listing(above store.Revision) store.Listing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.away || r.revision <= above {
@@ -91,7 +91,7 @@
 
 // newerThan lists the keys that were written after a revision; all of them
 // after zero. It is called with mu held.
-func (r *Registry) newerThan(above uint64) store.Listing {
+func (r *Registry) newerThan(above store.Revision) store.Listing {
 	l := store.Listing{Revision: r.revision}
 	for _, i := range r.items {
 		if i.Revision > above {
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
@@ -90,10 +91,10 @@
 	t.Cleanup(p.Close)
 	first := p.Configure(nil, time.Second)
 	relayed, follower := relayAndFollower(t, registerFleet(p))
-	watching := runAgainst(t, p, relayed, func(context.Context, string, uint64, func(News)) error {
+	watching := runAgainst(t, p, relayed, func(context.Context, string, store.Revision, func(News)) error {
 		return errNotFollowing
 	})
-	following := runAgainst(t, p, follower, func(ctx context.Context, _ string, after uint64, take func(News)) error {
+	following := runAgainst(t, p, follower, func(ctx context.Context, _ string, after store.Revision, take func(News)) error {
 		return watching.Tell(ctx, after, func(n News) error {
 			take(n)
 			return nil
@@ -105,7 +106,7 @@
 	older := p.Store.Copy()
 	churn(p, 300)
 	require.Eventually(t, func() bool {
-		return following.State().Relay == relayed.Name && following.State().Revision >= older.Revision()+300
+		return following.State().Relay == relayed.Name && following.State().Revision.Number() >= older.Revision()+300
 	}, eventually, poll, "the follower has heard of everything through its relay")
 
 	p.Store.Restore(older)
--- a/node/registry/state.go
+++ b/node/registry/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
@@ -12,7 +13,7 @@
 	Away bool
 	// Heard is how long ago one of them last answered.
 	Heard    time.Duration
-	Revision uint64
+	Revision store.Revision
 	// Direct tells that this host follows the store itself; Relay is the host that it
 	// follows otherwise.
 	Direct           bool
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/worktime"
 )
 
@@ -47,7 +48,7 @@
 	elsewhere int
 	// restarted is the version of the role that a new life of the member began
 	// with; zero for a first life. What it says of its role then is not believed.
-	restarted uint64
+	restarted store.Revision
 	// absentUntil is until when the member is not asked, because another one
 	// answered at its address.
 	absentUntil time.Duration
