A member's entry that says less than is known of it changes nothing

After a restore the store holds an older copy of members' entries: a member that has announced its end looks ready, one that has left is back, a former primary claims its role; with the platform's bound on draining, callers' statements would go on to members that end. A write that is carried out seconds late does the same without a restore.

Cause: entries were ordered by their position in the store alone. Members count what they say, so an entry with a lower count of the same life is an older one. Members that do not tell when they started count from one again in a new life: there the first entry seen in an epoch may be the copy's and has to change to be believed. What has left is remembered for a minute in place of 10 s.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -3,7 +3,9 @@
 //
 // An entry can vanish although its member lives: it lapses while the platform
 // is away and returns shortly after. So a lost entry only starts a grace
-// period; an entry that is still missing at its end is gone.
+// period; an entry that is still missing at its end is gone. And an entry can be
+// older than what is known: the platform may return from an older copy, or carry a
+// write out late. Members count what they say, so that the newest is known.
 package directory
 
 import (
@@ -31,6 +33,8 @@
 	// StartedAt is when the member's present life began; zero where it does not
 	// tell. A member that starts again under its name has a later one.
 	StartedAt StartTime
+	// Sequence counts what the member has said in its present life.
+	Sequence uint64
 	// Revision is the version of the entry on the platform.
 	Revision store.Revision
 }
@@ -52,6 +56,7 @@
 	lostAt       time.Duration
 	// doubtful is an earlier start time that an entry has named once.
 	doubtful StartTime
+	copied   copied
 }
 
 // SameLife reports whether two entries of a member are of one life. An entry
@@ -69,32 +74,46 @@
 	members map[string]*Member
 	// gone holds the members that were dropped, so that a listing which was read
 	// before that does not bring them back.
-	gone map[string]departure
+	gone map[string]*departure
 }
 
-// departure is when a member was dropped and the version of that news.
+// departure is when a member was dropped, the version of that news, and what it had
+// said last.
 type departure struct {
 	revision store.Revision
 	at       time.Duration
+	last     Entry
+	copied   copied
 }
 
-// rememberGone is how long a departure is kept: a listing takes 3 s at most,
-// and is on its way for no longer than that again.
-const rememberGone = 10 * time.Second
+// rememberGone is how long a departure is kept: until the platform may have returned
+// from a copy that is some seconds old, and has found that the member does not write
+// to it.
+const rememberGone = time.Minute
+
+// bringsBack reports whether an entry shows that a member that was dropped is there.
+// What it had said before, or less, does not.
+func (d *departure) bringsBack(e Entry) bool {
+	if e.Revision <= d.revision || d.copied.outdated(d.last, e) {
+		return false
+	}
+	restored := e.Revision.Epoch() > d.revision.Epoch()
+	return !restored || !d.last.SameLife(e) || e.Sequence != d.last.Sequence
+}
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{members: make(map[string]*Member), gone: make(map[string]departure)}
+	return &Directory{members: make(map[string]*Member), gone: make(map[string]*departure)}
 }
 
 // Put takes an entry as it was written. It reports whether anything but the
-// revision changed.
+// revision and the count changed.
 func (d *Directory) Put(e Entry, now time.Duration) bool {
 	m, found := d.members[e.ID]
 	if !found {
 		return d.add(e, now)
 	}
-	if e.Revision < m.Revision || m.isOfEndedLife(e) {
+	if e.Revision < m.Revision || m.copied.outdated(m.Entry, e) || m.isOfEndedLife(e) {
 		return false
 	}
 	if !m.SameLife(e) {
@@ -111,12 +130,12 @@
 	old := *m
 	m.Entry, m.Missing, m.lostAt = e, false, 0
 	m.noteLeaving(now)
-	old.Revision, old.RoleRevision = m.Revision, m.RoleRevision
+	old.Revision, old.RoleRevision, old.Sequence, old.copied = m.Revision, m.RoleRevision, m.Sequence, m.copied
 	return old != *m
 }
 
 func (d *Directory) add(e Entry, now time.Duration) bool {
-	if left, found := d.gone[e.ID]; found && e.Revision <= left.revision {
+	if left, found := d.gone[e.ID]; found && !left.bringsBack(e) {
 		return false
 	}
 	delete(d.gone, e.ID)
@@ -178,8 +197,8 @@
 }
 
 func (d *Directory) drop(id string, revision store.Revision, now time.Duration) {
+	d.gone[id] = &departure{revision: revision, at: now, last: d.members[id].Entry}
 	delete(d.members, id)
-	d.gone[id] = departure{revision: revision, at: now}
 }
 
 // Replace takes a complete listing: entries that are not in it are lost.
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -175,7 +175,7 @@
 		return true
 	}
 	now, err := r.docs.Entry(i)
-	old.Revision = now.Revision
+	old.Revision, old.Sequence = now.Revision, now.Sequence
 	return err != nil || old != now
 }
 
