What hosts write in the store names the epoch that it was written in

After a restore half of a fleet's registrations are missing and hosts that left are back, for the seconds until all have registered again. Callers' statements would go to hosts that are gone, and members' connections and promotion locks move to and fro. A host would go on renewing, and at its end end, a lease whose number is another host's by then; a report of a dead primary that was taken back would count again and help to replace a primary that lives.

Cause: what lies in the store was taken for what its author says now, and a lease's number for the host's own.

A lease belongs to its epoch; a host that a restored store lacks registers at once, spread by the size of the fleet, the others at their next renewal. Reports count in the epoch that they name and are written again. Locks needed nothing but the order of tokens.

TestMinorityThatLosesThePrimaryDoesNotReplaceIt writes its report in the new form, it would not count otherwise.

--- a/node/entry/failures_test.go
+++ b/node/entry/failures_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 	d := deploy(t, 3, options())
 	primary := d.group.Primary()
 	key := "dotterelswitch/suspects/svc/" + primary.ID + "/host-1"
-	d.platform.Store.Put(key, []byte("dead"))
+	d.platform.Store.Put(key, strconv.AppendUint(nil, d.platform.Store.Era(), 10))
 	time.Sleep(time.Second)
 	require.Equal(t, primary.ID, d.group.Primary().ID)
 }
--- a/node/promoter/hearsay_test.go
+++ b/node/promoter/hearsay_test.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -24,11 +25,13 @@
 type reportingRegistry struct {
 	hosts  []string
 	holder string
+	epoch  store.Epoch
 }
 
 func (r reportingRegistry) Hosts() []string                    { return r.hosts }
 func (r reportingRegistry) Suspecting(string, string) []string { return []string{"h0"} }
 func (r reportingRegistry) Away() bool                         { return false }
+func (r reportingRegistry) Epoch() store.Epoch                 { return r.epoch }
 
 func (r reportingRegistry) LockOf(string) succession.Lock {
 	return succession.Lock{Holder: r.holder, Revision: 7}
--- a/node/promoter/keep_store.go
+++ b/node/promoter/keep_store.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -23,8 +24,10 @@
 // storeKeeper is what the loop that writes to the store keeps for itself. It runs
 // apart from the loop that acts, which must not wait for a store that is silent.
 type storeKeeper struct {
-	// reported is the primary that this host has reported as dead.
-	reported string
+	// reported is the primary that this host has reported as dead, in the store's
+	// epoch reportedIn: a report of an earlier one does not count any more.
+	reported   string
+	reportedIn store.Epoch
 	// vacantSince is since when this host is to take a lock that nobody holds.
 	vacantSince time.Duration
 }
@@ -50,7 +53,7 @@
 	if p.registry.Away() {
 		return false
 	}
-	return p.wordOn(now) != p.keeper.reported || p.lockIsMine(p.registry.LockOf(p.service), now)
+	return p.wordOn(now) != p.reported() || p.lockIsMine(p.registry.LockOf(p.service), now)
 }
 
 // wordOn returns the primary that this host is to report as dead now; empty for
@@ -60,11 +63,20 @@
 	lost, since := p.lost, p.lostSince
 	p.mu.Unlock()
 	if lost != "" && (now-since < reportAfter || !p.speaks(lost)) {
-		return p.keeper.reported
+		return p.reported()
 	}
 	return lost
 }
 
+// reported returns the primary that this host has reported in the present epoch. It
+// is called with keeping held.
+func (p *Promoter) reported() string {
+	if p.keeper.reportedIn != p.registry.Epoch() {
+		return ""
+	}
+	return p.keeper.reported
+}
+
 // lockIsMine reports whether this host is to take the lock of a group that is
 // calm.
 func (p *Promoter) lockIsMine(lock succession.Lock, now time.Duration) bool {
@@ -81,7 +93,7 @@
 		return
 	}
 	now := clock.Now()
-	if lost := p.wordOn(now); lost != p.keeper.reported {
+	if lost := p.wordOn(now); lost != p.reported() {
 		p.report(ctx, lost)
 	}
 	lock := p.registry.LockOf(p.service)
@@ -100,8 +112,9 @@
 }
 
 func (p *Promoter) report(ctx context.Context, lost string) {
-	if p.keeper.reported != "" {
-		if err := p.registry.Trust(ctx, p.service, p.keeper.reported); err != nil {
+	epoch := p.registry.Epoch()
+	if reported := p.reported(); reported != "" {
+		if err := p.registry.Trust(ctx, p.service, reported); err != nil {
 			eventlog.OrderFailed.Warn(p.log).Err(err).Str("order", "take a report back").Send()
 			return
 		}
@@ -115,7 +128,7 @@
 		return
 	}
 	eventlog.PrimaryReported.Info(p.log).Str("upstream", lost).Send()
-	p.keeper.reported = lost
+	p.keeper.reported, p.keeper.reportedIn = lost, epoch
 }
 
 // vacancyIsMine reports whether this host is to take a lock that nobody holds, or
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -14,6 +14,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -30,6 +31,8 @@
 	Suspecting(service, member string) []string
 	// Away reports whether this host does not reach the store.
 	Away() bool
+	// Epoch returns the store's epoch as far as this host has heard.
+	Epoch() store.Epoch
 	LockOf(service string) succession.Lock
 	// TakeLock takes a lock that is still as known and returns its token.
 	TakeLock(ctx context.Context, service string, known succession.Lock) (token uint64, err error)
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -26,9 +26,12 @@
 }
 
 // noteReached has the host register without delay if it could not before.
-func (r *Registry) noteReached() {
+func (r *Registry) noteReached() { signal(r.reached) }
+
+// signal makes a channel ready unless it is.
+func signal(ch chan<- struct{}) {
 	select {
-	case r.reached <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -63,10 +66,11 @@
 		r.mu.Unlock()
 		return errOlderEpoch
 	}
-	r.noteEpoch(l.Revision)
+	restored := r.noteEpoch(l.Revision)
 	r.noteBack()
 	r.countNews(len(l.Items))
 	r.own = newOwnKeys()
+	r.roster.Replace(registrationsIn(l), l.Revision.Epoch(), now)
 	clear(r.items)
 	var entries []directory.Entry
 	for _, i := range l.Items {
@@ -75,10 +79,16 @@
 			entries = append(entries, e)
 			continue
 		}
-		r.takeItem(i)
+		if _, ok := registrationOf(i); !ok {
+			r.takeItem(i)
+		}
 	}
 	r.directory.Replace(entries, l.Revision, now)
 	r.expire(now)
+	r.scheduleExpiry()
+	if _, known := r.items[hostKey(r.self.Name)]; restored && !known {
+		signal(r.lapsed)
+	}
 	if r.heardAt == 0 {
 		r.noteRemembered()
 		r.noteReached()
@@ -91,12 +101,14 @@
 	return nil
 }
 
-// noteEpoch logs that the store has returned from an older copy. It is called with
-// mu held.
-func (r *Registry) noteEpoch(next store.Revision) {
-	if r.heardAt > 0 && next.Epoch() > r.revision.Epoch() {
-		eventlog.StoreRestored.Warn(r.log).Stringer("revision", next).Stringer("was", r.revision).Send()
+// noteEpoch reports whether the store has returned from an older copy since this
+// host last heard of it, and logs it. It is called with mu held.
+func (r *Registry) noteEpoch(next store.Revision) bool {
+	if r.heardAt == 0 || next.Epoch() <= r.revision.Epoch() {
+		return false
 	}
+	eventlog.StoreRestored.Warn(r.log).Stringer("revision", next).Stringer("was", r.revision).Send()
+	return true
 }
 
 // apply takes the events of a watch.
@@ -119,6 +131,7 @@
 		most = max(most, e)
 	}
 	r.scheduleRecheck()
+	r.scheduleExpiry()
 	if len(news) > 0 {
 		r.record(news)
 	}
@@ -133,6 +146,10 @@
 	if id, ok := r.docs.MemberID(i.Key); ok {
 		return r.takeMember(id, i, now)
 	}
+	if reg, ok := registrationOf(i); ok {
+		r.takeRegistration(reg, i.Deleted, now)
+		return rerouted
+	}
 	return r.takeItem(i)
 }
 
--- a/node/registry/effect_test.go
+++ b/node/registry/effect_test.go
@@ -73,7 +73,7 @@
 // TestLockMovesNoRouting: promotions look for locks and reports themselves.
 func TestLockMovesNoRouting(t *testing.T) {
 	r, changes := countingRegistry()
-	r.apply(listing(3, store.Item{Key: lockKey("svc"), Revision: 2, Value: []byte("h1")}, store.Item{Key: suspectKey("svc", "m", "h1"), Revision: 3, Value: []byte("dead")}))
+	r.apply(listing(3, store.Item{Key: lockKey("svc"), Revision: 2, Value: []byte("h1")}, store.Item{Key: suspectKey("svc", "m", "h1"), Revision: 3, Value: encodeReport(0)}))
 	require.Zero(t, *changes)
 	require.Len(t, firstNews(t, r, 1).Items, 2, "followers need them")
 	require.Equal(t, "h1", r.LockOf("svc").Holder)
--- a/node/registry/first_listing_test.go
+++ b/node/registry/first_listing_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 )
@@ -141,7 +142,7 @@
 			r.registeredAt = c.registered
 			l := store.Listing{Revision: 10}
 			if c.listed > 0 {
-				l.Items = []store.Item{{Key: hostKey("self"), Value: encodeHost(gates.Host{Zone: "z", Address: "a"}), Revision: c.listed}}
+				l.Items = []store.Item{{Key: hostKey("self"), Value: encodeRegistration(roster.Registration{Host: gates.Host{Zone: "z", Address: "a"}}), Revision: c.listed}}
 			}
 			r.replace(l)
 			require.Equal(t, c.remembered, r.Remembered())
@@ -216,7 +217,7 @@
 		var fleet []store.Item
 		for i := range 20 {
 			h := gates.Host{Name: fmt.Sprint("host-", i), Zone: "z", Address: fmt.Sprint("a", i)}
-			fleet = append(fleet, store.Item{Key: hostKey(h.Name), Value: encodeHost(h), Revision: 1})
+			fleet = append(fleet, store.Item{Key: hostKey(h.Name), Value: encodeRegistration(roster.Registration{Host: h}), Revision: 1})
 		}
 		for i := range 20 {
 			s := &awayStore{}
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -89,7 +89,7 @@
 	if r.followHost == nil || !r.listed || r.leaving {
 		return gates.Host{}, false
 	}
-	return r.relays.Pick(r.own.fleet(), clock.Now())
+	return r.relays.Pick(r.roster.Hosts(), clock.Now())
 }
 
 // Tell tells a follower what changes after a revision, until the context ends
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -135,7 +135,7 @@
 // TestAnswerOfAnOlderEpochIsDropped: it was on its way while the store returned from
 // a copy.
 func TestAnswerOfAnOlderEpochIsDropped(t *testing.T) {
-	r, _ := countingRegistry()
+	r, _ := testRegistry()
 	require.NoError(t, r.replace(listing(inEpoch(t, 2, 20), livingItem("m", inEpoch(t, 2, 20), 3, 500))))
 	require.ErrorIs(t, r.replace(listing(inEpoch(t, 1, 300))), errOlderEpoch)
 	require.Equal(t, inEpoch(t, 2, 20), r.State().Revision)
@@ -145,7 +145,7 @@
 
 // TestStoreWithoutEpochsIsListedAgain: its numbers may go back all the same.
 func TestStoreWithoutEpochsIsListedAgain(t *testing.T) {
-	r, _ := countingRegistry()
+	r, _ := testRegistry()
 	require.NoError(t, r.replace(listing(300)))
 	require.NoError(t, r.replace(listing(20)))
 	require.EqualValues(t, 20, r.State().Revision)
--- a/node/registry/own_keys.go
+++ b/node/registry/own_keys.go
@@ -1,10 +1,9 @@
 package registry
 
 import (
-	"slices"
+	"strconv"
 	"strings"
 
-	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 )
@@ -25,27 +24,23 @@
 
 func lockKey(service string) string { return lockPrefix + service }
 
-// ownKeys is what the hosts have written.
+// ownKeys is what the hosts have written, besides their registrations.
 type ownKeys struct {
-	// hosts are the living hosts by name.
-	hosts    map[string]gates.Host
 	suspects map[string]bool
 	// locks maps a service to its promotion lock.
 	locks map[string]succession.Lock
 }
 
 func newOwnKeys() ownKeys {
-	return ownKeys{hosts: map[string]gates.Host{}, suspects: map[string]bool{}, locks: map[string]succession.Lock{}}
+	return ownKeys{suspects: map[string]bool{}, locks: map[string]succession.Lock{}}
 }
 
 // take applies one key.
 func (o ownKeys) take(i store.Item) effect {
-	if name, ok := strings.CutPrefix(i.Key, hostPrefix); ok {
-		setOrDelete(o.hosts, name, decodeHost(name, i.Value), i.Deleted)
-		return rerouted
-	}
 	if rest, ok := strings.CutPrefix(i.Key, suspectPrefix); ok {
-		setOrDelete(o.suspects, rest, true, i.Deleted)
+		// A report that was written before the store returned from a copy may have been
+		// taken back since; hosts report again.
+		setOrDelete(o.suspects, rest, true, i.Deleted || !writtenNow(i))
 		return noted
 	}
 	if service, ok := strings.CutPrefix(i.Key, lockPrefix); ok {
@@ -55,16 +50,17 @@
 	return nothingNew
 }
 
-func decodeLock(i store.Item) succession.Lock {
-	return succession.Lock{Holder: string(i.Value), Revision: i.Revision}
-}
+// encodeReport writes the report of a dead primary: the epoch that it holds in.
+func encodeReport(epoch store.Epoch) []byte { return strconv.AppendUint(nil, uint64(epoch), 10) }
 
-// encodeHost writes what other hosts need to know of one.
-func encodeHost(h gates.Host) []byte { return []byte(h.Zone + " " + h.Address) }
+// writtenNow tells whether a report was written in the epoch of the store that holds
+// it.
+func writtenNow(i store.Item) bool {
+	return string(i.Value) == string(encodeReport(i.Revision.Epoch()))
+}
 
-func decodeHost(name string, value []byte) gates.Host {
-	zone, address, _ := strings.Cut(string(value), " ")
-	return gates.Host{Name: name, Zone: zone, Address: address}
+func decodeLock(i store.Item) succession.Lock {
+	return succession.Lock{Holder: string(i.Value), Revision: i.Revision}
 }
 
 func setOrDelete[V any](m map[string]V, key string, value V, deleted bool) {
@@ -75,23 +71,6 @@
 	m[key] = value
 }
 
-func (o ownKeys) fleet() []gates.Host {
-	out := make([]gates.Host, 0, len(o.hosts))
-	for _, h := range o.hosts {
-		out = append(out, h)
-	}
-	return out
-}
-
-func (o ownKeys) hostNames() []string {
-	out := make([]string, 0, len(o.hosts))
-	for name := range o.hosts {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (o ownKeys) suspecting(service, member string) []string {
 	if len(o.suspects) == 0 {
 		// Asked for each group ten times a second, and nearly always so.
--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -48,11 +50,14 @@
 	case <-timer.C:
 	case <-reached:
 		spacing.hurry()
+	case <-r.lapsed:
+		clock.Sleep(ctx, rand.N(registerWithin(len(r.Hosts()))+1))
 	case <-ctx.Done():
 	}
 }
 
-// keepOnce renews the lease, or takes a new one and registers with it.
+// keepOnce renews the lease, or takes a new one and registers with it. A lease is one
+// of its epoch: in another, its number may be another host's.
 func (r *Registry) keepOnce(ctx context.Context) error {
 	lease := r.currentLease()
 	if !lease.None() && r.registered() {
@@ -63,7 +68,13 @@
 		}
 		eventlog.LeaseLost.Warn(r.log).Err(err).Uint64("lease", lease.ID).Uint64("epoch", uint64(lease.Epoch)).Send()
 	}
-	return r.register(ctx)
+	err := r.register(ctx)
+	if store.Is(err, store.Restored) {
+		// The store returned from a copy between the two calls.
+		r.noteRestored(err)
+		err = r.register(ctx)
+	}
+	return err
 }
 
 // noteRestored takes what a failed call tells of the store's epoch.
@@ -84,25 +95,34 @@
 	}
 	r.seen.answered(asked)
 	asked = clock.Now()
-	revision, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.self.Name), Value: encodeHost(r.self), Lease: g.Lease}}})
+	reg := roster.Registration{Host: r.self, Epoch: g.Lease.Epoch, ConfigVersion: r.configVersion()}
+	revision, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.self.Name), Value: encodeRegistration(reg), Lease: g.Lease}}})
 	if err != nil {
 		return err
 	}
 	r.seen.answered(asked)
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.lease = g.Lease
 	r.registeredAt = revision
-	r.own.hosts[r.self.Name] = r.self
-	r.mu.Unlock()
+	r.roster.Put(reg, clock.Now())
+	r.hearOfEpoch(g.Lease.Epoch)
 	return nil
 }
 
+// configVersion returns the version of the configuration in force; zero for none.
+func (r *Registry) configVersion() uint64 {
+	if c := r.Catalog(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // registered reports whether the host's own key still stands.
 func (r *Registry) registered() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, found := r.own.hosts[r.self.Name]
-	return found
+	return r.roster.Registered(r.self.Name)
 }
 
 // noteRemembered notes whether a listing names this host although it has not
@@ -121,6 +141,13 @@
 	return r.remembered
 }
 
+// Epoch returns the store's epoch as far as this host has heard.
+func (r *Registry) Epoch() store.Epoch {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision.Epoch()
+}
+
 func (r *Registry) currentLease() store.Lease {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -148,8 +175,8 @@
 
 // Suspect reports a member as dead.
 func (r *Registry) Suspect(ctx context.Context, service, member string) error {
-	key := suspectKey(service, member, r.self.Name)
-	_, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: []byte("dead"), Lease: r.currentLease()}}})
+	key, lease := suspectKey(service, member, r.self.Name), r.currentLease()
+	_, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: encodeReport(lease.Epoch), Lease: lease}}})
 	return err
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
+	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -98,6 +99,8 @@
 	without    mechanism.Without
 	// seen tells whether the store answers.
 	seen storeSeen
+	// lapsed is ready when a restored store does not know this host.
+	lapsed chan struct{}
 	// reached is ready when the store answers after it has not, or for the first
 	// time.
 	reached chan struct{}
@@ -107,6 +110,9 @@
 	catalog   *catalog.Catalog
 	directory *directory.Directory
 	own       ownKeys
+	roster    *roster.Roster
+	// expiring tells that the roster is looked at again soon.
+	expiring  bool
 	listed    bool
 	away      bool
 	awaySince time.Duration
@@ -175,8 +181,8 @@
 	}
 	return &Registry{
 		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, wait: wait, followHost: followHost, without: cfg.Without, changed: cfg.Changed, log: cfg.Log,
-		directory: directory.New(), own: newOwnKeys(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
-		relays: relay.New(cfg.Self), direct: true, news: make(chan struct{}), reached: make(chan struct{}, 1),
+		directory: directory.New(), own: newOwnKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
+		relays: relay.New(cfg.Self), direct: true, news: make(chan struct{}), reached: make(chan struct{}, 1), lapsed: make(chan struct{}, 1),
 	}
 }
 
@@ -218,7 +224,7 @@
 func (r *Registry) standsIn() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.followHost != nil && r.listed && !r.relays.Serves(r.own.fleet())
+	return r.followHost != nil && r.listed && !r.relays.Serves(r.roster.Hosts())
 }
 
 func (r *Registry) setDirect(direct bool) {
@@ -326,28 +332,6 @@
 	return out
 }
 
-// Hosts returns the names of the hosts that are registered.
-func (r *Registry) Hosts() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.own.hostNames()
-}
-
-// Fleet returns the hosts that are registered.
-func (r *Registry) Fleet() []gates.Host {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.own.fleet()
-}
-
-// AddressOf returns where a registered host takes datagrams and calls.
-func (r *Registry) AddressOf(host string) (string, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	h, found := r.own.hosts[host]
-	return h.Address, found
-}
-
 // Suspecting returns the hosts that report a member as dead.
 func (r *Registry) Suspecting(service, member string) []string {
 	r.mu.Lock()
--- a/node/registry/renewals.go
+++ b/node/registry/renewals.go
@@ -15,6 +15,17 @@
 	maxRenewRetry = 2 * time.Second
 )
 
+// spreadPerHost is the time for each host of a fleet over which those register again
+// that a restored store does not know: 200 calls a second, a sixth of what the store
+// of a large fleet takes.
+const spreadPerHost = 5 * time.Millisecond
+
+// registerWithin returns the time over which the hosts of a fleet of that size spread
+// their calls to register again. The others find out at their next renewal anyway.
+func registerWithin(hosts int) time.Duration {
+	return min(time.Duration(hosts)*spreadPerHost, renewEvery)
+}
+
 // renewals spaces the calls that keep a host registered.
 //
 // Load pattern: the store is away for many seconds, and the whole fleet goes on
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
+	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
@@ -24,6 +25,8 @@
 	poll       = 5 * time.Millisecond
 	// callTime bounds one call to the stand-in store.
 	callTime = time.Second
+	// fleetEpoch is the epoch of the stand-in store before it is restored.
+	fleetEpoch = 1
 )
 
 // runAgainst runs the registry of a host against the stand-in store until the test
@@ -52,7 +55,7 @@
 	var fleet []gates.Host
 	for n := range relay.SmallFleet + 2 {
 		h := gates.Host{Name: fmt.Sprintf("host-%d", n), Zone: "a", Address: "unused"}
-		p.Store.Put(hostKey(h.Name), encodeHost(h))
+		p.Store.Put(hostKey(h.Name), encodeRegistration(roster.Registration{Host: h, Epoch: fleetEpoch}))
 		fleet = append(fleet, h)
 	}
 	return fleet
@@ -114,3 +117,99 @@
 	knows(t, "relay", watching, changed)
 	knows(t, "follower", following, changed)
 }
+
+// TestReportOfACopyDoesNotCount: it may have been taken back since, and would help to
+// replace a primary that lives.
+func TestReportOfACopyDoesNotCount(t *testing.T) {
+	r, _ := testRegistry()
+	report := func(epoch, held store.Epoch, number uint64) store.Item {
+		return store.Item{Key: suspectKey("svc", "m", "h1"), Revision: inEpoch(t, held, number), Value: encodeReport(epoch)}
+	}
+	require.NoError(t, r.replace(listing(inEpoch(t, 1, 90), report(1, 1, 80))))
+	require.Equal(t, []string{"h1"}, r.Suspecting("svc", "m"))
+	require.NoError(t, r.replace(listing(inEpoch(t, 2, 81), report(1, 2, 80))))
+	require.Empty(t, r.Suspecting("svc", "m"))
+	r.apply(listing(inEpoch(t, 2, 82), report(2, 2, 82)))
+	require.Equal(t, []string{"h1"}, r.Suspecting("svc", "m"))
+	r.apply(listing(inEpoch(t, 2, 83), report(1, 2, 83)))
+	require.Empty(t, r.Suspecting("svc", "m"), "a late write")
+}
+
+// present runs the registry of a host that stays registered until the test ends.
+func present(t *testing.T, p *lineplatform.Platform, name string) *Registry {
+	t.Helper()
+	r := runAgainst(t, p, gates.Host{Name: name, Zone: "a", Address: "unused"}, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.KeepPresence(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r
+}
+
+// TestHostRegistersAgainAfterARestore: its lease is gone, and the number of it may be
+// another host's.
+func TestHostRegistersAgainAfterARestore(t *testing.T) {
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	empty := p.Store.Copy()
+	hosts := []*Registry{present(t, p, "h1"), present(t, p, "h2"), present(t, p, "h3")}
+	all := []string{"h1", "h2", "h3"}
+	for _, r := range hosts {
+		require.Eventually(t, func() bool { return slices.Equal(all, r.Hosts()) }, eventually, poll)
+	}
+	p.Store.Restore(empty)
+	registered := func() bool { return len(p.Store.Keys(hostPrefix)) == len(all) }
+	for !registered() {
+		for _, r := range hosts {
+			require.Equal(t, all, r.Hosts(), "nobody is missed while the hosts register again")
+		}
+		time.Sleep(poll)
+	}
+	for _, r := range hosts {
+		require.Eventually(t, func() bool {
+			lease := r.currentLease()
+			return lease.Epoch == store.Epoch(p.Store.Era()) && r.registered()
+		}, eventually, poll)
+	}
+	time.Sleep(renewEvery + leaseTTL)
+	require.True(t, registered(), "each lease is renewed by its own host")
+}
+
+// TestLocksOfACopyAreNobodysToken: a token that is made after a restore is above all
+// before it, and the copy's lock gives none.
+func TestLocksOfACopyAreNobodysToken(t *testing.T) {
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	a, b := present(t, p, "h1"), present(t, p, "h2")
+	for _, r := range []*Registry{a, b} {
+		require.Eventually(t, r.registered, eventually, poll)
+	}
+	take := func(r *Registry) uint64 {
+		var token uint64
+		require.Eventually(t, func() bool {
+			var err error
+			token, err = r.TakeLock(context.Background(), "svc", r.LockOf("svc"))
+			return err == nil
+		}, eventually, poll)
+		return token
+	}
+	first := take(a)
+	older := p.Store.Copy()
+	churn(p, 50)
+	second := take(b)
+	require.Greater(t, second, first)
+	p.Store.Restore(older)
+	require.Eventually(t, func() bool { return a.Epoch() == 2 && b.Epoch() == 2 }, eventually, poll)
+	require.Equal(t, "h1", a.LockOf("svc").Holder)
+	require.NotEqual(t, first, a.LockOf("svc").Token())
+	require.NotEqual(t, second, a.LockOf("svc").Token())
+	require.Greater(t, take(a), second)
+}
--- a/node/registry/state.go
+++ b/node/registry/state.go
@@ -27,6 +27,6 @@
 	defer r.mu.Unlock()
 	return State{
 		Away: r.away, Heard: clock.Now() - r.heardAt, Revision: r.revision,
-		Direct: r.direct, Relay: r.followed, Followers: r.followers, Hosts: len(r.own.hostNames()),
+		Direct: r.direct, Relay: r.followed, Followers: r.followers, Hosts: r.roster.Len(),
 	}
 }
