No host goes back to the configuration of an older copy, one that starts included

A host that started beside a restored store would serve on the older configuration until the operators write theirs again, a key that was taken away included; relays and hosts that are asked passed the older document on.

Cause: hosts kept the document in the store for the document in force. They pass on the one in force now. A host that starts and sees by the others' registrations that they may know a newer one asks up to four of them before it serves, for 300 ms at most; beside a store that has lost nothing it asks nobody.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -11,6 +11,8 @@
 package roster
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
@@ -170,6 +172,28 @@
 // Len returns how many hosts there are.
 func (r *Roster) Len() int { return len(r.hosts) }
 
+// MayKnowNewer reports whether other hosts may run on a newer configuration than the
+// store has: one has named it, or the store has just returned from a copy.
+func (r *Roster) MayKnowNewer(version uint64) bool {
+	return r.ConfigVersion() > version || r.Carries()
+}
+
+// LikelyNewest returns some hosts, those first that named the newest configuration.
+func (r *Roster) LikelyNewest(count int) []gates.Host {
+	all := make([]Registration, 0, len(r.hosts))
+	for _, s := range r.hosts {
+		all = append(all, s.Registration)
+	}
+	slices.SortFunc(all, func(a, b Registration) int {
+		return cmp.Or(cmp.Compare(b.ConfigVersion, a.ConfigVersion), cmp.Compare(b.Epoch, a.Epoch), cmp.Compare(a.Host.Name, b.Host.Name))
+	})
+	var out []gates.Host
+	for _, reg := range all[:min(count, len(all))] {
+		out = append(out, reg.Host)
+	}
+	return out
+}
+
 // ConfigVersion returns the newest configuration that a host knew when it
 // registered.
 func (r *Roster) ConfigVersion() uint64 {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -121,6 +121,12 @@
 	a.ConfigVersion, b.ConfigVersion = 23, 20
 	r.Replace([]roster.Registration{a, b}, 2, time.Second)
 	require.EqualValues(t, 23, r.ConfigVersion())
+	require.True(t, r.MayKnowNewer(20))
+	require.Equal(t, []gates.Host{a.Host}, r.LikelyNewest(1))
+	r.Expire(time.Second + roster.Carry)
+	r.Replace([]roster.Registration{b}, 2, 20*time.Second)
+	require.False(t, r.MayKnowNewer(20))
+	require.Len(t, r.LikelyNewest(3), 1)
 }
 
 // TestLivingHostsAreNeverMissing: whatever a store that returns from copies shows, a
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -126,7 +126,7 @@
 	h.registry = registry.New(registry.Config{
 		Store: registry.Counted(a.Store, h.storeCalled), Documents: a.Documents,
 		Self:        gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress},
-		ConfigBound: s.ConfigBound, FollowHost: h.gates.Follow, Without: s.Without, Changed: h.poke, Log: h.log,
+		ConfigBound: s.ConfigBound, FollowHost: h.gates.Follow, AskConfig: h.gates.Configuration, Without: s.Without, Changed: h.poke, Log: h.log,
 	})
 	h.limiter = limits.New(limits.Config{Self: quota.Host{Name: s.Host, Region: s.Places.Region(s.Places.Zone)}, Tolerance: s.Quota, Ask: h.requestGrant, Limit: h.limitOf})
 	if err := h.listen(); err != nil {
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -69,6 +69,9 @@
 // Listing implements peer.GateHandler.
 func (h *Host) Listing(above store.Revision) store.Listing { return h.registry.Listing(above) }
 
+// Configuration implements peer.GateHandler.
+func (h *Host) Configuration(above uint64) []byte { return h.registry.ConfigDocument(above) }
+
 // Tell implements peer.GateHandler.
 func (h *Host) Tell(ctx context.Context, after store.Revision, send func(registry.News) error) error {
 	return h.registry.Tell(ctx, after, send)
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -136,6 +136,15 @@
 	return store.Listing{Revision: store.Revision(resp.Msg.GetRevision()), Items: itemsFromProto(resp.Msg.GetItems())}, nil
 }
 
+// Configuration asks another host for its configuration if it is above a version.
+func (c *GateClient) Configuration(ctx context.Context, address string, above uint64) ([]byte, error) {
+	resp, err := c.gate(address).client.Configuration(ctx, connect.NewRequest(&peerpb.ConfigurationRequest{Above: above}))
+	if err != nil {
+		return nil, callError(address, err)
+	}
+	return resp.Msg.GetDocument(), nil
+}
+
 // Follow has another host tell what changes in the store after a revision, until
 // the context or the stream ends.
 func (c *GateClient) Follow(ctx context.Context, address string, after store.Revision, take func(registry.News)) error {
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -19,6 +19,8 @@
 	RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result
 	// Listing returns what is known of the store above a revision.
 	Listing(above store.Revision) store.Listing
+	// Configuration returns the document in force if it is above a version.
+	Configuration(above uint64) []byte
 	// Tell tells a follower what changes in the store after a revision.
 	Tell(ctx context.Context, after store.Revision, send func(registry.News) error) error
 	// Detached tells that the host that owns transactions is gone.
@@ -61,6 +63,11 @@
 	return connect.NewResponse(&peerpb.ListingResponse{Revision: uint64(l.Revision), Items: itemsToProto(l.Items)}), nil
 }
 
+// Configuration implements the generated interface.
+func (s *gateServer) Configuration(_ context.Context, req *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error) {
+	return connect.NewResponse(&peerpb.ConfigurationResponse{Document: s.handler.Configuration(req.Msg.GetAbove())}), nil
+}
+
 // Follow implements the generated interface.
 func (s *gateServer) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest], stream *connect.ServerStream[peerpb.FollowResponse]) error {
 	err := s.handler.Tell(ctx, store.Revision(req.Msg.GetAfter()), func(n registry.News) error {
--- a/node/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/node/peer/peerpb/peerpbconnect/peer.connect.go
@@ -54,6 +54,8 @@
 	GateAttachProcedure = "/dotterelswitch.peer.v1.Gate/Attach"
 	// GateListingProcedure is the fully-qualified name of the Gate's Listing RPC.
 	GateListingProcedure = "/dotterelswitch.peer.v1.Gate/Listing"
+	// GateConfigurationProcedure is the fully-qualified name of the Gate's Configuration RPC.
+	GateConfigurationProcedure = "/dotterelswitch.peer.v1.Gate/Configuration"
 	// GateFollowProcedure is the fully-qualified name of the Gate's Follow RPC.
 	GateFollowProcedure = "/dotterelswitch.peer.v1.Gate/Follow"
 )
@@ -259,6 +261,9 @@
 	// Listing returns what the receiver knows of the platform's store, for a host
 	// that does not reach it.
 	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
+	// Configuration returns the configuration that the receiver runs on, for a host
+	// that starts beside a store with an older one.
+	Configuration(context.Context, *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error)
 	// Follow tells what changes in the platform's store after a revision, as the
 	// receiver learns of it. A message without items is a sign of life.
 	Follow(context.Context, *connect.Request[peerpb.FollowRequest]) (*connect.ServerStreamForClient[peerpb.FollowResponse], error)
@@ -293,6 +298,12 @@
 			connect.WithSchema(gateMethods.ByName("Listing")),
 			connect.WithClientOptions(opts...),
 		),
+		configuration: connect.NewClient[peerpb.ConfigurationRequest, peerpb.ConfigurationResponse](
+			httpClient,
+			baseURL+GateConfigurationProcedure,
+			connect.WithSchema(gateMethods.ByName("Configuration")),
+			connect.WithClientOptions(opts...),
+		),
 		follow: connect.NewClient[peerpb.FollowRequest, peerpb.FollowResponse](
 			httpClient,
 			baseURL+GateFollowProcedure,
@@ -304,10 +315,11 @@
 
 // gateClient implements GateClient.
 type gateClient struct {
-	run     *connect.Client[peerpb.JobRequest, peerpb.JobResponse]
-	attach  *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
-	listing *connect.Client[peerpb.ListingRequest, peerpb.ListingResponse]
-	follow  *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
+	run           *connect.Client[peerpb.JobRequest, peerpb.JobResponse]
+	attach        *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
+	listing       *connect.Client[peerpb.ListingRequest, peerpb.ListingResponse]
+	configuration *connect.Client[peerpb.ConfigurationRequest, peerpb.ConfigurationResponse]
+	follow        *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
 }
 
 // Run calls dotterelswitch.peer.v1.Gate.Run.
@@ -325,6 +337,11 @@
 	return c.listing.CallUnary(ctx, req)
 }
 
+// Configuration calls dotterelswitch.peer.v1.Gate.Configuration.
+func (c *gateClient) Configuration(ctx context.Context, req *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error) {
+	return c.configuration.CallUnary(ctx, req)
+}
+
 // Follow calls dotterelswitch.peer.v1.Gate.Follow.
 func (c *gateClient) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest]) (*connect.ServerStreamForClient[peerpb.FollowResponse], error) {
 	return c.follow.CallServerStream(ctx, req)
@@ -341,6 +358,9 @@
 	// Listing returns what the receiver knows of the platform's store, for a host
 	// that does not reach it.
 	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
+	// Configuration returns the configuration that the receiver runs on, for a host
+	// that starts beside a store with an older one.
+	Configuration(context.Context, *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error)
 	// Follow tells what changes in the platform's store after a revision, as the
 	// receiver learns of it. A message without items is a sign of life.
 	Follow(context.Context, *connect.Request[peerpb.FollowRequest], *connect.ServerStream[peerpb.FollowResponse]) error
@@ -371,6 +391,12 @@
 		connect.WithSchema(gateMethods.ByName("Listing")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gateConfigurationHandler := connect.NewUnaryHandler(
+		GateConfigurationProcedure,
+		svc.Configuration,
+		connect.WithSchema(gateMethods.ByName("Configuration")),
+		connect.WithHandlerOptions(opts...),
+	)
 	gateFollowHandler := connect.NewServerStreamHandler(
 		GateFollowProcedure,
 		svc.Follow,
@@ -385,6 +411,8 @@
 			gateAttachHandler.ServeHTTP(w, r)
 		case GateListingProcedure:
 			gateListingHandler.ServeHTTP(w, r)
+		case GateConfigurationProcedure:
+			gateConfigurationHandler.ServeHTTP(w, r)
 		case GateFollowProcedure:
 			gateFollowHandler.ServeHTTP(w, r)
 		default:
@@ -408,6 +436,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Listing is not implemented"))
 }
 
+func (UnimplementedGateHandler) Configuration(context.Context, *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Configuration is not implemented"))
+}
+
 func (UnimplementedGateHandler) Follow(context.Context, *connect.Request[peerpb.FollowRequest], *connect.ServerStream[peerpb.FollowResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Follow is not implemented"))
 }
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -74,15 +73,14 @@
 	clear(r.items)
 	var entries []directory.Entry
 	for _, i := range l.Items {
-		r.remember(i)
 		if e, ok := r.decodeEntry(i); ok {
 			entries = append(entries, e)
-			continue
-		}
-		if _, ok := registrationOf(i); !ok {
+		} else if _, ok := registrationOf(i); !ok {
 			r.takeItem(i)
 		}
+		r.remember(i)
 	}
+	r.keepDocument(l.Revision)
 	r.directory.Replace(entries, l.Revision, now)
 	r.expire(now)
 	r.scheduleExpiry()
@@ -123,8 +121,8 @@
 	most := nothingNew
 	for _, i := range l.Items {
 		before, known := r.items[i.Key]
-		r.remember(i)
 		e := r.takeEvent(i, now)
+		i = r.remember(i)
 		if e != nothingNew || r.changesEntry(before, known, i) {
 			news = append(news, i)
 		}
@@ -223,17 +221,7 @@
 	if i.Deleted {
 		return nothingNew
 	}
-	next, err := r.docs.Catalog(i.Value)
-	if err != nil {
-		eventlog.ConfigRejected.Error(r.log).Err(err).Send()
-		return nothingNew
-	}
-	current := r.catalog
-	r.catalog = catalog.Newer(current, next)
-	if r.catalog != current {
-		eventlog.ConfigInForce.Info(r.log).Uint64("version", next.Version).Int("routes", next.Len()).Send()
-	}
-	return rerouted
+	return r.takeConfig(i.Value)
 }
 
 // scheduleRecheck lists once more when the grace period of a lost entry is
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -11,12 +11,13 @@
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/platform"
 )
 
 // relayAt returns the registry of a relay that has heard of everything up to a
 // revision, and keeps the changes after another one.
 func relayAt(revision, historyStart store.Revision, changes ...store.Item) *Registry {
-	r := New(Config{Self: gates.Host{Name: "relay"}, Changed: func() {}, Log: zerolog.Nop()})
+	r := New(Config{Documents: platform.Documents{}, Self: gates.Host{Name: "relay"}, Changed: func() {}, Log: zerolog.Nop()})
 	r.listed, r.heardAt = true, clock.Now()
 	r.revision, r.historyStart, r.history = revision, historyStart, changes
 	for _, i := range changes {
--- a/node/registry/registration.go
+++ b/node/registry/registration.go
@@ -24,7 +24,7 @@
 // decodeRegistration reads a registration. Hosts of an earlier version name neither
 // epoch nor configuration; theirs count as written in the epoch that holds them.
 func decodeRegistration(name string, i store.Item) roster.Registration {
-	fields := strings.Fields(string(i.Value))
+	fields := strings.Split(string(i.Value), " ")
 	fields = append(fields, make([]string, max(0, 4-len(fields)))...)
 	reg := roster.Registration{Host: gates.Host{Name: name, Zone: fields[0], Address: fields[1]}, Epoch: i.Revision.Epoch()}
 	if epoch, err := strconv.ParseUint(fields[2], 10, 64); err == nil {
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -97,6 +97,9 @@
 	// followHost follows another host; nil where hosts do not reach each other.
 	followHost FollowFunc
 	without    mechanism.Without
+	// askConfig asks another host for its configuration; nil where hosts do not reach
+	// each other.
+	askConfig AskConfigFunc
 	// seen tells whether the store answers.
 	seen storeSeen
 	// lapsed is ready when a restored store does not know this host.
@@ -106,8 +109,13 @@
 	reached chan struct{}
 
 	// mu guards the fields below.
-	mu        sync.Mutex
-	catalog   *catalog.Catalog
+	mu      sync.Mutex
+	catalog *catalog.Catalog
+	// document is what the configuration in force was read from.
+	document []byte
+	// held is the store's newest configuration while other hosts are asked for a
+	// newer one; nil while none are.
+	held      *heldConfig
 	directory *directory.Directory
 	own       ownKeys
 	roster    *roster.Roster
@@ -163,7 +171,10 @@
 	ConfigBound time.Duration
 	// FollowHost follows another host; nil where hosts do not reach each other.
 	FollowHost FollowFunc
-	Without    mechanism.Without
+	// AskConfig asks another host for its configuration; nil where hosts do not reach
+	// each other.
+	AskConfig AskConfigFunc
+	Without   mechanism.Without
 	// Changed is called, without a lock, after changes.
 	Changed func()
 	Log     zerolog.Logger
@@ -180,7 +191,7 @@
 		followHost = nil
 	}
 	return &Registry{
-		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, wait: wait, followHost: followHost, without: cfg.Without, changed: cfg.Changed, log: cfg.Log,
+		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, wait: wait, followHost: followHost, askConfig: cfg.AskConfig, without: cfg.Without, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), own: newOwnKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
 		relays: relay.New(cfg.Self), direct: true, news: make(chan struct{}), reached: make(chan struct{}, 1), lapsed: make(chan struct{}, 1),
 	}
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -118,6 +120,93 @@
 	knows(t, "follower", following, changed)
 }
 
+// configured returns the item of a configuration.
+func configured(t *testing.T, epoch store.Epoch, number, version uint64) store.Item {
+	t.Helper()
+	return store.Item{Key: platform.KeyConfig, Revision: inEpoch(t, epoch, number), Value: fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[]}`, version)}
+}
+
+// TestConfigurationOfACopyIsNotPassedOn: a follower that starts would run on the
+// older version.
+func TestConfigurationOfACopyIsNotPassedOn(t *testing.T) {
+	for name, inCopy := range map[string][]store.Item{"older": {configured(t, 2, 40, 20)}, "missing": nil} {
+		r, _ := testRegistry()
+		require.NoError(t, r.replace(listing(inEpoch(t, 1, 300), configured(t, 1, 290, 23))))
+		require.NoError(t, r.replace(listing(inEpoch(t, 2, 50), inCopy...)))
+		require.EqualValues(t, 23, r.Catalog().Version, name)
+		follower, _ := testRegistry()
+		require.NoError(t, follower.takeNews(firstNews(t, r, 0)))
+		require.EqualValues(t, 23, follower.Catalog().Version, name)
+		cutOff, _ := testRegistry()
+		cutOff.applyRelayed(r.Listing(inEpoch(t, 1, 300)), "another host")
+		require.EqualValues(t, 23, cutOff.Catalog().Version, name)
+		r.apply(listing(inEpoch(t, 2, 60), configured(t, 2, 60, 21)))
+		require.EqualValues(t, 23, r.Catalog().Version, name)
+		require.NoError(t, follower.takeNews(firstNews(t, r, inEpoch(t, 2, 50))))
+		late, _ := testRegistry()
+		require.NoError(t, late.takeNews(firstNews(t, r, 0)))
+		require.EqualValues(t, 23, late.Catalog().Version, name)
+	}
+}
+
+// startingBeside returns the registry of a host that starts beside others, which
+// answer with a configuration.
+func startingBeside(answer func(ctx context.Context, address string, above uint64) ([]byte, error)) *Registry {
+	return New(Config{
+		Store: &wakingStore{fails: errors.New("unavailable")}, Documents: platform.Documents{}, Self: gates.Host{Name: "self"},
+		AskConfig: answer, Changed: func() {}, Log: zerolog.Nop(),
+	})
+}
+
+// TestHostThatStartsBesideACopyAsksTheOthers: the store's configuration is older than
+// the one that they run on.
+func TestHostThatStartsBesideACopyAsksTheOthers(t *testing.T) {
+	other := func(epoch store.Epoch, version uint64) store.Item {
+		reg := roster.Registration{Host: gates.Host{Name: "h1", Zone: "a", Address: "there"}, Epoch: epoch, ConfigVersion: version}
+		return store.Item{Key: hostKey("h1"), Revision: inEpoch(t, 2, 30), Value: encodeRegistration(reg)}
+	}
+	for name, registration := range map[string]store.Item{"registered again": other(2, 23), "not yet": other(1, 0)} {
+		r := startingBeside(func(_ context.Context, address string, above uint64) ([]byte, error) {
+			require.Equal(t, "there", address)
+			require.EqualValues(t, 20, above)
+			return configured(t, 0, 0, 23).Value, nil
+		})
+		require.NoError(t, r.replace(listing(inEpoch(t, 2, 50), configured(t, 2, 40, 20), registration)))
+		for r.Catalog() == nil {
+			time.Sleep(poll)
+		}
+		require.EqualValues(t, 23, r.Catalog().Version, name)
+	}
+}
+
+// TestHostThatStartsServesThoughNobodyAnswers: all others may be lost.
+func TestHostThatStartsServesThoughNobodyAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := startingBeside(func(ctx context.Context, _ string, _ uint64) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		lost := store.Item{Key: hostKey("h1"), Revision: inEpoch(t, 2, 30), Value: encodeRegistration(roster.Registration{Host: gates.Host{Zone: "a", Address: "there"}, Epoch: 1})}
+		require.NoError(t, r.replace(listing(inEpoch(t, 2, 50), configured(t, 2, 40, 20), lost)))
+		require.Nil(t, r.Catalog())
+		time.Sleep(askConfigTime + time.Millisecond)
+		synctest.Wait()
+		require.EqualValues(t, 20, r.Catalog().Version)
+	})
+}
+
+// TestHostThatStartsBesideAWholeStoreAsksNobody: it would serve later for nothing.
+func TestHostThatStartsBesideAWholeStoreAsksNobody(t *testing.T) {
+	r := startingBeside(func(context.Context, string, uint64) ([]byte, error) {
+		t.Error("a host was asked")
+		return nil, errors.New("not asked")
+	})
+	reg := roster.Registration{Host: gates.Host{Name: "h1"}, Epoch: 2, ConfigVersion: 20}
+	require.NoError(t, r.replace(listing(inEpoch(t, 2, 50), configured(t, 2, 40, 20),
+		store.Item{Key: hostKey("h1"), Revision: inEpoch(t, 2, 30), Value: encodeRegistration(reg)})))
+	require.EqualValues(t, 20, r.Catalog().Version)
+}
+
 // TestReportOfACopyDoesNotCount: it may have been taken back since, and would help to
 // replace a primary that lives.
 func TestReportOfACopyDoesNotCount(t *testing.T) {
