Stand-in, demo and soak: the store returns from an older copy

The stand-in's store can be restored while it is away for a moment, with what the operator and the members write again a while later, and it counts promotion calls with another host's token. The soak plays it with the other faults in series and overlapping, and a plan of its own; the demo has it as a fault.

--- a/node/cmd/dotterelctl/demo.go
+++ b/node/cmd/dotterelctl/demo.go
@@ -25,7 +25,7 @@
 		Name:  "demo",
 		Usage: "run stand-ins, hosts and load in one process, with a fault",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "edge", Value: "postgres", Usage: "postgres, or platform for the users' platform with the line protocol (faults: none, primary-crash, drain-primary, store-outage, host-stop)"},
+			&cli.StringFlag{Name: "edge", Value: "postgres", Usage: "postgres, or platform for the users' platform with the line protocol (faults: none, primary-crash, drain-primary, store-outage, store-restore, host-stop, key-revoked, limit-lowered)"},
 			workloadFlag(),
 			&cli.StringFlag{Name: "fault", Value: "none", Usage: "none, primary-crash, primary-partition, host-kill, store-outage, az-cut, rolling-restart, drain-primary, or several joined by +"},
 			&cli.IntFlag{Name: "hosts", Value: 8, Usage: "entry hosts, 1 to 64"},
--- a/node/platformdemo/demo.go
+++ b/node/platformdemo/demo.go
@@ -26,6 +26,7 @@
 	PrimaryCrash Fault = "primary-crash"
 	DrainPrimary Fault = "drain-primary"
 	StoreOutage  Fault = "store-outage"
+	StoreRestore Fault = "store-restore"
 	HostStop     Fault = "host-stop"
 	KeyRevoked   Fault = "key-revoked"
 	LimitLowered Fault = "limit-lowered"
@@ -33,7 +34,7 @@
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{NoFault, PrimaryCrash, DrainPrimary, StoreOutage, HostStop, KeyRevoked, LimitLowered}
+	return []Fault{NoFault, PrimaryCrash, DrainPrimary, StoreOutage, StoreRestore, HostStop, KeyRevoked, LimitLowered}
 }
 
 // Options describe a run.
@@ -98,7 +99,8 @@
 	for i := range o.Callers {
 		wg.Go(func() { runCaller(ctx, i, addresses[i%len(addresses)], group, report) })
 	}
-	timer := time.AfterFunc(o.Duration/2, func() { inject(o.Fault, p, group, hosts) })
+	older := p.Store.Copy()
+	timer := time.AfterFunc(o.Duration/2, func() { inject(o.Fault, p, group, hosts, older) })
 	defer timer.Stop()
 	wg.Wait()
 	report.checkTeams(group.Runs())
@@ -164,8 +166,15 @@
 	return s, nil
 }
 
+// The store is away for storeAway before it returns from the copy that was made at
+// the start, and the operator and the members write again after rewriteAfter.
+const (
+	storeAway    = 300 * time.Millisecond
+	rewriteAfter = time.Second
+)
+
 // inject makes the fault happen.
-func inject(f Fault, p *lineplatform.Platform, group *lineplatform.Group, hosts []*entry.Host) {
+func inject(f Fault, p *lineplatform.Platform, group *lineplatform.Group, hosts []*entry.Host, older lineplatform.Copy) {
 	primary := group.Primary()
 	switch {
 	case f == KeyRevoked:
@@ -176,6 +185,8 @@
 		p.Configure(routes(), statementTime)
 	case f == StoreOutage:
 		p.Store.Fail(lineplatform.Refusing)
+	case f == StoreRestore:
+		p.RestoreStore(older, storeAway, rewriteAfter)
 	case f == HostStop:
 		hosts[0].Stop()
 	case primary == nil:
--- a/node/soak/event.go
+++ b/node/soak/event.go
@@ -61,6 +61,9 @@
 	// ForeignEntry has another writer leave something among the members' entries, and
 	// over one of them.
 	ForeignEntry
+	// RestoreStore has the store return from a copy that is as old as the fault is
+	// long.
+	RestoreStore
 	kindCount
 )
 
@@ -69,7 +72,7 @@
 	"store_refuses", "store_silent", "store_loses_answers", "store_forgets", "crash_member", "crash_primary",
 	"drain_primary", "delay_member", "hold_to_member", "hold_from_member", "reset_member", "silence_member",
 	"deaf_replica", "lose_answers", "refuse_promotion", "change_config",
-	"empty_member", "empty_primary", "foreign_entry",
+	"empty_member", "empty_primary", "foreign_entry", "restore_store",
 }
 
 func (k Kind) String() string { return kindNames[k] }
--- a/node/soak/inject.go
+++ b/node/soak/inject.go
@@ -18,6 +18,9 @@
 	refusedPromotions = 3
 )
 
+// storeAway is how long the store is away before it returns from a copy.
+const storeAway = 300 * time.Millisecond
+
 // carryOut makes a fault happen, and undoes it when its time is over.
 func (s *run) carryOut(e Event) {
 	host := s.fleet[e.Target%len(s.fleet)]
@@ -46,6 +49,10 @@
 		s.failStore(lineplatform.LosingAnswers, e.For)
 	case StoreForgets:
 		s.platform.Store.Compact()
+	case RestoreStore:
+		older := s.platform.Store.Copy()
+		time.Sleep(e.For)
+		s.platform.RestoreStore(older, storeAway, heartbeat)
 	case RefusePromotion:
 		s.platform.RefusePromotions(refusedPromotions)
 	case ChangeConfig:
--- a/node/soak/regressions_test.go
+++ b/node/soak/regressions_test.go
@@ -27,6 +27,17 @@
 		{At: 1500 * time.Millisecond, Kind: EmptyPrimary, Target: 1, For: 200 * time.Millisecond},
 		{At: 1600 * time.Millisecond, Kind: ForeignEntry, Target: 3, For: time.Second},
 	}},
+	// No seed: the incident of hosts that were ahead of their relays, and what else a
+	// store that returns from an older copy may bring back.
+	{name: "the store returns from older copies", seed: 2, plan: []Event{
+		{At: 300 * time.Millisecond, Kind: RestoreStore, Target: 0, For: 1500 * time.Millisecond},
+		{At: 600 * time.Millisecond, Kind: ChangeConfig, Target: 0, For: time.Second},
+		{At: 900 * time.Millisecond, Kind: KillHost, Target: 2, For: time.Second},
+		{At: 2200 * time.Millisecond, Kind: CrashPrimary, Target: 0, For: time.Second},
+		{At: 2600 * time.Millisecond, Kind: ChangeConfig, Target: 0, For: time.Second},
+		{At: 4 * time.Second, Kind: RestoreStore, Target: 0, For: time.Second},
+		{At: 4200 * time.Millisecond, Kind: StopHost, Target: 1, For: time.Second},
+	}},
 	// Seed 7001: a statement of a team without anything left waited for an answer that
 	// nobody was asked for, and was cut with the host that stopped.
 	{name: "a team is over its limit while hosts stop", seed: 7001, plan: []Event{
--- a/node/soak/soak.go
+++ b/node/soak/soak.go
@@ -193,6 +193,9 @@
 		}
 	}
 	checkLimits(evidences, all, &s.found)
+	if n := s.platform.SharedTokens(); n > 0 {
+		s.found.add("%d promotion calls came with another host's token", n)
+	}
 	s.checkLogs()
 	r.Findings = s.found.all()
 	return r
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -276,12 +276,12 @@
 	if err != nil {
 		panic(err)
 	}
-	m.group.platform.Store.Put("servers/"+m.ID, data)
+	m.group.platform.Store.Put(memberKey(m.ID), data)
 }
 
 // Lapse removes the member's entry, as silence does, and Announce brings it
 // back.
-func (m *Member) Lapse() { m.group.platform.Store.Delete("servers/" + m.ID) }
+func (m *Member) Lapse() { m.group.platform.Store.Delete(memberKey(m.ID)) }
 
 // Announce writes the member's entry again.
 func (m *Member) Announce() { m.announce() }
@@ -316,3 +316,8 @@
 	defer g.mu.Unlock()
 	return append([]Place(nil), g.starts...)
 }
+
+// memberPrefix is where members keep their entries.
+const memberPrefix = "servers/"
+
+func memberKey(id string) string { return memberPrefix + id }
--- a/standin/lineplatform/platform.go
+++ b/standin/lineplatform/platform.go
@@ -14,6 +14,15 @@
 	"time"
 )
 
+// configKey is where the operator writes the configuration.
+const configKey = "op/config"
+
+// fence is the newest token of a service, and the host that came with it first.
+type fence struct {
+	token  uint64
+	holder string
+}
+
 // Platform is the stand-in. It is safe for concurrent use.
 type Platform struct {
 	Store  *Store
@@ -22,10 +31,15 @@
 
 	mu      sync.Mutex
 	groups  map[string]*Group
-	fences  map[string]uint64
+	fences  map[string]fence
 	version uint64
-	refuse  int
-	teams   []Team
+	// document is the newest configuration.
+	document []byte
+	// sharedTokens counts the promotion calls with the newest token of a service that
+	// came from another host than its first.
+	sharedTokens int
+	refuse       int
+	teams        []Team
 }
 
 // Start runs a platform without groups.
@@ -34,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{Store: newStore(), listen: l, groups: map[string]*Group{}, fences: map[string]uint64{}}
+	p := &Platform{Store: newStore(), listen: l, groups: map[string]*Group{}, fences: map[string]fence{}}
 	mux := http.NewServeMux()
 	p.Store.handle(mux)
 	mux.HandleFunc("POST /promote", p.promote)
@@ -100,12 +114,13 @@
 		body.Tenants = append(body.Tenants, tenantBody(t))
 	}
 	version := p.version
-	p.mu.Unlock()
 	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
-	p.Store.Put("op/config", data)
+	p.document = data
+	p.mu.Unlock()
+	p.Store.Put(configKey, data)
 	return version
 }
 
@@ -123,6 +138,44 @@
 	p.refuse = n
 }
 
+// SharedTokens returns how many promotion calls came with a token that was another
+// host's.
+func (p *Platform) SharedTokens() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sharedTokens
+}
+
+// RestoreStore has the store be away for a while and return from a copy. After a
+// further while the operator and the members write again what they had written, and
+// the entries of members that are gone lapse.
+func (p *Platform) RestoreStore(c Copy, away, rewrite time.Duration) {
+	p.Store.Fail(Refusing)
+	time.Sleep(away)
+	p.Store.Restore(c)
+	p.Store.Fail(Up)
+	time.Sleep(rewrite)
+	p.mu.Lock()
+	document := p.document
+	groups := slices.Collect(maps.Values(p.groups))
+	p.mu.Unlock()
+	p.Store.Put(configKey, document)
+	present := map[string]bool{}
+	for _, g := range groups {
+		for _, m := range g.Members() {
+			present[memberKey(m.ID)] = true
+			if !m.isDown() {
+				m.announce()
+			}
+		}
+	}
+	for _, key := range p.Store.Keys(memberPrefix) {
+		if !present[key] {
+			p.Store.Delete(key)
+		}
+	}
+}
+
 // promote serves the promotion call.
 func (p *Platform) promote(w http.ResponseWriter, r *http.Request) {
 	var body struct {
@@ -144,9 +197,13 @@
 	if refused {
 		p.refuse--
 	}
-	fenced := token < p.fences[body.Service]
-	if known && !fenced && !refused {
-		p.fences[body.Service] = token
+	holder, newest := r.Header.Get("X-Dotterelswitch-Duty-Holder"), p.fences[body.Service]
+	fenced := token < newest.token
+	if token == newest.token && holder != newest.holder && newest.holder != "" {
+		p.sharedTokens++
+	}
+	if known && token > newest.token && !refused {
+		p.fences[body.Service] = fence{token: token, holder: holder}
 	}
 	p.mu.Unlock()
 	switch {
