A host that stops ends no other host's lease after a restore

Its lease's number may have been granted to another host since; ending it would take that host's registration and locks away, and callers' statements with them. A host that knows of the restore deletes its own registration instead. The test was red before: the stand-in grants the same number again.

--- a/node/registry/presence.go
+++ b/node/registry/presence.go
@@ -155,14 +155,18 @@
 }
 
 // Leave takes the host's keys back for good, so that others send it nothing
-// more.
+// more. A lease of an earlier epoch is not ended: its number may be another host's.
 func (r *Registry) Leave(ctx context.Context) error {
 	r.mu.Lock()
 	r.leaving = true
-	lease := r.lease
+	lease, epoch := r.lease, r.revision.Epoch()
 	r.mu.Unlock()
-	if lease.None() {
+	switch {
+	case lease.None():
 		return nil
+	case lease.Epoch < epoch:
+		_, err := r.store.Commit(ctx, store.Txn{Deletes: []string{hostKey(r.self.Name)}})
+		return err
 	}
 	return r.store.EndLease(ctx, lease)
 }
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -172,9 +172,7 @@
 			return configured(t, 0, 0, 23).Value, nil
 		})
 		require.NoError(t, r.replace(listing(inEpoch(t, 2, 50), configured(t, 2, 40, 20), registration)))
-		for r.Catalog() == nil {
-			time.Sleep(poll)
-		}
+		require.Eventually(t, func() bool { return r.Catalog() != nil }, eventually, poll, name)
 		require.EqualValues(t, 23, r.Catalog().Version, name)
 	}
 }
@@ -255,7 +253,8 @@
 	}
 	p.Store.Restore(empty)
 	registered := func() bool { return len(p.Store.Keys(hostPrefix)) == len(all) }
-	for !registered() {
+	for began := time.Now(); !registered(); {
+		require.Less(t, time.Since(began), eventually)
 		for _, r := range hosts {
 			require.Equal(t, all, r.Hosts(), "nobody is missed while the hosts register again")
 		}
@@ -302,3 +301,21 @@
 	require.NotEqual(t, second, a.LockOf("svc").Token())
 	require.Greater(t, take(a), second)
 }
+
+// TestStoppingHostEndsNoOthersLease: the number of its lease was granted again after
+// the store returned from a copy.
+func TestStoppingHostEndsNoOthersLease(t *testing.T) {
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	empty := p.Store.Copy()
+	stopping := runAgainst(t, p, gates.Host{Name: "h1", Zone: "a", Address: "unused"}, nil)
+	require.NoError(t, stopping.register(t.Context()))
+	p.Store.Restore(empty)
+	require.Eventually(t, func() bool { return stopping.Epoch() == 2 }, eventually, poll)
+	other := runAgainst(t, p, gates.Host{Name: "h2", Zone: "a", Address: "unused"}, nil)
+	require.NoError(t, other.register(t.Context()))
+	require.Equal(t, stopping.currentLease().ID, other.currentLease().ID, "the pattern: one number for two leases")
+	require.NoError(t, stopping.Leave(t.Context()))
+	require.Equal(t, []string{hostKey("h2")}, p.Store.Keys(hostPrefix))
+}
