A counter that joins grants no second burst

Two hosts had started beside a silent store; they joined when it came back, while the team asked for several times its limit.

Cause: what comes in for a team at a host that joins counted from the host's start, so that it took the team over with a burst, and the counter before it had granted the window's burst already. It counts from the joining now, as after another host's leave.

The unit test was red (16 of 15.5 for one counter). Left open and listed: two counters for as long as hosts do not know of each other.

--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -33,12 +33,14 @@
 	return &Counter{tolerance: t, since: now, teams: map[string]*bucket{}}
 }
 
-// HostLeft notes that this host may have become a counter of other teams. Load
-// pattern: all hosts come back from a loss of power and register one after the other,
-// while all callers return at once. A host that joins takes teams over, and has granted
-// nothing since its start; it gives none to others, so that what has come in for
-// them since their start stays.
-func (c *Counter) HostLeft(now time.Duration) { c.since = now }
+// TakesOver notes that this host may have become a counter of teams that another one
+// has counted, because that one left or this one joined. It has granted them nothing,
+// but the other has: what came in for them here until now is the other's.
+//
+// Load pattern: all hosts come back from a loss of power and register one after the
+// other, while all callers return at once. A host that joins takes teams over and
+// gives none to others, so that only its own joining counts.
+func (c *Counter) TakesOver(now time.Duration) { c.since = now }
 
 // Acquire grants operations of a team, out of this host's part of its limit, which
 // it shares with the other counters.
--- a/core/quota/counter_test.go
+++ b/core/quota/counter_test.go
@@ -203,7 +203,7 @@
 	l := limitOf(10, 10)
 	c := quota.NewCounter(tolerance, 0)
 	require.GreaterOrEqual(t, c.Acquire("a", l, 3, 3, time.Second).Granted, 3)
-	c.HostLeft(2 * time.Second)
+	c.TakesOver(2 * time.Second)
 	require.Zero(t, c.Acquire("b", l, 3, 1, 2*time.Second).Granted, "the host that has left may have granted it")
 }
 
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -96,10 +96,15 @@
 func (l *Limiter) SetFleet(hosts []quota.Host, addresses map[string]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	_, listed := addresses[l.cfg.Self.Name]
+	_, wasListed := l.addresses[l.cfg.Self.Name]
+	takesOver := listed && !wasListed
 	for name := range l.addresses {
-		if _, stays := addresses[name]; !stays {
-			l.counter.HostLeft(clock.Now())
-		}
+		_, stays := addresses[name]
+		takesOver = takesOver || !stays
+	}
+	if takesOver {
+		l.counter.TakesOver(clock.Now())
 	}
 	l.hosts, l.addresses = hosts, addresses
 	clear(l.placed)
--- a/node/soak/regressions_test.go
+++ b/node/soak/regressions_test.go
@@ -6,6 +6,8 @@
 type regression struct {
 	name string
 	seed uint64
+	// size is the deployment's where it matters.
+	size size
 	// plan is cut down to the faults that it took.
 	plan []Event
 }
@@ -27,6 +29,14 @@
 		{At: 1500 * time.Millisecond, Kind: EmptyPrimary, Target: 1, For: 200 * time.Millisecond},
 		{At: 1600 * time.Millisecond, Kind: ForeignEntry, Target: 3, For: time.Second},
 	}},
+	// Seed 8005: hosts that start beside a silent store join while a team is over its
+	// limit; each took it over with a burst that the counter before had granted.
+	{name: "hosts that join count a team that is over its limit", seed: 8005, size: size{hosts: 6, callers: 24, groups: 2}, plan: []Event{
+		{At: 888 * time.Millisecond, Kind: StopHost, Target: 39400, For: 2603 * time.Millisecond},
+		{At: 1089 * time.Millisecond, Kind: StopHost, Target: 62763, For: 2419 * time.Millisecond},
+		{At: 2764 * time.Millisecond, Kind: StoreSilent, Target: 46830, For: 3731 * time.Millisecond},
+		{At: 10 * time.Second, Kind: ReloadHost, Target: 0, For: time.Second},
+	}},
 	// No seed: the incident of hosts that were ahead of their relays, and what else a
 	// store that returns from an older copy may bring back.
 	{name: "the store returns from older copies", seed: 2, plan: []Event{
--- a/node/soak/soak_test.go
+++ b/node/soak/soak_test.go
@@ -19,10 +19,19 @@
 	return program
 }
 
-func soakFor(t *testing.T, program string, seed uint64, plan []Event, length time.Duration) {
+// size is how large a deployment is.
+type size struct{ hosts, callers, groups int }
+
+// smallSize is enough for most faults.
+var smallSize = size{hosts: 4, callers: 12, groups: 1}
+
+func soakFor(t *testing.T, program string, seed uint64, s size, plan []Event, length time.Duration) {
 	t.Helper()
+	if s == (size{}) {
+		s = smallSize
+	}
 	r, err := Run(context.Background(), Options{
-		Program: program, Dir: t.TempDir(), Seed: seed, Hosts: 4, Callers: 12, Groups: 1, Length: length, Plan: plan,
+		Program: program, Dir: t.TempDir(), Seed: seed, Hosts: s.hosts, Callers: s.callers, Groups: s.groups, Length: length, Plan: plan,
 	})
 	require.NoError(t, err)
 	require.Empty(t, r.Findings, "faults: %q", r.Faults)
@@ -33,8 +42,8 @@
 // seed, and under the plans that once failed.
 func TestShortSoak(t *testing.T) {
 	program := build(t)
-	t.Run("seed", func(t *testing.T) { soakFor(t, program, 3, nil, 6*time.Second) })
+	t.Run("seed", func(t *testing.T) { soakFor(t, program, 3, smallSize, nil, 6*time.Second) })
 	for _, c := range regressions {
-		t.Run(c.name, func(t *testing.T) { soakFor(t, program, c.seed, c.plan, 0) })
+		t.Run(c.name, func(t *testing.T) { soakFor(t, program, c.seed, c.size, c.plan, 0) })
 	}
 }
