--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -270,6 +270,21 @@
 	require.True(t, registered(), "each lease is renewed by its own host")
 }
 
+// TestHostThatACopyLacksDoesNotWaitForItsRenewal: hosts that start would not know of
+// it for as long.
+func TestHostThatACopyLacksDoesNotWaitForItsRenewal(t *testing.T) {
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	empty := p.Store.Copy()
+	r := present(t, p, "h1")
+	require.Eventually(t, r.registered, eventually, poll)
+	registered := time.Now()
+	p.Store.Restore(empty)
+	require.Eventually(t, func() bool { return len(p.Store.Keys(hostPrefix)) == 1 }, eventually, poll)
+	require.Less(t, time.Since(registered), renewEvery, "its next renewal")
+}
+
 // TestLocksOfACopyAreNobodysToken: a token that is made after a restore is above all
 // before it, and the copy's lock gives none.
 func TestLocksOfACopyAreNobodysToken(t *testing.T) {
