A fleet that starts beside a restored store does not ask the same four hosts

Each host that starts asks up to four others for a newer configuration, and all chose the same by name: at 5,000 hosts four of them would answer all the rest with a document of megabytes. They are chosen by chance among those that named the newest one. The registry's random numbers were seeded with the clock and the length of the host's name, the same for hosts that start together; now with its name.

TestFleetThatStartsAsksManyHosts: 300 of 300 asked the same host before.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -193,14 +194,16 @@
 	return r.ConfigVersion() > version || r.Carries()
 }
 
-// LikelyNewest returns some hosts, those first that named the newest configuration.
-func (r *Roster) LikelyNewest(count int) []gates.Host {
+// LikelyNewest returns some hosts, those first that named the newest configuration,
+// and by chance among equals: a whole fleet may start and ask at the same moment.
+func (r *Roster) LikelyNewest(count int, rng *rand.Rand) []gates.Host {
 	all := make([]Registration, 0, len(r.hosts))
 	for _, s := range r.hosts {
 		all = append(all, s.Registration)
 	}
-	slices.SortFunc(all, func(a, b Registration) int {
-		return cmp.Or(cmp.Compare(b.ConfigVersion, a.ConfigVersion), cmp.Compare(b.Epoch, a.Epoch), cmp.Compare(a.Host.Name, b.Host.Name))
+	rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	slices.SortStableFunc(all, func(a, b Registration) int {
+		return cmp.Or(cmp.Compare(b.ConfigVersion, a.ConfigVersion), cmp.Compare(b.Epoch, a.Epoch))
 	})
 	var out []gates.Host
 	for _, reg := range all[:min(count, len(all))] {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -139,11 +140,33 @@
 	r.Replace([]roster.Registration{a, b}, 2, time.Second)
 	require.EqualValues(t, 23, r.ConfigVersion())
 	require.True(t, r.MayKnowNewer(20))
-	require.Equal(t, []gates.Host{a.Host}, r.LikelyNewest(1))
+	rng := rand.New(rand.NewPCG(1, 1))
+	require.Equal(t, []gates.Host{a.Host}, r.LikelyNewest(1, rng))
 	r.Expire(time.Second + roster.Carry)
 	r.Replace([]roster.Registration{b}, 2, 20*time.Second)
 	require.False(t, r.MayKnowNewer(20))
-	require.Len(t, r.LikelyNewest(3), 1)
+	require.Len(t, r.LikelyNewest(3, rng), 1)
+}
+
+// TestFleetThatStartsAsksManyHosts: no host is asked by all the others.
+func TestFleetThatStartsAsksManyHosts(t *testing.T) {
+	const hosts = 300
+	r := roster.New()
+	var all []roster.Registration
+	for n := range hosts {
+		all = append(all, reg(fmt.Sprint("host-", n), 1))
+	}
+	r.Replace(all, 1, time.Second)
+	asked := map[string]int{}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range hosts {
+		for _, h := range r.LikelyNewest(4, rng) {
+			asked[h.Name]++
+		}
+	}
+	for name, times := range asked {
+		require.LessOrEqual(t, times, 20, name)
+	}
 }
 
 // TestLivingHostsAreNeverMissing: whatever a store that returns from copies shows, a
--- a/node/registry/configuration.go
+++ b/node/registry/configuration.go
@@ -88,7 +88,7 @@
 	if asking {
 		return
 	}
-	asked := r.roster.LikelyNewest(askedForConfig + 1)
+	asked := r.roster.LikelyNewest(askedForConfig+1, r.newRand())
 	go func() {
 		r.askAll(asked, stored.Version)
 		r.mu.Lock()
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/mechanism"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -54,7 +55,7 @@
 
 // Run follows the store until the context ends.
 func (r *Registry) Run(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(uint64(clock.Now()), uint64(len(r.self.Name))))
+	rng := r.newRand()
 	attempt := 0
 	for ctx.Err() == nil {
 		host, follows := r.pickRelay()
@@ -74,6 +75,12 @@
 	}
 }
 
+// newRand returns a source of random numbers that is this host's own, also where a
+// whole fleet starts at the same moment.
+func (r *Registry) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(clock.Now()), membership.Score(r.self.Zone, r.self.Name)))
+}
+
 // spacing returns how calls are spaced after a number of failed ones. A store
 // that is above its rate is not asked sooner by anyone.
 func (r *Registry) spacing(attempt int, err error) retry.Backoff {
