Red test: hosts that do not know of each other break a team's limit

Known and written down in core/quota until now, and not tested: the simulated fleet agreed on who is registered at all times. It needs a counter that stops when its picture of the fleet is too old, and one that joins to wait as long; what that costs after a loss of power has to be measured.

--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -49,6 +49,8 @@
 	side int
 	// downUntil and frozenUntil are until when it is dead, or stands still.
 	downUntil, frozenUntil time.Duration
+	// unheardUntil is until when the others do not know that it has registered.
+	unheardUntil time.Duration
 	// asked is the request under way.
 	asked    time.Duration
 	asking   bool
@@ -108,7 +110,7 @@
 
 // place returns who counts, as a host sees it. Its hosts are of two regions.
 func (s *simFleet) place(h *simHost) quota.Placement {
-	if p, found := s.placed[h]; found {
+	if p, found := s.placed[h]; found && s.agreed() {
 		return p
 	}
 	var hosts []quota.Host
@@ -118,7 +120,7 @@
 		if other == h {
 			self = o
 		}
-		if s.flaw != everySideCounts || other.side == h.side {
+		if (s.flaw != everySideCounts || other.side == h.side) && (other == h || s.now >= other.unheardUntil) {
 			hosts = append(hosts, o)
 		}
 	}
@@ -127,6 +129,11 @@
 	return p
 }
 
+// agreed reports whether all hosts know of each other.
+func (s *simFleet) agreed() bool {
+	return !slices.ContainsFunc(s.hosts, func(h *simHost) bool { return s.now <= h.unheardUntil })
+}
+
 func (s *simFleet) find(name string) *simHost {
 	return s.hosts[slices.IndexFunc(s.hosts, func(h *simHost) bool { return h.name == name })]
 }
