A host that is back after a loss of power grants what came in since its start

Hosts whose earlier life was registered all the while took nothing over from anybody: nobody counted for them. They count from their start, as before; what a host grants after its start is no second burst, because nothing came in while it was down.

The test was red (grants of 200 ms against none).

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -128,7 +128,7 @@
 		Self:        gates.Host{Name: s.Host, Zone: s.Places.Zone, Address: s.PeerAddress},
 		ConfigBound: s.ConfigBound, FollowHost: h.gates.Follow, AskConfig: h.gates.Configuration, Without: s.Without, Changed: h.poke, Log: h.log,
 	})
-	h.limiter = limits.New(limits.Config{Self: quota.Host{Name: s.Host, Region: s.Places.Region(s.Places.Zone)}, Tolerance: s.Quota, Ask: h.requestGrant, Limit: h.limitOf})
+	h.limiter = limits.New(limits.Config{Self: quota.Host{Name: s.Host, Region: s.Places.Region(s.Places.Zone)}, Tolerance: s.Quota, Ask: h.requestGrant, Limit: h.limitOf, Remembered: h.registry.Remembered})
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -39,6 +39,8 @@
 	Self      quota.Host
 	Tolerance quota.Tolerance
 	Ask       AskFunc
+	// Remembered tells that this host was registered already when it started.
+	Remembered func() bool
 	// Limit returns the limit of a team in the newest configuration; false for a
 	// team that it does not have.
 	Limit func(team string) (quota.Limit, bool)
@@ -92,13 +94,15 @@
 	}
 }
 
-// SetFleet takes the hosts that are registered, with where they take datagrams.
+// SetFleet takes the hosts that are registered, with where they take datagrams. A
+// host that joins them takes teams over from others; one whose earlier life was
+// registered all the while it was down does not, as nobody has counted for it.
 func (l *Limiter) SetFleet(hosts []quota.Host, addresses map[string]string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, listed := addresses[l.cfg.Self.Name]
 	_, wasListed := l.addresses[l.cfg.Self.Name]
-	takesOver := listed && !wasListed
+	takesOver := listed && !wasListed && !l.cfg.Remembered()
 	for name := range l.addresses {
 		_, stays := addresses[name]
 		takesOver = takesOver || !stays
--- a/node/limits/limiter_test.go
+++ b/node/limits/limiter_test.go
@@ -60,7 +60,8 @@
 	t.Helper()
 	l := limits.New(limits.Config{
 		Self: quota.Host{Name: "self", Region: "a"}, Ask: n.ask,
-		Limit: func(name string) (quota.Limit, bool) { return team.Limit, name == team.Name },
+		Limit:      func(name string) (quota.Limit, bool) { return team.Limit, name == team.Name },
+		Remembered: func() bool { return false },
 	})
 	hosts := []quota.Host{{Name: "a1", Region: "a"}, {Name: "b1", Region: "b"}, {Name: "c1", Region: "c"}}
 	l.SetFleet(hosts, map[string]string{"a1": "a1:1", "b1": "b1:1", "c1": "c1:1"})
@@ -168,3 +169,23 @@
 		}
 	}
 }
+
+// grantedAfterJoining returns what a host that counts a team grants of it just after it
+// is registered, some time after its start.
+func grantedAfterJoining(remembered bool) int {
+	l := limits.New(limits.Config{
+		Self:       quota.Host{Name: "self", Region: "a"},
+		Limit:      func(string) (quota.Limit, bool) { return team.Limit, true },
+		Remembered: func() bool { return remembered },
+	})
+	time.Sleep(200 * time.Millisecond)
+	l.SetFleet([]quota.Host{{Name: "self", Region: "a"}}, map[string]string{"self": "self:1"})
+	return l.Acquire(team.Name, 10_000).Granted
+}
+
+// TestHostThatIsBackGrantsWhatCameInSinceItsStart replays the return of a fleet from a
+// loss of power that was shorter than its leases, with all callers back at once. A
+// host that joins anew takes over from one that has granted all of it.
+func TestHostThatIsBackGrantsWhatCameInSinceItsStart(t *testing.T) {
+	require.Greater(t, grantedAfterJoining(true), 2*grantedAfterJoining(false))
+}
