Registry and roster: nothing twice, nothing on the way of each piece of news

No rule, bound or test is changed.

- Whether registrations are carried over was looked for among all hosts at each piece of the store's news; now only when a registration comes.
One that came from another host while the store is away is looked at again by itself, too.
- Each registration of a listing was decoded twice.
- Hosts that have left were forgotten only after a restore, so that their names gathered for as long as a process lives; now as others leave.
- A document that cannot be used is decoded and logged in one place.
- A promoter that has reported nothing does not ask for the store's epoch ten times a second for each group.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -74,7 +74,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{hosts: map[string]standing{}, left: map[string]time.Duration{}}
+	return &Roster{carryFor: Carry, hosts: map[string]standing{}, left: map[string]time.Duration{}}
 }
 
 // Replace takes a complete listing of the store.
@@ -97,7 +97,7 @@
 		case s.carried():
 			r.hosts[name] = s
 		default:
-			r.left[name] = now
+			r.noteLeft(name, now)
 		}
 	}
 }
@@ -122,7 +122,7 @@
 	if at, left := r.left[name]; left && now-at < rememberLeft {
 		return
 	}
-	r.hosts[name] = standing{Registration: reg, until: now + max(Carry, r.carryFor)}
+	r.hosts[name] = standing{Registration: reg, until: now + r.carryFor}
 }
 
 // Remove notes that a registration is gone. One that is carried over goes on to
@@ -132,6 +132,16 @@
 		return
 	}
 	delete(r.hosts, name)
+	r.noteLeft(name, now)
+}
+
+// noteLeft notes that a host has left, and forgets those that left long ago.
+func (r *Roster) noteLeft(name string, now time.Duration) {
+	for other, at := range r.left {
+		if now-at >= rememberLeft {
+			delete(r.left, other)
+		}
+	}
 	r.left[name] = now
 }
 
@@ -142,15 +152,10 @@
 	for name, s := range r.hosts {
 		if s.carried() && now >= s.until {
 			delete(r.hosts, name)
-			r.left[name] = now
+			r.noteLeft(name, now)
 			dropped = true
 		}
 	}
-	for name, at := range r.left {
-		if now-at >= rememberLeft {
-			delete(r.left, name)
-		}
-	}
 	return dropped
 }
 
--- a/node/promoter/keep_store.go
+++ b/node/promoter/keep_store.go
@@ -71,7 +71,7 @@
 // reported returns the primary that this host has reported in the present epoch. It
 // is called with keeping held.
 func (p *Promoter) reported() string {
-	if p.keeper.reportedIn != p.registry.Epoch() {
+	if p.keeper.reported == "" || p.keeper.reportedIn != p.registry.Epoch() {
 		return ""
 	}
 	return p.keeper.reported
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -75,7 +75,7 @@
 	for _, i := range l.Items {
 		if e, ok := r.decodeEntry(i); ok {
 			entries = append(entries, e)
-		} else if _, ok := registrationOf(i); !ok {
+		} else {
 			r.takeItem(i)
 		}
 		r.remember(i)
@@ -129,7 +129,6 @@
 		most = max(most, e)
 	}
 	r.scheduleRecheck()
-	r.scheduleExpiry()
 	if len(news) > 0 {
 		r.record(news)
 	}
--- a/node/registry/configuration.go
+++ b/node/registry/configuration.go
@@ -28,9 +28,8 @@
 // takeConfig takes the operators' document as the store has it. It is called with mu
 // held.
 func (r *Registry) takeConfig(document []byte) effect {
-	next, err := r.docs.Catalog(document)
-	if err != nil {
-		eventlog.ConfigRejected.Error(r.log).Err(err).Send()
+	next, ok := r.decodeConfig(document)
+	if !ok {
 		return nothingNew
 	}
 	if r.catalog == nil && r.askConfig != nil && r.roster.MayKnowNewer(next.Version) {
@@ -41,6 +40,16 @@
 	return rerouted
 }
 
+// decodeConfig decodes a document; one that cannot be used is logged.
+func (r *Registry) decodeConfig(document []byte) (*catalog.Catalog, bool) {
+	next, err := r.docs.Catalog(document)
+	if err != nil {
+		eventlog.ConfigRejected.Error(r.log).Err(err).Send()
+		return nil, false
+	}
+	return next, true
+}
+
 // putInForce puts a configuration in force unless a newer one is. It is called with
 // mu held.
 func (r *Registry) putInForce(next *catalog.Catalog, document []byte) {
@@ -88,6 +97,7 @@
 	if asking {
 		return
 	}
+	// This host may be among them.
 	asked := r.roster.LikelyNewest(askedForConfig+1, r.newRand())
 	go func() {
 		r.askAll(asked, stored.Version)
@@ -126,9 +136,8 @@
 	if len(document) == 0 {
 		return
 	}
-	next, err := r.docs.Catalog(document)
-	if err != nil {
-		eventlog.ConfigRejected.Error(r.log).Err(err).Send()
+	next, ok := r.decodeConfig(document)
+	if !ok {
 		return
 	}
 	r.mu.Lock()
--- a/node/registry/registration.go
+++ b/node/registry/registration.go
@@ -65,6 +65,7 @@
 		return
 	}
 	r.roster.Put(reg, now)
+	r.scheduleExpiry()
 }
 
 // scheduleExpiry looks again when the registrations that are carried over from an
--- a/node/registry/relay.go
+++ b/node/registry/relay.go
@@ -104,13 +104,13 @@
 // remember keeps an item as it was written, but for the configuration: that is the one
 // in force. It returns what it keeps. It is called with mu held.
 func (r *Registry) remember(i store.Item) store.Item {
-	if i.Key == r.docs.ConfigKey() && !i.Deleted {
-		i = r.withDocument(i)
-	}
 	if i.Deleted {
 		delete(r.items, i.Key)
 		return i
 	}
+	if i.Key == r.docs.ConfigKey() {
+		i = r.withDocument(i)
+	}
 	r.items[i.Key] = i
 	return i
 }
