Logs: failed watches, silence before the store's return, configurations that wait for peers

Between 603 and 604 a host's log said nothing of the store, so a watch that is out for too long, a restore that is noticed late and a starting host with an older configuration looked alike. 616 says how long each failed watch was out, 604 how long nothing was heard, 617 that a starting host asks its peers. No logic is changed.

--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -61,6 +61,8 @@
 	UpdatesCounted       = Event{613, "platform_news_counted"}
 	FollowerAhead        = Event{614, "platform_follower_ahead"}
 	StoreRestored        = Event{615, "platform_restored"}
+	WatchFailed          = Event{616, "platform_watch_failed"}
+	ConfigDeferred       = Event{617, "configuration_deferred"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -79,7 +81,7 @@
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored,
+		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred,
 	}
 }
 
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -44,12 +44,12 @@
 	}
 }
 
-// markReachable is called with mu held.
-func (r *Registry) markReachable() {
+// markReachable is called with mu held, before lastContact is updated.
+func (r *Registry) markReachable(now time.Duration) {
 	if r.unreachable {
 		r.unreachable = false
 		r.signalStoreReached()
-		eventlog.PlatformReachable.Info(r.log).Stringer("revision", r.revision).Send()
+		eventlog.PlatformReachable.Info(r.log).Stringer("revision", r.revision).Dur("silent_ms", now-r.lastContact).Send()
 	}
 }
 
@@ -67,7 +67,7 @@
 		return errOlderEpoch
 	}
 	restored := r.detectRestore(l.Revision)
-	r.markReachable()
+	r.markReachable(now)
 	r.countReceived(len(l.Items))
 	r.coordination = newCoordinationKeys()
 	r.roster.Replace(registrationsIn(l), l.Revision.Epoch(), now)
@@ -117,7 +117,7 @@
 func (r *Registry) apply(l store.Listing) {
 	now := clock.Now()
 	r.mu.Lock()
-	r.markReachable()
+	r.markReachable(now)
 	r.countReceived(len(l.Items))
 	r.lastContact = now
 	r.revision = max(r.revision, l.Revision)
--- a/node/registry/configuration.go
+++ b/node/registry/configuration.go
@@ -99,6 +99,7 @@
 	}
 	// One more, because this host may be among them.
 	peers := r.roster.HostsWithNewestConfig(configPeers+1, r.newRand())
+	eventlog.ConfigDeferred.Info(r.log).Uint64("version", stored.Version).Int("peers", len(peers)).Send()
 	go func() {
 		r.fetchConfigFromAll(peers, stored.Version)
 		r.mu.Lock()
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -129,6 +129,7 @@
 		return nil
 	}
 	if err != nil {
+		eventlog.WatchFailed.Info(r.log).Err(err).Stringer("revision", after).Dur("elapsed_ms", clock.Now()-start).Send()
 		return err
 	}
 	r.apply(l)
