Configuration: a watch without an answer is given up within the bound

Cause: a watch could be out for its wait, half of the bound, and 3 s more, so 4.5 s with a bound of 3 s. A store that was silent never answers the calls of that time, so a watch sent just before its return kept the host deaf. The hosts' watches begin together, as each change ends them all, so that no host could tell the others. The 3 s belonged to the store's client, the wait to the registry, and nothing added them up.

Evidence: 616 on all nine hosts, 4500 ms each time, the next watch answered at once with the changes.

Change: the registry gives a watch 0.6 of the bound in all, 0.4 of it to wait; the rest is left for the longest backoff and a listing. The client's own limit is the wait and the call timeout.

--- a/node/onplatform/adapter.go
+++ b/node/onplatform/adapter.go
@@ -20,7 +20,7 @@
 	Host string
 	// StoreAddress and PromotionAddress are the addresses of the platform's APIs.
 	StoreAddress, PromotionAddress string
-	// Timeout applies to every call except watches.
+	// Timeout applies to every call; that of a watch starts when its wait ends.
 	Timeout time.Duration
 	// RequireTeams rejects a configuration without teams.
 	RequireTeams bool
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -50,6 +50,8 @@
 	changed func()
 	// watchWait is the time after which a watch without changes returns.
 	watchWait time.Duration
+	// watchTimeout is the time after which a watch without an answer is given up.
+	watchTimeout time.Duration
 	// followHost receives changes from a relay; nil disables relays.
 	followHost FollowFunc
 	features   feature.Set
@@ -125,7 +127,7 @@
 	Documents Documents
 	Self      gates.Host
 	// MaxConfigApplyTime is the time within which a configuration change must be
-	// active; zero for no bound.
+	// active; zero for defaultMaxConfigApplyTime.
 	MaxConfigApplyTime time.Duration
 	// FollowHost receives changes from a relay; nil disables relays.
 	FollowHost FollowFunc
@@ -138,21 +140,27 @@
 }
 
 func New(cfg Config) *Registry {
-	wait := time.Duration(watchWaitFraction * float64(cfg.MaxConfigApplyTime))
-	if wait <= 0 {
-		wait = defaultWatchWait
+	maxConfigApplyTime := cfg.MaxConfigApplyTime
+	if maxConfigApplyTime <= 0 {
+		maxConfigApplyTime = defaultMaxConfigApplyTime
 	}
 	followHost := cfg.FollowHost
 	if !cfg.Features.Enabled(feature.Relays) {
 		followHost = nil
 	}
 	return &Registry{
-		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, watchWait: wait, followHost: followHost, fetchConfig: cfg.FetchConfig, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
+		watchWait:    fractionOf(maxConfigApplyTime, watchWaitFraction),
+		watchTimeout: fractionOf(maxConfigApplyTime, watchTimeoutFraction),
+		store:        cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), coordination: newCoordinationKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
 		relaySelector: relay.New(cfg.Self), direct: true, historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1),
 	}
 }
 
+func fractionOf(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
+
 // Catalog returns the active configuration, or nil.
 func (r *Registry) Catalog() *catalog.Catalog {
 	r.mu.Lock()
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -35,10 +35,27 @@
 // ends. A nil follow disables relays.
 func runRegistry(t *testing.T, p *lineplatform.Platform, self gates.Host, follow FollowFunc) *Registry {
 	t.Helper()
-	r := New(Config{
+	return startRegistry(t, Config{
 		Store:     platform.NewStoreClient(p.Address(), http.DefaultClient, callTimeout),
-		Documents: platform.Documents{}, Self: self, FollowHost: follow, Changed: func() {}, Log: zerolog.New(zerolog.NewTestWriter(t)),
+		Documents: platform.Documents{}, Self: self, FollowHost: follow,
 	})
+}
+
+// runRegistryWithin is runRegistry for a host without relays and with a bound on the time
+// until a configuration is active.
+func runRegistryWithin(t *testing.T, p *lineplatform.Platform, self gates.Host, maxConfigApplyTime time.Duration) *Registry {
+	t.Helper()
+	return startRegistry(t, Config{
+		Store:     platform.NewStoreClient(p.Address(), http.DefaultClient, callTimeout),
+		Documents: platform.Documents{}, Self: self, MaxConfigApplyTime: maxConfigApplyTime,
+	})
+}
+
+// startRegistry runs a registry until the test ends.
+func startRegistry(t *testing.T, cfg Config) *Registry {
+	t.Helper()
+	cfg.Changed, cfg.Log = func() {}, zerolog.New(zerolog.NewTestWriter(t))
+	r := New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -17,10 +17,15 @@
 const (
 	// watchWaitFraction is the wait of one watch as a fraction of
 	// Config.MaxConfigApplyTime. A store that compacts its history may leave a watch
-	// waiting without an answer; the rest of the bound is left for a full listing.
-	watchWaitFraction = 0.5
-	// defaultWatchWait applies if Config.MaxConfigApplyTime is zero.
-	defaultWatchWait = 1500 * time.Millisecond
+	// waiting without an answer.
+	watchWaitFraction = 0.4
+	// watchTimeoutFraction is the time after which a watch without an answer is given
+	// up, as a fraction of Config.MaxConfigApplyTime. A store that was unresponsive never
+	// answers the watches of that time. The rest of the bound is left for the longest
+	// backoff and a full listing.
+	watchTimeoutFraction = 0.6
+	// defaultMaxConfigApplyTime applies if Config.MaxConfigApplyTime is zero.
+	defaultMaxConfigApplyTime = 3 * time.Second
 	// watchSpacing is the minimum time between the starts of two watches. It batches
 	// bursts of changes, such as the registrations of a whole fleet that starts.
 	watchSpacing = 100 * time.Millisecond
@@ -143,9 +148,10 @@
 	return nil
 }
 
-// watchStore waits for changes of the store until observeEpoch cancels it.
+// watchStore waits for changes of the store until watchTimeout is over or observeEpoch
+// cancels it.
 func (r *Registry) watchStore(ctx context.Context, after store.Revision) (store.Listing, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, r.watchTimeout)
 	defer cancel()
 	r.mu.Lock()
 	r.cancelWatch = cancel
