Quota: a joining host counts once the counters that it replaces have stopped

Cause: a host that registered counted at once, by its own picture of the fleet, beside the counters that the others still asked. The excess grew with the delay at the limit's rate.

Change: a joining host announces itself to the counters that the team has without it; each acknowledges, counts with it in its own picture from then on, and names the counters that it knows, so that hosts which join together learn of each other. Until all have acknowledged, the joining host asks them for grants like any other. A host that is no counter any more names those that are in its refusal, so hosts that have not heard are served by the new ones. After 10 s a registration counts as known everywhere. A host that was still registered when it started, and one that knows no other, count at once as before.

Leases by time between counters were not built: a counter that renews its right with others needs these messages all the time, and not only while it joins.

--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -15,6 +15,9 @@
 	Granted int
 	// RetryAfter is the delay until more can be granted; zero if all were granted.
 	RetryAfter time.Duration
+	// Counters are the team's counters as known to a host that is not one of them;
+	// otherwise nil.
+	Counters []Host
 }
 
 // Counter grants operations of the teams that are assigned to this host. It is not safe
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -23,19 +23,29 @@
 //
 //   - An isolated host can use its allowance once, because only a grant restores it.
 //     After a network partition both sides share the same buckets.
+//
 //   - A grant is used only while its request is pending, and not after the host was
 //     suspended. Late and duplicate grants are ignored. A retried request may be
 //     granted twice, which only lowers the number of operations.
+//
 //   - The grants of a host that dies are lost, and a restarted host runs nothing
 //     unconfirmed for one window.
+//
 //   - A lowered limit applies at the counters as soon as they know it, whatever the
 //     other hosts know.
+//
 //   - A counter that has restarted or taken a team over starts with an empty bucket,
 //     so the burst is not granted a second time.
+//
 //   - Times come from a monotonic clock that includes suspension, not from the wall
 //     clock.
 //
-// The bound does not hold while hosts disagree about which hosts are registered: two
-// hosts may act as the counter of a region until a registration has propagated. A host
-// that knows no registered host acts as the only counter.
+//   - A joining host counts a team only once the counters that it replaces have
+//     acknowledged it, and so have stopped (Fleet).
+//
+// The bound does not hold in these cases: a registration does not reach the counters
+// that it replaces within joinPeriod; a counter that has acknowledged a joining host
+// restarts before its registration arrives; a counter is cut off from the store for so
+// long that its registration ends, and goes on counting for the hosts that are cut off
+// with it. A host that knows no registered host acts as the only counter.
 package quota
--- /dev/null
+++ b/core/quota/fleet.go
@@ -0,0 +1,160 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// joinPeriod is how long a host counts as joining, and how long an announced host is
+// kept without its registration. It exceeds the time that a registration takes to reach
+// all hosts that have contact with the store.
+const joinPeriod = 10 * time.Second
+
+// Fleet is one host's view of the hosts among which counters are chosen.
+//
+// Registrations reach hosts at different times. If a host counted as soon as it has
+// registered, the counters that it replaces would grant beside it until they hear of it.
+// So a joining host counts a team only once the counters that the team has without it
+// have acknowledged it: from then on they do not count in its place. Until then it
+// requests grants from them like any other host. An acknowledgement names the counters
+// that the sender knows without the joining host, which may have joined only just before
+// it.
+//
+// Fleet is not safe for concurrent use.
+type Fleet struct {
+	self       Host
+	registered []Host
+	// announced holds hosts that were announced before their registration arrived, by
+	// name, with the time until which they are kept.
+	announced map[string]announcedHost
+	// departed holds hosts whose registration has ended, with the time until which only
+	// they themselves can announce them.
+	departed map[string]time.Duration
+	// joiningUntil is the time until which this host counts as joining.
+	joiningUntil time.Duration
+	// acknowledgedBy holds the hosts that have acknowledged this one while it joins.
+	acknowledgedBy map[string]bool
+}
+
+type announcedHost struct {
+	Host
+	until time.Duration
+}
+
+// NewFleet returns the view of a host that knows no other.
+func NewFleet(self Host) *Fleet {
+	return &Fleet{self: self, announced: map[string]announcedHost{}, departed: map[string]time.Duration{}, acknowledgedBy: map[string]bool{}}
+}
+
+// SetRegistered sets the registered hosts.
+func (f *Fleet) SetRegistered(hosts []Host, now time.Duration) {
+	for _, h := range f.registered {
+		if !containsHost(hosts, h.Name) {
+			f.departed[h.Name] = now + joinPeriod
+		}
+	}
+	f.registered = hosts
+	for _, h := range hosts {
+		delete(f.announced, h.Name)
+		delete(f.departed, h.Name)
+	}
+}
+
+// Join records that this host has just registered without having been registered before.
+func (f *Fleet) Join(now time.Duration) {
+	f.joiningUntil = now + joinPeriod
+	clear(f.acknowledgedBy)
+}
+
+// Announce adds a host that announces itself before its registration has arrived.
+func (f *Fleet) Announce(h Host, now time.Duration) {
+	if h.Name == f.self.Name || containsHost(f.registered, h.Name) {
+		return
+	}
+	f.announced[h.Name] = announcedHost{Host: h, until: now + joinPeriod}
+}
+
+// Learn adds hosts that another host knows, except those that have departed here.
+func (f *Fleet) Learn(hosts []Host, now time.Duration) {
+	for _, h := range hosts {
+		if now >= f.departed[h.Name] {
+			f.Announce(h, now)
+		}
+	}
+}
+
+// Acknowledge records that another host has acknowledged this one.
+func (f *Fleet) Acknowledge(by string) { f.acknowledgedBy[by] = true }
+
+// Find returns a known host by name.
+func (f *Fleet) Find(name string, now time.Duration) (Host, bool) {
+	hosts := f.hosts(now)
+	if i := slices.IndexFunc(hosts, func(h Host) bool { return h.Name == name }); i >= 0 {
+		return hosts[i], true
+	}
+	return Host{}, false
+}
+
+// Place returns the placement of a team, and the counters whose acknowledgement this
+// host needs before it counts the team itself.
+func (f *Fleet) Place(team string, l Limit, t Tolerance, now time.Duration) (p Placement, unacknowledged []string) {
+	hosts := f.hosts(now)
+	p = Place(team, l, t, hosts, f.self)
+	if now >= f.joiningUntil || p.Counters[0] != f.self.Name {
+		return p, nil
+	}
+	earlier := f.CountersWithout(f.self.Name, team, l, t, now)
+	for _, name := range earlier {
+		if !f.acknowledgedBy[name] {
+			unacknowledged = append(unacknowledged, name)
+		}
+	}
+	if len(unacknowledged) > 0 {
+		p.Counters = earlier
+	}
+	return p, unacknowledged
+}
+
+// CountersWithout returns the counters that a team has without one of the hosts.
+func (f *Fleet) CountersWithout(name, team string, l Limit, t Tolerance, now time.Duration) []string {
+	others := slices.DeleteFunc(slices.Clone(f.hosts(now)), func(h Host) bool { return h.Name == name })
+	if len(others) == 0 {
+		return nil
+	}
+	return Place(team, l, t, others, f.self).Counters
+}
+
+// ValidUntil returns the time at which a placement may change without a call to another
+// method; zero for never.
+func (f *Fleet) ValidUntil(now time.Duration) time.Duration {
+	var until time.Duration
+	if now < f.joiningUntil {
+		until = f.joiningUntil
+	}
+	for _, h := range f.announced {
+		if until == 0 || h.until < until {
+			until = h.until
+		}
+	}
+	return until
+}
+
+// hosts returns the registered and announced hosts, or this one if it knows none.
+func (f *Fleet) hosts(now time.Duration) []Host {
+	out := f.registered
+	for name, h := range f.announced {
+		if now >= h.until {
+			delete(f.announced, name)
+			continue
+		}
+		out = append(slices.Clip(out), h.Host)
+	}
+	if len(out) == 0 {
+		return []Host{f.self}
+	}
+	return out
+}
+
+func containsHost(hosts []Host, name string) bool {
+	return slices.ContainsFunc(hosts, func(h Host) bool { return h.Name == name })
+}
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -40,6 +40,8 @@
 	countersPerPartition brokenRule = "each side of a partition has its own counters"
 	// countersGrantFullLimit has each counter grant as if it were the only one.
 	countersGrantFullLimit brokenRule = "each counter grants the whole limit"
+	// joinsUnacknowledged has a joining host count without acknowledgements.
+	joinsUnacknowledged brokenRule = "a joining host counts at once"
 )
 
 // simHost is one host of a simulated fleet.
@@ -47,6 +49,7 @@
 	name    string
 	limiter *quota.Limiter
 	counter *quota.Counter
+	fleet   *quota.Fleet
 	// partition is the part of the network that the host is in.
 	partition int
 	// downUntil and pausedUntil are the ends of an outage and of a process pause.
@@ -62,6 +65,8 @@
 	// sum of the grants of the others.
 	remaining []string
 	granted   int
+	// announcedAt is when the host last announced itself while it joins.
+	announcedAt time.Duration
 }
 
 type simMessage struct {
@@ -71,6 +76,8 @@
 	response bool
 	wanted   int
 	grant    quota.Grant
+	// announces is set for an announcement of the sender and its acknowledgement.
+	announces bool
 }
 
 // simFleet simulates hosts whose datagrams are delayed, lost and duplicated.
@@ -88,17 +95,21 @@
 	duplicateRate float64
 	// placements caches the placements by host.
 	placements map[*simHost]quota.Placement
+	// placedAt is when each of them was computed.
+	placedAt map[*simHost]time.Duration
 	// arrivalsPerTick is the mean number of operations that arrive at a host in a tick.
 	arrivalsPerTick float64
 }
 
 func newSimFleet(rule brokenRule, seed uint64, size int, l quota.Limit, arrivalsPerTick float64) *simFleet {
-	s := &simFleet{brokenRule: rule, rng: rand.New(rand.NewPCG(seed, 1)), limit: l, arrivalsPerTick: arrivalsPerTick, duplicateRate: 0.05, placements: map[*simHost]quota.Placement{}}
+	s := &simFleet{brokenRule: rule, rng: rand.New(rand.NewPCG(seed, 1)), limit: l, arrivalsPerTick: arrivalsPerTick, duplicateRate: 0.05, placements: map[*simHost]quota.Placement{}, placedAt: map[*simHost]time.Duration{}}
 	for i := range size {
 		h := &simHost{name: fmt.Sprint("h", i)}
-		s.start(h, -time.Hour)
 		s.hosts = append(s.hosts, h)
 	}
+	for _, h := range s.hosts {
+		s.start(h, -time.Hour)
+	}
 	return s
 }
 
@@ -108,29 +119,69 @@
 		started = -time.Hour
 	}
 	h.limiter, h.counter, h.requestPending = quota.NewLimiter(tolerance, started), quota.NewCounter(tolerance, at), false
+	h.fleet = quota.NewFleet(s.quotaHost(h))
+	delete(s.placements, h)
+	if h.hiddenUntil >= at && s.brokenRule != joinsUnacknowledged {
+		h.fleet.Join(at)
+	}
+}
+
+func (s *simFleet) quotaHost(h *simHost) quota.Host {
+	return quota.Host{Name: h.name, Region: fmt.Sprint("region-", slices.Index(s.hosts, h)%2)}
 }
 
 // place returns the placement as seen by a host. The hosts are in two regions.
 func (s *simFleet) place(h *simHost) quota.Placement {
-	if p, found := s.placements[h]; found && s.allVisible() {
+	if p, found := s.placements[h]; found && (s.allVisible() || s.placedAt[h] == s.now) {
 		return p
 	}
 	var hosts []quota.Host
-	var self quota.Host
-	for i, other := range s.hosts {
-		o := quota.Host{Name: other.name, Region: fmt.Sprint("region-", i%2)}
-		if other == h {
-			self = o
-		}
+	for _, other := range s.hosts {
 		if (s.brokenRule != countersPerPartition || other.partition == h.partition) && (other == h || s.now >= other.hiddenUntil) {
-			hosts = append(hosts, o)
+			hosts = append(hosts, s.quotaHost(other))
 		}
 	}
-	p := quota.Place(team, s.limit, tolerance, hosts, self)
-	s.placements[h] = p
+	h.fleet.SetRegistered(hosts, s.now)
+	p, unacknowledged := h.fleet.Place(team, s.limit, tolerance, s.now)
+	s.announce(h, unacknowledged)
+	s.placements[h], s.placedAt[h] = p, s.now
 	return p
 }
 
+// announce has a joining host announce itself to the counters that it replaces.
+func (s *simFleet) announce(h *simHost, to []string) {
+	if len(to) == 0 || s.now < h.downUntil || s.now-h.announcedAt < requestTimeout {
+		return
+	}
+	h.announcedAt = s.now
+	for _, name := range to {
+		s.send(simMessage{from: h.name, to: name, announces: true})
+	}
+}
+
+// handleAnnouncement handles an announcement or its acknowledgement.
+func (s *simFleet) handleAnnouncement(h *simHost, m simMessage) {
+	if m.response {
+		h.fleet.Learn(m.grant.Counters, s.now)
+		h.fleet.Acknowledge(m.from)
+		delete(s.placements, h)
+		h.counter.TakeOver(s.now)
+		return
+	}
+	s.place(h)
+	h.fleet.Announce(s.quotaHost(s.find(m.from)), s.now)
+	delete(s.placements, h)
+	s.send(simMessage{from: h.name, to: m.from, announces: true, response: true, grant: quota.Grant{Counters: s.hostsNamed(h.fleet.CountersWithout(m.from, team, s.limit, tolerance, s.now))}})
+}
+
+func (s *simFleet) hostsNamed(names []string) []quota.Host {
+	var out []quota.Host
+	for _, name := range names {
+		out = append(out, s.quotaHost(s.find(name)))
+	}
+	return out
+}
+
 // allVisible reports whether all hosts know of each other.
 func (s *simFleet) allVisible() bool {
 	return !slices.ContainsFunc(s.hosts, func(h *simHost) bool { return s.now <= h.hiddenUntil })
@@ -246,10 +297,13 @@
 	}
 	s.messages = later
 	for _, m := range due {
-		if m.response {
-			s.handleResponse(s.find(m.to), m)
-		} else {
-			s.handleRequest(s.find(m.to), m)
+		switch to := s.find(m.to); {
+		case m.announces:
+			s.handleAnnouncement(to, m)
+		case m.response:
+			s.handleResponse(to, m)
+		default:
+			s.handleRequest(to, m)
 		}
 	}
 }
@@ -263,6 +317,8 @@
 			counters = 1
 		}
 		grant = h.counter.Acquire(team, s.limit, counters, m.wanted, s.now)
+	} else {
+		grant.Counters = s.hostsNamed(p.Counters)
 	}
 	s.send(simMessage{from: h.name, to: m.from, sequence: m.sequence, response: true, grant: grant})
 }
@@ -278,6 +334,8 @@
 		return
 	}
 	h.granted += m.grant.Granted
+	h.fleet.Learn(m.grant.Counters, s.now)
+	delete(s.placements, h)
 	s.requestNext(h)
 }
 
--- a/core/quota/placement.go
+++ b/core/quota/placement.go
@@ -10,7 +10,9 @@
 
 // Host is a registered host.
 type Host struct {
-	Name, Region string
+	Name, Zone, Region string
+	// Address is where the host receives requests for grants.
+	Address string
 }
 
 const (
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -128,7 +128,10 @@
 		Self:               gates.Host{Name: s.Host, Zone: s.Topology.Zone, Address: s.PeerAddress},
 		MaxConfigApplyTime: s.MaxConfigApplyTime, FollowHost: h.gates.Follow, FetchConfig: h.gates.Configuration, Features: s.Features, Changed: h.wakeReconcile, Log: h.log,
 	})
-	h.limiter = limits.New(limits.Config{Self: quota.Host{Name: s.Host, Region: s.Topology.Region(s.Topology.Zone)}, Tolerance: s.QuotaTolerance, RequestGrant: h.requestGrant, Limit: h.limitOf, RegisteredAtStart: h.registry.RegisteredAtStart})
+	h.limiter = limits.New(limits.Config{
+		Self:      quota.Host{Name: s.Host, Zone: s.Topology.Zone, Region: s.Topology.Region(s.Topology.Zone), Address: s.PeerAddress},
+		Tolerance: s.QuotaTolerance, RequestGrant: h.requestGrant, Announce: h.announceCounter, Limit: h.limitOf, RegisteredAtStart: h.registry.RegisteredAtStart,
+	})
 	if err := h.listen(); err != nil {
 		h.cancel()
 		return nil, err
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -104,9 +104,8 @@
 			s.ObserveLeadership(replicaset.Leadership{Primary: l.Primary, Term: l.Term})
 		}
 	}
-	if q := m.QuotaRequest; q != nil {
-		grant := h.limiter.Acquire(q.Team, q.Operations)
-		out.Grant = &grant
+	if m.QuotaRequest != nil {
+		h.handleQuotaRequest(m, &out)
 	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -33,12 +33,19 @@
 // if no answer came.
 type RequestGrantFunc func(ctx context.Context, address, team string, wanted int) (quota.Grant, bool)
 
+// AnnounceFunc announces this host to the host at an address, as a counter of a team.
+// It returns the counters that the team has there without this host; false if no answer
+// came.
+type AnnounceFunc func(ctx context.Context, address, team string, self quota.Host) ([]quota.Host, bool)
+
 // Config holds the settings and dependencies of a Limiter.
 type Config struct {
 	// Self is this host.
 	Self         quota.Host
 	Tolerance    quota.Tolerance
 	RequestGrant RequestGrantFunc
+	// Announce is used while this host joins; nil for a host that never does.
+	Announce AnnounceFunc
 	// RegisteredAtStart reports whether this host was still registered by an earlier
 	// process when it started. It is called with the limiter's lock held.
 	RegisteredAtStart func() bool
@@ -60,12 +67,14 @@
 	counter *quota.Counter
 	// waiting holds the operations that wait for a grant, by team, oldest first.
 	waiting map[string][]chan outcome
-	// hosts are the registered hosts.
-	hosts []quota.Host
-	// addresses are the datagram addresses of the registered hosts by name.
-	addresses map[string]string
-	// placements caches the placement of each team for the current hosts.
+	// fleet holds the hosts among which counters are chosen.
+	fleet *quota.Fleet
+	// registered holds the names of the registered hosts.
+	registered map[string]bool
+	// placements caches the placement of each team for the current fleet.
 	placements map[string]cachedPlacement
+	// announcing holds the teams for which this host is announcing itself.
+	announcing map[string]bool
 	// unresponsiveUntil is the time until which a counter that did not answer is
 	// skipped, by host name.
 	unresponsiveUntil map[string]time.Duration
@@ -74,10 +83,14 @@
 	exhaustedUntil map[counterKey]time.Duration
 }
 
-// cachedPlacement is a placement and the limit that it was computed for.
+// cachedPlacement is a placement, the limit that it was computed for, and the time until
+// which it is valid; zero for no end.
 type cachedPlacement struct {
 	quota.Placement
-	limit quota.Limit
+	// unacknowledged are the counters that must acknowledge this host before it counts.
+	unacknowledged []string
+	limit          quota.Limit
+	validUntil     time.Duration
 }
 
 // counterKey identifies a team at one of its counters.
@@ -95,7 +108,8 @@
 	now := clock.Now()
 	return &Limiter{
 		cfg: cfg, local: quota.NewLimiter(cfg.Tolerance, now), counter: quota.NewCounter(cfg.Tolerance, now),
-		waiting: map[string][]chan outcome{}, addresses: map[string]string{}, placements: map[string]cachedPlacement{}, unresponsiveUntil: map[string]time.Duration{}, exhaustedUntil: map[counterKey]time.Duration{},
+		fleet: quota.NewFleet(cfg.Self), registered: map[string]bool{}, announcing: map[string]bool{},
+		waiting: map[string][]chan outcome{}, placements: map[string]cachedPlacement{}, unresponsiveUntil: map[string]time.Duration{}, exhaustedUntil: map[counterKey]time.Duration{},
 	}
 }
 
@@ -103,19 +117,28 @@
 // takes over counting from others when it joins, or when a host leaves. It does not if
 // it was still registered during its restart, as no other host counted in its place.
 func (l *Limiter) SetFleet(hosts []quota.Host, addresses map[string]string) {
+	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, listed := addresses[l.cfg.Self.Name]
-	_, wasListed := l.addresses[l.cfg.Self.Name]
-	takesOver := listed && !wasListed && !l.cfg.RegisteredAtStart()
-	for name := range l.addresses {
-		_, remains := addresses[name]
-		takesOver = takesOver || !remains
+	previous := l.registered
+	l.registered = make(map[string]bool, len(hosts))
+	for i := range hosts {
+		hosts[i].Address = addresses[hosts[i].Name]
+		l.registered[hosts[i].Name] = true
+	}
+	self := l.cfg.Self.Name
+	joins := l.registered[self] && !previous[self] && !l.cfg.RegisteredAtStart()
+	if joins && l.cfg.Announce != nil {
+		l.fleet.Join(now)
+	}
+	takesOver := joins
+	for name := range previous {
+		takesOver = takesOver || !l.registered[name]
 	}
 	if takesOver {
-		l.counter.TakeOver(clock.Now())
+		l.counter.TakeOver(now)
 	}
-	l.hosts, l.addresses = hosts, addresses
+	l.fleet.SetRegistered(hosts, now)
 	clear(l.placements)
 	clear(l.exhaustedUntil)
 }
@@ -128,7 +151,7 @@
 	}
 	now := clock.Now()
 	l.mu.Lock()
-	placement := l.placementOf(team.Name, team.Limit)
+	placement := l.placementOf(team.Name, team.Limit, now)
 	d := l.local.Admit(team.Name, team.Limit, placement.MaxUnconfirmed, now)
 	var ch chan outcome
 	if d.Verdict == quota.Pending {
@@ -177,48 +200,67 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.placementOf(team, limit).Counters
+	return l.placementOf(team, limit, clock.Now()).Counters
 }
 
-// Acquire grants operations that another host requests from this one.
+// Acquire grants operations that another host requests from this one. A host that is
+// not a counter of the team names those that are.
 func (l *Limiter) Acquire(team string, wanted int) quota.Grant {
 	limit, known := l.cfg.Limit(team)
 	if !known {
 		// The requesting host has a newer configuration than this one.
 		return quota.Grant{RetryAfter: unresponsiveBackoff}
 	}
+	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	placement := l.placementOf(team, limit)
+	placement := l.placementOf(team, limit, now)
 	if !slices.Contains(placement.Counters, l.cfg.Self.Name) {
-		// The two hosts have different views of the registered hosts.
-		return quota.Grant{RetryAfter: requestTimeout}
+		// The two hosts have different views of the fleet, or this one is joining.
+		if len(placement.unacknowledged) > 0 {
+			go l.announce(catalog.Team{Name: team, Limit: limit})
+		}
+		return quota.Grant{RetryAfter: requestTimeout, Counters: l.hostsNamed(placement.Counters, now)}
 	}
-	return l.counter.Acquire(team, limit, len(placement.Counters), wanted, clock.Now())
+	return l.counter.Acquire(team, limit, len(placement.Counters), wanted, now)
 }
 
 // placementOf is called with mu held.
-func (l *Limiter) placementOf(team string, limit quota.Limit) quota.Placement {
+func (l *Limiter) placementOf(team string, limit quota.Limit, now time.Duration) cachedPlacement {
 	p, found := l.placements[team]
-	if found && p.limit == limit {
-		return p.Placement
-	}
-	hosts := l.hosts
-	if len(hosts) == 0 {
-		hosts = []quota.Host{l.cfg.Self}
+	if found && p.limit == limit && (p.validUntil == 0 || now < p.validUntil) {
+		return p
 	}
-	p = cachedPlacement{Placement: quota.Place(team, limit, l.cfg.Tolerance, hosts, l.cfg.Self), limit: limit}
+	p = cachedPlacement{limit: limit}
+	p.Placement, p.unacknowledged = l.fleet.Place(team, limit, l.cfg.Tolerance, now)
+	p.validUntil = l.fleet.ValidUntil(now)
 	l.placements[team] = p
-	return p.Placement
+	return p
 }
 
 // startRequest requests grants for unconfirmed and waiting operations, unless a request
 // is in progress. It is called with mu held.
-func (l *Limiter) startRequest(team catalog.Team, placement quota.Placement, now time.Duration) {
+func (l *Limiter) startRequest(team catalog.Team, placement cachedPlacement, now time.Duration) {
 	wanted := l.local.NextRequest(team.Name, now)
 	if wanted == 0 {
 		return
 	}
+	if len(placement.unacknowledged) == 0 {
+		l.request(team, placement, wanted, now)
+		return
+	}
+	go func() {
+		l.announce(team)
+		now := clock.Now()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.request(team, l.placementOf(team.Name, team.Limit, now), wanted, now)
+	}()
+}
+
+// request requests grants from this host, if it is a counter, and from the other
+// counters. It is called with mu held.
+func (l *Limiter) request(team catalog.Team, placement cachedPlacement, wanted int, now time.Duration) {
 	if placement.Counters[0] != l.cfg.Self.Name {
 		go l.requestGrants(team, placement.Counters, wanted, quota.Grant{})
 		return
@@ -233,15 +275,14 @@
 }
 
 // requestGrants asks counters in turn for the operations that are not granted yet, and
-// applies the sum. Without any answer, waiting operations are refused and operations
-// that have run stay unconfirmed.
+// applies the sum. A host that is no longer a counter names those that are, which are
+// asked too. Without any answer, waiting operations are refused and operations that have
+// run stay unconfirmed.
 func (l *Limiter) requestGrants(team catalog.Team, counters []string, wanted int, sum quota.Grant) {
 	start := clock.Now()
-	for _, counter := range counters {
-		if sum.Granted == wanted {
-			break
-		}
-		g := l.requestFrom(counter, team.Name, wanted-sum.Granted)
+	for i := 0; i < len(counters) && sum.Granted < wanted; i++ {
+		g := l.requestFrom(counters[i], team.Name, wanted-sum.Granted)
+		counters = l.learnCounters(counters, g.Counters)
 		sum.Granted += g.Granted
 		if sum.RetryAfter == 0 || (g.RetryAfter > 0 && g.RetryAfter < sum.RetryAfter) {
 			sum.RetryAfter = g.RetryAfter
@@ -265,7 +306,7 @@
 func (l *Limiter) applyGrant(team catalog.Team, g quota.Grant, now time.Duration) {
 	admitted, refused := l.local.ApplyGrant(team.Name, g, now)
 	l.answerWaiting(team.Name, admitted, refused, g.RetryAfter)
-	l.startRequest(team, l.placementOf(team.Name, team.Limit), now)
+	l.startRequest(team, l.placementOf(team.Name, team.Limit, now), now)
 }
 
 // answerWaiting answers the operations that have waited longest: first those that are
@@ -297,9 +338,7 @@
 			return g
 		}
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.unresponsiveUntil[counter] = clock.Now() + unresponsiveBackoff
+	l.markUnresponsive(counter)
 	return quota.Grant{RetryAfter: unresponsiveBackoff}
 }
 
@@ -319,7 +358,7 @@
 	defer l.mu.Unlock()
 	now := clock.Now()
 	until := max(l.unresponsiveUntil[counter], l.exhaustedUntil[counterKey{team, counter}])
-	address, known := l.addresses[counter]
+	host, known := l.fleet.Find(counter, now)
 	switch {
 	case now < until:
 		return "", until - now
@@ -328,5 +367,5 @@
 	}
 	delete(l.unresponsiveUntil, counter)
 	delete(l.exhaustedUntil, counterKey{team, counter})
-	return address, 0
+	return host.Address, 0
 }
