--- a/node/registry/simulated_fleet_test.go
+++ b/node/registry/simulated_fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 )
 
@@ -53,7 +54,8 @@
 // registries take for never.
 const simulatedStart = time.Hour
 
-func newSimulatedFleet(hosts int, zones int, maxApply time.Duration, log zerolog.Logger) *simulatedFleet {
+// newSimulatedFleet returns a fleet whose hosts are not started yet.
+func newSimulatedFleet(hosts, zones int, maxApply time.Duration, log zerolog.Logger) *simulatedFleet {
 	f := &simulatedFleet{store: newSimulatedStore(), maxApply: maxApply, startedAt: time.Now(), hosts: map[string]*simulatedHost{}, log: log}
 	for n := range hosts {
 		name := fmt.Sprintf("host-%02d", n)
@@ -106,6 +108,7 @@
 	return h.registry, h.ctx
 }
 
+// disturbed records a disruption of the host.
 func (h *simulatedHost) disturbed() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -117,10 +120,10 @@
 // call runs a call to the host at an address, which gets no answer over a cut link.
 func (h *simulatedHost) call(ctx context.Context, address string, do func(ctx context.Context, r *Registry) error) error {
 	peer := h.fleet.hosts[address]
-	if !sleepContext(ctx, peerLatency) {
+	if !clock.Sleep(ctx, peerLatency) {
 		return ctx.Err()
 	}
-	if h.peerPath.isCut() || peer.peerPath.isCut() {
+	if h.cutFrom(address) {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -134,8 +137,8 @@
 	return do(callCtx, r)
 }
 
-// broken reports whether a message of now between two hosts is lost.
-func (h *simulatedHost) brokenTo(address string) bool {
+// cutFrom reports whether messages to the host at an address are lost now.
+func (h *simulatedHost) cutFrom(address string) bool {
 	return h.peerPath.isCut() || h.fleet.hosts[address].peerPath.isCut()
 }
 
@@ -143,10 +146,10 @@
 	return h.call(ctx, address, func(streamCtx context.Context, r *Registry) error {
 		silent := h.peerPath.broken()
 		err := r.StreamUpdates(streamCtx, after, func(u Update) error {
-			if !sleepContext(streamCtx, peerLatency) {
+			if !clock.Sleep(streamCtx, peerLatency) {
 				return streamCtx.Err()
 			}
-			if isClosed(silent) || h.brokenTo(address) {
+			if isClosed(silent) || h.cutFrom(address) {
 				<-streamCtx.Done()
 				return streamCtx.Err()
 			}
@@ -178,23 +181,15 @@
 	return l, err
 }
 
+// awaitAnswer waits for the time of an answer, which a cut link loses.
 func (h *simulatedHost) awaitAnswer(ctx context.Context, address string) error {
-	if sleepContext(ctx, peerLatency) && !h.brokenTo(address) {
+	if clock.Sleep(ctx, peerLatency) && !h.cutFrom(address) {
 		return nil
 	}
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-func sleepContext(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // stop ends all processes and waits for their goroutines.
 func (f *simulatedFleet) stop() {
 	for _, h := range f.hosts {
--- a/node/registry/simulated_store_test.go
+++ b/node/registry/simulated_store_test.go
@@ -9,10 +9,11 @@
 	"sync"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
-// outage is how the simulated store treats calls.
+// outage is how the simulated store treats calls, the worst last.
 type outage uint8
 
 const (
@@ -144,10 +145,7 @@
 	if o, _ := l.store.state(); o == slowOutage {
 		latency = slowLatency
 	}
-	select {
-	case <-time.After(latency):
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, latency)
 }
 
 func isClosed(ch <-chan struct{}) bool {
--- a/node/registry/simulation_test.go
+++ b/node/registry/simulation_test.go
@@ -49,21 +49,25 @@
 	// events are what is still to happen, ordered by time.
 	events []simulatedEvent
 	acks   []acknowledged
-	// document is the newest configuration, which the operator writes until it is
-	// acknowledged.
+	// version is the operator's newest configuration; unwritten is one that is not
+	// acknowledged yet, zero for none.
 	version, unwritten uint64
-	active             map[string]uint64
+	// active is the version that was last seen on each running host.
+	active map[string]uint64
 	// storeCalmSince and storeAnsweredSince are when the last disruption, and the last
 	// outage, of the store ended.
 	storeCalmSince, storeAnsweredSince time.Duration
 	// storeDisruptions counts the disruptions of the store that last.
 	storeDisruptions int
-	backups          []lineplatform.Backup
+	// backups are taken every backupInterval, the newest last.
+	backups []lineplatform.Backup
 	// otherChanges is how many other keys are written every backupInterval.
 	otherChanges int
-	story        []string
+	// log tells what has happened.
+	log []string
 }
 
+// simulatedEvent is something that happens at a time of the simulated clock.
 type simulatedEvent struct {
 	at   time.Duration
 	name string
@@ -106,154 +110,6 @@
 	return low + time.Duration(s.rng.Int64N(int64(high-low)))
 }
 
-func (s *simulation) scheduleDisruption(at time.Duration) {
-	until := at + s.duration(300*time.Millisecond, 7*time.Second)
-	some := s.someHosts()
-	switch s.rng.IntN(12) {
-	case 0, 1:
-		s.scheduleOutage(at, until, silentOutage)
-	case 2:
-		s.scheduleOutage(at, until, refusingOutage)
-	case 3:
-		s.scheduleOutage(at, until, slowOutage)
-	case 4, 10, 11:
-		s.scheduleRestore(at)
-	case 5:
-		s.scheduleCompaction(at)
-	case 6:
-		s.scheduleRestart(at, at+s.duration(0, 3*time.Second), some)
-	case 7:
-		s.scheduleCut(at, until, some)
-	case 8:
-		s.schedule(at, "open connections to the store and between hosts go silent", func() {
-			for _, h := range s.fleet.hosts {
-				h.storePath.setCut(false)
-				h.peerPath.setCut(false)
-				h.disturbed()
-			}
-		})
-	case 9:
-		s.scheduleTurnAway(at, until+2*time.Second, some[:(len(some)+2)/3])
-	}
-	if s.rng.IntN(2) == 0 {
-		s.schedule(until+s.duration(0, 500*time.Millisecond), "the operator changes the configuration", s.configure)
-	}
-}
-
-// someHosts returns one host, several or all.
-func (s *simulation) someHosts() []*simulatedHost {
-	var out []*simulatedHost
-	for n := range s.hosts {
-		out = append(out, s.fleet.hosts[fmt.Sprintf("host-%02d", n)])
-	}
-	s.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
-	return out[:[]int{1, 2, len(out) / 3, len(out) - 1, len(out)}[s.rng.IntN(5)]]
-}
-
-// disruptStore schedules a disruption of the store.
-func (s *simulation) disruptStore(at, until time.Duration, name string, begin, end func()) {
-	s.schedule(at, name+" begins", func() {
-		s.storeDisruptions++
-		begin()
-	})
-	s.schedule(until, name+" ends", func() {
-		s.storeDisruptions--
-		s.storeCalmSince = s.fleet.now()
-		end()
-	})
-}
-
-func (s *simulation) scheduleOutage(at, until time.Duration, o outage) {
-	name := map[outage]string{silentOutage: "an outage without answers", refusingOutage: "an outage with refusals", slowOutage: "a slow store"}[o]
-	s.disruptStore(at, until, name, func() { s.fleet.store.begin(o) }, func() {
-		s.fleet.store.begin(noOutage)
-		s.storeAnsweredSince = s.fleet.now()
-	})
-}
-
-// scheduleRestore lets the store return from a backup after a short outage. The operator
-// writes its newest configuration again after a while.
-func (s *simulation) scheduleRestore(at time.Duration) {
-	until := at + s.duration(100*time.Millisecond, 2*time.Second)
-	kind := []outage{silentOutage, refusingOutage}[s.rng.IntN(2)]
-	age, rewrite := s.rng.IntN(5), s.duration(0, 2*time.Second)
-	watchesWait := s.rng.IntN(2) == 0
-	s.disruptStore(at, until, "a restore of the store", func() { s.fleet.store.begin(kind) }, func() {
-		s.fleet.store.SetWatchesBlocked(watchesWait)
-		s.fleet.store.Restore(s.backups[max(0, len(s.backups)-1-age)])
-		s.fleet.store.SetWatchesBlocked(false)
-		s.fleet.store.begin(noOutage)
-		s.storeAnsweredSince = s.fleet.now()
-	})
-	if s.rng.IntN(2) == 0 {
-		s.schedule(until+s.duration(0, time.Second), "the operator changes the configuration", s.configure)
-	}
-	s.schedule(until+rewrite, "the operator writes the configuration again", func() { s.unwritten = s.version })
-}
-
-// scheduleCompaction drops the history after watches have heard nothing for a second.
-func (s *simulation) scheduleCompaction(at time.Duration) {
-	s.disruptStore(at, at+time.Second, "a compaction", func() { s.fleet.store.SetWatchesBlocked(true) }, func() {
-		s.fleet.store.SetWatchesBlocked(false)
-		s.fleet.store.Compact()
-	})
-	s.schedule(at+s.duration(0, time.Second), "the operator changes the configuration", s.configure)
-}
-
-func (s *simulation) scheduleRestart(at, until time.Duration, hosts []*simulatedHost) {
-	s.schedule(at, "hosts are killed: "+hostNames(hosts), func() {
-		for _, h := range hosts {
-			h.kill()
-		}
-	})
-	for _, h := range hosts {
-		s.schedule(until+s.duration(0, 300*time.Millisecond), h.self.Name+" starts", func() {
-			h.kill()
-			delete(s.active, h.self.Name)
-			h.start()
-		})
-	}
-}
-
-// scheduleCut cuts hosts off from the store, or from the store and the other hosts.
-func (s *simulation) scheduleCut(at, until time.Duration, hosts []*simulatedHost) {
-	peersToo := s.rng.IntN(2) == 0
-	set := func(cut bool) func() {
-		return func() {
-			for _, h := range hosts {
-				h.storePath.setCut(cut)
-				if peersToo {
-					h.peerPath.setCut(cut)
-				}
-				h.disturbed()
-			}
-		}
-	}
-	s.schedule(at, fmt.Sprintf("hosts are cut off, from each other too: %v: %s", peersToo, hostNames(hosts)), set(true))
-	s.schedule(until, "they are no longer cut off", set(false))
-}
-
-// scheduleTurnAway lets the store refuse, or not answer, the calls of some hosts.
-func (s *simulation) scheduleTurnAway(at, until time.Duration, hosts []*simulatedHost) {
-	kind := []outage{silentOutage, refusingOutage}[s.rng.IntN(2)]
-	set := func(o outage) func() {
-		return func() {
-			for _, h := range hosts {
-				h.storePath.turnAway(o)
-			}
-		}
-	}
-	s.disruptStore(at, until, "an outage for "+hostNames(hosts), set(kind), set(noOutage))
-}
-
-func hostNames(hosts []*simulatedHost) string {
-	var names []string
-	for _, h := range hosts {
-		names = append(names, h.self.Name)
-	}
-	return strings.Join(names, " ")
-}
-
 // configure makes the operator write the next version.
 func (s *simulation) configure() {
 	s.version += 2
@@ -272,7 +128,7 @@
 }
 
 func (s *simulation) note(format string, args ...any) {
-	s.story = append(s.story, fmt.Sprintf("%7.3f s  ", (s.fleet.now()-simulatedStart).Seconds())+fmt.Sprintf(format, args...))
+	s.log = append(s.log, fmt.Sprintf("%7.3f s  ", (s.fleet.now()-simulatedStart).Seconds())+fmt.Sprintf(format, args...))
 }
 
 // run plays the schedule and returns what broke; empty for nothing.
@@ -300,7 +156,7 @@
 			}
 		}
 		if problem := s.check(); problem != "" {
-			return strings.Join(append(s.story, problem), "\n")
+			return strings.Join(append(s.log, problem), "\n")
 		}
 	}
 	return ""
@@ -309,7 +165,7 @@
 // check returns the first host whose configuration is older than allowed.
 func (s *simulation) check() string {
 	now := s.fleet.now()
-	for _, h := range s.someSorted() {
+	for _, h := range s.hostsByName() {
 		r, _ := h.process()
 		if r == nil {
 			continue
@@ -326,7 +182,7 @@
 	return ""
 }
 
-func (s *simulation) someSorted() []*simulatedHost {
+func (s *simulation) hostsByName() []*simulatedHost {
 	var out []*simulatedHost
 	for _, h := range s.fleet.hosts {
 		out = append(out, h)
