Quota: only counters that grant less with a joining host have to acknowledge it

A host that joined behind a cut between regions would have stopped the counter of its own region and waited for the one on the other side, so its region would have had no counter for up to 10 s. A counter that grants the same share with and without the joining host cannot exceed the limit, whether it knows or not.

TestJoiningCounterDoesNotNeedTheOneThatStays fails before (the host never counts). The tests of node/limits name which counter is replaced and which stays.

--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -15,8 +15,10 @@
 // Registrations reach hosts at different times. If a host counted as soon as it has
 // registered, the counters that it replaces would grant beside it until they hear of it.
 // So a joining host counts a team only once the counters that the team has without it
-// have acknowledged it: from then on they do not count in its place. Until then it
-// requests grants from them like any other host. An acknowledgement names the counters
+// have acknowledged it: from then on they do not count in its place, or grant a smaller
+// share beside it. A counter that grants the same with and without the joining host is
+// not asked; it may be out of reach. Until then the joining host requests grants from
+// them like any other host. An acknowledgement names the counters
 // that the sender knows without the joining host, which may have joined only just before
 // it.
 //
@@ -105,7 +107,8 @@
 	}
 	earlier := f.CountersWithout(f.self.Name, team, l, t, now)
 	for _, name := range earlier {
-		if !f.acknowledgedBy[name] {
+		grantsTheSame := slices.Contains(p.Counters, name) && len(p.Counters) == len(earlier)
+		if !grantsTheSame && !f.acknowledgedBy[name] {
 			unacknowledged = append(unacknowledged, name)
 		}
 	}
--- a/node/limits/joining_test.go
+++ b/node/limits/joining_test.go
@@ -55,71 +55,80 @@
 
 func quotaHost(name string) quota.Host { return quota.Host{Name: name, Region: "a", Address: name} }
 
-// displacing returns the names of two hosts that the team has as its counters and of one
-// that replaces one of them when it joins.
-func displacing(t *testing.T) (joining string, counters []string) {
+// replacement is a host that replaces one of a team's two counters when it joins.
+type replacement struct{ joining, replaced, kept string }
+
+func (r replacement) counters() []string { return []string{r.replaced, r.kept} }
+
+func (r replacement) all() []string { return []string{r.replaced, r.kept, r.joining} }
+
+func newReplacement(t *testing.T) replacement {
 	t.Helper()
 	for _, joining := range []string{"h1", "h2", "h3", "h4", "h5"} {
-		others := []quota.Host{quotaHost("a"), quotaHost("b")}
-		p := quota.Place(team.Name, team.Limit, quota.Tolerance{Window: time.Second}, append(others, quotaHost(joining)), quotaHost(joining))
-		if p.Counters[0] == joining {
-			return joining, []string{"a", "b"}
+		hosts := []quota.Host{quotaHost("a"), quotaHost("b"), quotaHost(joining)}
+		counters := quota.Place(team.Name, team.Limit, quota.Tolerance{Window: time.Second}, hosts, quotaHost(joining)).Counters
+		switch {
+		case counters[0] != joining:
+		case counters[1] == "a":
+			return replacement{joining: joining, replaced: "b", kept: "a"}
+		default:
+			return replacement{joining: joining, replaced: "a", kept: "b"}
 		}
 	}
 	t.Fatal("no host replaces a counter")
-	return "", nil
+	return replacement{}
 }
 
 // TestJoiningCounterStopsTheOneItReplaces guards against a limit that is granted twice
 // while a registration has not reached all hosts.
 func TestJoiningCounterStopsTheOneItReplaces(t *testing.T) {
-	n := directNetwork{}
-	name, counters := displacing(t)
-	for _, c := range counters {
-		n.start(c, true, counters...)
+	n, r := directNetwork{}, newReplacement(t)
+	for _, c := range r.counters() {
+		n.start(c, true, r.counters()...)
 	}
-	joining := n.start(name, false, append(counters, name)...)
-	require.Zero(t, joining.Acquire(team.Name, 1).Granted, "no other counter has acknowledged it")
+	joining := n.start(r.joining, false, r.all()...)
+	require.Zero(t, joining.Acquire(team.Name, 1).Granted, "the counter that it replaces has not acknowledged it")
 	require.Eventually(t, func() bool { return joining.Acquire(team.Name, 1).Granted == 1 }, time.Second, time.Millisecond)
-	granting := 0
-	for _, c := range counters {
-		if n[c].Acquire(team.Name, 1).Granted > 0 {
-			granting++
-		}
-	}
-	require.Equal(t, 1, granting, "the other has stopped, though it has not heard of the registration")
+	require.Zero(t, n[r.replaced].Acquire(team.Name, 1).Granted, "it has stopped, though it has not heard of the registration")
+	require.Equal(t, 1, n[r.kept].Acquire(team.Name, 1).Granted)
 }
 
 // TestJoiningHostIsServedByEarlierCounters covers a counter that cannot acknowledge the
 // joining host.
 func TestJoiningHostIsServedByEarlierCounters(t *testing.T) {
-	n := directNetwork{}
-	name, counters := displacing(t)
-	n.start(counters[0], true, counters...)
-	joining := n.start(name, false, append(counters, name)...)
-	time.Sleep(50 * time.Millisecond)
+	n, r := directNetwork{}, newReplacement(t)
+	n.start(r.kept, true, r.counters()...)
+	joining := n.start(r.joining, false, r.all()...)
+	time.Sleep(accrualTime)
 	_, admitted := joining.Admit(t.Context(), team)
 	require.True(t, admitted)
 	require.Zero(t, joining.Acquire(team.Name, 1).Granted)
 }
 
+// TestJoiningCounterDoesNotNeedTheOneThatStays covers a cut between regions: the counter
+// on the other side grants the same with and without the joining host.
+func TestJoiningCounterDoesNotNeedTheOneThatStays(t *testing.T) {
+	n, r := directNetwork{}, newReplacement(t)
+	n.start(r.replaced, true, r.counters()...)
+	joining := n.start(r.joining, false, r.all()...)
+	require.Eventually(t, func() bool { return joining.Acquire(team.Name, 1).Granted == 1 }, time.Second, time.Millisecond)
+}
+
 // TestRefusedHostLearnsOfJoinedCounter covers a host that has not heard of the
 // registration and still asks the counter that has stopped.
 func TestRefusedHostLearnsOfJoinedCounter(t *testing.T) {
-	n := directNetwork{}
-	name, counters := displacing(t)
-	for _, c := range counters {
-		n.start(c, true, counters...)
+	n, r := directNetwork{}, newReplacement(t)
+	for _, c := range r.counters() {
+		n.start(c, true, r.counters()...)
 	}
-	joining := n.start(name, false, append(counters, name)...)
+	joining := n.start(r.joining, false, r.all()...)
 	require.Eventually(t, func() bool { return joining.Acquire(team.Name, 1).Granted == 1 }, time.Second, time.Millisecond)
-	for _, c := range counters {
-		if n[c].Acquire(team.Name, 1).Granted == 0 {
-			uninformed := n.start("z", true, c)
-			time.Sleep(50 * time.Millisecond)
-			_, admitted := uninformed.Admit(t.Context(), team)
-			require.True(t, admitted, "granted by the counter that the refusal names")
-			require.Contains(t, uninformed.CountersOf(team.Name), name)
-		}
-	}
+	uninformed := n.start("z", true, r.replaced)
+	time.Sleep(accrualTime)
+	_, admitted := uninformed.Admit(t.Context(), team)
+	require.True(t, admitted, "granted by a counter that the refusal names")
+	require.Contains(t, uninformed.CountersOf(team.Name), r.joining)
 }
+
+// accrualTime is enough for the buckets of the counters to hold an operation.
+const accrualTime = 50 * time.Millisecond
