Quota: placements are computed anew only for hosts that are new, departures forgotten

Each refusal that names counters dropped all cached placements, also when they were known; the record of departed hosts grew with each name. No test changes; what is granted is the same.

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -23,23 +23,17 @@
 //
 //   - An isolated host can use its allowance once, because only a grant restores it.
 //     After a network partition both sides share the same buckets.
-//
 //   - A grant is used only while its request is pending, and not after the host was
 //     suspended. Late and duplicate grants are ignored. A retried request may be
 //     granted twice, which only lowers the number of operations.
-//
 //   - The grants of a host that dies are lost, and a restarted host runs nothing
 //     unconfirmed for one window.
-//
 //   - A lowered limit applies at the counters as soon as they know it, whatever the
 //     other hosts know.
-//
 //   - A counter that has restarted or taken a team over starts with an empty bucket,
 //     so the burst is not granted a second time.
-//
 //   - Times come from a monotonic clock that includes suspension, not from the wall
 //     clock.
-//
 //   - A joining host counts a team only once the counters that it replaces have
 //     acknowledged it, and so have stopped (Fleet).
 //
--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -18,9 +18,8 @@
 // have acknowledged it: from then on they do not count in its place, or grant a smaller
 // share beside it. A counter that grants the same with and without the joining host is
 // not asked; it may be out of reach. Until then the joining host requests grants from
-// them like any other host. An acknowledgement names the counters
-// that the sender knows without the joining host, which may have joined only just before
-// it.
+// them like any other host. An acknowledgement names the counters that the sender knows
+// without the joining host: they may have joined just before it.
 //
 // Fleet is not safe for concurrent use.
 type Fleet struct {
@@ -38,6 +37,7 @@
 	acknowledgedBy map[string]bool
 }
 
+// announcedHost is a host without registration and the time until which it is kept.
 type announcedHost struct {
 	Host
 	until time.Duration
@@ -50,6 +50,11 @@
 
 // SetRegistered sets the registered hosts.
 func (f *Fleet) SetRegistered(hosts []Host, now time.Duration) {
+	for name, until := range f.departed {
+		if now >= until {
+			delete(f.departed, name)
+		}
+	}
 	for _, h := range f.registered {
 		if !containsHost(hosts, h.Name) {
 			f.departed[h.Name] = now + joinPeriod
@@ -68,21 +73,27 @@
 	clear(f.acknowledgedBy)
 }
 
-// Announce adds a host that announces itself before its registration has arrived.
-func (f *Fleet) Announce(h Host, now time.Duration) {
+// Announce adds a host that announces itself before its registration has arrived. It
+// reports whether the host is new here.
+func (f *Fleet) Announce(h Host, now time.Duration) bool {
 	if h.Name == f.self.Name || containsHost(f.registered, h.Name) {
-		return
+		return false
 	}
+	known, found := f.announced[h.Name]
 	f.announced[h.Name] = announcedHost{Host: h, until: now + joinPeriod}
+	return !found || now >= known.until
 }
 
-// Learn adds hosts that another host knows, except those that have departed here.
-func (f *Fleet) Learn(hosts []Host, now time.Duration) {
+// Learn adds hosts that another host knows, except those that have departed here. It
+// reports whether one is new here.
+func (f *Fleet) Learn(hosts []Host, now time.Duration) bool {
+	learned := false
 	for _, h := range hosts {
 		if now >= f.departed[h.Name] {
-			f.Announce(h, now)
+			learned = f.Announce(h, now) || learned
 		}
 	}
+	return learned
 }
 
 // Acknowledge records that another host has acknowledged this one.
--- a/node/limits/announce.go
+++ b/node/limits/announce.go
@@ -22,8 +22,9 @@
 	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet.Announce(host, now)
-	clear(l.placements)
+	if l.fleet.Announce(host, now) {
+		clear(l.placements)
+	}
 	if !known {
 		return nil
 	}
@@ -86,16 +87,17 @@
 	clear(l.placements)
 }
 
-// learnCounters adds the counters that another host has named to the fleet, and to the
-// list of those to ask.
+// learnCounters adds the counters that another host has named to the fleet, and returns
+// those to ask with them.
 func (l *Limiter) learnCounters(ask []string, counters []quota.Host) []string {
 	if len(counters) == 0 {
 		return ask
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet.Learn(counters, clock.Now())
-	clear(l.placements)
+	if l.fleet.Learn(counters, clock.Now()) {
+		clear(l.placements)
+	}
 	for _, c := range counters {
 		if c.Name != l.cfg.Self.Name && !slices.Contains(ask, c.Name) {
 			ask = append(slices.Clip(ask), c.Name)
