--- a/node/registry/simulated_store_test.go
+++ b/node/registry/simulated_store_test.go
@@ -59,22 +59,11 @@
 	defer s.mu.Unlock()
 	s.outage = o
 	if o == silentOutage || o == refusingOutage {
-		s.loseCallsLocked()
+		close(s.lost)
+		s.lost = make(chan struct{})
 	}
 }
 
-// loseCalls makes all outstanding calls lose their answers.
-func (s *simulatedStore) loseCalls() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.loseCallsLocked()
-}
-
-func (s *simulatedStore) loseCallsLocked() {
-	close(s.lost)
-	s.lost = make(chan struct{})
-}
-
 func (s *simulatedStore) state() (outage, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
