--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -93,10 +93,18 @@
 }
 
 // Address returns the address on which the member listens.
-func (m *Member) Address() string { return m.address }
+func (m *Member) Address() string {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.address
+}
 
 // AdvertisedAddress returns the address in the member's store entry.
-func (m *Member) AdvertisedAddress() string { return m.advertisedAddress }
+func (m *Member) AdvertisedAddress() string {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	return m.advertisedAddress
+}
 
 // Crash closes the member's listener and connections. Its log remains.
 func (m *Member) Crash() {
--- a/standin/lineplatform/member_test.go
+++ b/standin/lineplatform/member_test.go
@@ -23,3 +23,20 @@
 	require.NoError(t, m.Restart())
 	require.NoError(t, m.Restart())
 }
+
+// TestAddressIsReadDuringRestart guards against a data race, which the race detector
+// reports.
+func TestAddressIsReadDuringRestart(t *testing.T) {
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	g, err := p.AddGroup("svc", lineplatform.Options{Members: 1, Slots: 1, MaxConnections: 4, ServiceTime: time.Millisecond, Zones: []string{"a"}})
+	require.NoError(t, err)
+	m := g.Members()[0]
+	m.Crash()
+	restarted := make(chan error)
+	go func() { restarted <- m.Restart() }()
+	address := m.AdvertisedAddress()
+	require.NoError(t, <-restarted)
+	require.Equal(t, address, m.AdvertisedAddress())
+}
