--- a/core/quota/joining_test.go
+++ b/core/quota/joining_test.go
@@ -84,3 +84,28 @@
 	_, known = f.Find("a", time.Minute)
 	require.False(t, known, "its registration has not arrived")
 }
+
+// TestHostsWhoseLeasesLapseTogetherKeepTheirCounters guards against hosts that each count
+// alone after an outage of the store has ended all registrations.
+func TestHostsWhoseLeasesLapseTogetherKeepTheirCounters(t *testing.T) {
+	l := limitOf(1000, 1000)
+	all := []quota.Host{{Name: "a", Region: "x"}, {Name: "b", Region: "y"}, {Name: "c", Region: "z"}, {Name: "d", Region: "z"}}
+	for _, self := range all {
+		f := quota.NewFleet(self)
+		f.SetRegistered(all, 0)
+		before, _ := f.Place(team, l, tolerance, 0)
+		now := time.Minute
+		for n := range all {
+			now += 100 * time.Millisecond
+			f.SetRegistered(all[n+1:], now)
+		}
+		p, _ := f.Place(team, l, tolerance, now)
+		require.Equal(t, before, p, "%s while nobody is registered", self.Name)
+		now += 100 * time.Millisecond
+		f.SetRegistered([]quota.Host{self}, now)
+		p, _ = f.Place(team, l, tolerance, now)
+		require.Equal(t, before, p, "%s when it has registered again", self.Name)
+		p, _ = f.Place(team, l, tolerance, now+time.Minute)
+		require.Equal(t, []string{self.Name}, p.Counters, "the others have not")
+	}
+}
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -48,7 +48,11 @@
 	if r.unreachable {
 		r.unreachable = false
 		r.signalStoreReached()
-		eventlog.PlatformReachable.Info(r.log).Stringer("revision", r.revision).Dur("silent_ms", now-r.lastContact).Send()
+		line := eventlog.PlatformReachable.Info(r.log).Stringer("revision", r.revision)
+		if r.lastContact != 0 {
+			line.Dur("silent_ms", now-r.lastContact)
+		}
+		line.Send()
 	}
 }
 
