Quota: the change for registrations that lapse together is taken back

Cause: a host that stops ends its own registration, took that for a lapse, and counted on beside the host that had replaced it.

--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -28,12 +28,9 @@
 	// announced holds hosts that were announced before their registration arrived, by
 	// name, with the time until which they are kept.
 	announced map[string]announcedHost
-	// departed holds hosts whose registration has ended within joinPeriod. Only they
-	// themselves can announce them.
-	departed map[string]departedHost
-	// lapsedAt is when this host's own registration ended though it runs.
-	lapsedAt time.Duration
-	lapsed   bool
+	// departed holds hosts whose registration has ended, with the time until which only
+	// they themselves can announce them.
+	departed map[string]time.Duration
 	// joiningUntil is the time until which this host counts as joining.
 	joiningUntil time.Duration
 	// acknowledgedBy holds the hosts that have acknowledged this one while it joins.
@@ -46,41 +43,23 @@
 	until time.Duration
 }
 
-// departedHost is a host whose registration ended at a time.
-type departedHost struct {
-	Host
-	at time.Duration
-}
-
-// reregisterPeriod is how long departures are not believed after this host's own
-// registration has ended: an outage of the store ends the leases of hosts that run, and
-// they register again within this time. lapseSpread is how far the ends of such leases
-// are apart.
-const (
-	reregisterPeriod = 3 * time.Second
-	lapseSpread      = 3 * time.Second
-)
-
 // NewFleet returns the view of a host that knows no other.
 func NewFleet(self Host) *Fleet {
-	return &Fleet{self: self, announced: map[string]announcedHost{}, departed: map[string]departedHost{}, acknowledgedBy: map[string]bool{}}
+	return &Fleet{self: self, announced: map[string]announcedHost{}, departed: map[string]time.Duration{}, acknowledgedBy: map[string]bool{}}
 }
 
 // SetRegistered sets the registered hosts.
 func (f *Fleet) SetRegistered(hosts []Host, now time.Duration) {
-	for name, h := range f.departed {
-		if now >= h.at+joinPeriod {
+	for name, until := range f.departed {
+		if now >= until {
 			delete(f.departed, name)
 		}
 	}
 	for _, h := range f.registered {
 		if !containsHost(hosts, h.Name) {
-			f.departed[h.Name] = departedHost{Host: h, at: now}
+			f.departed[h.Name] = now + joinPeriod
 		}
 	}
-	if containsHost(f.registered, f.self.Name) && !containsHost(hosts, f.self.Name) {
-		f.lapsed, f.lapsedAt = true, now
-	}
 	f.registered = hosts
 	for _, h := range hosts {
 		delete(f.announced, h.Name)
@@ -110,7 +89,7 @@
 func (f *Fleet) Learn(hosts []Host, now time.Duration) bool {
 	learned := false
 	for _, h := range hosts {
-		if d, departed := f.departed[h.Name]; !departed || now >= d.at+joinPeriod {
+		if now >= f.departed[h.Name] {
 			learned = f.Announce(h, now) || learned
 		}
 	}
@@ -162,24 +141,19 @@
 // ValidUntil returns the time at which a placement may change without a call to another
 // method; zero for never.
 func (f *Fleet) ValidUntil(now time.Duration) time.Duration {
-	ends := []time.Duration{f.joiningUntil}
-	if f.lapsed {
-		ends = append(ends, f.lapsedAt+reregisterPeriod)
+	var until time.Duration
+	if now < f.joiningUntil {
+		until = f.joiningUntil
 	}
 	for _, h := range f.announced {
-		ends = append(ends, h.until)
-	}
-	var first time.Duration
-	for _, end := range ends {
-		if end > now && (first == 0 || end < first) {
-			first = end
+		if until == 0 || h.until < until {
+			until = h.until
 		}
 	}
-	return first
+	return until
 }
 
-// hosts returns the registered and announced hosts, those whose departure is not
-// believed, or this one if it knows none.
+// hosts returns the registered and announced hosts, or this one if it knows none.
 func (f *Fleet) hosts(now time.Duration) []Host {
 	out := f.registered
 	for name, h := range f.announced {
@@ -189,13 +163,6 @@
 		}
 		out = append(slices.Clip(out), h.Host)
 	}
-	if f.lapsed && now < f.lapsedAt+reregisterPeriod {
-		for _, h := range f.departed {
-			if h.at >= f.lapsedAt-lapseSpread && !containsHost(out, h.Name) {
-				out = append(slices.Clip(out), h.Host)
-			}
-		}
-	}
 	if len(out) == 0 {
 		return []Host{f.self}
 	}
