Quota: registrations that lapse together leave the counters in place

Cause: all registrations end and come back within 0.3 s. Each host acts on every departure, finds itself nearly alone and grants a whole limit.

A host that stops ends its registration too, and one that was cut off alone has been replaced.

Change: departures are not believed for 3 s if no registration has lasted through the last 3 s, this host's own neither, and the host does not stop. A stopping host says so to its limiter first.

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -36,6 +36,7 @@
 //     clock.
 //   - A joining host counts a team only once the counters that it replaces have
 //     acknowledged it, and so have stopped (Fleet).
+//   - Registrations that have all lapsed together do not move the counters (Fleet).
 //
 // The bound does not hold in these cases: a registration does not reach the counters
 // that it replaces within joinPeriod; a counter that has acknowledged a joining host
--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -10,6 +10,11 @@
 // all hosts that have contact with the store.
 const joinPeriod = 10 * time.Second
 
+// lapsePeriod is the time within which the registrations of a whole fleet end and begin
+// again after an outage of the store that was longer than their leases. It covers two
+// renewal intervals of a lease and the spread of the hosts' attempts.
+const lapsePeriod = 3 * time.Second
+
 // Fleet is one host's view of the hosts among which counters are chosen.
 //
 // Registrations reach hosts at different times. If a host counted as soon as it has
@@ -21,6 +26,13 @@
 // them like any other host. An acknowledgement names the counters that the sender knows
 // without the joining host: they may have joined just before it.
 //
+// An outage of the store that is longer than a lease ends all registrations, though the
+// hosts go on. A host that acted on each of them would find itself nearly alone and grant
+// a whole limit, like all others. So if no registration has lasted through the last
+// lapsePeriod, this host's own neither, its counters stay those of the fleet before. A
+// host that ends its registration itself, or whose registration alone has ended, has been
+// replaced by others and does not do so.
+//
 // Fleet is not safe for concurrent use.
 type Fleet struct {
 	self       Host
@@ -31,6 +43,16 @@
 	// departed holds hosts whose registration has ended, with the time until which only
 	// they themselves can announce them.
 	departed map[string]time.Duration
+	// registeredSince maps the registered hosts to the time at which they were first seen,
+	// and lapsed holds those whose registration has ended within lapsePeriod.
+	registeredSince map[string]time.Duration
+	lapsed          map[string]lapsedHost
+	// carriedOver holds the hosts that stay in the fleet until carriedUntil, though their
+	// registrations have lapsed together.
+	carriedOver  []Host
+	carriedUntil time.Duration
+	// leaving is set once this host ends its registration itself.
+	leaving bool
 	// joiningUntil is the time until which this host counts as joining.
 	joiningUntil time.Duration
 	// acknowledgedBy holds the hosts that have acknowledged this one while it joins.
@@ -43,9 +65,18 @@
 	until time.Duration
 }
 
+// lapsedHost is a host and the time at which its registration ended.
+type lapsedHost struct {
+	Host
+	at time.Duration
+}
+
 // NewFleet returns the view of a host that knows no other.
 func NewFleet(self Host) *Fleet {
-	return &Fleet{self: self, announced: map[string]announcedHost{}, departed: map[string]time.Duration{}, acknowledgedBy: map[string]bool{}}
+	return &Fleet{
+		self: self, announced: map[string]announcedHost{}, departed: map[string]time.Duration{}, acknowledgedBy: map[string]bool{},
+		registeredSince: map[string]time.Duration{}, lapsed: map[string]lapsedHost{},
+	}
 }
 
 // SetRegistered sets the registered hosts.
@@ -60,11 +91,58 @@
 			f.departed[h.Name] = now + joinPeriod
 		}
 	}
+	f.recordLapses(hosts, now)
 	f.registered = hosts
 	for _, h := range hosts {
 		delete(f.announced, h.Name)
 		delete(f.departed, h.Name)
 	}
+	f.carryOverLapsed(now)
+}
+
+// recordLapses records which registrations begin and end when hosts become the
+// registered ones.
+func (f *Fleet) recordLapses(hosts []Host, now time.Duration) {
+	for name, h := range f.lapsed {
+		if now-h.at >= lapsePeriod {
+			delete(f.lapsed, name)
+		}
+	}
+	for _, h := range f.registered {
+		if !containsHost(hosts, h.Name) {
+			f.lapsed[h.Name] = lapsedHost{Host: h, at: now}
+			delete(f.registeredSince, h.Name)
+		}
+	}
+	for _, h := range hosts {
+		if _, known := f.registeredSince[h.Name]; !known {
+			f.registeredSince[h.Name] = now
+		}
+	}
+}
+
+// carryOverLapsed keeps the hosts whose registrations have lapsed together with this
+// host's.
+func (f *Fleet) carryOverLapsed(now time.Duration) {
+	if _, lapsed := f.lapsed[f.self.Name]; !lapsed || f.leaving || now < f.carriedUntil {
+		return
+	}
+	for _, since := range f.registeredSince {
+		if now-since >= lapsePeriod {
+			return
+		}
+	}
+	f.carriedUntil = now + lapsePeriod
+	f.carriedOver = nil
+	for _, h := range f.lapsed {
+		f.carriedOver = append(f.carriedOver, h.Host)
+	}
+}
+
+// Leave records that this host ends its registration itself.
+func (f *Fleet) Leave() {
+	f.leaving = true
+	f.carriedOver, f.carriedUntil = nil, 0
 }
 
 // Join records that this host has just registered without having been registered before.
@@ -145,6 +223,9 @@
 	if now < f.joiningUntil {
 		until = f.joiningUntil
 	}
+	if now < f.carriedUntil && (until == 0 || f.carriedUntil < until) {
+		until = f.carriedUntil
+	}
 	for _, h := range f.announced {
 		if until == 0 || h.until < until {
 			until = h.until
@@ -153,14 +234,25 @@
 	return until
 }
 
-// hosts returns the registered and announced hosts, or this one if it knows none.
+// hosts returns the registered, carried-over and announced hosts, or this one if it
+// knows none.
 func (f *Fleet) hosts(now time.Duration) []Host {
 	out := f.registered
+	if now < f.carriedUntil {
+		for _, h := range f.carriedOver {
+			if !containsHost(out, h.Name) {
+				out = append(slices.Clip(out), h)
+			}
+		}
+	}
 	for name, h := range f.announced {
 		if now >= h.until {
 			delete(f.announced, name)
 			continue
 		}
+		if containsHost(out, name) {
+			continue
+		}
 		out = append(slices.Clip(out), h.Host)
 	}
 	if len(out) == 0 {
--- a/core/quota/joining_test.go
+++ b/core/quota/joining_test.go
@@ -109,3 +109,30 @@
 		require.Equal(t, []string{self.Name}, p.Counters, "the others have not")
 	}
 }
+
+// TestHostThatStopsCountsNoLonger guards against a host that ends its own registration
+// while others lapse, and goes on counting beside its successor.
+func TestHostThatStopsCountsNoLonger(t *testing.T) {
+	self, other := quota.Host{Name: "a"}, quota.Host{Name: "b"}
+	f := quota.NewFleet(self)
+	f.SetRegistered([]quota.Host{self, other}, 0)
+	f.SetRegistered([]quota.Host{self}, time.Minute)
+	f.SetRegistered([]quota.Host{self, other}, time.Minute+time.Second)
+	f.Leave()
+	now := time.Minute + 2*time.Second
+	f.SetRegistered([]quota.Host{other}, now)
+	p, _ := f.Place(team, limitOf(40, 40), tolerance, now)
+	require.Equal(t, []string{"b"}, p.Counters)
+}
+
+// TestHostWhoseLeaseAloneHasEndedCountsNoLonger guards against a host that was cut off
+// from the store and counts beside the hosts that have replaced it when it returns.
+func TestHostWhoseLeaseAloneHasEndedCountsNoLonger(t *testing.T) {
+	l := limitOf(1000, 1000)
+	self, b, c := quota.Host{Name: "a", Region: "x"}, quota.Host{Name: "b", Region: "y"}, quota.Host{Name: "c", Region: "z"}
+	f := quota.NewFleet(self)
+	f.SetRegistered([]quota.Host{self, b, c}, 0)
+	f.SetRegistered([]quota.Host{b, c}, time.Minute)
+	p, _ := f.Place(team, l, tolerance, time.Minute)
+	require.ElementsMatch(t, []string{"b", "c"}, p.Counters)
+}
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -25,6 +25,7 @@
 	startedAt := time.Now()
 	eventlog.Stopping.Info(h.log).Dur("grace_ms", h.settings.GracePeriod).Int("callers", h.gateway.Sessions()).Send()
 	h.stopping.Store(true)
+	h.limiter.Leave()
 	h.deregister()
 	time.Sleep(h.graceFraction(noticeFraction))
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(h.graceFraction(drainFraction)))
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -143,6 +143,15 @@
 	clear(l.exhaustedUntil)
 }
 
+// Leave records that this host is about to end its registration. It stops counting as
+// soon as the registration has ended.
+func (l *Limiter) Leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.Leave()
+	clear(l.placements)
+}
+
 // Admit decides on one operation of a team and may wait for a grant. If it reports
 // false, the operation is refused and may be retried after the returned time.
 func (l *Limiter) Admit(ctx context.Context, team catalog.Team) (time.Duration, bool) {
