Host: state is kept only for groups that are used or the host's responsibility

Cause: each host kept a replica set, a promoter, three goroutines, timers and metric scopes for each group of the fleet. Each change of the store copied all members and updated every group.

Change: core/duty says for which groups a host is a gate or a voter. Other groups become active at their first use (a caller's statement, another host's question) and are dropped after 30 s without use. What a reconciliation updates follows from what has changed in the registry (registry.Changes); changes of the fleet are applied at most once a millisecond for each host. The rank for a lock is counted, not sorted; labels of services in metrics are bounded like those of teams. Transaction IDs are unique in the process, so that a dropped group's are not used again.

Ruled out: one goroutine for all groups, which leaves members, pools and metrics (two thirds of it).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -73,6 +73,9 @@
 // Directory is the set of members. It is not safe for concurrent use.
 type Directory struct {
 	members map[string]*Member
+	// byService holds the members of each service, so that a change of one service does
+	// not cost a pass over all members.
+	byService map[string][]*Member
 	// removed holds recently removed members, so that a listing read before the removal
 	// does not reinstate them.
 	removed map[string]*removal
@@ -102,7 +105,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{members: make(map[string]*Member), removed: make(map[string]*removal)}
+	return &Directory{members: make(map[string]*Member), byService: make(map[string][]*Member), removed: make(map[string]*removal)}
 }
 
 // Put applies an entry that was written. It reports whether anything but the revision
@@ -116,9 +119,13 @@
 		return false
 	}
 	if !m.SameIncarnation(e) {
-		d.members[e.ID] = newMember(e, now)
+		d.set(newMember(e, now))
 		return true
 	}
+	if e.Service != m.Service {
+		d.unindex(m)
+		defer d.index(m)
+	}
 	if e.Primary != m.Primary {
 		m.RoleRevision = e.Revision
 	}
@@ -138,10 +145,30 @@
 		return false
 	}
 	delete(d.removed, e.ID)
-	d.members[e.ID] = newMember(e, now)
+	d.set(newMember(e, now))
 	return true
 }
 
+// set adds a member or replaces its previous incarnation.
+func (d *Directory) set(m *Member) {
+	if previous, found := d.members[m.ID]; found {
+		d.unindex(previous)
+	}
+	d.members[m.ID] = m
+	d.index(m)
+}
+
+func (d *Directory) index(m *Member) {
+	d.byService[m.Service] = append(d.byService[m.Service], m)
+}
+
+func (d *Directory) unindex(m *Member) {
+	rest := slices.DeleteFunc(d.byService[m.Service], func(other *Member) bool { return other == m })
+	if d.byService[m.Service] = rest; len(rest) == 0 {
+		delete(d.byService, m.Service)
+	}
+}
+
 // newMember returns a member for the first entry of an incarnation.
 func newMember(e Entry, now time.Duration) *Member {
 	m := &Member{Entry: e, RoleRevision: e.Revision}
@@ -198,6 +225,7 @@
 
 func (d *Directory) remove(id string, revision store.Revision, now time.Duration) {
 	d.removed[id] = &removal{revision: revision, at: now, last: d.members[id].Entry}
+	d.unindex(d.members[id])
 	delete(d.members, id)
 }
 
@@ -241,3 +269,35 @@
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
+
+// MembersOf returns the members of a service sorted by ID.
+func (d *Directory) MembersOf(service string) []Member {
+	out := make([]Member, 0, len(d.byService[service]))
+	for _, m := range d.byService[service] {
+		out = append(out, *m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// ServiceOf returns the service of a member; false if the member is not known.
+func (d *Directory) ServiceOf(id string) (string, bool) {
+	m, found := d.members[id]
+	if !found {
+		return "", false
+	}
+	return m.Service, true
+}
+
+// Len returns the number of members.
+func (d *Directory) Len() int { return len(d.members) }
+
+// HasMissing reports whether the entry of any member is missing.
+func (d *Directory) HasMissing() bool {
+	for _, m := range d.members {
+		if m.Missing {
+			return true
+		}
+	}
+	return false
+}
--- a/core/gates/share_cache.go
+++ b/core/gates/share_cache.go
@@ -31,17 +31,36 @@
 
 // For returns the host's share of a member's connections, equal to that of the plan.
 func (s *ShareCache) For(p Plan, m Member) Share {
+	c := s.ranking(p, m)
+	if !c.valid || c.member != m || c.connections != p.connections {
+		c.member, c.connections = m, p.connections
+		c.share, c.valid = p.share(m, s.host, c.top), true
+	}
+	return c.share
+}
+
+// IsGate reports whether the host is a gate of a member. It keeps only the ranking of the
+// hosts, which takes less memory than a share.
+func (s *ShareCache) IsGate(p Plan, m Member) bool { return s.ranking(p, m).top.Contains(s.host) }
+
+// ranking returns the cached share of a member with an up-to-date ranking of the hosts.
+func (s *ShareCache) ranking(p Plan, m Member) *cachedShare {
 	s.update(p.fleet)
 	c, found := s.byMember[m.ID]
 	if !found || c.member.Zone != m.Zone || c.top.Stale() || c.top.Size() != p.gateCount(m) {
-		c = &cachedShare{top: p.fleet.nearestHosts(m, p.gateCount(m))}
+		c = &cachedShare{member: m, top: p.fleet.nearestHosts(m, p.gateCount(m))}
 		s.byMember[m.ID] = c
 	}
-	if !c.valid || c.member != m || c.connections != p.connections {
-		c.member, c.connections = m, p.connections
-		c.share, c.valid = p.share(m, s.host, c.top), true
+	return c
+}
+
+// Retain forgets the members that are not listed.
+func (s *ShareCache) Retain(listed map[string]bool) {
+	for id := range s.byMember {
+		if !listed[id] {
+			delete(s.byMember, id)
+		}
 	}
-	return c.share
 }
 
 // Forget removes a member that no longer exists.
--- a/core/succession/succession_test.go
+++ b/core/succession/succession_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 )
@@ -168,3 +169,15 @@
 	tracker.ObservePeerConfirmation("c", 4)
 	require.Equal(t, "c", tracker.Primary())
 }
+
+// TestTakeoverRankIsThePositionAmongTheOthers compares ranks with a sorted fleet.
+func TestTakeoverRankIsThePositionAmongTheOthers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		live := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{3}"), 1, 20, rapid.ID).Draw(t, "live")
+		host, holder := rapid.SampledFrom(live).Draw(t, "host"), rapid.SampledFrom(append(live, "")).Draw(t, "holder")
+		order := slices.DeleteFunc(membership.RankBy("svc", live, func(h string) string { return h }), func(h string) bool {
+			return h == holder && h != host
+		})
+		require.Equal(t, slices.Index(order, host), succession.TakeoverRank("svc", host, holder, live))
+	})
+}
--- a/core/succession/voters.go
+++ b/core/succession/voters.go
@@ -13,10 +13,17 @@
 // partition divides them as it divides the fleet.
 const MaxVoters = 9
 
-// RankHosts returns the hosts in their order of responsibility for a service,
-// which differs between services.
-func RankHosts(service string, live []string) []string {
-	return membership.RankBy(service, live, func(host string) string { return host })
+// TakeoverRank returns the position of a host in the order of responsibility for a
+// service, without the lock's holder, whom the others succeed. It ranks one host without
+// sorting the fleet: promoters ask for it several times a second while a lock is vacant.
+func TakeoverRank(service, host, holder string, live []string) int {
+	rank, own := 0, membership.Score(service, host)
+	for _, other := range live {
+		if other != holder && other != host && membership.Score(service, other) > own {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Voters returns the hosts that vote on the failure of a service's primary.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/duty"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
@@ -100,24 +101,33 @@
 	remoteJobCount atomic.Int64
 	reconcileWake  chan struct{}
 	failed         chan error
-	// fleet is the list of hosts last passed to the sets. fleetStability decides
-	// whether a starting host has a stable view of the fleet; fleetWasStable is set
-	// once it had one. Only reconcile accesses these fields.
+	// fleetKnown is set once this host has had a stable view of the fleet.
+	fleetKnown atomic.Bool
+
+	// reconcileMu guards the fields below. It is acquired before mu.
+	reconcileMu sync.Mutex
+	// fleet is the list of hosts last passed to the sets, at fleetUpdatedAt.
+	// fleetStability decides whether a starting host has a stable view of the fleet;
+	// fleetWasStable is set once it had one.
 	fleet          gates.Fleet
+	fleetUpdatedAt time.Duration
 	fleetStability startup.FleetStability
 	fleetWasStable bool
+	duties         *duty.Duties
+	// pendingChanges are changes of the registry that are not applied yet.
+	pendingChanges registry.Changes
 
-	// mu guards sets and promoters, which are keyed by service.
-	mu        sync.RWMutex
-	sets      map[string]*replicaset.Set
-	promoters map[string]*promoter.Promoter
+	// mu guards groups, and the leaderships of groups that are not active, by service.
+	mu          sync.RWMutex
+	groups      map[string]*activeGroup
+	leaderships map[string]rememberedLeadership
 }
 
 // Start starts a host. It returns once the listeners accept connections.
 func Start(s Settings, a Adapter, dial replicaset.DialFunc, log zerolog.Logger) (*Host, error) {
 	h := &Host{
 		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
-		reconcileWake: make(chan struct{}, 1), failed: make(chan error, 1), sets: map[string]*replicaset.Set{}, promoters: map[string]*promoter.Promoter{},
+		reconcileWake: make(chan struct{}, 1), failed: make(chan error, 1), groups: map[string]*activeGroup{}, leaderships: map[string]rememberedLeadership{}, duties: duty.New(s.Host),
 		metrics: newHostMetrics(), logBudget: eventlog.NewRateLimiter(), traffic: newTrafficCounts(), startedAt: clock.Now(), fleet: gates.NewFleet(nil, s.Topology.Regions),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
@@ -150,6 +160,7 @@
 	h.wg.Go(func() { h.reconcile(h.ctx) })
 	h.wg.Go(func() { h.abortIdleTransactions(h.ctx) })
 	h.wg.Go(func() { h.tickGroups(h.ctx) })
+	h.wg.Go(func() { clock.Every(h.ctx, groupCheckInterval, func() { h.dropUnusedGroups(clock.Now()) }) })
 	h.wg.Go(func() { h.reportGauges(h.ctx) })
 	h.wg.Go(func() { h.logReads(h.ctx) })
 	h.wg.Go(func() { h.logTraffic(h.ctx) })
@@ -229,94 +240,15 @@
 	return nil
 }
 
-// Ready reports whether the host accepts callers: it has a configuration, knows at
-// least one member and is not stopping.
+// Ready reports whether the host accepts callers: it has a configuration, knows the
+// other hosts and at least one member, and is not stopping.
 func (h *Host) Ready() bool {
-	return !h.stopping.Load() && h.registry.Catalog() != nil && h.hasMembers()
-}
-
-func (h *Host) hasMembers() bool {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	for _, s := range h.sets {
-		if len(s.Members()) > 0 {
-			return true
-		}
-	}
-	return false
+	return !h.stopping.Load() && h.fleetKnown.Load() && h.registry.Catalog() != nil && h.registry.HasMembers()
 }
 
 // Catalog implements edge.Backend.
 func (h *Host) Catalog() *catalog.Catalog { return h.registry.Catalog() }
 
-// Set returns the replica set of a service, or nil if there is none.
-func (h *Host) Set(service string) *replicaset.Set {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.sets[service]
-}
-
-// reconcile updates the sets from the registry whenever it is woken.
-func (h *Host) reconcile(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.reconcileWake:
-			h.updateSets(ctx)
-		}
-	}
-}
-
-func (h *Host) updateSets(ctx context.Context) {
-	c := h.registry.Catalog()
-	if c == nil {
-		return
-	}
-	hosts := h.registry.Fleet()
-	if !h.fleetStable(hosts) {
-		return
-	}
-	h.setFleet(h.fleet.Next(hosts))
-	groups := h.registry.MembersByService()
-	for name, spec := range c.Services {
-		h.ensureSet(ctx, name).Update(groups[name], spec, h.fleet)
-	}
-}
-
-// ensureSet returns the set of a service. It creates and starts the set and its
-// promoter if there is none.
-func (h *Host) ensureSet(ctx context.Context, service string) *replicaset.Set {
-	if s := h.Set(service); s != nil {
-		return s
-	}
-	var p *promoter.Promoter
-	s := replicaset.New(replicaset.Config{
-		Service: service, Dial: h.dial, Proto: h.adapter.Members, Topology: h.settings.Topology,
-		DrainTimeout: h.settings.DrainTimeout, RequestFloor: h.queryPeersForFloor, OnSuspect: func() { p.Wake() },
-		Remote: h.remote(), Owner: h.owner, Host: h.settings.Host, Features: h.settings.Features, Log: h.log,
-	})
-	p = promoter.New(promoter.Config{
-		Service: service, Host: h.settings.Host, Set: s, Registry: h.registry, Platform: h.adapter.Promotion, Peers: h,
-		Features: h.settings.Features,
-		Spec:     func() catalog.Service { return h.registry.Catalog().Services[service] },
-		OnResult: func(r promoter.Result) { h.metrics.promotion(service, r) }, Log: h.log,
-	})
-	h.wg.Go(func() { s.Probe(ctx) })
-	h.wg.Go(func() { p.Run(ctx) })
-	h.mu.Lock()
-	h.sets[service], h.promoters[service] = s, p
-	h.mu.Unlock()
-	return s
-}
-
-// promoter returns the promoter of a service, or nil if there is none.
-func (h *Host) promoter(service string) *promoter.Promoter {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.promoters[service]
-}
-
 // remoteTxSlack is added to the idle timeout for transactions of other hosts, which
 // normally end them themselves.
 const remoteTxSlack = 2 * time.Second
--- a/node/entry/limits.go
+++ b/node/entry/limits.go
@@ -91,7 +91,7 @@
 	return out
 }
 
-// setFleet updates the fleet and the limiter's hosts. Only reconcile calls it.
+// setFleet updates the fleet and the limiter's hosts. It is called with reconcileMu held.
 func (h *Host) setFleet(f gates.Fleet) {
 	if f.Generation() == h.fleet.Generation() {
 		return
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -11,11 +11,14 @@
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
 	"github.com/dotterelswitch/dotterelswitch/node/promoter"
 	"github.com/dotterelswitch/dotterelswitch/node/registry"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
 const (
-	// maxTeamLabels bounds the number of distinct team or database labels.
-	maxTeamLabels = 50
+	// maxLabels bounds the number of distinct labels of teams or databases, and of
+	// services. Each combination of a team and a kind of statement has three histograms
+	// for the life of the process.
+	maxLabels = 50
 	// gaugeInterval is how often gauges are updated.
 	gaugeInterval = 2 * time.Second
 )
@@ -23,7 +26,7 @@
 // hostMetrics records the metrics of a host.
 type hostMetrics struct{ metrics *metrics.Metrics }
 
-func newHostMetrics() *hostMetrics { return &hostMetrics{metrics: metrics.New(maxTeamLabels)} }
+func newHostMetrics() *hostMetrics { return &hostMetrics{metrics: metrics.New(maxLabels)} }
 
 func (m *hostMetrics) handler() http.Handler { return m.metrics.Handler() }
 
@@ -51,7 +54,7 @@
 
 // promotion counts a promotion led by this host.
 func (m *hostMetrics) promotion(service string, r promoter.Result) {
-	m.metrics.Count("promotions", metrics.Label{Name: "service", Value: service}, metrics.Label{Name: "result", Value: r.String()})
+	m.metrics.Count("promotions", metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}, metrics.Label{Name: "result", Value: r.String()})
 }
 
 // operation counts an admitted or refused operation of a team.
@@ -65,7 +68,7 @@
 
 // connections adds connection counts: reused, opened, or evicted for another team.
 func (m *hostMetrics) connections(service string, c connpool.Counts) {
-	label := metrics.Label{Name: "service", Value: service}
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
 	m.metrics.Add("connections_found", c.Reused, label)
 	m.metrics.Add("connections_opened", c.Opened, label)
 	m.metrics.Add("connections_evicted", c.Evicted, label)
@@ -96,11 +99,26 @@
 	m.Gauge("platform_heard_seconds", st.SinceContact.Seconds())
 	m.Gauge("platform_followers", float64(st.Followers))
 	m.Gauge("log_lines_left_out", float64(h.logBudget.Suppressed()))
+	h.serviceGauges(now)
+}
+
+// serviceGauges updates the gauges of the active groups. Services that share a label
+// have the sum of their counts, the newest term and the age of the oldest floor.
+func (h *Host) serviceGauges(now time.Duration) {
+	m := h.metrics.metrics
+	byLabel := map[string]replicaset.Stats{}
 	for _, s := range h.allSets() {
-		st := s.Stats(now)
-		m.ServiceGauge("connections", s.Service(), float64(st.Connections))
-		m.ServiceGauge("statements_waiting", s.Service(), float64(st.Waiting))
-		m.ServiceGauge("term", s.Service(), float64(st.Term))
-		m.ServiceGauge("floor_age_seconds", s.Service(), st.FloorAge.Seconds())
+		label, st := m.ServiceLabel(s.Service()), s.Stats(now)
+		sum := byLabel[label]
+		byLabel[label] = replicaset.Stats{
+			Connections: sum.Connections + st.Connections, Waiting: sum.Waiting + st.Waiting,
+			Term: max(sum.Term, st.Term), FloorAge: max(sum.FloorAge, st.FloorAge),
+		}
+	}
+	for label, st := range byLabel {
+		m.ServiceGauge("connections", label, float64(st.Connections))
+		m.ServiceGauge("statements_waiting", label, float64(st.Waiting))
+		m.ServiceGauge("term", label, float64(st.Term))
+		m.ServiceGauge("floor_age_seconds", label, st.FloorAge.Seconds())
 	}
 }
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -24,6 +24,9 @@
 	datagramKey = "dotterelswitch"
 	// floorQueryFanOut is the number of hosts queried for a floor.
 	floorQueryFanOut = 4
+	// floorPeerDraws bounds the attempts to draw them in a small fleet, where most draws
+	// repeat an earlier one.
+	floorPeerDraws = 8 * floorQueryFanOut
 	// peerQueryTimeout bounds the wait for an answer from another host.
 	peerQueryTimeout = 300 * time.Millisecond
 )
@@ -82,16 +85,6 @@
 	}
 }
 
-func (h *Host) allSets() []*replicaset.Set {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	out := make([]*replicaset.Set, 0, len(h.sets))
-	for _, s := range h.sets {
-		out = append(out, s)
-	}
-	return out
-}
-
 // handlePeerMessage processes a datagram from another host and returns the answer.
 func (h *Host) handlePeerMessage(m gossip.Message) gossip.Message {
 	now := clock.Now()
@@ -100,9 +93,7 @@
 		out.PeerReport = h.peerReport(*q)
 	}
 	if l := m.Leadership; l != nil {
-		if s := h.Set(l.Service); s != nil {
-			s.ObserveLeadership(replicaset.Leadership{Primary: l.Primary, Term: l.Term})
-		}
+		h.observeLeadership(l.Service, replicaset.Leadership{Primary: l.Primary, Term: l.Term})
 	}
 	if m.QuotaRequest != nil {
 		h.handleQuotaRequest(m, &out)
@@ -139,11 +130,13 @@
 		addresses = slices.Clone(s.PrimaryGates())
 	}
 	fleet := h.registry.Fleet()
-	for _, i := range rand.Perm(len(fleet)) {
-		if len(addresses) >= floorQueryFanOut {
+	// The hosts are drawn with replacement, without a permutation of a large fleet for
+	// each query.
+	for range floorPeerDraws {
+		if len(addresses) >= floorQueryFanOut || len(fleet) == 0 {
 			break
 		}
-		if other := fleet[i]; other.Name != h.settings.Host && !slices.Contains(addresses, other.Address) {
+		if other := fleet[rand.IntN(len(fleet))]; other.Name != h.settings.Host && !slices.Contains(addresses, other.Address) {
 			addresses = append(addresses, other.Address)
 		}
 	}
--- a/node/entry/promotion_peers.go
+++ b/node/entry/promotion_peers.go
@@ -10,11 +10,11 @@
 
 // peerReport answers another host's request for a report on a primary.
 func (h *Host) peerReport(q gossip.PeerReportRequest) *gossip.PeerReport {
-	p := h.promoter(q.Service)
-	if p == nil {
+	g := h.use(q.Service)
+	if g == nil {
 		return &gossip.PeerReport{}
 	}
-	report := p.PeerReport(h.ctx, q.Upstream)
+	report := g.promoter.PeerReport(h.ctx, q.Upstream)
 	return &gossip.PeerReport{Dead: report.Dead, Reaches: report.Reaches, StoreReached: report.StoreReached, Lock: report.Lock, Leading: report.Leading}
 }
 
@@ -59,6 +59,6 @@
 
 // leadsPromotion reports whether this host leads a promotion of a service.
 func (h *Host) leadsPromotion(service string) bool {
-	p := h.promoter(service)
-	return p != nil && p.Leading()
+	g := h.group(service)
+	return g != nil && g.promoter.Leading()
 }
--- a/node/entry/startup.go
+++ b/node/entry/startup.go
@@ -27,7 +27,12 @@
 
 // AwaitSet implements edge.Backend.
 func (h *Host) AwaitSet(ctx context.Context, service string, startDeadline time.Duration) *replicaset.Set {
-	return awaitStartup(ctx, startup.StatementDeadline(h.startedAt, startDeadline), func() *replicaset.Set { return h.Set(service) })
+	return awaitStartup(ctx, startup.StatementDeadline(h.startedAt, startDeadline), func() *replicaset.Set {
+		if g := h.use(service); g != nil {
+			return g.set
+		}
+		return nil
+	})
 }
 
 // awaitStartup polls find until it returns a value, the deadline passes or ctx is
@@ -43,9 +48,15 @@
 
 // fleetStable reports whether the view of the fleet is stable enough to divide the
 // members' connections among the hosts. If it is not, it schedules a reconciliation
-// for the time at which it should be; statements wait for their set until then.
+// for the time at which it should be; statements wait for their set until then. It is
+// called with reconcileMu held.
 func (h *Host) fleetStable(hosts []gates.Host) bool {
-	if h.fleetWasStable || !h.settings.Features.Enabled(feature.FleetWait) {
+	if h.fleetWasStable {
+		return true
+	}
+	if !h.settings.Features.Enabled(feature.FleetWait) {
+		h.fleetWasStable = true
+		h.fleetKnown.Store(true)
 		return true
 	}
 	now := clock.Now()
@@ -55,6 +66,7 @@
 		return false
 	}
 	h.fleetWasStable = true
+	h.fleetKnown.Store(true)
 	eventlog.FleetKnown.Info(h.log).Int("hosts", len(hosts)).Bool("remembered", h.registry.RegisteredAtStart()).Send()
 	return true
 }
--- a/node/entry/ticker.go
+++ b/node/entry/ticker.go
@@ -28,13 +28,3 @@
 		}
 	})
 }
-
-func (h *Host) allPromoters() []*promoter.Promoter {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	out := make([]*promoter.Promoter, 0, len(h.promoters))
-	for _, p := range h.promoters {
-		out = append(out, p)
-	}
-	return out
-}
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -49,6 +49,7 @@
 	PrimaryLossAgreed    = Event{409, "primary_loss_agreed"}
 	PromotionOrdered     = Event{410, "promotion_ordered"}
 	PrimaryFirstWrite    = Event{411, "primary_first_write"}
+	GroupInactive        = Event{412, "group_inactive"}
 	HostStateChanged     = Event{501, "host_state_changed"}
 	PeerCallFailed       = Event{502, "peer_call_failed"}
 	HistoryLost          = Event{606, "platform_history_lost"}
@@ -78,7 +79,7 @@
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
 		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
-		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite,
+		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
 		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred,
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -13,8 +13,8 @@
 	"github.com/uber-go/tally/v4/prometheus"
 )
 
-// otherTeamsLabel is the label that teams above the limit share.
-const otherTeamsLabel = "other"
+// otherLabel is the label that teams, or services, above the limit share.
+const otherLabel = "other"
 
 // reportInterval is how often tally passes values to the Prometheus reporter.
 const reportInterval = time.Second
@@ -24,12 +24,14 @@
 	scope    tally.Scope
 	closer   io.Closer
 	reporter prometheus.Reporter
-	maxTeams int
+	// maxLabels bounds the labels of teams, and those of services.
+	maxLabels int
 
 	// mu guards the fields below.
-	mu     sync.Mutex
-	teams  map[string]bool
-	scopes map[scopeKey]*requestScope
+	mu       sync.Mutex
+	teams    map[string]bool
+	services map[string]bool
+	scopes   map[scopeKey]*requestScope
 }
 
 type scopeKey struct{ team, class string }
@@ -43,9 +45,9 @@
 // buckets are the bucket bounds of the histograms, from 100 µs to about 26 s.
 var buckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
 
-// New returns the metrics of a host. To limit cardinality, only the first maxTeams
-// teams get a label of their own; the others share one.
-func New(maxTeams int) *Metrics {
+// New returns the metrics of a host. To limit cardinality, only the first maxLabels teams
+// and services get a label of their own; the others share one.
+func New(maxLabels int) *Metrics {
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
 		DefaultTimerType: prometheus.HistogramTimerType, Registerer: registry, Gatherer: registry,
@@ -55,8 +57,8 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{
-		scope: scope, closer: closer, reporter: reporter, maxTeams: maxTeams,
-		teams: make(map[string]bool), scopes: make(map[scopeKey]*requestScope),
+		scope: scope, closer: closer, reporter: reporter, maxLabels: maxLabels,
+		teams: make(map[string]bool), services: make(map[string]bool), scopes: make(map[scopeKey]*requestScope),
 	}
 }
 
@@ -78,27 +80,35 @@
 // CountTeam increments a counter of a team; teams above the limit share a label.
 func (m *Metrics) CountTeam(name, team string, label Label) {
 	m.mu.Lock()
-	team = m.teamLabel(team)
+	team = m.label(m.teams, team)
 	m.mu.Unlock()
 	m.Count(name, Label{Name: "team", Value: team}, label)
 }
 
-// teamLabel returns the label of a team. The caller holds mu.
-func (m *Metrics) teamLabel(team string) string {
-	if m.teams[team] {
-		return team
+// ServiceLabel returns the label of a service.
+func (m *Metrics) ServiceLabel(service string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.label(m.services, service)
+}
+
+// label returns the label of a name among those that have one of their own. The caller
+// holds mu.
+func (m *Metrics) label(own map[string]bool, name string) string {
+	if own[name] {
+		return name
 	}
-	if len(m.teams) >= m.maxTeams {
-		return otherTeamsLabel
+	if len(own) >= m.maxLabels {
+		return otherLabel
 	}
-	m.teams[team] = true
-	return team
+	own[name] = true
+	return name
 }
 
 func (m *Metrics) requestScope(team, class string) *requestScope {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	team = m.teamLabel(team)
+	team = m.label(m.teams, team)
 	key := scopeKey{team, class}
 	rs, found := m.scopes[key]
 	if !found {
@@ -130,7 +140,7 @@
 	m.scope.Tagged(tags).Counter(name).Inc(int64(n))
 }
 
-// ServiceGauge sets a gauge of one service.
-func (m *Metrics) ServiceGauge(name, service string, value float64) {
-	m.scope.Tagged(map[string]string{"service": service}).Gauge(name).Update(value)
+// ServiceGauge sets a gauge of a service, or of the services that share a label.
+func (m *Metrics) ServiceGauge(name, label string, value float64) {
+	m.scope.Tagged(map[string]string{"service": label}).Gauge(name).Update(value)
 }
--- a/node/promoter/lead.go
+++ b/node/promoter/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
@@ -49,10 +48,7 @@
 // takeoverRank returns this host's position in the order in which hosts take over
 // the lock from its holder.
 func (p *Promoter) takeoverRank(holder string) int {
-	order := slices.DeleteFunc(succession.RankHosts(p.service, p.registry.Hosts()), func(host string) bool {
-		return host == holder && host != p.host
-	})
-	return max(slices.Index(order, p.host), 0)
+	return succession.TakeoverRank(p.service, p.host, holder, p.registry.Hosts())
 }
 
 // takeOver takes the lock and runs a promotion with it.
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -158,6 +158,7 @@
 }
 
 func (r *Registry) applyMember(id string, i store.Item, now time.Duration) effect {
+	r.noteMember(id)
 	if i.Deleted {
 		delete(r.unreadable, i.Key)
 		r.directory.MarkMissing(id, i.Revision, now)
@@ -171,6 +172,7 @@
 	}
 	switch {
 	case r.directory.Put(e, now):
+		r.noteMember(id)
 		return routingChanged
 	case r.directory.HasEarlierStartTime(id):
 		// An earlier start time is accepted only after two entries in a row, so followers
@@ -234,22 +236,13 @@
 // scheduleRelist lists the members again when the grace period of a missing entry is
 // over. It is called with mu held.
 func (r *Registry) scheduleRelist() {
-	if r.relistScheduled || !r.hasMissingMember() {
+	if r.relistScheduled || !r.directory.HasMissing() {
 		return
 	}
 	r.relistScheduled = true
 	time.AfterFunc(relistDelay, r.relistMembers)
 }
 
-func (r *Registry) hasMissingMember() bool {
-	for _, m := range r.directory.Members() {
-		if m.Missing {
-			return true
-		}
-	}
-	return false
-}
-
 // relistMembers lists the members again, which reinstates those whose entries are back,
 // and then removes those that are missing for longer than the grace period. If the
 // listing fails, no member is removed.
@@ -268,6 +261,7 @@
 			}
 		}
 		r.directory.Replace(entries, l.Revision, now)
+		r.changes.All = true
 		r.expire(now)
 	}
 	r.scheduleRelist()
@@ -288,6 +282,7 @@
 // It is called with mu held.
 func (r *Registry) expire(now time.Duration) {
 	for _, m := range r.directory.Expire(now) {
+		r.changes.addService(m.Service)
 		eventlog.UpstreamGone.Info(r.log).Str("upstream", m.ID).Str("reason", "its entry stayed away").Send()
 	}
 	r.scheduleRelist()
--- a/node/registry/configuration.go
+++ b/node/registry/configuration.go
@@ -59,6 +59,7 @@
 		return
 	}
 	r.configDocument = document
+	r.changes.All = true
 	eventlog.ConfigInForce.Info(r.log).Uint64("version", next.Version).Int("routes", next.Len()).Send()
 }
 
--- a/node/registry/effect_test.go
+++ b/node/registry/effect_test.go
@@ -65,8 +65,8 @@
 		r.apply(listing(revision, heartbeatItem("m", revision, uint64(revision), 300)))
 		follower.applyUpdate(firstUpdate(t, r, revision-1))
 	}
-	require.Equal(t, r.MembersByService()["svc"][0].StartedAt, follower.MembersByService()["svc"][0].StartedAt)
-	require.EqualValues(t, 300, follower.MembersByService()["svc"][0].StartedAt)
+	require.Equal(t, r.MembersOf("svc")[0].StartedAt, follower.MembersOf("svc")[0].StartedAt)
+	require.EqualValues(t, 300, follower.MembersOf("svc")[0].StartedAt)
 }
 
 // TestLocksAndSuspicionsDoNotChangeRouting: promoters read them on demand.
--- a/node/registry/entries_test.go
+++ b/node/registry/entries_test.go
@@ -38,7 +38,7 @@
 
 func missingByID(r *Registry) map[string]bool {
 	out := map[string]bool{}
-	for _, m := range r.MembersByService()["svc"] {
+	for _, m := range r.MembersOf("svc") {
 		out[m.ID] = m.Missing
 	}
 	return out
@@ -54,7 +54,7 @@
 	require.Equal(t, 2, strings.Count(log.String(), "upstream_entry_unreadable"), "logged once per change, not once per listing")
 	r.apply(listing(12, unreadableItem("x", 11)))
 	require.Equal(t, 3, strings.Count(log.String(), "upstream_entry_unreadable"))
-	require.Len(t, r.MembersByService()["svc"], 2)
+	require.Len(t, r.MembersOf("svc"), 2)
 }
 
 // TestOverwrittenEntryIsMissingUntilRewritten covers changes by watch and by listing.
@@ -84,7 +84,7 @@
 	require.Len(t, expired, 1)
 	require.Equal(t, "a", expired[0].ID)
 	r.replace(listing(8, unreadableItem("a", 6)))
-	require.Empty(t, r.MembersByService()["svc"])
+	require.Empty(t, r.MembersOf("svc"))
 }
 
 // TestFollowersDecodeRelayedEntries checks that unreadable entries, which a relay passes
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -90,7 +90,7 @@
 	if r.followHost == nil || !r.listed || r.leaving {
 		return gates.Host{}, false
 	}
-	return r.relaySelector.Pick(r.roster.Hosts(), r.now())
+	return r.relaySelector.Pick(r.currentFleet().hosts, r.now())
 }
 
 // StreamUpdates sends a follower the changes after a revision, until the context ends
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -96,7 +96,7 @@
 
 	follower.applyUpdate(firstUpdate(t, relay, 1))
 	for name, r := range map[string]*Registry{"relay": relay, "follower": follower} {
-		members := r.MembersByService()["svc"]
+		members := r.MembersOf("svc")
 		require.Len(t, members, 1, name)
 		require.False(t, members[0].Missing, name)
 		follower.direct = false
@@ -141,7 +141,7 @@
 	require.NoError(t, r.replace(listing(revisionInEpoch(t, 2, 20), heartbeatItem("m", revisionInEpoch(t, 2, 20), 3, 500))))
 	require.ErrorIs(t, r.replace(listing(revisionInEpoch(t, 1, 300))), errOlderEpoch)
 	require.Equal(t, revisionInEpoch(t, 2, 20), r.State().Revision)
-	require.Len(t, r.MembersByService()["svc"], 1)
+	require.Len(t, r.MembersOf("svc"), 1)
 	require.ErrorIs(t, r.applyUpdate(Update{Listing: listing(revisionInEpoch(t, 1, 300)), Complete: true}), errOlderEpoch)
 }
 
--- a/node/registry/lease.go
+++ b/node/registry/lease.go
@@ -109,6 +109,7 @@
 	r.lease = g.Lease
 	r.registeredAt = revision
 	r.roster.Put(reg, r.now())
+	r.fleetChanged()
 	r.observeEpoch(g.Lease.Epoch)
 	return nil
 }
--- a/node/registry/registration.go
+++ b/node/registry/registration.go
@@ -59,6 +59,7 @@
 // applyRegistration applies a change of a host's registration. It is called with mu
 // held.
 func (r *Registry) applyRegistration(reg roster.Registration, deleted bool, now time.Duration) {
+	r.fleetChanged()
 	if deleted {
 		r.roster.Remove(reg.Host.Name, now)
 		return
@@ -81,6 +82,9 @@
 	r.mu.Lock()
 	r.expiryScheduled = false
 	dropped := r.roster.Expire(r.now())
+	if dropped {
+		r.fleetChanged()
+	}
 	r.scheduleExpiry()
 	r.mu.Unlock()
 	if dropped {
@@ -88,23 +92,45 @@
 	}
 }
 
-// Hosts returns the sorted names of the registered hosts.
+// fleetSnapshot holds the registered hosts between two changes of the roster. Statements
+// and promoters ask for them many times a second.
+type fleetSnapshot struct {
+	hosts []gates.Host
+	// names are the sorted names of the hosts.
+	names []string
+}
+
+// fleetChanged records a change of the roster. It is called with mu held.
+func (r *Registry) fleetChanged() {
+	r.changes.Fleet = true
+	r.fleet = nil
+}
+
+// currentFleet is called with mu held.
+func (r *Registry) currentFleet() *fleetSnapshot {
+	if r.fleet == nil {
+		r.fleet = &fleetSnapshot{hosts: r.roster.Hosts()}
+		for _, h := range r.fleet.hosts {
+			r.fleet.names = append(r.fleet.names, h.Name)
+		}
+		slices.Sort(r.fleet.names)
+	}
+	return r.fleet
+}
+
+// Hosts returns the sorted names of the registered hosts. The caller must not modify the
+// slice.
 func (r *Registry) Hosts() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
-	for _, h := range r.roster.Hosts() {
-		out = append(out, h.Name)
-	}
-	slices.Sort(out)
-	return out
+	return r.currentFleet().names
 }
 
-// Fleet returns the registered hosts.
+// Fleet returns the registered hosts. The caller must not modify the slice.
 func (r *Registry) Fleet() []gates.Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.roster.Hosts()
+	return r.currentFleet().hosts
 }
 
 // AddressOf returns the address on which a registered host receives datagrams and
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -80,6 +80,10 @@
 	directory     *directory.Directory
 	coordination  coordinationKeys
 	roster        *roster.Roster
+	// fleet is the latest snapshot of roster; nil after a change.
+	fleet *fleetSnapshot
+	// changes holds what has changed since the last call of TakeChanges.
+	changes Changes
 	// expiryScheduled is set while a timer for expireHosts runs.
 	expiryScheduled bool
 	// listed is cleared to list the whole store again instead of watching it.
@@ -179,15 +183,18 @@
 	return r.catalog
 }
 
-// MembersByService returns the members of all services.
-func (r *Registry) MembersByService() map[string][]directory.Member {
+// MembersOf returns the members of a service, sorted by ID.
+func (r *Registry) MembersOf(service string) []directory.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[string][]directory.Member{}
-	for _, m := range r.directory.Members() {
-		out[m.Service] = append(out[m.Service], m)
-	}
-	return out
+	return r.directory.MembersOf(service)
+}
+
+// HasMembers reports whether a member of any service is known.
+func (r *Registry) HasMembers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.directory.Len() > 0
 }
 
 // HostsReportingDead returns the hosts that report a member as dead.
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -139,7 +139,8 @@
 	}
 	r.apply(l)
 	spacing := watchSpacing
-	if r.awaitsRelay() {
+	switch {
+	case r.awaitsRelay():
 		spacing = noRelayWatchSpacing
 	}
 	if elapsed := r.now() - start; elapsed < spacing {
--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -81,6 +81,14 @@
 	s.floorObserved = make(chan struct{})
 }
 
+// Leadership returns the newest confirmed primary and its term; the zero value if no
+// primary has been confirmed.
+func (s *Set) Leadership() Leadership {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Leadership{Primary: s.primaryTracker.Confirmed(), Term: s.primaryTracker.Term()}
+}
+
 // ObserveLeadership records another host's report of the primary.
 func (s *Set) ObserveLeadership(l Leadership) {
 	s.mu.Lock()
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -147,11 +147,15 @@
 	}
 }
 
+// PooledConnections returns how many connections of each member the gates of a service
+// share.
+func PooledConnections(spec catalog.Service) int { return spec.MaxConnections - reservedConnections }
+
 // Update applies the current members and limits.
 func (s *Set) Update(members []directory.Member, spec catalog.Service, fleet gates.Fleet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	plan := gates.NewPlan(fleet, spec.MaxConnections-reservedConnections)
+	plan := gates.NewPlan(fleet, PooledConnections(spec))
 	s.isVoter = s.voters.IsVoter(s.host, fleet)
 	before := s.primaryTracker.Primary()
 	listed := map[string]bool{}
@@ -210,6 +214,20 @@
 	return created
 }
 
+// Quiescent reports whether this host has no connection to the members and no work under
+// way or waiting for them.
+func (s *Set) Quiescent() bool {
+	for _, m := range s.Members() {
+		m.mu.Lock()
+		busy := m.pool.Open() > 0 || m.pool.Waiting() > 0 || m.remoteInFlight > 0
+		m.mu.Unlock()
+		if busy {
+			return false
+		}
+	}
+	return s.OpenTransactions() == 0
+}
+
 // IsVoter reports whether this host votes on the primary's failure.
 func (s *Set) IsVoter() bool {
 	s.mu.Lock()
--- a/node/replicaset/tx_table.go
+++ b/node/replicaset/tx_table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -24,20 +25,24 @@
 // txTable holds the open transactions. It is safe for concurrent use. No other
 // lock is taken while its lock is held.
 type txTable struct {
-	mu     sync.Mutex
-	lastID uint64
-	open   map[uint64]*localTx
+	mu   sync.Mutex
+	open map[uint64]*localTx
 }
 
+// lastTxID is the ID of the newest transaction of this process. IDs are unique among all
+// tables, so that a table that was dropped and created again does not take a transaction
+// for another one.
+var lastTxID atomic.Uint64
+
 func (t *txTable) add(c *Conn, j Job) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.open == nil {
 		t.open = map[uint64]*localTx{}
 	}
-	t.lastID++
-	t.open[t.lastID] = &localTx{id: t.lastID, owner: j.Owner, onPrimary: j.RequirePrimary, conn: c, lastUsed: clock.Now()}
-	return t.lastID
+	id := lastTxID.Add(1)
+	t.open[id] = &localTx{id: id, owner: j.Owner, onPrimary: j.RequirePrimary, conn: c, lastUsed: clock.Now()}
+	return id
 }
 
 func (t *txTable) get(id uint64) (*localTx, bool) {
