Registry: a first listing whose pages arrive is not sent again

In a large fleet each host listed the store up to five times at once, over a link that the listings had filled.

Change: Range reports each page; while pages arrive nothing is sent again. A listing that stops halfway still is, after the same time.

TestListingOfManyPagesIsNotHedged fails before with 5 calls.

--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -275,7 +275,7 @@
 	if l, follows := r.relayedListing(); follows {
 		return l, nil
 	}
-	return r.store.Range(ctx, r.docs.MemberPrefix())
+	return r.store.Range(ctx, r.docs.MemberPrefix(), nil)
 }
 
 // expire removes members whose entries are missing for longer than the grace period.
--- a/node/registry/hedged_listing.go
+++ b/node/registry/hedged_listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/store"
@@ -24,14 +25,16 @@
 // listHedged lists the whole store for a host that has just started. It returns the
 // first answer, or the last failure when no call is outstanding.
 //
-// It sends no further listing while the store answers other calls: the store is
-// reachable then, and repeated listings of a whole fleet would only load it more.
+// It sends no further listing while the store answers other calls or pages of this
+// listing arrive: the store is reachable then, and repeated listings of a whole fleet
+// would only load it more.
 func (r *Registry) listHedged(ctx context.Context) (store.Listing, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan listingResult, maxHedgedCalls)
+	var lastPageAt atomic.Int64
 	list := func() {
-		l, err := r.listAll(ctx)
+		l, err := r.store.Range(ctx, "", func() { lastPageAt.Store(int64(r.now())) })
 		results <- listingResult{l, err}
 	}
 	hedge := time.NewTicker(hedgeDelay)
@@ -46,7 +49,8 @@
 				return result.listing, result.err
 			}
 		case <-hedge.C:
-			if outstanding < maxHedgedCalls && !r.lastAnswered.answeredSince(lastSent) {
+			progressing := lastPageAt.Load() > 0 && r.now()-time.Duration(lastPageAt.Load()) < hedgeDelay
+			if outstanding < maxHedgedCalls && !progressing && !r.lastAnswered.answeredSince(lastSent) {
 				outstanding++
 				lastSent = r.now()
 				go list()
--- a/node/registry/hedged_listing_test.go
+++ b/node/registry/hedged_listing_test.go
@@ -28,7 +28,7 @@
 	err         error
 }
 
-func (s *unresponsiveStore) Range(ctx context.Context, _ string) (store.Listing, error) {
+func (s *unresponsiveStore) Range(ctx context.Context, _ string, _ func()) (store.Listing, error) {
 	s.calls.Add(1)
 	if s.err != nil {
 		return store.Listing{}, s.err
@@ -79,7 +79,7 @@
 	calls atomic.Int32
 }
 
-func (s *slowListingStore) Range(ctx context.Context, _ string) (store.Listing, error) {
+func (s *slowListingStore) Range(ctx context.Context, _ string, _ func()) (store.Listing, error) {
 	s.calls.Add(1)
 	select {
 	case <-time.After(s.delay):
@@ -111,6 +111,61 @@
 	})
 }
 
+// pagingStore answers a listing in many pages, each after pageDelay. It sends no more
+// than maxPages of the first listing.
+type pagingStore struct {
+	Store
+	pages, maxPages int
+	pageDelay       time.Duration
+	calls           atomic.Int32
+}
+
+func (s *pagingStore) Range(ctx context.Context, _ string, onPage func()) (store.Listing, error) {
+	first := s.calls.Add(1) == 1
+	for page := range s.pages {
+		delay := s.pageDelay
+		if first && page >= s.maxPages {
+			delay = time.Hour
+		}
+		select {
+		case <-time.After(delay):
+			onPage()
+		case <-ctx.Done():
+			return store.Listing{}, ctx.Err()
+		}
+	}
+	return store.Listing{Revision: 7}, nil
+}
+
+// registryInSimulatedTime returns the registry of a starting host that runs in a bubble of
+// synctest.
+func registryInSimulatedTime(s Store) *Registry {
+	start := time.Now()
+	r := startingRegistry(s)
+	r.now = func() time.Duration { return time.Since(start) + 1 }
+	return r
+}
+
+// TestListingOfManyPagesIsNotHedged guards against hosts that list a large store several
+// times at once because a listing takes longer than hedgeDelay.
+func TestListingOfManyPagesIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &pagingStore{pages: 25, maxPages: 25, pageDelay: hedgeDelay / 5}
+		require.NoError(t, registryInSimulatedTime(s).syncOnce(t.Context()))
+		require.Equal(t, int32(1), s.calls.Load())
+	})
+}
+
+// TestListingThatStopsHalfwayIsHedged guards against waiting for the pages of a store
+// that has stopped answering.
+func TestListingThatStopsHalfwayIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &pagingStore{pages: 10, maxPages: 5, pageDelay: hedgeDelay / 5}
+		require.NoError(t, registryInSimulatedTime(s).syncOnce(t.Context()))
+		require.Equal(t, int32(2), s.calls.Load())
+	})
+}
+
 // TestAnswerToEarlierCallDoesNotPreventHedging: only the answer to a call that was sent
 // after the listing shows that the store received the listing while it was responsive.
 func TestAnswerToEarlierCallDoesNotPreventHedging(t *testing.T) {
@@ -162,7 +217,7 @@
 
 var errUnavailable = &store.Error{Call: "any", Failure: store.Unavailable, Err: errors.New("unavailable")}
 
-func (s *unavailableStore) Range(context.Context, string) (store.Listing, error) {
+func (s *unavailableStore) Range(context.Context, string, func()) (store.Listing, error) {
 	if !s.available.Load() {
 		return store.Listing{}, errUnavailable
 	}
--- a/node/registry/instrumented_store.go
+++ b/node/registry/instrumented_store.go
@@ -60,8 +60,8 @@
 }
 
 // Range implements Store.
-func (s *instrumentedStore) Range(ctx context.Context, prefix string) (store.Listing, error) {
-	l, err := s.store.Range(ctx, prefix)
+func (s *instrumentedStore) Range(ctx context.Context, prefix string, onPage func()) (store.Listing, error) {
+	l, err := s.store.Range(ctx, prefix, onPage)
 	s.observe(CallRange, err)
 	return l, err
 }
--- a/node/registry/instrumented_store_test.go
+++ b/node/registry/instrumented_store_test.go
@@ -15,7 +15,7 @@
 // failingStore answers every call with one error.
 type failingStore struct{ err error }
 
-func (f failingStore) Range(context.Context, string) (store.Listing, error) {
+func (f failingStore) Range(context.Context, string, func()) (store.Listing, error) {
 	return store.Listing{}, f.err
 }
 
@@ -48,7 +48,7 @@
 		var got []reportedCall
 		s := registry.NewInstrumentedStore(failingStore{err}, func(call registry.StoreCall, result string) { got = append(got, reportedCall{call, result}) })
 		ctx := context.Background()
-		_, e1 := s.Range(ctx, "")
+		_, e1 := s.Range(ctx, "", nil)
 		_, e2 := s.Watch(ctx, "", 0, 0)
 		_, e3 := s.Commit(ctx, store.Txn{})
 		_, e4 := s.GrantLease(ctx, 0)
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -179,7 +179,7 @@
 }
 
 func (r *Registry) listAll(ctx context.Context) (store.Listing, error) {
-	return r.store.Range(ctx, "")
+	return r.store.Range(ctx, "", nil)
 }
 
 // requireRelist causes a complete listing after a watch failed because its revision
