Relays: followers that reach the store are sent changes, not listings

Cause: a follower that lacks changes got the whole store from its relay, encoded for each follower by itself. With 165 followers that is hundreds of MB in the second of a start, or after each compaction of the store, over the relay's link.

Change: such a follower is refused (out_of_range) and asks the store once for what it lacks; a relay that lists the store anew keeps the differences as changes. A complete listing is still sent to a follower of an older epoch, or one that does not reach the store. Relays and followers of earlier releases behave as before.

TestFollowerThatReachesTheStoreReceivesNoListing and TestFollowersReceiveTheDifferencesOfANewListing fail before.

--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -74,8 +74,8 @@
 func (h *Host) Configuration(above uint64) []byte { return h.registry.ConfigDocument(above) }
 
 // StreamChanges implements peer.GateHandler.
-func (h *Host) StreamChanges(ctx context.Context, after store.Revision, send func(registry.Update) error) error {
-	return h.registry.StreamUpdates(ctx, after, send)
+func (h *Host) StreamChanges(ctx context.Context, after store.Revision, changesOnly bool, send func(registry.Update) error) error {
+	return h.registry.StreamUpdates(ctx, after, changesOnly, send)
 }
 
 // Detached implements peer.GateHandler.
--- a/node/peer/compression_test.go
+++ b/node/peer/compression_test.go
@@ -34,7 +34,7 @@
 }
 
 func (stubGate) Configuration(uint64) []byte { return nil }
-func (stubGate) StreamChanges(context.Context, store.Revision, func(registry.Update) error) error {
+func (stubGate) StreamChanges(context.Context, store.Revision, bool, func(registry.Update) error) error {
 	return nil
 }
 
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -144,9 +144,10 @@
 }
 
 // Follow subscribes to another host's changes of the store after a revision,
-// until the context or the stream ends.
-func (c *GateClient) Follow(ctx context.Context, address string, after store.Revision, receive func(registry.Update)) error {
-	stream, err := c.gate(address).client.Follow(ctx, connect.NewRequest(&peerpb.FollowRequest{After: uint64(after)}))
+// until the context or the stream ends. With changesOnly it fails with
+// registry.ErrChangesMissing if the other host lacks some of them.
+func (c *GateClient) Follow(ctx context.Context, address string, after store.Revision, changesOnly bool, receive func(registry.Update)) error {
+	stream, err := c.gate(address).client.Follow(ctx, connect.NewRequest(&peerpb.FollowRequest{After: uint64(after), ChangesOnly: changesOnly}))
 	if err != nil {
 		return callError(address, err)
 	}
@@ -162,6 +163,8 @@
 	switch {
 	case err == nil:
 		return &registry.RelayRefusedError{Err: errStreamEnded}
+	case connect.CodeOf(err) == connect.CodeOutOfRange:
+		return registry.ErrChangesMissing
 	case connect.IsWireError(err):
 		return &registry.RelayRefusedError{Err: callError(address, err)}
 	default:
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -23,8 +24,9 @@
 	// Configuration returns the current configuration document if it is newer
 	// than a version.
 	Configuration(above uint64) []byte
-	// StreamChanges sends the changes of the store after a revision.
-	StreamChanges(ctx context.Context, after store.Revision, send func(registry.Update) error) error
+	// StreamChanges sends the changes of the store after a revision. With changesOnly it
+	// fails with registry.ErrChangesMissing if it would need a complete listing.
+	StreamChanges(ctx context.Context, after store.Revision, changesOnly bool, send func(registry.Update) error) error
 	// Detached is called when the Attach stream of an owner of transactions ends,
 	// because its host has stopped or is unreachable.
 	Detached(owner string)
@@ -73,8 +75,11 @@
 
 // Follow implements peerpbconnect.GateHandler.
 func (s *gateServer) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest], stream *connect.ServerStream[peerpb.FollowResponse]) error {
-	err := s.handler.StreamChanges(ctx, store.Revision(req.Msg.GetAfter()), func(n registry.Update) error {
+	err := s.handler.StreamChanges(ctx, store.Revision(req.Msg.GetAfter()), req.Msg.GetChangesOnly(), func(n registry.Update) error {
 		return stream.Send(&peerpb.FollowResponse{Revision: uint64(n.Revision), Items: itemsToProto(n.Items), Complete: n.Complete})
 	})
+	if errors.Is(err, registry.ErrChangesMissing) {
+		return connect.NewError(connect.CodeOutOfRange, err)
+	}
 	return connect.NewError(connect.CodeUnavailable, err)
 }
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -74,7 +74,9 @@
 	r.countReceived(len(l.Items))
 	r.coordination = newCoordinationKeys()
 	r.roster.Replace(registrationsIn(l), l.Revision.Epoch(), now)
-	clear(r.items)
+	r.fleetChanged()
+	previous, continues := r.items, r.lastContact != 0 && l.Revision.Epoch() == r.revision.Epoch() && l.Revision >= r.revision
+	r.items = make(map[string]store.Item, len(l.Items))
 	var entries []directory.Entry
 	for _, i := range l.Items {
 		if e, ok := r.decodeEntry(i); ok {
@@ -98,7 +100,12 @@
 	}
 	r.lastContact = now
 	r.revision, r.listed = l.Revision, true
-	r.resetHistory()
+	r.changes.All = true
+	if continues {
+		r.appendListing(previous, l.Revision)
+	} else {
+		r.resetHistory()
+	}
 	r.mu.Unlock()
 	r.changed()
 	return nil
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -1,9 +1,11 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
@@ -22,8 +24,14 @@
 
 // FollowFunc receives updates after a revision from the host at an address. It calls
 // apply for each update and returns when the stream ends, with a *RelayRefusedError if
-// the other host ended it.
-type FollowFunc func(ctx context.Context, address string, after store.Revision, apply func(Update)) error
+// the other host ended it. With changesOnly it returns ErrChangesMissing in place of a
+// complete listing of the same epoch.
+type FollowFunc func(ctx context.Context, address string, after store.Revision, changesOnly bool, apply func(Update)) error
+
+// ErrChangesMissing ends the stream of a follower that lacks changes which the relay does
+// not keep. A complete listing of a large store for each follower would take a relay's
+// link for longer than a change may take; the follower's missing changes are few.
+var ErrChangesMissing = errors.New("the relay does not keep all changes after the follower's revision")
 
 // RelayRefusedError reports a relay that refused or ended the stream itself, for example
 // because it has no recent data of the store.
@@ -52,10 +60,12 @@
 	defer watchdog.Stop()
 	r.mu.Lock()
 	after := r.revision
+	// A follower that does not reach the store has no other source for a listing.
+	changesOnly := !r.unreachable
 	r.followedRelay = host.Name
 	r.mu.Unlock()
 	eventlog.RelayFollowed.Info(r.log).Str("peer", host.Name).Stringer("revision", after).Send()
-	err := r.followHost(ctx, host.Address, after, func(u Update) {
+	err := r.followHost(ctx, host.Address, after, changesOnly, func(u Update) {
 		watchdog.Reset(relay.HeartbeatTimeout)
 		if err := r.applyUpdate(u); err != nil {
 			cancel(err)
@@ -66,6 +76,12 @@
 	}
 	eventlog.RelayLost.Info(r.log).Str("peer", host.Name).Err(err).Send()
 	var refused *RelayRefusedError
+	if errors.Is(err, ErrChangesMissing) {
+		r.mu.Lock()
+		r.followedRelay, r.catchUpDue = "", true
+		r.mu.Unlock()
+		return
+	}
 	r.mu.Lock()
 	r.followedRelay = ""
 	r.relaySelector.MarkFailed(host.Name, errors.As(err, &refused), r.now())
@@ -87,15 +103,17 @@
 func (r *Registry) pickRelay() (gates.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.followHost == nil || !r.listed || r.leaving {
+	if r.followHost == nil || !r.listed || r.leaving || r.catchUpDue {
 		return gates.Host{}, false
 	}
 	return r.relaySelector.Pick(r.currentFleet().hosts, r.now())
 }
 
 // StreamUpdates sends a follower the changes after a revision, until the context ends
-// or this host loses contact with the store. An update without items is a heartbeat.
-func (r *Registry) StreamUpdates(ctx context.Context, after store.Revision, send func(Update) error) error {
+// or this host loses contact with the store. An update without items is a heartbeat. With
+// changesOnly it fails with ErrChangesMissing in place of a complete listing of the
+// follower's epoch.
+func (r *Registry) StreamUpdates(ctx context.Context, after store.Revision, changesOnly bool, send func(Update) error) error {
 	r.countFollowers(1)
 	defer r.countFollowers(-1)
 	heartbeat := time.NewTicker(relay.HeartbeatInterval)
@@ -106,6 +124,9 @@
 		if err != nil {
 			return err
 		}
+		if u.Complete && changesOnly && after.Epoch() == u.Revision.Epoch() {
+			return ErrChangesMissing
+		}
 		if err := send(u); err != nil {
 			return err
 		}
@@ -203,6 +224,29 @@
 	r.notifyFollowers()
 }
 
+// appendListing keeps the differences of a new listing from the local copy of before for
+// followers, so that they do not need a complete listing after each one of the relay. It
+// is called with mu held.
+func (r *Registry) appendListing(previous map[string]store.Item, revision store.Revision) {
+	var changes []store.Item
+	for key, i := range r.items {
+		before, known := previous[key]
+		_, isMember := r.docs.MemberID(key)
+		if isMember && r.entryChanged(before, known, i) || !isMember && (!known || before.Revision != i.Revision) {
+			changes = append(changes, i)
+		}
+	}
+	for key := range previous {
+		if _, listed := r.items[key]; !listed {
+			changes = append(changes, store.Item{Key: key, Revision: revision, Deleted: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b store.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	if len(changes) > 0 {
+		r.appendHistory(changes)
+	}
+}
+
 // resetHistory drops the history, so that followers receive a complete listing. It is
 // called with mu held.
 func (r *Registry) resetHistory() {
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -12,6 +15,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/platform"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
 // relayAt returns the registry of a relay at a revision that keeps the changes after
@@ -32,7 +36,7 @@
 func firstUpdate(t *testing.T, r *Registry, after store.Revision) Update {
 	t.Helper()
 	var first Update
-	err := r.StreamUpdates(context.Background(), after, func(u Update) error {
+	err := r.StreamUpdates(context.Background(), after, false, func(u Update) error {
 		first = u
 		return errStop
 	})
@@ -80,7 +84,7 @@
 	} {
 		r := relayAt(6, 4)
 		loseContact(r)
-		require.ErrorIs(t, r.StreamUpdates(context.Background(), 6, nil), errNoStoreContact)
+		require.ErrorIs(t, r.StreamUpdates(context.Background(), 6, false, nil), errNoStoreContact)
 	}
 }
 
@@ -129,7 +133,7 @@
 	r := relayAt(revisionInEpoch(t, 1, 300), revisionInEpoch(t, 1, 200))
 	interrupted := false
 	r.cancelWatch = func() { interrupted = true }
-	require.ErrorIs(t, r.StreamUpdates(context.Background(), revisionInEpoch(t, 2, 20), nil), errOlderEpoch)
+	require.ErrorIs(t, r.StreamUpdates(context.Background(), revisionInEpoch(t, 2, 20), false, nil), errOlderEpoch)
 	require.False(t, r.listed)
 	require.True(t, interrupted)
 }
@@ -153,3 +157,62 @@
 	require.NoError(t, r.replace(listing(20)))
 	require.EqualValues(t, 20, r.State().Revision)
 }
+
+// TestFollowerThatReachesTheStoreReceivesNoListing guards against a relay of a large zone
+// that sends the whole store to each of its followers at once.
+func TestFollowerThatReachesTheStoreReceivesNoListing(t *testing.T) {
+	r := relayAt(6, 4, store.Item{Key: "a", Revision: 6})
+	err := r.StreamUpdates(context.Background(), 3, true, func(Update) error { return errStop })
+	require.ErrorIs(t, err, ErrChangesMissing)
+}
+
+// TestFollowerFetchesMissingChangesFromTheStore checks that a follower whose relay lacks
+// changes asks the store once and then follows the same relay.
+func TestFollowerFetchesMissingChangesFromTheStore(t *testing.T) {
+	p, err := lineplatform.Start()
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	first := p.Configure(nil, time.Second)
+	relayHost, follower := relayAndFollower(t, registerFleet(p))
+	var mu sync.Mutex
+	var followedAt []store.Revision
+	following := runRegistry(t, p, follower, func(ctx context.Context, _ string, after store.Revision, changesOnly bool, _ func(Update)) error {
+		mu.Lock()
+		followedAt = append(followedAt, after)
+		attempt := len(followedAt)
+		mu.Unlock()
+		if attempt == 1 {
+			require.True(t, changesOnly)
+			writeUnrelatedKeys(p, 5)
+			return ErrChangesMissing
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	requireConfigVersion(t, "follower", following, first)
+	require.Eventually(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(followedAt) == 2
+	}, waitTimeout, pollInterval)
+	require.EqualValues(t, followedAt[0].Number()+5, followedAt[1].Number(), "the store's changes were read in between")
+	require.Equal(t, relayHost.Name, following.State().Relay)
+}
+
+// TestFollowersReceiveTheDifferencesOfANewListing guards against complete listings for all
+// followers of a relay whose watch was compacted.
+func TestFollowersReceiveTheDifferencesOfANewListing(t *testing.T) {
+	r, _ := newRegistryWithFailingStore()
+	require.NoError(t, r.replace(listing(10, heartbeatItem("kept", 5, 1, 500), heartbeatItem("gone", 6, 1, 500), store.Item{Key: lockKey("svc"), Value: []byte("a"), Revision: 7})))
+	require.NoError(t, r.replace(listing(20, heartbeatItem("kept", 15, 2, 500), heartbeatItem("new", 16, 1, 500), store.Item{Key: lockKey("svc"), Value: []byte("b"), Revision: 17})))
+	u := firstUpdate(t, r, 10)
+	require.False(t, u.Complete)
+	var changed []string
+	for _, i := range u.Items {
+		changed = append(changed, fmt.Sprint(i.Key, " ", i.Revision.Number(), " ", i.Deleted))
+	}
+	require.Equal(t, []string{
+		fmt.Sprint(heartbeatItem("new", 0, 0, 0).Key, " 16 false"), lockKey("svc") + " 17 false", fmt.Sprint(heartbeatItem("gone", 0, 0, 0).Key, " 20 true"),
+	}, changed, "a heartbeat is no change")
+	require.True(t, firstUpdate(t, r, 9).Complete, "changes before the first listing are unknown")
+}
--- a/node/registry/hedged_listing_test.go
+++ b/node/registry/hedged_listing_test.go
@@ -280,7 +280,7 @@
 			s := &unavailableStore{}
 			r := New(Config{
 				Store: s, Documents: platform.Documents{}, Self: gates.Host{Name: fmt.Sprint("host-", i), Zone: "z"}, Changed: func() {}, Log: zerolog.Nop(),
-				FollowHost: func(context.Context, string, store.Revision, func(Update)) error {
+				FollowHost: func(context.Context, string, store.Revision, bool, func(Update)) error {
 					return &RelayRefusedError{Err: errUnavailable}
 				},
 			})
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -98,6 +98,8 @@
 	peerRevision store.Revision
 	// relaySelector chooses the relay to follow.
 	relaySelector *relay.Selector
+	// catchUpDue is set after a relay lacked changes, until the next answer of the store.
+	catchUpDue bool
 	// direct is set while this host watches the store itself.
 	direct bool
 	// cancelWatch cancels the watch in progress.
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -114,13 +114,13 @@
 	t.Cleanup(p.Close)
 	first := p.Configure(nil, time.Second)
 	relayHost, follower := relayAndFollower(t, registerFleet(p))
-	watching := runRegistry(t, p, relayHost, func(context.Context, string, store.Revision, func(Update)) error {
+	watching := runRegistry(t, p, relayHost, func(context.Context, string, store.Revision, bool, func(Update)) error {
 		return errNoStoreContact
 	})
 	// A follower skips a relay that has not listed the store yet.
 	requireConfigVersion(t, "relay", watching, first)
-	following := runRegistry(t, p, follower, func(ctx context.Context, _ string, after store.Revision, apply func(Update)) error {
-		return watching.StreamUpdates(ctx, after, func(u Update) error {
+	following := runRegistry(t, p, follower, func(ctx context.Context, _ string, after store.Revision, changesOnly bool, apply func(Update)) error {
+		return watching.StreamUpdates(ctx, after, changesOnly, func(u Update) error {
 			apply(u)
 			return nil
 		})
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -111,7 +111,8 @@
 // current revision.
 func (r *Registry) syncOnce(ctx context.Context) error {
 	r.mu.Lock()
-	after, listed, first := r.revision, r.listed, r.catalog == nil
+	after, listed, first, catchUp := r.revision, r.listed, r.catalog == nil, r.catchUpDue
+	r.catchUpDue = false
 	r.mu.Unlock()
 	if !listed {
 		list := r.listAll
@@ -125,7 +126,11 @@
 		return r.replace(l)
 	}
 	start := r.now()
-	l, err := r.watchStore(ctx, after)
+	wait := r.watchWait
+	if catchUp {
+		wait = 0
+	}
+	l, err := r.watchStore(ctx, after, wait)
 	if !r.isListed() {
 		return nil
 	}
@@ -151,13 +156,13 @@
 
 // watchStore waits for changes of the store until watchTimeout is over or observeEpoch
 // cancels it.
-func (r *Registry) watchStore(ctx context.Context, after store.Revision) (store.Listing, error) {
+func (r *Registry) watchStore(ctx context.Context, after store.Revision, wait time.Duration) (store.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.watchTimeout)
 	defer cancel()
 	r.mu.Lock()
 	r.cancelWatch = cancel
 	r.mu.Unlock()
-	return r.store.Watch(ctx, "", after, r.watchWait)
+	return r.store.Watch(ctx, "", after, wait)
 }
 
 func (r *Registry) isListed() bool {
--- a/node/registry/simulated_fleet_test.go
+++ b/node/registry/simulated_fleet_test.go
@@ -142,10 +142,10 @@
 	return h.peerPath.isCut() || h.fleet.hosts[address].peerPath.isCut()
 }
 
-func (h *simulatedHost) follow(ctx context.Context, address string, after store.Revision, apply func(Update)) error {
+func (h *simulatedHost) follow(ctx context.Context, address string, after store.Revision, changesOnly bool, apply func(Update)) error {
 	return h.call(ctx, address, func(streamCtx context.Context, r *Registry) error {
 		silent := h.peerPath.broken()
-		err := r.StreamUpdates(streamCtx, after, func(u Update) error {
+		err := r.StreamUpdates(streamCtx, after, changesOnly, func(u Update) error {
 			if !clock.Sleep(streamCtx, peerLatency) {
 				return streamCtx.Err()
 			}
@@ -156,7 +156,7 @@
 			apply(u)
 			return nil
 		})
-		if streamCtx.Err() == nil {
+		if streamCtx.Err() == nil && !errors.Is(err, ErrChangesMissing) {
 			return &RelayRefusedError{Err: err}
 		}
 		return err
