Registry: leases and a relay's watches follow the size of the fleet

Cause: renewals grow with the hosts (328 calls a second at 985), and a relay's watch ends at once whenever a member writes its entry, ten times a second.

Change: a lease is 6 s up to 500 hosts and 12 ms a host beyond, 12 s at most, so that renewals stay at 167 a second up to 1,000 hosts. A host that registers before it knows the fleet takes a longer lease once it does. Relays space their watches by a twentieth of the bound on configurations.

--- /dev/null
+++ b/core/roster/lease.go
@@ -0,0 +1,25 @@
+package roster
+
+import "time"
+
+const (
+	// minLeaseTTL is the time after its last renewal for which a host of a small fleet
+	// stays registered. A promotion needs a majority of a group's voters, and a lost voter
+	// is replaced when its registration ends.
+	minLeaseTTL = 6 * time.Second
+	// leaseTTLPerHost makes the calls of the whole fleet for renewals independent of its
+	// size, once leases are longer than minLeaseTTL: 167 a second.
+	leaseTTLPerHost = 12 * time.Millisecond
+	// maxLeaseTTL bounds the time for which a lost zone keeps its votes.
+	maxLeaseTTL = 12 * time.Second
+)
+
+// LeaseTTL returns the time after its last renewal for which a host of a fleet of the
+// given size stays registered. Hosts that do not answer are passed over before that: only
+// votes and the choice of gates follow the registrations.
+func LeaseTTL(hosts int) time.Duration {
+	return min(max(time.Duration(hosts)*leaseTTLPerHost, minLeaseTTL), maxLeaseTTL)
+}
+
+// RenewalInterval returns the time between two renewals of a lease.
+func RenewalInterval(ttl time.Duration) time.Duration { return ttl / 2 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -24,7 +24,7 @@
 	// MinCarryOver is the minimum time for which registrations of an earlier epoch are
 	// carried over: two renewal intervals of a host's lease, because a host finds out
 	// at a renewal that it must register again.
-	MinCarryOver = 6 * time.Second
+	MinCarryOver = minLeaseTTL
 	// reregisterSpreadPerHost is the time per host over which the hosts of a fleet
 	// register again. It keeps their writes, two per host, well below the rate limit
 	// of the store.
@@ -83,7 +83,8 @@
 func (r *Roster) Replace(listing []Registration, epoch store.Epoch, now time.Duration) {
 	previous := r.hosts
 	restored := r.listed && epoch > r.epoch
-	r.carryOverFor = max(MinCarryOver, 2*ReregistrationSpread(max(len(previous), len(listing))))
+	size := max(len(previous), len(listing))
+	r.carryOverFor = max(LeaseTTL(size), 2*ReregistrationSpread(size))
 	r.hosts, r.epoch, r.listed = make(map[string]entry, len(listing)), epoch, true
 	for _, reg := range listing {
 		r.Put(reg, now)
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -95,6 +95,9 @@
 		notify(r.registrationLost)
 	}
 	if r.lastContact == 0 {
+		if r.needsLongerLease() {
+			notify(r.fleetSizeKnown)
+		}
 		r.recordRegisteredAtStart()
 		r.signalStoreReached()
 	}
--- a/node/registry/lease.go
+++ b/node/registry/lease.go
@@ -12,14 +12,6 @@
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
-const (
-	// leaseTTL is the time after its last renewal for which a host stays registered. A
-	// promotion needs a majority of the registered hosts, so failed hosts must not stay
-	// registered for long.
-	leaseTTL      = 6 * time.Second
-	renewInterval = leaseTTL / 2
-)
-
 // KeepRegistered keeps the host registered until the context ends or Deregister is
 // called.
 func (r *Registry) KeepRegistered(ctx context.Context) {
@@ -38,7 +30,7 @@
 // awaitRenewal waits until the next renewal is due. After a failure it may end early,
 // when the store answers this host again.
 func (r *Registry) awaitRenewal(ctx context.Context, schedule *renewalSchedule) {
-	timer := time.NewTimer(schedule.delay(r.Catalog() != nil))
+	timer := time.NewTimer(schedule.delay(r.Catalog() != nil, r.renewalInterval()))
 	defer timer.Stop()
 	var reached <-chan struct{}
 	if schedule.mayRetryEarly() {
@@ -48,8 +40,9 @@
 	case <-timer.C:
 	case <-reached:
 		schedule.recordEarlyRetry()
+	case <-r.fleetSizeKnown:
 	case <-r.registrationLost:
-		clock.Sleep(ctx, reregistrationDelay(len(r.Hosts()), false))
+		clock.Sleep(ctx, reregistrationDelay(len(r.Hosts()), 0))
 	case <-ctx.Done():
 	}
 }
@@ -59,7 +52,7 @@
 // another host.
 func (r *Registry) renewOrRegister(ctx context.Context) error {
 	lease := r.currentLease()
-	if !lease.IsZero() && r.registered() {
+	if !lease.IsZero() && r.registered() && !r.leaseTooShort() {
 		err := r.store.RenewLease(ctx, lease)
 		r.observeRestoreError(err)
 		if !store.Is(err, store.LeaseEnded) && !store.Is(err, store.Restored) {
@@ -68,7 +61,7 @@
 		eventlog.LeaseLost.Warn(r.log).Err(err).Uint64("lease", lease.ID).Uint64("epoch", uint64(lease.Epoch)).Send()
 	}
 	if !lease.IsZero() && lease.Epoch < r.Epoch() {
-		clock.Sleep(ctx, reregistrationDelay(len(r.Hosts()), true))
+		clock.Sleep(ctx, reregistrationDelay(len(r.Hosts()), r.renewalInterval()))
 	}
 	err := r.register(ctx)
 	if store.Is(err, store.Restored) {
@@ -90,9 +83,34 @@
 	}
 }
 
+// leaseTooShort reports whether the lease is for a smaller fleet than the known one. A
+// host that registers before it knows the fleet asks for the shortest lease, and for
+// another one as soon as it knows the fleet.
+func (r *Registry) leaseTooShort() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.needsLongerLease()
+}
+
+// needsLongerLease is leaseTooShort with mu held. A lease is not replaced for a few hosts
+// more.
+func (r *Registry) needsLongerLease() bool {
+	return roster.LeaseTTL(r.roster.Len()) >= r.leaseTTL+r.leaseTTL/2
+}
+
+// renewalInterval returns the time between two renewals of the lease.
+func (r *Registry) renewalInterval() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return roster.RenewalInterval(r.leaseTTL)
+}
+
 func (r *Registry) register(ctx context.Context) error {
 	sentAt := r.now()
-	g, err := r.store.GrantLease(ctx, leaseTTL)
+	r.mu.Lock()
+	ttl := roster.LeaseTTL(r.roster.Len())
+	r.mu.Unlock()
+	g, err := r.store.GrantLease(ctx, ttl)
 	if err != nil {
 		return err
 	}
@@ -106,7 +124,7 @@
 	r.lastAnswered.record(sentAt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease = g.Lease
+	r.lease, r.leaseTTL = g.Lease, ttl
 	r.registeredAt = revision
 	r.roster.Put(reg, r.now())
 	r.fleetChanged()
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -57,6 +57,8 @@
 	watchWait time.Duration
 	// watchTimeout is the time after which a watch without an answer is given up.
 	watchTimeout time.Duration
+	// relayWatchSpacing is the minimum time between the starts of two watches of a relay.
+	relayWatchSpacing time.Duration
 	// followHost receives changes from a relay; nil disables relays.
 	followHost FollowFunc
 	features   feature.Set
@@ -67,6 +69,9 @@
 	// registrationLost is signalled when a restored store lacks this host's
 	// registration.
 	registrationLost chan struct{}
+	// fleetSizeKnown is signalled after the first listing if the lease is too short for
+	// the fleet.
+	fleetSizeKnown chan struct{}
 	// storeReached is signalled when the store answers for the first time or again
 	// after an outage.
 	storeReached chan struct{}
@@ -122,6 +127,8 @@
 	// each is logged once.
 	unreadable map[string]store.Revision
 	lease      store.Lease
+	// leaseTTL is the time for which lease was requested.
+	leaseTTL time.Duration
 	// registeredAt is the revision of this process's registration; zero before it.
 	registeredAt store.Revision
 	// registeredAtStart is set if the first listing had a registration of an earlier
@@ -167,12 +174,13 @@
 		now = clock.Now
 	}
 	return &Registry{
-		now:          now,
-		watchWait:    fractionOf(maxConfigApplyTime, watchWaitFraction),
-		watchTimeout: fractionOf(maxConfigApplyTime, watchTimeoutFraction),
-		store:        cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
+		now:               now,
+		watchWait:         fractionOf(maxConfigApplyTime, watchWaitFraction),
+		watchTimeout:      fractionOf(maxConfigApplyTime, watchTimeoutFraction),
+		relayWatchSpacing: fractionOf(maxConfigApplyTime, relayWatchSpacingFraction),
+		store:             cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), coordination: newCoordinationKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
-		relaySelector: relay.New(cfg.Self), direct: true, historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1),
+		relaySelector: relay.New(cfg.Self), direct: true, historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
 	}
 }
 
--- a/node/registry/renewal_schedule.go
+++ b/node/registry/renewal_schedule.go
@@ -16,18 +16,17 @@
 	// maxRenewRetryDelay bounds the delay, so that a host registers again soon after the
 	// store accepts its calls.
 	maxRenewRetryDelay = 2 * time.Second
+	// throttledRenewDelay is the delay after a failed renewal if the store throttles
+	// calls, or before the host has listed it.
+	throttledRenewDelay = 3 * time.Second
 )
 
 // reregistrationDelay returns a random delay before a host registers again with a
-// restored store, so that the fleet does not register at once. Renewals are spread over
-// renewInterval already, so a host that learns of the restore at its renewal waits only
-// for the rest of the required spread.
-func reregistrationDelay(hosts int, atRenewal bool) time.Duration {
-	maxDelay := roster.ReregistrationSpread(hosts)
-	if atRenewal {
-		maxDelay = max(maxDelay-renewInterval, 0)
-	}
-	return rand.N(maxDelay + 1)
+// restored store, so that the fleet does not register at once. The hosts may learn of the
+// restore spread over a time already, as at their renewals; a host waits only for the rest
+// of the required spread.
+func reregistrationDelay(hosts int, alreadySpread time.Duration) time.Duration {
+	return rand.N(max(roster.ReregistrationSpread(hosts)-alreadySpread, 0) + 1)
 }
 
 // renewalSchedule spaces the calls that keep a host registered. It backs off during an
@@ -56,9 +55,12 @@
 // delay returns the delay before the next attempt. It is not shortened for a store that
 // throttles calls, nor before the host has listed the store, as the listing is retried
 // more often and triggers an early retry when it succeeds.
-func (s *renewalSchedule) delay(listed bool) time.Duration {
-	if s.err == nil || !listed || store.Is(s.err, store.Throttled) {
-		return renewInterval
+func (s *renewalSchedule) delay(listed bool, renewalInterval time.Duration) time.Duration {
+	switch {
+	case s.err == nil:
+		return renewalInterval
+	case !listed || store.Is(s.err, store.Throttled):
+		return throttledRenewDelay
 	}
 	// The bound of the shift avoids an overflow.
 	return min(renewRetryDelay<<min(s.failures-1, 8), maxRenewRetryDelay)
--- a/node/registry/renewal_schedule_test.go
+++ b/node/registry/renewal_schedule_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -13,12 +14,18 @@
 
 // delayAfter returns the delay after attempts with the given results, on a host that has
 // listed the store.
+// leaseTTL and renewInterval are those of a small fleet.
+var (
+	leaseTTL      = roster.LeaseTTL(0)
+	renewInterval = roster.RenewalInterval(leaseTTL)
+)
+
 func delayAfter(results ...error) time.Duration {
 	var s renewalSchedule
 	for _, err := range results {
 		s.record(err)
 	}
-	return s.delay(true)
+	return s.delay(true, renewInterval)
 }
 
 // TestFailedRenewalIsRetriedWithinLease checks that a renewal which times out leaves time
@@ -40,16 +47,16 @@
 func TestRenewalRetriesBackOff(t *testing.T) {
 	var s renewalSchedule
 	calls := 0
-	for at := renewInterval / 2; at < 9*time.Second; at += s.delay(true) {
+	for at := renewInterval / 2; at < 9*time.Second; at += s.delay(true, renewInterval) {
 		s.record(errUnanswered)
 		calls++
 	}
 	require.LessOrEqual(t, calls, 6, "16 without backoff")
-	require.LessOrEqual(t, s.delay(true), 2*time.Second, "the host registers soon after the outage")
+	require.LessOrEqual(t, s.delay(true, renewInterval), 2*time.Second, "the host registers soon after the outage")
 	s.record(nil)
-	require.Equal(t, renewInterval, s.delay(true))
+	require.Equal(t, renewInterval, s.delay(true, renewInterval))
 	s.record(errUnanswered)
-	require.Equal(t, renewRetryDelay, s.delay(true), "a success resets the backoff")
+	require.Equal(t, renewRetryDelay, s.delay(true, renewInterval), "a success resets the backoff")
 }
 
 // TestStoreContactAllowsOneEarlyRetry: a relay may send updates several times a second
@@ -71,12 +78,12 @@
 // small fleet but not for a large one.
 func TestReregistrationDelayGrowsWithFleetSize(t *testing.T) {
 	for range 100 {
-		require.Zero(t, reregistrationDelay(300, true))
-		require.LessOrEqual(t, reregistrationDelay(300, false), 1500*time.Millisecond)
+		require.Zero(t, reregistrationDelay(300, renewInterval))
+		require.LessOrEqual(t, reregistrationDelay(300, 0), 1500*time.Millisecond)
 	}
 	longest := time.Duration(0)
 	for range 1000 {
-		longest = max(longest, reregistrationDelay(5000, true))
+		longest = max(longest, reregistrationDelay(5000, renewInterval))
 	}
 	require.Greater(t, longest, 10*time.Second)
 }
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -8,6 +8,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -29,6 +30,10 @@
 	// watchSpacing is the minimum time between the starts of two watches. It batches
 	// bursts of changes, such as the registrations of a whole fleet that starts.
 	watchSpacing = 100 * time.Millisecond
+	// relayWatchSpacingFraction is the spacing of a relay's watches as a fraction of
+	// Config.MaxConfigApplyTime, if that is longer than watchSpacing. In a large fleet
+	// some member writes its entry at nearly any time, so each watch ends at once.
+	relayWatchSpacingFraction = 0.05
 	// noRelayWatchSpacing replaces watchSpacing for a host that watches the store only
 	// until it finds a relay. Most hosts of a fleet are in this state during a store
 	// outage, and none of them has followers.
@@ -98,7 +103,15 @@
 func (r *Registry) awaitsRelay() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.followHost != nil && r.listed && !r.relaySelector.MayRelay(r.roster.Hosts())
+	return r.followHost != nil && r.listed && !r.relaySelector.MayRelay(r.currentFleet().hosts)
+}
+
+// isRelay reports whether other hosts may follow this one, because the fleet is large
+// enough for relays.
+func (r *Registry) isRelay() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.followHost != nil && r.roster.Len() > relay.MaxFleetWithoutRelays
 }
 
 func (r *Registry) setDirect(direct bool) {
@@ -147,6 +160,8 @@
 	switch {
 	case r.awaitsRelay():
 		spacing = noRelayWatchSpacing
+	case r.isRelay():
+		spacing = max(watchSpacing, r.relayWatchSpacing)
 	}
 	if elapsed := r.now() - start; elapsed < spacing {
 		clock.Sleep(ctx, spacing-elapsed)
