Gates and relays: the largest hosts of a zone first

Cause: any host may be a gate, so that in a large fleet nearly every statement of a host goes to another host than its last, over a new connection; and the relay of a zone may be a host whose link carries its changes to 165 followers for seconds.

Change: hosts register their processor time and link rate. Gates are placed on the largest hosts of a zone if those are six or more and have an eighth of its processor time; if they are lost, on the others. The relay is the host with the fastest link. Fleets of equal hosts, and of few large ones, place gates as before.

--- a/core/gates/fleet.go
+++ b/core/gates/fleet.go
@@ -1,6 +1,8 @@
 package gates
 
 import (
+	"maps"
+
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 )
 
@@ -12,11 +14,16 @@
 	byName       map[string]Host
 	byZone       map[string][]Host
 	regionByZone map[string]string
+	// minMilliCores is the processor time from which on a host of a zone is preferred as
+	// a gate; a zone whose hosts are equal has none.
+	minMilliCores map[string]int
 	// generation counts the changes since the first fleet; zero means that the
 	// predecessor is unknown.
 	generation uint64
 	// change is the difference from the predecessor.
 	change Change
+	// rankingChanged is set if hosts that are in both fleets rank differently.
+	rankingChanged bool
 }
 
 // Change is the difference between a fleet and its predecessor. A host whose address
@@ -33,6 +40,12 @@
 		f.byName[h.Name] = h
 		f.byZone[h.Zone] = append(f.byZone[h.Zone], h)
 	}
+	f.minMilliCores = map[string]int{}
+	for zone, hosts := range f.byZone {
+		if limit := minPreferredMilliCores(hosts); limit > 0 {
+			f.minMilliCores[zone] = limit
+		}
+	}
 	return f
 }
 
@@ -45,6 +58,7 @@
 		return f
 	}
 	next.generation, next.change = f.generation+1, change
+	next.rankingChanged = !maps.Equal(f.minMilliCores, next.minMilliCores)
 	return next
 }
 
@@ -70,7 +84,7 @@
 		return Change{}, false
 	case generation == f.generation:
 		return Change{}, true
-	case generation+1 == f.generation:
+	case generation+1 == f.generation && !f.rankingChanged:
 		return f.change, true
 	default:
 		return Change{}, false
@@ -92,7 +106,8 @@
 )
 
 // nearestHosts ranks the hosts for the gates of a member: those of its zone first, then
-// those of its region, then the others, each by rendezvous hashing.
+// those of its region, then the others. Of each, the preferred ones come first, and among
+// those rendezvous hashing decides.
 func (f Fleet) nearestHosts(m Member, count int) *membership.TopHosts {
 	top := membership.NewTopHosts(m.ID, count)
 	found := 0
@@ -103,7 +118,7 @@
 			}
 			found += len(hosts)
 			for _, h := range hosts {
-				top.Add(h.Name, d)
+				top.Add(h.Name, f.tier(h, m.Zone))
 			}
 		}
 	}
@@ -119,6 +134,15 @@
 	return out
 }
 
+// tier ranks a host for the gates of a member in a zone; a lower one ranks higher.
+func (f Fleet) tier(h Host, memberZone string) int {
+	tier := 2 * f.distance(h.Zone, memberZone)
+	if h.MilliCores < f.minMilliCores[h.Zone] {
+		tier++
+	}
+	return tier
+}
+
 func (f Fleet) distance(a, b string) int {
 	switch {
 	case a == b:
--- a/core/gates/plan.go
+++ b/core/gates/plan.go
@@ -39,6 +39,9 @@
 	Zone string
 	// Address is where other hosts reach it.
 	Address string
+	// MilliCores is the processor time that it may use, in thousandths of a core, and
+	// LinkMbps the rate of its network link in Mbit/s; zero if unknown.
+	MilliCores, LinkMbps int
 }
 
 // Member is an upstream whose connections are shared.
--- a/core/gates/share_cache.go
+++ b/core/gates/share_cache.go
@@ -89,7 +89,7 @@
 		}
 	}
 	for _, h := range change.Joined {
-		if c.top.Add(h.Name, f.distance(h.Zone, c.member.Zone)) {
+		if c.top.Add(h.Name, f.tier(h, c.member.Zone)) {
 			c.valid = false
 		}
 	}
--- a/core/gates/share_cache_test.go
+++ b/core/gates/share_cache_test.go
@@ -20,7 +20,7 @@
 		fleet := gates.NewFleet(nil, regions)
 		shares := gates.NewShareCache("h0")
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
-			for range rapid.IntRange(0, 3).Draw(t, "changes") {
+			for range rapid.IntRange(0, 12).Draw(t, "changes") {
 				joinOrLeave(t, live, zones)
 			}
 			var hosts []gates.Host
@@ -44,13 +44,16 @@
 
 // joinOrLeave has a random host join, leave or change its address.
 func joinOrLeave(t *rapid.T, live map[string]gates.Host, zones []string) {
-	i := rapid.IntRange(0, 14).Draw(t, "host")
+	i := rapid.IntRange(0, 39).Draw(t, "host")
 	name := fmt.Sprint("h", i)
 	if _, found := live[name]; found && rapid.Bool().Draw(t, "leaves") {
 		delete(live, name)
 		return
 	}
-	live[name] = gates.Host{Name: name, Zone: zones[i%len(zones)], Address: fmt.Sprint("addr", i, rapid.IntRange(0, 1).Draw(t, "address"))}
+	live[name] = gates.Host{
+		Name: name, Zone: zones[i%len(zones)], Address: fmt.Sprint("addr", i, rapid.IntRange(0, 1).Draw(t, "address")),
+		MilliCores: rapid.SampledFrom([]int{0, 200, 1600}).Draw(t, "processor time"),
+	}
 }
 
 // TestFleetReportsChangesSinceItsPredecessor checks that a change is known only
--- a/core/relay/selector.go
+++ b/core/relay/selector.go
@@ -98,9 +98,12 @@
 	return out
 }
 
-// compareRank orders the hosts of a zone by descending score.
+// compareRank orders the hosts of a zone: those with the fastest link first, since a relay
+// sends each change to all hosts of its zone, then by descending score. The order does not
+// depend on which other hosts are known.
 func compareRank(a, b gates.Host) int {
 	return cmp.Or(
+		cmp.Compare(b.LinkMbps, a.LinkMbps),
 		cmp.Compare(membership.Score(b.Zone, b.Name), membership.Score(a.Zone, a.Name)),
 		cmp.Compare(a.Name, b.Name),
 	)
--- a/node/cmd/dotterelswitch/platform.go
+++ b/node/cmd/dotterelswitch/platform.go
@@ -141,6 +141,7 @@
 		Host: boot.Host, Topology: replicaset.Topology{Zone: boot.Zone, Regions: boot.Regions},
 		CallerAddress: boot.CallerAddress, ReadinessAddress: boot.ReadyAddress,
 		MaxSessions: max(boot.MaxFileDescriptors-reservedDescriptors, minMaxSessions), Workers: s.workers,
+		MilliCores: boot.MilliCores, LinkMbps: boot.LinkMbps,
 		GracePeriod: boot.GracePeriod, DrainTimeout: boot.DrainTimeout, MaxConfigApplyTime: boot.MaxConfigApplyTime, QuotaTolerance: boot.QuotaTolerance,
 		PeerAddress: net.JoinHostPort(boot.IP, strconv.Itoa(boot.PeerPort)), Features: features,
 	}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -58,6 +58,10 @@
 	PeerAddress string
 	MaxSessions int
 	Workers     int
+	// MilliCores is the processor time that the host may use, in thousandths of a core,
+	// and LinkMbps the rate of its network link in Mbit/s; zero if unknown. Hosts with
+	// more of them take on more work for the others.
+	MilliCores, LinkMbps int
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
 	// DrainTimeout is how long a leaving member may be sent new work after it has
@@ -135,7 +139,7 @@
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
 	h.registry = registry.New(registry.Config{
 		Store: registry.NewInstrumentedStore(a.Store, h.recordStoreCall), Documents: a.Documents,
-		Self:               gates.Host{Name: s.Host, Zone: s.Topology.Zone, Address: s.PeerAddress},
+		Self:               gates.Host{Name: s.Host, Zone: s.Topology.Zone, Address: s.PeerAddress, MilliCores: s.MilliCores, LinkMbps: s.LinkMbps},
 		MaxConfigApplyTime: s.MaxConfigApplyTime, FollowHost: h.gates.Follow, FetchConfig: h.gates.Configuration, Features: s.Features, Changed: h.wakeReconcile, Log: h.log,
 	})
 	h.limiter = limits.New(limits.Config{
--- a/node/registry/registration.go
+++ b/node/registry/registration.go
@@ -11,20 +11,25 @@
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
-// encodeRegistration encodes a host's zone, address, the epoch of the registration, and
-// the version of the host's configuration.
+// registrationFields is the number of fields of a registration.
+const registrationFields = 6
+
+// encodeRegistration encodes a host's zone, address, the epoch of the registration, the
+// version of the host's configuration, and its processor time and link rate.
 func encodeRegistration(reg roster.Registration) []byte {
 	return []byte(strings.Join([]string{
 		reg.Host.Zone, reg.Host.Address,
 		strconv.FormatUint(uint64(reg.Epoch), 10), strconv.FormatUint(reg.ConfigVersion, 10),
+		strconv.Itoa(reg.Host.MilliCores), strconv.Itoa(reg.Host.LinkMbps),
 	}, " "))
 }
 
-// decodeRegistration decodes a registration. Hosts of an earlier release write neither
-// epoch nor configuration version; the epoch of the item's revision is used for them.
+// decodeRegistration decodes a registration. Hosts of earlier releases write neither
+// epoch nor configuration version, or neither processor time nor link rate; the epoch of
+// the item's revision is used for them.
 func decodeRegistration(name string, i store.Item) roster.Registration {
 	fields := strings.Split(string(i.Value), " ")
-	fields = append(fields, make([]string, max(0, 4-len(fields)))...)
+	fields = append(fields, make([]string, max(0, registrationFields-len(fields)))...)
 	reg := roster.Registration{Host: gates.Host{Name: name, Zone: fields[0], Address: fields[1]}, Epoch: i.Revision.Epoch()}
 	if epoch, err := strconv.ParseUint(fields[2], 10, 64); err == nil {
 		reg.Epoch = store.Epoch(epoch)
@@ -32,6 +37,12 @@
 	if version, err := strconv.ParseUint(fields[3], 10, 64); err == nil {
 		reg.ConfigVersion = version
 	}
+	if milliCores, err := strconv.Atoi(fields[4]); err == nil {
+		reg.Host.MilliCores = milliCores
+	}
+	if linkMbps, err := strconv.Atoi(fields[5]); err == nil {
+		reg.Host.LinkMbps = linkMbps
+	}
 	return reg
 }
 
