Host: a start takes the store's content from a neighbour; fewer metrics, duties end at once

A group that a host was responsible for while it knew few others stayed active for half a minute.

Change: a starting host lists the registrations alone; in a fleet of 100 hosts or more it takes the rest from the hosts with the fastest links of its zone, encoded once for all that start together, and from the store if three of them have none. An unreadable, oversized or older copy gets a numbered log line and the next host is asked. Eight databases and 20 services have labels of their own. Groups that were never used are dropped with the duty, others after 10 s. The collector lets the heap grow by 200 percent in place of 300.

--- a/core/feature/feature.go
+++ b/core/feature/feature.go
@@ -34,6 +34,9 @@
 	FleetWait Name = "fleet-wait"
 	// HedgedListing hedges the initial listing if the store does not answer.
 	HedgedListing Name = "hedged-listing"
+	// Snapshots lets a starting host of a large fleet take the content of the store from
+	// another host.
+	Snapshots Name = "snapshots"
 	// GateWatch cancels statements that were sent to an unresponsive gate.
 	GateWatch Name = "gate-watch"
 	// Reclaim rolls back idle transactions while statements wait for a connection.
@@ -62,7 +65,7 @@
 // All returns all names in declaration order.
 func All() []Name {
 	return []Name{
-		Gates, Relays, PeerFloors, RefusalFloors, GateFloors, ReplicaWait, StartupWait, FleetWait, HedgedListing, GateWatch, Reclaim,
+		Gates, Relays, PeerFloors, RefusalFloors, GateFloors, ReplicaWait, StartupWait, FleetWait, HedgedListing, Snapshots, GateWatch, Reclaim,
 		ShortFirst, Detours, StandingLeader, DirectVotes, ObservedSilence, TeamGates, TeamReplicas, Announcement,
 	}
 }
--- a/node/cmd/dotterelswitch/gc.go
+++ b/node/cmd/dotterelswitch/gc.go
@@ -8,7 +8,7 @@
 	heapMemoryFraction = 0.6
 	// gcPercent is higher than Go's default of 100: the live heap is small, so more
 	// garbage costs little memory and saves processor time.
-	gcPercent = 300
+	gcPercent = 200
 )
 
 // configureGC configures the garbage collector for a host with the given memory in
--- a/node/entry/groups.go
+++ b/node/entry/groups.go
@@ -22,7 +22,7 @@
 	// active after its last use. It exceeds the pause between the statements of most
 	// sessions: a group that becomes active again has to learn floors and response times
 	// anew.
-	unusedGroupTimeout = 30 * time.Second
+	unusedGroupTimeout = 10 * time.Second
 	// groupCheckInterval is how often unused groups are looked for.
 	groupCheckInterval = time.Second
 )
@@ -35,7 +35,9 @@
 	promoter *promoter.Promoter
 	// stop ends the group's goroutines.
 	stop context.CancelFunc
-	// usedAt is when the group was last used, on the clock of node/clock.
+	// usedAt is when the group was last used, on the clock of node/clock; zero if it is
+	// active only because this host is responsible for it. While a fleet starts, each
+	// host knows few others and is responsible for many groups for a moment.
 	usedAt atomic.Int64
 }
 
@@ -108,7 +110,6 @@
 func (h *Host) newGroup(service string) *activeGroup {
 	ctx, cancel := context.WithCancel(h.ctx)
 	g := &activeGroup{stop: cancel}
-	g.markUsed()
 	g.set = replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Topology: h.settings.Topology,
 		DrainTimeout: h.settings.DrainTimeout, RequestFloor: h.queryPeersForFloor, OnSuspect: func() { g.promoter.Wake() },
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	// maxLabels bounds the number of distinct labels of teams or databases, and of
-	// services. Each combination of a team and a kind of statement has three histograms
-	// for the life of the process.
-	maxLabels = 50
+	// maxTeamLabels, maxDatabaseLabels and maxServiceLabels bound the distinct labels of
+	// metrics. Each combination of a team or database and a kind of statement has three
+	// histograms of 4 KB for the life of the process; callers of a large fleet use a
+	// thousand databases through each host.
+	maxTeamLabels     = 50
+	maxDatabaseLabels = 8
+	maxServiceLabels  = 20
 	// gaugeInterval is how often gauges are updated.
 	gaugeInterval = 2 * time.Second
 )
@@ -26,7 +29,9 @@
 // hostMetrics records the metrics of a host.
 type hostMetrics struct{ metrics *metrics.Metrics }
 
-func newHostMetrics() *hostMetrics { return &hostMetrics{metrics: metrics.New(maxLabels)} }
+func newHostMetrics() *hostMetrics {
+	return &hostMetrics{metrics: metrics.New(metrics.Limits{Teams: maxTeamLabels, Databases: maxDatabaseLabels, Services: maxServiceLabels})}
+}
 
 func (m *hostMetrics) handler() http.Handler { return m.metrics.Handler() }
 
@@ -34,11 +39,7 @@
 // the caller has no team.
 func (m *hostMetrics) observe(r edge.Record) {
 	o := r.Outcome
-	label := r.Team
-	if label == "" {
-		label = r.Database
-	}
-	m.metrics.RecordRequest(label, r.Statement.Kind.String(), o.Answer.Code.String(), o.Waited, r.Elapsed-o.Waited, r.Elapsed)
+	m.metrics.RecordRequest(r.Team, r.Database, r.Statement.Kind.String(), o.Answer.Code.String(), o.Waited, r.Elapsed-o.Waited, r.Elapsed)
 	if r.Statement.Reads() && o.Member != "" {
 		m.metrics.Count("reads", metrics.Label{Name: "member", Value: readTarget(o.Primary)})
 	}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -70,6 +70,9 @@
 // Listing implements peer.GateHandler.
 func (h *Host) Listing(above store.Revision) store.Listing { return h.registry.Listing(above) }
 
+// Snapshot implements peer.GateHandler.
+func (h *Host) Snapshot() (store.Listing, error) { return h.registry.Snapshot() }
+
 // Configuration implements peer.GateHandler.
 func (h *Host) Configuration(above uint64) []byte { return h.registry.ConfigDocument(above) }
 
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -64,6 +64,8 @@
 	StoreRestored        = Event{615, "platform_restored"}
 	WatchFailed          = Event{616, "platform_watch_failed"}
 	ConfigDeferred       = Event{617, "configuration_deferred"}
+	SnapshotTaken        = Event{618, "platform_snapshot_taken"}
+	SnapshotFailed       = Event{619, "platform_snapshot_failed"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -82,7 +84,7 @@
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred,
+		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed,
 	}
 }
 
--- a/node/gateway/exchange.go
+++ b/node/gateway/exchange.go
@@ -147,7 +147,7 @@
 	if class == "" {
 		class = defaultClass
 	}
-	s.gateway.metrics.RecordRequest(s.team, class, code.String(), resp.QueueTime, resp.ServiceTime, total)
+	s.gateway.metrics.RecordRequest(s.team, s.service, class, code.String(), resp.QueueTime, resp.ServiceTime, total)
 }
 
 // answer sends the caller the result of an exchange.
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -101,7 +101,7 @@
 	h.peers = peer.NewClient(h.traffic.peers.WrapDialer(opts.Dial), s.PeerKey)
 	h.platform = consul.NewClient(s.Platform, h.traffic.platform.WrapDialer(opts.Dial))
 	h.config = confstore.New(h.platform)
-	h.metrics = metrics.New(s.MaxTeamsShown)
+	h.metrics = metrics.New(metrics.Limits{Teams: s.MaxTeamsShown, Databases: s.MaxTeamsShown, Services: s.MaxTeamsShown})
 	h.owner = owner.New(owner.Config{
 		Host: self, User: s.UpstreamUser, Password: s.UpstreamPassword, Dial: opts.Dial,
 		ControlDial: upstream.DialFunc(h.traffic.control.WrapDialer(opts.Dial)), HeartbeatBudget: group.DefaultHeartbeatBudget(),
--- a/node/metrics/metrics.go
+++ b/node/metrics/metrics.go
@@ -24,14 +24,14 @@
 	scope    tally.Scope
 	closer   io.Closer
 	reporter prometheus.Reporter
-	// maxLabels bounds the labels of teams, and those of services.
-	maxLabels int
+	limits   Limits
 
 	// mu guards the fields below.
-	mu       sync.Mutex
-	teams    map[string]bool
-	services map[string]bool
-	scopes   map[scopeKey]*requestScope
+	mu        sync.Mutex
+	teams     map[string]bool
+	databases map[string]bool
+	services  map[string]bool
+	scopes    map[scopeKey]*requestScope
 }
 
 type scopeKey struct{ team, class string }
@@ -45,9 +45,14 @@
 // buckets are the bucket bounds of the histograms, from 100 µs to about 26 s.
 var buckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 19)
 
-// New returns the metrics of a host. To limit cardinality, only the first maxLabels teams
-// and services get a label of their own; the others share one.
-func New(maxLabels int) *Metrics {
+// Limits bounds the labels of a host's metrics. The first names that occur get a label of
+// their own; the others share one.
+type Limits struct {
+	Teams, Databases, Services int
+}
+
+// New returns the metrics of a host.
+func New(limits Limits) *Metrics {
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
 		DefaultTimerType: prometheus.HistogramTimerType, Registerer: registry, Gatherer: registry,
@@ -57,8 +62,8 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{
-		scope: scope, closer: closer, reporter: reporter, maxLabels: maxLabels,
-		teams: make(map[string]bool), services: make(map[string]bool), scopes: make(map[scopeKey]*requestScope),
+		scope: scope, closer: closer, reporter: reporter, limits: limits,
+		teams: make(map[string]bool), databases: make(map[string]bool), services: make(map[string]bool), scopes: make(map[scopeKey]*requestScope),
 	}
 }
 
@@ -68,9 +73,10 @@
 // Close reports the remaining values and stops.
 func (m *Metrics) Close() { _ = m.closer.Close() }
 
-// RecordRequest records the outcome and the durations of one finished request.
-func (m *Metrics) RecordRequest(team, class, outcome string, queue, service, total time.Duration) {
-	rs := m.requestScope(team, class)
+// RecordRequest records the outcome and the durations of one finished request of a team,
+// or on a database if the caller has no team.
+func (m *Metrics) RecordRequest(team, database, class, outcome string, queue, service, total time.Duration) {
+	rs := m.requestScope(team, database, class)
 	rs.queue.RecordDuration(queue)
 	rs.service.RecordDuration(service)
 	rs.total.RecordDuration(total)
@@ -80,7 +86,7 @@
 // CountTeam increments a counter of a team; teams above the limit share a label.
 func (m *Metrics) CountTeam(name, team string, label Label) {
 	m.mu.Lock()
-	team = m.label(m.teams, team)
+	team = labelOf(m.teams, m.limits.Teams, team)
 	m.mu.Unlock()
 	m.Count(name, Label{Name: "team", Value: team}, label)
 }
@@ -89,26 +95,29 @@
 func (m *Metrics) ServiceLabel(service string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.label(m.services, service)
+	return labelOf(m.services, m.limits.Services, service)
 }
 
-// label returns the label of a name among those that have one of their own. The caller
-// holds mu.
-func (m *Metrics) label(own map[string]bool, name string) string {
+// labelOf returns the label of a name, where own holds the names that have one of their own.
+func labelOf(own map[string]bool, limit int, name string) string {
 	if own[name] {
 		return name
 	}
-	if len(own) >= m.maxLabels {
+	if len(own) >= limit {
 		return otherLabel
 	}
 	own[name] = true
 	return name
 }
 
-func (m *Metrics) requestScope(team, class string) *requestScope {
+func (m *Metrics) requestScope(team, database, class string) *requestScope {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	team = m.label(m.teams, team)
+	if team == "" {
+		team = labelOf(m.databases, m.limits.Databases, database)
+	} else {
+		team = labelOf(m.teams, m.limits.Teams, team)
+	}
 	key := scopeKey{team, class}
 	rs, found := m.scopes[key]
 	if !found {
--- a/node/metrics/metrics_test.go
+++ b/node/metrics/metrics_test.go
@@ -16,10 +16,12 @@
 // histograms.
 func TestTeamLabelsAreLimited(t *testing.T) {
 	const limit, teams = 3, 10
-	m := metrics.New(limit)
+	m := metrics.New(metrics.Limits{Teams: limit, Databases: 1})
 	for i := range teams {
-		m.RecordRequest(fmt.Sprintf("t%d", i), "lookup", "ok", time.Millisecond, time.Millisecond, 2*time.Millisecond)
+		m.RecordRequest(fmt.Sprintf("t%d", i), "db", "lookup", "ok", time.Millisecond, time.Millisecond, 2*time.Millisecond)
 	}
+	m.RecordRequest("", "db-1", "lookup", "ok", time.Millisecond, time.Millisecond, 2*time.Millisecond)
+	m.RecordRequest("", "db-2", "write", "ok", time.Millisecond, time.Millisecond, 2*time.Millisecond)
 	m.Close() // reports the remaining values
 	w := httptest.NewRecorder()
 	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
@@ -27,5 +29,7 @@
 	require.Contains(t, text, `dotterelswitch_whole_seconds_count{class="lookup",team="t0"} 1`)
 	require.Contains(t, text, `dotterelswitch_queue_seconds_count{class="lookup",team="other"} 7`)
 	require.Contains(t, text, `dotterelswitch_requests{class="lookup",outcome="ok",team="other"} 7`)
-	require.Equal(t, limit+1, strings.Count(text, `service_seconds_count{class="lookup"`))
+	require.Contains(t, text, `dotterelswitch_queue_seconds_count{class="lookup",team="db-1"} 1`)
+	require.Contains(t, text, `dotterelswitch_queue_seconds_count{class="write",team="other"} 1`, "databases have a limit of their own")
+	require.Equal(t, limit+2, strings.Count(text, `service_seconds_count{class="lookup"`))
 }
--- a/node/peer/compression_test.go
+++ b/node/peer/compression_test.go
@@ -33,6 +33,8 @@
 	return store.Listing{Revision: 7, Items: []store.Item{{Key: "config", Value: bytes.Repeat([]byte("route "), 17_000)}}}
 }
 
+func (stubGate) Snapshot() (store.Listing, error) { return store.Listing{}, nil }
+
 func (stubGate) Configuration(uint64) []byte { return nil }
 func (stubGate) StreamChanges(context.Context, store.Revision, bool, func(registry.Update) error) error {
 	return nil
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -21,6 +21,9 @@
 	// Listing returns this host's view of the store if it is newer than a
 	// revision.
 	Listing(above store.Revision) store.Listing
+	// Snapshot returns this host's copy of the store; an error without recent contact
+	// with the store.
+	Snapshot() (store.Listing, error)
 	// Configuration returns the current configuration document if it is newer
 	// than a version.
 	Configuration(above uint64) []byte
@@ -33,7 +36,10 @@
 }
 
 // gateServer implements the Gate service.
-type gateServer struct{ handler GateHandler }
+type gateServer struct {
+	handler  GateHandler
+	snapshot encodedSnapshot
+}
 
 // NewGateServer returns the HTTP handler of a gate.
 func NewGateServer(h GateHandler) (string, http.Handler) {
--- a/node/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/node/peer/peerpb/peerpbconnect/peer.connect.go
@@ -54,6 +54,8 @@
 	GateAttachProcedure = "/dotterelswitch.peer.v1.Gate/Attach"
 	// GateListingProcedure is the fully-qualified name of the Gate's Listing RPC.
 	GateListingProcedure = "/dotterelswitch.peer.v1.Gate/Listing"
+	// GateSnapshotProcedure is the fully-qualified name of the Gate's Snapshot RPC.
+	GateSnapshotProcedure = "/dotterelswitch.peer.v1.Gate/Snapshot"
 	// GateConfigurationProcedure is the fully-qualified name of the Gate's Configuration RPC.
 	GateConfigurationProcedure = "/dotterelswitch.peer.v1.Gate/Configuration"
 	// GateFollowProcedure is the fully-qualified name of the Gate's Follow RPC.
@@ -261,6 +263,10 @@
 	// Listing returns the receiver's view of the platform's store, for a host that
 	// cannot reach the store.
 	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
+	// Snapshot returns the receiver's copy of the platform's store, for a host that
+	// starts. It fails with the code unavailable while the receiver has no recent
+	// contact with the store.
+	Snapshot(context.Context, *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error)
 	// Configuration returns the receiver's current configuration, for a host that
 	// starts while the store holds an older one.
 	Configuration(context.Context, *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error)
@@ -298,6 +304,12 @@
 			connect.WithSchema(gateMethods.ByName("Listing")),
 			connect.WithClientOptions(opts...),
 		),
+		snapshot: connect.NewClient[peerpb.SnapshotRequest, peerpb.SnapshotResponse](
+			httpClient,
+			baseURL+GateSnapshotProcedure,
+			connect.WithSchema(gateMethods.ByName("Snapshot")),
+			connect.WithClientOptions(opts...),
+		),
 		configuration: connect.NewClient[peerpb.ConfigurationRequest, peerpb.ConfigurationResponse](
 			httpClient,
 			baseURL+GateConfigurationProcedure,
@@ -318,6 +330,7 @@
 	run           *connect.Client[peerpb.JobRequest, peerpb.JobResponse]
 	attach        *connect.Client[peerpb.AttachRequest, peerpb.AttachResponse]
 	listing       *connect.Client[peerpb.ListingRequest, peerpb.ListingResponse]
+	snapshot      *connect.Client[peerpb.SnapshotRequest, peerpb.SnapshotResponse]
 	configuration *connect.Client[peerpb.ConfigurationRequest, peerpb.ConfigurationResponse]
 	follow        *connect.Client[peerpb.FollowRequest, peerpb.FollowResponse]
 }
@@ -337,6 +350,11 @@
 	return c.listing.CallUnary(ctx, req)
 }
 
+// Snapshot calls dotterelswitch.peer.v1.Gate.Snapshot.
+func (c *gateClient) Snapshot(ctx context.Context, req *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error) {
+	return c.snapshot.CallUnary(ctx, req)
+}
+
 // Configuration calls dotterelswitch.peer.v1.Gate.Configuration.
 func (c *gateClient) Configuration(ctx context.Context, req *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error) {
 	return c.configuration.CallUnary(ctx, req)
@@ -358,6 +376,10 @@
 	// Listing returns the receiver's view of the platform's store, for a host that
 	// cannot reach the store.
 	Listing(context.Context, *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error)
+	// Snapshot returns the receiver's copy of the platform's store, for a host that
+	// starts. It fails with the code unavailable while the receiver has no recent
+	// contact with the store.
+	Snapshot(context.Context, *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error)
 	// Configuration returns the receiver's current configuration, for a host that
 	// starts while the store holds an older one.
 	Configuration(context.Context, *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error)
@@ -391,6 +413,12 @@
 		connect.WithSchema(gateMethods.ByName("Listing")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gateSnapshotHandler := connect.NewUnaryHandler(
+		GateSnapshotProcedure,
+		svc.Snapshot,
+		connect.WithSchema(gateMethods.ByName("Snapshot")),
+		connect.WithHandlerOptions(opts...),
+	)
 	gateConfigurationHandler := connect.NewUnaryHandler(
 		GateConfigurationProcedure,
 		svc.Configuration,
@@ -411,6 +439,8 @@
 			gateAttachHandler.ServeHTTP(w, r)
 		case GateListingProcedure:
 			gateListingHandler.ServeHTTP(w, r)
+		case GateSnapshotProcedure:
+			gateSnapshotHandler.ServeHTTP(w, r)
 		case GateConfigurationProcedure:
 			gateConfigurationHandler.ServeHTTP(w, r)
 		case GateFollowProcedure:
@@ -436,6 +466,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Listing is not implemented"))
 }
 
+func (UnimplementedGateHandler) Snapshot(context.Context, *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Snapshot is not implemented"))
+}
+
 func (UnimplementedGateHandler) Configuration(context.Context, *connect.Request[peerpb.ConfigurationRequest]) (*connect.Response[peerpb.ConfigurationResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dotterelswitch.peer.v1.Gate.Configuration is not implemented"))
 }
--- /dev/null
+++ b/node/peer/snapshot.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
+)
+
+const (
+	// snapshotTTL is how long an encoded snapshot is sent to other hosts. When many hosts
+	// start together it is encoded once; they receive what is newer as changes.
+	snapshotTTL = time.Second
+	// maxSnapshotBytes limits the decoded size of a snapshot: 27,000 services with three
+	// members each take about 30 MB.
+	maxSnapshotBytes = 64 << 20
+)
+
+// errSnapshotTooLarge rejects a snapshot of more than maxSnapshotBytes.
+var errSnapshotTooLarge = errors.New("the snapshot exceeds the maximum size")
+
+// encodedSnapshot caches the encoded snapshot of this host. It is safe for concurrent
+// use.
+type encodedSnapshot struct {
+	mu        sync.Mutex
+	encoded   []byte
+	encodedAt time.Duration
+}
+
+// get returns the cached snapshot, or encodes the one that read returns.
+func (s *encodedSnapshot) get(now time.Duration, read func() (store.Listing, error)) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.encoded != nil && now-s.encodedAt < snapshotTTL {
+		return s.encoded, nil
+	}
+	l, err := read()
+	if err != nil {
+		s.encoded = nil
+		return nil, err
+	}
+	s.encoded, err = encodeSnapshot(l)
+	s.encodedAt = now
+	return s.encoded, err
+}
+
+func encodeSnapshot(l store.Listing) ([]byte, error) {
+	data, err := proto.Marshal(&peerpb.ListingResponse{Revision: uint64(l.Revision), Items: itemsToProto(l.Items)})
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func decodeSnapshot(encoded []byte) (store.Listing, error) {
+	r, err := gzip.NewReader(bytes.NewReader(encoded))
+	if err != nil {
+		return store.Listing{}, err
+	}
+	data, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes+1))
+	if err != nil {
+		return store.Listing{}, err
+	}
+	if len(data) > maxSnapshotBytes {
+		return store.Listing{}, errSnapshotTooLarge
+	}
+	var m peerpb.ListingResponse
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return store.Listing{}, err
+	}
+	return store.Listing{Revision: store.Revision(m.GetRevision()), Items: itemsFromProto(m.GetItems())}, nil
+}
+
+// Snapshot implements peerpbconnect.GateHandler.
+func (s *gateServer) Snapshot(context.Context, *connect.Request[peerpb.SnapshotRequest]) (*connect.Response[peerpb.SnapshotResponse], error) {
+	encoded, err := s.snapshot.get(clock.Now(), s.handler.Snapshot)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerpb.SnapshotResponse{Listing: encoded}), nil
+}
+
+// Snapshot returns another host's copy of the store.
+func (c *GateClient) Snapshot(ctx context.Context, address string) (store.Listing, error) {
+	resp, err := c.gate(address).client.Snapshot(ctx, connect.NewRequest(&peerpb.SnapshotRequest{}))
+	if err != nil {
+		return store.Listing{}, callError(address, err)
+	}
+	l, err := decodeSnapshot(resp.Msg.GetListing())
+	if err != nil {
+		return store.Listing{}, callError(address, err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/node/peer/snapshot_test.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"bytes"
+	"compress/gzip"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+)
+
+func TestSnapshotIsTransferredUnchanged(t *testing.T) {
+	l := store.Listing{Revision: 7, Items: []store.Item{{Key: "a", Value: []byte("1"), Revision: 3}, {Key: "b", Revision: 7}}}
+	encoded, err := encodeSnapshot(l)
+	require.NoError(t, err)
+	decoded, err := decodeSnapshot(encoded)
+	require.NoError(t, err)
+	require.Equal(t, l.Revision, decoded.Revision)
+	require.Equal(t, l.Items[0], decoded.Items[0])
+	require.Len(t, decoded.Items, 2)
+}
+
+// TestUnreadableSnapshotIsRejected covers damaged, cut and oversized snapshots.
+func TestUnreadableSnapshotIsRejected(t *testing.T) {
+	encoded, err := encodeSnapshot(store.Listing{Revision: 7, Items: []store.Item{{Key: "a", Value: bytes.Repeat([]byte("x"), 100)}}})
+	require.NoError(t, err)
+	for name, data := range map[string][]byte{"empty": nil, "no gzip": []byte("listing"), "cut": encoded[:len(encoded)/2], "no message": compressed(t, []byte("\xff\xff"))} {
+		_, err := decodeSnapshot(data)
+		require.Error(t, err, name)
+	}
+	_, err = decodeSnapshot(compressed(t, make([]byte, maxSnapshotBytes+1)))
+	require.ErrorIs(t, err, errSnapshotTooLarge)
+}
+
+func compressed(t *testing.T, data []byte) []byte {
+	t.Helper()
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, err := w.Write(data)
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	return out.Bytes()
+}
+
+// TestSnapshotIsEncodedOnceForManyHosts guards against a relay that encodes the store for
+// each of the hosts that start together.
+func TestSnapshotIsEncodedOnceForManyHosts(t *testing.T) {
+	var cache encodedSnapshot
+	reads := 0
+	read := func() (store.Listing, error) {
+		reads++
+		return store.Listing{Revision: 7}, nil
+	}
+	for range 100 {
+		_, err := cache.get(time.Minute, read)
+		require.NoError(t, err)
+	}
+	require.Equal(t, 1, reads)
+	_, err := cache.get(time.Minute+snapshotTTL, read)
+	require.NoError(t, err)
+	require.Equal(t, 2, reads)
+
+	_, err = cache.get(time.Hour, func() (store.Listing, error) { return store.Listing{}, errors.New("no contact") })
+	require.Error(t, err, "a host that has lost contact sends no old snapshot")
+	_, err = cache.get(time.Hour, read)
+	require.NoError(t, err)
+	require.Equal(t, 3, reads)
+}
--- a/node/registry/hedged_listing.go
+++ b/node/registry/hedged_listing.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -22,19 +23,22 @@
 	err     error
 }
 
-// listHedged lists the whole store for a host that has just started. It returns the
-// first answer, or the last failure when no call is outstanding.
+// listHedged lists the keys with a prefix for a host that has just started. It returns
+// the first answer, or the last failure when no call is outstanding.
 //
 // It sends no further listing while the store answers other calls or pages of this
 // listing arrive: the store is reachable then, and repeated listings of a whole fleet
 // would only load it more.
-func (r *Registry) listHedged(ctx context.Context) (store.Listing, error) {
+func (r *Registry) listHedged(ctx context.Context, prefix string) (store.Listing, error) {
+	if !r.features.Enabled(feature.HedgedListing) {
+		return r.store.Range(ctx, prefix, nil)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan listingResult, maxHedgedCalls)
 	var lastPageAt atomic.Int64
 	list := func() {
-		l, err := r.store.Range(ctx, "", func() { lastPageAt.Store(int64(r.now())) })
+		l, err := r.store.Range(ctx, prefix, func() { lastPageAt.Store(int64(r.now())) })
 		results <- listingResult{l, err}
 	}
 	hedge := time.NewTicker(hedgeDelay)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -64,6 +64,8 @@
 	features   feature.Set
 	// fetchConfig fetches the configuration of another host; nil disables it.
 	fetchConfig FetchConfigFunc
+	// fetchSnapshot fetches another host's copy of the store; nil disables it.
+	fetchSnapshot FetchSnapshotFunc
 	// lastAnswered records the latest call that the store has answered.
 	lastAnswered lastAnsweredCall
 	// registrationLost is signalled when a restored store lacks this host's
@@ -151,7 +153,9 @@
 	FollowHost FollowFunc
 	// FetchConfig fetches the configuration of another host; nil disables it.
 	FetchConfig FetchConfigFunc
-	Features    feature.Set
+	// FetchSnapshot fetches another host's copy of the store; nil disables it.
+	FetchSnapshot FetchSnapshotFunc
+	Features      feature.Set
 	// Now returns the time since an arbitrary start; it is never zero. Nil uses
 	// clock.Now.
 	Now func() time.Duration
@@ -169,6 +173,10 @@
 	if !cfg.Features.Enabled(feature.Relays) {
 		followHost = nil
 	}
+	fetchSnapshot := cfg.FetchSnapshot
+	if !cfg.Features.Enabled(feature.Snapshots) {
+		fetchSnapshot = nil
+	}
 	now := cfg.Now
 	if now == nil {
 		now = clock.Now
@@ -178,7 +186,7 @@
 		watchWait:         fractionOf(maxConfigApplyTime, watchWaitFraction),
 		watchTimeout:      fractionOf(maxConfigApplyTime, watchTimeoutFraction),
 		relayWatchSpacing: fractionOf(maxConfigApplyTime, relayWatchSpacingFraction),
-		store:             cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
+		store:             cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, fetchSnapshot: fetchSnapshot, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), coordination: newCoordinationKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
 		relaySelector: relay.New(cfg.Self), direct: true, historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
 	}
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
-	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
@@ -129,8 +128,8 @@
 	r.mu.Unlock()
 	if !listed {
 		list := r.listAll
-		if first && r.features.Enabled(feature.HedgedListing) {
-			list = r.listHedged
+		if first {
+			list = r.listForStart
 		}
 		l, err := list(ctx)
 		if err != nil {
--- a/node/registry/simulated_fleet_test.go
+++ b/node/registry/simulated_fleet_test.go
@@ -79,7 +79,7 @@
 	f := h.fleet
 	r := New(Config{
 		Store:     platform.NewStoreClient("store", &http.Client{Transport: &storeLink{store: f.store, path: h.storePath}}, simulatedCallTimeout),
-		Documents: platform.Documents{}, Self: h.self, MaxConfigApplyTime: f.maxApply, FollowHost: h.follow, FetchConfig: h.fetchConfig,
+		Documents: platform.Documents{}, Self: h.self, MaxConfigApplyTime: f.maxApply, FollowHost: h.follow, FetchConfig: h.fetchConfig, FetchSnapshot: h.fetchSnapshot,
 		Now: f.now, Changed: func() {}, Log: f.log.With().Str("host", h.self.Name).Logger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -172,6 +172,18 @@
 	return document, err
 }
 
+func (h *simulatedHost) fetchSnapshot(ctx context.Context, address string) (store.Listing, error) {
+	var l store.Listing
+	err := h.call(ctx, address, func(ctx context.Context, r *Registry) error {
+		var err error
+		if l, err = r.Snapshot(); err != nil {
+			return err
+		}
+		return h.awaitAnswer(ctx, address)
+	})
+	return l, err
+}
+
 func (h *simulatedHost) fetchListing(ctx context.Context, address string, above store.Revision) (store.Listing, error) {
 	var l store.Listing
 	err := h.call(ctx, address, func(ctx context.Context, r *Registry) error {
