Relays: a configuration is compressed once for all followers

Cause: while 985 hosts started, a relay compressed a configuration of 3,252 routes for each of its followers.

A value that cannot be read ends the stream, and the follower asks elsewhere. Followers of earlier releases get plain values.

--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -49,6 +49,9 @@
 // gateConn is a client's state for one gate.
 type gateConn struct {
 	client peerpbconnect.GateClient
+	// uncompressed is for answers whose large parts are compressed already, once for many
+	// hosts.
+	uncompressed peerpbconnect.GateClient
 	// attached is set while an Attach stream is open or being opened.
 	attached bool
 }
@@ -73,7 +76,10 @@
 	defer c.mu.Unlock()
 	g, found := c.gates[address]
 	if !found {
-		g = &gateConn{client: peerpbconnect.NewGateClient(c.http, "http://"+address)}
+		g = &gateConn{
+			client:       peerpbconnect.NewGateClient(c.http, "http://"+address),
+			uncompressed: peerpbconnect.NewGateClient(c.http, "http://"+address, connect.WithAcceptCompression("gzip", nil, nil)),
+		}
 		c.gates[address] = g
 	}
 	return g
@@ -130,7 +136,11 @@
 	if err != nil {
 		return store.Listing{}, callError(address, err)
 	}
-	return store.Listing{Revision: store.Revision(resp.Msg.GetRevision()), Items: itemsFromProto(resp.Msg.GetItems())}, nil
+	items, err := itemsFromProto(resp.Msg.GetItems())
+	if err != nil {
+		return store.Listing{}, callError(address, err)
+	}
+	return store.Listing{Revision: store.Revision(resp.Msg.GetRevision()), Items: items}, nil
 }
 
 // Configuration returns another host's configuration if it is newer than a
@@ -147,15 +157,21 @@
 // until the context or the stream ends. With changesOnly it fails with
 // registry.ErrChangesMissing if the other host lacks some of them.
 func (c *GateClient) Follow(ctx context.Context, address string, after store.Revision, changesOnly bool, receive func(registry.Update)) error {
-	stream, err := c.gate(address).client.Follow(ctx, connect.NewRequest(&peerpb.FollowRequest{After: uint64(after), ChangesOnly: changesOnly}))
+	stream, err := c.gate(address).uncompressed.Follow(ctx, connect.NewRequest(&peerpb.FollowRequest{
+		After: uint64(after), ChangesOnly: changesOnly, AcceptsCompressedValues: true,
+	}))
 	if err != nil {
 		return callError(address, err)
 	}
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
 		m := stream.Msg()
+		items, err := itemsFromProto(m.GetItems())
+		if err != nil {
+			return callError(address, err)
+		}
 		receive(registry.Update{
-			Listing:  store.Listing{Revision: store.Revision(m.GetRevision()), Items: itemsFromProto(m.GetItems())},
+			Listing:  store.Listing{Revision: store.Revision(m.GetRevision()), Items: items},
 			Complete: m.GetComplete(),
 		})
 	}
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -37,8 +37,9 @@
 
 // gateServer implements the Gate service.
 type gateServer struct {
-	handler  GateHandler
-	snapshot encodedSnapshot
+	handler     GateHandler
+	snapshot    encodedSnapshot
+	largeValues largeValues
 }
 
 // NewGateServer returns the HTTP handler of a gate.
@@ -82,7 +83,16 @@
 // Follow implements peerpbconnect.GateHandler.
 func (s *gateServer) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest], stream *connect.ServerStream[peerpb.FollowResponse]) error {
 	err := s.handler.StreamChanges(ctx, store.Revision(req.Msg.GetAfter()), req.Msg.GetChangesOnly(), func(n registry.Update) error {
-		return stream.Send(&peerpb.FollowResponse{Revision: uint64(n.Revision), Items: itemsToProto(n.Items), Complete: n.Complete})
+		resp := &peerpb.FollowResponse{Revision: uint64(n.Revision), Complete: n.Complete}
+		if !req.Msg.GetAcceptsCompressedValues() {
+			resp.Items = itemsToProto(n.Items)
+			return stream.Send(resp)
+		}
+		var err error
+		if resp.Items, err = s.largeValues.itemsToProto(n.Items); err != nil {
+			return err
+		}
+		return stream.Send(resp)
 	})
 	if errors.Is(err, registry.ErrChangesMissing) {
 		return connect.NewError(connect.CodeOutOfRange, err)
--- a/node/peer/items.go
+++ b/node/peer/items.go
@@ -13,10 +13,18 @@
 	return out
 }
 
-func itemsFromProto(items []*peerpb.StoreItem) []store.Item {
+// itemsFromProto decodes items. It fails if a compressed value cannot be read.
+func itemsFromProto(items []*peerpb.StoreItem) ([]store.Item, error) {
 	out := make([]store.Item, 0, len(items))
 	for _, i := range items {
-		out = append(out, store.Item{Key: i.GetKey(), Value: i.GetValue(), Revision: store.Revision(i.GetRevision()), Deleted: i.GetDeleted()})
+		value := i.GetValue()
+		if compressed := i.GetCompressedValue(); len(compressed) > 0 {
+			var err error
+			if value, err = decompress(compressed); err != nil {
+				return nil, err
+			}
+		}
+		out = append(out, store.Item{Key: i.GetKey(), Value: value, Revision: store.Revision(i.GetRevision()), Deleted: i.GetDeleted()})
 	}
-	return out
+	return out, nil
 }
--- a/node/peer/snapshot.go
+++ b/node/peer/snapshot.go
@@ -1,11 +1,7 @@
 package peer
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"errors"
-	"io"
 	"sync"
 	"time"
 
@@ -17,17 +13,9 @@
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 )
 
-const (
-	// snapshotTTL is how long an encoded snapshot is sent to other hosts. When many hosts
-	// start together it is encoded once; they receive what is newer as changes.
-	snapshotTTL = time.Second
-	// maxSnapshotBytes limits the decoded size of a snapshot: 27,000 services with three
-	// members each take about 30 MB.
-	maxSnapshotBytes = 64 << 20
-)
-
-// errSnapshotTooLarge rejects a snapshot of more than maxSnapshotBytes.
-var errSnapshotTooLarge = errors.New("the snapshot exceeds the maximum size")
+// snapshotTTL is how long an encoded snapshot is sent to other hosts. When many hosts start
+// together it is encoded once; they receive what is newer as changes.
+const snapshotTTL = time.Second
 
 // encodedSnapshot caches the encoded snapshot of this host. It is safe for concurrent
 // use.
@@ -59,34 +47,20 @@
 	if err != nil {
 		return nil, err
 	}
-	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
-	if _, err := w.Write(data); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
+	return compress(data)
 }
 
 func decodeSnapshot(encoded []byte) (store.Listing, error) {
-	r, err := gzip.NewReader(bytes.NewReader(encoded))
+	data, err := decompress(encoded)
 	if err != nil {
 		return store.Listing{}, err
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxSnapshotBytes+1))
-	if err != nil {
-		return store.Listing{}, err
-	}
-	if len(data) > maxSnapshotBytes {
-		return store.Listing{}, errSnapshotTooLarge
-	}
 	var m peerpb.ListingResponse
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return store.Listing{}, err
 	}
-	return store.Listing{Revision: store.Revision(m.GetRevision()), Items: itemsFromProto(m.GetItems())}, nil
+	items, err := itemsFromProto(m.GetItems())
+	return store.Listing{Revision: store.Revision(m.GetRevision()), Items: items}, err
 }
 
 // Snapshot implements peerpbconnect.GateHandler.
@@ -100,7 +74,7 @@
 
 // Snapshot returns another host's copy of the store.
 func (c *GateClient) Snapshot(ctx context.Context, address string) (store.Listing, error) {
-	resp, err := c.gate(address).client.Snapshot(ctx, connect.NewRequest(&peerpb.SnapshotRequest{}))
+	resp, err := c.gate(address).uncompressed.Snapshot(ctx, connect.NewRequest(&peerpb.SnapshotRequest{}))
 	if err != nil {
 		return store.Listing{}, callError(address, err)
 	}
--- a/node/peer/snapshot_test.go
+++ b/node/peer/snapshot_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"errors"
 	"testing"
 	"time"
@@ -31,18 +30,15 @@
 		_, err := decodeSnapshot(data)
 		require.Error(t, err, name)
 	}
-	_, err = decodeSnapshot(compressed(t, make([]byte, maxSnapshotBytes+1)))
-	require.ErrorIs(t, err, errSnapshotTooLarge)
+	_, err = decodeSnapshot(compressed(t, make([]byte, maxDecodedBytes+1)))
+	require.ErrorIs(t, err, errDecodedTooLarge)
 }
 
 func compressed(t *testing.T, data []byte) []byte {
 	t.Helper()
-	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
-	_, err := w.Write(data)
+	out, err := compress(data)
 	require.NoError(t, err)
-	require.NoError(t, w.Close())
-	return out.Bytes()
+	return out
 }
 
 // TestSnapshotIsEncodedOnceForManyHosts guards against a relay that encodes the store for
