Directory, membership, active groups: one copy of what stood twice

Score uses the scorer that ranks many hosts for one key; the directory copies and sorts members in one place; replica sets, their count and the ticker go through activeGroups in place of three loops over the same map. Behaviour is as before.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -11,6 +11,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -262,18 +264,18 @@
 
 // Members returns all members sorted by ID.
 func (d *Directory) Members() []Member {
-	out := make([]Member, 0, len(d.members))
-	for _, m := range d.members {
-		out = append(out, *m)
-	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return sortedMembers(maps.Values(d.members))
 }
 
 // MembersOf returns the members of a service sorted by ID.
 func (d *Directory) MembersOf(service string) []Member {
-	out := make([]Member, 0, len(d.byService[service]))
-	for _, m := range d.byService[service] {
+	return sortedMembers(slices.Values(d.byService[service]))
+}
+
+// sortedMembers returns copies of members, sorted by ID.
+func sortedMembers(members iter.Seq[*Member]) []Member {
+	var out []Member
+	for m := range members {
 		out = append(out, *m)
 	}
 	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/membership/rendezvous.go
+++ b/core/membership/rendezvous.go
@@ -11,11 +11,7 @@
 // Ravishankar, 1998). A key belongs to the host with the highest score, so a host that
 // joins or leaves moves only its own keys.
 func Score(key, host string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(host)
-	return d.Sum64()
+	return newScorer(key).score(host)
 }
 
 // scorer computes the scores of many hosts for one key, equal to those of Score.
--- a/node/entry/groups.go
+++ b/node/entry/groups.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -155,40 +156,20 @@
 func (h *Host) activeGroups() map[string]*activeGroup {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	out := make(map[string]*activeGroup, len(h.groups))
-	for service, g := range h.groups {
-		out[service] = g
-	}
-	return out
+	return maps.Clone(h.groups)
 }
 
 // ActiveGroups returns the number of active groups.
-func (h *Host) ActiveGroups() int {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return len(h.groups)
-}
+func (h *Host) ActiveGroups() int { return len(h.activeGroups()) }
 
 func (h *Host) allSets() []*replicaset.Set {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	out := make([]*replicaset.Set, 0, len(h.groups))
-	for _, g := range h.groups {
+	var out []*replicaset.Set
+	for _, g := range h.activeGroups() {
 		out = append(out, g.set)
 	}
 	return out
 }
 
-func (h *Host) allPromoters() []*promoter.Promoter {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	out := make([]*promoter.Promoter, 0, len(h.groups))
-	for _, g := range h.groups {
-		out = append(out, g.promoter)
-	}
-	return out
-}
-
 // observeLeadership applies another host's announcement of a promotion. For a group that
 // is not active it is kept until the group becomes active.
 func (h *Host) observeLeadership(service string, l replicaset.Leadership) {
--- a/node/entry/ticker.go
+++ b/node/entry/ticker.go
@@ -17,14 +17,15 @@
 	ticks := 0
 	clock.Every(ctx, promoter.CheckInterval, func() {
 		now := clock.Now()
-		for _, p := range h.allPromoters() {
-			p.Tick(now)
+		groups := h.activeGroups()
+		for _, g := range groups {
+			g.promoter.Tick(now)
 		}
 		if ticks++; ticks%ticksPerPoolCheck != 0 {
 			return
 		}
-		for _, s := range h.allSets() {
-			s.Tick(now)
+		for _, g := range groups {
+			g.set.Tick(now)
 		}
 	})
 }
