Registry: a state machine says how a host follows the store

node/registry kept what a host does in six flags that a dozen files read: listed, direct, unreachable, catchUpDue, followedRelay, lastContact. core/storelink is now the state machine: events in (a listing, an answer, a failed call, a lost relay), phases out (starting, polling, relisting, watching, following), free of I/O. The spacing of watches, the backoff of failed calls and the schedule of renewals are pure decisions and move to core/storelink and core/roster.

`dotterelctl show` tells a host's phase, whether hosts of its zone may follow it, how many keys its copy of the store has, and how many of the known services it keeps.

No change of behaviour is meant; the tests of node/registry set their states by events rather than fields and assert the same.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -294,6 +294,9 @@
 // Len returns the number of members.
 func (d *Directory) Len() int { return len(d.members) }
 
+// ServiceCount returns the number of services that have members.
+func (d *Directory) ServiceCount() int { return len(d.byService) }
+
 // HasMissing reports whether the entry of any member is missing.
 func (d *Directory) HasMissing() bool {
 	for _, m := range d.members {
--- a/core/roster/lease.go
+++ b/core/roster/lease.go
@@ -21,5 +21,9 @@
 	return min(max(time.Duration(hosts)*leaseTTLPerHost, minLeaseTTL), maxLeaseTTL)
 }
 
+// NeedsLongerLease reports whether a lease is too short for a fleet of the given size. A
+// lease is not replaced for a few hosts more.
+func NeedsLongerLease(ttl time.Duration, hosts int) bool { return LeaseTTL(hosts) >= ttl+ttl/2 }
+
 // RenewalInterval returns the time between two renewals of a lease.
 func RenewalInterval(ttl time.Duration) time.Duration { return ttl / 2 }
--- a/node/registry/renewal_schedule.go
+++ b/core/roster/renewal_schedule.go
@@ -1,10 +1,8 @@
-package registry
+package roster
 
 import (
-	"math/rand/v2"
 	"time"
 
-	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -21,18 +19,10 @@
 	throttledRenewDelay = 3 * time.Second
 )
 
-// reregistrationDelay returns a random delay before a host registers again with a
-// restored store, so that the fleet does not register at once. The hosts may learn of the
-// restore spread over a time already, as at their renewals; a host waits only for the rest
-// of the required spread.
-func reregistrationDelay(hosts int, alreadySpread time.Duration) time.Duration {
-	return rand.N(max(roster.ReregistrationSpread(hosts)-alreadySpread, 0) + 1)
-}
-
-// renewalSchedule spaces the calls that keep a host registered. It backs off during an
+// RenewalSchedule spaces the calls that keep a host registered. It backs off during an
 // outage of the store, when the whole fleet retries. When the store answers this host
 // again, one retry is made early, so that the other hosts learn of it without delay.
-type renewalSchedule struct {
+type RenewalSchedule struct {
 	// failures counts the consecutive failed attempts; err is the error of the last one.
 	failures int
 	err      error
@@ -42,20 +32,20 @@
 	retriedEarly bool
 }
 
-// record records the result of an attempt.
-func (s *renewalSchedule) record(err error) {
+// Record records the result of an attempt.
+func (s *RenewalSchedule) Record(err error) {
 	s.err = err
 	if err == nil {
-		*s = renewalSchedule{}
+		*s = RenewalSchedule{}
 		return
 	}
 	s.failures++
 }
 
-// delay returns the delay before the next attempt. It is not shortened for a store that
+// Delay returns the delay before the next attempt. It is not shortened for a store that
 // throttles calls, nor before the host has listed the store, as the listing is retried
 // more often and triggers an early retry when it succeeds.
-func (s *renewalSchedule) delay(listed bool, renewalInterval time.Duration) time.Duration {
+func (s *RenewalSchedule) Delay(listed bool, renewalInterval time.Duration) time.Duration {
 	switch {
 	case s.err == nil:
 		return renewalInterval
@@ -66,7 +56,7 @@
 	return min(renewRetryDelay<<min(s.failures-1, 8), maxRenewRetryDelay)
 }
 
-// mayRetryEarly reports whether an answer of the store ends the delay.
-func (s *renewalSchedule) mayRetryEarly() bool { return s.err != nil && !s.retriedEarly }
+// MayRetryEarly reports whether an answer of the store ends the delay.
+func (s *RenewalSchedule) MayRetryEarly() bool { return s.err != nil && !s.retriedEarly }
 
-func (s *renewalSchedule) recordEarlyRetry() { s.retriedEarly = true }
+func (s *RenewalSchedule) RecordEarlyRetry() { s.retriedEarly = true }
--- a/node/registry/renewal_schedule_test.go
+++ b/core/roster/renewal_schedule_test.go
@@ -1,4 +1,4 @@
-package registry
+package roster
 
 import (
 	"testing"
@@ -6,26 +6,25 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
 var errUnanswered = &store.Error{Failure: store.Unanswered}
 
-// delayAfter returns the delay after attempts with the given results, on a host that has
-// listed the store.
 // leaseTTL and renewInterval are those of a small fleet.
 var (
-	leaseTTL      = roster.LeaseTTL(0)
-	renewInterval = roster.RenewalInterval(leaseTTL)
+	leaseTTL      = LeaseTTL(0)
+	renewInterval = RenewalInterval(leaseTTL)
 )
 
+// delayAfter returns the delay after attempts with the given results, on a host that has
+// listed the store.
 func delayAfter(results ...error) time.Duration {
-	var s renewalSchedule
+	var s RenewalSchedule
 	for _, err := range results {
-		s.record(err)
+		s.Record(err)
 	}
-	return s.delay(true, renewInterval)
+	return s.Delay(true, renewInterval)
 }
 
 // TestFailedRenewalIsRetriedWithinLease checks that a renewal which times out leaves time
@@ -45,45 +44,31 @@
 // TestRenewalRetriesBackOff simulates an outage of 9 s in which every call is refused at
 // once.
 func TestRenewalRetriesBackOff(t *testing.T) {
-	var s renewalSchedule
+	var s RenewalSchedule
 	calls := 0
-	for at := renewInterval / 2; at < 9*time.Second; at += s.delay(true, renewInterval) {
-		s.record(errUnanswered)
+	for at := renewInterval / 2; at < 9*time.Second; at += s.Delay(true, renewInterval) {
+		s.Record(errUnanswered)
 		calls++
 	}
 	require.LessOrEqual(t, calls, 6, "16 without backoff")
-	require.LessOrEqual(t, s.delay(true, renewInterval), 2*time.Second, "the host registers soon after the outage")
-	s.record(nil)
-	require.Equal(t, renewInterval, s.delay(true, renewInterval))
-	s.record(errUnanswered)
-	require.Equal(t, renewRetryDelay, s.delay(true, renewInterval), "a success resets the backoff")
+	require.LessOrEqual(t, s.Delay(true, renewInterval), 2*time.Second, "the host registers soon after the outage")
+	s.Record(nil)
+	require.Equal(t, renewInterval, s.Delay(true, renewInterval))
+	s.Record(errUnanswered)
+	require.Equal(t, renewRetryDelay, s.Delay(true, renewInterval), "a success resets the backoff")
 }
 
 // TestStoreContactAllowsOneEarlyRetry: a relay may send updates several times a second
 // while the store still refuses this host.
 func TestStoreContactAllowsOneEarlyRetry(t *testing.T) {
-	var s renewalSchedule
-	require.False(t, s.mayRetryEarly())
-	s.record(errUnanswered)
-	require.True(t, s.mayRetryEarly())
-	s.recordEarlyRetry()
-	s.record(errUnanswered)
-	require.False(t, s.mayRetryEarly())
-	s.record(nil)
-	s.record(errUnanswered)
-	require.True(t, s.mayRetryEarly())
-}
-
-// TestReregistrationDelayGrowsWithFleetSize: the spread of the renewals suffices for a
-// small fleet but not for a large one.
-func TestReregistrationDelayGrowsWithFleetSize(t *testing.T) {
-	for range 100 {
-		require.Zero(t, reregistrationDelay(300, renewInterval))
-		require.LessOrEqual(t, reregistrationDelay(300, 0), 1500*time.Millisecond)
-	}
-	longest := time.Duration(0)
-	for range 1000 {
-		longest = max(longest, reregistrationDelay(5000, renewInterval))
-	}
-	require.Greater(t, longest, 10*time.Second)
+	var s RenewalSchedule
+	require.False(t, s.MayRetryEarly())
+	s.Record(errUnanswered)
+	require.True(t, s.MayRetryEarly())
+	s.RecordEarlyRetry()
+	s.Record(errUnanswered)
+	require.False(t, s.MayRetryEarly())
+	s.Record(nil)
+	s.Record(errUnanswered)
+	require.True(t, s.MayRetryEarly())
 }
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -19,7 +19,7 @@
 		Host: h.settings.Host, Zone: h.settings.Topology.Zone, Ready: h.Ready(),
 		Sessions: uint32(h.gateway.Sessions()), MaxSessions: uint32(h.settings.MaxSessions), Jobs: uint32(h.remoteJobCount.Load()),
 		Configuration: h.showConfiguration(), Store: h.showStore(), Services: h.showServices(now),
-		Teams: teams, MoreTeams: uint32(more),
+		Teams: teams, MoreTeams: uint32(more), KnownServices: uint32(h.registry.ServiceCount()),
 	}
 }
 
@@ -36,6 +36,7 @@
 	return &inspectpb.Store{
 		Away: st.Unreachable, HeardMsAgo: uint32(st.SinceContact.Milliseconds()), Revision: st.Revision.Number(), Epoch: uint64(st.Revision.Epoch()), Relay: st.Relay,
 		Direct: st.Direct, Followers: uint32(st.Followers), Hosts: uint32(st.Hosts),
+		Phase: st.Phase.String(), MayRelay: st.MayRelay, Keys: uint32(st.Keys),
 	}
 }
 
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -17,6 +17,7 @@
 	p.printf("sessions %d of %d, jobs of other hosts %d\n", s.Sessions, s.MaxSessions, s.Jobs)
 	p.configuration(s.GetConfiguration())
 	p.store(s.GetStore())
+	p.printf("keeps %d of %d services\n", len(s.Services), s.KnownServices)
 	for _, service := range s.Services {
 		p.service(service)
 	}
@@ -65,6 +66,14 @@
 	}
 	p.printf("store %s %s, heard %d ms ago, epoch %d, revision %d; hosts %d, followers %d\n",
 		reached, path, s.GetHeardMsAgo(), s.GetEpoch(), s.GetRevision(), s.GetHosts(), s.GetFollowers())
+	p.printf("copy of the store: %s, %d keys%s\n", orNone(s.GetPhase()), s.GetKeys(), relayText(s.GetMayRelay()))
+}
+
+func relayText(mayRelay bool) string {
+	if mayRelay {
+		return ", other hosts of the zone may follow"
+	}
+	return ""
 }
 
 func (p *printer) service(s *inspectpb.Service) {
--- a/node/inspect/text_test.go
+++ b/node/inspect/text_test.go
@@ -13,9 +13,9 @@
 // A host that cannot reach the store, with one dead and one draining member.
 func TestWriteText(t *testing.T) {
 	s := &inspectpb.ShowResponse{
-		Host: "h1", Zone: "a", Ready: true, Sessions: 3, MaxSessions: 900,
+		Host: "h1", Zone: "a", Ready: true, Sessions: 3, MaxSessions: 900, KnownServices: 40,
 		Configuration: &inspectpb.Configuration{Version: 4, Routes: 2},
-		Store:         &inspectpb.Store{Away: true, HeardMsAgo: 700, Epoch: 3, Revision: 9, Direct: true, Hosts: 5},
+		Store:         &inspectpb.Store{Away: true, HeardMsAgo: 700, Epoch: 3, Revision: 9, Direct: true, Hosts: 5, Phase: "polling", MayRelay: true, Keys: 12},
 		Services: []*inspectpb.Service{{
 			Name: "db", Primary: "db-1", Term: 2, Floor: &inspectpb.Position{Term: 2, Offset: 7}, FloorMsAgo: 30,
 			Lock: &inspectpb.Lock{Holder: "h2", Acting: true, Token: 8},
@@ -31,6 +31,8 @@
 sessions 3 of 900, jobs of other hosts 0
 configuration 4 with 2 routes
 store AWAY directly, heard 700 ms ago, epoch 3, revision 9; hosts 5, followers 0
+copy of the store: polling, 12 keys, other hosts of the zone may follow
+keeps 1 of 40 services
 
 service db: primary db-1, term 2, floor 2/7 of 30 ms ago, lock 8 held by h2, which promotes
   UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE    LOG            THROUGH
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -12,13 +12,9 @@
 
 func (r *Registry) markUnreachable(err error) {
 	r.mu.Lock()
-	wasUnreachable := r.unreachable
-	r.unreachable = true
-	if !wasUnreachable {
-		r.unreachableSince = r.now()
-	}
+	first := r.link.Failed(r.now())
 	r.mu.Unlock()
-	if !wasUnreachable {
+	if first {
 		eventlog.PlatformUnreachable.Warn(r.log).Err(err).Send()
 	}
 }
@@ -43,17 +39,18 @@
 	}
 }
 
-// markReachable is called with mu held, before lastContact is updated.
-func (r *Registry) markReachable(now time.Duration) {
-	if r.unreachable {
-		r.unreachable = false
-		r.signalStoreReached()
-		line := eventlog.PlatformReachable.Info(r.log).Stringer("revision", r.revision)
-		if r.lastContact != 0 {
-			line.Dur("silent_ms", now-r.lastContact)
-		}
-		line.Send()
+// noteReachable lets a registration that failed before be retried, and logs the end of
+// an outage. It is called with mu held, before the link records the answer.
+func (r *Registry) noteReachable(now time.Duration) {
+	if !r.link.Unreachable() {
+		return
+	}
+	r.signalStoreReached()
+	line := eventlog.PlatformReachable.Info(r.log).Stringer("revision", r.revision)
+	if r.link.HasListed() {
+		line.Dur("silent_ms", r.link.SinceAnswer(now))
 	}
+	line.Send()
 }
 
 // errOlderEpoch reports an answer from before the store was restored from a backup,
@@ -69,13 +66,13 @@
 		r.mu.Unlock()
 		return errOlderEpoch
 	}
-	restored := r.detectRestore(l.Revision)
-	r.markReachable(now)
+	restored, first := r.detectRestore(l.Revision), !r.link.HasListed()
+	r.noteReachable(now)
 	r.countReceived(len(l.Items))
 	r.coordination = newCoordinationKeys()
 	r.roster.Replace(registrationsIn(l), l.Revision.Epoch(), now)
 	r.fleetChanged()
-	previous, continues := r.items, r.lastContact != 0 && l.Revision.Epoch() == r.revision.Epoch() && l.Revision >= r.revision
+	previous, continues := r.items, !first && l.Revision.Epoch() == r.revision.Epoch() && l.Revision >= r.revision
 	r.items = make(map[string]store.Item, len(l.Items))
 	var entries []directory.Entry
 	for _, i := range l.Items {
@@ -94,15 +91,15 @@
 	if _, known := r.items[hostKey(r.self.Name)]; restored && !known {
 		notify(r.registrationLost)
 	}
-	if r.lastContact == 0 {
+	if first {
 		if r.needsLongerLease() {
 			notify(r.fleetSizeKnown)
 		}
 		r.recordRegisteredAtStart()
 		r.signalStoreReached()
 	}
-	r.lastContact = now
-	r.revision, r.listed = l.Revision, true
+	r.link.Listed(now)
+	r.revision = l.Revision
 	r.changes.All = true
 	if continues {
 		r.appendListing(previous, l.Revision)
@@ -117,7 +114,7 @@
 // detectRestore reports, and logs, whether the store has been restored from a backup
 // since the last contact. It is called with mu held.
 func (r *Registry) detectRestore(next store.Revision) bool {
-	if r.lastContact == 0 || next.Epoch() <= r.revision.Epoch() {
+	if !r.link.HasListed() || next.Epoch() <= r.revision.Epoch() {
 		return false
 	}
 	eventlog.StoreRestored.Warn(r.log).Stringer("revision", next).Stringer("was", r.revision).Send()
@@ -130,9 +127,9 @@
 func (r *Registry) apply(l store.Listing) {
 	now := r.now()
 	r.mu.Lock()
-	r.markReachable(now)
+	r.noteReachable(now)
 	r.countReceived(len(l.Items))
-	r.lastContact = now
+	r.link.Answered(now)
 	r.revision = max(r.revision, l.Revision)
 	var changes []store.Item
 	maxEffect := noEffect
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -61,8 +61,8 @@
 	r.mu.Lock()
 	after := r.revision
 	// A follower that does not reach the store has no other source for a listing.
-	changesOnly := !r.unreachable
-	r.followedRelay = host.Name
+	changesOnly := !r.link.Unreachable()
+	r.link.Follow(host.Name)
 	r.mu.Unlock()
 	eventlog.RelayFollowed.Info(r.log).Str("peer", host.Name).Stringer("revision", after).Send()
 	err := r.followHost(ctx, host.Address, after, changesOnly, func(u Update) {
@@ -78,13 +78,13 @@
 	var refused *RelayRefusedError
 	if errors.Is(err, ErrChangesMissing) {
 		r.mu.Lock()
-		r.followedRelay, r.catchUpDue = "", true
+		r.link.RelayLacksChanges()
 		r.mu.Unlock()
 		clock.Sleep(outer, rand.N(relay.FailoverDelay))
 		return
 	}
 	r.mu.Lock()
-	r.followedRelay = ""
+	r.link.RelayLost()
 	r.relaySelector.MarkFailed(host.Name, errors.As(err, &refused), r.now())
 	r.mu.Unlock()
 	clock.Sleep(outer, relay.FailoverDelay+rand.N(relay.FailoverDelay))
@@ -104,7 +104,7 @@
 func (r *Registry) pickRelay() (gates.Host, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.followHost == nil || !r.listed || r.leaving || r.catchUpDue {
+	if r.followHost == nil || r.leaving || !r.link.MayFollow() {
 		return gates.Host{}, false
 	}
 	return r.relaySelector.Pick(r.currentFleet().hosts, r.now())
@@ -166,13 +166,9 @@
 }
 
 // hasRecentContact reports whether this host has recent data from the store or from its
-// relay. Relays form no cycles, so the data of a relay comes from the store too. A host
-// that switches between store and relay keeps its followers. It is called with mu held.
-func (r *Registry) hasRecentContact(now time.Duration) bool {
-	if !r.listed || (r.direct && r.unreachable) {
-		return false
-	}
-	return now-r.lastContact <= r.watchWait+relay.StoreAnswerGrace
+// relay. It is called with mu held.
+func (r *Registry) hasRecentContact() bool {
+	return r.link.Recent(r.now(), r.pacing.WatchWait+relay.StoreAnswerGrace)
 }
 
 // updateAfter returns the changes after a revision, and a channel that is closed at the
@@ -180,7 +176,7 @@
 func (r *Registry) updateAfter(after store.Revision) (Update, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.hasRecentContact(r.now()) {
+	if !r.hasRecentContact() {
 		return Update{}, nil, errNoStoreContact
 	}
 	if after.Epoch() > r.revision.Epoch() {
@@ -208,7 +204,7 @@
 func (r *Registry) relayedListing() (store.Listing, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.direct {
+	if r.link.UsesStore() {
 		return store.Listing{}, false
 	}
 	return r.itemsAfter(0), true
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -22,7 +22,7 @@
 // historyStart.
 func relayAt(revision, historyStart store.Revision, changes ...store.Item) *Registry {
 	r := New(Config{Documents: platform.Documents{}, Self: gates.Host{Name: "relay"}, Changed: func() {}, Log: zerolog.Nop()})
-	r.listed, r.lastContact = true, clock.Now()
+	r.link.Listed(clock.Now())
 	r.revision, r.historyStart, r.history = revision, historyStart, changes
 	for _, i := range changes {
 		r.cacheItem(i)
@@ -69,7 +69,8 @@
 // while the store still refuses its own calls.
 func TestFollowersAreKeptWhenHostSwitchesToRelay(t *testing.T) {
 	r := relayAt(6, 4, store.Item{Key: "a", Revision: 6})
-	r.direct, r.unreachable = false, true
+	r.link.Follow("another relay")
+	r.link.Failed(clock.Now())
 	require.Len(t, firstUpdate(t, r, 5).Items, 1)
 }
 
@@ -77,10 +78,10 @@
 // themselves.
 func TestRelayWithoutStoreContactRefusesFollowers(t *testing.T) {
 	for _, loseContact := range []func(r *Registry){
-		func(r *Registry) { r.unreachable = true },
-		func(r *Registry) { r.direct = false; r.lastContact -= 10 * r.watchWait },
-		func(r *Registry) { r.listed = false },
-		func(r *Registry) { r.lastContact -= 10 * r.watchWait },
+		func(r *Registry) { r.link.Failed(clock.Now()) },
+		func(r *Registry) { r.link.Follow("another relay"); letAnswersAge(r) },
+		func(r *Registry) { r.link.HistoryLost() },
+		letAnswersAge,
 	} {
 		r := relayAt(6, 4)
 		loseContact(r)
@@ -88,6 +89,12 @@
 	}
 }
 
+// letAnswersAge lets the time pass in which followers accept the host's last answer.
+func letAnswersAge(r *Registry) {
+	now := r.now
+	r.now = func() time.Duration { return now() + 10*r.pacing.WatchWait }
+}
+
 // TestFollowersReceiveChangesThatRelayLearnedFromPeers guards against followers that
 // consider a live member missing. The relay learned the rewritten entry from a peer
 // before its own watch returned the deletion and the entry; it must send both.
@@ -103,7 +110,7 @@
 		members := r.MembersOf("svc")
 		require.Len(t, members, 1, name)
 		require.False(t, members[0].Missing, name)
-		follower.direct = false
+		follower.link.Follow("relay")
 		l, follows := follower.relayedListing()
 		require.True(t, follows)
 		require.Len(t, l.Items, 1, "the follower's local copy has the entry")
@@ -134,7 +141,7 @@
 	interrupted := false
 	r.cancelWatch = func() { interrupted = true }
 	require.ErrorIs(t, r.StreamUpdates(context.Background(), revisionInEpoch(t, 2, 20), false, nil), errOlderEpoch)
-	require.False(t, r.listed)
+	require.True(t, r.link.RelistDue())
 	require.True(t, interrupted)
 }
 
--- a/node/registry/hedged_listing_test.go
+++ b/node/registry/hedged_listing_test.go
@@ -16,6 +16,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/simtime"
 )
@@ -250,11 +251,11 @@
 		time.Sleep(time.Second)
 		require.Equal(t, int32(1), s.grants.Load())
 		s.available.Store(true)
-		// The listing is retried within backoff.Max. Without its answer the lease would be
+		// The listing is retried within the longest backoff. Without its answer the lease would be
 		// requested again only after renewInterval.
 		const maxDelay = time.Second + 50*time.Millisecond
 		require.Less(t, time.Second+maxDelay, renewInterval)
-		require.Less(t, backoff.Max, maxDelay)
+		require.Less(t, storelink.NewPacing(0).Backoff(storelink.Alone, true, false, 0).Max, maxDelay)
 		time.Sleep(maxDelay)
 		require.Equal(t, int32(2), s.grants.Load())
 		require.True(t, r.registered())
@@ -290,7 +291,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			r.Run(ctx)
 			cancel()
-			if r.awaitsRelay() {
+			if r.role() == storelink.AwaitingRelay {
 				meanWatches[true] += float64(s.watches.Load()) / awaiting
 			} else {
 				meanWatches[false] += float64(s.watches.Load()) / relays
--- a/node/registry/large_fleet_test.go
+++ b/node/registry/large_fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
+	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/simtime"
 )
@@ -112,7 +113,7 @@
 		t.Logf("| %d | %s, %s | %s, %s | %.1f | %.1f |", hosts, run.startMiddle, run.startLast, run.changeMiddle, run.changeLast, run.watchesPerSecond, run.otherCallsPerSecond)
 		require.Less(t, run.startLast, largeFleetBound/2)
 		require.Less(t, run.changeLast, largeFleetBound/2)
-		relayWatches := largeFleetZones / (relayWatchSpacingFraction * largeFleetBound.Seconds())
+		relayWatches := largeFleetZones / storelink.NewPacing(largeFleetBound).WatchSpacing(storelink.Relay).Seconds()
 		require.LessOrEqual(t, run.watchesPerSecond, 1.2*relayWatches, "%d hosts", hosts)
 		renewals := float64(hosts) / roster.RenewalInterval(roster.LeaseTTL(hosts)).Seconds()
 		require.LessOrEqual(t, run.otherCallsPerSecond, 1.2*renewals, "%d hosts", hosts)
--- a/node/registry/lease.go
+++ b/node/registry/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
@@ -12,34 +13,42 @@
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
+// reregistrationDelay returns a random delay before a host registers again with a
+// restored store, so that the fleet does not register at once. The hosts may learn of the
+// restore spread over a time already, as at their renewals; a host waits only for the rest
+// of the required spread.
+func reregistrationDelay(hosts int, alreadySpread time.Duration) time.Duration {
+	return rand.N(max(roster.ReregistrationSpread(hosts)-alreadySpread, 0) + 1)
+}
+
 // KeepRegistered keeps the host registered until the context ends or Deregister is
 // called.
 func (r *Registry) KeepRegistered(ctx context.Context) {
-	var schedule renewalSchedule
+	var schedule roster.RenewalSchedule
 	for ctx.Err() == nil && !r.isLeaving() {
 		r.clearStoreReached()
 		err := r.renewOrRegister(ctx)
 		if err != nil {
 			r.markUnreachable(err)
 		}
-		schedule.record(err)
+		schedule.Record(err)
 		r.awaitRenewal(ctx, &schedule)
 	}
 }
 
 // awaitRenewal waits until the next renewal is due. After a failure it may end early,
 // when the store answers this host again.
-func (r *Registry) awaitRenewal(ctx context.Context, schedule *renewalSchedule) {
-	timer := time.NewTimer(schedule.delay(r.Catalog() != nil, r.renewalInterval()))
+func (r *Registry) awaitRenewal(ctx context.Context, schedule *roster.RenewalSchedule) {
+	timer := time.NewTimer(schedule.Delay(r.Catalog() != nil, r.renewalInterval()))
 	defer timer.Stop()
 	var reached <-chan struct{}
-	if schedule.mayRetryEarly() {
+	if schedule.MayRetryEarly() {
 		reached = r.storeReached
 	}
 	select {
 	case <-timer.C:
 	case <-reached:
-		schedule.recordEarlyRetry()
+		schedule.RecordEarlyRetry()
 	case <-r.fleetSizeKnown:
 	case <-r.registrationLost:
 		clock.Sleep(ctx, reregistrationDelay(len(r.Hosts()), 0))
@@ -92,10 +101,9 @@
 	return r.needsLongerLease()
 }
 
-// needsLongerLease is leaseTooShort with mu held. A lease is not replaced for a few hosts
-// more.
+// needsLongerLease is leaseTooShort with mu held.
 func (r *Registry) needsLongerLease() bool {
-	return roster.LeaseTTL(r.roster.Len()) >= r.leaseTTL+r.leaseTTL/2
+	return roster.NeedsLongerLease(r.leaseTTL, r.roster.Len())
 }
 
 // renewalInterval returns the time between two renewals of the lease.
--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -13,32 +14,27 @@
 // FetchListingFunc fetches the keys above a revision from the host at an address.
 type FetchListingFunc func(ctx context.Context, address string, above store.Revision) (store.Listing, error)
 
-const (
-	// peerPollDelay is the time for which the store must be unreachable before peers
-	// are polled. Single lost calls are retried sooner.
-	peerPollDelay    = 500 * time.Millisecond
-	peerPollInterval = 500 * time.Millisecond
-	peerPollTimeout  = time.Second
-)
+// peerPollTimeout bounds one poll.
+const peerPollTimeout = time.Second
 
 // PollPeers fetches changes from other hosts while this host reaches neither the store
 // nor a relay, until the context ends. A peer's listing is applied as changes: keys that
 // it lacks are kept.
 func (r *Registry) PollPeers(ctx context.Context, fetch FetchListingFunc) {
 	for ctx.Err() == nil {
-		clock.Sleep(ctx, peerPollInterval)
+		clock.Sleep(ctx, storelink.PollInterval)
 		if above, needed := r.shouldPollPeers(r.now()); needed {
 			r.pollPeer(ctx, fetch, above)
 		}
 	}
 }
 
-// shouldPollPeers returns the newest known revision, and whether the store has been
-// unreachable for at least peerPollDelay.
+// shouldPollPeers returns the newest known revision, and whether to ask peers
+// for changes.
 func (r *Registry) shouldPollPeers(now time.Duration) (store.Revision, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.revision, r.peerRevision), r.unreachable && now-r.unreachableSince >= peerPollDelay
+	return max(r.revision, r.peerRevision), r.link.PollDue(now)
 }
 
 // pollPeer fetches changes from a randomly chosen host.
@@ -82,7 +78,7 @@
 func (r *Registry) Listing(above store.Revision) store.Listing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unreachable || r.revision <= above {
+	if r.link.Unreachable() || r.revision <= above {
 		return store.Listing{}
 	}
 	return r.itemsAfter(above)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -18,6 +18,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
@@ -53,12 +54,8 @@
 	now func() time.Duration
 	// changed is called, without a lock, after each change.
 	changed func()
-	// watchWait is the time after which a watch without changes returns.
-	watchWait time.Duration
-	// watchTimeout is the time after which a watch without an answer is given up.
-	watchTimeout time.Duration
-	// relayWatchSpacing is the minimum time between the starts of two watches of a relay.
-	relayWatchSpacing time.Duration
+	// pacing spaces the calls to the store.
+	pacing storelink.Pacing
 	// followHost receives changes from a relay; nil disables relays.
 	followHost FollowFunc
 	features   feature.Set
@@ -95,26 +92,16 @@
 	changes Changes
 	// expiryScheduled is set while a timer for expireHosts runs.
 	expiryScheduled bool
-	// listed is cleared to list the whole store again instead of watching it.
-	listed           bool
-	unreachable      bool
-	unreachableSince time.Duration
-	revision         store.Revision
+	// link tracks how the local copy is kept up to date.
+	link     *storelink.Link
+	revision store.Revision
 	// peerRevision is the newest revision that was learned from another host while
 	// the store was unreachable.
 	peerRevision store.Revision
 	// relaySelector chooses the relay to follow.
 	relaySelector *relay.Selector
-	// catchUpDue is set after a relay lacked changes, until the next answer of the store.
-	catchUpDue bool
-	// direct is set while this host watches the store itself.
-	direct bool
 	// cancelWatch cancels the watch in progress.
 	cancelWatch context.CancelFunc
-	// followedRelay is the name of the relay that this host follows; empty for none.
-	followedRelay string
-	// lastContact is when the store or the relay last answered.
-	lastContact time.Duration
 	// history holds the changes after historyStart, for followers.
 	history      []store.Item
 	historyStart store.Revision
@@ -147,7 +134,7 @@
 	Documents Documents
 	Self      gates.Host
 	// MaxConfigApplyTime is the time within which a configuration change must be
-	// active; zero for defaultMaxConfigApplyTime.
+	// active; zero for the default of storelink.NewPacing.
 	MaxConfigApplyTime time.Duration
 	// FollowHost receives changes from a relay; nil disables relays.
 	FollowHost FollowFunc
@@ -165,10 +152,6 @@
 }
 
 func New(cfg Config) *Registry {
-	maxConfigApplyTime := cfg.MaxConfigApplyTime
-	if maxConfigApplyTime <= 0 {
-		maxConfigApplyTime = defaultMaxConfigApplyTime
-	}
 	followHost := cfg.FollowHost
 	if !cfg.Features.Enabled(feature.Relays) {
 		followHost = nil
@@ -182,20 +165,13 @@
 		now = clock.Now
 	}
 	return &Registry{
-		now:               now,
-		watchWait:         fractionOf(maxConfigApplyTime, watchWaitFraction),
-		watchTimeout:      fractionOf(maxConfigApplyTime, watchTimeoutFraction),
-		relayWatchSpacing: fractionOf(maxConfigApplyTime, relayWatchSpacingFraction),
-		store:             cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, fetchSnapshot: fetchSnapshot, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
+		now: now, pacing: storelink.NewPacing(cfg.MaxConfigApplyTime),
+		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, fetchSnapshot: fetchSnapshot, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), coordination: newCoordinationKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
-		relaySelector: relay.New(cfg.Self), direct: true, historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
+		relaySelector: relay.New(cfg.Self), link: storelink.New(), historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
 	}
 }
 
-func fractionOf(d time.Duration, fraction float64) time.Duration {
-	return time.Duration(fraction * float64(d))
-}
-
 // Catalog returns the active configuration, or nil.
 func (r *Registry) Catalog() *catalog.Catalog {
 	r.mu.Lock()
@@ -217,6 +193,13 @@
 	return r.directory.Len() > 0
 }
 
+// ServiceCount returns the number of services that have members.
+func (r *Registry) ServiceCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.directory.ServiceCount()
+}
+
 // HostsReportingDead returns the hosts that report a member as dead.
 func (r *Registry) HostsReportingDead(service, member string) []string {
 	r.mu.Lock()
@@ -236,5 +219,5 @@
 func (r *Registry) StoreUnreachable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.unreachable
+	return r.link.Unreachable()
 }
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -10,33 +10,12 @@
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
 const (
-	// watchWaitFraction is the wait of one watch as a fraction of
-	// Config.MaxConfigApplyTime. A store that compacts its history may leave a watch
-	// waiting without an answer.
-	watchWaitFraction = 0.4
-	// watchTimeoutFraction is the time after which a watch without an answer is given
-	// up, as a fraction of Config.MaxConfigApplyTime. A store that was unresponsive never
-	// answers the watches of that time. The rest of the bound is left for the longest
-	// backoff and a full listing.
-	watchTimeoutFraction = 0.6
-	// defaultMaxConfigApplyTime applies if Config.MaxConfigApplyTime is zero.
-	defaultMaxConfigApplyTime = 3 * time.Second
-	// watchSpacing is the minimum time between the starts of two watches. It batches
-	// bursts of changes, such as the registrations of a whole fleet that starts.
-	watchSpacing = 100 * time.Millisecond
-	// relayWatchSpacingFraction is the spacing of a relay's watches as a fraction of
-	// Config.MaxConfigApplyTime, if that is longer than watchSpacing. In a large fleet
-	// some member writes its entry at nearly any time, so each watch ends at once.
-	relayWatchSpacingFraction = 0.05
-	// noRelayWatchSpacing replaces watchSpacing for a host that watches the store only
-	// until it finds a relay. Most hosts of a fleet are in this state during a store
-	// outage, and none of them has followers.
-	noRelayWatchSpacing = 500 * time.Millisecond
 	// listTimeout bounds a listing of the members' entries.
 	listTimeout = 3 * time.Second
 	// relistDelay is the delay after which the members are listed again to find out
@@ -44,28 +23,13 @@
 	relistDelay = directory.GracePeriod + 50*time.Millisecond
 )
 
-var (
-	// backoff spaces calls to an unreachable store.
-	backoff = retry.Backoff{Base: 100 * time.Millisecond, Max: time.Second}
-	// startupBackoff spaces the first calls of a host that has no configuration yet
-	// and cannot serve. It is short because any further wait delays service.
-	startupBackoff = retry.Backoff{Base: 50 * time.Millisecond, Max: 200 * time.Millisecond}
-	// noRelayBackoff replaces backoff for a host that awaits a relay.
-	noRelayBackoff = retry.Backoff{Base: 100 * time.Millisecond, Max: 2 * time.Second}
-)
-
-// maxStartupCalls is the number of calls that are spaced by startupBackoff.
-const maxStartupCalls = 20
-
 // Run keeps the local copy up to date, from the store or from a relay, until the
 // context ends.
 func (r *Registry) Run(ctx context.Context) {
 	rng := r.newRand()
 	attempt := 0
 	for ctx.Err() == nil {
-		host, follows := r.pickRelay()
-		r.setDirect(!follows)
-		if follows {
+		if host, follows := r.pickRelay(); follows {
 			r.followRelay(ctx, host)
 			continue
 		}
@@ -86,47 +50,40 @@
 	return rand.New(rand.NewPCG(uint64(r.now()), membership.Score(r.self.Zone, r.self.Name)))
 }
 
-// backoffAfter returns the backoff that applies after a number of failed calls. The
-// startup backoff is not used for a store that throttles calls.
+// backoffAfter returns the backoff that applies after a number of failed calls.
 func (r *Registry) backoffAfter(attempt int, err error) retry.Backoff {
-	if r.Catalog() == nil && attempt < maxStartupCalls && !store.Is(err, store.Throttled) {
-		return startupBackoff
-	}
-	if r.awaitsRelay() {
-		return noRelayBackoff
-	}
-	return backoff
+	return r.pacing.Backoff(r.role(), r.Catalog() != nil, store.Is(err, store.Throttled), attempt)
 }
 
-// awaitsRelay reports whether this host watches the store only until it finds a relay.
-func (r *Registry) awaitsRelay() bool {
+// role returns for whom this host watches the store.
+func (r *Registry) role() storelink.Role {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.followHost != nil && r.listed && !r.relaySelector.MayRelay(r.currentFleet().hosts)
+	switch {
+	case r.followHost == nil:
+		return storelink.Alone
+	case !r.link.RelistDue() && !r.relaySelector.MayRelay(r.currentFleet().hosts):
+		return storelink.AwaitingRelay
+	case r.usesRelays():
+		return storelink.Relay
+	}
+	return storelink.Alone
 }
 
-// isRelay reports whether other hosts may follow this one, because the fleet is large
-// enough for relays.
-func (r *Registry) isRelay() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// usesRelays reports whether the hosts of the fleet follow relays. It is called with mu
+// held.
+func (r *Registry) usesRelays() bool {
 	return r.followHost != nil && r.roster.Len() > relay.MaxFleetWithoutRelays
 }
 
-func (r *Registry) setDirect(direct bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.direct = direct
-}
-
 // syncOnce makes one call to the store: a complete listing, or a watch from the
 // current revision.
 func (r *Registry) syncOnce(ctx context.Context) error {
 	r.mu.Lock()
-	after, listed, first, catchUp := r.revision, r.listed, r.catalog == nil, r.catchUpDue
-	r.catchUpDue = false
+	r.link.UseStore()
+	after, relist, first, catchUp := r.revision, r.link.RelistDue(), r.catalog == nil, r.link.TakeCatchUp()
 	r.mu.Unlock()
-	if !listed {
+	if relist {
 		list := r.listAll
 		if first {
 			list = r.listForStart
@@ -138,12 +95,12 @@
 		return r.replace(l)
 	}
 	start := r.now()
-	wait := r.watchWait
+	wait := r.pacing.WatchWait
 	if catchUp {
 		wait = 0
 	}
 	l, err := r.watchStore(ctx, after, wait)
-	if !r.isListed() {
+	if r.relistDue() {
 		return nil
 	}
 	if store.Is(err, store.Compacted) || store.Is(err, store.Restored) {
@@ -158,23 +115,17 @@
 	if catchUp {
 		return nil
 	}
-	spacing := watchSpacing
-	switch {
-	case r.awaitsRelay():
-		spacing = noRelayWatchSpacing
-	case r.isRelay():
-		spacing = max(watchSpacing, r.relayWatchSpacing)
-	}
+	spacing := r.pacing.WatchSpacing(r.role())
 	if elapsed := r.now() - start; elapsed < spacing {
 		clock.Sleep(ctx, spacing-elapsed)
 	}
 	return nil
 }
 
-// watchStore waits for changes of the store until watchTimeout is over or observeEpoch
+// watchStore waits for changes of the store until its timeout is over or observeEpoch
 // cancels it.
 func (r *Registry) watchStore(ctx context.Context, after store.Revision, wait time.Duration) (store.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.watchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.pacing.WatchTimeout)
 	defer cancel()
 	r.mu.Lock()
 	r.cancelWatch = cancel
@@ -182,20 +133,16 @@
 	return r.store.Watch(ctx, "", after, wait)
 }
 
-func (r *Registry) isListed() bool {
+func (r *Registry) relistDue() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.listed
+	return r.link.RelistDue()
 }
 
 // observeEpoch causes a complete listing if the store has been restored from a backup,
 // since a watch in progress may not report it. It is called with mu held.
 func (r *Registry) observeEpoch(epoch store.Epoch) {
-	if !r.direct || !r.listed || epoch <= r.revision.Epoch() {
-		return
-	}
-	r.listed = false
-	if r.cancelWatch != nil {
+	if epoch > r.revision.Epoch() && r.link.RestoreObserved() && r.cancelWatch != nil {
 		r.cancelWatch()
 	}
 }
@@ -209,6 +156,6 @@
 func (r *Registry) requireRelist(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.listed = false
+	r.link.HistoryLost()
 	eventlog.HistoryLost.Info(r.log).Err(err).Stringer("revision", r.revision).Send()
 }
--- a/node/registry/snapshot.go
+++ b/node/registry/snapshot.go
@@ -22,7 +22,7 @@
 func (r *Registry) Snapshot() (store.Listing, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.hasRecentContact(r.now()) {
+	if !r.hasRecentContact() {
 		return store.Listing{}, errNoStoreContact
 	}
 	return r.itemsAfter(0), nil
--- a/node/registry/snapshot_test.go
+++ b/node/registry/snapshot_test.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 )
 
@@ -92,7 +93,7 @@
 	l, err := r.Snapshot()
 	require.NoError(t, err)
 	require.Len(t, l.Items, 1)
-	r.unreachable = true
+	r.link.Failed(clock.Now())
 	_, err = r.Snapshot()
 	require.ErrorIs(t, err, errNoStoreContact)
 }
--- a/node/registry/update_counts.go
+++ b/node/registry/update_counts.go
@@ -17,7 +17,7 @@
 
 // countReceived counts keys from the store or the relay. It is called with mu held.
 func (r *Registry) countReceived(keys int) {
-	if r.direct {
+	if r.link.UsesStore() {
 		r.updateCounts.FromStore += keys
 		return
 	}
--- a/node/registry/update_counts_test.go
+++ b/node/registry/update_counts_test.go
@@ -17,7 +17,7 @@
 	r := relayAt(6, 4, store.Item{Key: "a", Revision: 6})
 	r.docs = platform.Documents{}
 	r.apply(listing(7, heartbeatItem("m", 7, 1, 500)))
-	r.direct = false
+	r.link.Follow("another relay")
 	r.applyUpdate(Update{Listing: listing(8, heartbeatItem("m", 8, 2, 500), heartbeatItem("n", 8, 2, 500))})
 	r.applyPeerListing(listing(9, heartbeatItem("o", 9, 1, 500)), "another host")
 	firstUpdate(t, r, 3)
