Registry: a fleet that starts at once does not list the store host by host

Change: a starting host lists, and after the first page of a store with more it looks who is registered. In a fleet of 100 hosts or more the first three of each zone list on; the others ask them again and again, for 4 s at most, and then list themselves. Hosts ask the three in different orders, as the first one had to send its copy to the whole zone. A store of one page takes one call now, not two.

Ruled out: a wait of 2 s, which ends before the sources have listed at 1,500 hosts, so that all list after all.

--- a/core/relay/sources_test.go
+++ b/core/relay/sources_test.go
@@ -26,5 +26,24 @@
 		require.Equal(t, 1000, h.LinkMbps)
 		require.NotEqual(t, fleet[0].Name, h.Name)
 	}
+	require.False(t, relay.AwaitsSnapshot(sources[0], fleet), "it is a source itself")
+	require.True(t, relay.AwaitsSnapshot(fleet[8], fleet))
+	require.False(t, relay.AwaitsSnapshot(fleet[8], fleet[:relay.MinFleetForSnapshots-1]))
 	require.Empty(t, relay.SnapshotSources(fleet[0], fleet[:relay.MinFleetForSnapshots-1]), "a small fleet lists the store")
 }
+
+// TestStartingHostsAskDifferentSourcesFirst guards against one host that sends its copy to
+// all hosts of a zone while two others are idle.
+func TestStartingHostsAskDifferentSourcesFirst(t *testing.T) {
+	var fleet []gates.Host
+	for i := range 300 {
+		fleet = append(fleet, gates.Host{Name: fmt.Sprint("host-", i), Zone: "z"})
+	}
+	asked := map[string]int{}
+	for _, h := range fleet {
+		asked[relay.SnapshotSources(h, fleet)[0].Name]++
+	}
+	for name, starts := range asked {
+		require.Less(t, starts, 150, name)
+	}
+}
--- a/node/registry/hedged_listing.go
+++ b/node/registry/hedged_listing.go
@@ -29,8 +29,9 @@
 //
 // It sends no further listing while the store answers other calls or pages of this
 // listing arrive: the store is reachable then, and repeated listings of a whole fleet
-// would only load it more.
-func (r *Registry) listHedged(ctx context.Context, prefix string) (store.Listing, error) {
+// would only load it more. After a page that others follow it calls pause, unless that is
+// nil, and does not list on before pause returns.
+func (r *Registry) listHedged(ctx context.Context, prefix string, pause func()) (store.Listing, error) {
 	if !r.features.Enabled(feature.HedgedListing) {
 		return r.store.Range(ctx, prefix, nil)
 	}
@@ -38,8 +39,17 @@
 	defer cancel()
 	results := make(chan listingResult, maxHedgedCalls)
 	var lastPageAt atomic.Int64
+	var paused atomic.Int32
+	onPage := func(more bool) {
+		if more && pause != nil {
+			paused.Add(1)
+			pause()
+			paused.Add(-1)
+		}
+		lastPageAt.Store(int64(r.now()))
+	}
 	list := func() {
-		l, err := r.store.Range(ctx, prefix, func() { lastPageAt.Store(int64(r.now())) })
+		l, err := r.store.Range(ctx, prefix, onPage)
 		results <- listingResult{l, err}
 	}
 	hedge := time.NewTicker(hedgeDelay)
@@ -54,7 +64,7 @@
 				return result.listing, result.err
 			}
 		case <-hedge.C:
-			progressing := lastPageAt.Load() > 0 && r.now()-time.Duration(lastPageAt.Load()) < hedgeDelay
+			progressing := paused.Load() > 0 || lastPageAt.Load() > 0 && r.now()-time.Duration(lastPageAt.Load()) < hedgeDelay
 			if outstanding < maxHedgedCalls && !progressing && !r.lastAnswered.answeredSince(lastSent) {
 				outstanding++
 				lastSent = r.now()
--- a/node/registry/hedged_listing_test.go
+++ b/node/registry/hedged_listing_test.go
@@ -30,7 +30,7 @@
 	err         error
 }
 
-func (s *unresponsiveStore) Range(ctx context.Context, _ string, _ func()) (store.Listing, error) {
+func (s *unresponsiveStore) Range(ctx context.Context, _ string, _ func(bool)) (store.Listing, error) {
 	s.calls.Add(1)
 	if s.err != nil {
 		return store.Listing{}, s.err
@@ -81,7 +81,7 @@
 	calls atomic.Int32
 }
 
-func (s *slowListingStore) Range(ctx context.Context, _ string, _ func()) (store.Listing, error) {
+func (s *slowListingStore) Range(ctx context.Context, _ string, _ func(bool)) (store.Listing, error) {
 	s.calls.Add(1)
 	select {
 	case <-time.After(s.delay):
@@ -122,7 +122,7 @@
 	calls           atomic.Int32
 }
 
-func (s *pagingStore) Range(ctx context.Context, _ string, onPage func()) (store.Listing, error) {
+func (s *pagingStore) Range(ctx context.Context, _ string, onPage func(more bool)) (store.Listing, error) {
 	first := s.calls.Add(1) == 1
 	for page := range s.pages {
 		delay := s.pageDelay
@@ -131,7 +131,7 @@
 		}
 		select {
 		case <-time.After(delay):
-			onPage()
+			onPage(page+1 < s.pages)
 		case <-ctx.Done():
 			return store.Listing{}, ctx.Err()
 		}
@@ -219,7 +219,7 @@
 
 var errUnavailable = &store.Error{Call: "any", Failure: store.Unavailable, Err: errors.New("unavailable")}
 
-func (s *unavailableStore) Range(context.Context, string, func()) (store.Listing, error) {
+func (s *unavailableStore) Range(context.Context, string, func(bool)) (store.Listing, error) {
 	if !s.available.Load() {
 		return store.Listing{}, errUnavailable
 	}
--- a/node/registry/instrumented_store.go
+++ b/node/registry/instrumented_store.go
@@ -60,7 +60,7 @@
 }
 
 // Range implements Store.
-func (s *instrumentedStore) Range(ctx context.Context, prefix string, onPage func()) (store.Listing, error) {
+func (s *instrumentedStore) Range(ctx context.Context, prefix string, onPage func(more bool)) (store.Listing, error) {
 	l, err := s.store.Range(ctx, prefix, onPage)
 	s.observe(CallRange, err)
 	return l, err
--- a/node/registry/instrumented_store_test.go
+++ b/node/registry/instrumented_store_test.go
@@ -15,7 +15,7 @@
 // failingStore answers every call with one error.
 type failingStore struct{ err error }
 
-func (f failingStore) Range(context.Context, string, func()) (store.Listing, error) {
+func (f failingStore) Range(context.Context, string, func(bool)) (store.Listing, error) {
 	return store.Listing{}, f.err
 }
 
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -25,9 +25,10 @@
 
 // Store is the client of the platform's store. Failures are *store.Error.
 type Store interface {
-	// Range lists all keys with a prefix. The listing may take many calls; onPage is
-	// called after each answer, unless it is nil.
-	Range(ctx context.Context, prefix string, onPage func()) (store.Listing, error)
+	// Range lists all keys with a prefix. The listing may take many calls; onPage, unless
+	// it is nil, is called after each answer with whether more follow. The next call waits
+	// for its return.
+	Range(ctx context.Context, prefix string, onPage func(more bool)) (store.Listing, error)
 	Watch(ctx context.Context, prefix string, after store.Revision, wait time.Duration) (store.Listing, error)
 	Commit(ctx context.Context, txn store.Txn) (store.Revision, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (store.Grant, error)
--- a/node/registry/snapshot.go
+++ b/node/registry/snapshot.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
@@ -28,30 +30,59 @@
 	return r.itemsAfter(0), nil
 }
 
-// listForStart returns the content of the store for a host that has just started. In a
-// large fleet it lists only the hosts and takes the rest from one of them. What that host
-// lacks is newer than its revision, so it arrives as changes after it.
+// listForStart returns the content of the store for a host that has just started. After
+// the first page of a large store it looks for a host that gives the rest.
 func (r *Registry) listForStart(ctx context.Context) (store.Listing, error) {
 	if r.fetchSnapshot == nil {
-		return r.listHedged(ctx, "")
+		return r.listHedged(ctx, "", nil)
 	}
-	registered, err := r.listHedged(ctx, hostPrefix)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	snapshot := make(chan store.Listing, 1)
+	pause := sync.OnceFunc(func() {
+		if l, taken := r.snapshotFromFleet(ctx); taken {
+			snapshot <- l
+			cancel()
+		}
+	})
+	l, err := r.listHedged(ctx, "", pause)
+	select {
+	case taken := <-snapshot:
+		return taken, nil
+	default:
+		return l, err
+	}
+}
+
+// snapshotFromFleet returns the copy of another host; false if the fleet is small or no
+// source gives one in time. What the source lacks is newer than its revision, so it arrives
+// as changes after it.
+func (r *Registry) snapshotFromFleet(ctx context.Context) (store.Listing, bool) {
+	registered, err := r.listHedged(ctx, hostPrefix, nil)
 	if err != nil {
-		return store.Listing{}, err
+		eventlog.SnapshotFailed.Info(r.log).Err(err).Send()
+		return store.Listing{}, false
 	}
 	var fleet []gates.Host
 	for _, reg := range registrationsIn(registered) {
 		fleet = append(fleet, reg.Host)
 	}
-	for _, source := range relay.SnapshotSources(r.self, fleet) {
-		l, err := r.snapshotFrom(ctx, source, registered.Revision.Epoch())
-		if err == nil {
-			eventlog.SnapshotTaken.Info(r.log).Str("peer", source.Name).Stringer("revision", l.Revision).Int("keys", len(l.Items)).Send()
-			return l, nil
+	sources := relay.SnapshotSources(r.self, fleet)
+	ctx, cancel := context.WithTimeout(ctx, relay.MaxSnapshotWait)
+	defer cancel()
+	for {
+		for _, source := range sources {
+			l, err := r.snapshotFrom(ctx, source, registered.Revision.Epoch())
+			if err == nil {
+				eventlog.SnapshotTaken.Info(r.log).Str("peer", source.Name).Stringer("revision", l.Revision).Int("keys", len(l.Items)).Send()
+				return l, true
+			}
+			eventlog.SnapshotFailed.Info(r.log).Err(err).Str("peer", source.Name).Send()
+		}
+		if !relay.AwaitsSnapshot(r.self, fleet) || !clock.Sleep(ctx, relay.SnapshotRetry) {
+			return store.Listing{}, false
 		}
-		eventlog.SnapshotFailed.Info(r.log).Err(err).Str("peer", source.Name).Send()
 	}
-	return r.listHedged(ctx, "")
 }
 
 // snapshotFrom fetches the copy of another host. A copy of an older epoch is an error.
