dotterelctl fleet: fleets of any size in simulated time

core/fleetsim plays a fleet's start, a change of the configuration and a fault (each zone loses its relay; the store refuses a third of the hosts; all hosts restart at once) by events in simulated time.

--- /dev/null
+++ b/core/fleetsim/synchronize.go
@@ -0,0 +1,217 @@
+package fleetsim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
+	"github.com/dotterelswitch/dotterelswitch/core/storelink"
+)
+
+// synchronize takes the next step for the local copy: a listing, a relay or a watch.
+func (h *host) synchronize() {
+	if h.link.RelistDue() {
+		h.link.UseStore()
+		h.listStore()
+		return
+	}
+	fleet := h.fleet()
+	if h.link.MayFollow() {
+		if chosen, follows := h.chooser.Pick(fleet, h.now); follows {
+			h.follow(h.named(chosen))
+			return
+		}
+	}
+	h.watchStore(fleet)
+}
+
+func (h *host) named(g gates.Host) *host {
+	i := slices.IndexFunc(h.hosts, func(other *host) bool { return other.self.Name == g.Name })
+	return h.hosts[i]
+}
+
+// listStore lists everything. After the first page of a large store it looks for a host
+// that gives the rest.
+func (h *host) listStore() {
+	st := h.store
+	keys := st.members + len(st.registrations) + 1
+	bytes := (st.members*entryBytes + len(st.registrations)*registrationBytes + st.configBytes) / keys
+	h.list(keys, bytes, h.findSnapshot, func(revision int) { h.listed(revision, bytes*keys) })
+}
+
+// findSnapshot asks the hosts that may have a copy of the store, and calls failed if none
+// gives one in time.
+func (h *host) findSnapshot(failed func()) {
+	h.list(len(h.store.registrations), registrationBytes, nil, func(revision int) {
+		h.revision = revision
+		fleet := h.fleet()
+		h.revision = 0
+		sources := relay.SnapshotSources(h.self, fleet)
+		if !relay.AwaitsSnapshot(h.self, fleet) {
+			h.takeSnapshot(sources, failed)
+			return
+		}
+		h.awaitSnapshot(sources, h.now+relay.MaxSnapshotWait, failed)
+	})
+}
+
+// awaitSnapshot asks the sources again and again until a time.
+func (h *host) awaitSnapshot(sources []gates.Host, until time.Duration, failed func()) {
+	h.takeSnapshot(sources, func() {
+		if h.now >= until {
+			failed()
+			return
+		}
+		h.after(relay.SnapshotRetry, h.ifRunning(func() { h.awaitSnapshot(sources, until, failed) }))
+	})
+}
+
+// takeSnapshot takes the copy of the first source that gives it.
+func (h *host) takeSnapshot(sources []gates.Host, failed func()) {
+	if len(sources) == 0 {
+		failed()
+		return
+	}
+	source, next := h.named(sources[0]), h.ifRunning(func() { h.takeSnapshot(sources[1:], failed) })
+	h.transmit(&h.port, &source.port, 0, h.ifRunning(func() {
+		if !source.isRecent() {
+			h.transmit(&source.port, &h.port, 0, next)
+			return
+		}
+		revision, st := source.revision, h.store
+		bytes := st.members*entryBytes + len(st.registrations)*registrationBytes
+		h.transmit(&source.port, &h.port, bytes+st.configBytes/configCompression, h.ifRunning(func() {
+			h.listed(revision, bytes+st.configBytes)
+		}))
+	}))
+}
+
+// list makes the calls for a number of keys, one after the other. If there is more than
+// one page, afterFirst is called with what proceeds after the first, unless it is nil.
+func (h *host) list(keys, bytesPerKey int, afterFirst func(proceed func()), done func(revision int)) {
+	revision := -1
+	var page func(rest int)
+	page = func(rest int) {
+		h.store.call(h, false, func() int {
+			if revision < 0 {
+				revision = h.store.revision()
+			}
+			return min(rest, pageKeys) * bytesPerKey
+		}, func(ok bool) {
+			h.ifRunning(func() {
+				switch {
+				case !ok:
+					h.callFailed()
+				case rest > pageKeys && rest == keys && afterFirst != nil:
+					afterFirst(func() { page(rest - pageKeys) })
+				case rest > pageKeys:
+					page(rest - pageKeys)
+				default:
+					done(revision)
+				}
+			})()
+		})
+	}
+	page(keys)
+}
+
+// listed applies a complete listing.
+func (h *host) listed(revision, bytes int) {
+	h.decode(bytes, func() {
+		h.failures = 0
+		h.link.Listed(h.now)
+		h.revision = revision
+		h.setConfig(h.store.configAt(revision))
+		if h.needsLongerLease() {
+			h.register()
+		}
+		h.synchronize()
+	})
+}
+
+// watchStore waits for the store's next changes.
+func (h *host) watchStore(fleet []gates.Host) {
+	h.link.UseStore()
+	start, wait := h.now, h.pacing.WatchWait
+	spacing := h.pacing.WatchSpacing(h.role(fleet))
+	if h.link.TakeCatchUp() {
+		wait, spacing = 0, 0
+	}
+	process := h.process
+	h.store.watch(h, h.revision, wait, func(ok bool, upTo int) {
+		if !h.running || h.process != process {
+			return
+		}
+		if !ok {
+			h.callFailed()
+			return
+		}
+		h.failures = 0
+		h.applyChanges(upTo)
+		h.at(start+spacing, h.ifRunning(h.synchronize))
+	})
+}
+
+// callFailed retries after a delay.
+func (h *host) callFailed() {
+	h.link.Failed(h.now)
+	delay := h.pacing.Backoff(h.role(h.fleet()), h.config > 0, false, h.failures).Delay(h.failures, h.rng)
+	h.failures++
+	h.after(delay, h.ifRunning(h.synchronize))
+}
+
+// applyChanges applies the changes up to a revision and sends them to the followers.
+func (h *host) applyChanges(upTo int) {
+	h.link.Answered(h.now)
+	if upTo <= h.revision {
+		return
+	}
+	h.revision = upTo
+	for _, f := range h.followers {
+		h.sendChanges(f)
+	}
+	h.decodeConfig(upTo)
+}
+
+// poll asks a random host for changes while neither the store nor a relay answers.
+func (h *host) poll() {
+	h.after(storelink.PollInterval, h.ifRunning(h.poll))
+	if !h.link.PollDue(h.now) {
+		return
+	}
+	fleet := h.fleet()
+	if len(fleet) == 0 {
+		return
+	}
+	peer, above := h.named(fleet[h.rng.IntN(len(fleet))]), max(h.revision, h.polledRevision)
+	h.transmit(&h.port, &peer.port, 0, func() {
+		if !peer.running || peer.link.Unreachable() || peer.revision <= above {
+			return
+		}
+		upTo := peer.revision
+		h.transmit(&peer.port, &h.port, h.store.relayedBytes(above, upTo), h.ifRunning(func() {
+			h.polledRevision = upTo
+			h.decodeConfig(upTo)
+		}))
+	})
+}
+
+// decodeConfig decodes the configuration of a revision if it is a newer one.
+func (h *host) decodeConfig(revision int) {
+	if version := h.store.configAt(revision); version > h.config {
+		h.decode(h.options.ConfigBytes, func() { h.setConfig(version) })
+	}
+}
+
+func (h *host) setConfig(version int) {
+	if version > h.config {
+		h.config = version
+		h.inForce(h.index, version)
+	}
+}
+
+// jitter returns a random part of a duration.
+func (h *host) jitter(d time.Duration) time.Duration {
+	return time.Duration(h.rng.Int64N(int64(d)))
+}
--- a/node/cmd/dotterelctl/main.go
+++ b/node/cmd/dotterelctl/main.go
@@ -19,7 +19,7 @@
 		Name:           "dotterelctl",
 		Usage:          "operate, demonstrate and measure dotterelswitch",
 		Version:        version.Text,
-		Commands:       []*cli.Command{demoCommand(), explainCommand(), measureCommand(), checkCommand(), showCommand(), standinCommand(), loadCommand(), applyCommand(), execCommand(), keyCommand(), credentialCommand(), soakCommand()},
+		Commands:       []*cli.Command{demoCommand(), explainCommand(), measureCommand(), checkCommand(), showCommand(), standinCommand(), loadCommand(), applyCommand(), execCommand(), keyCommand(), credentialCommand(), soakCommand(), fleetCommand()},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		CommandNotFound: func(_ context.Context, c *cli.Command, name string) {
 			fmt.Fprintf(os.Stderr, "dotterelctl: there is no command %q\n", name)
