core/fleetsim: half of a fleet restarts; names of figures in JSON

A fault "half" restarts a random half of the hosts at once, beside sources that still run. JSON names give the unit.

--- a/core/fleetsim/host.go
+++ b/core/fleetsim/host.go
@@ -93,7 +93,6 @@
 func (h *host) kill() {
 	h.running, h.restarted = false, true
 	for _, f := range h.followers {
-		f := f
 		h.after(latency(&h.port, &f.port), f.ifSameProcess(func() { f.relayLost(h, false) }))
 	}
 	h.followers = nil
--- a/core/fleetsim/options.go
+++ b/core/fleetsim/options.go
@@ -20,13 +20,15 @@
 	RelayLoss Fault = "relays"
 	// StoreRefusals lets the store refuse a third of the hosts.
 	StoreRefusals Fault = "store"
+	// HalfRestart kills a random half of the hosts and starts them at once.
+	HalfRestart Fault = "half"
 	// Restart kills all hosts and starts them at once, beside a store that still has
 	// their registrations.
 	Restart Fault = "restart"
 )
 
 // Faults are all faults, in the order in which they are documented.
-func Faults() []Fault { return []Fault{NoFault, RelayLoss, StoreRefusals, Restart} }
+func Faults() []Fault { return []Fault{NoFault, RelayLoss, StoreRefusals, HalfRestart, Restart} }
 
 // Options describes one simulated fleet.
 type Options struct {
--- a/core/fleetsim/result.go
+++ b/core/fleetsim/result.go
@@ -7,27 +7,28 @@
 
 // Result is what a simulated fleet did.
 type Result struct {
-	Hosts int
-	Fault Fault
+	Hosts int   `json:"hosts"`
+	Fault Fault `json:"fault"`
 	// StartMiddle and StartLast are the times from the start of all hosts until the
 	// middle and the last one had the configuration.
-	StartMiddle, StartLast time.Duration
+	StartMiddle time.Duration `json:"start_middle_ns"`
+	StartLast   time.Duration `json:"start_last_ns"`
 	// ChangeMiddle and ChangeLast are the times from the change of the configuration
 	// until it was in force on the middle and the last host, but for lost relays.
-	ChangeMiddle, ChangeLast time.Duration
+	ChangeMiddle time.Duration `json:"change_middle_ns"`
+	ChangeLast   time.Duration `json:"change_last_ns"`
 	// Late is the number of hosts that did not have it within its bound.
-	Late int
+	Late int `json:"late_hosts"`
 	// CalmCalls are the calls to the store in a second without events; PeakCalls those
 	// in the busiest second.
-	CalmCalls float64
-	PeakCalls int
+	CalmCalls float64 `json:"calm_calls_per_second"`
+	PeakCalls int     `json:"peak_calls_per_second"`
 	// RefusedCalls are the calls that the store refused since too many came.
-	RefusedCalls int
+	RefusedCalls int `json:"refused_calls"`
 	// CalmBytes is what the busiest host sends in a second without events.
-	CalmBytes float64
-	// MaxQueuedBytes is the most that waited for the link of one host at a time, all of
-	// it in the host's memory.
-	MaxQueuedBytes int
+	CalmBytes float64 `json:"calm_bytes_per_second"`
+	// MaxQueuedBytes is the most that waited for the link of one host at a time.
+	MaxQueuedBytes int `json:"max_queued_bytes"`
 }
 
 // middleAndLast returns the middle and the last of some times.
--- a/core/fleetsim/simulation.go
+++ b/core/fleetsim/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -30,6 +31,7 @@
 	rng     *rand.Rand
 	store   *storeModel
 	hosts   []*host
+	byName  map[string]*host
 	// started and changed are the times after which the first and the second version of
 	// the configuration was in force, by host.
 	started, changed map[int]time.Duration
@@ -41,14 +43,16 @@
 	if err := o.validate(); err != nil {
 		return Result{}, err
 	}
-	s := &simulation{options: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), started: map[int]time.Duration{}, changed: map[int]time.Duration{}}
+	s := &simulation{options: o, rng: rand.New(rand.NewPCG(o.Seed, 0)), byName: map[string]*host{}, started: map[int]time.Duration{}, changed: map[int]time.Duration{}}
 	s.store = newStoreModel(&s.scheduler, o)
 	for n := range o.Hosts {
-		s.hosts = append(s.hosts, newHost(s, n))
+		h := newHost(s, n)
+		s.hosts = append(s.hosts, h)
+		s.byName[h.self.Name] = h
 	}
 	s.store.commit(change{bytes: o.ConfigBytes, config: 1, relayed: true})
 	s.store.writeEntries()
-	s.startAll()
+	s.startHosts(s.hosts)
 	s.scheduleFault()
 	s.at(changeAt, func() { s.store.commit(change{bytes: o.ConfigBytes, config: 2, relayed: true}) })
 	s.runUntil(calmFrom)
@@ -57,8 +61,8 @@
 	return s.result(calls, sent), nil
 }
 
-func (s *simulation) startAll() {
-	for _, h := range s.hosts {
+func (s *simulation) startHosts(hosts []*host) {
+	for _, h := range hosts {
 		s.after(time.Duration(s.rng.Int64N(int64(startSpread))), h.start)
 	}
 }
@@ -70,14 +74,20 @@
 	case StoreRefusals:
 		s.at(changeAt-refusalsLead, func() { s.store.refuses = func(host int) bool { return host%3 == 0 } })
 		s.at(changeAt-refusalsLead+refusalsFor, func() { s.store.refuses = nil })
+	case HalfRestart:
+		half := slices.Clone(s.hosts)
+		s.rng.Shuffle(len(half), func(i, j int) { half[i], half[j] = half[j], half[i] })
+		s.at(changeAt, func() { s.restart(half[:len(half)/2]) })
 	case Restart:
-		s.at(changeAt, func() {
-			for _, h := range s.hosts {
-				h.kill()
-			}
-			s.startAll()
-		})
+		s.at(changeAt, func() { s.restart(s.hosts) })
+	}
+}
+
+func (s *simulation) restart(hosts []*host) {
+	for _, h := range hosts {
+		h.kill()
 	}
+	s.startHosts(hosts)
 }
 
 // killRelays kills the host of each zone that has the most followers.
@@ -127,7 +137,7 @@
 	r := Result{Hosts: len(s.hosts), Fault: s.options.Fault, RefusedCalls: s.store.tooMany}
 	var started, changed []time.Duration
 	for n, h := range s.hosts {
-		if h.restarted && s.options.Fault != Restart {
+		if h.restarted && s.options.Fault == RelayLoss {
 			continue
 		}
 		at, known := s.changed[n]
--- a/core/fleetsim/synchronize.go
+++ b/core/fleetsim/synchronize.go
@@ -1,7 +1,6 @@
 package fleetsim
 
 import (
-	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
@@ -26,10 +25,7 @@
 	h.watchStore(fleet)
 }
 
-func (h *host) named(g gates.Host) *host {
-	i := slices.IndexFunc(h.hosts, func(other *host) bool { return other.self.Name == g.Name })
-	return h.hosts[i]
-}
+func (h *host) named(g gates.Host) *host { return h.byName[g.Name] }
 
 // listStore lists everything. After the first page of a large store it looks for a host
 // that gives the rest.
