Registry: tests of hedged listings run in simulated time

TestOutstandingHedgedListingsAreBounded failed once with three test programs in parallel: it counts calls by a real ticker, which drops ticks in a process that gets no processor in time (concluded from the code, not seen again).

--- a/node/registry/hedged_listing_test.go
+++ b/node/registry/hedged_listing_test.go
@@ -49,20 +49,24 @@
 // TestFirstListingIsHedgedWhileStoreIsUnresponsive guards against a host that waits for
 // the timeout of a call which is never answered although the store is back.
 func TestFirstListingIsHedgedWhileStoreIsUnresponsive(t *testing.T) {
-	s := &unresponsiveStore{answersFrom: time.Now().Add(400 * time.Millisecond)}
-	r := startingRegistry(s)
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-	require.NoError(t, r.syncOnce(ctx))
-	require.Equal(t, int32(3), s.calls.Load())
+	simtime.Test(t, func(t *testing.T) {
+		s := &unresponsiveStore{answersFrom: time.Now().Add(400 * time.Millisecond)}
+		r := registryInSimulatedTime(s)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		require.NoError(t, r.syncOnce(ctx))
+		require.Equal(t, int32(3), s.calls.Load())
+	})
 }
 
 func TestOutstandingHedgedListingsAreBounded(t *testing.T) {
-	s := &unresponsiveStore{answersFrom: time.Now().Add(time.Hour)}
-	ctx, cancel := context.WithTimeout(t.Context(), (maxHedgedCalls+3)*hedgeDelay)
-	defer cancel()
-	require.Error(t, startingRegistry(s).syncOnce(ctx))
-	require.Equal(t, int32(maxHedgedCalls), s.calls.Load())
+	simtime.Test(t, func(t *testing.T) {
+		s := &unresponsiveStore{answersFrom: time.Now().Add(time.Hour)}
+		ctx, cancel := context.WithTimeout(t.Context(), (maxHedgedCalls+3)*hedgeDelay)
+		defer cancel()
+		require.Error(t, registryInSimulatedTime(s).syncOnce(ctx))
+		require.Equal(t, int32(maxHedgedCalls), s.calls.Load())
+	})
 }
 
 // TestFirstListingErrorIsReturned checks that a failed listing is not retried here: the
