--- a/node/registry/snapshot.go
+++ b/node/registry/snapshot.go
@@ -70,14 +70,17 @@
 	sources := relay.SnapshotSources(r.self, fleet)
 	ctx, cancel := context.WithTimeout(ctx, relay.MaxSnapshotWait)
 	defer cancel()
-	for {
+	for round := 0; ; round++ {
 		for _, source := range sources {
 			l, err := r.snapshotFrom(ctx, source, registered.Revision.Epoch())
 			if err == nil {
 				eventlog.SnapshotTaken.Info(r.log).Str("peer", source.Name).Stringer("revision", l.Revision).Int("keys", len(l.Items)).Send()
 				return l, true
 			}
-			eventlog.SnapshotFailed.Info(r.log).Err(err).Str("peer", source.Name).Send()
+			// The sources of a fleet that starts at once have no copy for many rounds.
+			if round == 0 {
+				eventlog.SnapshotFailed.Info(r.log).Err(err).Str("peer", source.Name).Send()
+			}
 		}
 		if !relay.AwaitsSnapshot(r.self, fleet) || !clock.Sleep(ctx, relay.SnapshotRetry) {
 			return store.Listing{}, false
