Registry: one loop over the history for followers and polls

The answer to a poll repeated the loop of updateAfter over the history; both call historyAfter now, and a poll leaves out the deletions of it as before.

--- a/core/relay/sources.go
+++ b/core/relay/sources.go
@@ -19,7 +19,7 @@
 	// SnapshotRetry is the time after which the sources are asked again while they have
 	// no content yet.
 	SnapshotRetry = 200 * time.Millisecond
-	// MaxSnapshotWait bounds the time for which a starting host waits for a source. It
+	// MaxSnapshotWait bounds the time for which a host waits for a source. It
 	// covers a listing of tens of pages by the sources, beside others.
 	MaxSnapshotWait = 4 * time.Second
 )
@@ -45,11 +45,11 @@
 	return slices.Concat(sources[first:], sources[:first])
 }
 
-// AwaitsSnapshot reports whether a starting host waits for one of SnapshotSources to have
-// the content of the store rather than list it, because the fleet has hosts that rank
+// AwaitsSnapshot reports whether a host that lacks the content of the store, or may have
+// missed changes, waits for one of SnapshotSources to have it rather than list the store, because the fleet has hosts that rank
 // before it as sources.
 //
-// When a whole fleet starts, no host has the content yet, and as many listings as there
+// When a whole fleet starts or loses its history, no host has the content yet, and as many listings as there
 // are hosts would take the store's link for seconds. So a few hosts of each zone list it.
 func AwaitsSnapshot(self gates.Host, fleet []gates.Host) bool {
 	if len(fleet) < MinFleetForSnapshots {
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -190,13 +190,19 @@
 	if after < r.historyStart {
 		return Update{Listing: r.itemsAfter(0), Complete: true}, r.historyChanged, nil
 	}
-	u := Update{Listing: store.Listing{Revision: r.revision}}
+	return Update{Listing: r.historyAfter(after)}, r.historyChanged, nil
+}
+
+// historyAfter returns the changes that the history has after a revision. It is called
+// with mu held.
+func (r *Registry) historyAfter(after store.Revision) store.Listing {
+	l := store.Listing{Revision: r.revision}
 	for _, i := range r.history {
 		if i.Revision > after {
-			u.Items = append(u.Items, i)
+			l.Items = append(l.Items, i)
 		}
 	}
-	return u, r.historyChanged, nil
+	return l
 }
 
 // relayedListing returns the local copy if it comes from a relay; false if this host
--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/store"
@@ -86,12 +87,8 @@
 	}
 	// Each member writes its entry every few seconds, so nearly all keys are above any
 	// revision; the history has those that differ in more than their sequence.
-	l := store.Listing{Revision: r.revision}
-	for _, i := range r.history {
-		if i.Revision > above && !i.Deleted {
-			l.Items = append(l.Items, i)
-		}
-	}
+	l := r.historyAfter(above)
+	l.Items = slices.DeleteFunc(l.Items, func(i store.Item) bool { return i.Deleted })
 	return l
 }
 
