Quota: a counter whose registration has ended is replaced once it declines

Cause: a host took the end of a registration for the end of its host. The hosts that heard of it replaced the counter while it went on counting, and a host that came back and knew no other counted alone.

Change: a departed counter stays one until it has answered that it does not count, or has not answered four requests for no operations. A host that hears of its own lapse neither counts nor declines for 3 s: it resumes if the others lapse too or if it has registered again, else it declines and joins later with acknowledgements, also if it had been registered when it started.

Why it works: only the counter itself knows whether it counts, and it is asked.

Existing tests of core/quota and node/limits pass unchanged.

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -36,11 +36,13 @@
 //     clock.
 //   - A joining host counts a team only once the counters that it replaces have
 //     acknowledged it, and so have stopped (Fleet).
-//   - Registrations that have all lapsed together do not move the counters (Fleet).
+//   - A host whose registration has ended is replaced as a counter only once it has
+//     answered that it does not count, or has not answered. It joins again when it has
+//     registered (Fleet).
 //
 // The bound does not hold in these cases: a registration does not reach the counters
 // that it replaces within joinPeriod; a counter that has acknowledged a joining host
-// restarts before its registration arrives; a counter is cut off from the store for so
-// long that its registration ends, and goes on counting for the hosts that are cut off
+// restarts before its registration arrives; a counter without registration is out of
+// reach of the host that replaces it, and goes on counting for the hosts that are cut off
 // with it. A host that knows no registered host acts as the only counter.
 package quota
--- a/core/quota/fleet_faults_test.go
+++ b/core/quota/fleet_faults_test.go
@@ -40,8 +40,11 @@
 }
 
 // run20s simulates twenty seconds with faults.
-func (s *simFleet) run20s(faults []fault) {
-	for s.now < 20*time.Second {
+func (s *simFleet) run20s(faults []fault) { s.run(20*time.Second, faults) }
+
+// run simulates the fleet until a time, with faults.
+func (s *simFleet) run(until time.Duration, faults []fault) {
+	for s.now < until {
 		for _, f := range faults {
 			if f.at > s.now && f.at <= s.now+tick {
 				s.inject(f)
--- a/core/quota/fleet_simulation_test.go
+++ b/core/quota/fleet_simulation_test.go
@@ -63,6 +63,8 @@
 	granted   int
 	// announcedAt is when the host last announced itself while it joins.
 	announcedAt time.Duration
+	// checks holds the requests to departed hosts that are not answered yet.
+	checks map[string]departureCheck
 }
 
 type simMessage struct {
@@ -72,8 +74,9 @@
 	response bool
 	wanted   int
 	grant    quota.Grant
-	// announces is set for an announcement of the sender and its acknowledgement.
-	announces bool
+	// announces is set for an announcement of the sender and its acknowledgement, and
+	// checks for a request to a departed host and its answer.
+	announces, checks bool
 }
 
 // simFleet simulates hosts whose datagrams are delayed, lost and duplicated.
@@ -95,6 +98,8 @@
 	placedAt map[*simHost]time.Duration
 	// arrivalsPerTick is the mean number of operations that arrive at a host in a tick.
 	arrivalsPerTick float64
+	// registrations are set if registrations lapse.
+	registrations *simRegistrations
 }
 
 func newSimFleet(rule brokenRule, seed uint64, size int, l quota.Limit, arrivalsPerTick float64) *simFleet {
@@ -116,6 +121,7 @@
 	}
 	h.limiter, h.counter, h.requestPending = quota.NewLimiter(tolerance, started), quota.NewCounter(tolerance, at), false
 	h.fleet = quota.NewFleet(s.quotaHost(h))
+	h.checks = map[string]departureCheck{}
 	delete(s.placements, h)
 	if h.hiddenUntil >= at && s.brokenRule != joinsUnacknowledged {
 		h.fleet.Join(at)
@@ -133,17 +139,28 @@
 	}
 	var hosts []quota.Host
 	for _, other := range s.hosts {
-		if (s.brokenRule != countersPerPartition || other.partition == h.partition) && (other == h || s.now >= other.hiddenUntil) {
+		if (s.brokenRule != countersPerPartition || other.partition == h.partition) && s.knows(h, other) {
 			hosts = append(hosts, s.quotaHost(other))
 		}
 	}
-	h.fleet.SetRegistered(hosts, s.now)
+	if h.fleet.SetRegistered(hosts, s.now) {
+		h.counter.TakeOver(s.now)
+	}
 	p, unacknowledged := h.fleet.Place(team, s.limit, tolerance, s.now)
+	s.checkDepartures(h, p)
 	s.announce(h, unacknowledged)
 	s.placements[h], s.placedAt[h] = p, s.now
 	return p
 }
 
+// knows reports whether a host takes another one for registered.
+func (s *simFleet) knows(h, other *simHost) bool {
+	if s.registrations != nil {
+		return s.registrations.knows(h, other, s.now)
+	}
+	return other == h || s.now >= other.hiddenUntil
+}
+
 // announce has a joining host announce itself to the counters that it replaces.
 func (s *simFleet) announce(h *simHost, to []string) {
 	if len(to) == 0 || s.now < h.downUntil || s.now-h.announcedAt < requestTimeout {
@@ -166,6 +183,7 @@
 	}
 	s.place(h)
 	h.fleet.Announce(s.quotaHost(s.find(m.from)), s.now)
+	h.fleet.Decline(s.now)
 	delete(s.placements, h)
 	s.send(simMessage{from: h.name, to: m.from, announces: true, response: true, grant: quota.Grant{Counters: s.hostsNamed(h.fleet.CountersWithout(m.from, team, s.limit, tolerance, s.now))}})
 }
@@ -180,6 +198,9 @@
 
 // allVisible reports whether all hosts know of each other.
 func (s *simFleet) allVisible() bool {
+	if s.registrations != nil {
+		return false
+	}
 	return !slices.ContainsFunc(s.hosts, func(h *simHost) bool { return s.now <= h.hiddenUntil })
 }
 
@@ -296,6 +317,8 @@
 		switch to := s.find(m.to); {
 		case m.announces:
 			s.handleAnnouncement(to, m)
+		case m.checks:
+			s.handleDepartureCheck(to, m)
 		case m.response:
 			s.handleResponse(to, m)
 		default:
@@ -313,8 +336,9 @@
 			counters = 1
 		}
 		grant = h.counter.Acquire(team, s.limit, counters, m.wanted, s.now)
-	} else {
+	} else if !h.fleet.Suspended(s.now) {
 		grant.Counters = s.hostsNamed(p.Counters)
+		h.fleet.Decline(s.now)
 	}
 	s.send(simMessage{from: h.name, to: m.from, sequence: m.sequence, response: true, grant: grant})
 }
@@ -330,6 +354,7 @@
 		return
 	}
 	h.granted += m.grant.Granted
+	h.fleet.ConfirmDeparture(m.from, team, len(m.grant.Counters) == 0, s.now)
 	h.fleet.Learn(m.grant.Counters, s.now)
 	delete(s.placements, h)
 	s.requestNext(h)
--- a/node/limits/announce.go
+++ b/node/limits/announce.go
@@ -25,6 +25,7 @@
 	if l.fleet.Announce(host, now) {
 		clear(l.placements)
 	}
+	l.fleet.Decline(now)
 	if !known {
 		return nil
 	}
@@ -111,7 +112,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := clock.Now()
-	host, known := l.fleet.Find(counter, now)
+	host, known := l.fleet.FindCounter(counter, now)
 	if !known {
 		return "", unresponsiveBackoff
 	}
@@ -122,7 +123,7 @@
 func (l *Limiter) hostsNamed(names []string, now time.Duration) []quota.Host {
 	var out []quota.Host
 	for _, name := range names {
-		if h, known := l.fleet.Find(name, now); known {
+		if h, known := l.fleet.FindCounter(name, now); known {
 			out = append(out, h)
 		}
 	}
--- /dev/null
+++ b/node/limits/departures_test.go
@@ -0,0 +1,37 @@
+package limits_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestCounterIsNotReplacedWhileItCounts guards against two counters in one place: an
+// outage of the store has ended the registration of a host that goes on counting.
+func TestCounterIsNotReplacedWhileItCounts(t *testing.T) {
+	n, r := directNetwork{}, newReplacement(t)
+	for _, name := range r.all() {
+		n.start(name, true, r.all()...)
+	}
+	for _, name := range r.counters() {
+		knows(n[name], r.counters()...)
+	}
+	time.Sleep(accrualTime)
+	require.Equal(t, 1, n[r.joining].Acquire(team.Name, 1).Granted)
+	require.Never(t, func() bool { return n[r.replaced].Acquire(team.Name, 1).Granted > 0 }, 300*time.Millisecond, 10*time.Millisecond)
+	_, admitted := n[r.replaced].Admit(t.Context(), team)
+	require.True(t, admitted, "granted by the host without registration")
+}
+
+// TestDeadCounterIsReplacedAtOnce covers a host whose registration has ended because it
+// has died.
+func TestDeadCounterIsReplacedAtOnce(t *testing.T) {
+	n, r := directNetwork{}, newReplacement(t)
+	for _, name := range r.all() {
+		n.start(name, true, r.all()...)
+	}
+	delete(n, r.joining)
+	knows(n[r.replaced], r.counters()...)
+	require.Eventually(t, func() bool { return n[r.replaced].Acquire(team.Name, 1).Granted == 1 }, time.Second, time.Millisecond)
+}
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -54,12 +54,14 @@
 	waiting map[string][]chan outcome
 	// fleet holds the hosts among which counters are chosen.
 	fleet *quota.Fleet
-	// registered holds the names of the registered hosts.
-	registered map[string]bool
+	// everRegistered is set once this host has been registered.
+	everRegistered bool
 	// placements caches the placement of each team for the current fleet.
 	placements map[string]cachedPlacement
 	// announcing holds the teams for which this host is announcing itself.
 	announcing map[string]bool
+	// confirming holds the departed counters that are being asked whether they count.
+	confirming map[counterKey]bool
 	// unresponsiveUntil is the time until which a counter that did not answer is
 	// skipped, by host name.
 	unresponsiveUntil map[string]time.Duration
@@ -93,37 +95,31 @@
 	now := clock.Now()
 	return &Limiter{
 		cfg: cfg, local: quota.NewLimiter(cfg.Tolerance, now), counter: quota.NewCounter(cfg.Tolerance, now),
-		fleet: quota.NewFleet(cfg.Self), registered: map[string]bool{}, announcing: map[string]bool{},
+		fleet: quota.NewFleet(cfg.Self), announcing: map[string]bool{}, confirming: map[counterKey]bool{},
 		waiting: map[string][]chan outcome{}, placements: map[string]cachedPlacement{}, unresponsiveUntil: map[string]time.Duration{}, exhaustedUntil: map[counterKey]time.Duration{},
 	}
 }
 
 // SetFleet sets the registered hosts and their datagram addresses by name. This host
-// takes over counting from others when it joins, or when a host leaves. It does not if
-// it was still registered during its restart, as no other host counted in its place.
+// takes over counting from others when it joins, or when a host leaves. It does not join
+// if it was still registered during its restart, as no other host counted in its place.
 func (l *Limiter) SetFleet(hosts []quota.Host, addresses map[string]string) {
 	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	previous := l.registered
-	l.registered = make(map[string]bool, len(hosts))
+	registered := false
 	for i := range hosts {
 		hosts[i].Address = addresses[hosts[i].Name]
-		l.registered[hosts[i].Name] = true
+		registered = registered || hosts[i].Name == l.cfg.Self.Name
 	}
-	self := l.cfg.Self.Name
-	joins := l.registered[self] && !previous[self] && !l.cfg.RegisteredAtStart()
+	joins := registered && !l.everRegistered && !l.cfg.RegisteredAtStart()
+	l.everRegistered = l.everRegistered || registered
 	if joins && l.cfg.Announce != nil {
 		l.fleet.Join(now)
 	}
-	takesOver := joins
-	for name := range previous {
-		takesOver = takesOver || !l.registered[name]
-	}
-	if takesOver {
+	if l.fleet.SetRegistered(hosts, now) || joins {
 		l.counter.TakeOver(now)
 	}
-	l.fleet.SetRegistered(hosts, now)
 	clear(l.placements)
 	clear(l.exhaustedUntil)
 }
@@ -210,7 +206,11 @@
 	defer l.mu.Unlock()
 	placement := l.placementOf(team, limit, now)
 	if !slices.Contains(placement.Counters, l.cfg.Self.Name) {
+		if l.fleet.Suspended(now) {
+			return quota.Grant{RetryAfter: requestTimeout}
+		}
 		// The two hosts have different views of the fleet, or this one is joining.
+		l.fleet.Decline(now)
 		if len(placement.unacknowledged) > 0 {
 			go l.announce(catalog.Team{Name: team, Limit: limit})
 		}
@@ -222,12 +222,14 @@
 // placementOf is called with mu held.
 func (l *Limiter) placementOf(team string, limit quota.Limit, now time.Duration) cachedPlacement {
 	p, found := l.placements[team]
-	if found && p.limit == limit && (p.validUntil == 0 || now < p.validUntil) {
-		return p
+	if !found || p.limit != limit || (p.validUntil != 0 && now >= p.validUntil) {
+		p = cachedPlacement{limit: limit}
+		p.Placement, p.unacknowledged = l.fleet.Place(team, limit, l.cfg.Tolerance, now)
+		p.validUntil = l.fleet.ValidUntil(now)
+		l.placements[team] = p
+	}
+	for _, counter := range l.fleet.DepartedCounters(p.Placement, team, limit, l.cfg.Tolerance, now) {
+		l.startConfirmation(counter, team)
 	}
-	p = cachedPlacement{limit: limit}
-	p.Placement, p.unacknowledged = l.fleet.Place(team, limit, l.cfg.Tolerance, now)
-	p.validUntil = l.fleet.ValidUntil(now)
-	l.placements[team] = p
 	return p
 }
--- a/node/limits/requests.go
+++ b/node/limits/requests.go
@@ -121,6 +121,7 @@
 		cancel()
 		if answered {
 			l.markExhausted(counter, team, g)
+			l.departureConfirmed(counter, team, g)
 			return g
 		}
 	}
@@ -144,7 +145,7 @@
 	defer l.mu.Unlock()
 	now := clock.Now()
 	until := max(l.unresponsiveUntil[counter], l.exhaustedUntil[counterKey{team, counter}])
-	host, known := l.fleet.Find(counter, now)
+	host, known := l.fleet.FindCounter(counter, now)
 	switch {
 	case now < until:
 		return "", until - now
