Quota: a counter that resumes starts with an empty bucket

Callers saw: up to a burst more than a team's limit when a host counts the team again that another one has counted meanwhile.

Cause: a bucket stays for a minute without use and fills, while the other counter grants the same tokens.

Change: the bucket of a team that this host does not count is discarded. TestCounterThatResumesStartsEmpty failed before (50 operations granted).

--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// idleTimeout is how long an idle team's bucket is kept.
@@ -42,6 +46,13 @@
 // already have been granted by the other host, so buckets of new teams start empty.
 func (c *Counter) TakeOver(now time.Duration) { c.accrueFrom = now }
 
+// Teams returns the teams with a bucket.
+func (c *Counter) Teams() []string { return slices.Collect(maps.Keys(c.teams)) }
+
+// Forget removes the bucket of a team that this host no longer counts. Others grant the
+// tokens that accrue until it counts the team again.
+func (c *Counter) Forget(team string) { delete(c.teams, team) }
+
 // Acquire grants operations of a team from this host's share of the team's limit, which
 // is divided evenly among the counters.
 func (c *Counter) Acquire(team string, l Limit, counters, wanted int, now time.Duration) Grant {
--- a/core/quota/fleet_simulation_test.go
+++ b/core/quota/fleet_simulation_test.go
@@ -147,6 +147,9 @@
 		h.counter.TakeOver(s.now)
 	}
 	p, unacknowledged := h.fleet.Place(team, s.limit, tolerance, s.now)
+	if !slices.Contains(p.Counters, h.name) {
+		h.counter.Forget(team)
+	}
 	s.checkDepartures(h, p)
 	s.announce(h, unacknowledged)
 	s.placements[h], s.placedAt[h] = p, s.now
--- a/core/quota/takeover_test.go
+++ b/core/quota/takeover_test.go
@@ -35,3 +35,15 @@
 		require.LessOrEqual(t, float64(maxInWindow(admittedAt)), maxOperations(l, tolerance)/3, "started %s before", startedBefore)
 	}
 }
+
+// TestCounterThatResumesGrantsNoSecondBurst guards against a bucket that has filled while
+// another host counted the team.
+func TestCounterThatResumesGrantsNoSecondBurst(t *testing.T) {
+	l, resumedAt := limitOf(1000, 1000), 30*time.Second
+	c := quota.NewCounter(tolerance, 0)
+	c.Acquire(team, l, 1, 1000, 10*time.Second)
+	require.Equal(t, []string{team}, c.Teams())
+	c.Forget(team)
+	c.TakeOver(resumedAt)
+	require.Zero(t, c.Acquire(team, l, 1, 1000, resumedAt).Granted)
+}
--- a/node/limits/announce.go
+++ b/node/limits/announce.go
@@ -23,7 +23,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.fleet.Announce(host, now) {
-		clear(l.placements)
+		l.placementsChanged(now)
 	}
 	l.fleet.Decline(now)
 	if !known {
@@ -85,7 +85,7 @@
 	l.fleet.Learn(counters, now)
 	l.fleet.Acknowledge(by)
 	l.counter.TakeOver(now)
-	clear(l.placements)
+	l.placementsChanged(now)
 }
 
 // learnCounters adds the counters that another host has named to the fleet, and returns
@@ -96,8 +96,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.fleet.Learn(counters, clock.Now()) {
-		clear(l.placements)
+	now := clock.Now()
+	if l.fleet.Learn(counters, now) {
+		l.placementsChanged(now)
 	}
 	for _, c := range counters {
 		if c.Name != l.cfg.Self.Name && !slices.Contains(ask, c.Name) {
--- a/node/limits/departures.go
+++ b/node/limits/departures.go
@@ -60,6 +60,7 @@
 // replaceDeparted has other hosts count in place of a departed one. Tokens that have
 // accrued until now may have been granted by it. It is called with mu held.
 func (l *Limiter) replaceDeparted() {
-	l.counter.TakeOver(clock.Now())
-	clear(l.placements)
+	now := clock.Now()
+	l.counter.TakeOver(now)
+	l.placementsChanged(now)
 }
--- a/node/limits/departures_test.go
+++ b/node/limits/departures_test.go
@@ -35,3 +35,20 @@
 	knows(n[r.replaced], r.counters()...)
 	require.Eventually(t, func() bool { return n[r.replaced].Acquire(team.Name, 1).Granted == 1 }, time.Second, time.Millisecond)
 }
+
+// TestCounterThatResumesStartsEmpty guards against a second burst of a counter that was
+// replaced and counts again: the other one has granted what came in meanwhile.
+func TestCounterThatResumesStartsEmpty(t *testing.T) {
+	n, r := directNetwork{}, newReplacement(t)
+	for _, name := range r.counters() {
+		n.start(name, true, r.counters()...)
+	}
+	resuming := n[r.replaced]
+	time.Sleep(accrualTime)
+	require.Positive(t, resuming.Acquire(team.Name, 1000).Granted)
+	knows(resuming, r.all()...)
+	time.Sleep(accrualTime)
+	knows(resuming, r.counters()...)
+	require.Eventually(t, func() bool { return resuming.Acquire(team.Name, 0).Counters == nil }, time.Second, 100*time.Microsecond, "nobody answers at the other's address")
+	require.Less(t, resuming.Acquire(team.Name, 1000).Granted, 10)
+}
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -35,7 +35,7 @@
 	// process when it started. It is called with the limiter's lock held.
 	RegisteredAtStart func() bool
 	// Limit returns the limit of a team in the active configuration; false for an
-	// unknown team.
+	// unknown team. It is called with the limiter's lock held, too.
 	Limit func(team string) (quota.Limit, bool)
 }
 
@@ -120,17 +120,18 @@
 	if l.fleet.SetRegistered(hosts, now) || joins {
 		l.counter.TakeOver(now)
 	}
-	clear(l.placements)
+	l.placementsChanged(now)
 	clear(l.exhaustedUntil)
 }
 
 // Leave records that this host is about to end its registration. It stops counting as
 // soon as the registration has ended.
 func (l *Limiter) Leave() {
+	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.Leave()
-	clear(l.placements)
+	l.placementsChanged(now)
 }
 
 // Admit decides on one operation of a team and may wait for a grant. If it reports
@@ -219,6 +220,18 @@
 	return l.counter.Acquire(team, limit, len(placement.Counters), wanted, now)
 }
 
+// placementsChanged discards the cached placements, and the buckets of the teams that this
+// host does not count any more. It is called with mu held.
+func (l *Limiter) placementsChanged(now time.Duration) {
+	clear(l.placements)
+	for _, team := range l.counter.Teams() {
+		limit, known := l.cfg.Limit(team)
+		if !known || !slices.Contains(l.placementOf(team, limit, now).Counters, l.cfg.Self.Name) {
+			l.counter.Forget(team)
+		}
+	}
+}
+
 // placementOf is called with mu held.
 func (l *Limiter) placementOf(team string, limit quota.Limit, now time.Duration) cachedPlacement {
 	p, found := l.placements[team]
