Classify: read text by PostgreSQL's lexical rules where they hide a write

Callers could see: a DELETE behind an identifier with a dollar sign was a read, which may be repeated after its answer is lost.

Cause: the lexer took the dollar sign inside an identifier for a dollar quote, did not end a line comment at a carriage return, knew no backslash escapes in plain strings, and skipped quoted function names. FuzzClassify compared the result with the same lexer's tokens.

Ruled out: nested comments, E'', U&'' and U&"", parameters, unterminated text.

Change: these rules, and more functions that write. A string whose end depends on a setting makes the text a write; a text without keyword is no longer empty.

--- a/core/classify/classify_test.go
+++ b/core/classify/classify_test.go
@@ -49,10 +49,40 @@
 	require.Equal(t, classify.Hints{Key: "k1", Class: "lookup", Unknown: []string{"colour"}}, st.Hints)
 }
 
-// FuzzClassify checks that the lexer terminates without a panic on any input, and that
-// no text with keywords or identifiers is classified as empty.
+// TestHiddenWriteIsNotARead guards against writes that run as reads, which may be repeated
+// after their answer is lost: text that the lexer skips and PostgreSQL runs.
+func TestHiddenWriteIsNotARead(t *testing.T) {
+	for name, sql := range map[string]string{
+		"a dollar sign in an identifier":            "SELECT 1 AS a$b$; DELETE FROM t; SELECT 2 AS c$b$",
+		"a dollar sign at the end of an identifier": "SELECT a$, 1; DELETE FROM t; SELECT b$",
+		"a comment that a carriage return ends":     "SELECT 1 -- x\r; DELETE FROM t",
+		"a string with backslash escapes":           `SELECT '\''; DELETE FROM t; --'`,
+		"an escape string that goes on":             "SELECT E'a'\n'\\''; DELETE FROM t; --'",
+		"a quoted function name":                    `SELECT "nextval"('s')`,
+		"a large object":                            "SELECT lo_import('/etc/motd')",
+		"another server":                            "SELECT * FROM dblink('c', 'DELETE FROM t') AS x (a int)",
+	} {
+		require.Equal(t, classify.Write, classify.Classify(sql).Kind, name)
+	}
+	for _, sql := range []string{`SELECT E'it\'s'`, `SELECT 'C:\dir'`, `SELECT U&"d\0061t\+000061", U&'\0041'`, "SELECT $1, a$1 FROM t", `SELECT "nextval2"`} {
+		require.Equal(t, classify.Read, classify.Classify(sql).Kind, sql)
+	}
+}
+
+// TestTextWithoutKeywordIsNotEmpty guards against an empty answer to a text that the
+// server refuses.
+func TestTextWithoutKeywordIsNotEmpty(t *testing.T) {
+	for _, sql := range []string{"1", "'x'", `"x"`, "$$x$$", "("} {
+		require.Equal(t, classify.Write, classify.Classify(sql).Kind, sql)
+	}
+}
+
+// FuzzClassify checks that the lexer terminates without a panic on any input, that only
+// texts without a statement are classified as empty, and that every text which the
+// reference lexer finds to write is classified as a write.
 func FuzzClassify(f *testing.F) {
-	for _, seed := range []string{"SELECT 1", "/*", "$a$", "'", `E'\`, "--", "\"", "/*/**/", "$1 $", "/* dotterelswitch: */"} {
+	for _, seed := range []string{"SELECT 1", "/*", "$a$", "'", `E'\`, "--", "\"", "/*/**/", "$1 $", "/* dotterelswitch: */",
+		"SELECT 1 AS a$b$; DELETE FROM t", "SELECT E'\\''; SELECT 2", "SELECT U&'x' /* a /* b */ c */; UPDATE t SET a = 1", "SELECT $a$ $b$ $a$, $1; INSERT"} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, sql string) {
@@ -60,5 +90,12 @@
 		if st.Kind == classify.Empty && st.Count > 0 && len(st.Tokens) > 0 {
 			t.Fatalf("%q: classified as empty with %d statements", sql, st.Count)
 		}
+		ref := readReference(sql)
+		if (st.Kind == classify.Empty) != (ref.statements == 0) {
+			t.Fatalf("%q: %s with %d statements", sql, st.Kind, ref.statements)
+		}
+		if st.Kind == classify.Read && (ref.statements > 1 || ref.writes()) {
+			t.Fatalf("%q: a read with %d statements and the words %q", sql, ref.statements, ref.words)
+		}
 	})
 }
--- a/core/classify/lexer.go
+++ b/core/classify/lexer.go
@@ -12,7 +12,11 @@
 	// current statement is one of them.
 	count    int
 	nonEmpty bool
-	hints    Hints
+	// ambiguous is set if the text has a plain string with a backslash before a quote.
+	// Where the string ends depends on standard_conforming_strings, and on whether it
+	// continues an escape string of the line before.
+	ambiguous bool
+	hints     Hints
 }
 
 func newLexer(src string) *lexer { return &lexer{src: src} }
@@ -32,7 +36,7 @@
 		l.skipQuoted('\'', false)
 	case c == '"':
 		l.markNonEmpty()
-		l.skipQuoted('"', false)
+		l.scanQuotedIdentifier()
 	case (c == 'e' || c == 'E') && l.peek(1) == '\'':
 		l.markNonEmpty()
 		l.pos++
@@ -85,6 +89,7 @@
 		if c != quote {
 			continue
 		}
+		l.ambiguous = l.ambiguous || (!escapes && quote == '\'' && l.src[l.pos-2] == '\\')
 		if l.pos < len(l.src) && l.src[l.pos] == quote {
 			l.pos++
 			continue
@@ -120,7 +125,7 @@
 }
 
 func (l *lexer) skipLineComment() {
-	end := strings.IndexByte(l.src[l.pos:], '\n')
+	end := strings.IndexAny(l.src[l.pos:], "\r\n")
 	if end < 0 {
 		l.pos = len(l.src)
 		return
@@ -151,16 +156,29 @@
 
 func (l *lexer) scanWord() {
 	start := l.pos
-	for l.pos < len(l.src) && isWordPart(l.src[l.pos]) {
+	for l.pos < len(l.src) && (isWordPart(l.src[l.pos]) || l.src[l.pos] == '$') {
 		l.pos++
 	}
 	l.tokens = append(l.tokens, strings.ToUpper(l.src[start:l.pos]))
 }
 
+// scanQuotedIdentifier keeps a quoted identifier only if it names a function that the
+// classification depends on; other quoted names are no keywords.
+func (l *lexer) scanQuotedIdentifier() {
+	start := l.pos
+	l.skipQuoted('"', false)
+	name := strings.Trim(l.src[start:l.pos], `"`)
+	if token := strings.ToUpper(name); name == strings.ToLower(name) && isRelevantFunction(token) {
+		l.tokens = append(l.tokens, token)
+	}
+}
+
 func isWordStart(c byte) bool {
 	return c == '_' || c >= 0x80 || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
 }
 
+// isWordPart reports whether c continues the tag of a dollar-quoted string. An identifier
+// may contain dollar signs as well.
 func isWordPart(c byte) bool {
 	return isWordStart(c) || (c >= '0' && c <= '9')
 }
--- a/core/classify/statement.go
+++ b/core/classify/statement.go
@@ -14,9 +14,19 @@
 }
 
 // writeKeywords make a SELECT or WITH a write or locking query.
-var writeKeywords = []string{
-	"INSERT", "UPDATE", "DELETE", "MERGE", "INTO", "SHARE", "NEXTVAL", "SETVAL",
-	"SET_CONFIG", "LO_CREATE", "LO_UNLINK", "PG_NOTIFY", "DBLINK_EXEC",
+var writeKeywords = []string{"INSERT", "UPDATE", "DELETE", "MERGE", "INTO", "SHARE"}
+
+// writeFunctions are built-in functions that write, or whose repetition has an effect.
+var writeFunctions = []string{
+	"NEXTVAL", "SETVAL", "SET_CONFIG", "PG_NOTIFY", "PG_LOGICAL_EMIT_MESSAGE",
+	"LO_CREATE", "LO_CREAT", "LO_UNLINK", "LO_IMPORT", "LO_PUT", "LO_FROM_BYTEA", "LO_TRUNCATE", "LO_TRUNCATE64", "LOWRITE",
+	"TXID_CURRENT", "PG_CURRENT_XACT_ID", "PG_TERMINATE_BACKEND", "PG_CANCEL_BACKEND",
+	"DBLINK", "DBLINK_EXEC", "DBLINK_SEND_QUERY",
+}
+
+// isRelevantFunction reports whether the classification depends on a function.
+func isRelevantFunction(token string) bool {
+	return slices.Contains(writeFunctions, token) || slices.Contains(pinningFunctions, token)
 }
 
 // pinningKeywords are the first keywords of statements that leave state on the
@@ -33,12 +43,19 @@
 	tokens, count := lex.tokenize()
 	st := Statement{Tokens: tokens, Count: count, Hints: lex.hints}
 	st.Kind = kindOf(tokens, count)
+	if st.Kind == Read && lex.ambiguous {
+		st.Kind = Write
+	}
 	return st
 }
 
 func kindOf(tokens []string, count int) Kind {
-	if len(tokens) == 0 {
+	switch {
+	case count == 0:
 		return Empty
+	case len(tokens) == 0:
+		// Not a statement; the upstream reports the syntax error.
+		return Write
 	}
 	if slices.ContainsFunc(tokens, func(token string) bool { return slices.Contains(pinningFunctions, token) }) {
 		return Pinning
@@ -88,7 +105,7 @@
 // does not indicate a lock, as in SUBSTRING(x FOR n).
 func queryKind(tokens []string) Kind {
 	for _, token := range tokens {
-		if slices.Contains(writeKeywords, token) {
+		if slices.Contains(writeKeywords, token) || slices.Contains(writeFunctions, token) {
 			return Write
 		}
 	}
