Gateway: refuse session state on all paths to a pooled connection

Callers could see: settings, listeners or locks that another caller has left on the connection.

Cause: only the first word of a simple query outside a transaction was looked at. Later statements of a text, statements in a transaction, prepared SETs and set_config reached the upstream.

Ruled out: a reset between callers; there is none.

Change: core/classify names the statement that outlasts its transaction (SessionState), whichever it is in the text; the gateway refuses it, or answers accepted settings itself, in transactions and batches too. What ends with the transaction is allowed there.

--- a/core/classify/classify_test.go
+++ b/core/classify/classify_test.go
@@ -69,6 +69,38 @@
 	}
 }
 
+// TestSessionStateOfLaterStatement guards against state that is left on a pooled
+// connection by a statement that is not the first one of its text.
+func TestSessionStateOfLaterStatement(t *testing.T) {
+	for sql, want := range map[string]string{
+		"SELECT 1; LISTEN a":                                "LISTEN",
+		"SELECT 1; SET search_path = x":                     "SET",
+		"BEGIN; RESET ALL; COMMIT":                          "RESET",
+		"SELECT 1; SELECT pg_advisory_lock(1)":              "PG_ADVISORY_LOCK",
+		"SELECT 1; CREATE LOCAL TEMPORARY TABLE a (b int)":  "TEMPORARY",
+		"SELECT 1; DECLARE a CURSOR WITH HOLD FOR SELECT 1": "DECLARE",
+	} {
+		st := classify.Classify(sql)
+		require.Equal(t, classify.Pinning, st.Kind, sql)
+		require.Equal(t, want, st.SessionState, sql)
+	}
+	for _, sql := range []string{"SELECT set_config('a', 'b', false)", "SELECT set_config($1, $2, $3)", "SELECT 1 INTO TEMP a", "CREATE OR REPLACE TEMP VIEW a AS SELECT 1"} {
+		require.Equal(t, classify.Pinning, classify.Classify(sql).Kind, sql)
+	}
+}
+
+// TestTransactionStateIsNotSessionState covers statements whose effect ends with their
+// transaction.
+func TestTransactionStateIsNotSessionState(t *testing.T) {
+	for _, sql := range []string{
+		"BEGIN; SET LOCAL search_path = x; SELECT 1; COMMIT", "SELECT 1; SET CONSTRAINTS ALL DEFERRED", "SET TRANSACTION READ ONLY",
+		"SELECT set_config('a', 'b', true)", "BEGIN; DECLARE a CURSOR FOR SELECT 1; COMMIT", "CREATE TEMP TABLE a (b int) ON COMMIT DROP",
+		"CREATE TABLE temp (a int)", "UPDATE t SET a = 1; SELECT 1", "SELECT 1; INSERT INTO temp VALUES (1)",
+	} {
+		require.Empty(t, classify.Classify(sql).SessionState, sql)
+	}
+}
+
 // TestTextWithoutKeywordIsNotEmpty guards against an empty answer to a text that the
 // server refuses.
 func TestTextWithoutKeywordIsNotEmpty(t *testing.T) {
--- a/core/classify/lexer.go
+++ b/core/classify/lexer.go
@@ -8,6 +8,10 @@
 	src    string
 	pos    int
 	tokens []string
+	// starts are the indexes in tokens at which statements begin; inStatement is set once
+	// the current statement has a token.
+	starts      []int
+	inStatement bool
 	// count is the number of non-empty statements so far; nonEmpty reports whether the
 	// current statement is one of them.
 	count    int
@@ -49,7 +53,7 @@
 	case c == '/' && l.peek(1) == '*':
 		l.skipBlockComment()
 	case c == ';':
-		l.nonEmpty = false
+		l.nonEmpty, l.inStatement = false, false
 		l.pos++
 	case isWordStart(c):
 		l.markNonEmpty()
@@ -62,6 +66,27 @@
 	}
 }
 
+func (l *lexer) addToken(token string) {
+	if !l.inStatement {
+		l.inStatement = true
+		l.starts = append(l.starts, len(l.tokens))
+	}
+	l.tokens = append(l.tokens, token)
+}
+
+// statements returns the tokens of each statement.
+func (l *lexer) statements() [][]string {
+	var out [][]string
+	for i, start := range l.starts {
+		end := len(l.tokens)
+		if i+1 < len(l.starts) {
+			end = l.starts[i+1]
+		}
+		out = append(out, l.tokens[start:end])
+	}
+	return out
+}
+
 // markNonEmpty counts the current statement unless it has been counted.
 func (l *lexer) markNonEmpty() {
 	if !l.nonEmpty {
@@ -159,7 +184,7 @@
 	for l.pos < len(l.src) && (isWordPart(l.src[l.pos]) || l.src[l.pos] == '$') {
 		l.pos++
 	}
-	l.tokens = append(l.tokens, strings.ToUpper(l.src[start:l.pos]))
+	l.addToken(strings.ToUpper(l.src[start:l.pos]))
 }
 
 // scanQuotedIdentifier keeps a quoted identifier only if it names a function that the
@@ -169,7 +194,7 @@
 	l.skipQuoted('"', false)
 	name := strings.Trim(l.src[start:l.pos], `"`)
 	if token := strings.ToUpper(name); name == strings.ToLower(name) && isRelevantFunction(token) {
-		l.tokens = append(l.tokens, token)
+		l.addToken(token)
 	}
 }
 
--- a/core/classify/statement.go
+++ b/core/classify/statement.go
@@ -10,7 +10,10 @@
 	Tokens []string
 	// Count is the number of statements in the text.
 	Count int
-	Hints Hints
+	// SessionState is the keyword of the first statement that leaves state on the
+	// connection when its transaction has ended; empty if none does.
+	SessionState string
+	Hints        Hints
 }
 
 // writeKeywords make a SELECT or WITH a write or locking query.
@@ -29,47 +32,39 @@
 	return slices.Contains(writeFunctions, token) || slices.Contains(pinningFunctions, token)
 }
 
-// pinningKeywords are the first keywords of statements that leave state on the
-// connection.
-var pinningKeywords = []string{"LISTEN", "UNLISTEN", "DECLARE", "PREPARE", "EXECUTE", "DEALLOCATE", "DISCARD", "LOAD", "COPY"}
-
-// pinningFunctions are the functions that leave state on the connection.
-var pinningFunctions = []string{"PG_ADVISORY_LOCK", "PG_ADVISORY_LOCK_SHARED", "PG_TRY_ADVISORY_LOCK", "PG_TRY_ADVISORY_LOCK_SHARED"}
-
 // Classify classifies a query text. It ignores quoted text and comments other than
 // hints.
 func Classify(sql string) Statement {
 	lex := newLexer(sql)
 	tokens, count := lex.tokenize()
 	st := Statement{Tokens: tokens, Count: count, Hints: lex.hints}
-	st.Kind = kindOf(tokens, count)
+	for _, statement := range lex.statements() {
+		if st.SessionState == "" {
+			st.SessionState = sessionState(statement)
+		}
+	}
+	st.Kind = kindOf(st)
 	if st.Kind == Read && lex.ambiguous {
 		st.Kind = Write
 	}
 	return st
 }
 
-func kindOf(tokens []string, count int) Kind {
+func kindOf(st Statement) Kind {
 	switch {
-	case count == 0:
+	case st.Count == 0:
 		return Empty
-	case len(tokens) == 0:
+	case len(st.Tokens) == 0:
 		// Not a statement; the upstream reports the syntax error.
 		return Write
-	}
-	if slices.ContainsFunc(tokens, func(token string) bool { return slices.Contains(pinningFunctions, token) }) {
-		return Pinning
-	}
-	if slices.Contains(pinningKeywords, tokens[0]) {
+	case st.Count > 1 && st.SessionState != "":
 		return Pinning
-	}
-	if createsTemporaryObject(tokens) {
-		return Pinning
-	}
-	if count > 1 {
+	case st.Count > 1:
 		return Write
+	case st.SessionState != "" && !setsParameter(st.Tokens), needsOneConnection(st.Tokens):
+		return Pinning
 	}
-	return singleStatementKind(tokens)
+	return singleStatementKind(st.Tokens)
 }
 
 func singleStatementKind(tokens []string) Kind {
@@ -111,10 +106,3 @@
 	}
 	return Read
 }
-
-func createsTemporaryObject(tokens []string) bool {
-	if tokens[0] != "CREATE" || len(tokens) < 2 {
-		return false
-	}
-	return slices.Contains([]string{"TEMP", "TEMPORARY"}, tokens[1])
-}
--- a/node/gateway/batch.go
+++ b/node/gateway/batch.go
@@ -82,6 +82,11 @@
 		b.refusal = pinningRefusal(st)
 		return nil
 	}
+	if st.Kind == classify.Set && st.SessionState != "" {
+		if msg.Query, b.refusal = transactionSetting(msg.Query); b.refusal != nil {
+			return nil
+		}
+	}
 	name := msg.Name
 	msg.Name = ""
 	prepared[name] = preparedStatement{parse: msg, statement: st}
--- a/node/gateway/handle.go
+++ b/node/gateway/handle.go
@@ -56,7 +56,7 @@
 		s.answerInFailedTransaction(st.Kind)
 		return true
 	}
-	if s.pinnedTx == nil && s.answerLocally(st, msg.String) {
+	if s.answerLocally(st, msg.String) {
 		return true
 	}
 	frames, err := msg.Encode(nil)
@@ -71,6 +71,9 @@
 // answerLocally answers a statement that needs no upstream. It returns false for
 // other statements.
 func (s *session) answerLocally(st classify.Statement, sql string) bool {
+	if s.pinnedTx != nil {
+		return s.answerInTransaction(st, sql)
+	}
 	switch st.Kind {
 	case classify.Empty:
 		s.sendReady(encode(nil, &pgproto3.EmptyQueryResponse{}))
@@ -88,8 +91,26 @@
 	return true
 }
 
+// answerInTransaction answers a statement in an open transaction whose effect would
+// outlast the transaction. The connection serves other callers afterwards.
+func (s *session) answerInTransaction(st classify.Statement, sql string) bool {
+	switch {
+	case st.SessionState == "":
+		return false
+	case st.Kind == classify.Set:
+		s.set(sql)
+	default:
+		s.sendError(pinningRefusal(st))
+	}
+	return true
+}
+
 func pinningRefusal(st classify.Statement) *outcome.Refusal {
-	return outcome.Refuse(outcome.Unsupported, "%s leaves state on the connection, which pooled connections do not keep", st.Tokens[0])
+	keyword := st.SessionState
+	if keyword == "" {
+		keyword = st.Tokens[0]
+	}
+	return outcome.Refuse(outcome.Unsupported, "%s leaves state on the connection, which pooled connections do not keep", keyword)
 }
 
 // answerInFailedTransaction answers a statement after the transaction's upstream
--- a/node/gateway/settings.go
+++ b/node/gateway/settings.go
@@ -118,6 +118,11 @@
 	if name == "statement_timeout" {
 		return s.setTimeout(value)
 	}
+	return checkPostgresSetting(name, value)
+}
+
+// checkPostgresSetting refuses a PostgreSQL setting that would be lost.
+func checkPostgresSetting(name, value string) *outcome.Refusal {
 	want, known := acceptedSettings[name]
 	if !known || (want != "" && !strings.EqualFold(strings.ReplaceAll(value, "-", ""), want)) {
 		return outcome.Refuse(outcome.Unsupported, "SET %s would be lost on a pooled connection; use SET LOCAL in a transaction", name)
@@ -125,6 +130,24 @@
 	return nil
 }
 
+// transactionSetting returns the text of a prepared SET with the effect limited to its
+// transaction, so that it leaves nothing on the pooled connection. Drivers prepare the
+// settings that they send on start-up.
+func transactionSetting(sql string) (string, *outcome.Refusal) {
+	m := setPattern.FindStringSubmatch(sql)
+	if m == nil {
+		return "", outcome.Refuse(outcome.Unsupported, "only SET name = value is understood")
+	}
+	name, value := strings.ToLower(m[1]), m[2]
+	if strings.HasPrefix(name, settingPrefix) || name == "statement_timeout" {
+		return "", outcome.Refuse(outcome.Unsupported, "SET %s is understood as a simple query only", name)
+	}
+	if refusal := checkPostgresSetting(name, unquote(value)); refusal != nil {
+		return "", refusal
+	}
+	return "SET LOCAL " + name + " = " + value, nil
+}
+
 func (s *session) setTimeout(value string) *outcome.Refusal {
 	ms, err := strconv.Atoi(value)
 	d := time.Duration(ms) * time.Millisecond
--- a/node/host/session_test.go
+++ b/node/host/session_test.go
@@ -30,6 +30,7 @@
 	t.Run("transactions", func(t *testing.T) { testTransactions(t, d) })
 	t.Run("idempotency keys", func(t *testing.T) { testIdempotencyKeys(t, d) })
 	t.Run("refusals", func(t *testing.T) { testRefusals(t, d) })
+	t.Run("session state", func(t *testing.T) { testSessionStateIsNotLeftOnPooledConnections(t, d) })
 	t.Run("tokens", func(t *testing.T) { testTokens(t, d) })
 	t.Run("cancel", func(t *testing.T) { testCancel(t, d) })
 	t.Run("ended sessions leak no goroutines", func(t *testing.T) { testNoGoroutineLeak(t, d) })
@@ -135,6 +136,37 @@
 	requireSQLState(t, err, "3D000")
 }
 
+// testSessionStateIsNotLeftOnPooledConnections guards against settings, listeners and
+// locks of one caller that the next caller of the connection finds.
+func testSessionStateIsNotLeftOnPooledConnections(t *testing.T, d *deployment) {
+	conn := d.connect(0, nil)
+	for _, sql := range []string{"SELECT value FROM readings WHERE subject = 'x'; LISTEN a", "SELECT value FROM readings WHERE subject = 'x'; SET search_path = x"} {
+		_, err := conn.Exec(t.Context(), sql)
+		requireSQLState(t, err, "0A000")
+	}
+	tx, err := conn.Begin(t.Context())
+	require.NoError(t, err)
+	for _, sql := range []string{"LISTEN a", "SET search_path = 'x'", "PREPARE a AS SELECT 1"} {
+		_, err = tx.Exec(t.Context(), sql)
+		requireSQLState(t, err, "0A000")
+	}
+	for _, sql := range []string{"SET LOCAL search_path = 'x'", "SET application_name = 'x'", "SET dotterelswitch.class = 'lightcurve'"} {
+		_, err = tx.Exec(t.Context(), sql)
+		require.NoError(t, err, sql)
+	}
+	_, err = tx.Exec(t.Context(), insertReading, "state", "kept")
+	require.NoError(t, err, "a refusal does not end the transaction")
+	require.NoError(t, tx.Commit(t.Context()))
+	require.Equal(t, []string{"kept"}, values(t, conn, "state"))
+
+	_, err = conn.Prepare(t.Context(), "lost", "SET search_path = 'x'")
+	requireSQLState(t, err, "0A000")
+	_, err = conn.Prepare(t.Context(), "name", "SET application_name = 'x'")
+	require.NoError(t, err)
+	_, err = conn.Exec(t.Context(), "name")
+	require.NoError(t, err)
+}
+
 func testTokens(t *testing.T, d *deployment) {
 	conn := d.connect(0, nil)
 	_, err := conn.Exec(t.Context(), "SET dotterelswitch.token = 'rubbish'")
--- a/standin/dbgroup/sql.go
+++ b/standin/dbgroup/sql.go
@@ -30,7 +30,8 @@
 }
 
 type setStmt struct {
-	Name  string `parser:"'SET' @Ident"`
+	Local bool   `parser:"'SET' @'LOCAL'?"`
+	Name  string `parser:"@Ident"`
 	Value value  `parser:"( '=' | 'TO' ) @@"`
 }
 
