Admit: direct admissions advance the virtual time

Callers saw: a team that had used a free slot for long waited, once a second team queued, until that one had caught up: of 200 admissions none was its own.

Cause: Offer charged the team for a direct admission without moving the virtual time, so that a team without history started far behind it. TestFairnessBound never lets its teams run directly.

Change: the virtual time follows the start of a request that is admitted directly, as it follows one from the queue. TestDirectlyAdmittedTeamIsNotStarved failed before (0 and 200 of 200), and has 100 of each.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -89,7 +89,7 @@
 		return DeadlineUnreachable
 	}
 	if q.running < q.cfg.Slots && len(q.waiting) == 0 {
-		q.charge(r)
+		q.virtualTime = max(q.virtualTime, q.charge(r))
 		q.running++
 		return Admitted
 	}
