Admit: cancelled requests are not charged

Callers saw: a team that had cancelled 100 queued requests waited while another team was served 40 of 40 admissions.

Cause: a request is charged when it queues, and the charge stayed when it was removed. Ruled out: requests dropped at their deadline; a test of them passes without a change, as the virtual time has passed their charge by then.

Change: the charge is taken back. TestCancelledRequestsAreNotCharged failed before (0 and 40 of 40), and has 20 of 40 for each team.

--- a/core/admit/fairness_test.go
+++ b/core/admit/fairness_test.go
@@ -56,3 +56,17 @@
 	q.offer("second", 200)
 	require.Equal(t, map[string]int{"first": 100, "second": 100}, q.serve(200))
 }
+
+// TestCancelledRequestsAreNotCharged guards against a team that waits behind others for
+// requests that it has cancelled and that used no slot.
+func TestCancelledRequestsAreNotCharged(t *testing.T) {
+	q := newFairnessQueue()
+	q.offer("running", 1)
+	last := q.offer("first", 100)
+	for id := last - 99; id <= last; id++ {
+		require.True(t, q.Remove(id))
+	}
+	q.offer("first", 100)
+	q.offer("second", 100)
+	require.Equal(t, map[string]int{"first": 20, "second": 20}, q.serve(40))
+}
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -128,10 +128,23 @@
 		q.teams[r.Team] = state
 	}
 	start := max(q.virtualTime, state.virtualFinish)
-	state.virtualFinish = start + float64(max(r.Cost, time.Microsecond))/max(r.Weight, minWeight)
+	state.virtualFinish = start + virtualCost(r)
 	return start
 }
 
+// refund takes back the charge of a queued request that is cancelled. The charge of one
+// that is dropped at its deadline is behind the virtual time by then.
+func (q *Queue) refund(r Request) {
+	if state := q.teams[r.Team]; state != nil {
+		state.virtualFinish -= virtualCost(r)
+	}
+}
+
+// virtualCost returns the weighted cost of a request.
+func virtualCost(r Request) float64 {
+	return float64(max(r.Cost, time.Microsecond)) / max(r.Weight, minWeight)
+}
+
 // minWeight prevents a division by zero for requests without a weight.
 const minWeight = 0.001
 
@@ -188,6 +201,7 @@
 	}
 	heap.Remove(&q.waiting, e.index)
 	q.untrack(e)
+	q.refund(e.request)
 	return true
 }
 
