Replicaset: an answer of a primary that has lost its log does not count

Callers saw: a write acknowledged and lost. A primary that came back without its log ran it, and was replaced by a replica.

Cause: a host noticed the loss from the position in the answer, recorded it, and passed the answer on. It also forgot the loss: once new writes had moved the empty log past the old position, the member was confirmed as primary again.

Ruled out: the choice of the new primary.

Change: such an answer counts as none, on the gate and on the sending host; the loss is remembered for the member and the term, and statements that need the primary are refused there without being run.

--- a/core/succession/high_water_mark.go
+++ b/core/succession/high_water_mark.go
@@ -18,6 +18,9 @@
 	position logpos.Position
 	// observedAt is when position was recorded.
 	observedAt time.Duration
+	// logLost is set once member has reported less than position. It stays set for the
+	// term: new writes move its log past position without what was lost.
+	logLost bool
 }
 
 // Observe records a position that a member has reached as the primary of a
@@ -39,3 +42,13 @@
 func (h *HighWaterMark) Regressed(member string, term logpos.Term, p logpos.Position, sent time.Duration) bool {
 	return term == h.term && member == h.member && p.Less(h.position) && sent > h.observedAt
 }
+
+// ObserveLoss is Regressed, and remains true for the member and the term once it was.
+func (h *HighWaterMark) ObserveLoss(member string, term logpos.Term, p logpos.Position, sent time.Duration) bool {
+	h.logLost = h.logLost || h.Regressed(member, term, p, sent)
+	return h.LogLost(member) && term <= h.term
+}
+
+// LogLost reports whether a member has lost its log as the primary of the newest
+// term.
+func (h *HighWaterMark) LogLost(member string) bool { return h.logLost && member == h.member }
--- a/core/succession/high_water_mark_test.go
+++ b/core/succession/high_water_mark_test.go
@@ -41,3 +41,18 @@
 	h.Observe("a", 3, position(3, 1300), 13*time.Second)
 	require.True(t, h.Regressed("b", 4, position(3, 1100), 14*time.Second), "a delayed observation of an older term is ignored")
 }
+
+// TestLogLossIsRememberedForTheTerm guards against a primary without its log that is
+// believed again once new writes have moved its position past the mark.
+func TestLogLossIsRememberedForTheTerm(t *testing.T) {
+	var h succession.HighWaterMark
+	h.Observe("a", 3, position(3, 20), 10*time.Second)
+	require.False(t, h.LogLost("a"))
+	require.True(t, h.ObserveLoss("a", 3, position(3, 1), 11*time.Second))
+	require.True(t, h.LogLost("a"))
+	require.True(t, h.ObserveLoss("a", 3, position(3, 25), 12*time.Second))
+	require.False(t, h.ObserveLoss("b", 3, position(3, 1), 12*time.Second))
+	require.False(t, h.ObserveLoss("a", 4, position(3, 1), 12*time.Second), "it was promoted again")
+	h.Observe("a", 4, position(4, 1), 13*time.Second)
+	require.False(t, h.LogLost("a"))
+}
--- a/node/entry/restart_test.go
+++ b/node/entry/restart_test.go
@@ -56,6 +56,35 @@
 	require.NotEqual(t, old.ID, d.group.Primary().ID)
 }
 
+// awaitRead repeats a read until it is served and returns its rows.
+func (c *client) awaitRead(item string) []string {
+	c.t.Helper()
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if res, err := c.try("FETCH " + item); err == nil && res.code == "" {
+			return res.rows
+		}
+	}
+	c.t.Fatalf("%s was not read within %s", item, waitLimit)
+	return nil
+}
+
+// TestWriteToEmptyPrimaryIsNotAcknowledged guards against a write that is acknowledged by a
+// primary that has lost its log, and is gone once the primary is replaced.
+func TestWriteToEmptyPrimaryIsNotAcknowledged(t *testing.T) {
+	d := deploy(t, 3, options())
+	c := d.connect(0, "strict")
+	for n := range 20 {
+		c.must(fmt.Sprintf("STORE item-%d x", n))
+	}
+	d.awaitReplicas()
+	old := d.group.Primary()
+	old.Crash()
+	require.NoError(t, old.RestartEmpty(true))
+	d.connect(0, "strict").awaitWrite("after")
+	require.Eventually(t, func() bool { return d.group.Primary() != old }, waitLimit, pollInterval)
+	require.Equal(t, []string{"x"}, d.connect(1, "strict").awaitRead("after"), "acknowledged write lost")
+}
+
 // TestReplicaRestartedEmptyServesNoStaleRead: a replica that restarts has lost its
 // log, prepared statements and session values.
 func TestReplicaRestartedEmptyServesNoStaleRead(t *testing.T) {
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -49,9 +49,7 @@
 	now := clock.Now()
 	s.gateHealth.callEnded(address, !isGateErr, now)
 	m.remoteEnded(began, now, res.Answer.Signature != "")
-	if res.Err == nil && res.ConfirmsPrimary {
-		s.confirmPrimary(m, res.Answer.Position, began)
-	}
+	res = s.confirmResult(m, res, began)
 	s.observeRemoteFloor(res.Floor)
 	s.observeResult(m, res)
 	return res
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -37,6 +37,9 @@
 	if j.requiresPrimary() && m.Dead(began) {
 		return Result{Err: &RefusedError{Reason: "the member does not answer", MemberDead: true}}
 	}
+	if j.requiresPrimary() && s.logLost(m) {
+		return lostLogResult()
+	}
 	if err := s.ensureFloor(ctx, j); err != nil {
 		return Result{Err: err}
 	}
@@ -173,10 +176,28 @@
 // records that it confirms the primary.
 func (s *Set) primaryResult(c *Conn, x exchange) Result {
 	res := Result{Answer: x.answer, StatementMayHaveRun: x.statementMayHaveRun, ConfirmsPrimary: x.answer.Code == statement.OK}
-	if res.ConfirmsPrimary {
-		s.confirmPrimary(c.member, x.answer.Position, x.sentAt)
+	return s.confirmResult(c.member, res, x.sentAt)
+}
+
+// errLogLost is the reason why an answer of a primary does not count.
+var errLogLost = errors.New("the member has lost its log; what it acknowledges is lost when it is replaced")
+
+// confirmResult records that a result confirms the primary. If the position in it shows
+// that the member has lost part of its log, the answer does not count: a write that it
+// acknowledges is lost with it, and a read misses what was acknowledged before.
+func (s *Set) confirmResult(m *Member, res Result, sent time.Duration) Result {
+	if res.Err != nil || !res.ConfirmsPrimary {
+		return res
+	}
+	logLost := s.positionRegressed(m, res.Answer.Position, sent)
+	s.confirmPrimary(m, res.Answer.Position, sent)
+	if !logLost {
+		return res
+	}
+	return Result{
+		Err: &NoResponseError{Member: m.id, Err: errLogLost}, StatementMayHaveRun: res.StatementMayHaveRun,
+		Waited: res.Waited, Floor: res.Floor,
 	}
-	return res
 }
 
 // begin opens a transaction and keeps its connection.
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -52,7 +52,7 @@
 // mu held.
 func (s *Set) confirmPrimaryInTerm(m *Member, term logpos.Term, p logpos.Position, sent time.Duration) {
 	before := s.primaryTracker.Primary()
-	if s.highWaterMark.Regressed(m.id, term, p, sent) {
+	if s.highWaterMark.ObserveLoss(m.id, term, p, sent) {
 		s.primaryTracker.ObserveDenial(m.id)
 		s.notifyPrimaryChange(before, "lost its log")
 		return
@@ -94,7 +94,14 @@
 func (s *Set) positionRegressed(m *Member, p logpos.Position, sent time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.highWaterMark.Regressed(m.id, s.primaryTracker.LeadTerm(m.id, p), p, sent)
+	return s.highWaterMark.ObserveLoss(m.id, s.primaryTracker.LeadTerm(m.id, p), p, sent)
+}
+
+// logLost reports whether a member has lost its log as the primary.
+func (s *Set) logLost(m *Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.highWaterMark.LogLost(m.id)
 }
 
 // LostLog reports whether the status of a self-declared primary shows that it
@@ -102,7 +109,7 @@
 func (s *Set) LostLog(id string, st statement.Status) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.highWaterMark.Regressed(id, st.Term, st.Received, clock.Now())
+	return s.highWaterMark.ObserveLoss(id, st.Term, st.Received, clock.Now())
 }
 
 // Primary returns the member assumed to be the primary, if it is usable: reachable
