--- a/node/entry/restart_test.go
+++ b/node/entry/restart_test.go
@@ -56,6 +56,29 @@
 	require.NotEqual(t, old.ID, d.group.Primary().ID)
 }
 
+// TestStartedHostDoesNotBelieveEmptyPrimary guards against reads that miss acknowledged
+// writes: all hosts start anew beside a primary that has lost its log and claims its
+// former term, so that none of them has seen how far its log went.
+func TestStartedHostDoesNotBelieveEmptyPrimary(t *testing.T) {
+	d := deploy(t, 3, options())
+	c := d.connect(0, "strict")
+	for n := range 20 {
+		c.must(fmt.Sprintf("STORE item-%d x", n))
+	}
+	d.awaitReplicas()
+	for _, h := range d.hosts {
+		h.Kill()
+	}
+	old := d.group.Primary()
+	old.Crash()
+	require.NoError(t, old.RestartEmpty(true))
+	started := len(d.hosts)
+	for range 3 {
+		d.addHost()
+	}
+	require.Equal(t, []string{"x"}, d.connect(started, "strict").awaitRead("item-7"), "acknowledged write lost")
+}
+
 // awaitRead repeats a read until it is served and returns its rows.
 func (c *client) awaitRead(item string) []string {
 	c.t.Helper()
