--- a/node/soak/host_process.go
+++ b/node/soak/host_process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -115,7 +116,7 @@
 	expected := h.exitExpected
 	h.mu.Unlock()
 	if !expected {
-		h.findings.add("%s ended by itself: %v", h.name, err)
+		h.findings.add("%s ended by itself: %v; its last log line: %s", h.name, err, h.lastLogLine())
 	}
 	close(exited)
 	time.Sleep(restartDelay)
@@ -124,6 +125,16 @@
 	}
 }
 
+// lastLogLine returns the last line of the log, or why there is none.
+func (h *hostProcess) lastLogLine() string {
+	log, err := os.ReadFile(h.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(log)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal to the current process and returns the channel that is
 // closed when it has exited. expectExit marks the exit as intended.
 func (h *hostProcess) signal(s syscall.Signal, expectExit bool) chan struct{} {
