Peer: numbers that a newer host sends are not taken for known ones

Callers could see, with hosts of two versions side by side: a refusal taken for success (code 256 became 0), a panic of the host, an unknown job run as a write.

Cause: numbers from the wire were converted to eight bits without a check. Listed from reading; TestCodesOfNewerPeerAreNotMistaken and TestJobsOfNewerPeerAreRefused failed before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -20,6 +20,10 @@
 
 var consistencyNames = [...]string{"primary", "read_your_writes", "bounded_staleness"}
 
+// KnownConsistency reports whether this version knows the consistency level with a number
+// that another host has sent.
+func KnownConsistency(n uint32) bool { return n < uint32(len(consistencyNames)) }
+
 func (c Consistency) String() string { return consistencyNames[c] }
 
 // Route maps a database name to a service and its request settings.
--- a/core/outcome/code.go
+++ b/core/outcome/code.go
@@ -106,3 +106,7 @@
 }
 
 func (c Code) String() string { return c.Info().Name }
+
+// DecodeCode returns the code with a number that another host has sent. The outcome of
+// one that this version does not know is unknown.
+func DecodeCode(n uint32) Code { return Code(min(n, uint32(numCodes))) }
--- a/core/statement/answer.go
+++ b/core/statement/answer.go
@@ -63,7 +63,11 @@
 	"invalid", "unauthorized", "unrecognized",
 }
 
-func (c Code) String() string { return codeNames[c] }
+func (c Code) String() string { return codeNames[min(c, Unrecognized)] }
+
+// DecodeCode returns the code with a number that another host has sent. A number of a
+// newer version is Unrecognized.
+func DecodeCode(n uint32) Code { return Code(min(n, uint32(Unrecognized))) }
 
 // Answer is the result of one statement.
 type Answer struct {
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -32,7 +32,16 @@
 
 var kindNames = [...]string{"malformed", "begin", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate"}
 
-func (k Kind) String() string { return kindNames[k] }
+func (k Kind) String() string {
+	if !KnownKind(uint32(k)) {
+		return "unknown"
+	}
+	return kindNames[k]
+}
+
+// KnownKind reports whether this version knows the kind with a number that another host
+// has sent.
+func KnownKind(n uint32) bool { return n < uint32(len(kindNames)) }
 
 // Shape is the definition of a prepared statement.
 type Shape struct {
--- a/node/peer/convert.go
+++ b/node/peer/convert.go
@@ -65,7 +65,7 @@
 	}
 	if m.GetRefusal() != 0 {
 		r.Refusal = &outcome.Refusal{
-			Code: outcome.Code(m.GetRefusal()), Detail: m.GetDetail(), RetryAfter: microseconds(m.GetRetryAfterUs()),
+			Code: outcome.DecodeCode(m.GetRefusal()), Detail: m.GetDetail(), RetryAfter: microseconds(m.GetRetryAfterUs()),
 		}
 	}
 	return r
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -43,6 +43,12 @@
 	}
 }
 
+// knownJob reports whether this version knows all kinds in a job. Another kind could stand
+// for a statement that this host would run as something else.
+func knownJob(p *peerpb.JobRequest) bool {
+	return replicaset.KnownJobKind(p.GetKind()) && statement.KnownKind(p.GetStatement().GetKind()) && catalog.KnownConsistency(p.GetConsistency())
+}
+
 func jobFromProto(p *peerpb.JobRequest) replicaset.Job {
 	now := clock.Now()
 	at := func(us int64) time.Duration { return now + time.Duration(us)*time.Microsecond }
@@ -121,7 +127,7 @@
 func resultFromProto(p *peerpb.JobResponse, sentAt time.Duration) replicaset.Result {
 	r := replicaset.Result{
 		Answer: statement.Answer{
-			Rows: p.GetRows(), Signature: p.GetSignature(), Code: statement.Code(p.GetCode()), Detail: p.GetDetail(),
+			Rows: p.GetRows(), Signature: p.GetSignature(), Code: statement.DecodeCode(p.GetCode()), Detail: p.GetDetail(),
 			State: statement.TxState(p.GetState()), Position: positionFromProto(p.GetPosition()),
 		},
 		StatementMayHaveRun: p.GetHanded(), ConfirmsPrimary: p.GetProof(), Tx: p.GetTransaction(),
--- a/node/peer/gate_convert_test.go
+++ b/node/peer/gate_convert_test.go
@@ -4,9 +4,13 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
@@ -26,3 +30,30 @@
 	require.Nil(t, floorToProto(replicaset.Floor{}, time.Second))
 	require.Zero(t, floorFromProto(nil, time.Second))
 }
+
+// TestCodesOfNewerPeerAreNotMistaken guards against a result that this version takes for
+// another one, for success at worst, since its number does not fit.
+func TestCodesOfNewerPeerAreNotMistaken(t *testing.T) {
+	for _, n := range []uint32{200, 256, 1 << 20} {
+		res := resultFromProto(&peerpb.JobResponse{Code: n}, 0)
+		require.Equal(t, statement.Unrecognized, res.Answer.Code)
+		require.NotEmpty(t, res.Answer.Code.String())
+		refusal := responseFromProto(&peerpb.ExecuteResponse{Refusal: n}).Refusal
+		require.Equal(t, outcome.RanUnknown, refusal.Code.Info().Ran)
+	}
+	require.NotEmpty(t, statement.Kind(200).String())
+}
+
+// TestJobsOfNewerPeerAreRefused guards against a job of an unknown kind that runs as a
+// write.
+func TestJobsOfNewerPeerAreRefused(t *testing.T) {
+	for _, job := range []*peerpb.JobRequest{
+		{Kind: 200}, {Kind: 256 + uint32(replicaset.JobWrite)}, {Statement: &peerpb.JobStatement{Kind: 200}}, {Consistency: 200},
+	} {
+		resp, err := (&gateServer{}).Run(t.Context(), connect.NewRequest(job))
+		require.NoError(t, err)
+		var refused *replicaset.RefusedError
+		require.ErrorAs(t, resultFromProto(resp.Msg, 0).Err, &refused)
+	}
+	require.True(t, knownJob(jobToProto("svc", replicaset.Job{Kind: replicaset.JobRollback})))
+}
--- a/node/replicaset/job.go
+++ b/node/replicaset/job.go
@@ -24,8 +24,13 @@
 	JobStatement
 	JobCommit
 	JobRollback
+	numJobKinds
 )
 
+// KnownJobKind reports whether this version knows the kind with a number that another host
+// has sent.
+func KnownJobKind(n uint32) bool { return n < uint32(numJobKinds) }
+
 // Job is one step of a caller's work on one member, such as a read, a write or the
 // begin of a transaction, with its parameters. It runs on this host or on a gate of
 // the member.
