Host: a blocking query is answered or given up within the configuration's bound

Callers could see: hosts of the PostgreSQL path on an old configuration for up to 33 s after their connections to the platform had gone silent.

Cause: the query's wait of 30 s and the client's 3 s added up, against 12 s within which a change is to be in force. Gossip helps only if a host has heard of the change; TestChangeIsInForceAfterUnansweredWatch silences all of them, and failed before.

Change: a query waits a third of the bound.

--- a/node/host/config_sync.go
+++ b/node/host/config_sync.go
@@ -18,8 +18,13 @@
 	// relaysPerZone is the number of hosts in each availability zone that watch
 	// the platform. The others receive changes from their peers.
 	relaysPerZone = 2
-	// watchTimeout is the duration of one blocking query of the platform.
-	watchTimeout = 30 * time.Second
+	// maxConfigApplyTime is the time within which a change is in force on all hosts, those
+	// whose connection to the platform has gone silent included.
+	maxConfigApplyTime = 12 * time.Second
+	// watchTimeout is the duration of one blocking query of the platform. With the time
+	// that the client allows for the answer, a retry and the reading of the change it is
+	// shorter than maxConfigApplyTime.
+	watchTimeout = maxConfigApplyTime / 3
 	// listInterval is the base interval at which a relay reads host lists.
 	listInterval = 30 * time.Second
 	// hostsPerExtraInterval is the number of hosts for which the interval grows by
--- a/node/host/config_test.go
+++ b/node/host/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,10 @@
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/node/confstore"
 	"github.com/dotterelswitch/dotterelswitch/node/consul"
+	"github.com/dotterelswitch/dotterelswitch/node/host"
 	"github.com/dotterelswitch/dotterelswitch/node/peer"
+	"github.com/dotterelswitch/dotterelswitch/node/settings"
+	"github.com/dotterelswitch/dotterelswitch/standin/faultproxy"
 )
 
 // BenchmarkConfigInForce measures the time from acceptance of a change until it is
@@ -76,6 +80,33 @@
 	require.GreaterOrEqual(t, version, ch.Version)
 }
 
+// TestChangeIsInForceAfterUnansweredWatch guards against hosts that wait too long for the
+// answer to a blocking query: the platform's connections have gone silent on all hosts, so
+// that none of them can tell the others of a change.
+func TestChangeIsInForceAfterUnansweredWatch(t *testing.T) {
+	const bound = 12 * time.Second
+	var proxy *faultproxy.Proxy
+	d := deploy(t, 3, func(s *settings.Settings) {
+		if proxy == nil {
+			var err error
+			proxy, err = faultproxy.New(s.Platform)
+			require.NoError(t, err)
+			t.Cleanup(proxy.Close)
+		}
+		s.Platform = proxy.Address()
+	})
+	defer d.kill()
+	proxy.BlackholeConnections()
+	store := confstore.New(consul.NewClient(d.env.Platform.Addr(), (&net.Dialer{}).DialContext))
+	ch, err := store.Submit(t.Context(), "silent", func(*conf.Config) (conf.Items, conf.Names, error) {
+		return conf.Items{Teams: []conf.Team{{Name: "silent", Weight: 1}}}, conf.Names{}, nil
+	})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return !slices.ContainsFunc(d.hosts, func(h *host.Host) bool { return h.ConfigVersion() < ch.Version })
+	}, bound, 10*time.Millisecond)
+}
+
 // TestChangePropagatesDuringPlatformOutage guards against an accepted change that
 // is offered to one host but does not reach the others without the platform.
 func TestChangePropagatesDuringPlatformOutage(t *testing.T) {
