Quota: a forgotten departure leaves cached placements valid

ValidUntil named a time that had passed. TestForgottenDepartureLeavesPlacementsValid failed before. The decision on this host's own lapse is split into named steps.

--- a/core/quota/departure_test.go
+++ b/core/quota/departure_test.go
@@ -9,12 +9,14 @@
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
 )
 
-// departedHosts are three hosts of three regions, each a counter of the team, and the
-// views of the hosts from which the first one has departed at departedAt.
+// departedAt is when the first of departedHosts departs.
 const departedAt = time.Minute
 
+// departedHosts are three hosts of three regions, each a counter of a team with a large
+// limit.
 var departedHosts = []quota.Host{{Name: "a", Region: "x"}, {Name: "b", Region: "y"}, {Name: "c", Region: "z"}}
 
+// viewOf returns a host's view after the departure.
 func viewOf(self quota.Host) *quota.Fleet {
 	f := quota.NewFleet(self)
 	f.SetRegistered(departedHosts, 0)
@@ -91,3 +93,11 @@
 	f.SetRegistered(departedHosts[1:], departedAt)
 	require.False(t, f.Suspended(departedAt))
 }
+
+// TestForgottenDepartureLeavesPlacementsValid guards against placements that are computed
+// anew for every operation because of a host that departed long ago.
+func TestForgottenDepartureLeavesPlacementsValid(t *testing.T) {
+	f := viewOf(departedHosts[1])
+	require.Greater(t, f.ValidUntil(departedAt), departedAt)
+	require.Zero(t, f.ValidUntil(departedAt+time.Minute))
+}
--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -47,8 +47,7 @@
 	announced map[string]announcedHost
 	// departed holds hosts whose registration has ended, by name.
 	departed map[string]*departure
-	// lapsedAt is when this host's own registration ended; negative if it is registered or
-	// has never been.
+	// lapsedAt is when this host's own registration ended, or neverLapsed if it has not.
 	lapsedAt time.Duration
 	// countsUntil is the time until which this host counts without a registration, and
 	// beyond it while no host is registered; zero if it does not.
@@ -70,7 +69,8 @@
 	until time.Duration
 }
 
-// neverLapsed is the value of Fleet.lapsedAt while this host's registration lasts.
+// neverLapsed is the value of Fleet.lapsedAt while this host is registered, and before it
+// is registered for the first time.
 const neverLapsed time.Duration = -1
 
 // NewFleet returns the view of a host that knows no other.
@@ -130,14 +130,25 @@
 			f.Join(now)
 		}
 		return replaceable
-	case f.leaving || now-f.lapsedAt >= lapsePeriod || now < f.countsUntil || f.hasLastingRegistration(now):
-		if now >= f.countsUntil && len(f.registered) > 0 {
-			f.countsUntil = 0
-		}
-		return false
+	case f.lapsesWithOthers(now):
+		return f.resume(now)
+	case now >= f.countsUntil && len(f.registered) > 0:
+		f.countsUntil = 0
 	}
+	return false
+}
+
+// lapsesWithOthers reports whether this host's registration has ended a short time ago and
+// no other one has lasted, while this host does not count.
+func (f *Fleet) lapsesWithOthers(now time.Duration) bool {
+	return !f.leaving && now-f.lapsedAt < lapsePeriod && now >= f.countsUntil && !f.hasLastingRegistration(now)
+}
+
+// resume has this host count without a registration, and the others that have lapsed in
+// the same outage with it. It reports whether this host has to join, because it has
+// declined meanwhile.
+func (f *Fleet) resume(now time.Duration) (joins bool) {
 	f.countsUntil = now + lapsePeriod
-	// The others that have lapsed in the same outage resume as well.
 	for _, d := range f.departed {
 		d.state = unconfirmed
 		clear(d.replacedFor)
@@ -185,7 +196,8 @@
 	return !f.counts(now) && !f.declined && !f.leaving && now-f.lapsedAt < lapsePeriod
 }
 
-// Decline records that this host has answered that it does not count.
+// Decline records that this host has answered that it does not count. It has no effect
+// while the host counts some teams.
 func (f *Fleet) Decline(now time.Duration) { f.declined = f.declined || !f.counts(now) }
 
 // DepartedCounters returns the departed counters in a team's placement that have to be
@@ -324,7 +336,7 @@
 		}
 	}
 	for _, d := range f.departed {
-		if until == 0 || d.until < until {
+		if now < d.until && (until == 0 || d.until < until) {
 			until = d.until
 		}
 	}
