--- a/node/entry/restart_test.go
+++ b/node/entry/restart_test.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// deployWithItems starts three hosts and writes item-0 to item-19, which all members have.
+func deployWithItems(t *testing.T) *deployment {
+	t.Helper()
+	d := deploy(t, 3, options())
+	c := d.connect(0, "strict")
+	for n := range 20 {
+		c.must(fmt.Sprintf("STORE item-%d x", n))
+	}
+	d.awaitReplicas()
+	return d
+}
+
 // TestPrimaryRestartedEmptyIsReplaced: a primary that restarts with an empty log and
 // claims its former term must be replaced by a replica with the acknowledged writes.
 func TestPrimaryRestartedEmptyIsReplaced(t *testing.T) {
@@ -60,12 +72,7 @@
 // writes: all hosts start anew beside a primary that has lost its log and claims its
 // former term, so that none of them has seen how far its log went.
 func TestStartedHostDoesNotBelieveEmptyPrimary(t *testing.T) {
-	d := deploy(t, 3, options())
-	c := d.connect(0, "strict")
-	for n := range 20 {
-		c.must(fmt.Sprintf("STORE item-%d x", n))
-	}
-	d.awaitReplicas()
+	d := deployWithItems(t)
 	for _, h := range d.hosts {
 		h.Kill()
 	}
@@ -94,12 +101,7 @@
 // TestWriteToEmptyPrimaryIsNotAcknowledged guards against a write that is acknowledged by a
 // primary that has lost its log, and is gone once the primary is replaced.
 func TestWriteToEmptyPrimaryIsNotAcknowledged(t *testing.T) {
-	d := deploy(t, 3, options())
-	c := d.connect(0, "strict")
-	for n := range 20 {
-		c.must(fmt.Sprintf("STORE item-%d x", n))
-	}
-	d.awaitReplicas()
+	d := deployWithItems(t)
 	old := d.group.Primary()
 	old.Crash()
 	require.NoError(t, old.RestartEmpty(true))
