Quota: a suspended counter grants to other hosts

Cause: a host that hears that its registration has ended is suspended for 3 s, and its share of the teams' limits was granted by nobody.

Change: it goes on granting what others request, with the share that they know, as they do not count in its place before it declines. Its own operations it requests from the others.

TestSuspendedCounterGrantsToOthers failed before (nothing granted).

--- a/core/quota/departure_test.go
+++ b/core/quota/departure_test.go
@@ -101,3 +101,17 @@
 	require.Greater(t, f.ValidUntil(departedAt), departedAt)
 	require.Zero(t, f.ValidUntil(departedAt+time.Minute))
 }
+
+// TestSuspendedCounterServesOthers guards against operations that are refused below their
+// limit because a share of it is granted by nobody, while the store turns some hosts away
+// for longer than a lease.
+func TestSuspendedCounterServesOthers(t *testing.T) {
+	l := limitOf(1000, 1000)
+	f := viewOf(departedHosts[0])
+	require.ElementsMatch(t, []string{"a", "b", "c"}, f.CountersForOthers(team, l, tolerance, departedAt))
+	require.Nil(t, f.CountersForOthers(team, l, tolerance, departedAt+lapsePeriod), "it declines")
+	require.Nil(t, viewOf(departedHosts[1]).CountersForOthers(team, l, tolerance, departedAt), "it is registered")
+}
+
+// lapsePeriod is the time for which a host is suspended.
+const lapsePeriod = 3 * time.Second
--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -32,9 +32,9 @@
 // The end of a registration does not show that its host has stopped counting: an outage
 // of the store that is longer than a lease ends the registrations of hosts that go on. So
 // a departed host stays a counter until it has said that it does not count, or has not
-// answered. A host stops counting when it hears that its own registration has ended,
-// unless no other registration has lasted; it joins again when it has registered. A host
-// that ends its registration itself stops counting for good.
+// answered. A host declines lapsePeriod after it has heard that its own registration has
+// ended, unless no other registration has lasted; it joins again when it has registered. A
+// host that ends its registration itself declines at once.
 //
 // Fleet is not safe for concurrent use.
 type Fleet struct {
@@ -92,7 +92,7 @@
 	}
 	for _, h := range f.registered {
 		if !containsHost(hosts, h.Name) {
-			takesOver = true
+			takesOver = takesOver || h.Name != f.self.Name
 			f.removeRegistration(h, now)
 		}
 	}
@@ -189,8 +189,9 @@
 	clear(f.acknowledgedBy)
 }
 
-// Suspended reports whether this host has lost its registration a short time ago. It does
-// not count then, but others do not count in its place either: it resumes if the other
+// Suspended reports whether this host has lost its registration a short time ago. It goes
+// on granting what other hosts request, as they do not count in its place yet, and
+// requests its own operations from the other counters. It resumes if the other
 // registrations lapse as well, or if it has registered again in time.
 func (f *Fleet) Suspended(now time.Duration) bool {
 	return !f.counts(now) && !f.declined && !f.leaving && now-f.lapsedAt < lapsePeriod
@@ -311,6 +312,15 @@
 	return p, unacknowledged
 }
 
+// CountersForOthers returns the counters of a team as other hosts see them while this one
+// is suspended, and nil while it is not.
+func (f *Fleet) CountersForOthers(team string, l Limit, t Tolerance, now time.Duration) []string {
+	if !f.Suspended(now) {
+		return nil
+	}
+	return Place(team, l, t, append(slices.Clip(f.hosts(team, now)), f.self), f.self).Counters
+}
+
 // CountersWithout returns the counters that a team has without one of the hosts.
 func (f *Fleet) CountersWithout(name, team string, l Limit, t Tolerance, now time.Duration) []string {
 	others := slices.DeleteFunc(slices.Clone(f.hosts(team, now)), func(h Host) bool { return h.Name == name })
--- a/core/quota/fleet_simulation_test.go
+++ b/core/quota/fleet_simulation_test.go
@@ -147,7 +147,7 @@
 		h.counter.TakeOver(s.now)
 	}
 	p, unacknowledged := h.fleet.Place(team, s.limit, tolerance, s.now)
-	if !slices.Contains(p.Counters, h.name) {
+	if !slices.Contains(s.answeringCounters(h, p), h.name) {
 		h.counter.Forget(team)
 	}
 	s.checkDepartures(h, p)
@@ -330,11 +330,19 @@
 	}
 }
 
+// answeringCounters returns the counters by which a host answers requests.
+func (s *simFleet) answeringCounters(h *simHost, p quota.Placement) []string {
+	if counters := h.fleet.CountersForOthers(team, s.limit, tolerance, s.now); counters != nil {
+		return counters
+	}
+	return p.Counters
+}
+
 func (s *simFleet) handleRequest(h *simHost, m simMessage) {
 	p := s.place(h)
 	grant := quota.Grant{RetryAfter: requestTimeout}
-	if slices.Contains(p.Counters, h.name) {
-		counters := len(p.Counters)
+	if answering := s.answeringCounters(h, p); slices.Contains(answering, h.name) {
+		counters := len(answering)
 		if s.brokenRule == countersGrantFullLimit {
 			counters = 1
 		}
--- a/node/limits/departures_test.go
+++ b/node/limits/departures_test.go
@@ -55,3 +55,17 @@
 	// No counter accrues tokens at twice the team's rate.
 	require.LessOrEqual(t, float64(granted), 2*team.Limit.Rate*time.Since(departedAt).Seconds()+1)
 }
+
+// TestSuspendedCounterGrantsToOthers guards against a share of the limit that nobody grants
+// while a host has lost its registration and is not replaced yet.
+func TestSuspendedCounterGrantsToOthers(t *testing.T) {
+	n, r := directNetwork{}, newReplacement(t)
+	suspended := n.start(r.replaced, true, r.counters()...)
+	time.Sleep(lapsePeriod)
+	knows(suspended, r.kept)
+	require.Equal(t, []string{r.kept}, suspended.CountersOf(team.Name))
+	require.Positive(t, suspended.Acquire(team.Name, 1).Granted)
+}
+
+// lapsePeriod is the time after which a registration counts as one that has lasted.
+const lapsePeriod = 3100 * time.Millisecond
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -206,18 +206,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	placement := l.placementOf(team, limit, now)
-	if !slices.Contains(placement.Counters, l.cfg.Self.Name) {
-		if l.fleet.Suspended(now) {
-			return quota.Grant{RetryAfter: requestTimeout}
-		}
-		// The two hosts have different views of the fleet, or this one is joining.
-		l.fleet.Decline(now)
-		if len(placement.unacknowledged) > 0 {
-			go l.announce(catalog.Team{Name: team, Limit: limit})
-		}
-		return quota.Grant{RetryAfter: requestTimeout, Counters: l.hostsNamed(placement.Counters, now)}
+	counters := l.answeringCounters(team, limit, placement.Counters, now)
+	if slices.Contains(counters, l.cfg.Self.Name) {
+		return l.counter.Acquire(team, limit, len(counters), wanted, now)
+	}
+	if l.fleet.Suspended(now) {
+		return quota.Grant{RetryAfter: requestTimeout}
+	}
+	// The two hosts have different views of the fleet, or this one is joining.
+	l.fleet.Decline(now)
+	if len(placement.unacknowledged) > 0 {
+		go l.announce(catalog.Team{Name: team, Limit: limit})
+	}
+	return quota.Grant{RetryAfter: requestTimeout, Counters: l.hostsNamed(placement.Counters, now)}
+}
+
+// answeringCounters returns the counters by which this host answers requests: those of its
+// placement, or those that other hosts know while it is suspended. It is called with mu
+// held.
+func (l *Limiter) answeringCounters(team string, limit quota.Limit, placed []string, now time.Duration) []string {
+	if counters := l.fleet.CountersForOthers(team, limit, l.cfg.Tolerance, now); counters != nil {
+		return counters
 	}
-	return l.counter.Acquire(team, limit, len(placement.Counters), wanted, now)
+	return placed
 }
 
 // placementsChanged discards the cached placements, and the buckets of the teams that this
@@ -226,7 +237,7 @@
 	clear(l.placements)
 	for _, team := range l.counter.Teams() {
 		limit, known := l.cfg.Limit(team)
-		if !known || !slices.Contains(l.placementOf(team, limit, now).Counters, l.cfg.Self.Name) {
+		if !known || !slices.Contains(l.answeringCounters(team, limit, l.placementOf(team, limit, now).Counters, now), l.cfg.Self.Name) {
 			l.counter.Forget(team)
 		}
 	}
