Replicaset: confirming a primary says whether it was confirmed

No change of behaviour. confirmResult asked under one lock whether the position shows a lost log and confirmed under a second one, which asked again: twice the work for each answer of a primary. confirmPrimary now reports the one answer.

knownWithoutLog replaces logLost, which stood beside LostLog; the comment on disconnected senders stands again at the call that it is about.

--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -52,11 +52,11 @@
 
 // Run implements peerpbconnect.GateHandler.
 func (s *gateServer) Run(ctx context.Context, req *connect.Request[peerpb.JobRequest]) (*connect.Response[peerpb.JobResponse], error) {
-	// If the sender disconnects, ctx ends and a statement that still waits is
-	// dropped. One that has started runs to completion within its own deadlines.
 	if !knownJob(req.Msg) {
 		return connect.NewResponse(resultToProto(replicaset.Result{Err: errNewerJob})), nil
 	}
+	// If the sender disconnects, ctx ends and a statement that still waits is
+	// dropped. One that has started runs to completion within its own deadlines.
 	job := jobFromProto(req.Msg)
 	res := s.handler.RunJob(ctx, req.Msg.GetService(), job)
 	if ctx.Err() != nil && res.Tx != 0 && job.Kind == replicaset.JobBegin {
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -37,7 +37,7 @@
 	if j.requiresPrimary() && m.Dead(began) {
 		return Result{Err: &RefusedError{Reason: "the member does not answer", MemberDead: true}}
 	}
-	if j.requiresPrimary() && s.logLost(m) {
+	if j.requiresPrimary() && s.knownWithoutLog(m) {
 		return lostLogResult()
 	}
 	if err := s.ensureFloor(ctx, j); err != nil {
@@ -186,12 +186,7 @@
 // that the member has lost part of its log, the answer does not count: a write that it
 // acknowledges is lost with it, and a read misses what was acknowledged before.
 func (s *Set) confirmResult(m *Member, res Result, sent time.Duration) Result {
-	if res.Err != nil || !res.ConfirmsPrimary {
-		return res
-	}
-	logLost := s.positionRegressed(m, res.Answer.Position, sent)
-	s.confirmPrimary(m, res.Answer.Position, sent)
-	if !logLost {
+	if res.Err != nil || !res.ConfirmsPrimary || s.confirmPrimary(m, res.Answer.Position, sent) {
 		return res
 	}
 	return Result{
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -40,22 +40,23 @@
 }
 
 // confirmPrimary records that a member has completed an exchange, sent at the given
-// time, that only the primary can complete, and the log position it reported.
-func (s *Set) confirmPrimary(m *Member, p logpos.Position, sent time.Duration) {
+// time, that only the primary can complete, and the log position it reported. It reports
+// false if the position shows that the member has lost part of its log.
+func (s *Set) confirmPrimary(m *Member, p logpos.Position, sent time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirmPrimaryInTerm(m, s.primaryTracker.LeadTerm(m.id, p), p, sent)
+	return s.confirmPrimaryInTerm(m, s.primaryTracker.LeadTerm(m.id, p), p, sent)
 }
 
 // confirmPrimaryInTerm records that a member is confirmed as the primary of a term,
-// unless its log position shows that it has lost part of its log. It is called with
-// mu held.
-func (s *Set) confirmPrimaryInTerm(m *Member, term logpos.Term, p logpos.Position, sent time.Duration) {
+// unless its log position shows that it has lost part of its log, and reports whether it
+// does so. It is called with mu held.
+func (s *Set) confirmPrimaryInTerm(m *Member, term logpos.Term, p logpos.Position, sent time.Duration) bool {
 	before := s.primaryTracker.Primary()
 	if s.highWaterMark.ObserveLoss(m.id, term, p, sent) {
 		s.primaryTracker.ObserveDenial(m.id)
 		s.notifyPrimaryChange(before, "lost its log")
-		return
+		return false
 	}
 	s.highWaterMark.Observe(m.id, term, p, clock.Now())
 	s.floors.ObserveInTerm(term, p, sent)
@@ -63,6 +64,7 @@
 		s.primaryTracker.ConfirmLeadership(m.id, term)
 	}
 	s.notifyPrimaryChange(before, "proof")
+	return true
 }
 
 // observePrimaryStatus records a status in which a member reports itself as
@@ -97,8 +99,8 @@
 	return s.highWaterMark.ObserveLoss(m.id, s.primaryTracker.LeadTerm(m.id, p), p, sent)
 }
 
-// logLost reports whether a member has lost its log as the primary.
-func (s *Set) logLost(m *Member) bool {
+// knownWithoutLog reports whether a member was found to have lost its log as the primary.
+func (s *Set) knownWithoutLog(m *Member) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.highWaterMark.LogLost(m.id)
