--- a/core/quota/departure.go
+++ b/core/quota/departure.go
@@ -1,6 +1,13 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// departureCheckInterval is the time after which a departed host that has answered is
+// asked again. It learns of the end of its registration within about a second.
+const departureCheckInterval = 500 * time.Millisecond
 
 // departureState says whether a host without registration may still count teams.
 type departureState uint8
@@ -42,3 +49,58 @@
 func (d *departure) answerExpired(now time.Duration) bool {
 	return now-d.checkedAt >= departureCheckInterval
 }
+
+// DepartedCounters returns the departed counters in a team's placement that have to be
+// asked whether they still count. One that has answered is asked again if this host would
+// count in its place or grant a larger share.
+func (f *Fleet) DepartedCounters(p Placement, team string, l Limit, t Tolerance, now time.Duration) []Host {
+	var out []Host
+	for _, name := range p.Counters {
+		d, departed := f.departed[name]
+		if departed && (d.state == unconfirmed || (d.answerExpired(now) && f.wouldCount(team, l, t, now))) {
+			out = append(out, d.Host)
+		}
+	}
+	return out
+}
+
+// wouldCount reports whether this host would count a team if no departed host did.
+func (f *Fleet) wouldCount(team string, l Limit, t Tolerance, now time.Duration) bool {
+	return slices.Contains(Place(team, l, t, f.present(now), f.self).Counters, f.self.Name)
+}
+
+// ConfirmDeparture records the answer of a departed host: whether it counts a team. It
+// reports whether the answer removes a counter.
+func (f *Fleet) ConfirmDeparture(name, team string, counts bool, now time.Duration) bool {
+	d, departed := f.departed[name]
+	if !departed {
+		return false
+	}
+	d.checkedAt, d.state = now, alive
+	if counts {
+		d.until = now + joinPeriod
+		return false
+	}
+	known := d.replacedFor[team]
+	d.replacedFor[team] = true
+	return !known
+}
+
+// ConfirmGone records that a host did not answer. It reports whether it was a departed
+// one that counted as present until now.
+func (f *Fleet) ConfirmGone(name string) bool {
+	d, departed := f.departed[name]
+	if !departed || d.state == gone {
+		return false
+	}
+	d.state = gone
+	return true
+}
+
+// FindCounter returns a present or departed host by name.
+func (f *Fleet) FindCounter(name string, now time.Duration) (Host, bool) {
+	if d, departed := f.departed[name]; departed && now < d.until {
+		return d.Host, true
+	}
+	return f.Find(name, now)
+}
--- a/core/quota/fleet_simulation_test.go
+++ b/core/quota/fleet_simulation_test.go
@@ -164,33 +164,6 @@
 	return other == h || s.now >= other.hiddenUntil
 }
 
-// announce has a joining host announce itself to the counters that it replaces.
-func (s *simFleet) announce(h *simHost, to []string) {
-	if len(to) == 0 || s.now < h.downUntil || s.now-h.announcedAt < requestTimeout {
-		return
-	}
-	h.announcedAt = s.now
-	for _, name := range to {
-		s.send(simMessage{from: h.name, to: name, announces: true})
-	}
-}
-
-// handleAnnouncement handles an announcement or its acknowledgement.
-func (s *simFleet) handleAnnouncement(h *simHost, m simMessage) {
-	if m.response {
-		h.fleet.Learn(m.grant.Counters, s.now)
-		h.fleet.Acknowledge(m.from)
-		delete(s.placements, h)
-		h.counter.TakeOver(s.now)
-		return
-	}
-	s.place(h)
-	h.fleet.Announce(s.quotaHost(s.find(m.from)), s.now)
-	h.fleet.Decline(s.now)
-	delete(s.placements, h)
-	s.send(simMessage{from: h.name, to: m.from, announces: true, response: true, grant: quota.Grant{Counters: s.hostsNamed(h.fleet.CountersWithout(m.from, team, s.limit, tolerance, s.now))}})
-}
-
 func (s *simFleet) hostsNamed(names []string) []quota.Host {
 	var out []quota.Host
 	for _, name := range names {
@@ -320,8 +293,8 @@
 		switch to := s.find(m.to); {
 		case m.announces:
 			s.handleAnnouncement(to, m)
-		case m.checks:
-			s.handleDepartureCheck(to, m)
+		case m.checks && m.response:
+			s.handleDepartureAnswer(to, m)
 		case m.response:
 			s.handleResponse(to, m)
 		default:
@@ -330,28 +303,29 @@
 	}
 }
 
-// answeringCounters returns the counters by which a host answers requests.
-func (s *simFleet) answeringCounters(h *simHost, p quota.Placement) []string {
-	if counters := h.fleet.CountersForOthers(team, s.limit, tolerance, s.now); counters != nil {
-		return counters
-	}
-	return p.Counters
-}
-
+// handleRequest answers a request for a grant, or a departure check, which is a request
+// for no operations.
 func (s *simFleet) handleRequest(h *simHost, m simMessage) {
 	p := s.place(h)
+	answering := s.answeringCounters(h, p)
 	grant := quota.Grant{RetryAfter: requestTimeout}
-	if answering := s.answeringCounters(h, p); slices.Contains(answering, h.name) {
+	switch {
+	case slices.Contains(answering, h.name):
 		counters := len(answering)
 		if s.brokenRule == countersGrantFullLimit {
 			counters = 1
 		}
 		grant = h.counter.Acquire(team, s.limit, counters, m.wanted, s.now)
-	} else if !h.fleet.Suspended(s.now) {
+	case !h.fleet.Suspended(s.now):
 		grant.Counters = s.hostsNamed(p.Counters)
 		h.fleet.Decline(s.now)
 	}
-	s.send(simMessage{from: h.name, to: m.from, sequence: m.sequence, response: true, grant: grant})
+	s.send(simMessage{from: h.name, to: m.from, sequence: m.sequence, response: true, checks: m.checks, grant: grant})
+}
+
+// answeringCounters returns the counters by which a host answers requests.
+func (s *simFleet) answeringCounters(h *simHost, p quota.Placement) []string {
+	return h.fleet.AnsweringCounters(p, team, s.limit, tolerance, s.now)
 }
 
 func (s *simFleet) handleResponse(h *simHost, m simMessage) {
--- a/core/quota/lapse_simulation_test.go
+++ b/core/quota/lapse_simulation_test.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -151,17 +150,8 @@
 	}
 }
 
-// handleDepartureCheck answers a check or handles its answer.
-func (s *simFleet) handleDepartureCheck(h *simHost, m simMessage) {
-	if !m.response {
-		grant := quota.Grant{}
-		if counters := s.place(h).Counters; !slices.Contains(counters, h.name) && !h.fleet.Suspended(s.now) {
-			grant.Counters = s.hostsNamed(counters)
-			h.fleet.Decline(s.now)
-		}
-		s.send(simMessage{from: h.name, to: m.from, checks: true, response: true, grant: grant})
-		return
-	}
+// handleDepartureAnswer handles the answer of a departed host.
+func (s *simFleet) handleDepartureAnswer(h *simHost, m simMessage) {
 	delete(h.checks, m.from)
 	if h.fleet.ConfirmDeparture(m.from, team, len(m.grant.Counters) == 0, s.now) {
 		h.counter.TakeOver(s.now)
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -206,7 +206,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	placement := l.placementOf(team, limit, now)
-	counters := l.answeringCounters(team, limit, placement.Counters, now)
+	counters := l.fleet.AnsweringCounters(placement.Placement, team, limit, l.cfg.Tolerance, now)
 	if slices.Contains(counters, l.cfg.Self.Name) {
 		return l.counter.Acquire(team, limit, len(counters), wanted, now)
 	}
@@ -221,28 +221,25 @@
 	return quota.Grant{RetryAfter: requestTimeout, Counters: l.hostsNamed(placement.Counters, now)}
 }
 
-// answeringCounters returns the counters by which this host answers requests: those of its
-// placement, or those that other hosts know while it is suspended. It is called with mu
-// held.
-func (l *Limiter) answeringCounters(team string, limit quota.Limit, placed []string, now time.Duration) []string {
-	if counters := l.fleet.CountersForOthers(team, limit, l.cfg.Tolerance, now); counters != nil {
-		return counters
-	}
-	return placed
-}
-
 // placementsChanged discards the cached placements, and the buckets of the teams that this
 // host does not count any more. It is called with mu held.
 func (l *Limiter) placementsChanged(now time.Duration) {
 	clear(l.placements)
 	for _, team := range l.counter.Teams() {
 		limit, known := l.cfg.Limit(team)
-		if !known || !slices.Contains(l.answeringCounters(team, limit, l.placementOf(team, limit, now).Counters, now), l.cfg.Self.Name) {
+		if !known || !l.countsForOthers(team, limit, now) {
 			l.counter.Forget(team)
 		}
 	}
 }
 
+// countsForOthers reports whether this host grants operations of a team to others. It is
+// called with mu held.
+func (l *Limiter) countsForOthers(team string, limit quota.Limit, now time.Duration) bool {
+	p := l.placementOf(team, limit, now).Placement
+	return slices.Contains(l.fleet.AnsweringCounters(p, team, limit, l.cfg.Tolerance, now), l.cfg.Self.Name)
+}
+
 // placementOf is called with mu held.
 func (l *Limiter) placementOf(team string, limit quota.Limit, now time.Duration) cachedPlacement {
 	p, found := l.placements[team]
