Limits: one loop for calls that are tried again

No change of behaviour. The departure checks had written again the loop that requests and announcements each had: a time-out, a call, the next attempt. attempt serves all three; go test -race ./node/limits passes.

--- a/node/limits/announce.go
+++ b/node/limits/announce.go
@@ -64,16 +64,16 @@
 	if skipFor > 0 {
 		return
 	}
-	for range maxAttempts {
-		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
-		counters, answered := l.cfg.Announce(ctx, address, team, l.cfg.Self)
-		cancel()
-		if answered {
-			l.acknowledged(counter, counters)
-			return
-		}
+	var counters []quota.Host
+	answered := attempt(maxAttempts, func(ctx context.Context) (ok bool) {
+		counters, ok = l.cfg.Announce(ctx, address, team, l.cfg.Self)
+		return ok
+	})
+	if !answered {
+		l.markUnresponsive(counter)
+		return
 	}
-	l.markUnresponsive(counter)
+	l.acknowledged(counter, counters)
 }
 
 // acknowledged applies the answer to an announcement. This host's grants start then, so
--- a/node/limits/departures.go
+++ b/node/limits/departures.go
@@ -31,14 +31,14 @@
 // confirmDeparture asks a departed counter whether it still counts a team, by a request
 // for no operations.
 func (l *Limiter) confirmDeparture(counter quota.Host, team string) {
-	for range maxDepartureAttempts {
-		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
-		g, answered := l.cfg.RequestGrant(ctx, counter.Address, team, 0)
-		cancel()
-		if answered {
-			l.departureConfirmed(counter.Name, team, g)
-			return
-		}
+	var g quota.Grant
+	answered := attempt(maxDepartureAttempts, func(ctx context.Context) (ok bool) {
+		g, ok = l.cfg.RequestGrant(ctx, counter.Address, team, 0)
+		return ok
+	})
+	if answered {
+		l.departureConfirmed(counter.Name, team, g)
+		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/limits/requests.go
+++ b/node/limits/requests.go
@@ -115,18 +115,32 @@
 	if skipFor > 0 {
 		return quota.Grant{RetryAfter: skipFor}
 	}
-	for range maxAttempts {
+	var g quota.Grant
+	answered := attempt(maxAttempts, func(ctx context.Context) (ok bool) {
+		g, ok = l.cfg.RequestGrant(ctx, address, team, wanted)
+		return ok
+	})
+	if !answered {
+		l.markUnresponsive(counter)
+		return quota.Grant{RetryAfter: unresponsiveBackoff}
+	}
+	l.markExhausted(counter, team, g)
+	l.departureConfirmed(counter, team, g)
+	return g
+}
+
+// attempt makes a call until it is answered, with requestTimeout each time. It reports
+// false if no attempt was answered.
+func attempt(attempts int, call func(ctx context.Context) (answered bool)) bool {
+	for range attempts {
 		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
-		g, answered := l.cfg.RequestGrant(ctx, address, team, wanted)
+		answered := call(ctx)
 		cancel()
 		if answered {
-			l.markExhausted(counter, team, g)
-			l.departureConfirmed(counter, team, g)
-			return g
+			return true
 		}
 	}
-	l.markUnresponsive(counter)
-	return quota.Grant{RetryAfter: unresponsiveBackoff}
+	return false
 }
 
 // markExhausted has a counter skipped for a team if it had not enough left to grant.
