Registry: log each question to a peer

Between the loss of the store (603) and the first news of a peer (609) a host's log told nothing: a failed question was a debug line, an empty answer no line at all. Event 620 names the peer, the result and the time.

--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -50,12 +50,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
 	defer cancel()
+	start := r.now()
 	l, err := fetch(ctx, peer.Address, above)
-	if err != nil {
-		r.log.Debug().Err(err).Str("peer", peer.Name).Msg("fetching store changes from a peer failed")
-		return
-	}
-	if l.Revision > above {
+	eventlog.PeerPolled.Info(r.log).Err(err).Str("peer", peer.Name).Stringer("above", above).Stringer("revision", l.Revision).Dur("elapsed_ms", r.now()-start).Send()
+	if err == nil && l.Revision > above {
 		r.applyPeerListing(l, peer.Name)
 	}
 }
