Registry: two first pages of a listing wait on a channel

A goroutine that waits for a lock stops the clock of simulated time. In real time it only waited, as it does now, on a channel.

--- a/node/registry/simulation_test.go
+++ b/node/registry/simulation_test.go
@@ -243,3 +243,10 @@
 		})
 	}
 }
+
+// TestFirstPagesOfHedgedListingsDoNotStopSimulatedTime guards against a lock that is held
+// while a host waits for another one: two listings of a starting host have their first
+// pages at the same time in this schedule.
+func TestFirstPagesOfHedgedListingsDoNotStopSimulatedTime(t *testing.T) {
+	simulate(t, smallFleet, 5108)
+}
--- a/node/registry/snapshot.go
+++ b/node/registry/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
@@ -40,12 +40,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	snapshot := make(chan store.Listing, 1)
-	pause := sync.OnceFunc(func() {
+	var looking atomic.Bool
+	looked := make(chan struct{})
+	// Hedged listings have their first pages at the same time: one looks, the others wait
+	// for it. They wait on a channel, since a lock stops the clock of simulated time.
+	pause := func() {
+		if !looking.CompareAndSwap(false, true) {
+			<-looked
+			return
+		}
+		defer close(looked)
 		if l, taken := r.snapshotFromFleet(ctx); taken {
 			snapshot <- l
 			cancel()
 		}
-	})
+	}
 	l, err := r.listHedged(ctx, "", pause)
 	select {
 	case taken := <-snapshot:
