Registry: other hosts are searched in turn, and any may give the configuration

Callers saw: a database that was added is refused on one host and served on its neighbours, for up to 24.7 s, while the store turns the host away, or after it returns from a cut while the store is gone.

Cause: such a host asked one host in each half second, drawn at random with itself among them, and a host answered only while it reached the store itself. A bound that is met on average only; and one condition for two kinds of data, of which a configuration does not need it, since its version tells which is newer.

Change: a host that reaches neither the store nor a relay asks four others at once, by datagram, what they know, all of them in turn in an order of its own (core/peerpoll), and fetches only from one that is ahead: the configuration from any host, other keys from hosts that reach the store. It also asks once an answer is overdue, before the watch fails, and while another host has registered with a newer configuration than the store has: a host that started beside a restored store asked only once.

--- a/core/fleetsim/host.go
+++ b/core/fleetsim/host.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/storelink"
@@ -23,6 +24,8 @@
 	// configCompression is the ratio by which a relay compresses a configuration, most of
 	// which are similar routes.
 	configCompression = 8
+	// progressBytes is the size of a datagram that asks or tells what a host knows.
+	progressBytes = 60
 )
 
 // host is a host of a simulated fleet.
@@ -41,6 +44,7 @@
 	revision, config int
 	// polledRevision is the newest revision of which another host has sent the changes.
 	polledRevision int
+	sweep          *peerpoll.Sweep
 	// restarted is set for a host that the fault has stopped.
 	restarted bool
 	followers []*follower
@@ -81,6 +85,7 @@
 	h.running = true
 	h.link, h.chooser, h.pacing = storelink.New(), relay.New(h.self), storelink.NewPacing(h.options.ConfigApplyTime)
 	h.revision, h.config, h.polledRevision, h.failures, h.followers = 0, 0, 0, 0, nil
+	h.sweep = peerpoll.NewSweep(h.self.Name)
 	h.renewals, h.leaseTTL = roster.RenewalSchedule{}, roster.LeaseTTL(0)
 	h.outFree, h.inFree, h.decodedAt = h.now, h.now, h.now
 	h.register()
--- a/core/fleetsim/synchronize.go
+++ b/core/fleetsim/synchronize.go
@@ -192,25 +192,47 @@
 	h.decodeConfig(upTo)
 }
 
-// poll asks a random host for changes while neither the store nor a relay answers.
+// poll asks other hosts what they know while neither the store nor a relay answers.
 func (h *host) poll() {
 	h.after(storelink.PollInterval, h.ifRunning(h.poll))
-	if !h.link.PollDue(h.now) {
+	if !h.link.PollDue(h.now, h.pacing.WatchWait) {
 		return
 	}
-	fleet := h.fleet()
-	if len(fleet) == 0 {
+	for _, asked := range h.sweep.Next(h.fleet()) {
+		peer := h.named(asked)
+		h.transmit(&h.port, &peer.port, progressBytes, func() {
+			if peer.running {
+				revision, config, reachesStore := peer.revision, peer.config, !peer.link.Unreachable()
+				h.transmit(&peer.port, &h.port, progressBytes, h.ifRunning(func() { h.fetchFrom(peer, revision, config, reachesStore) }))
+			}
+		})
+	}
+}
+
+// fetchFrom fetches what a host knows better: changes if it reaches the store, or the
+// configuration alone.
+func (h *host) fetchFrom(peer *host, revision, config int, reachesStore bool) {
+	above := max(h.revision, h.polledRevision)
+	changes := reachesStore && revision > above
+	if !changes && config <= h.config {
 		return
 	}
-	peer, above := h.named(fleet[h.rng.IntN(len(fleet))]), max(h.revision, h.polledRevision)
+	if changes {
+		h.polledRevision = revision
+	}
 	h.transmit(&h.port, &peer.port, 0, func() {
-		if !peer.running || peer.link.Unreachable() || peer.revision <= above {
+		if !peer.running {
 			return
 		}
-		upTo := peer.revision
-		h.transmit(&peer.port, &h.port, h.store.relayedBytes(above, upTo), h.ifRunning(func() {
-			h.polledRevision = upTo
-			h.decodeConfig(upTo)
+		bytes := h.options.ConfigBytes
+		if changes {
+			bytes = h.store.relayedBytes(above, revision)
+		}
+		h.transmit(&peer.port, &h.port, bytes, h.ifRunning(func() {
+			h.decodeConfig(revision)
+			if config > h.config {
+				h.decode(h.options.ConfigBytes, func() { h.setConfig(config) })
+			}
 		}))
 	})
 }
--- /dev/null
+++ b/core/peerpoll/main_test.go
@@ -0,0 +1,9 @@
+package peerpoll
+
+import (
+	"testing"
+
+	"github.com/dotterelswitch/dotterelswitch/core/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
--- a/core/storelink/link.go
+++ b/core/storelink/link.go
@@ -7,11 +7,12 @@
 
 import "time"
 
-// PollDelay is the time for which neither the store nor a relay must have answered before
-// other hosts are polled. Single lost calls are retried sooner.
+// PollDelay is the time after a failed call, or after an answer became overdue, for which
+// neither the store nor a relay must have answered before other hosts are polled. Single
+// lost calls are retried sooner.
 const PollDelay = 500 * time.Millisecond
 
-// PollInterval is the time between two polls.
+// PollInterval is the time between two rounds of polls.
 const PollInterval = 500 * time.Millisecond
 
 // Link is the state of one host. Times are since an arbitrary start and never zero. It is
@@ -82,7 +83,10 @@
 // SinceAnswer returns the time since the store or a relay last sent data.
 func (l *Link) SinceAnswer(now time.Duration) time.Duration { return now - l.lastAnswer }
 
-// PollDue reports whether other hosts are to be asked for changes.
-func (l *Link) PollDue(now time.Duration) bool {
-	return l.Unreachable() && now-l.failedAt >= PollDelay
+// PollDue reports whether other hosts are to be asked for changes: a call has failed
+// PollDelay ago, or nothing has arrived for longer than overdue, the time within which
+// the store or a relay answers even if nothing changes. A call that gets no answer fails
+// later than that.
+func (l *Link) PollDue(now, overdue time.Duration) bool {
+	return l.Unreachable() && now-l.failedAt >= PollDelay || l.HasListed() && l.SinceAnswer(now) > overdue+PollDelay
 }
--- a/core/storelink/link_test.go
+++ b/core/storelink/link_test.go
@@ -26,8 +26,9 @@
 	l.RelayLost()
 	require.True(t, l.Failed(4*time.Second))
 	require.Equal(t, Polling, l.Phase())
-	require.False(t, l.PollDue(4*time.Second+PollDelay-1))
-	require.True(t, l.PollDue(4*time.Second+PollDelay))
+	const overdue = 10 * time.Second
+	require.False(t, l.PollDue(4*time.Second+PollDelay-1, overdue))
+	require.True(t, l.PollDue(4*time.Second+PollDelay, overdue))
 
 	l.Follow("relay-2")
 	require.True(t, l.Answered(6*time.Second))
@@ -43,6 +44,19 @@
 	require.False(t, l.Recent(8*time.Second+1, time.Second))
 }
 
+// TestHostPollsBeforeAnUnansweredWatchFails guards against a host that is deaf for the
+// whole time-out of a watch: an answer is overdue before.
+func TestHostPollsBeforeAnUnansweredWatchFails(t *testing.T) {
+	p := NewPacing(3 * time.Second)
+	l := New()
+	require.False(t, l.PollDue(time.Hour, p.WatchWait), "a host without a listing knows no other host")
+	l.Listed(time.Second)
+	require.False(t, l.PollDue(time.Second+p.WatchWait+PollDelay, p.WatchWait))
+	require.True(t, l.PollDue(time.Second+p.WatchWait+PollDelay+1, p.WatchWait))
+	require.False(t, l.Unreachable())
+	require.Less(t, p.WatchWait+PollDelay, p.WatchTimeout)
+}
+
 // TestRelayIsNotFollowedAgainBeforeItsMissingChangesWereFetched guards against a follower
 // that returns to a relay which lacks the same changes once more.
 func TestRelayIsNotFollowedAgainBeforeItsMissingChangesWereFetched(t *testing.T) {
@@ -81,13 +95,13 @@
 			events[event]()
 			listed = listed || event == 2
 			require.Equal(t, !listed, l.Phase() == Starting)
-			require.False(t, l.PollDue(now) && !l.Unreachable())
+			require.False(t, l.PollDue(now, time.Hour) && !l.Unreachable())
 			switch l.Phase() {
 			case Starting, Relisting:
 				require.False(t, l.MayFollow())
 				require.False(t, l.Recent(now, time.Hour))
 			case Polling:
-				require.True(t, l.PollDue(now+PollDelay))
+				require.True(t, l.PollDue(now+PollDelay, time.Hour))
 			case Watching:
 				require.Empty(t, l.Relay())
 				require.True(t, l.Recent(now, time.Hour))
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -158,7 +158,7 @@
 	}
 	h.wg.Go(func() { h.registry.Run(h.ctx) })
 	h.wg.Go(func() { h.registry.KeepRegistered(h.ctx) })
-	h.wg.Go(func() { h.registry.PollPeers(h.ctx, h.gates.Listing) })
+	h.wg.Go(func() { h.registry.PollPeers(h.ctx, h.askStoreProgress, h.gates.Listing) })
 	h.wg.Go(func() { h.reconcile(h.ctx) })
 	h.wg.Go(func() { h.abortIdleTransactions(h.ctx) })
 	h.wg.Go(func() { h.tickGroups(h.ctx) })
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -101,6 +102,10 @@
 	if m.QuotaRequest != nil {
 		h.handleQuotaRequest(m, &out)
 	}
+	if m.AskStoreProgress {
+		progress := h.registry.Progress()
+		out.StoreProgress = &progress
+	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
 		if s == nil {
@@ -113,6 +118,13 @@
 	return out
 }
 
+// askStoreProgress asks another host what it knows of the store.
+func (h *Host) askStoreProgress(ctx context.Context, address string) (*peerpoll.Progress, error) {
+	h.traffic.add(trafficStoreProgress)
+	answer, err := h.peers.Probe(ctx, address, gossip.Message{AskStoreProgress: true})
+	return answer.StoreProgress, err
+}
+
 // queryPeersForFloor starts queries for the floor of a service to other hosts and
 // returns immediately.
 func (h *Host) queryPeersForFloor(service string) {
--- a/node/entry/traffic.go
+++ b/node/entry/traffic.go
@@ -17,12 +17,13 @@
 // The purposes of datagrams to other hosts, and the prefix for calls to the store,
 // which are counted by name and result. The texts are part of the log format.
 const (
-	trafficFloor        = "datagram floor"
-	trafficPeerReport   = "datagram opinion"
-	trafficAnnouncement = "datagram announcement"
-	trafficLiveness     = "datagram alive"
-	trafficQuota        = "datagram quota"
-	trafficStorePrefix  = "store "
+	trafficFloor         = "datagram floor"
+	trafficPeerReport    = "datagram opinion"
+	trafficAnnouncement  = "datagram announcement"
+	trafficLiveness      = "datagram alive"
+	trafficQuota         = "datagram quota"
+	trafficStoreProgress = "datagram store progress"
+	trafficStorePrefix   = "store "
 )
 
 // How statements obtained a connection to a member.
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -66,7 +66,8 @@
 	ConfigDeferred       = Event{617, "configuration_deferred"}
 	SnapshotTaken        = Event{618, "platform_snapshot_taken"}
 	SnapshotFailed       = Event{619, "platform_snapshot_failed"}
-	PeerPolled           = Event{620, "platform_peer_polled"}
+	PeersPolled          = Event{620, "platform_peers_polled"}
+	ConfigFetched        = Event{621, "configuration_fetched"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -85,7 +86,7 @@
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeerPolled,
+		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched,
 	}
 }
 
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -12,7 +12,9 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 )
 
@@ -40,6 +42,10 @@
 	QuotaRequest *QuotaRequest
 	// Grant answers a QuotaRequest.
 	Grant *quota.Grant
+	// AskStoreProgress asks what the receiver knows of the platform's store.
+	AskStoreProgress bool
+	// StoreProgress answers AskStoreProgress.
+	StoreProgress *peerpoll.Progress
 }
 
 // QuotaRequest asks for a grant of a number of operations to a team.
@@ -117,6 +123,7 @@
 		AskFloors: m.AskFloors, Floors: floorsToProto(m.Floors),
 		AskLost: peerReportRequestToProto(m.PeerReportRequest), Opinion: peerReportToProto(m.PeerReport), Lead: leadershipToProto(m.Leadership),
 		QuotaRequest: quotaRequestToProto(m.QuotaRequest), Grant: grantToProto(m.Grant),
+		AskStoreProgress: m.AskStoreProgress, StoreProgress: storeProgressToProto(m.StoreProgress),
 	})
 	if err != nil {
 		return nil, err
@@ -163,9 +170,20 @@
 	if q := p.GetGrant(); q != nil {
 		m.Grant = &quota.Grant{Granted: int(q.GetGranted()), RetryAfter: time.Duration(q.GetRetryAfterUs()) * time.Microsecond}
 	}
+	m.AskStoreProgress = p.GetAskStoreProgress()
+	if q := p.GetStoreProgress(); q != nil {
+		m.StoreProgress = &peerpoll.Progress{Revision: store.Revision(q.GetRevision()), ConfigVersion: q.GetConfigVersion(), ReachesStore: q.GetReachesStore()}
+	}
 	return m, nil
 }
 
+func storeProgressToProto(p *peerpoll.Progress) *peerpb.StoreProgress {
+	if p == nil {
+		return nil
+	}
+	return &peerpb.StoreProgress{Revision: uint64(p.Revision), ConfigVersion: p.ConfigVersion, ReachesStore: p.ReachesStore}
+}
+
 func quotaRequestToProto(q *QuotaRequest) *peerpb.QuotaRequest {
 	if q == nil {
 		return nil
--- a/node/gossip/transport_test.go
+++ b/node/gossip/transport_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/membership"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 )
 
 func listen(t *testing.T) net.PacketConn {
@@ -36,6 +37,28 @@
 	require.Equal(t, uint64(7), got.ConfigVersion)
 }
 
+// TestStoreProgressIsAskedAndTold guards against an answer that lacks what the sender
+// knows, and tells it apart from the answer of an earlier release.
+func TestStoreProgressIsAskedAndTold(t *testing.T) {
+	a, b := listen(t), listen(t)
+	want := peerpoll.Progress{Revision: 1 << 50, ConfigVersion: 12, ReachesStore: true}
+	ta := NewTransport(a, "key", func(m Message) Message { return m })
+	tb := NewTransport(b, "key", func(m Message) Message {
+		if !m.AskStoreProgress {
+			return Message{}
+		}
+		return Message{StoreProgress: &want}
+	})
+	defer ta.Close()
+	defer tb.Close()
+	got, err := ta.Probe(t.Context(), b.LocalAddr().String(), Message{AskStoreProgress: true})
+	require.NoError(t, err)
+	require.Equal(t, &want, got.StoreProgress)
+	got, err = ta.Probe(t.Context(), b.LocalAddr().String(), Message{})
+	require.NoError(t, err)
+	require.Nil(t, got.StoreProgress)
+}
+
 // TestDatagramsUnderAnotherKeyAreIgnored guards against handling datagrams of
 // another deployment or of an attacker.
 func TestDatagramsUnderAnotherKeyAreIgnored(t *testing.T) {
--- a/node/registry/configuration.go
+++ b/node/registry/configuration.go
@@ -121,28 +121,26 @@
 		if h.Name == r.self.Name {
 			continue
 		}
-		wg.Go(func() {
-			document, err := r.fetchConfig(ctx, h.Address, above)
-			if err != nil {
-				r.log.Debug().Err(err).Str("peer", h.Name).Msg("fetching the configuration from a peer failed")
-				return
-			}
-			r.applyFetchedConfig(document)
-		})
+		wg.Go(func() { r.fetchConfigFrom(ctx, h, above) })
 	}
 	wg.Wait()
 }
 
-// applyFetchedConfig activates the configuration that a peer sent; empty means that it
-// has no newer one.
-func (r *Registry) applyFetchedConfig(document []byte) {
-	if len(document) == 0 {
+// fetchConfigFrom asks a host for a configuration above a version and activates it.
+func (r *Registry) fetchConfigFrom(ctx context.Context, peer gates.Host, above uint64) {
+	document, err := r.fetchConfig(ctx, peer.Address, above)
+	if err != nil {
+		r.log.Debug().Err(err).Str("peer", peer.Name).Msg("fetching the configuration from a peer failed")
 		return
 	}
+	if len(document) == 0 {
+		return // The peer has no newer one.
+	}
 	next, ok := r.decodeConfig(document)
 	if !ok {
 		return
 	}
+	eventlog.ConfigFetched.Info(r.log).Str("peer", peer.Name).Uint64("version", next.Version).Send()
 	r.mu.Lock()
 	r.activateConfig(next, document)
 	r.mu.Unlock()
--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -15,45 +17,128 @@
 // FetchListingFunc fetches the keys above a revision from the host at an address.
 type FetchListingFunc func(ctx context.Context, address string, above store.Revision) (store.Listing, error)
 
-// peerPollTimeout bounds one poll.
-const peerPollTimeout = time.Second
+// AskProgressFunc asks the host at an address what it knows. It returns nil for a host of
+// an earlier release, which does not tell.
+type AskProgressFunc func(ctx context.Context, address string) (*peerpoll.Progress, error)
 
-// PollPeers fetches changes from other hosts while this host reaches neither the store
-// nor a relay, until the context ends. A peer's listing is applied as changes: keys that
-// it lacks are kept.
-func (r *Registry) PollPeers(ctx context.Context, fetch FetchListingFunc) {
+const (
+	// askProgressTimeout bounds the wait for the answers of one round. It allows for a
+	// round trip between distant regions and a busy host, and ends before the next round.
+	askProgressTimeout = 300 * time.Millisecond
+	// fetchListingTimeout bounds the time in which another host sends changes.
+	fetchListingTimeout = time.Second
+)
+
+// PollPeers asks other hosts what they know, and fetches what is newer, while this host
+// reaches neither the store nor a relay or has an older configuration than another host
+// has registered with, until the context ends. A peer's listing is applied as changes:
+// keys that it lacks are kept.
+func (r *Registry) PollPeers(ctx context.Context, ask AskProgressFunc, fetch FetchListingFunc) {
+	sweep := peerpoll.NewSweep(r.self.Name)
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, storelink.PollInterval)
-		if above, needed := r.shouldPollPeers(r.now()); needed {
-			r.pollPeer(ctx, fetch, above)
+		if reason := r.pollReason(r.now()); reason != noPoll {
+			r.pollPeers(ctx, reason, sweep.Next(r.Fleet()), ask, fetch)
 		}
 	}
 }
 
-// shouldPollPeers returns the newest known revision, and whether to ask peers
-// for changes.
-func (r *Registry) shouldPollPeers(now time.Duration) (store.Revision, bool) {
+// pollReason is why other hosts are asked.
+type pollReason uint8
+
+const (
+	noPoll pollReason = iota
+	// configOutdated: another host has registered with a newer configuration than the
+	// store had.
+	configOutdated
+	// noContact: neither the store nor a relay answers.
+	noContact
+)
+
+func (r *Registry) pollReason(now time.Duration) pollReason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return max(r.revision, r.peerRevision), r.link.PollDue(now)
+	switch {
+	case r.link.PollDue(now, r.pacing.WatchWait):
+		return noContact
+	case r.catalog != nil && r.roster.ConfigVersion() > r.catalog.Version:
+		return configOutdated
+	}
+	return noPoll
 }
 
-// pollPeer fetches changes from a randomly chosen host.
-func (r *Registry) pollPeer(ctx context.Context, fetch FetchListingFunc, above store.Revision) {
-	fleet := r.Fleet()
-	if len(fleet) == 0 {
-		return
+// Progress returns what this host knows of the store.
+func (r *Registry) Progress() peerpoll.Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := peerpoll.Progress{Revision: max(r.revision, r.peerRevision), ReachesStore: r.link.HasListed() && !r.link.Unreachable()}
+	if r.catalog != nil {
+		p.ConfigVersion = r.catalog.Version
 	}
-	peer := fleet[rand.IntN(len(fleet))]
-	if peer.Name == r.self.Name {
+	return p
+}
+
+// pollPeers asks some hosts what they know, and fetches the changes and the configuration
+// that this host lacks.
+func (r *Registry) pollPeers(ctx context.Context, reason pollReason, peers []gates.Host, ask AskProgressFunc, fetch FetchListingFunc) {
+	if len(peers) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerPollTimeout)
+	own := r.Progress()
+	answers := r.askPeers(ctx, own, peers, ask)
+	if source, found := peerpoll.ChangesSource(own, answers); found && reason == noContact {
+		r.fetchChanges(ctx, source, own.Revision, fetch)
+	}
+	// The changes have the configuration, unless the source was a starting host when it
+	// received that.
+	own = r.Progress()
+	if source, found := peerpoll.ConfigSource(own, answers); found && r.fetchConfig != nil {
+		ctx, cancel := context.WithTimeout(ctx, fetchConfigTimeout)
+		defer cancel()
+		r.fetchConfigFrom(ctx, source, own.ConfigVersion)
+	}
+}
+
+// askPeers returns the answers of the hosts that answer in time.
+func (r *Registry) askPeers(ctx context.Context, own peerpoll.Progress, peers []gates.Host, ask AskProgressFunc) []peerpoll.Answer {
+	ctx, cancel := context.WithTimeout(ctx, askProgressTimeout)
 	defer cancel()
 	start := r.now()
+	var (
+		wg      sync.WaitGroup
+		mu      sync.Mutex
+		answers []peerpoll.Answer
+	)
+	for _, peer := range peers {
+		wg.Go(func() {
+			progress, err := ask(ctx, peer.Address)
+			if err != nil {
+				r.log.Debug().Err(err).Str("peer", peer.Name).Msg("asking a peer what it knows failed")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, peerpoll.Answer{Host: peer, Progress: progress})
+		})
+	}
+	wg.Wait()
+	newest, reachStore := peerpoll.Newest(answers)
+	eventlog.PeersPolled.Info(r.log).Int("asked", len(peers)).Int("answered", len(answers)).Int("reach_store", reachStore).
+		Stringer("revision", newest.Revision).Uint64("version", newest.ConfigVersion).
+		Stringer("own_revision", own.Revision).Uint64("own_version", own.ConfigVersion).Dur("elapsed_ms", r.now()-start).Send()
+	return answers
+}
+
+// fetchChanges fetches the changes after a revision from another host.
+func (r *Registry) fetchChanges(ctx context.Context, peer gates.Host, above store.Revision, fetch FetchListingFunc) {
+	ctx, cancel := context.WithTimeout(ctx, fetchListingTimeout)
+	defer cancel()
 	l, err := fetch(ctx, peer.Address, above)
-	eventlog.PeerPolled.Info(r.log).Err(err).Str("peer", peer.Name).Stringer("above", above).Stringer("revision", l.Revision).Dur("elapsed_ms", r.now()-start).Send()
-	if err == nil && l.Revision > above {
+	if err != nil {
+		r.log.Debug().Err(err).Str("peer", peer.Name).Msg("fetching store changes from a peer failed")
+		return
+	}
+	if l.Revision > above {
 		r.applyPeerListing(l, peer.Name)
 	}
 }
--- a/node/registry/simulated_fleet_test.go
+++ b/node/registry/simulated_fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/platform"
@@ -88,7 +89,7 @@
 	h.mu.Unlock()
 	f.outstanding.Go(func() { r.Run(ctx) })
 	f.outstanding.Go(func() { r.KeepRegistered(ctx) })
-	f.outstanding.Go(func() { r.PollPeers(ctx, h.fetchListing) })
+	f.outstanding.Go(func() { r.PollPeers(ctx, h.askProgress, h.fetchListing) })
 }
 
 // kill ends the process without notice.
@@ -184,6 +185,15 @@
 	return l, err
 }
 
+func (h *simulatedHost) askProgress(ctx context.Context, address string) (*peerpoll.Progress, error) {
+	var p peerpoll.Progress
+	err := h.call(ctx, address, func(ctx context.Context, r *Registry) error {
+		p = r.Progress()
+		return h.awaitAnswer(ctx, address)
+	})
+	return &p, err
+}
+
 func (h *simulatedHost) fetchListing(ctx context.Context, address string, above store.Revision) (store.Listing, error) {
 	var l store.Listing
 	err := h.call(ctx, address, func(ctx context.Context, r *Registry) error {
