--- a/node/registry/configuration.go
+++ b/node/registry/configuration.go
@@ -34,7 +34,8 @@
 	}
 	if r.catalog == nil && r.fetchConfig != nil && r.roster.MayHaveNewerConfig(next.Version) {
 		r.deferConfig(next, document)
-		return noEffect
+		// Followers that run already decide for themselves.
+		return stateChanged
 	}
 	r.activateConfig(next, document)
 	return routingChanged
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/platform"
@@ -237,3 +238,29 @@
 	r.resetHistory()
 	require.Len(t, r.Listing(5).Items, 2, "without a history it sends all")
 }
+
+// TestConfigurationOfStartingRelayIsSentToFollowers guards against a version that no
+// follower is ever sent: it arrives while the relay, which has just started, still asks
+// others for a newer one than the store had.
+func TestConfigurationOfStartingRelayIsSentToFollowers(t *testing.T) {
+	asked, release := make(chan struct{}, 1), make(chan struct{})
+	r := New(Config{
+		Documents: platform.Documents{}, Self: gates.Host{Name: "relay"}, Changed: func() {}, Log: zerolog.Nop(),
+		FetchConfig: func(context.Context, string, uint64) ([]byte, error) {
+			asked <- struct{}{}
+			<-release
+			return nil, errStop
+		},
+	})
+	config := func(version uint64, at store.Revision) store.Item {
+		return store.Item{Key: platform.KeyConfig, Revision: at, Value: fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[]}`, version)}
+	}
+	other := encodeRegistration(roster.Registration{Host: gates.Host{Name: "other", Zone: "a", Address: "other"}, ConfigVersion: 9})
+	require.NoError(t, r.replace(store.Listing{Revision: 10, Items: []store.Item{config(2, 5), {Key: hostKey("other"), Value: other, Revision: 6}}}))
+	<-asked
+	r.apply(store.Listing{Revision: 12, Items: []store.Item{config(4, 12)}})
+	u := firstUpdate(t, r, 10)
+	close(release)
+	require.False(t, u.Complete)
+	require.Equal(t, []store.Item{config(4, 12)}, u.Items)
+}
