--- a/node/registry/configuration.go
+++ b/node/registry/configuration.go
@@ -60,6 +60,11 @@
 		return
 	}
 	r.configDocument = document
+	// The copy of a restored store may have an older one.
+	if i, found := r.items[r.docs.ConfigKey()]; found {
+		i.Value = document
+		r.items[i.Key] = i
+	}
 	r.changes.All = true
 	eventlog.ConfigInForce.Info(r.log).Uint64("version", next.Version).Int("routes", next.Len()).Send()
 }
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -266,3 +266,20 @@
 	require.NoError(t, stopping.Deregister(t.Context()))
 	require.Equal(t, []string{hostKey("h2")}, p.Store.Keys(hostPrefix))
 }
+
+// TestSnapshotHasTheActiveConfiguration guards against starting hosts that are sent the
+// older configuration of a restored store by a host that has a newer one from a peer.
+func TestSnapshotHasTheActiveConfiguration(t *testing.T) {
+	document := func(version int) []byte {
+		return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[]}`, version)
+	}
+	r := New(Config{
+		Documents: platform.Documents{}, Self: gates.Host{Name: "h1"}, Changed: func() {}, Log: zerolog.Nop(),
+		FetchConfig: func(context.Context, string, uint64) ([]byte, error) { return document(4), nil },
+	})
+	require.NoError(t, r.replace(store.Listing{Revision: 10, Items: []store.Item{{Key: platform.KeyConfig, Revision: 5, Value: document(2)}}}))
+	r.fetchConfigFrom(t.Context(), gates.Host{Name: "h2"}, 2)
+	l, err := r.Snapshot()
+	require.NoError(t, err)
+	require.Equal(t, []store.Item{{Key: platform.KeyConfig, Revision: 5, Value: document(4)}}, l.Items)
+}
