Relays name the age of what they send

A message of a relay has the time since the store answered it, its own relay's included. A follower asks other hosts once an answer of the store is overdue, as a host that watches the store itself does.

An earlier release sends no age, which counts as zero, as before.

--- a/core/fleetsim/follow.go
+++ b/core/fleetsim/follow.go
@@ -38,7 +38,8 @@
 		return
 	}
 	f.sent = upTo
-	h.transmit(&h.port, &f.port, bytes, f.ifSameProcess(func() { f.applyChanges(upTo) }))
+	knownUntil := h.now - h.link.Age(h.now)
+	h.transmit(&h.port, &f.port, bytes, f.ifSameProcess(func() { f.applyChanges(upTo, h.now-knownUntil) }))
 }
 
 // heartbeat tells the followers that the relay is there, or leaves them if it has no
@@ -46,9 +47,10 @@
 func (h *host) heartbeat() {
 	recent := h.isRecent()
 	for _, f := range h.followers {
+		knownUntil := h.now - h.link.Age(h.now)
 		h.transmit(&h.port, &f.port, 0, f.ifSameProcess(func() {
 			if recent {
-				f.link.Answered(h.now)
+				f.link.Answered(h.now, h.now-knownUntil)
 				return
 			}
 			f.relayLost(h, true)
--- a/core/fleetsim/synchronize.go
+++ b/core/fleetsim/synchronize.go
@@ -131,7 +131,7 @@
 func (h *host) listed(revision, bytes int) {
 	h.decode(bytes, func() {
 		h.failures = 0
-		h.link.Listed(h.now)
+		h.link.Listed(h.now, 0)
 		h.revision = revision
 		h.setConfig(h.store.configAt(revision))
 		if h.needsLongerLease() {
@@ -163,7 +163,7 @@
 			h.link.HistoryLost()
 		case watchAnswered:
 			h.failures = 0
-			h.applyChanges(upTo)
+			h.applyChanges(upTo, 0)
 		}
 		h.at(start+spacing, h.ifRunning(h.synchronize))
 	}
@@ -179,9 +179,10 @@
 	h.after(delay, h.ifRunning(h.synchronize))
 }
 
-// applyChanges applies the changes up to a revision and sends them to the followers.
-func (h *host) applyChanges(upTo int) {
-	h.link.Answered(h.now)
+// applyChanges applies the changes up to a revision, which the store sent an age ago, and
+// sends them to the followers.
+func (h *host) applyChanges(upTo int, age time.Duration) {
+	h.link.Answered(h.now, age)
 	if upTo <= h.revision {
 		return
 	}
--- a/core/storelink/events.go
+++ b/core/storelink/events.go
@@ -11,18 +11,21 @@
 	return true
 }
 
-// Answered records changes, or the lack of any, from the store or a relay. It reports
-// whether the store was unreachable before.
-func (l *Link) Answered(now time.Duration) bool {
+// Answered records changes, or the lack of any, from the store or a relay. The age is the
+// time since the store answered: zero from the store itself. It reports whether the store
+// was unreachable before.
+func (l *Link) Answered(now, age time.Duration) bool {
 	wasUnreachable := l.Unreachable()
 	l.failedAt, l.lastAnswer = 0, now
+	l.knownUntil = max(l.knownUntil, now-age)
 	return wasUnreachable
 }
 
-// Listed records a complete listing. It reports whether the store was unreachable before.
-func (l *Link) Listed(now time.Duration) bool {
+// Listed records a complete listing of an age like that of Answered. It reports whether the
+// store was unreachable before.
+func (l *Link) Listed(now, age time.Duration) bool {
 	l.relistDue = false
-	return l.Answered(now)
+	return l.Answered(now, age)
 }
 
 // HistoryLost records that the store no longer has the changes after the host's revision.
--- a/core/storelink/link.go
+++ b/core/storelink/link.go
@@ -5,7 +5,11 @@
 // reports what has happened and asks what to do next.
 package storelink
 
-import "time"
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
+)
 
 // PollDelay is the time after a failed call, or after an answer became overdue, for which
 // neither the store nor a relay must have answered before other hosts are polled. Single
@@ -21,6 +25,9 @@
 	// lastAnswer is when the store or a relay last sent data; zero before the first
 	// complete listing.
 	lastAnswer time.Duration
+	// knownUntil is the time up to which all changes of the store are known: when it last
+	// answered this host or, earlier than lastAnswer, a relay.
+	knownUntil time.Duration
 	// failedAt is when the first call after lastAnswer failed; zero if none did.
 	failedAt time.Duration
 	// relistDue is set while a complete listing is needed.
@@ -83,10 +90,18 @@
 // SinceAnswer returns the time since the store or a relay last sent data.
 func (l *Link) SinceAnswer(now time.Duration) time.Duration { return now - l.lastAnswer }
 
+// Age returns the time since the store last answered this host, or a relay by which its
+// answer came here.
+func (l *Link) Age(now time.Duration) time.Duration { return now - l.knownUntil }
+
 // PollDue reports whether other hosts are to be asked for changes: a call has failed
 // PollDelay ago, or nothing has arrived for longer than overdue, the time within which
 // the store or a relay answers even if nothing changes. A call that gets no answer fails
 // later than that.
 func (l *Link) PollDue(now, overdue time.Duration) bool {
-	return l.Unreachable() && now-l.failedAt >= PollDelay || l.HasListed() && l.SinceAnswer(now) > overdue+PollDelay
+	if l.follows {
+		// A relay tells of an answer without changes with its next heartbeat.
+		overdue += relay.HeartbeatInterval
+	}
+	return l.Unreachable() && now-l.failedAt >= PollDelay || l.HasListed() && l.Age(now) > overdue+PollDelay
 }
--- a/core/storelink/link_test.go
+++ b/core/storelink/link_test.go
@@ -18,7 +18,7 @@
 	require.False(t, l.Failed(2*time.Second), "the store was unreachable already")
 	require.Equal(t, Starting, l.Phase(), "a host without a listing has nothing to serve")
 
-	require.True(t, l.Listed(3*time.Second))
+	require.True(t, l.Listed(3*time.Second, 0))
 	require.Equal(t, Watching, l.Phase())
 	l.Follow("relay-1")
 	require.Equal(t, Following, l.Phase())
@@ -31,7 +31,7 @@
 	require.True(t, l.PollDue(4*time.Second+PollDelay, overdue))
 
 	l.Follow("relay-2")
-	require.True(t, l.Answered(6*time.Second))
+	require.True(t, l.Answered(6*time.Second, 0))
 	require.Equal(t, Following, l.Phase())
 	require.False(t, l.RestoreObserved(), "the relay sends a listing")
 
@@ -39,7 +39,7 @@
 	require.True(t, l.RestoreObserved())
 	require.Equal(t, Relisting, l.Phase())
 	require.False(t, l.Recent(6*time.Second, time.Second), "changes may be missing")
-	l.Listed(7 * time.Second)
+	l.Listed(7*time.Second, 0)
 	require.True(t, l.Recent(8*time.Second, time.Second))
 	require.False(t, l.Recent(8*time.Second+1, time.Second))
 }
@@ -50,18 +50,34 @@
 	p := NewPacing(3 * time.Second)
 	l := New()
 	require.False(t, l.PollDue(time.Hour, p.WatchWait), "a host without a listing knows no other host")
-	l.Listed(time.Second)
+	l.Listed(time.Second, 0)
 	require.False(t, l.PollDue(time.Second+p.WatchWait+PollDelay, p.WatchWait))
 	require.True(t, l.PollDue(time.Second+p.WatchWait+PollDelay+1, p.WatchWait))
 	require.False(t, l.Unreachable())
 	require.Less(t, p.WatchWait+PollDelay, p.WatchTimeout)
 }
 
+// TestFollowerPollsWhenItsRelaysDataIsOld guards against ages that add up along relays: a
+// relay that the store does not answer goes on sending for a while.
+func TestFollowerPollsWhenItsRelaysDataIsOld(t *testing.T) {
+	const overdue = time.Second
+	l := New()
+	l.Listed(time.Second, 0)
+	l.Follow("relay")
+	l.Answered(3*time.Second, 1800*time.Millisecond)
+	require.Equal(t, 1800*time.Millisecond, l.Age(3*time.Second))
+	require.False(t, l.PollDue(3*time.Second, overdue))
+	l.Answered(3200*time.Millisecond, 2*time.Second)
+	require.True(t, l.PollDue(3200*time.Millisecond, overdue))
+	l.Answered(3400*time.Millisecond, 4*time.Second)
+	require.Equal(t, 2200*time.Millisecond, l.Age(3400*time.Millisecond), "another relay's older data takes nothing away")
+}
+
 // TestRelayIsNotFollowedAgainBeforeItsMissingChangesWereFetched guards against a follower
 // that returns to a relay which lacks the same changes once more.
 func TestRelayIsNotFollowedAgainBeforeItsMissingChangesWereFetched(t *testing.T) {
 	l := New()
-	l.Listed(time.Second)
+	l.Listed(time.Second, 0)
 	l.Follow("relay-1")
 	l.RelayLacksChanges()
 	require.False(t, l.MayFollow())
@@ -77,7 +93,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l, now := New(), time.Second
 		events := []func(){
-			func() { l.Failed(now) }, func() { l.Answered(now) }, func() { l.Listed(now) },
+			func() { l.Failed(now) }, func() { l.Answered(now, 0) }, func() { l.Listed(now, 0) },
 			l.HistoryLost, func() { l.RestoreObserved() }, l.UseStore,
 			func() {
 				if l.MayFollow() {
--- a/node/peer/gate_client.go
+++ b/node/peer/gate_client.go
@@ -173,7 +173,7 @@
 		}
 		receive(registry.Update{
 			Listing:  store.Listing{Revision: store.Revision(m.GetRevision()), Items: items},
-			Complete: m.GetComplete(),
+			Complete: m.GetComplete(), Age: time.Duration(m.GetAgeUs()) * time.Microsecond,
 		})
 	}
 	err = stream.Err()
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -89,7 +89,7 @@
 // Follow implements peerpbconnect.GateHandler.
 func (s *gateServer) Follow(ctx context.Context, req *connect.Request[peerpb.FollowRequest], stream *connect.ServerStream[peerpb.FollowResponse]) error {
 	err := s.handler.StreamChanges(ctx, store.Revision(req.Msg.GetAfter()), req.Msg.GetChangesOnly(), func(n registry.Update) error {
-		resp := &peerpb.FollowResponse{Revision: uint64(n.Revision), Complete: n.Complete}
+		resp := &peerpb.FollowResponse{Revision: uint64(n.Revision), Complete: n.Complete, AgeUs: uint64(n.Age.Microseconds())}
 		if !req.Msg.GetAcceptsCompressedValues() {
 			resp.Items = itemsToProto(n.Items)
 			return stream.Send(resp)
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -57,9 +57,13 @@
 // when this host already has data from after it.
 var errOlderEpoch = errors.New("the answer is of an older epoch of the store")
 
-// replace applies a complete listing. It returns errOlderEpoch for a listing of an
-// older epoch than the local copy's.
-func (r *Registry) replace(l store.Listing) error {
+// replace applies a complete listing of the store.
+func (r *Registry) replace(l store.Listing) error { return r.replaceAged(l, 0) }
+
+// replaceAged applies a complete listing of the store or of a relay, which the store
+// answered an age ago. It returns errOlderEpoch for a listing of an older epoch than the
+// local copy's.
+func (r *Registry) replaceAged(l store.Listing, age time.Duration) error {
 	now := r.now()
 	r.mu.Lock()
 	if l.Revision.Epoch() < r.revision.Epoch() {
@@ -98,7 +102,7 @@
 		r.recordRegisteredAtStart()
 		r.signalStoreReached()
 	}
-	r.link.Listed(now)
+	r.link.Listed(now, age)
 	r.revision = l.Revision
 	r.changes.All = true
 	if continues {
@@ -121,15 +125,18 @@
 	return true
 }
 
-// apply applies the changes that a watch or a relay returned. They are of the local
-// copy's epoch: after a restore a watch fails with store.Restored, and a relay sends a
-// complete listing.
-func (r *Registry) apply(l store.Listing) {
+// apply applies the changes that a watch returned.
+func (r *Registry) apply(l store.Listing) { r.applyAged(l, 0) }
+
+// applyAged applies the changes that a watch or a relay returned; the store answered the
+// relay an age ago. They are of the local copy's epoch: after a restore a watch fails with
+// store.Restored, and a relay sends a complete listing.
+func (r *Registry) applyAged(l store.Listing, age time.Duration) {
 	now := r.now()
 	r.mu.Lock()
 	r.noteReachable(now)
 	r.countReceived(len(l.Items))
-	r.link.Answered(now)
+	r.link.Answered(now, age)
 	r.revision = max(r.revision, l.Revision)
 	var changes []store.Item
 	maxEffect := noEffect
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -20,6 +20,9 @@
 	store.Listing
 	// Complete is set for a complete listing: keys that it lacks do not exist.
 	Complete bool
+	// Age is the time since the store last answered the relay, or the relay that it
+	// follows; zero from a host of an earlier release.
+	Age time.Duration
 }
 
 // FollowFunc receives updates after a revision from the host at an address. It calls
@@ -94,9 +97,9 @@
 // listing of an older epoch than the local copy's.
 func (r *Registry) applyUpdate(u Update) error {
 	if u.Complete {
-		return r.replace(u.Listing)
+		return r.replaceAged(u.Listing, u.Age)
 	}
-	r.apply(u.Listing)
+	r.applyAged(u.Listing, u.Age)
 	return nil
 }
 
@@ -183,14 +186,17 @@
 		r.observeEpoch(after.Epoch())
 		return Update{}, nil, errOlderEpoch
 	}
-	if after >= r.revision {
+	u := Update{Age: r.link.Age(r.now())}
+	switch {
+	case after >= r.revision:
 		// A follower that watched the store itself may be ahead briefly.
-		return Update{Listing: store.Listing{Revision: after}}, r.historyChanged, nil
+		u.Revision = after
+	case after < r.historyStart:
+		u.Listing, u.Complete = r.itemsAfter(0), true
+	default:
+		u.Listing = r.historyAfter(after)
 	}
-	if after < r.historyStart {
-		return Update{Listing: r.itemsAfter(0), Complete: true}, r.historyChanged, nil
-	}
-	return Update{Listing: r.historyAfter(after)}, r.historyChanged, nil
+	return u, r.historyChanged, nil
 }
 
 // historyAfter returns the changes that the history has after a revision. It is called
--- a/node/registry/follow_test.go
+++ b/node/registry/follow_test.go
@@ -23,7 +23,7 @@
 // historyStart.
 func relayAt(revision, historyStart store.Revision, changes ...store.Item) *Registry {
 	r := New(Config{Documents: platform.Documents{}, Self: gates.Host{Name: "relay"}, Changed: func() {}, Log: zerolog.Nop()})
-	r.link.Listed(clock.Now())
+	r.link.Listed(clock.Now(), 0)
 	r.revision, r.historyStart, r.history = revision, historyStart, changes
 	for _, i := range changes {
 		r.cacheItem(i)
@@ -264,3 +264,20 @@
 	require.False(t, u.Complete)
 	require.Equal(t, []store.Item{config(4, 12)}, u.Items)
 }
+
+// TestFollowerKnowsAgeOfItsRelaysData guards against ages that add up along relays: each
+// of them counted what it was sent as new.
+func TestFollowerKnowsAgeOfItsRelaysData(t *testing.T) {
+	const age = 800 * time.Millisecond
+	source := relayAt(6, 4, store.Item{Key: "a", Revision: 6})
+	start := source.now()
+	later := func() time.Duration { return start + age }
+	source.now = later
+	for _, name := range []string{"relay of the zone", "its follower"} {
+		r := New(Config{Documents: platform.Documents{}, Self: gates.Host{Name: name}, Changed: func() {}, Log: zerolog.Nop(), Now: later})
+		r.link.Follow("another relay")
+		require.NoError(t, r.applyUpdate(firstUpdate(t, source, 0)))
+		require.InDelta(t, age, r.link.Age(later()), float64(50*time.Millisecond), name)
+		source = r
+	}
+}
