Registry: the simulation checks hosts beside others that know better

The simulation took the stretched bound for hosts that the store turns away, and nothing for hosts that return from a cut while the store is away. It now checks, in all states of the store: a host that reaches another one has a version of it within the time of a change.

--- a/node/registry/simulated_disruptions_test.go
+++ b/node/registry/simulated_disruptions_test.go
@@ -112,6 +112,7 @@
 		s.schedule(until+s.duration(0, 300*time.Millisecond), h.self.Name+" starts", func() {
 			h.kill()
 			delete(s.active, h.self.Name)
+			delete(s.knownSince, h.self.Name)
 			h.start()
 		})
 	}
--- a/node/registry/simulation_test.go
+++ b/node/registry/simulation_test.go
@@ -55,6 +55,8 @@
 	version, unwritten uint64
 	// active is the version that was last seen on each running host.
 	active map[string]uint64
+	// knownSince is, for each running host, when each of its versions became active.
+	knownSince map[string]map[uint64]time.Duration
 	// storeCalmSince and storeAnsweredSince are when the last disruption, and the last
 	// outage, of the store ended.
 	storeCalmSince, storeAnsweredSince time.Duration
@@ -87,7 +89,7 @@
 )
 
 func newSimulation(b simulatedBounds, seed uint64, log zerolog.Logger) *simulation {
-	s := &simulation{simulatedBounds: b, fleet: newSimulatedFleet(b.hosts, b.zones, b.maxApply, log), rng: rand.New(rand.NewPCG(seed, 1)), active: map[string]uint64{}}
+	s := &simulation{simulatedBounds: b, fleet: newSimulatedFleet(b.hosts, b.zones, b.maxApply, log), rng: rand.New(rand.NewPCG(seed, 1)), active: map[string]uint64{}, knownSince: map[string]map[uint64]time.Duration{}}
 	s.otherChanges = []int{0, 1, 30}[s.rng.IntN(3)]
 	s.configure()
 	s.writeConfig()
@@ -176,13 +178,47 @@
 			return fmt.Sprintf("%7.3f s  %s went back from version %d to %d", (now - simulatedStart).Seconds(), h.self.Name, s.active[h.self.Name], version)
 		}
 		s.active[h.self.Name] = version
+		s.noteKnown(h.self.Name, version, now)
 		if required := s.requiredVersion(h, now); version < required {
 			return fmt.Sprintf("%7.3f s  %s has version %d of %d", (now - simulatedStart).Seconds(), h.self.Name, version, required)
 		}
+		if peer, newer := s.versionOfPeers(h, now); version > 0 && version < newer {
+			return fmt.Sprintf("%7.3f s  %s has version %d, its peer %s has %d", (now - simulatedStart).Seconds(), h.self.Name, version, peer, newer)
+		}
 	}
 	return ""
 }
 
+// noteKnown records the version that is active on a host.
+func (s *simulation) noteKnown(host string, version uint64, now time.Duration) {
+	if s.knownSince[host] == nil {
+		s.knownSince[host] = map[uint64]time.Duration{}
+	}
+	if _, noted := s.knownSince[host][version]; !noted {
+		s.knownSince[host][version] = now
+	}
+}
+
+// versionOfPeers returns the newest version that a host must have since another one has
+// it, whatever the store does: both reach each other, and have had the time of a change
+// for it.
+func (s *simulation) versionOfPeers(h *simulatedHost, now time.Duration) (peer string, version uint64) {
+	if h.peerPath.isCut() {
+		return "", 0
+	}
+	for _, p := range s.hostsByName() {
+		if r, _ := p.process(); r == nil || p.peerPath.isCut() {
+			continue
+		}
+		for known, since := range s.knownSince[p.self.Name] {
+			if known > version && now-max(since, p.calmSince, h.calmSince) > s.maxApply {
+				peer, version = p.self.Name, known
+			}
+		}
+	}
+	return peer, version
+}
+
 func (s *simulation) hostsByName() []*simulatedHost {
 	var out []*simulatedHost
 	for _, h := range s.fleet.hosts {
