Registry: a test of the host that learns late of a newer configuration

A host that started beside a restored store before others had registered anew asked nobody later. The search in turn asks on while another host has registered with a newer version; without that condition the test fails.

--- a/core/peerpoll/sweep.go
+++ b/core/peerpoll/sweep.go
@@ -22,7 +22,7 @@
 const FanOut = 4
 
 // Sweep draws the hosts of each round. Each host passes through the others in an order of
-// its own. It is not safe for concurrent use.
+// its own, so that not all ask the same one at once. It is not safe for concurrent use.
 type Sweep struct {
 	// self is the name of the host that asks.
 	self string
@@ -30,9 +30,11 @@
 	last uint64
 }
 
+// NewSweep returns the sweep of the host with a name.
 func NewSweep(self string) *Sweep { return &Sweep{self: self} }
 
-// Next returns the hosts to ask in the next round, up to FanOut of the fleet.
+// Next returns the hosts to ask in the next round: up to FanOut of the fleet, each other
+// host once before any is asked again.
 func (s *Sweep) Next(fleet []gates.Host) []gates.Host {
 	type candidate struct {
 		gates.Host
--- a/node/registry/restored_store_test.go
+++ b/node/registry/restored_store_test.go
@@ -13,8 +13,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/platform"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 	"github.com/dotterelswitch/dotterelswitch/standin/simtime"
@@ -283,3 +285,44 @@
 	require.NoError(t, err)
 	require.Equal(t, []store.Item{{Key: platform.KeyConfig, Revision: 5, Value: document(4)}}, l.Items)
 }
+
+// TestRunningHostAsksWhenAnotherRegistersWithNewerConfiguration guards against a host that
+// has started beside a restored store, when no other host had registered anew, and keeps
+// the store's older configuration.
+func TestRunningHostAsksWhenAnotherRegistersWithNewerConfiguration(t *testing.T) {
+	simtime.Test(t, func(t *testing.T) {
+		document := func(version int) []byte {
+			return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[]}`, version)
+		}
+		r := New(Config{
+			Documents: platform.Documents{}, Self: gates.Host{Name: "h1"}, Changed: func() {}, Log: zerolog.Nop(),
+			FetchConfig: func(_ context.Context, address string, above uint64) ([]byte, error) {
+				require.Equal(t, "h2", address)
+				require.EqualValues(t, 2, above)
+				return document(9), nil
+			},
+			Now: simulatedNow(),
+		})
+		require.NoError(t, r.replace(store.Listing{Revision: 10, Items: []store.Item{{Key: platform.KeyConfig, Revision: 5, Value: document(2)}}}))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		asked := 0
+		go r.PollPeers(ctx, func(context.Context, string) (*peerpoll.Progress, error) {
+			asked++
+			return &peerpoll.Progress{ConfigVersion: 9}, nil
+		}, nil)
+		time.Sleep(storelink.PollInterval + time.Millisecond)
+		require.Zero(t, asked, "the store answers and nobody has a newer version")
+		other := encodeRegistration(roster.Registration{Host: gates.Host{Name: "h2", Zone: "a", Address: "h2"}, ConfigVersion: 9})
+		r.apply(store.Listing{Revision: 11, Items: []store.Item{{Key: hostKey("h2"), Value: other, Revision: 11}}})
+		time.Sleep(storelink.PollInterval)
+		require.EqualValues(t, 9, r.Catalog().Version)
+		require.Equal(t, 1, asked)
+	})
+}
+
+// simulatedNow returns a clock of simulated time that is never zero.
+func simulatedNow() func() time.Duration {
+	start := time.Now()
+	return func() time.Duration { return simulatedStart + time.Since(start) }
+}
