Promotion: an empty log is never the furthest

What callers saw: acknowledged writes lost, after a member that had lost its log in a newer term took part in a promotion.

Cause: candidates are compared by the position that they have received, by term first. An empty log has no entry, but its position names the newest term (2/0), and so ranked before a log that ends in an older one (1/20).

With the entry test of an empty primary after a failover without writes, the former primary steps down and then is such a candidate.

Why this works: the comparison uses the last entry, which an empty log does not have.

--- a/core/succession/choose.go
+++ b/core/succession/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 )
 
@@ -30,7 +31,7 @@
 }
 
 func compareCandidates(a, b CandidateStatus) int {
-	if c := a.Status.Received.Compare(b.Status.Received); c != 0 {
+	if c := logEnd(a).Compare(logEnd(b)); c != 0 {
 		return c
 	}
 	if a.Leaving != b.Leaving {
@@ -41,3 +42,12 @@
 	}
 	return cmp.Compare(b.ID, a.ID)
 }
+
+// logEnd returns the last entry of a candidate's log. An empty log has none, whatever the
+// term that its position names.
+func logEnd(c CandidateStatus) logpos.Position {
+	if c.Status.Received.Offset == 0 {
+		return logpos.Position{}
+	}
+	return c.Status.Received
+}
--- a/core/succession/succession_test.go
+++ b/core/succession/succession_test.go
@@ -181,3 +181,11 @@
 		require.Equal(t, slices.Index(order, host), succession.TakeoverRank("svc", host, holder, live))
 	})
 }
+
+// TestEmptyLogOfNewerTermIsNotPromoted guards against a member without its log that is
+// promoted because its position names the newest term.
+func TestEmptyLogOfNewerTermIsNotPromoted(t *testing.T) {
+	got, ok := succession.ChooseCandidate([]succession.CandidateStatus{report("a", 2, 0, false), report("b", 1, 20, false)}, 2, 0)
+	require.True(t, ok)
+	require.Equal(t, "b", got.ID)
+}
