Replicaset: a primary's log is compared before the member is relied on

What callers saw: on a host that had not seen how far the log of a primary went, reads without acknowledged writes, and writes acknowledged by a primary that had lost its log and was replaced later.

Cause: a member that answers as the primary was confirmed by its own answers. The high-water mark, which shows a shorter log, began with the first position that the member itself reported. A host that found out alone could not have the member replaced: other voters had no mark, confirmed the member again and did not vote. And positions were compared by term first, so that an empty log of a new term (2/0) counted as past the end of the log (1/20).

Evidence: TestStartedHostDoesNotBelieveEmptyPrimary fails each time on (event 310: code ok, position 1/0 on the primary that had 1/20).

Change: - Before a member is relied on as the primary, its gate asks other hosts how far the log is known to have gone, and if none can tell, all members for their status at once. A replica counts if it knows the primary's term; one without entries of that term may still have to roll back, and counts after a second. Gates of one primary start in turn, so that the first one's answer serves the others. - Statuses from probes confirm a primary, and give floors, only after that. - Marks go with floors, gate answers and announcements. Reports between voters carry one that shows a loss; each voter asks the primary itself before it votes. A peer's confirmation of a member known without its log is ignored. - The host that promotes a member vouches for it. - A restart, or a connection that the primary closed or refused, makes its replicas be asked again. - Marks are compared by offset, which only grows within a leadership. - A member that has lost its log serves no reads either and is no candidate. - If neither a host nor a replica can tell, the primary serves, and is asked again two seconds later.

Why this works: an entry of a term exists on a replica only because the primary of that term wrote it, so its log must reach that far; a mark is right from anybody, because a log only grows while its primary leads.

--- /dev/null
+++ b/core/succession/log_check.go
@@ -0,0 +1,114 @@
+package succession
+
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+)
+
+// RollbackTimeout is how long after a promotion a replica that was ahead of the new
+// primary may still report what it has to roll back.
+const RollbackTimeout = time.Second
+
+// LogVerdict is the result of a LogCheck.
+type LogVerdict uint8
+
+const (
+	// LogUndecided means that another round is needed.
+	LogUndecided LogVerdict = iota
+	// LogComplete means that no replica shows the primary's log to be longer than it is.
+	LogComplete
+	// LogLost means that the primary has lost entries that replicas have.
+	LogLost
+)
+
+// LogCheck decides whether the primary of a term still has its log, by comparing it with
+// the replicas'. It takes rounds of statuses until it reaches a verdict. The zero value is
+// ready for the first round. It is not safe for concurrent use.
+//
+// Only replicas that know the primary's term count: any other may have entries that the
+// promotion rolled back. Offsets go on across terms, so a log that ends before what such
+// a replica has received is incomplete, whatever the terms of the positions.
+type LogCheck struct {
+	term logpos.Term
+	// received is the most advanced entry of the term that a replica had in an earlier
+	// round. Only the primary writes entries of its term.
+	received logpos.Position
+	// aheadSince is since when a replica without entries of the term has been ahead of
+	// the primary; zero if none is. The promotion may not have rolled it back yet.
+	aheadSince time.Duration
+	// furthest is the most advanced position of such a replica in the latest round.
+	furthest logpos.Position
+}
+
+// Observe records a round: the status of the primary, and those of the replicas that
+// answered. The requests were sent after the previous call returned, at the same time.
+func (c *LogCheck) Observe(primary statement.Status, replicas []CandidateStatus, now time.Duration) LogVerdict {
+	if primary.Term != c.term {
+		*c = LogCheck{term: primary.Term}
+	}
+	if primary.Received.Offset < c.received.Offset {
+		return LogLost
+	}
+	verdict, first := LogComplete, c.received.IsZero()
+	c.observeReceived(replicas)
+	if first && primary.Received.Offset < c.received.Offset {
+		// The replica may have answered later than the primary. The next round tells.
+		verdict = LogUndecided
+	}
+	switch ahead, settled := c.observeAhead(primary, replicas); {
+	case !ahead:
+		c.aheadSince = 0
+	case c.aheadSince == 0:
+		c.aheadSince, verdict = now, LogUndecided
+	case settled && now-c.aheadSince >= RollbackTimeout:
+		return LogLost
+	default:
+		verdict = LogUndecided
+	}
+	return verdict
+}
+
+// observeReceived records the entries of the term that replicas have.
+func (c *LogCheck) observeReceived(replicas []CandidateStatus) {
+	for _, r := range replicas {
+		if p := r.Status.Received; p.Term == c.term && c.received.Less(p) {
+			c.received = p
+		}
+	}
+}
+
+// observeAhead reports whether a replica that knows the term, but has no entries of it, is
+// ahead of the primary, and whether one of them is free to roll back: replication is
+// stopped on a paused one.
+func (c *LogCheck) observeAhead(primary statement.Status, replicas []CandidateStatus) (ahead, settled bool) {
+	c.furthest = logpos.Position{}
+	for _, r := range replicas {
+		st := r.Status
+		if st.Term != c.term || st.Received.Term == c.term || st.Received.Offset <= primary.Received.Offset {
+			continue
+		}
+		ahead = true
+		if st.PausedTerm == 0 {
+			settled = true
+		}
+		if c.furthest.Less(st.Received) {
+			c.furthest = st.Received
+		}
+	}
+	return ahead, settled
+}
+
+// Reached returns the most advanced position that the primary's log is known to have
+// reached, given its status of the latest round.
+func (c *LogCheck) Reached(primary statement.Status, verdict LogVerdict) logpos.Position {
+	reached := primary.Received
+	if reached.Offset < c.received.Offset {
+		reached = c.received
+	}
+	if verdict == LogLost && reached.Offset < c.furthest.Offset {
+		reached = c.furthest
+	}
+	return reached
+}
--- a/node/entry/groups.go
+++ b/node/entry/groups.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/promoter"
@@ -172,8 +173,9 @@
 
 // observeLeadership applies another host's announcement of a promotion. For a group that
 // is not active it is kept until the group becomes active.
-func (h *Host) observeLeadership(service string, l replicaset.Leadership) {
+func (h *Host) observeLeadership(service string, l replicaset.Leadership, mark succession.LogMark) {
 	if s := h.Set(service); s != nil {
+		s.ObserveLogMark(mark)
 		s.ObserveLeadership(l)
 		return
 	}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -97,7 +97,7 @@
 		out.PeerReport = h.peerReport(*q)
 	}
 	if l := m.Leadership; l != nil {
-		h.observeLeadership(l.Service, replicaset.Leadership{Primary: l.Primary, Term: l.Term})
+		h.observeLeadership(l.Service, replicaset.Leadership{Primary: l.Primary, Term: l.Term}, l.Mark)
 	}
 	if m.QuotaRequest != nil {
 		h.handleQuotaRequest(m, &out)
@@ -111,8 +111,10 @@
 		if s == nil {
 			continue
 		}
-		if f, found := s.Floor(); found {
-			out.Floors = append(out.Floors, gossip.Floor{Service: service, Position: f.Position, Primary: f.Leadership.Primary, LeadTerm: f.Leadership.Term, Age: now - f.AsOf})
+		if f, found := s.Floor(); found || f.Mark.Member != "" {
+			out.Floors = append(out.Floors, gossip.Floor{
+				Service: service, Position: f.Position, Primary: f.Leadership.Primary, LeadTerm: f.Leadership.Term, Age: now - f.AsOf, Mark: f.Mark,
+			})
 		}
 	}
 	return out
@@ -171,7 +173,9 @@
 	}
 	for _, f := range answer.Floors {
 		if s := h.Set(f.Service); s != nil {
-			s.ObserveFloor(replicaset.FloorFromAge(f.Position, replicaset.Leadership{Primary: f.Primary, Term: f.LeadTerm}, f.Age, sentAt))
+			floor := replicaset.FloorFromAge(f.Position, replicaset.Leadership{Primary: f.Primary, Term: f.LeadTerm}, f.Age, sentAt)
+			floor.Mark = f.Mark
+			s.ObserveFloor(floor)
 		}
 	}
 }
--- a/node/entry/promotion_peers.go
+++ b/node/entry/promotion_peers.go
@@ -6,6 +6,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/gossip"
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
 // peerReport answers another host's request for a report on a primary.
@@ -14,8 +15,21 @@
 	if g == nil {
 		return &gossip.PeerReport{}
 	}
+	g.set.ObserveLogMark(q.Mark)
 	report := g.promoter.PeerReport(h.ctx, q.Upstream)
-	return &gossip.PeerReport{Dead: report.Dead, Reaches: report.Reaches, StoreReached: report.StoreReached, Lock: report.Lock, Leading: report.Leading}
+	return &gossip.PeerReport{
+		Dead: report.Dead, Reaches: report.Reaches, StoreReached: report.StoreReached, Lock: report.Lock, Leading: report.Leading,
+		Mark: lossMark(g.set),
+	}
+}
+
+// lossMark returns the mark that shows the loss of the primary's log; the zero value if
+// this host knows of none. Other hosts check it before they vote.
+func lossMark(s *replicaset.Set) succession.LogMark {
+	if mark := s.LogMark(); mark.Lost {
+		return mark
+	}
+	return succession.LogMark{}
 }
 
 // AddressOf implements promoter.Peers.
@@ -27,20 +41,29 @@
 	if !known {
 		return succession.PeerReport{}, false
 	}
+	set := h.Set(service)
+	if set == nil {
+		return succession.PeerReport{}, false
+	}
 	h.traffic.add(trafficPeerReport)
-	answer, err := h.peers.Probe(ctx, address, gossip.Message{PeerReportRequest: &gossip.PeerReportRequest{Service: service, Upstream: primary}})
+	request := &gossip.PeerReportRequest{Service: service, Upstream: primary, Mark: lossMark(set)}
+	answer, err := h.peers.Probe(ctx, address, gossip.Message{PeerReportRequest: request})
 	if err != nil || answer.PeerReport == nil {
 		// A host that does not answer has no vote; the promoter asks again.
 		h.log.Debug().Err(err).Str("peer", host).Msg("peer report request failed")
 		return succession.PeerReport{}, false
 	}
 	report := answer.PeerReport
+	set.ObserveLogMark(report.Mark)
 	return succession.PeerReport{Host: host, Dead: report.Dead, Reaches: report.Reaches, StoreReached: report.StoreReached, Lock: report.Lock, Leading: report.Leading}, true
 }
 
 // Announce implements promoter.Peers.
 func (h *Host) Announce(service, primary string, term logpos.Term) {
 	leadership := &gossip.Leadership{Service: service, Primary: primary, Term: term}
+	if set := h.Set(service); set != nil {
+		leadership.Mark = set.LogMark()
+	}
 	for _, other := range h.registry.Fleet() {
 		if other.Name == h.settings.Host {
 			continue
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -50,6 +50,9 @@
 	PromotionOrdered     = Event{410, "promotion_ordered"}
 	PrimaryFirstWrite    = Event{411, "primary_first_write"}
 	GroupInactive        = Event{412, "group_inactive"}
+	PrimaryLogVerified   = Event{413, "primary_log_verified"}
+	PrimaryLogUnverified = Event{414, "primary_log_unverified"}
+	PrimaryLogLost       = Event{415, "primary_log_lost"}
 	HostStateChanged     = Event{501, "host_state_changed"}
 	PeerCallFailed       = Event{502, "peer_call_failed"}
 	HistoryLost          = Event{606, "platform_history_lost"}
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 )
 
@@ -58,11 +59,17 @@
 type Leadership struct {
 	Service, Primary string
 	Term             logpos.Term
+	// Mark is how far the primary's log is known to have gone.
+	Mark succession.LogMark
 }
 
 // PeerReportRequest names a primary that the sender considers dead and asks for the
 // receiver's view of it.
-type PeerReportRequest struct{ Service, Upstream string }
+type PeerReportRequest struct {
+	Service, Upstream string
+	// Mark is set if the sender has found the primary's log lost.
+	Mark succession.LogMark
+}
 
 // PeerReport is a host's view of a primary that another host considers dead.
 type PeerReport struct {
@@ -76,6 +83,8 @@
 	Lock uint64
 	// Leading is set if the host runs a promotion of the service or is about to.
 	Leading bool
+	// Mark is set if the host has found the primary's log lost.
+	Mark succession.LogMark
 }
 
 // Floor is a log position at or above every commit of a service that was
@@ -92,6 +101,8 @@
 	// receiver subtracts it from the time at which it sent the request, so that
 	// network delay can only make the floor appear older.
 	Age time.Duration
+	// Mark is how far the primary's log is known to have gone.
+	Mark succession.LogMark
 }
 
 const (
@@ -156,13 +167,16 @@
 		m.Floors = append(m.Floors, floorFromProto(f))
 	}
 	if q := p.GetAskLost(); q != nil {
-		m.PeerReportRequest = &PeerReportRequest{Service: q.GetService(), Upstream: q.GetUpstream()}
+		m.PeerReportRequest = &PeerReportRequest{Service: q.GetService(), Upstream: q.GetUpstream(), Mark: peerpb.ToLogMark(q.GetMark())}
 	}
 	if o := p.GetOpinion(); o != nil {
-		m.PeerReport = &PeerReport{Dead: o.GetDead(), Reaches: o.GetReaches(), StoreReached: o.GetStoreReached(), Lock: o.GetLock(), Leading: o.GetLeading()}
+		m.PeerReport = &PeerReport{
+			Dead: o.GetDead(), Reaches: o.GetReaches(), StoreReached: o.GetStoreReached(), Lock: o.GetLock(), Leading: o.GetLeading(),
+			Mark: peerpb.ToLogMark(o.GetMark()),
+		}
 	}
 	if l := p.GetLead(); l != nil {
-		m.Leadership = &Leadership{Service: l.GetService(), Primary: l.GetPrimary(), Term: logpos.Term(l.GetTerm())}
+		m.Leadership = &Leadership{Service: l.GetService(), Primary: l.GetPrimary(), Term: logpos.Term(l.GetTerm()), Mark: peerpb.ToLogMark(l.GetMark())}
 	}
 	if q := p.GetQuotaRequest(); q != nil {
 		m.QuotaRequest = &QuotaRequest{Team: q.GetTeam(), Operations: int(q.GetOperations())}
@@ -202,21 +216,23 @@
 	if l == nil {
 		return nil
 	}
-	return &peerpb.Lead{Service: l.Service, Primary: l.Primary, Term: uint64(l.Term)}
+	return &peerpb.Lead{Service: l.Service, Primary: l.Primary, Term: uint64(l.Term), Mark: peerpb.FromLogMark(l.Mark)}
 }
 
 func peerReportRequestToProto(q *PeerReportRequest) *peerpb.LostQuestion {
 	if q == nil {
 		return nil
 	}
-	return &peerpb.LostQuestion{Service: q.Service, Upstream: q.Upstream}
+	return &peerpb.LostQuestion{Service: q.Service, Upstream: q.Upstream, Mark: peerpb.FromLogMark(q.Mark)}
 }
 
 func peerReportToProto(o *PeerReport) *peerpb.Opinion {
 	if o == nil {
 		return nil
 	}
-	return &peerpb.Opinion{Dead: o.Dead, Reaches: o.Reaches, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading}
+	return &peerpb.Opinion{
+		Dead: o.Dead, Reaches: o.Reaches, StoreReached: o.StoreReached, Lock: o.Lock, Leading: o.Leading, Mark: peerpb.FromLogMark(o.Mark),
+	}
 }
 
 func floorsToProto(floors []Floor) []*peerpb.Floor {
@@ -224,7 +240,7 @@
 	for _, f := range floors {
 		out = append(out, &peerpb.Floor{
 			Service: f.Service, Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset),
-			AgeUs: uint64(max(f.Age, 0).Microseconds()), Primary: f.Primary, LeadTerm: uint64(f.LeadTerm),
+			AgeUs: uint64(max(f.Age, 0).Microseconds()), Primary: f.Primary, LeadTerm: uint64(f.LeadTerm), Mark: peerpb.FromLogMark(f.Mark),
 		})
 	}
 	return out
@@ -237,7 +253,8 @@
 		Primary:  p.GetPrimary(),
 		LeadTerm: logpos.Term(p.GetLeadTerm()),
 		// Rounds up, because the sender truncated to microseconds.
-		Age: time.Duration(p.GetAgeUs()+1) * time.Microsecond,
+		Age:  time.Duration(p.GetAgeUs()+1) * time.Microsecond,
+		Mark: peerpb.ToLogMark(p.GetMark()),
 	}
 }
 
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -103,12 +103,13 @@
 
 // floorToProto encodes a floor with the age of its position instead of a time.
 func floorToProto(f replicaset.Floor, now time.Duration) *peerpb.Floor {
-	if f.Position.IsZero() {
+	if f.Position.IsZero() && f.Mark.Member == "" {
 		return nil
 	}
 	return &peerpb.Floor{
 		Term: uint64(f.Position.Term), Offset: uint64(f.Position.Offset),
 		AgeUs: uint64((now - f.AsOf).Microseconds()), Primary: f.Leadership.Primary, LeadTerm: uint64(f.Leadership.Term),
+		Mark: peerpb.FromLogMark(f.Mark),
 	}
 }
 
@@ -120,7 +121,9 @@
 	}
 	position := logpos.Position{Term: logpos.Term(p.GetTerm()), Offset: logpos.Offset(p.GetOffset())}
 	lead := replicaset.Leadership{Primary: p.GetPrimary(), Term: logpos.Term(p.GetLeadTerm())}
-	return replicaset.FloorFromAge(position, lead, time.Duration(p.GetAgeUs())*time.Microsecond, sentAt)
+	floor := replicaset.FloorFromAge(position, lead, time.Duration(p.GetAgeUs())*time.Microsecond, sentAt)
+	floor.Mark = peerpb.ToLogMark(p.GetMark())
+	return floor
 }
 
 // resultFromProto decodes the answer to a job sent at the given time.
--- a/node/promoter/evidence.go
+++ b/node/promoter/evidence.go
@@ -176,7 +176,8 @@
 		return
 	}
 	m, known := p.set.Member(id)
-	if !known || m.Dead(now) || now-m.LastSuccess() < aliveEvidenceTTL {
+	answered := now-m.LastSuccess() < aliveEvidenceTTL && !p.set.LossReported(id)
+	if !known || m.Dead(now) || answered {
 		return
 	}
 	p.probedAt = now
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -62,11 +62,12 @@
 	return nil
 }
 
-// replicaCount returns the number of members other than the dead primary.
+// replicaCount returns the number of members other than the dead primary and a former
+// primary that has lost its log.
 func (p *Promoter) replicaCount(deadPrimary string) int {
 	count := 0
 	for _, m := range p.set.Members() {
-		if m.ID() != deadPrimary {
+		if m.ID() != deadPrimary && !p.set.LogLost(m.ID()) {
 			count++
 		}
 	}
@@ -91,7 +92,7 @@
 			}
 			// A member ignores an operation with a term that it already knows.
 			stopped := r.Status.PausedTerm >= term || isPrimary[r.ID]
-			if stopped && !r.Status.Primary {
+			if stopped && !r.Status.Primary && !p.set.LogLost(r.ID) {
 				candidates = append(candidates, r)
 			}
 			isPrimary[r.ID] = r.Status.Primary
@@ -158,12 +159,14 @@
 func (p *Promoter) promote(ctx context.Context, chosen succession.CandidateStatus, token uint64) error {
 	started := clock.Now()
 	eventlog.PromotionOrdered.Info(p.log).Str("upstream", chosen.ID).Uint64("token", token).Stringer("received", chosen.Status.Received).Send()
+	p.set.ExpectPromotion(chosen.ID, chosen.Status.Received)
 	if err := p.callPromote(ctx, chosen.ID, token); err != nil {
 		return err
 	}
 	if err := p.awaitNewPrimary(ctx, chosen.ID); err != nil {
 		return err
 	}
+	p.observeNewTerm(ctx, chosen.ID)
 	if p.features.Enabled(feature.Announcement) {
 		p.peers.Announce(p.service, chosen.ID, p.set.Term())
 	}
@@ -192,6 +195,17 @@
 	return fmt.Errorf("%w: %s", errNewPrimaryNotSeen, id)
 }
 
+// observeNewTerm asks a promoted member for its status if it is known to be primary only
+// from its directory entry, which names no term. The announcement then tells other hosts
+// how far its log went.
+func (p *Promoter) observeNewTerm(ctx context.Context, id string) {
+	if m, known := p.set.Member(id); known && p.set.LogMark().Member != id {
+		if _, err := p.set.Status(ctx, m); err != nil {
+			p.log.Debug().Err(err).Str("upstream", id).Msg("promoted member did not answer")
+		}
+	}
+}
+
 func (p *Promoter) isPrimary(id string) bool {
 	primary, found := p.set.AssumedPrimary()
 	return found && primary == id
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -37,7 +37,12 @@
 	if j.requiresPrimary() && m.Dead(began) {
 		return Result{Err: &RefusedError{Reason: "the member does not answer", MemberDead: true}}
 	}
-	if j.requiresPrimary() && s.knownWithoutLog(m) {
+	if j.requiresPrimary() || s.isAssumedPrimary(m) {
+		if err := s.ensureLogVerified(ctx, m, j.Request.StartDeadline); err != nil {
+			return acquireFailure(err, clock.Now()-began)
+		}
+	}
+	if s.LogLost(m.id) {
 		return lostLogResult()
 	}
 	if err := s.ensureFloor(ctx, j); err != nil {
--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -5,6 +5,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
@@ -39,6 +40,8 @@
 	Position   logpos.Position
 	AsOf       time.Duration
 	Leadership Leadership
+	// Mark is how far the primary's log is known to have gone.
+	Mark succession.LogMark
 }
 
 // Leadership names a group's primary and its term. Primary is empty if unknown.
@@ -59,7 +62,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, asOf, found := s.floors.Newest()
-	f := Floor{Position: p, AsOf: asOf, Leadership: Leadership{Term: s.floors.Term()}}
+	f := Floor{Position: p, AsOf: asOf, Leadership: Leadership{Term: s.floors.Term()}, Mark: s.highWaterMark.Mark()}
 	if s.primaryTracker.Term() == f.Leadership.Term {
 		f.Leadership.Primary = s.primaryTracker.Confirmed()
 	}
@@ -76,6 +79,7 @@
 	if f.Leadership.Primary != "" {
 		s.highWaterMark.Observe(f.Leadership.Primary, f.Leadership.Term, f.Position, clock.Now())
 	}
+	s.highWaterMark.ObserveMark(f.Mark, clock.Now())
 	s.observePeerLeadership(f.Leadership)
 	close(s.floorObserved)
 	s.floorObserved = make(chan struct{})
@@ -100,7 +104,7 @@
 // called with mu held.
 func (s *Set) observePeerLeadership(l Leadership) {
 	before := s.primaryTracker.Primary()
-	if _, known := s.members[l.Primary]; known {
+	if _, known := s.members[l.Primary]; known && !s.highWaterMark.LogLostIn(l.Primary, l.Term) {
 		s.primaryTracker.ObservePeerConfirmation(l.Primary, l.Term)
 		s.notifyPrimaryChange(before, "peer")
 	}
@@ -111,6 +115,7 @@
 // host whose statements are all refused would otherwise have none and send
 // every read to the overloaded primary.
 func (s *Set) observeRemoteFloor(f Floor) {
+	s.ObserveLogMark(f.Mark)
 	if f.Position.IsZero() {
 		return
 	}
--- /dev/null
+++ b/node/replicaset/log_check.go
@@ -0,0 +1,296 @@
+package replicaset
+
+import (
+	"context"
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
+)
+
+const (
+	// peerMarkWait is how long other hosts are waited for before the members are asked. It
+	// covers a round trip within a region.
+	peerMarkWait = 15 * time.Millisecond
+	// surveyStagger is added for each gate of the primary that precedes this host, so that
+	// gates that start together learn from the first one instead of logging in to all
+	// members.
+	surveyStagger = 30 * time.Millisecond
+	// maxSurveyRank is the rank from which on gates wait no longer than those before.
+	maxSurveyRank = 3
+	// logSurveyGrace is how long the other replicas are waited for once one has answered.
+	logSurveyGrace = 150 * time.Millisecond
+	// logRoundInterval separates the rounds of a comparison.
+	logRoundInterval = 25 * time.Millisecond
+	// logCheckTimeout bounds a comparison that stays undecided. It exceeds
+	// succession.RollbackTimeout by the last round.
+	logCheckTimeout = succession.RollbackTimeout + controlTimeout
+	// logTrustPeriod is how long a primary is trusted whose log nobody can vouch for,
+	// before its replicas are asked again.
+	logTrustPeriod = 2 * time.Second
+)
+
+// errLogUnverified refuses a statement while it is not known whether the primary has its log.
+var errLogUnverified = &RefusedError{Reason: "the primary's log is being compared with its replicas'", RetryAfter: defaultRetryAfter}
+
+// logCheck is a comparison of a primary's log in progress.
+type logCheck struct {
+	// done is closed at the end; err is set before it.
+	done chan struct{}
+	// err is why the primary cannot be used; nil if it can, or if it is known to be
+	// without its log.
+	err error
+}
+
+// ensureLogVerified waits until the log of a member that is to act as the primary has been
+// compared with the replicas', if it has not been yet. It waits no longer than the
+// statement may.
+func (s *Set) ensureLogVerified(ctx context.Context, m *Member, startDeadline time.Duration) error {
+	s.mu.Lock()
+	standing := s.highWaterMark.Standing(m.id, clock.Now())
+	if standing == succession.LogVouched || standing == succession.LogTrusted {
+		s.mu.Unlock()
+		return nil
+	}
+	check := s.startLogCheck(m)
+	s.mu.Unlock()
+	if standing == succession.LogTrustEnded {
+		return nil
+	}
+	timer := time.NewTimer(startDeadline - clock.Now())
+	defer timer.Stop()
+	select {
+	case <-check.done:
+		return check.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return errLogUnverified
+}
+
+// startLogCheck returns the comparison in progress for a member, starting one if there is
+// none. It is called with mu held.
+func (s *Set) startLogCheck(m *Member) *logCheck {
+	if check, running := s.logChecks[m.id]; running {
+		return check
+	}
+	check := &logCheck{done: make(chan struct{})}
+	s.logChecks[m.id] = check
+	go func() {
+		check.err = s.runLogCheck(m)
+		s.mu.Lock()
+		delete(s.logChecks, m.id)
+		s.mu.Unlock()
+		close(check.done)
+	}()
+	return check
+}
+
+// runLogCheck asks other hosts how far the primary's log went, and the members if none
+// can tell. The error is why the primary cannot be used.
+func (s *Set) runLogCheck(m *Member) error {
+	ctx, cancel := context.WithTimeout(context.Background(), logCheckTimeout)
+	defer cancel()
+	began := clock.Now()
+	if s.awaitPeerMark(ctx, m) {
+		// The answer is compared with the mark.
+		_, err := s.Status(ctx, m)
+		s.logLogVerified(m, "host", 0, began)
+		return err
+	}
+	var check succession.LogCheck
+	for {
+		sent := clock.Now()
+		primary, replicas, err := s.surveyLogs(ctx, m)
+		switch {
+		case err != nil:
+			return err
+		case !primary.Primary:
+			s.observeDenial(m)
+			return nil
+		case len(replicas) == 0:
+			s.trustLog(m, primary, sent)
+			return nil
+		}
+		verdict := check.Observe(primary, replicas, clock.Now())
+		if verdict != succession.LogUndecided {
+			s.recordLogVerdict(m, primary, check.Reached(primary, verdict), verdict, sent)
+			s.logLogVerified(m, "replicas", len(replicas), began)
+			return nil
+		}
+		if !clock.Sleep(ctx, logRoundInterval) {
+			return errLogUnverified
+		}
+	}
+}
+
+// awaitPeerMark asks other hosts how far a primary's log went, and waits briefly for an
+// answer. After a restart of the member only its replicas can tell.
+func (s *Set) awaitPeerMark(ctx context.Context, m *Member) bool {
+	until := clock.Now() + peerMarkWait + surveyStagger*time.Duration(min(m.gateRank(s.host), maxSurveyRank))
+	for {
+		s.mu.Lock()
+		restarted, vouched := s.highWaterMark.Restarted(m.id), s.highWaterMark.Standing(m.id, clock.Now()) == succession.LogVouched
+		s.mu.Unlock()
+		now := clock.Now()
+		if restarted || vouched || now >= until {
+			return vouched
+		}
+		observed := s.requestPeerFloors(now)
+		timer := time.NewTimer(min(until-now, floorRequestInterval))
+		select {
+		case <-observed:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+		timer.Stop()
+	}
+}
+
+// surveyLogs asks the primary and the other members for their statuses at the same time.
+// The error is the primary's. Members that are dead are not asked.
+func (s *Set) surveyLogs(ctx context.Context, primary *Member) (statement.Status, []succession.CandidateStatus, error) {
+	answers := make(chan succession.CandidateStatus)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	now, pending := clock.Now(), 0
+	for _, m := range s.Members() {
+		if m == primary || m.Dead(now) {
+			continue
+		}
+		pending++
+		go func() {
+			// A replica that cannot be asked counts as an answer without a log.
+			answer := succession.CandidateStatus{}
+			if st, _, err := s.sendControl(ctx, m, statement.Operation{Verb: statement.ReportStatus}); err == nil {
+				answer = succession.CandidateStatus{ID: m.id, Leaving: m.Leaving(), Status: st}
+			}
+			select {
+			case answers <- answer:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	st, _, err := s.sendControl(ctx, primary, statement.Operation{Verb: statement.ReportStatus})
+	if err != nil {
+		return statement.Status{}, nil, err
+	}
+	return st, collectReplicas(ctx, answers, pending), nil
+}
+
+// collectReplicas returns the statuses of the replicas, waiting for logSurveyGrace after
+// the first one.
+func collectReplicas(ctx context.Context, answers <-chan succession.CandidateStatus, pending int) []succession.CandidateStatus {
+	var replicas []succession.CandidateStatus
+	var graceOver <-chan time.Time
+	for ; pending > 0; pending-- {
+		select {
+		case answer := <-answers:
+			if answer.ID == "" {
+				continue
+			}
+			replicas = append(replicas, answer)
+			if graceOver == nil {
+				graceOver = time.After(logSurveyGrace)
+			}
+		case <-graceOver:
+			return replicas
+		case <-ctx.Done():
+			return replicas
+		}
+	}
+	return replicas
+}
+
+// trustLog records that no other host and no replica can tell how far the primary's log
+// went. It serves: a zone that is cut off goes on with what it has.
+func (s *Set) trustLog(m *Member, st statement.Status, sent time.Duration) {
+	s.mu.Lock()
+	s.confirmPrimaryInTerm(m, st.Term, st.Received, sent)
+	s.highWaterMark.Trust(m.id, clock.Now()+logTrustPeriod)
+	s.mu.Unlock()
+	eventlog.PrimaryLogUnverified.Warn(m.log).Uint64("term", uint64(st.Term)).Stringer("position", st.Received).Send()
+}
+
+// recordLogVerdict records a comparison of the primary's log with the replicas', in which
+// it was found to have reached a position.
+func (s *Set) recordLogVerdict(m *Member, st statement.Status, reached logpos.Position, verdict succession.LogVerdict, sent time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	mark := succession.LogMark{Member: m.id, Term: st.Term, Position: reached, Lost: verdict == succession.LogLost}
+	s.highWaterMark.Vouch(mark, clock.Now())
+	if mark.Lost {
+		s.logLoss(st.Received)
+	}
+	s.confirmPrimaryInTerm(m, st.Term, st.Received, sent)
+}
+
+func (s *Set) logLogVerified(m *Member, source string, replicas int, began time.Duration) {
+	s.mu.Lock()
+	mark := s.highWaterMark.Mark()
+	s.mu.Unlock()
+	eventlog.PrimaryLogVerified.Info(m.log).Uint64("term", uint64(mark.Term)).Stringer("position", mark.Position).Bool("lost", mark.Lost).
+		Str("source", source).Int("replicas", replicas).Dur("took_ms", clock.Now()-began).Send()
+}
+
+// LogMark returns how far the primary's log is known to have gone; the zero value if
+// nobody has vouched for it.
+func (s *Set) LogMark() succession.LogMark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.highWaterMark.Mark()
+}
+
+// ObserveLogMark records how far another host knows a primary's log to have gone.
+func (s *Set) ObserveLogMark(mark succession.LogMark) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.highWaterMark.ObserveMark(mark, clock.Now())
+}
+
+// LossReported reports whether another host has found that a member has lost its log as
+// the primary, and the member has not answered this host since.
+func (s *Set) LossReported(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.highWaterMark.LossReported(id)
+}
+
+// observeRestart records that a member may have restarted, because it has closed or refused
+// a connection.
+func (s *Set) observeRestart(m *Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.highWaterMark.ObserveRestart(m.id)
+}
+
+// expectedPromotion is a promotion that this host has requested.
+type expectedPromotion struct {
+	member string
+	// after is the newest term before it.
+	after logpos.Term
+	// received is the end of the member's log, with which its term begins.
+	received logpos.Position
+}
+
+// ExpectPromotion records that this host requests the promotion of a member, whose log
+// ends at a position.
+func (s *Set) ExpectPromotion(id string, received logpos.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expected = expectedPromotion{member: id, after: max(s.primaryTracker.Term(), s.floors.Term()), received: received}
+}
+
+// observeExpectedPromotion vouches for the member that this host has promoted. It is called
+// with mu held.
+func (s *Set) observeExpectedPromotion(m *Member, term logpos.Term) {
+	if s.expected.member == m.id && term > s.expected.after {
+		s.highWaterMark.Vouch(succession.LogMark{Member: m.id, Term: term, Position: s.expected.received}, clock.Now())
+		s.expected = expectedPromotion{}
+	}
+}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -217,6 +217,36 @@
 	return m.share.GateAddresses
 }
 
+// otherGates returns the addresses of the gates other than a host, in order of preference.
+func (m *Member) otherGates(host string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.share.GateAddresses) > 0 {
+		return m.share.GateAddresses
+	}
+	var addresses []string
+	for _, gate := range m.share.GateHosts {
+		if gate.Name != host {
+			addresses = append(addresses, gate.Address)
+		}
+	}
+	return addresses
+}
+
+// gateRank returns how many gates of the member precede a host in the order that all
+// hosts agree on.
+func (m *Member) gateRank(host string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rank := 0
+	for _, gate := range m.share.GateHosts {
+		if gate.Name < host {
+			rank++
+		}
+	}
+	return rank
+}
+
 // isGate reports whether this host is a gate of the member.
 func (m *Member) isGate() bool { return len(m.gateAddresses()) == 0 }
 
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -45,7 +45,13 @@
 func (s *Set) confirmPrimary(m *Member, p logpos.Position, sent time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.confirmPrimaryInTerm(m, s.primaryTracker.LeadTerm(m.id, p), p, sent)
+	return s.confirmPrimaryInTerm(m, s.leadTerm(m, p), p, sent)
+}
+
+// leadTerm returns the term led by a member that has just reported position p as a
+// primary. It is called with mu held.
+func (s *Set) leadTerm(m *Member, p logpos.Position) logpos.Term {
+	return max(s.primaryTracker.LeadTerm(m.id, p), s.highWaterMark.TermOf(m.id))
 }
 
 // confirmPrimaryInTerm records that a member is confirmed as the primary of a term,
@@ -53,7 +59,7 @@
 // does so. It is called with mu held.
 func (s *Set) confirmPrimaryInTerm(m *Member, term logpos.Term, p logpos.Position, sent time.Duration) bool {
 	before := s.primaryTracker.Primary()
-	if s.highWaterMark.ObserveLoss(m.id, term, p, sent) {
+	if s.observeLoss(m.id, term, p, sent) {
 		s.primaryTracker.ObserveDenial(m.id)
 		s.notifyPrimaryChange(before, "lost its log")
 		return false
@@ -96,22 +102,41 @@
 func (s *Set) positionRegressed(m *Member, p logpos.Position, sent time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.highWaterMark.ObserveLoss(m.id, s.primaryTracker.LeadTerm(m.id, p), p, sent)
+	return s.observeLoss(m.id, s.leadTerm(m, p), p, sent)
 }
 
-// knownWithoutLog reports whether a member was found to have lost its log as the primary.
-func (s *Set) knownWithoutLog(m *Member) bool {
+// LostLog reports whether the status of a self-declared primary shows that it
+// has lost part of its log.
+func (s *Set) LostLog(id string, st statement.Status) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.highWaterMark.LogLost(m.id)
+	return s.observeLoss(id, st.Term, st.Received, clock.Now())
 }
 
-// LostLog reports whether the status of a self-declared primary shows that it
-// has lost part of its log.
-func (s *Set) LostLog(id string, st statement.Status) bool {
+// observeLoss reports whether the position of a primary, in answer to a request sent at the
+// given time, shows that it has lost part of its log. It is called with mu held.
+func (s *Set) observeLoss(id string, term logpos.Term, p logpos.Position, sent time.Duration) bool {
+	known := s.highWaterMark.LogLost(id)
+	lost := s.highWaterMark.ObserveLoss(id, term, p, sent)
+	if lost && !known {
+		s.logLoss(p)
+	}
+	return lost
+}
+
+// logLoss logs that the primary has lost its log and reports position p. It is called with
+// mu held.
+func (s *Set) logLoss(p logpos.Position) {
+	mark := s.highWaterMark.Mark()
+	eventlog.PrimaryLogLost.Warn(s.log).Str("upstream", mark.Member).Uint64("term", uint64(mark.Term)).Stringer("position", p).
+		Stringer("reached", mark.Position).Send()
+}
+
+// LogLost reports whether a member was found to have lost its log as the primary.
+func (s *Set) LogLost(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.highWaterMark.ObserveLoss(id, st.Term, st.Received, clock.Now())
+	return s.highWaterMark.LogLost(id)
 }
 
 // Primary returns the member assumed to be the primary, if it is usable: reachable
@@ -131,9 +156,8 @@
 	return nil, false
 }
 
-// PrimaryGates returns the addresses of the primary's gates. All of the group's
-// writes pass through them, so they know the latest floors. It is empty if this
-// host is one of them.
+// PrimaryGates returns the addresses of the primary's gates other than this host. All of
+// the group's writes pass through them, so they know the latest floors.
 func (s *Set) PrimaryGates() []string {
 	s.mu.Lock()
 	m, found := s.members[s.primaryTracker.Primary()]
@@ -141,7 +165,7 @@
 	if !found {
 		return nil
 	}
-	return m.gateAddresses()
+	return m.otherGates(s.host)
 }
 
 // pastDrain reports whether a leaving member must get no new work.
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
@@ -107,29 +109,46 @@
 }
 
 // SendControl sends a control operation to a member and returns the status that
-// it answers with.
+// it answers with. The status of a primary counts once its log has been verified.
 func (s *Set) SendControl(ctx context.Context, m *Member, op statement.Operation) (statement.Status, error) {
+	sent := clock.Now()
+	st, applied, err := s.sendControl(ctx, m, op)
+	if err == nil && st.Primary && s.logVerified(m, st.Term) {
+		s.observePrimaryStatus(m, st, applied, sent)
+	}
+	return st, err
+}
+
+// logVerified reports whether the log of a member that reports itself as the primary of a
+// term has been verified, and starts to verify it otherwise.
+func (s *Set) logVerified(m *Member, term logpos.Term) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observeExpectedPromotion(m, term)
+	if s.highWaterMark.Standing(m.id, clock.Now()) >= succession.LogTrusted {
+		return true
+	}
+	s.startLogCheck(m)
+	return false
+}
+
+// sendControl sends a control operation to a member. It returns the status and the log
+// position that the answer names.
+func (s *Set) sendControl(ctx context.Context, m *Member, op statement.Operation) (statement.Status, logpos.Position, error) {
 	now := clock.Now()
 	deadline := now + controlTimeout
 	c, err := m.acquire(ctx, connpool.Waiter{AnyTeam: true, Priority: controlPriority, TargetDeadline: now, OnTimeUntil: deadline, StartDeadline: deadline})
 	if err != nil {
-		return statement.Status{}, err
+		return statement.Status{}, logpos.Position{}, err
 	}
 	defer m.release(c)
-	sent := clock.Now()
 	a, err := c.Do(op, deadline)
 	if err != nil {
-		return statement.Status{}, err
+		return statement.Status{}, logpos.Position{}, err
 	}
 	if a.Code != statement.OK {
-		return statement.Status{}, &RefusedError{Reason: "the member answered " + a.Code.String() + " " + a.Detail}
+		return statement.Status{}, logpos.Position{}, &RefusedError{Reason: "the member answered " + a.Code.String() + " " + a.Detail}
 	}
 	st, err := s.proto.DecodeStatus(a)
-	if err != nil {
-		return st, err
-	}
-	if st.Primary {
-		s.observePrimaryStatus(m, st, a.Position, sent)
-	}
-	return st, nil
+	return st, a.Position, err
 }
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -123,7 +123,11 @@
 	// highWaterMark is the furthest known position of the current primary's
 	// log.
 	highWaterMark succession.HighWaterMark
-	floors        fresh.Floors
+	// logChecks holds the comparisons of logs in progress, by member.
+	logChecks map[string]*logCheck
+	// expected is the promotion that this host has requested last.
+	expected expectedPromotion
+	floors   fresh.Floors
 	// lastWriteTerm is the latest term in which a write was acknowledged here.
 	lastWriteTerm logpos.Term
 	// primaryChanged is closed and replaced when the primary changes.
@@ -143,7 +147,7 @@
 		requestFloor: cfg.RequestFloor, onSuspect: cfg.OnSuspect, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, features: cfg.Features, floorObserved: make(chan struct{}),
 		log:            cfg.Log.With().Str("service", cfg.Service).Logger(),
 		probeRequested: make(chan struct{}, 1), members: map[string]*Member{}, primaryChanged: make(chan struct{}),
-		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
+		logChecks: map[string]*logCheck{}, shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
 	}
 }
 
@@ -209,6 +213,7 @@
 	// health of the previous one, and pending requests will not be answered.
 	created.restartRevision = e.RoleRevision
 	s.primaryTracker.ObserveResignation(e.ID)
+	s.highWaterMark.ObserveRestart(e.ID)
 	m.terminate()
 	eventlog.UpstreamRestarted.Info(s.log).Str("upstream", e.ID).Str("address", e.Address).Uint64("started_at", uint64(e.StartedAt)).Send()
 	return created
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -21,7 +21,10 @@
 	ReplicationLag time.Duration
 	// PromotionTime is how long a promotion takes.
 	PromotionTime time.Duration
-	Zones         []string
+	// RollbackTime is how long after a promotion a replica that knows the new term keeps
+	// entries that the new primary does not have.
+	RollbackTime time.Duration
+	Zones        []string
 	// AdvertisedAddress maps a member's address to the one in its store entry, such as
 	// that of a proxy. If nil, the entry has the member's own address.
 	AdvertisedAddress func(address string) (string, error)
@@ -214,6 +217,9 @@
 	return true
 }
 
+// Promote makes a member the primary, as a call of the platform does.
+func (g *Group) Promote(m *Member) bool { return g.promote(m.ID) }
+
 // completePromotion makes the member the primary with the log that it has
 // replicated, and truncates the logs of the others to match.
 func (g *Group) completePromotion(candidate *Member) {
@@ -224,8 +230,8 @@
 	g.replicationSource = candidate
 	for _, m := range g.members {
 		m.primary, m.pausedTerm = m == candidate, 0
-		m.term = g.term
-		if m != candidate {
+		m.term, m.rollbackDue = g.term, time.Now().Add(g.opts.RollbackTime)
+		if m != candidate && g.opts.RollbackTime == 0 {
 			m.dropDivergent(candidate)
 		}
 	}
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -32,9 +32,11 @@
 	// pausedTerm is the term for which PAUSE stopped replication, or zero.
 	pausedTerm         uint64
 	replicationBlocked bool
-	log                []logEntry
-	conns              map[*conn]bool
-	listener           net.Listener
+	// rollbackDue is until when the log stays as it was before the last promotion.
+	rollbackDue time.Time
+	log         []logEntry
+	conns       map[*conn]bool
+	listener    net.Listener
 
 	// restartMu serializes restarts.
 	restartMu sync.Mutex
@@ -238,6 +240,9 @@
 	if source == nil || source == m || source.down || m.replicationBlocked || m.pausedTerm != 0 || m.down {
 		return
 	}
+	if time.Now().Before(m.rollbackDue) {
+		return
+	}
 	m.dropDivergent(source)
 	cutoff := time.Now().Add(-m.group.opts.ReplicationLag)
 	for n := len(m.log); n < len(source.log) && source.log[n].committedAt.Before(cutoff); n++ {
