--- a/core/succession/log_check_test.go
+++ b/core/succession/log_check_test.go
@@ -38,12 +38,15 @@
 	require.Equal(t, succession.LogComplete, c.Observe(primaryStatus(2, 2, 40), []succession.CandidateStatus{replicaStatus(2, 2, 43)}, 1025*ms))
 }
 
+// rollbackMoment is how long a replica may take to roll back, from what members promise.
+const rollbackMoment = 900 * ms
+
 // TestReplicaIsAheadOfNewPrimaryUntilRolledBack guards against a healthy primary taken for
 // one that has lost its log, because a replica has yet to roll back.
 func TestReplicaIsAheadOfNewPrimaryUntilRolledBack(t *testing.T) {
 	var c succession.LogCheck
 	ahead, now := []succession.CandidateStatus{replicaStatus(2, 1, 25)}, 10*time.Second
-	for ; now < 10*time.Second+succession.RollbackTimeout; now += 100 * ms {
+	for ; now < 10*time.Second+rollbackMoment; now += 100 * ms {
 		require.Equal(t, succession.LogUndecided, c.Observe(primaryStatus(2, 1, 20), ahead, now))
 	}
 	rolledBack := []succession.CandidateStatus{replicaStatus(2, 1, 20)}
@@ -104,7 +107,7 @@
 				if action == "learn" && r.Status.Term < term {
 					r.Status.Term, r.knowsSince = term, now
 				}
-				due := r.Status.Term == term && now-r.knowsSince >= succession.RollbackTimeout-500*ms
+				due := r.Status.Term == term && now-r.knowsSince >= rollbackMoment-400*ms
 				if r.Status.Term == term && (action == "receive" || due) && int(r.Status.Received.Offset) > start && r.Status.Received.Term < term {
 					r.Status.Received = position(1, start)
 				}
--- a/node/entry/empty_primary_test.go
+++ b/node/entry/empty_primary_test.go
@@ -180,9 +180,7 @@
 // lost its log: a replica was ahead of it when it was promoted, and rolls back later than
 // hosts start that have not seen either log.
 func TestPrimaryBehindReplicaIsKept(t *testing.T) {
-	o := options()
-	o.RollbackTime = 500 * time.Millisecond
-	d := deploy(t, 3, o)
+	d := deploy(t, 3, options())
 	behind, ahead := nthReplica(d.group, 0), nthReplica(d.group, 1)
 	c := d.connect(0, "own")
 	c.must("STORE first x")
@@ -191,11 +189,14 @@
 	c.must("STORE second x")
 	require.Eventually(t, func() bool { return ahead.Position() == d.group.Primary().Position() }, waitLimit, pollInterval)
 	d.killHosts()
+	d.group.SetRollbackHeld(true)
 	require.True(t, d.group.Promote(behind))
 	require.Eventually(t, func() bool { return d.group.Primary() == behind }, waitLimit, pollInterval)
 	for range 3 {
 		d.addHost()
 	}
+	// The hosts are asked while the replica is still ahead.
+	time.AfterFunc(600*time.Millisecond, func() { d.group.SetRollbackHeld(false) })
 	for host := 3; host < 6; host++ {
 		d.connect(host, "strict").awaitRead("first")
 		d.connect(host, "own").awaitWrite(fmt.Sprint("after-", host))
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -21,10 +21,7 @@
 	ReplicationLag time.Duration
 	// PromotionTime is how long a promotion takes.
 	PromotionTime time.Duration
-	// RollbackTime is how long after a promotion a replica that knows the new term keeps
-	// entries that the new primary does not have.
-	RollbackTime time.Duration
-	Zones        []string
+	Zones         []string
 	// AdvertisedAddress maps a member's address to the one in its store entry, such as
 	// that of a proxy. If nil, the entry has the member's own address.
 	AdvertisedAddress func(address string) (string, error)
@@ -98,7 +95,9 @@
 	lastCommits map[string]Position
 	// termStarts holds, for each promotion, the new term and the end of the new
 	// primary's log. Entries above that offset were rolled back.
-	termStarts       []Position
+	termStarts []Position
+	// rollbackHeld keeps replicas that know the new term from rolling back.
+	rollbackHeld     bool
 	lastTxID         uint64
 	lastMemberNumber int
 }
@@ -220,6 +219,14 @@
 // Promote makes a member the primary, as a call of the platform does.
 func (g *Group) Promote(m *Member) bool { return g.promote(m.ID) }
 
+// SetRollbackHeld keeps replicas from rolling back and receiving after the next promotion,
+// or lets them do so.
+func (g *Group) SetRollbackHeld(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rollbackHeld = on
+}
+
 // completePromotion makes the member the primary with the log that it has
 // replicated, and truncates the logs of the others to match.
 func (g *Group) completePromotion(candidate *Member) {
@@ -230,8 +237,8 @@
 	g.replicationSource = candidate
 	for _, m := range g.members {
 		m.primary, m.pausedTerm = m == candidate, 0
-		m.term, m.rollbackDue = g.term, time.Now().Add(g.opts.RollbackTime)
-		if m != candidate && g.opts.RollbackTime == 0 {
+		m.term = g.term
+		if m != candidate && !g.rollbackHeld {
 			m.dropDivergent(candidate)
 		}
 	}
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -32,11 +32,9 @@
 	// pausedTerm is the term for which PAUSE stopped replication, or zero.
 	pausedTerm         uint64
 	replicationBlocked bool
-	// rollbackDue is until when the log stays as it was before the last promotion.
-	rollbackDue time.Time
-	log         []logEntry
-	conns       map[*conn]bool
-	listener    net.Listener
+	log                []logEntry
+	conns              map[*conn]bool
+	listener           net.Listener
 
 	// restartMu serializes restarts.
 	restartMu sync.Mutex
@@ -237,10 +235,7 @@
 // lag. The caller holds the group's mutex.
 func (m *Member) replicate() {
 	source := m.group.replicationSource
-	if source == nil || source == m || source.down || m.replicationBlocked || m.pausedTerm != 0 || m.down {
-		return
-	}
-	if time.Now().Before(m.rollbackDue) {
+	if source == nil || source == m || source.down || m.replicationBlocked || m.pausedTerm != 0 || m.down || m.group.rollbackHeld {
 		return
 	}
 	m.dropDivergent(source)
