--- a/node/entry/empty_primary_test.go
+++ b/node/entry/empty_primary_test.go
@@ -269,3 +269,24 @@
 	}
 	require.LessOrEqual(t, logins()-before, int64(2), "connections, at most")
 }
+
+// TestGateWithOldMarkDoesNotBelieveEmptyPrimary guards against reads that miss acknowledged
+// writes through a gate that has known the primary since before other gates sent them.
+func TestGateWithOldMarkDoesNotBelieveEmptyPrimary(t *testing.T) {
+	for gate := range 3 {
+		t.Run(fmt.Sprint("host ", gate), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, 3, options())
+			for host := range d.hosts {
+				d.connect(host, "strict").awaitRead("item-7")
+			}
+			writer := d.connect((gate+1)%3, "own")
+			for n := range 20 {
+				writer.must(fmt.Sprintf("STORE item-%d x", n))
+			}
+			d.awaitReplicas()
+			d.loseLog()
+			require.Equal(t, []string{"x"}, d.connect(gate, "strict").awaitRead("item-7"), "acknowledged write lost")
+		})
+	}
+}
