Replicaset: a lost answer is not taken for a restart of the primary

A connection that the primary closes made its log be compared again.

A connection that the member accepted before the closed one was last answered, and that is still open, shows that the member runs on. The comparison is due only without one. A restart noticed while a connection is acquired is compared before the statement is sent.

--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -53,6 +54,13 @@
 	// broken is set once the connection is unusable.
 	broken  bool
 	takenAt time.Duration
+	// inUse is set while the connection has a user; the member's mutex guards it.
+	inUse bool
+	// openedAt is when the login was sent, answeredAt when the latest request that the
+	// member answered was. The user of the connection sets answeredAt.
+	openedAt, answeredAt time.Duration
+	// closed is set once the member has closed the connection.
+	closed atomic.Bool
 	// workKind is the kind of the current user's statements.
 	workKind string
 	nextName int
@@ -67,9 +75,10 @@
 	if err != nil {
 		return nil, &ConnectError{Member: m.id, Failure: classifyFailure(err), Err: err}
 	}
-	m.dialSucceeded(clock.Now())
+	openedAt := clock.Now()
+	m.dialSucceeded(openedAt)
 	c := &Conn{
-		id: id, member: m, team: team, netConn: netConn, proto: proto, reader: bufio.NewReaderSize(netConn, readBufferBytes),
+		id: id, member: m, team: team, openedAt: openedAt, answeredAt: openedAt, netConn: netConn, proto: proto, reader: bufio.NewReaderSize(netConn, readBufferBytes),
 		values: map[string]string{}, preparedNames: map[statement.Shape]string{},
 	}
 	if sysConn, ok := netConn.(syscall.Conn); ok {
@@ -118,7 +127,7 @@
 	if err != nil {
 		return statement.Answer{}, c.markLost(err, sent)
 	}
-	c.lastState = a.State
+	c.lastState, c.answeredAt = a.State, sent
 	c.member.responseReceived(sent, clock.Now(), a, c.workKind)
 	return a, nil
 }
@@ -126,6 +135,9 @@
 func (c *Conn) markLost(err error, sent time.Duration) error {
 	c.broken = true
 	noResponse := &NoResponseError{Member: c.member.id, TimedOut: isTimeout(err), Err: err}
+	if !noResponse.TimedOut {
+		c.closedByMember()
+	}
 	c.member.exchangeFailed(sent, classifyFailure(err))
 	return noResponse
 }
@@ -154,6 +166,28 @@
 	return err == nil && alive
 }
 
+// closedByMember records that the member has closed the connection, which may mean that it
+// has restarted.
+func (c *Conn) closedByMember() {
+	c.closed.Store(true)
+	if !c.member.runsSince(c.answeredAt) {
+		c.member.set.observeRestart(c.member)
+	}
+}
+
+// runsSince reports whether the member has kept a connection open that it had accepted by
+// the given time, so that it has not restarted since.
+func (m *Member) runsSince(at time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		if c.openedAt <= at && !c.closed.Load() && (c.inUse || c.alive()) {
+			return true
+		}
+	}
+	return false
+}
+
 // setSessionValues makes the connection's session values equal to the caller's.
 // On error the connection is broken and no statement of the caller was sent.
 func (c *Conn) setSessionValues(values map[string]string, deadline time.Duration) error {
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -37,27 +37,47 @@
 	if j.requiresPrimary() && m.Dead(began) {
 		return Result{Err: &RefusedError{Reason: "the member does not answer", MemberDead: true}}
 	}
-	if j.requiresPrimary() || s.isAssumedPrimary(m) {
-		if err := s.ensureLogVerified(ctx, m, j.Request.StartDeadline); err != nil {
-			return acquireFailure(err, clock.Now()-began)
-		}
-	}
 	if s.LogLost(m.id) {
 		return lostLogResult()
 	}
 	if err := s.ensureFloor(ctx, j); err != nil {
 		return Result{Err: err}
 	}
-	c, err := m.acquire(ctx, j.Request.waiter())
+	c, err := s.acquireVerified(ctx, m, j)
 	waited := clock.Now() - began
 	if err != nil {
 		return acquireFailure(err, waited)
 	}
+	if s.LogLost(m.id) {
+		m.release(c)
+		return lostLogResult()
+	}
 	res := s.executeOn(ctx, c, j)
 	res.Waited = waited
 	return res
 }
 
+// acquireVerified takes a connection for a job. If the member is to act as the primary, its
+// log has been verified by then.
+func (s *Set) acquireVerified(ctx context.Context, m *Member, j Job) (*Conn, error) {
+	if !j.requiresPrimary() && !s.isAssumedPrimary(m) {
+		return m.acquire(ctx, j.Request.waiter())
+	}
+	// A closed connection that is found meanwhile may show that the member has restarted.
+	const tries = 2
+	for range tries {
+		if err := s.ensureLogVerified(ctx, m, j.Request.StartDeadline); err != nil {
+			return nil, err
+		}
+		c, err := m.acquire(ctx, j.Request.waiter())
+		if err != nil || s.logUsable(m) {
+			return c, err
+		}
+		m.release(c)
+	}
+	return nil, errLogUnverified
+}
+
 // errNoFloor refuses a read for which neither the sending host nor this one
 // knows a floor. Such a read has to be served by the primary.
 var errNoFloor = &RefusedError{Reason: "nothing known bounds the age of the read"}
--- a/node/replicaset/log_check.go
+++ b/node/replicaset/log_check.go
@@ -18,7 +18,7 @@
 	// surveyStagger is added for each gate of the primary that precedes this host, so that
 	// gates that start together learn from the first one instead of logging in to all
 	// members.
-	surveyStagger = 30 * time.Millisecond
+	surveyStagger = 20 * time.Millisecond
 	// maxSurveyRank is the rank from which on gates wait no longer than those before.
 	maxSurveyRank = 3
 	// logSurveyGrace is how long the other replicas are waited for once one has answered.
@@ -71,6 +71,14 @@
 	return errLogUnverified
 }
 
+// logUsable reports whether the log of a member has been verified, or is trusted because
+// nobody could tell.
+func (s *Set) logUsable(m *Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.highWaterMark.Standing(m.id, clock.Now()) != succession.LogUnknown
+}
+
 // startLogCheck returns the comparison in progress for a member, starting one if there is
 // none. It is called with mu held.
 func (s *Set) startLogCheck(m *Member) *logCheck {
@@ -261,8 +269,7 @@
 	return s.highWaterMark.LossReported(id)
 }
 
-// observeRestart records that a member may have restarted, because it has closed or refused
-// a connection.
+// observeRestart records that a member may have restarted.
 func (s *Set) observeRestart(m *Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/replicaset/member_health.go
+++ b/node/replicaset/member_health.go
@@ -64,9 +64,6 @@
 	}
 	isFailing := m.health.Failing()
 	m.mu.Unlock()
-	if kind != failureTimeout {
-		m.set.observeRestart(m)
-	}
 	if isFailing && !wasFailing {
 		eventlog.UpstreamSuspected.Warn(m.log).Bool("silent", kind == failureTimeout).Send()
 		m.set.requestProbe()
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -39,6 +39,7 @@
 			return conn, nil
 		}
 		conn.broken = true
+		conn.closedByMember()
 		m.release(conn)
 	}
 }
@@ -61,7 +62,7 @@
 	switch decision.Outcome {
 	case connpool.Granted:
 		c := m.conns[decision.Conn]
-		c.takenAt, c.workKind = now, w.Kind
+		c.takenAt, c.workKind, c.inUse = now, w.Kind, true
 		return c, nil, nil
 	case connpool.Refused:
 		return nil, nil, &RefusedError{Reason: eventlog.ReasonQueueFull, RetryAfter: decision.RetryAfter}
@@ -175,6 +176,9 @@
 	eventlog.ConnectionFailed.Debug(m.log).Err(err).Send()
 	if !refusedLogin {
 		m.exchangeFailed(sent, connErr.Failure)
+		if connErr.Failure == failureRefused && !m.runsSince(sent) {
+			m.set.observeRestart(m)
+		}
 	}
 	m.mu.Lock()
 	now := clock.Now()
@@ -215,7 +219,7 @@
 
 // grantConn gives a connection to a waiter. It is called with mu held.
 func (m *Member) grantConn(conn *Conn, w connpool.Waiter, now time.Duration) {
-	conn.takenAt, conn.workKind = now, w.Kind
+	conn.takenAt, conn.workKind, conn.inUse = now, w.Kind, true
 	ch := m.waiters[w.ID]
 	delete(m.waiters, w.ID)
 	ch <- grant{conn: conn}
@@ -227,6 +231,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
+	c.inUse = false
 	if c.broken || c.lastState != statement.Idle || m.removed {
 		m.pool.Closed(c.team)
 		delete(m.conns, c.id)
