Replicaset: a primary is trusted only if no replica has contradicted it

Found in review of the comparison of logs, each shown by TestLogStaysUndecidedWithoutAnswers or the property: replicas that know no entry and no term of the primary were taken to vouch for it; a replica that was ahead and then did not answer was forgotten, so that the next round trusted or believed the primary. Replicas that are ahead are now kept by name until they answer again.

A member that refuses the status as busy is asked again, like a statement, within the bound of the comparison.

--- a/core/succession/log_check.go
+++ b/core/succession/log_check.go
@@ -1,6 +1,7 @@
 package succession
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
@@ -21,6 +22,9 @@
 	LogComplete
 	// LogLost means that the primary has lost entries that replicas have.
 	LogLost
+	// LogUnbounded means that no replica knows the primary's term, so that nothing shows how
+	// long its log was.
+	LogUnbounded
 )
 
 // LogCheck decides whether the primary of a term still has its log, by comparing it with
@@ -35,9 +39,10 @@
 	// received is the most advanced entry of the term that a replica had in an earlier
 	// round. Only the primary writes entries of its term.
 	received logpos.Position
-	// aheadSince is since when a replica without entries of the term has been ahead of
-	// the primary; zero if none is. The promotion may not have rolled it back yet.
-	aheadSince time.Duration
+	// aheadSince holds the replicas without entries of the term that were ahead of the
+	// primary when they last answered, and since when. The promotion may not have rolled
+	// them back yet.
+	aheadSince map[string]time.Duration
 	// furthest is the most advanced position of such a replica in the latest round.
 	furthest logpos.Position
 }
@@ -46,28 +51,31 @@
 // answered. The requests were sent after the previous call returned, at the same time.
 func (c *LogCheck) Observe(primary statement.Status, replicas []CandidateStatus, now time.Duration) LogVerdict {
 	if primary.Term != c.term {
-		*c = LogCheck{term: primary.Term}
+		*c = LogCheck{term: primary.Term, aheadSince: map[string]time.Duration{}}
 	}
 	if primary.Received.Offset < c.received.Offset {
 		return LogLost
 	}
-	verdict, first := LogComplete, c.received.IsZero()
-	c.observeReceived(replicas)
-	if first && primary.Received.Offset < c.received.Offset {
-		// The replica may have answered later than the primary. The next round tells.
-		verdict = LogUndecided
+	first := c.received.IsZero()
+	if first && len(c.aheadSince) == 0 && !knowTerm(c.term, replicas) {
+		return LogUnbounded
 	}
-	switch ahead, settled := c.observeAhead(primary, replicas); {
-	case !ahead:
-		c.aheadSince = 0
-	case c.aheadSince == 0:
-		c.aheadSince, verdict = now, LogUndecided
-	case settled && now-c.aheadSince >= RollbackTimeout:
+	c.observeReceived(replicas)
+	switch notRolledBack := c.observeAhead(primary, replicas, now); {
+	case notRolledBack:
 		return LogLost
-	default:
-		verdict = LogUndecided
+	case len(c.aheadSince) > 0:
+		return LogUndecided
+	case first && primary.Received.Offset < c.received.Offset:
+		// The replica may have answered later than the primary. The next round tells.
+		return LogUndecided
 	}
-	return verdict
+	return LogComplete
+}
+
+// knowTerm reports whether one of the replicas knows a term.
+func knowTerm(term logpos.Term, replicas []CandidateStatus) bool {
+	return slices.ContainsFunc(replicas, func(r CandidateStatus) bool { return r.Status.Term == term })
 }
 
 // observeReceived records the entries of the term that replicas have.
@@ -79,25 +87,32 @@
 	}
 }
 
-// observeAhead reports whether a replica that knows the term, but has no entries of it, is
-// ahead of the primary, and whether one of them is free to roll back: replication is
-// stopped on a paused one.
-func (c *LogCheck) observeAhead(primary statement.Status, replicas []CandidateStatus) (ahead, settled bool) {
+// observeAhead records which replicas that know the term, but have no entries of it, are
+// ahead of the primary. It reports whether one has been for RollbackTimeout although it is
+// free to roll back: replication is stopped on a paused one.
+func (c *LogCheck) observeAhead(primary statement.Status, replicas []CandidateStatus, now time.Duration) bool {
+	notRolledBack := false
 	c.furthest = logpos.Position{}
 	for _, r := range replicas {
 		st := r.Status
-		if st.Term != c.term || st.Received.Term == c.term || st.Received.Offset <= primary.Received.Offset {
+		if st.Term != c.term {
+			continue
+		}
+		if st.Received.Term == c.term || st.Received.Offset <= primary.Received.Offset {
+			delete(c.aheadSince, r.ID)
 			continue
 		}
-		ahead = true
-		if st.PausedTerm == 0 {
-			settled = true
+		since, known := c.aheadSince[r.ID]
+		if !known {
+			since = now
+			c.aheadSince[r.ID] = now
 		}
+		notRolledBack = notRolledBack || st.PausedTerm == 0 && now-since >= RollbackTimeout
 		if c.furthest.Less(st.Received) {
 			c.furthest = st.Received
 		}
 	}
-	return ahead, settled
+	return notRolledBack
 }
 
 // Reached returns the most advanced position that the primary's log is known to have
--- a/core/succession/log_check_test.go
+++ b/core/succession/log_check_test.go
@@ -1,6 +1,7 @@
 package succession_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,10 +54,24 @@
 	require.Equal(t, succession.LogComplete, c.Observe(primaryStatus(2, 1, 20), rolledBack, now))
 }
 
+// TestLogStaysUndecidedWithoutAnswers guards against a primary that is trusted although
+// replicas that answer no more have shown it to be behind.
+func TestLogStaysUndecidedWithoutAnswers(t *testing.T) {
+	var own, older succession.LogCheck
+	require.Equal(t, succession.LogUnbounded, own.Observe(primaryStatus(2, 2, 0), nil, time.Second))
+	require.Equal(t, succession.LogUndecided, own.Observe(primaryStatus(2, 2, 0), []succession.CandidateStatus{replicaStatus(2, 2, 20)}, time.Second))
+	require.Equal(t, succession.LogLost, own.Observe(primaryStatus(2, 2, 0), nil, 1025*ms))
+	require.Equal(t, succession.LogUndecided, older.Observe(primaryStatus(2, 2, 0), []succession.CandidateStatus{replicaStatus(2, 1, 20)}, time.Second))
+	require.Equal(t, succession.LogUndecided, older.Observe(primaryStatus(2, 2, 0), nil, 1025*ms))
+	empty := replicaStatus(2, 2, 0)
+	empty.ID = "empty"
+	require.Equal(t, succession.LogUndecided, older.Observe(primaryStatus(2, 2, 0), []succession.CandidateStatus{empty}, 1050*ms))
+}
+
 // TestReplicaOfOlderTermIsNoBound: it may have entries that the promotion rolled back.
 func TestReplicaOfOlderTermIsNoBound(t *testing.T) {
 	var c succession.LogCheck
-	require.Equal(t, succession.LogComplete, c.Observe(primaryStatus(2, 1, 20), []succession.CandidateStatus{replicaStatus(1, 1, 25)}, time.Second))
+	require.Equal(t, succession.LogUnbounded, c.Observe(primaryStatus(2, 1, 20), []succession.CandidateStatus{replicaStatus(1, 1, 25)}, time.Second))
 }
 
 // TestPrimaryWithoutWritesInItsTermHasLostItsLog guards against positions that are compared
@@ -92,8 +107,10 @@
 			knowsSince time.Duration
 		}
 		var replicas []replica
-		for range rapid.IntRange(1, 3).Draw(t, "replicas") {
-			replicas = append(replicas, replica{CandidateStatus: replicaStatus(1, 1, rapid.IntRange(0, 60).Draw(t, "received"))})
+		for i := range rapid.IntRange(1, 3).Draw(t, "replicas") {
+			r := replicaStatus(1, 1, rapid.IntRange(0, 60).Draw(t, "received"))
+			r.ID = fmt.Sprint("r", i)
+			replicas = append(replicas, replica{CandidateStatus: r})
 		}
 		// step advances the group by a random time.
 		step := func() {
--- a/node/replicaset/log_check.go
+++ b/node/replicaset/log_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
@@ -102,36 +103,56 @@
 func (s *Set) runLogCheck(m *Member) error {
 	ctx, cancel := context.WithTimeout(context.Background(), logCheckTimeout)
 	defer cancel()
-	began := clock.Now()
+	round := s.newSurvey(m)
 	if s.awaitPeerMark(ctx, m) {
-		// The answer is compared with the mark.
-		_, err := s.Status(ctx, m)
-		s.logLogVerified(m, "host", 0, began)
-		return err
+		round = func(ctx context.Context) (bool, error) { return s.compareWithMark(ctx, m) }
 	}
-	var check succession.LogCheck
 	for {
-		sent := clock.Now()
+		decided, err := round(ctx)
+		if decided || err != nil && !errors.Is(err, errMemberBusy) {
+			return err
+		}
+		if !clock.Sleep(ctx, logRoundInterval) {
+			return errLogUnverified
+		}
+	}
+}
+
+// compareWithMark asks the primary for its status, which is compared with the mark of
+// another host. It reports whether the primary answered.
+func (s *Set) compareWithMark(ctx context.Context, m *Member) (bool, error) {
+	began := clock.Now()
+	if _, err := s.Status(ctx, m); err != nil {
+		return false, err
+	}
+	s.logVerification(m, "host", 0, began)
+	return true, nil
+}
+
+// newSurvey returns a function that runs one round of comparing the primary's log with the
+// replicas', and reports whether it was decided.
+func (s *Set) newSurvey(m *Member) func(context.Context) (bool, error) {
+	var check succession.LogCheck
+	began := clock.Now()
+	return func(ctx context.Context) (bool, error) {
 		primary, replicas, err := s.surveyLogs(ctx, m)
 		switch {
 		case err != nil:
-			return err
-		case !primary.Primary:
+			return false, err
+		case !primary.status.Primary:
 			s.observeDenial(m)
-			return nil
-		case len(replicas) == 0:
-			s.trustLog(m, primary, sent)
-			return nil
-		}
-		verdict := check.Observe(primary, replicas, clock.Now())
-		if verdict != succession.LogUndecided {
-			s.recordLogVerdict(m, primary, check.Reached(primary, verdict), verdict, sent)
-			s.logLogVerified(m, "replicas", len(replicas), began)
-			return nil
+			return true, nil
 		}
-		if !clock.Sleep(ctx, logRoundInterval) {
-			return errLogUnverified
+		switch verdict := check.Observe(primary.status, replicas, clock.Now()); verdict {
+		case succession.LogUndecided:
+			return false, nil
+		case succession.LogUnbounded:
+			s.trustLog(m, primary)
+		default:
+			s.recordLogVerdict(m, primary, check.Reached(primary.status, verdict), verdict)
+			s.logVerification(m, "replicas", len(replicas), began)
 		}
+		return true, nil
 	}
 }
 
@@ -162,7 +183,7 @@
 
 // surveyLogs asks the primary and the other members for their statuses at the same time.
 // The error is the primary's. Members that are dead are not asked.
-func (s *Set) surveyLogs(ctx context.Context, primary *Member) (statement.Status, []succession.CandidateStatus, error) {
+func (s *Set) surveyLogs(ctx context.Context, primary *Member) (controlAnswer, []succession.CandidateStatus, error) {
 	answers := make(chan succession.CandidateStatus)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -175,8 +196,8 @@
 		go func() {
 			// A replica that cannot be asked counts as an answer without a log.
 			answer := succession.CandidateStatus{}
-			if st, _, err := s.sendControl(ctx, m, statement.Operation{Verb: statement.ReportStatus}); err == nil {
-				answer = succession.CandidateStatus{ID: m.id, Leaving: m.Leaving(), Status: st}
+			if a, err := s.sendControl(ctx, m, statement.Operation{Verb: statement.ReportStatus}); err == nil {
+				answer = succession.CandidateStatus{ID: m.id, Leaving: m.Leaving(), Status: a.status}
 			}
 			select {
 			case answers <- answer:
@@ -184,11 +205,11 @@
 			}
 		}()
 	}
-	st, _, err := s.sendControl(ctx, primary, statement.Operation{Verb: statement.ReportStatus})
+	a, err := s.sendControl(ctx, primary, statement.Operation{Verb: statement.ReportStatus})
 	if err != nil {
-		return statement.Status{}, nil, err
+		return controlAnswer{}, nil, err
 	}
-	return st, collectReplicas(ctx, answers, pending), nil
+	return a, collectReplicas(ctx, answers, pending), nil
 }
 
 // collectReplicas returns the statuses of the replicas, waiting for logSurveyGrace after
@@ -215,19 +236,21 @@
 	return replicas
 }
 
-// trustLog records that no other host and no replica can tell how far the primary's log
-// went. It serves: a zone that is cut off goes on with what it has.
-func (s *Set) trustLog(m *Member, st statement.Status, sent time.Duration) {
+// trustLog records that no other host and no replica that knows the primary's term can tell
+// how far its log went. It serves: a zone that is cut off goes on with what it has.
+func (s *Set) trustLog(m *Member, a controlAnswer) {
+	st := a.status
 	s.mu.Lock()
-	s.confirmPrimaryInTerm(m, st.Term, st.Received, sent)
+	s.confirmPrimaryInTerm(m, st.Term, st.Received, a.sentAt)
 	s.highWaterMark.Trust(m.id, clock.Now()+logTrustPeriod)
 	s.mu.Unlock()
-	eventlog.PrimaryLogUnverified.Warn(m.log).Uint64("term", uint64(st.Term)).Stringer("position", st.Received).Send()
+	eventlog.PrimaryLogUnverified.Info(m.log).Uint64("term", uint64(st.Term)).Stringer("position", st.Received).Send()
 }
 
 // recordLogVerdict records a comparison of the primary's log with the replicas', in which
 // it was found to have reached a position.
-func (s *Set) recordLogVerdict(m *Member, st statement.Status, reached logpos.Position, verdict succession.LogVerdict, sent time.Duration) {
+func (s *Set) recordLogVerdict(m *Member, a controlAnswer, reached logpos.Position, verdict succession.LogVerdict) {
+	st := a.status
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	mark := succession.LogMark{Member: m.id, Term: st.Term, Position: reached, Lost: verdict == succession.LogLost}
@@ -235,10 +258,11 @@
 	if mark.Lost {
 		s.logLoss(st.Received)
 	}
-	s.confirmPrimaryInTerm(m, st.Term, st.Received, sent)
+	s.confirmPrimaryInTerm(m, st.Term, st.Received, a.sentAt)
 }
 
-func (s *Set) logLogVerified(m *Member, source string, replicas int, began time.Duration) {
+// logVerification logs the result of a comparison, with other hosts or replicas as source.
+func (s *Set) logVerification(m *Member, source string, replicas int, began time.Duration) {
 	s.mu.Lock()
 	mark := s.highWaterMark.Mark()
 	s.mu.Unlock()
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -111,14 +111,25 @@
 // SendControl sends a control operation to a member and returns the status that
 // it answers with. The status of a primary counts once its log has been verified.
 func (s *Set) SendControl(ctx context.Context, m *Member, op statement.Operation) (statement.Status, error) {
-	sent := clock.Now()
-	st, applied, err := s.sendControl(ctx, m, op)
-	if err == nil && st.Primary && s.logVerified(m, st.Term) {
-		s.observePrimaryStatus(m, st, applied, sent)
+	a, err := s.sendControl(ctx, m, op)
+	if err == nil && a.status.Primary && s.logVerified(m, a.status.Term) {
+		s.observePrimaryStatus(m, a.status, a.applied, a.sentAt)
 	}
-	return st, err
+	return a.status, err
+}
+
+// controlAnswer is the answer to a control operation.
+type controlAnswer struct {
+	status statement.Status
+	// applied is the log position that the answer names.
+	applied logpos.Position
+	// sentAt is when the operation was sent.
+	sentAt time.Duration
 }
 
+// errMemberBusy is the error of a control operation that the member refused as busy.
+var errMemberBusy = &RefusedError{Reason: "the member answered " + statement.Busy.String()}
+
 // logVerified reports whether the log of a member that reports itself as the primary of a
 // term has been verified, and starts to verify it otherwise.
 func (s *Set) logVerified(m *Member, term logpos.Term) bool {
@@ -132,23 +143,25 @@
 	return false
 }
 
-// sendControl sends a control operation to a member. It returns the status and the log
-// position that the answer names.
-func (s *Set) sendControl(ctx context.Context, m *Member, op statement.Operation) (statement.Status, logpos.Position, error) {
+// sendControl sends a control operation to a member.
+func (s *Set) sendControl(ctx context.Context, m *Member, op statement.Operation) (controlAnswer, error) {
 	now := clock.Now()
 	deadline := now + controlTimeout
 	c, err := m.acquire(ctx, connpool.Waiter{AnyTeam: true, Priority: controlPriority, TargetDeadline: now, OnTimeUntil: deadline, StartDeadline: deadline})
 	if err != nil {
-		return statement.Status{}, logpos.Position{}, err
+		return controlAnswer{}, err
 	}
 	defer m.release(c)
+	sent := clock.Now()
 	a, err := c.Do(op, deadline)
-	if err != nil {
-		return statement.Status{}, logpos.Position{}, err
-	}
-	if a.Code != statement.OK {
-		return statement.Status{}, logpos.Position{}, &RefusedError{Reason: "the member answered " + a.Code.String() + " " + a.Detail}
+	switch {
+	case err != nil:
+		return controlAnswer{}, err
+	case a.Code == statement.Busy:
+		return controlAnswer{}, errMemberBusy
+	case a.Code != statement.OK:
+		return controlAnswer{}, &RefusedError{Reason: "the member answered " + a.Code.String() + " " + a.Detail}
 	}
 	st, err := s.proto.DecodeStatus(a)
-	return st, a.Position, err
+	return controlAnswer{status: st, applied: a.Position, sentAt: sent}, err
 }
