--- a/core/succession/high_water_mark.go
+++ b/core/succession/high_water_mark.go
@@ -36,33 +36,6 @@
 	trustedUntil time.Duration
 }
 
-// LogMark is a HighWaterMark as sent to other hosts. The zero value is no mark.
-type LogMark struct {
-	Member   string
-	Term     logpos.Term
-	Position logpos.Position
-	// Lost reports that the member has since reported less.
-	Lost bool
-	// Restarted reports that the member may have restarted since the mark was vouched for.
-	// The mark is a lower bound, but other hosts may know of more.
-	Restarted bool
-}
-
-// LogStanding tells whether a member can be relied on as the primary.
-type LogStanding uint8
-
-const (
-	// LogUnknown means that the log has to be compared with the replicas' first.
-	LogUnknown LogStanding = iota
-	// LogTrustEnded means that it was trusted because nobody could tell, and is due to be
-	// compared again.
-	LogTrustEnded
-	// LogTrusted means that nobody can tell at present.
-	LogTrusted
-	// LogVouched means that it is known how far the log went.
-	LogVouched
-)
-
 // Standing returns how far a member can be relied on as the primary.
 func (h *HighWaterMark) Standing(member string, now time.Duration) LogStanding {
 	switch {
--- a/core/succession/log_check.go
+++ b/core/succession/log_check.go
@@ -12,21 +12,6 @@
 // primary may still report what it has to roll back.
 const RollbackTimeout = time.Second
 
-// LogVerdict is the result of a LogCheck.
-type LogVerdict uint8
-
-const (
-	// LogUndecided means that another round is needed.
-	LogUndecided LogVerdict = iota
-	// LogComplete means that no replica shows the primary's log to be longer than it is.
-	LogComplete
-	// LogLost means that the primary has lost entries that replicas have.
-	LogLost
-	// LogUnbounded means that no replica knows the primary's term, so that nothing shows how
-	// long its log was.
-	LogUnbounded
-)
-
 // LogCheck decides whether the primary of a term still has its log, by comparing it with
 // the replicas'. It takes rounds of statuses until it reaches a verdict. The zero value is
 // ready for the first round. It is not safe for concurrent use.
--- a/node/replicaset/log_check.go
+++ b/node/replicaset/log_check.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
-	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -22,8 +21,6 @@
 	surveyStagger = 20 * time.Millisecond
 	// maxSurveyRank is the rank from which on gates wait no longer than those before.
 	maxSurveyRank = 3
-	// logSurveyGrace is how long the other replicas are waited for once one has answered.
-	logSurveyGrace = 150 * time.Millisecond
 	// logRoundInterval separates the rounds of a comparison.
 	logRoundInterval = 25 * time.Millisecond
 	// logCheckTimeout bounds a comparison that stays undecided. It exceeds
@@ -181,61 +178,6 @@
 	}
 }
 
-// surveyLogs asks the primary and the other members for their statuses at the same time.
-// The error is the primary's. Members that are dead are not asked.
-func (s *Set) surveyLogs(ctx context.Context, primary *Member) (controlAnswer, []succession.CandidateStatus, error) {
-	answers := make(chan succession.CandidateStatus)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	now, pending := clock.Now(), 0
-	for _, m := range s.Members() {
-		if m == primary || m.Dead(now) {
-			continue
-		}
-		pending++
-		go func() {
-			// A replica that cannot be asked counts as an answer without a log.
-			answer := succession.CandidateStatus{}
-			if a, err := s.sendControl(ctx, m, statement.Operation{Verb: statement.ReportStatus}); err == nil {
-				answer = succession.CandidateStatus{ID: m.id, Leaving: m.Leaving(), Status: a.status}
-			}
-			select {
-			case answers <- answer:
-			case <-ctx.Done():
-			}
-		}()
-	}
-	a, err := s.sendControl(ctx, primary, statement.Operation{Verb: statement.ReportStatus})
-	if err != nil {
-		return controlAnswer{}, nil, err
-	}
-	return a, collectReplicas(ctx, answers, pending), nil
-}
-
-// collectReplicas returns the statuses of the replicas, waiting for logSurveyGrace after
-// the first one.
-func collectReplicas(ctx context.Context, answers <-chan succession.CandidateStatus, pending int) []succession.CandidateStatus {
-	var replicas []succession.CandidateStatus
-	var graceOver <-chan time.Time
-	for ; pending > 0; pending-- {
-		select {
-		case answer := <-answers:
-			if answer.ID == "" {
-				continue
-			}
-			replicas = append(replicas, answer)
-			if graceOver == nil {
-				graceOver = time.After(logSurveyGrace)
-			}
-		case <-graceOver:
-			return replicas
-		case <-ctx.Done():
-			return replicas
-		}
-	}
-	return replicas
-}
-
 // trustLog records that no other host and no replica that knows the primary's term can tell
 // how far its log went. It serves: a zone that is cut off goes on with what it has.
 func (s *Set) trustLog(m *Member, a controlAnswer) {
@@ -269,59 +211,3 @@
 	eventlog.PrimaryLogVerified.Info(m.log).Uint64("term", uint64(mark.Term)).Stringer("position", mark.Position).Bool("lost", mark.Lost).
 		Str("source", source).Int("replicas", replicas).Dur("took_ms", clock.Now()-began).Send()
 }
-
-// LogMark returns how far the primary's log is known to have gone; the zero value if
-// nobody has vouched for it.
-func (s *Set) LogMark() succession.LogMark {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.highWaterMark.Mark()
-}
-
-// ObserveLogMark records how far another host knows a primary's log to have gone.
-func (s *Set) ObserveLogMark(mark succession.LogMark) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.highWaterMark.ObserveMark(mark, clock.Now())
-}
-
-// LossReported reports whether another host has found that a member has lost its log as
-// the primary, and the member has not answered this host since.
-func (s *Set) LossReported(id string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.highWaterMark.LossReported(id)
-}
-
-// observeRestart records that a member may have restarted.
-func (s *Set) observeRestart(m *Member) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.highWaterMark.ObserveRestart(m.id)
-}
-
-// expectedPromotion is a promotion that this host has requested.
-type expectedPromotion struct {
-	member string
-	// after is the newest term before it.
-	after logpos.Term
-	// received is the end of the member's log, with which its term begins.
-	received logpos.Position
-}
-
-// ExpectPromotion records that this host requests the promotion of a member, whose log
-// ends at a position.
-func (s *Set) ExpectPromotion(id string, received logpos.Position) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expected = expectedPromotion{member: id, after: max(s.primaryTracker.Term(), s.floors.Term()), received: received}
-}
-
-// observeExpectedPromotion vouches for the member that this host has promoted. It is called
-// with mu held.
-func (s *Set) observeExpectedPromotion(m *Member, term logpos.Term) {
-	if s.expected.member == m.id && term > s.expected.after {
-		s.highWaterMark.Vouch(succession.LogMark{Member: m.id, Term: term, Position: s.expected.received}, clock.Now())
-		s.expected = expectedPromotion{}
-	}
-}
