--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -86,7 +86,7 @@
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
 		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
-		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive,
+		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
 		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched,
