Promotion: a primary's position is judged as of when it was asked

Found in review. The survey of a promotion compared the position in a primary's answer with a mark that may have been recorded after it: a write acknowledged meanwhile made a healthy primary look shorter, and the loss is remembered. Since such a member is no candidate any more, writes that only it had would have been lost.

--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -87,7 +87,7 @@
 		candidates = nil
 		for _, r := range answers {
 			newestTerm = max(newestTerm, r.Status.Term)
-			if r.Status.Primary && !p.set.LostLog(r.ID, r.Status) {
+			if r.Status.Primary && !p.set.LogLost(r.ID) {
 				return answers, errRecovered
 			}
 			// A member ignores an operation with a term that it already knows.
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -105,14 +105,6 @@
 	return s.observeLoss(m.id, s.leadTerm(m, p), p, sent)
 }
 
-// LostLog reports whether the status of a self-declared primary shows that it
-// has lost part of its log.
-func (s *Set) LostLog(id string, st statement.Status) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.observeLoss(id, st.Term, st.Received, clock.Now())
-}
-
 // observeLoss reports whether the position of a primary, in answer to a request sent at the
 // given time, shows that it has lost part of its log. It is called with mu held.
 func (s *Set) observeLoss(id string, term logpos.Term, p logpos.Position, sent time.Duration) bool {
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -112,7 +112,7 @@
 // it answers with. The status of a primary counts once its log has been verified.
 func (s *Set) SendControl(ctx context.Context, m *Member, op statement.Operation) (statement.Status, error) {
 	a, err := s.sendControl(ctx, m, op)
-	if err == nil && a.status.Primary && s.logVerified(m, a.status.Term) {
+	if err == nil && a.status.Primary && s.logVerified(m, a) {
 		s.observePrimaryStatus(m, a.status, a.applied, a.sentAt)
 	}
 	return a.status, err
@@ -130,12 +130,13 @@
 // errMemberBusy is the error of a control operation that the member refused as busy.
 var errMemberBusy = &RefusedError{Reason: "the member answered " + statement.Busy.String()}
 
-// logVerified reports whether the log of a member that reports itself as the primary of a
-// term has been verified, and starts to verify it otherwise.
-func (s *Set) logVerified(m *Member, term logpos.Term) bool {
+// logVerified reports whether the log of a member that answers as the primary has been
+// verified, and starts to verify it otherwise.
+func (s *Set) logVerified(m *Member, a controlAnswer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.observeExpectedPromotion(m, term)
+	s.observeExpectedPromotion(m, a.status.Term)
+	s.observeLoss(m.id, a.status.Term, a.status.Received, a.sentAt)
 	if s.highWaterMark.Standing(m.id, clock.Now()) >= succession.LogTrusted {
 		return true
 	}
