Replicaset: a comparison ends sooner once a replica confirms the primary

- A host that pools connections to all members asks other hosts and members at once: it opens those connections anyway.
- Once a replica has entries and the primary has them too, the other replicas are waited for 20 ms, not 150: a primary that has lost its log has none.
- Replicas are not waited for once another host has vouched.

--- a/node/replicaset/floors.go
+++ b/node/replicaset/floors.go
@@ -152,3 +152,10 @@
 	}
 	return observed
 }
+
+// nextFloor returns a channel that is closed when a peer reports a floor.
+func (s *Set) nextFloor() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.floorObserved
+}
--- a/node/replicaset/log_check.go
+++ b/node/replicaset/log_check.go
@@ -96,15 +96,22 @@
 }
 
 // runLogCheck asks other hosts how far the primary's log went, and the members if none
-// can tell. The error is why the primary cannot be used.
+// can tell. A host that pools connections to the members asks both at once: it opens the
+// connections anyway. The error is why the primary cannot be used.
 func (s *Set) runLogCheck(m *Member) error {
 	ctx, cancel := context.WithTimeout(context.Background(), logCheckTimeout)
 	defer cancel()
-	round := s.newSurvey(m)
-	if s.awaitPeerMark(ctx, m) {
-		round = func(ctx context.Context) (bool, error) { return s.compareWithMark(ctx, m) }
+	survey := s.newSurvey(m)
+	if s.poolsAllMembers() {
+		s.requestPeerFloors(clock.Now())
+	} else {
+		s.awaitPeerMark(ctx, m)
 	}
 	for {
+		round := survey
+		if s.vouchedByPeer(m) {
+			round = func(ctx context.Context) (bool, error) { return s.compareWithMark(ctx, m) }
+		}
 		decided, err := round(ctx)
 		if decided || err != nil && !errors.Is(err, errMemberBusy) {
 			return err
@@ -140,10 +147,13 @@
 			s.observeDenial(m)
 			return true, nil
 		}
-		switch verdict := check.Observe(primary.status, replicas, clock.Now()); verdict {
-		case succession.LogUndecided:
+		verdict := check.Observe(primary.status, replicas, clock.Now())
+		switch {
+		case verdict == succession.LogUndecided:
 			return false, nil
-		case succession.LogUnbounded:
+		case verdict == succession.LogUnbounded && s.vouchedByPeer(m):
+			return s.compareWithMark(ctx, m)
+		case verdict == succession.LogUnbounded:
 			s.trustLog(m, primary)
 		default:
 			s.recordLogVerdict(m, primary, check.Reached(primary.status, verdict), verdict)
@@ -153,17 +163,35 @@
 	}
 }
 
+// vouchedByPeer reports whether another host has told how far the log of a member that is
+// being compared went.
+func (s *Set) vouchedByPeer(m *Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.highWaterMark.Standing(m.id, clock.Now()) == succession.LogVouched
+}
+
+// poolsAllMembers reports whether this host is a gate of all members.
+func (s *Set) poolsAllMembers() bool {
+	for _, m := range s.Members() {
+		if !m.isGate() {
+			return false
+		}
+	}
+	return true
+}
+
 // awaitPeerMark asks other hosts how far a primary's log went, and waits briefly for an
 // answer. After a restart of the member only its replicas can tell.
-func (s *Set) awaitPeerMark(ctx context.Context, m *Member) bool {
+func (s *Set) awaitPeerMark(ctx context.Context, m *Member) {
 	until := clock.Now() + peerMarkWait + surveyStagger*time.Duration(min(m.gateRank(s.host), maxSurveyRank))
 	for {
 		s.mu.Lock()
-		restarted, vouched := s.highWaterMark.Restarted(m.id), s.highWaterMark.Standing(m.id, clock.Now()) == succession.LogVouched
+		restarted := s.highWaterMark.Restarted(m.id)
 		s.mu.Unlock()
 		now := clock.Now()
-		if restarted || vouched || now >= until {
-			return vouched
+		if restarted || s.vouchedByPeer(m) || now >= until {
+			return
 		}
 		observed := s.requestPeerFloors(now)
 		timer := time.NewTimer(min(until-now, floorRequestInterval))
@@ -172,7 +200,7 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return false
+			return
 		}
 		timer.Stop()
 	}
--- a/node/replicaset/log_survey.go
+++ b/node/replicaset/log_survey.go
@@ -9,8 +9,13 @@
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
-// logSurveyGrace is how long the other replicas are waited for once one has answered.
-const logSurveyGrace = 150 * time.Millisecond
+const (
+	// logSurveyGrace is how long the other replicas are waited for once one has answered.
+	logSurveyGrace = 150 * time.Millisecond
+	// confirmedSurveyGrace replaces it once a replica has entries, and the primary has
+	// them too: a primary without its log has none.
+	confirmedSurveyGrace = 20 * time.Millisecond
+)
 
 // surveyLogs asks the primary and the other members for their statuses at the same time.
 // The error is the primary's. Members that are dead are not asked.
@@ -40,24 +45,33 @@
 	if err != nil {
 		return controlAnswer{}, nil, err
 	}
-	return a, collectReplicas(ctx, answers, pending), nil
+	return a, s.collectReplicas(ctx, primary, a.status, answers, pending), nil
 }
 
-// collectReplicas returns the statuses of the replicas, waiting for logSurveyGrace after
-// the first one.
-func collectReplicas(ctx context.Context, answers <-chan succession.CandidateStatus, pending int) []succession.CandidateStatus {
+// collectReplicas returns the statuses of the replicas. It waits for a grace period after
+// the first one, and no longer once another host has vouched for the primary.
+func (s *Set) collectReplicas(ctx context.Context, primary *Member, st statement.Status, answers <-chan succession.CandidateStatus, pending int) []succession.CandidateStatus {
 	var replicas []succession.CandidateStatus
 	var graceOver <-chan time.Time
-	for ; pending > 0; pending-- {
+	for pending > 0 {
+		observed := s.nextFloor()
+		if s.vouchedByPeer(primary) {
+			return replicas
+		}
 		select {
 		case answer := <-answers:
+			pending--
 			if answer.ID == "" {
 				continue
 			}
 			replicas = append(replicas, answer)
-			if graceOver == nil {
+			switch received := answer.Status.Received.Offset; {
+			case answer.Status.Term == st.Term && received > 0 && received <= st.Received.Offset:
+				graceOver = time.After(confirmedSurveyGrace)
+			case graceOver == nil:
 				graceOver = time.After(logSurveyGrace)
 			}
+		case <-observed:
 		case <-graceOver:
 			return replicas
 		case <-ctx.Done():
