Replicaset: comparisons of logs share the library's single flight

Found on reading the change again; behaviour is meant to stay as it is.

- The comparison in progress was deduplicated by a map, a channel and a struct of its own, while the host's liveness probes use singleflight for the same purpose.
Comparisons use it too, and need the set's mutex no more.
- Three methods locked the set to read the same standing: logStanding does.
- A closed and a refused connection asked with the same two lines whether the member may have restarted: detectRestart does, beside the other marks.

The tests of packages replicaset and promoter, and those of empty, restarted and crashed primaries in package entry, pass with the race detector as before; no test was changed.

--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -170,22 +170,7 @@
 // has restarted.
 func (c *Conn) closedByMember() {
 	c.closed.Store(true)
-	if !c.member.runsSince(c.answeredAt) {
-		c.member.set.observeRestart(c.member)
-	}
-}
-
-// runsSince reports whether the member has kept a connection open that it had accepted by
-// the given time, so that it has not restarted since.
-func (m *Member) runsSince(at time.Duration) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range m.conns {
-		if c.openedAt <= at && !c.closed.Load() && (c.inUse || c.alive()) {
-			return true
-		}
-	}
-	return false
+	c.member.detectRestart(c.answeredAt)
 }
 
 // setSessionValues makes the connection's session values equal to the caller's.
--- a/node/replicaset/log_check.go
+++ b/node/replicaset/log_check.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -34,35 +36,23 @@
 // errLogUnverified refuses a statement while it is not known whether the primary has its log.
 var errLogUnverified = &RefusedError{Reason: "the primary's log is being compared with its replicas'", RetryAfter: defaultRetryAfter}
 
-// logCheck is a comparison of a primary's log in progress.
-type logCheck struct {
-	// done is closed at the end; err is set before it.
-	done chan struct{}
-	// err is why the primary cannot be used; nil if it can, or if it is known to be
-	// without its log.
-	err error
-}
-
 // ensureLogVerified waits until the log of a member that is to act as the primary has been
 // compared with the replicas', if it has not been yet. It waits no longer than the
 // statement may.
 func (s *Set) ensureLogVerified(ctx context.Context, m *Member, startDeadline time.Duration) error {
-	s.mu.Lock()
-	standing := s.highWaterMark.Standing(m.id, clock.Now())
+	standing := s.logStanding(m)
 	if standing == succession.LogVouched || standing == succession.LogTrusted {
-		s.mu.Unlock()
 		return nil
 	}
 	check := s.startLogCheck(m)
-	s.mu.Unlock()
 	if standing == succession.LogTrustEnded {
 		return nil
 	}
 	timer := time.NewTimer(startDeadline - clock.Now())
 	defer timer.Stop()
 	select {
-	case <-check.done:
-		return check.err
+	case result := <-check:
+		return result.Err
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -71,33 +61,25 @@
 
 // logUsable reports whether the log of a member has been verified, or is trusted because
 // nobody could tell.
-func (s *Set) logUsable(m *Member) bool {
+func (s *Set) logUsable(m *Member) bool { return s.logStanding(m) != succession.LogUnknown }
+
+// logStanding returns how far a member can be relied on as the primary.
+func (s *Set) logStanding(m *Member) succession.LogStanding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.highWaterMark.Standing(m.id, clock.Now()) != succession.LogUnknown
+	return s.highWaterMark.Standing(m.id, clock.Now())
 }
 
-// startLogCheck returns the comparison in progress for a member, starting one if there is
-// none. It is called with mu held.
-func (s *Set) startLogCheck(m *Member) *logCheck {
-	if check, running := s.logChecks[m.id]; running {
-		return check
-	}
-	check := &logCheck{done: make(chan struct{})}
-	s.logChecks[m.id] = check
-	go func() {
-		check.err = s.runLogCheck(m)
-		s.mu.Lock()
-		delete(s.logChecks, m.id)
-		s.mu.Unlock()
-		close(check.done)
-	}()
-	return check
+// startLogCheck returns the result of the comparison in progress for a member, starting one
+// if there is none. Its error is that of runLogCheck.
+func (s *Set) startLogCheck(m *Member) <-chan singleflight.Result {
+	return s.logChecks.DoChan(m.id, func() (any, error) { return nil, s.runLogCheck(m) })
 }
 
 // runLogCheck asks other hosts how far the primary's log went, and the members if none
 // can tell. A host that pools connections to the members asks both at once: it opens the
-// connections anyway. The error is why the primary cannot be used.
+// connections anyway. The error is why the primary cannot be used; nil if it can, or if it
+// is known to be without its log.
 func (s *Set) runLogCheck(m *Member) error {
 	ctx, cancel := context.WithTimeout(context.Background(), logCheckTimeout)
 	defer cancel()
@@ -165,11 +147,7 @@
 
 // vouchedByPeer reports whether another host has told how far the log of a member that is
 // being compared went.
-func (s *Set) vouchedByPeer(m *Member) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.highWaterMark.Standing(m.id, clock.Now()) == succession.LogVouched
-}
+func (s *Set) vouchedByPeer(m *Member) bool { return s.logStanding(m) == succession.LogVouched }
 
 // poolsAllMembers reports whether this host is a gate of all members.
 func (s *Set) poolsAllMembers() bool {
--- a/node/replicaset/log_marks.go
+++ b/node/replicaset/log_marks.go
@@ -1,6 +1,8 @@
 package replicaset
 
 import (
+	"time"
+
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
@@ -28,9 +30,26 @@
 	return s.highWaterMark.LossReported(id)
 }
 
-// observeRestart records that a member may have restarted.
-func (s *Set) observeRestart(m *Member) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.highWaterMark.ObserveRestart(m.id)
+// detectRestart records that the member, which has closed or refused a connection, may have
+// restarted since the given time, unless an older connection shows that it runs on.
+func (m *Member) detectRestart(since time.Duration) {
+	if m.runsSince(since) {
+		return
+	}
+	m.set.mu.Lock()
+	defer m.set.mu.Unlock()
+	m.set.highWaterMark.ObserveRestart(m.id)
+}
+
+// runsSince reports whether the member has kept a connection open that it had accepted by
+// the given time, so that it has not restarted since.
+func (m *Member) runsSince(at time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		if c.openedAt <= at && !c.closed.Load() && (c.inUse || c.alive()) {
+			return true
+		}
+	}
+	return false
 }
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -176,8 +176,8 @@
 	eventlog.ConnectionFailed.Debug(m.log).Err(err).Send()
 	if !refusedLogin {
 		m.exchangeFailed(sent, connErr.Failure)
-		if connErr.Failure == failureRefused && !m.runsSince(sent) {
-			m.set.observeRestart(m)
+		if connErr.Failure == failureRefused {
+			m.detectRestart(sent)
 		}
 	}
 	m.mu.Lock()
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
@@ -107,7 +108,9 @@
 	// gateHealth tracks which gates answer their jobs.
 	gateHealth gateHealth
 	txs        txTable
-	log        zerolog.Logger
+	// logChecks deduplicates comparisons of logs by member.
+	logChecks singleflight.Group
+	log       zerolog.Logger
 	// probeRequested wakes Probe.
 	probeRequested chan struct{}
 
@@ -123,8 +126,6 @@
 	// highWaterMark is the furthest known position of the current primary's
 	// log.
 	highWaterMark succession.HighWaterMark
-	// logChecks holds the comparisons of logs in progress, by member.
-	logChecks map[string]*logCheck
 	// expected is the promotion that this host has requested last.
 	expected expectedPromotion
 	floors   fresh.Floors
@@ -147,7 +148,7 @@
 		requestFloor: cfg.RequestFloor, onSuspect: cfg.OnSuspect, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, features: cfg.Features, floorObserved: make(chan struct{}),
 		log:            cfg.Log.With().Str("service", cfg.Service).Logger(),
 		probeRequested: make(chan struct{}, 1), members: map[string]*Member{}, primaryChanged: make(chan struct{}),
-		logChecks: map[string]*logCheck{}, shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
+		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
 	}
 }
 
