--- a/node/entry/empty_primary_test.go
+++ b/node/entry/empty_primary_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// addHosts starts hosts and returns the index of the first.
+func (d *deployment) addHosts(count int) int {
+	d.t.Helper()
+	first := len(d.hosts)
+	for range count {
+		d.addHost()
+	}
+	return first
+}
+
 // emptyPrimaryCases prepare a deployment with 20 acknowledged items whose primary has lost
 // its log, and return the host to ask.
 var emptyPrimaryCases = []struct {
@@ -35,31 +45,23 @@
 }{
 	{"started beside running hosts", func(d *deployment) int {
 		d.loseLog()
-		d.addHost()
-		return 3
+		return d.addHosts(1)
 	}},
 	{"single host", func(d *deployment) int {
 		d.killHosts()
 		d.loseLog()
-		d.addHost()
-		return 3
+		return d.addHosts(1)
 	}},
 	{"nine hosts", func(d *deployment) int {
 		d.killHosts()
 		d.loseLog()
-		for range 9 {
-			d.addHost()
-		}
-		return 11
+		return d.addHosts(9) + 8
 	}},
 	{"one replica down", func(d *deployment) int {
 		d.killHosts()
 		d.loseLog()
 		nthReplica(d.group, 0).Crash()
-		for range 3 {
-			d.addHost()
-		}
-		return 3
+		return d.addHosts(3)
 	}},
 	{"one replica empty", func(d *deployment) int {
 		d.killHosts()
@@ -67,20 +69,15 @@
 		replica := nthReplica(d.group, 0)
 		replica.Crash()
 		require.NoError(d.t, replica.RestartEmpty(false))
-		for range 3 {
-			d.addHost()
-		}
-		return 3
+		return d.addHosts(3)
 	}},
 	{"started while the primary is away", func(d *deployment) int {
 		d.killHosts()
 		old := d.group.Primary()
 		old.Crash()
-		for range 3 {
-			d.addHost()
-		}
+		first := d.addHosts(3)
 		require.NoError(d.t, old.RestartEmpty(true))
-		return 3
+		return first
 	}},
 	{"after a failover with writes", func(d *deployment) int {
 		d.failOver()
@@ -88,19 +85,13 @@
 		d.awaitReplicas()
 		d.killHosts()
 		d.loseLog()
-		for range 3 {
-			d.addHost()
-		}
-		return 3
+		return d.addHosts(3)
 	}},
 	{"after a failover without writes", func(d *deployment) int {
 		d.failOver()
 		d.killHosts()
 		d.loseLog()
-		for range 3 {
-			d.addHost()
-		}
-		return 3
+		return d.addHosts(3)
 	}},
 }
 
