Peer: answers of gates carry load and ejections

Two optional fields of JobResponse and one of JobRequest, with their checks and conversions, and the names of the features that will use them. Nothing fills or reads them yet. A peer of the previous version ignores them.

--- a/core/feature/feature.go
+++ b/core/feature/feature.go
@@ -60,6 +60,18 @@
 	TeamReplicas Name = "team-replicas"
 	// Announcement broadcasts each promotion to all hosts.
 	Announcement Name = "announcement"
+	// OutlierEjection keeps reads away from members that fail or are slow.
+	OutlierEjection Name = "outlier-ejection"
+	// FailedReadRetry runs a read that a member failed on another member.
+	FailedReadRetry Name = "failed-read-retry"
+	// FailingPrimary replaces a primary that fails the statements that it runs.
+	FailingPrimary Name = "failing-primary"
+	// FairSlots shares a member's slots fairly among teams.
+	FairSlots Name = "fair-slots"
+	// ReturnSchedule spreads the retry times of refused statements.
+	ReturnSchedule Name = "return-schedule"
+	// LoadReports chooses members by the load that their gates report.
+	LoadReports Name = "load-reports"
 )
 
 // All returns all names in declaration order.
@@ -67,6 +79,7 @@
 	return []Name{
 		Gates, Relays, PeerFloors, RefusalFloors, GateFloors, ReplicaWait, StartupWait, FleetWait, HedgedListing, Snapshots, GateWatch, Reclaim,
 		ShortFirst, Detours, StandingLeader, DirectVotes, ObservedSilence, TeamGates, TeamReplicas, Announcement,
+		OutlierEjection, FailedReadRetry, FailingPrimary, FairSlots, ReturnSchedule, LoadReports,
 	}
 }
 
--- a/node/peer/gate_convert.go
+++ b/node/peer/gate_convert.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
@@ -40,6 +42,7 @@
 		Transaction: j.Tx, Owner: j.Owner, Team: req.Team,
 		AimUs: remainingMicros(req.TargetDeadline, now), StartUs: remainingMicros(req.StartDeadline, now), EndUs: remainingMicros(req.Deadline, now),
 		FreshUs: remainingMicros(req.OnTimeUntil, now), AttemptUs: req.AttemptTimeout.Microseconds(),
+		IgnoreEjection: j.IgnoreEjection,
 	}
 }
 
@@ -56,7 +59,7 @@
 	return replicaset.Job{
 		Kind: replicaset.JobKind(p.GetKind()), Member: p.GetUpstream(),
 		Floor: positionFromProto(p.GetFloor()), RequirePrimary: p.GetPlain(), Wrote: p.GetWrote(),
-		Tx: p.GetTransaction(), Owner: p.GetOwner(),
+		Tx: p.GetTransaction(), Owner: p.GetOwner(), IgnoreEjection: p.GetIgnoreEjection(),
 		Request: replicaset.Request{
 			Statement: statement.Statement{
 				Kind: statement.Kind(st.GetKind()), ID: st.GetId(), Text: st.GetText(), Value: st.GetValue(),
@@ -74,11 +77,12 @@
 }
 
 func resultToProto(r replicaset.Result) *peerpb.JobResponse {
+	now := clock.Now()
 	out := &peerpb.JobResponse{
 		Rows: r.Answer.Rows, Signature: r.Answer.Signature, Code: uint32(r.Answer.Code), Detail: r.Answer.Detail,
 		State: uint32(r.Answer.State), Position: positionToProto(r.Answer.Position),
 		Handed: r.StatementMayHaveRun, Proof: r.ConfirmsPrimary, Transaction: r.Tx, WaitedUs: r.Waited.Microseconds(),
-		Floor: floorToProto(r.Floor, clock.Now()),
+		Floor: floorToProto(r.Floor, now), Load: loadToProto(r.Load), Ejection: ejectionToProto(r.Ejection, now),
 	}
 	var refused *replicaset.RefusedError
 	var noResponse *replicaset.NoResponseError
@@ -126,6 +130,48 @@
 	return floor
 }
 
+func loadToProto(r *gateload.Report) *peerpb.GateLoad {
+	if r == nil {
+		return nil
+	}
+	out := &peerpb.GateLoad{Running: uint32(r.Running), Capacity: uint32(r.Capacity), Waiting: uint32(r.Waiting)}
+	for _, wait := range r.ExpectedWait {
+		out.WaitUs = append(out.WaitUs, uint32(wait.Microseconds()))
+	}
+	return out
+}
+
+// loadFromProto decodes the load of a gate, which may be invalid.
+func loadFromProto(p *peerpb.GateLoad) *gateload.Report {
+	if p == nil {
+		return nil
+	}
+	out := &gateload.Report{Running: int(p.GetRunning()), Capacity: int(p.GetCapacity()), Waiting: int(p.GetWaiting())}
+	for _, us := range p.GetWaitUs() {
+		out.ExpectedWait = append(out.ExpectedWait, time.Duration(us)*time.Microsecond)
+	}
+	return out
+}
+
+// ejectionToProto encodes a verdict with its remaining validity.
+func ejectionToProto(e outlier.Ejection, now time.Duration) *peerpb.Ejection {
+	if !e.Active(now) {
+		return nil
+	}
+	return &peerpb.Ejection{Cause: uint32(e.Cause), RemainingUs: remainingMicros(e.Until, now)}
+}
+
+// ejectionFromProto decodes a verdict from the answer to a request sent at the given
+// time, so that it is valid no longer than on the other host. An invalid one is no
+// verdict.
+func ejectionFromProto(p *peerpb.Ejection, sentAt time.Duration) outlier.Ejection {
+	us := p.GetRemainingUs()
+	if us <= 0 || us > outlier.MaxRemaining.Microseconds() {
+		return outlier.Ejection{}
+	}
+	return outlier.Ejection{Cause: outlier.DecodeCause(p.GetCause()), Until: sentAt + time.Duration(us)*time.Microsecond}
+}
+
 // resultFromProto decodes the answer to a job sent at the given time.
 func resultFromProto(p *peerpb.JobResponse, sentAt time.Duration) replicaset.Result {
 	r := replicaset.Result{
@@ -135,6 +181,7 @@
 		},
 		StatementMayHaveRun: p.GetHanded(), ConfirmsPrimary: p.GetProof(), Tx: p.GetTransaction(),
 		Waited: time.Duration(p.GetWaitedUs()) * time.Microsecond, Floor: floorFromProto(p.GetFloor(), sentAt),
+		Load: loadFromProto(p.GetLoad()), Ejection: ejectionFromProto(p.GetEjection(), sentAt),
 	}
 	switch p.GetFailure() {
 	case failureNone:
--- a/node/peer/gate_convert_test.go
+++ b/node/peer/gate_convert_test.go
@@ -7,8 +7,10 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/outcome"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
@@ -57,3 +59,28 @@
 	}
 	require.True(t, knownJob(jobToProto("svc", replicaset.Job{Kind: replicaset.JobRollback})))
 }
+
+// TestHintsOfGateSurviveTransit guards against a verdict that outlives its validity on the
+// gate that gave it, and against figures that change on the way.
+func TestHintsOfGateSurviveTransit(t *testing.T) {
+	load := &gateload.Report{Running: 3, Capacity: 7, Waiting: 12, ExpectedWait: []time.Duration{time.Millisecond, time.Second}}
+	got := loadFromProto(loadToProto(load))
+	require.Equal(t, load, got)
+	require.True(t, got.Valid())
+	const asked, sent = 10 * time.Second, 11 * time.Second
+	verdict := outlier.Ejection{Cause: outlier.Slow, Until: sent + 2*time.Second}
+	require.Equal(t, outlier.Ejection{Cause: outlier.Slow, Until: asked + 2*time.Second}, ejectionFromProto(ejectionToProto(verdict, sent), asked))
+}
+
+// TestInvalidHintsOfGateAreIgnored guards against a host that leaves a member aside for
+// good, or computes with absurd figures, because of what another version sends.
+func TestInvalidHintsOfGateAreIgnored(t *testing.T) {
+	for _, us := range []int64{-1, 0, 1 << 62, outlier.MaxRemaining.Microseconds() + 1} {
+		require.Zero(t, ejectionFromProto(&peerpb.Ejection{Cause: 1, RemainingUs: us}, time.Second))
+	}
+	require.Equal(t, outlier.UnknownCause, ejectionFromProto(&peerpb.Ejection{Cause: 77, RemainingUs: 1}, time.Second).Cause)
+	require.Nil(t, loadFromProto(nil))
+	for _, p := range []*peerpb.GateLoad{{}, {Capacity: 1, Running: 1 << 31}, {Capacity: 1, WaitUs: []uint32{1 << 31}}, {Capacity: 1, WaitUs: make([]uint32, 100)}} {
+		require.False(t, loadFromProto(p).Valid())
+	}
+}
--- a/node/replicaset/job.go
+++ b/node/replicaset/job.go
@@ -5,7 +5,9 @@
 	"errors"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 )
 
@@ -52,6 +54,8 @@
 	// Owner identifies the host, with its incarnation, that opens a
 	// transaction.
 	Owner string
+	// IgnoreEjection makes a gate run a read although it has ejected the member.
+	IgnoreEjection bool
 }
 
 // repeatable reports whether the job may run twice. If a transaction was opened
@@ -88,6 +92,10 @@
 	// Floor is the latest floor known to the other host that ran or refused the
 	// job; zero for a local job.
 	Floor Floor
+	// Load is the load of the gate that ran or refused the job; nil if it reported none.
+	Load *gateload.Report
+	// Ejection is the gate's verdict on the member; zero if it has not ejected it.
+	Ejection outlier.Ejection
 }
 
 // Remote runs jobs on other hosts. Transport failures are returned as
