Replicaset: a team's limit counts each run of a statement

A read whose answer was lost, or whose gate did not answer, was sent again under the grant of its first run, and an operation was refunded when its last attempt was refused although an earlier one may have run. A team at its limit could so run more operations than the limit allows.

A statement that may have run needs a grant of its own before it is sent to a member again, and is refunded only if no attempt may have run.

--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
@@ -120,14 +121,21 @@
 		return s.refuseOperation(st, retryAfter)
 	}
 	out := s.startOperation(set, req)
-	// A busy answer without a member's signature is from this proxy: no member ran
-	// the operation.
-	if out.Answer.Code == statement.Busy && out.Answer.Signature == "" && s.tx == nil {
+	// A busy answer without a member's signature is from this proxy. No member ran the
+	// operation if no attempt may have.
+	if out.Answer.Code == statement.Busy && out.Answer.Signature == "" && out.Runs == 0 && s.tx == nil {
 		s.gateway.backend.RefundOperation(s.team)
 	}
 	return out
 }
 
+// admitRerun asks for the right to run an operation on a member once more. A member runs
+// it again if an answer was lost, and the team's limit counts each run.
+func (s *caller) admitRerun(ctx context.Context) bool {
+	_, admitted := s.gateway.backend.AdmitOperation(ctx, s.team)
+	return admitted
+}
+
 // startOperation runs a statement outside a transaction, or the first statement
 // of a transaction that needs a member.
 func (s *caller) startOperation(set *replicaset.Set, req replicaset.Request) replicaset.Outcome {
@@ -164,6 +172,7 @@
 		ReadOnly: s.session.ReadOnly, Received: receivedAt,
 		TargetDeadline: receivedAt + route.TargetLatency, OnTimeUntil: min(onTimeUntil, startDeadline), StartDeadline: startDeadline, Deadline: endDeadline,
 		AttemptTimeout: max(time.Duration(attemptFraction*float64(route.TargetLatency)), minAttemptTime),
+		AdmitRerun:     s.admitRerun,
 	}
 }
 
--- a/node/entry/observe.go
+++ b/node/entry/observe.go
@@ -26,7 +26,7 @@
 	event.Info(h.log).Str("request", r.Statement.ID).Str("database", r.Database).Str("team", r.Team).Str("key", r.Key).
 		Stringer("kind", r.Statement.Kind).Stringer("consistency", r.Route.Consistency).Uint64("version", r.Version).
 		Stringer("code", o.Answer.Code).Str("detail", o.Answer.Detail).
-		Str("upstream", o.Member).Str("gate", o.Gate).Bool("primary", o.Primary).Int("attempts", o.Attempts).
+		Str("upstream", o.Member).Str("gate", o.Gate).Bool("primary", o.Primary).Int("attempts", o.Attempts).Int("runs", o.Runs).
 		Stringer("floor", o.Floor).Stringer("position", o.Answer.Position).
 		Dur("held_ms", o.ReplicaWait).Dur("waited_ms", o.Waited).Dur("took_ms", r.Elapsed).Str("cause", o.Cause).Int("left_out", suppressed).Send()
 }
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -17,22 +17,44 @@
 	outcome Outcome
 	// lastErr is the reason why the latest attempt failed.
 	lastErr error
+	// admittedRuns is how often the statement may run under the team's limit.
+	admittedRuns int
 }
 
 func (s *Set) newAttempts(req Request) *attempts {
-	return &attempts{set: s, request: req, lastErr: &RefusedError{Reason: "no member could be asked"}}
+	return &attempts{set: s, request: req, lastErr: &RefusedError{Reason: "no member could be asked"}, admittedRuns: 1}
 }
 
 // canRetry reports whether another attempt is allowed.
 func (a *attempts) canRetry(ctx context.Context) bool {
-	return a.outcome.Attempts < maxAttempts && ctx.Err() == nil && clock.Now() < a.request.Deadline
+	return a.outcome.Attempts < maxAttempts && ctx.Err() == nil && clock.Now() < a.request.Deadline && a.admitRun(ctx)
+}
+
+// admitRun reports whether the statement may be sent to a member under the team's limit,
+// which counts each run. A read whose answer was lost may have run already.
+func (a *attempts) admitRun(ctx context.Context) bool {
+	for a.outcome.Runs >= a.admittedRuns {
+		if a.request.AdmitRerun != nil && !a.request.AdmitRerun(ctx) {
+			return false
+		}
+		a.admittedRuns++
+	}
+	return true
+}
+
+// recordRun counts an attempt in which a member has, or may have, run the statement.
+// Opening a transaction runs no statement of the caller.
+func (a *attempts) recordRun(kind JobKind, res Result) {
+	if kind != JobBegin && (res.Err == nil && !retryable(res.Answer.Code) || res.mayHaveRun()) {
+		a.outcome.Runs++
+	}
 }
 
 // try sends a job to a member and reports whether the answer is final.
 func (a *attempts) try(ctx context.Context, m *Member, j Job, primary bool) (Result, bool) {
 	a.outcome.Attempts++
 	a.outcome.Member, a.outcome.Primary, a.outcome.Floor = m.id, primary, j.Floor
-	res, gateAddress := a.set.dispatch(ctx, m, j)
+	res, gateAddress := a.dispatch(ctx, m, j)
 	a.outcome.Waited, a.outcome.Gate = res.Waited, gateAddress
 	if res.Err == nil && !retryable(res.Answer.Code) {
 		a.outcome.Answer = res.Answer
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -12,7 +12,8 @@
 // of this host if this host is a gate of the member, and a gate on another host
 // otherwise. If no gate is usable, it falls back to this host. It also returns the
 // address of the gate; empty for this host.
-func (s *Set) dispatch(ctx context.Context, m *Member, j Job) (Result, string) {
+func (a *attempts) dispatch(ctx context.Context, m *Member, j Job) (Result, string) {
+	s := a.set
 	j.Member = m.id
 	j.Owner = s.owner
 	for _, address := range m.route(j.Request.Team, clock.Now()) {
@@ -20,13 +21,16 @@
 			continue
 		}
 		res := s.remoteRun(ctx, m, address, j)
+		a.recordRun(j.Kind, res)
 		gateErr, isGateErr := res.gateError()
-		if isGateErr && (!gateErr.JobMayHaveArrived || j.repeatable()) && ctx.Err() == nil && clock.Now() < j.Request.StartDeadline {
+		if isGateErr && (!gateErr.JobMayHaveArrived || j.repeatable()) && ctx.Err() == nil && clock.Now() < j.Request.StartDeadline && a.admitRun(ctx) {
 			continue
 		}
 		return res, address
 	}
-	return s.localRun(ctx, m, j), ""
+	res := s.localRun(ctx, m, j)
+	a.recordRun(j.Kind, res)
+	return res, ""
 }
 
 // localRun runs a job on this host and records what the result shows about the
--- a/node/replicaset/request.go
+++ b/node/replicaset/request.go
@@ -1,6 +1,7 @@
 package replicaset
 
 import (
+	"context"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
@@ -34,6 +35,9 @@
 	// AttemptTimeout bounds one attempt of a read, not counting the wait for a
 	// connection; zero for no bound other than Deadline.
 	AttemptTimeout time.Duration
+	// AdmitRerun asks for the right to run the statement on a member once more after it
+	// may have run; nil allows it. The team's limit counts each run.
+	AdmitRerun func(context.Context) bool
 }
 
 // attemptDeadline returns the deadline of a read attempt that starts now.
@@ -67,6 +71,8 @@
 	// Gate is the host that ran the statement; empty for this one.
 	Gate     string
 	Attempts int
+	// Runs counts the attempts in which a member has, or may have, run the statement.
+	Runs int
 	// Waited is the time until the last attempt acquired a connection.
 	Waited time.Duration
 	// ReplicaWait is the time spent waiting for a replica to catch up.
