Connpool: fair queueing for a member's slots

The order went by priority and deadline over all teams, and a full queue refused every newcomer, however urgent.

core/slotqueue orders by the slot time of teams in rounds of 200 ms, then by priority, on time before late, and deadline; a full queue displaces the statement that would be served last; a class that waits gets one start in sixteen. A pool that accepts no more connections takes another team's only if the new team needs one more than that team, and opens one at a time for a statement that precedes those that could run.

--- a/core/connpool/idle.go
+++ b/core/connpool/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -44,21 +45,24 @@
 	if p.Exhausted() || len(p.idle) == 0 {
 		return 0, Waiter{}, false
 	}
-	index, found := nextWaiter(p.waiting, now, func(w Waiter) bool {
-		_, hasIdle := p.findIdle(w)
-		return hasIdle
-	})
-	if !found {
+	index, found := p.queue.Next(now, p.hasIdle)
+	if !found || (!p.limits.Unfair && p.opensBefore(index, now)) {
 		return 0, Waiter{}, false
 	}
-	w := p.removeWaiter(index)
+	w := p.startWaiter(index, now)
 	idleIndex, _ := p.findIdle(w)
 	return p.acquireIdle(idleIndex), w, true
 }
 
-func (p *Pool) removeWaiter(index int) Waiter {
-	w := p.waiting[index]
-	p.waiting = append(p.waiting[:index], p.waiting[index+1:]...)
+// hasIdle reports whether an idle connection suits a statement.
+func (p *Pool) hasIdle(w Waiter) bool {
+	return slices.ContainsFunc(p.idle, func(c idleConn) bool { return w.canUse(c.Team) })
+}
+
+// startWaiter removes a waiter that is assigned a connection.
+func (p *Pool) startWaiter(index int, now time.Duration) Waiter {
+	w := p.queue.Remove(index)
+	p.queue.Started(w.Team, w.Priority, now)
 	return w
 }
 
--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -11,7 +11,11 @@
 // refused once they cannot be started by their start deadline.
 package connpool
 
-import "time"
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/slotqueue"
+)
 
 // ConnID identifies a connection. It is chosen by the user of the pool.
 type ConnID uint64
@@ -28,6 +32,9 @@
 	FairShare int
 	// MaxWaiting is the maximum number of waiting statements.
 	MaxWaiting int
+	// Unfair disables the fair order among teams and classes and the displacement of
+	// waiting statements.
+	Unfair bool
 }
 
 const (
@@ -82,7 +89,14 @@
 	inUse map[string]int
 	// opening is the number of connections being opened, by team.
 	opening map[string]int
-	waiting []Waiter
+	// queue holds the waiting statements.
+	queue *slotqueue.Queue[Waiter]
+	// dropped holds the statements that were displaced or became hopeless since the last
+	// call of TakeDropped.
+	dropped []Dropped
+	// nextCheck is the index of the waiting statement that is next checked for whether
+	// it can still be started in time.
+	nextCheck int
 	// backoffUntil is when the next connection may be opened.
 	backoffUntil time.Duration
 	// memberAtLimit is set if the member refused the most recent attempt because its
@@ -98,11 +112,18 @@
 
 // New returns an empty pool.
 func New(limits Limits) *Pool {
-	return &Pool{limits: limits, inUse: map[string]int{}, opening: map[string]int{}, demand: newTeamDemand(), meanHoldTime: initialMeanHoldTime}
+	return &Pool{
+		limits: limits, inUse: map[string]int{}, opening: map[string]int{}, demand: newTeamDemand(), meanHoldTime: initialMeanHoldTime,
+		queue: slotqueue.New[Waiter](limits.MaxWaiting, !limits.Unfair),
+	}
 }
 
-// SetLimits changes the limits for future decisions.
-func (p *Pool) SetLimits(l Limits) { p.limits = l }
+// SetLimits changes the limits for future decisions, except Unfair.
+func (p *Pool) SetLimits(l Limits) {
+	l.Unfair = p.limits.Unfair
+	p.limits = l
+	p.queue.SetMaxWaiting(l.MaxWaiting)
+}
 
 // Open returns the number of connections, including those being opened.
 func (p *Pool) Open() int { return len(p.idle) + p.InUse() + p.openingCount() }
@@ -147,7 +168,7 @@
 func (p *Pool) Idle() int { return len(p.idle) }
 
 // Waiting returns the number of waiting statements.
-func (p *Pool) Waiting() int { return len(p.waiting) }
+func (p *Pool) Waiting() int { return p.queue.Len() }
 
 // Outcome is the result of a request for a connection.
 type Outcome uint8
@@ -174,16 +195,29 @@
 func (p *Pool) Acquire(w Waiter, now time.Duration) Decision {
 	p.demand.record(w.Team, now)
 	if index, found := p.findIdle(w); found && !p.Exhausted() {
+		p.queue.Started(w.Team, w.Priority, now)
 		return Decision{Outcome: Granted, Conn: p.acquireIdle(index)}
 	}
 	wait := p.expectedWait(w, now)
-	if len(p.waiting) >= p.limits.MaxWaiting || now+wait > p.latestUsefulStart(w) {
+	if now+wait > p.latestUsefulStart(w) {
 		return Decision{Outcome: Refused, RetryAfter: wait}
 	}
-	p.waiting = append(p.waiting, w)
+	if displaced, full := p.queue.Push(w.statement(), w, now); full {
+		if displaced.ID == w.ID {
+			return Decision{Outcome: Refused, RetryAfter: wait}
+		}
+		p.dropped = append(p.dropped, Dropped{Waiter: displaced, Displaced: true, By: w, RetryAfter: p.expectedWait(displaced, now)})
+	}
+	p.dropHopeless(now)
 	return Decision{Outcome: Queued}
 }
 
+// startInterval returns the mean interval between starts while the given number of
+// connections is in use.
+func (p *Pool) startInterval(inUse int) time.Duration {
+	return p.meanHoldTime / time.Duration(max(inUse, 1))
+}
+
 // expectedWait estimates the wait of a statement that joins the queue now. Only
 // waiters that are served before it count, so that an urgent statement is not
 // refused because of a long queue of less urgent ones.
@@ -191,13 +225,7 @@
 	if p.belowMaxActive() {
 		return 0
 	}
-	ahead := 0
-	for _, v := range p.waiting {
-		if !w.before(v, now) {
-			ahead++
-		}
-	}
-	return p.meanHoldTime * time.Duration(ahead+1) / time.Duration(max(p.InUse()+p.openingCount(), 1))
+	return p.queue.Wait(w.statement(), now, p.startInterval(p.InUse()+p.openingCount()), func(slotqueue.Statement) bool { return true })
 }
 
 // RetryOpenAt returns when the current backoff ends and BeginOpen should be called
@@ -233,7 +261,9 @@
 // holdTime, and assigns it to a waiter if there is one for it.
 func (p *Pool) Released(c Conn, holdTime, now time.Duration) (Waiter, bool) {
 	decrement(p.inUse, c.Team)
+	p.queue.Ended(c.Team, holdTime)
 	p.meanHoldTime += time.Duration(meanSampleWeight * float64(holdTime-p.meanHoldTime))
+	p.queue.SetCost(p.meanHoldTime)
 	w, found := p.assignOrIdle(c, now)
 	if found {
 		p.counts.Reused++
@@ -253,24 +283,41 @@
 		return Waiter{}, false
 	}
 	p.inUse[c.Team]++
-	return p.removeWaiter(index), true
+	return p.startWaiter(index, now), true
 }
 
 // waiterForFreed returns the waiter that a freed connection of a team is assigned
 // to. It returns false if there is none, or if the connection is to be evicted
 // for a more urgent waiter of another team.
 func (p *Pool) waiterForFreed(team string, now time.Duration) (int, bool) {
-	index, found := nextWaiter(p.waiting, now, func(w Waiter) bool { return w.canUse(team) })
+	index, found := p.queue.Next(now, func(w Waiter) bool { return w.canUse(team) })
 	if !found || p.Exhausted() {
 		return 0, false
 	}
-	if p.openingCount() == 0 && p.Open()+1 >= p.maxActive() {
-		other, otherFound := nextWaiter(p.waiting, now, func(w Waiter) bool { return !w.canUse(team) })
-		if otherFound && p.waiting[other].precedesWithSwitch(p.waiting[index], now) {
-			return 0, false
+	if p.limits.Unfair {
+		if p.openingCount() > 0 || p.Open()+1 < p.maxActive() {
+			return index, true
 		}
+		other, otherFound := p.queue.Next(now, func(w Waiter) bool { return !w.canUse(team) })
+		return index, !otherFound || !p.queue.Before(other, index, now, teamSwitchMargin)
 	}
-	return index, true
+	other, otherFound := p.queue.Next(now, func(w Waiter) bool { return !w.canUse(team) && p.hasIdle(w) })
+	if otherFound && p.queue.Before(other, index, now, 0) {
+		return 0, false
+	}
+	return index, !p.opensBefore(index, now)
+}
+
+// opensBefore reports whether a connection is opened for another waiter before an idle
+// connection is assigned to the one with an index. One is opened at a time for this
+// reason: several use up the member's slots when more teams wait than it accepts
+// connections.
+func (p *Pool) opensBefore(index int, now time.Duration) bool {
+	if now < p.backoffUntil || p.openingCount() > 0 {
+		return false
+	}
+	other, found := p.nextToOpen(now)
+	return found && p.queue.Before(other, index, now, teamSwitchMargin)
 }
 
 // lateRecheckInterval is how often WaitUntil is evaluated for a late statement.
@@ -313,22 +360,13 @@
 		// hosts. An unreachable member gives no reason to wait.
 		return !p.memberAtLimit
 	}
-	ahead := 0
-	for _, v := range p.waiting {
-		if v.OnTimeUntil < now && v.before(w, now) {
-			ahead++
-		}
-	}
-	return now+p.meanHoldTime*time.Duration(ahead+1)/time.Duration(established) > p.latestUsefulStart(w)
+	wait := p.queue.Wait(w.statement(), now, p.startInterval(min(established, p.maxActive())), func(v slotqueue.Statement) bool {
+		return v.OnTimeUntil < now || v.Priority < w.Priority
+	})
+	return now+wait > p.latestUsefulStart(w)
 }
 
 // CancelWait removes a waiter. It reports whether the waiter was still queued.
 func (p *Pool) CancelWait(id uint64) bool {
-	for i, w := range p.waiting {
-		if w.ID == id {
-			p.removeWaiter(i)
-			return true
-		}
-	}
-	return false
+	return p.queue.RemoveID(id)
 }
--- a/core/connpool/waiter.go
+++ b/core/connpool/waiter.go
@@ -1,6 +1,10 @@
 package connpool
 
-import "time"
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/slotqueue"
+)
 
 // OnTimeWaitFraction is the fraction of its latency target for which a statement may
 // wait for a connection and still count as on time. Under overload, serving late
@@ -42,23 +46,12 @@
 // statements of 15 ms beside others of 9 ms.
 const extraExecutionTimeFactor = 50
 
-// effectiveDeadline returns the sort key of statements of the same priority that
-// are all on time or all late.
-func (w Waiter) effectiveDeadline() time.Duration {
-	return w.TargetDeadline + extraExecutionTimeFactor*w.ExtraExecutionTime
-}
-
-// before reports whether w is served before v: by priority, then on-time before
-// late statements, then by effective deadline.
-func (w Waiter) before(v Waiter, now time.Duration) bool {
-	if w.Priority != v.Priority {
-		return w.Priority < v.Priority
+// statement returns what decides on the order of a waiter.
+func (w Waiter) statement() slotqueue.Statement {
+	return slotqueue.Statement{
+		ID: w.ID, Team: w.Team, Priority: w.Priority, OnTimeUntil: w.OnTimeUntil,
+		Deadline: w.TargetDeadline + extraExecutionTimeFactor*w.ExtraExecutionTime,
 	}
-	wOnTime, vOnTime := w.OnTimeUntil >= now, v.OnTimeUntil >= now
-	if wOnTime != vOnTime {
-		return wOnTime
-	}
-	return w.effectiveDeadline() < v.effectiveDeadline()
 }
 
 // canUse reports whether the statement may run on a connection of the given team.
@@ -70,21 +63,3 @@
 // with a permanent backlog keep its connections indefinitely. It is about the time of
 // five new connections.
 const teamSwitchMargin = 60 * time.Millisecond
-
-// precedesWithSwitch reports whether w, which needs a connection of another team, is
-// served before other, which can use the current connection.
-func (w Waiter) precedesWithSwitch(other Waiter, now time.Duration) bool {
-	w.TargetDeadline += teamSwitchMargin
-	return w.before(other, now)
-}
-
-// nextWaiter returns the index of the matching waiter that is served next.
-func nextWaiter(waiting []Waiter, now time.Duration, match func(Waiter) bool) (int, bool) {
-	best := -1
-	for i, w := range waiting {
-		if match(w) && (best < 0 || w.before(waiting[best], now)) {
-			best = i
-		}
-	}
-	return best, best >= 0
-}
