Replicaset: displaced and hopeless statements are refused at once

A waiting statement that the pool drops gets its refusal with the expected wait; before, it waited until its deadline.

An idle connection is held back only while one is to be opened that the pool accepts, so that no waiting statement is left to a free slot.

--- a/core/connpool/counts.go
+++ b/core/connpool/counts.go
@@ -1,5 +1,11 @@
 package connpool
 
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
 // Counts are the events of a pool since the previous call of TakeCounts.
 type Counts struct {
 	// Reused is the number of statements that got a connection that was already
@@ -21,3 +27,27 @@
 	p.counts = Counts{}
 	return c
 }
+
+// TeamQueue counts the waiting statements of one team and priority.
+type TeamQueue struct {
+	Team              string
+	Priority, Waiting int
+}
+
+// Queues returns the waiting statements by team and priority, the longest queue first.
+func (p *Pool) Queues() []TeamQueue {
+	counts := map[TeamQueue]int{}
+	for i := range p.queue.Len() {
+		w := p.queue.At(i)
+		counts[TeamQueue{Team: w.Team, Priority: w.Priority}]++
+	}
+	queues := make([]TeamQueue, 0, len(counts))
+	for q, n := range counts {
+		q.Waiting = n
+		queues = append(queues, q)
+	}
+	slices.SortFunc(queues, func(a, b TeamQueue) int {
+		return cmp.Or(b.Waiting-a.Waiting, a.Priority-b.Priority, strings.Compare(a.Team, b.Team))
+	})
+	return queues
+}
--- a/core/connpool/idle.go
+++ b/core/connpool/idle.go
@@ -40,13 +40,11 @@
 }
 
 // AssignIdle assigns an idle connection to a waiter that was queued because
-// MaxActive connections were in use. Call it until it returns false.
+// MaxActive connections were in use. Call it until it returns false, and again after
+// BeginOpen has returned a connection.
 func (p *Pool) AssignIdle(now time.Duration) (ConnID, Waiter, bool) {
-	if p.Exhausted() || len(p.idle) == 0 {
-		return 0, Waiter{}, false
-	}
-	index, found := p.queue.Next(now, p.hasIdle)
-	if !found || (!p.limits.Unfair && p.opensBefore(index, now)) {
+	index, found := p.nextForIdle(now)
+	if !found {
 		return 0, Waiter{}, false
 	}
 	w := p.startWaiter(index, now)
--- a/core/connpool/opening.go
+++ b/core/connpool/opening.go
@@ -19,36 +19,67 @@
 // connection limit, an idle connection of the team that is least likely to need it
 // again is evicted.
 func (p *Pool) BeginOpen(now time.Duration) (OpenRequest, bool) {
-	if now < p.backoffUntil || p.queue.Len() == 0 || !p.belowMaxActive() {
-		return OpenRequest{}, false
-	}
-	index, found := p.nextToOpen(now)
-	if !found {
+	next, due := p.nextOpening(now)
+	if !due {
 		return OpenRequest{}, false
 	}
-	team := p.queue.At(index).Team
-	request := OpenRequest{Team: team}
-	if p.Open() >= p.limits.MaxOpen || (p.memberAtLimit && len(p.idle) > 0) {
-		if len(p.idle) == 0 {
-			return OpenRequest{}, false
-		}
-		candidate := p.evictionCandidate(now)
-		if !p.limits.Unfair && !p.worthEvicting(p.queue.At(index), p.idle[candidate].Team, now) {
-			return OpenRequest{}, false
-		}
-		request.Evicts, request.Evicted = true, p.removeIdle(candidate)
+	request := OpenRequest{Team: p.queue.At(next.waiter).Team}
+	if next.evicts {
+		request.Evicts, request.Evicted = true, p.removeIdle(next.evicted)
 		p.counts.Evicted++
 	}
 	p.counts.Opened++
-	p.opening[team]++
+	p.opening[request.Team]++
 	return request, true
 }
 
-// worthEvicting reports whether a waiter's team needs one more connection more than
-// another team needs the one that it would lose. A team that has none always does, and so
-// does one whose statement is late: its connections may be held by transactions.
-func (p *Pool) worthEvicting(w Waiter, other string, now time.Duration) bool {
-	open := p.OpenByTeam()
+// nextOpen is a connection that may be opened.
+type nextOpen struct {
+	// waiter is the index of the waiter that it is opened for.
+	waiter int
+	// evicted is the index of the idle connection to close first, if evicts is set.
+	evicted int
+	evicts  bool
+}
+
+// nextOpening returns the connection to open next: for the most urgent waiter of a team
+// with more waiters than connections that are being opened for it. Unless the pool is
+// unfair, a waiter does not count if an idle connection suits it, or if its team does not
+// need the connection more than the team that would lose one.
+func (p *Pool) nextOpening(now time.Duration) (nextOpen, bool) {
+	if now < p.backoffUntil || p.queue.Len() == 0 || !p.belowMaxActive() {
+		return nextOpen{}, false
+	}
+	next := nextOpen{evicts: p.Open() >= p.limits.MaxOpen || (p.memberAtLimit && len(p.idle) > 0)}
+	if next.evicts && len(p.idle) == 0 {
+		return nextOpen{}, false
+	}
+	var open map[string]int
+	if next.evicts {
+		next.evicted, open = p.evictionCandidate(now), p.OpenByTeam()
+	}
+	waitingByTeam := make(map[string]int, p.queue.Len())
+	for i := range p.queue.Len() {
+		waitingByTeam[p.queue.At(i).Team]++
+	}
+	var found bool
+	next.waiter, found = p.queue.Next(now, func(w Waiter) bool {
+		switch {
+		case waitingByTeam[w.Team] <= p.opening[w.Team]:
+			return false
+		case p.limits.Unfair:
+			return true
+		default:
+			return !p.hasIdle(w) && (!next.evicts || p.needsMore(w, p.idle[next.evicted].Team, open, now))
+		}
+	})
+	return next, found
+}
+
+// needsMore reports whether a waiter's team needs one more connection more than another
+// team needs one of those that it has. A team without a connection always does, and so
+// does one with a late statement: transactions may hold its connections.
+func (p *Pool) needsMore(w Waiter, other string, open map[string]int, now time.Duration) bool {
 	if open[w.Team] == 0 || w.OnTimeUntil < now {
 		return true
 	}
@@ -70,16 +101,3 @@
 	}
 	return candidate
 }
-
-// nextToOpen returns the index of the most urgent waiter of a team with more waiters than
-// connections that are being opened for it. A waiter for which an idle connection can be
-// used waits for that, unless the pool is unfair.
-func (p *Pool) nextToOpen(now time.Duration) (int, bool) {
-	waitingByTeam := make(map[string]int, p.queue.Len())
-	for i := range p.queue.Len() {
-		waitingByTeam[p.queue.At(i).Team]++
-	}
-	return p.queue.Next(now, func(w Waiter) bool {
-		return waitingByTeam[w.Team] > p.opening[w.Team] && (p.limits.Unfair || !p.hasIdle(w))
-	})
-}
--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -277,47 +277,56 @@
 // assignOrIdle assigns a free connection to the next waiter that may use it, or
 // keeps it idle.
 func (p *Pool) assignOrIdle(c Conn, now time.Duration) (Waiter, bool) {
-	index, found := p.waiterForFreed(c.Team, now)
-	if !found {
-		p.idle = append(p.idle, idleConn{Conn: c, idleSince: now})
+	if p.limits.Unfair {
+		index, found := p.waiterForFreed(c.Team, now)
+		if found {
+			p.inUse[c.Team]++
+			return p.startWaiter(index, now), true
+		}
+	}
+	p.idle = append(p.idle, idleConn{Conn: c, idleSince: now})
+	if p.limits.Unfair {
+		return Waiter{}, false
+	}
+	index, found := p.nextForIdle(now)
+	if !found || !p.queue.At(index).canUse(c.Team) {
 		return Waiter{}, false
 	}
+	p.idle = p.idle[:len(p.idle)-1]
 	p.inUse[c.Team]++
 	return p.startWaiter(index, now), true
 }
 
 // waiterForFreed returns the waiter that a freed connection of a team is assigned
-// to. It returns false if there is none, or if the connection is to be evicted
-// for a more urgent waiter of another team.
+// to in an unfair pool. It returns false if there is none, or if the connection is to be
+// evicted for a more urgent waiter of another team.
 func (p *Pool) waiterForFreed(team string, now time.Duration) (int, bool) {
 	index, found := p.queue.Next(now, func(w Waiter) bool { return w.canUse(team) })
 	if !found || p.Exhausted() {
 		return 0, false
 	}
-	if p.limits.Unfair {
-		if p.openingCount() > 0 || p.Open()+1 < p.maxActive() {
-			return index, true
-		}
-		other, otherFound := p.queue.Next(now, func(w Waiter) bool { return !w.canUse(team) })
-		return index, !otherFound || !p.queue.Before(other, index, now, teamSwitchMargin)
-	}
-	other, otherFound := p.queue.Next(now, func(w Waiter) bool { return !w.canUse(team) && p.hasIdle(w) })
-	if otherFound && p.queue.Before(other, index, now, 0) {
-		return 0, false
+	if p.openingCount() > 0 || p.Open()+1 < p.maxActive() {
+		return index, true
 	}
-	return index, !p.opensBefore(index, now)
+	other, otherFound := p.queue.Next(now, func(w Waiter) bool { return !w.canUse(team) })
+	return index, !otherFound || !p.queue.Before(other, index, now, teamSwitchMargin)
 }
 
-// opensBefore reports whether a connection is opened for another waiter before an idle
-// connection is assigned to the one with an index. One is opened at a time for this
-// reason: several use up the member's slots when more teams wait than it accepts
-// connections.
-func (p *Pool) opensBefore(index int, now time.Duration) bool {
-	if now < p.backoffUntil || p.openingCount() > 0 {
-		return false
+// nextForIdle returns the index of the waiter that is assigned an idle connection next.
+// It returns false if there is none, or if a connection is to be opened first for one
+// that precedes it by more than the cost of that.
+func (p *Pool) nextForIdle(now time.Duration) (int, bool) {
+	if p.Exhausted() || len(p.idle) == 0 {
+		return 0, false
+	}
+	index, found := p.queue.Next(now, p.hasIdle)
+	if !found || p.limits.Unfair || p.openingCount() > 0 {
+		// At most one connection is opened ahead of those that could run: several would
+		// use up the member's slots when more teams wait than it accepts connections.
+		return index, found
 	}
-	other, found := p.nextToOpen(now)
-	return found && p.queue.Before(other, index, now, teamSwitchMargin)
+	opening, due := p.nextOpening(now)
+	return index, !due || !p.queue.Before(opening.waiter, index, now, teamSwitchMargin)
 }
 
 // lateRecheckInterval is how often WaitUntil is evaluated for a late statement.
--- a/core/connpool/replay_test.go
+++ b/core/connpool/replay_test.go
@@ -131,13 +131,9 @@
 		}
 	}
 	for {
-		id, w, found := r.pool.AssignIdle(r.now)
-		if !found {
-			break
+		for id, w, found := r.pool.AssignIdle(r.now); found; id, w, found = r.pool.AssignIdle(r.now) {
+			r.start(r.conns[id], w)
 		}
-		r.start(r.conns[id], w)
-	}
-	for {
 		request, due := r.pool.BeginOpen(r.now)
 		if !due {
 			return
--- a/core/connpool/team_test.go
+++ b/core/connpool/team_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -178,29 +179,33 @@
 					used = used[1:]
 					if rapid.Bool().Draw(t, "broken") {
 						p.Closed(teamOf[id])
+						delete(teamOf, id)
 					} else if w, found := p.Released(connpool.Conn{ID: id, Team: teamOf[id]}, ms, now); found {
 						markInUse(id, w)
 					}
 				}
 			}
 			for {
-				id, w, found := p.AssignIdle(now)
-				if !found {
-					break
+				for id, w, found := p.AssignIdle(now); found; id, w, found = p.AssignIdle(now) {
+					markInUse(id, w)
 				}
-				markInUse(id, w)
-			}
-			for {
 				request, due := p.BeginOpen(now)
 				if !due {
 					break
 				}
+				delete(teamOf, request.Evicted)
 				next++
 				opening = append(opening, connpool.Conn{ID: next, Team: request.Team})
 			}
 			for _, id := range p.ExpireIdle(now) {
 				delete(teamOf, id)
 			}
+			for id, team := range teamOf {
+				waits := slices.ContainsFunc(p.Queues(), func(q connpool.TeamQueue) bool { return q.Team == team })
+				if waits && !slices.Contains(used, id) && !p.Exhausted() {
+					t.Fatalf("a statement of %s waits although a connection of its team is free", team)
+				}
+			}
 			if p.Open() > limits.MaxOpen || len(used) > limits.MaxActive || p.InUse() != len(used) {
 				t.Fatalf("%d open, %d in use, counted as %d, with limits %+v", p.Open(), len(used), p.InUse(), limits)
 			}
--- a/node/entry/groups.go
+++ b/node/entry/groups.go
@@ -114,7 +114,7 @@
 	g := &activeGroup{stop: cancel}
 	g.set = replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Topology: h.settings.Topology,
-		DrainTimeout: h.settings.DrainTimeout, RequestFloor: h.queryPeersForFloor, OnSuspect: func() { g.promoter.Wake() },
+		DrainTimeout: h.settings.DrainTimeout, RequestFloor: h.queryPeersForFloor, OnSuspect: func() { g.promoter.Wake() }, OnDropped: h.observeDropped,
 		Remote: h.remote(), Owner: h.owner, Host: h.settings.Host, Features: h.settings.Features, Log: h.log,
 	})
 	g.promoter = promoter.New(promoter.Config{
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
@@ -75,6 +76,16 @@
 	m.metrics.Add("connections_evicted", c.Evicted, label)
 }
 
+// dropped counts a waiting statement that was displaced, or refused before its deadline,
+// by team and priority.
+func (m *hostMetrics) dropped(d connpool.Dropped) {
+	name := "statements_refused_early"
+	if d.Displaced {
+		name = "statements_displaced"
+	}
+	m.metrics.CountTeam(name, d.Waiter.Team, metrics.Label{Name: "priority", Value: strconv.Itoa(d.Waiter.Priority)})
+}
+
 func readTarget(primary bool) string {
 	if primary {
 		return "primary"
--- a/node/entry/observe.go
+++ b/node/entry/observe.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
@@ -30,3 +31,18 @@
 		Stringer("floor", o.Floor).Stringer("position", o.Answer.Position).
 		Dur("held_ms", o.ReplicaWait).Dur("waited_ms", o.Waited).Dur("took_ms", r.Elapsed).Str("cause", o.Cause).Int("left_out", suppressed).Send()
 }
+
+// observeDropped counts a waiting statement that a member's queue has refused, and logs a
+// displaced one within the log budget.
+func (h *Host) observeDropped(member string, d connpool.Dropped) {
+	h.metrics.dropped(d)
+	if !d.Displaced {
+		return
+	}
+	suppressed, ok := h.logBudget.Allow(eventlog.StatementDisplaced, clock.Now())
+	if !ok {
+		return
+	}
+	eventlog.StatementDisplaced.Info(h.log).Str("upstream", member).Str("team", d.Waiter.Team).Int("priority", d.Waiter.Priority).
+		Str("by_team", d.By.Team).Int("by_priority", d.By.Priority).Int("left_out", suppressed).Send()
+}
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -11,6 +11,9 @@
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
+// maxShownQueues bounds the queues that are shown of a member.
+const maxShownQueues = 10
+
 // Show implements inspect.StateProvider.
 func (h *Host) Show() *inspectpb.ShowResponse {
 	now := clock.Now()
@@ -74,6 +77,9 @@
 		Connections: uint32(m.Connections), InUse: uint32(m.InUse), Waiting: uint32(m.Waiting),
 		Elsewhere: uint32(m.RemoteInFlight), Gates: m.Gates,
 	}
+	for _, q := range m.Queues[:min(len(m.Queues), maxShownQueues)] {
+		out.Queues = append(out.Queues, &inspectpb.Queue{Team: q.Team, Priority: int32(q.Priority), Waiting: uint32(q.Waiting)})
+	}
 	if !m.Position.IsZero() {
 		out.Held = showPosition(m.Position)
 		out.HeldMsAgo = uint32(m.PositionAge.Milliseconds())
--- a/node/eventlog/reason.go
+++ b/node/eventlog/reason.go
@@ -4,6 +4,14 @@
 // of its member was full.
 const ReasonQueueFull = "too many statements wait for the member"
 
+// ReasonDisplaced is the cause of a waiting statement that was rejected because a more
+// urgent one took its place in the full queue of its member.
+const ReasonDisplaced = "a more urgent statement took its place in the member's queue"
+
+// ReasonHopeless is the cause of a waiting statement that was rejected before its deadline
+// because it could not start in time any more.
+const ReasonHopeless = "it cannot start in time because of what has arrived since"
+
 // ReasonQuota is the cause of an operation that was rejected because its team had
 // reached its limit over all hosts.
 const ReasonQuota = "the team has used up its limit"
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -83,6 +84,20 @@
 		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n",
 			u.Name, u.Zone, u.Slots, u.Connections, u.InUse, u.Waiting, u.Elsewhere, upstreamState(u), logText(u), orNone(strings.Join(u.Gates, " ")))
 	}
+	p.queues(s.Upstreams)
+}
+
+// queues writes the statements that wait, by team and priority.
+func (p *printer) queues(upstreams []*inspectpb.Upstream) {
+	if !slices.ContainsFunc(upstreams, func(u *inspectpb.Upstream) bool { return len(u.Queues) > 0 }) {
+		return
+	}
+	p.printf("  WAITING FOR\tTEAM\tPRIORITY\tSTATEMENTS\n")
+	for _, u := range upstreams {
+		for _, q := range u.Queues {
+			p.printf("  %s\t%s\t%d\t%d\n", u.Name, orNone(q.Team), q.Priority, q.Waiting)
+		}
+	}
 }
 
 func (p *printer) teams(s *inspectpb.ShowResponse) {
--- a/node/inspect/text_test.go
+++ b/node/inspect/text_test.go
@@ -47,3 +47,16 @@
 	require.NoError(t, inspect.WriteText(&out, &inspectpb.ShowResponse{Host: "h1", Zone: "a"}))
 	require.Contains(t, out.String(), "host h1 in zone a: not ready")
 }
+
+// TestWriteTextOfQueues checks that an operator sees whose statements wait.
+func TestWriteTextOfQueues(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, inspect.WriteText(&out, &inspectpb.ShowResponse{Services: []*inspectpb.Service{{
+		Name: "db", Upstreams: []*inspectpb.Upstream{{Name: "db-1", Waiting: 9, Queues: []*inspectpb.Queue{{Team: "notary", Priority: 2, Waiting: 8}, {Waiting: 1}}}},
+	}}}))
+	require.Contains(t, out.String(), `
+  WAITING FOR  TEAM    PRIORITY  STATEMENTS
+  db-1         notary  2         8
+  db-1         -       0         1
+`)
+}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -72,10 +72,12 @@
 }
 
 func newMember(s *Set, e directory.Member, share gates.Share) *Member {
+	limits := share.Limits
+	limits.Unfair = !s.features.Enabled(feature.FairSlots)
 	m := &Member{
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
-		pool: connpool.New(share.Limits), share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+		pool: connpool.New(limits), share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
 	}
 	m.health.TimeoutsOnly = !s.features.Enabled(feature.ObservedSilence)
 	return m
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -23,6 +23,7 @@
 	for {
 		conn, ch, err := m.requestConn(&w)
 		if conn == nil {
+			m.refuseDropped()
 			m.set.reclaim(m)
 		}
 		if err != nil {
@@ -73,6 +74,28 @@
 	return nil, ch, nil
 }
 
+// refuseDropped refuses the waiting statements that the pool has dropped.
+func (m *Member) refuseDropped() {
+	m.mu.Lock()
+	dropped := m.pool.TakeDropped()
+	for _, d := range dropped {
+		ch := m.waiters[d.Waiter.ID]
+		delete(m.waiters, d.Waiter.ID)
+		reason := eventlog.ReasonHopeless
+		if d.Displaced {
+			reason = eventlog.ReasonDisplaced
+		}
+		ch <- grant{err: &RefusedError{Reason: reason, RetryAfter: d.RetryAfter}}
+	}
+	m.mu.Unlock()
+	if m.set.onDropped == nil {
+		return
+	}
+	for _, d := range dropped {
+		m.set.onDropped(m.id, d)
+	}
+}
+
 func (m *Member) awaitGrant(ctx context.Context, w connpool.Waiter, ch chan grant) (*Conn, error) {
 	timer := time.NewTimer(w.OnTimeUntil - clock.Now())
 	defer timer.Stop()
@@ -121,13 +144,9 @@
 // that the pool asks for. It is called with mu held.
 func (m *Member) advancePool(now time.Duration) {
 	for {
-		id, w, found := m.pool.AssignIdle(now)
-		if !found {
-			break
+		for id, w, found := m.pool.AssignIdle(now); found; id, w, found = m.pool.AssignIdle(now) {
+			m.grantConn(m.conns[id], w, now)
 		}
-		m.grantConn(m.conns[id], w, now)
-	}
-	for {
 		openReq, due := m.pool.BeginOpen(now)
 		if !due {
 			break
@@ -214,7 +233,9 @@
 	}
 	if m.removed {
 		m.closeIdle()
+		return
 	}
+	m.advancePool(now)
 }
 
 // grantConn gives a connection to a waiter. It is called with mu held.
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/fresh"
@@ -79,6 +80,10 @@
 	// OnSuspect is called, without locks held, when an exchange with a member
 	// fails after others succeeded; may be nil.
 	OnSuspect func()
+	// OnDropped is called, without locks held, when a waiting statement is refused
+	// because another one took its place or because it cannot start in time any more; may
+	// be nil.
+	OnDropped func(member string, d connpool.Dropped)
 	// Remote runs jobs on other hosts; if nil, all jobs run here.
 	Remote Remote
 	// Owner identifies this host and its incarnation in transactions that it
@@ -101,6 +106,7 @@
 	drainTimeout time.Duration
 	requestFloor func(service string)
 	onSuspect    func()
+	onDropped    func(string, connpool.Dropped)
 	remote       Remote
 	owner        string
 	host         string
@@ -145,7 +151,7 @@
 func New(cfg Config) *Set {
 	return &Set{
 		service: cfg.Service, dial: cfg.Dial, proto: cfg.Proto, topology: cfg.Topology, drainTimeout: cfg.DrainTimeout,
-		requestFloor: cfg.RequestFloor, onSuspect: cfg.OnSuspect, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, features: cfg.Features, floorObserved: make(chan struct{}),
+		requestFloor: cfg.RequestFloor, onSuspect: cfg.OnSuspect, onDropped: cfg.OnDropped, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, features: cfg.Features, floorObserved: make(chan struct{}),
 		log:            cfg.Log.With().Str("service", cfg.Service).Logger(),
 		probeRequested: make(chan struct{}, 1), members: map[string]*Member{}, primaryChanged: make(chan struct{}),
 		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -35,6 +35,8 @@
 	Gates                                       []string
 	// ByTeam counts this host's connections by team.
 	ByTeam map[string]int
+	// Queues count this host's waiters by team and priority, the longest first.
+	Queues []connpool.TeamQueue
 }
 
 // TakeConnectionCounts returns the pools' counts since the last call.
@@ -81,6 +83,6 @@
 		ID: m.id, Address: m.address, Zone: m.entry.Zone, Slots: m.entry.Slots,
 		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.confirmedByPeers), Position: m.position, PositionAge: now - m.positionAt,
 		Connections: m.pool.Open(), InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), RemoteInFlight: m.remoteInFlight, Gates: m.share.GateAddresses,
-		ByTeam: m.pool.OpenByTeam(),
+		ByTeam: m.pool.OpenByTeam(), Queues: m.pool.Queues(),
 	}
 }
