Connpool: late statements without a chance are refused before the deadline

A dropped waiter was refused after the lock was given up, so that one whose caller cancelled it meanwhile would have waited for ever with the lock held. Both happen under one lock now. One long use of a slot puts its team ahead by a second at most. The replay finishes jobs in order, so that its figures repeat.

--- a/core/connpool/idle.go
+++ b/core/connpool/idle.go
@@ -60,7 +60,7 @@
 // startWaiter removes a waiter that is assigned a connection.
 func (p *Pool) startWaiter(index int, now time.Duration) Waiter {
 	w := p.queue.Remove(index)
-	p.queue.Started(w.Team, w.Priority, now)
+	p.queue.Started(w.Team, w.Priority, w.OnTimeUntil < now, now)
 	return w
 }
 
--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -195,7 +195,7 @@
 func (p *Pool) Acquire(w Waiter, now time.Duration) Decision {
 	p.demand.record(w.Team, now)
 	if index, found := p.findIdle(w); found && !p.Exhausted() {
-		p.queue.Started(w.Team, w.Priority, now)
+		p.queue.Started(w.Team, w.Priority, w.OnTimeUntil < now, now)
 		return Decision{Outcome: Granted, Conn: p.acquireIdle(index)}
 	}
 	wait := p.expectedWait(w, now)
@@ -360,8 +360,9 @@
 	}
 }
 
-// cannotServeInTime reports whether a late statement cannot be started in time
-// even if no on-time statement is served before it.
+// cannotServeInTime reports whether a statement cannot be started in time even if no
+// on-time statement of its class is served before it. Shortly before a late statement's
+// latest useful start, it is also taken for hopeless if no late one was started lately.
 func (p *Pool) cannotServeInTime(w Waiter, now time.Duration) bool {
 	established := len(p.idle) + p.InUse()
 	if established == 0 {
@@ -369,10 +370,13 @@
 		// hosts. An unreachable member gives no reason to wait.
 		return !p.memberAtLimit
 	}
-	wait := p.queue.Wait(w.statement(), now, p.startInterval(min(established, p.maxActive())), func(v slotqueue.Statement) bool {
+	interval, latest := p.startInterval(min(established, p.maxActive())), p.latestUsefulStart(w)
+	if w.OnTimeUntil < now && latest-now < slotqueue.RateTime && p.queue.LateStarved(w.Priority, now, interval) {
+		return true
+	}
+	return now+p.queue.Wait(w.statement(), now, interval, func(v slotqueue.Statement) bool {
 		return v.OnTimeUntil < now || v.Priority < w.Priority
-	})
-	return now+wait > p.latestUsefulStart(w)
+	}) > latest
 }
 
 // CancelWait removes a waiter. It reports whether the waiter was still queued.
--- a/core/connpool/replay_test.go
+++ b/core/connpool/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -41,6 +42,8 @@
 	conn    connpool.Conn
 	opening bool
 	since   time.Duration
+	// end is when the job will have run; zero while it is queued.
+	end time.Duration
 }
 
 // replay runs streams of statements against a pool and a member that runs four jobs of
@@ -49,7 +52,7 @@
 	pool    *connpool.Pool
 	now     time.Duration
 	queue   []job
-	running map[*job]time.Duration
+	running []job
 	conns   map[connpool.ConnID]connpool.Conn
 	waiting map[uint64]connpool.Waiter
 	recheck map[uint64]time.Duration
@@ -71,7 +74,7 @@
 
 func runReplay(limits connpool.Limits, seed uint64, streams []stream) map[string]*tally {
 	r := &replay{
-		pool: connpool.New(limits), running: map[*job]time.Duration{}, conns: map[connpool.ConnID]connpool.Conn{}, waiting: map[uint64]connpool.Waiter{},
+		pool: connpool.New(limits), conns: map[connpool.ConnID]connpool.Conn{}, waiting: map[uint64]connpool.Waiter{},
 		recheck: map[uint64]time.Duration{}, since: map[uint64]time.Duration{}, tallies: map[string]*tally{},
 	}
 	random := rand.New(rand.NewPCG(seed, 1))
@@ -90,11 +93,13 @@
 }
 
 func (r *replay) runMember() {
-	for j, end := range r.running {
-		if end > r.now {
+	ended := r.running
+	r.running = nil
+	for _, j := range ended {
+		if j.end > r.now {
+			r.running = append(r.running, j)
 			continue
 		}
-		delete(r.running, j)
 		if j.opening {
 			if w, found := r.pool.Opened(j.conn, r.now); found {
 				r.start(j.conn, w)
@@ -108,7 +113,8 @@
 	}
 	r.advance()
 	for len(r.running) < replaySlots && len(r.queue) > 0 {
-		r.running[&r.queue[0]] = r.now + replayJobTime
+		r.queue[0].end = r.now + replayJobTime
+		r.running = append(r.running, r.queue[0])
 		r.queue = r.queue[1:]
 	}
 }
@@ -146,7 +152,8 @@
 }
 
 func (r *replay) recheckWaiting() {
-	for id, w := range r.waiting {
+	for _, id := range slices.Sorted(maps.Keys(r.waiting)) {
+		w := r.waiting[id]
 		if r.recheck[id] > r.now {
 			continue
 		}
@@ -269,6 +276,7 @@
 		streams := append(perTeam(teams, seal, 340, 1, 0), perTeam(teams, verify, 43, 1, 0)...)
 		replayBoth(t, streams, func(fair, unfair map[string]*tally) {
 			require.Less(t, float64(fair["verify"].atDeadline), 0.01*float64(fair["verify"].offered))
+			require.Less(t, float64(fair["verify"].atDeadline+fair["seal"].atDeadline), 0.01*float64(fair["verify"].offered+fair["seal"].offered))
 			require.Greater(t, fair["verify"].served, fair["verify"].offered/3)
 			require.GreaterOrEqual(t, fair["seal"].served, unfair["seal"].served*98/100)
 			require.Greater(t, unfair["verify"].atDeadline, unfair["verify"].offered/100, "the replay must overload the pool")
--- a/core/slotqueue/class.go
+++ b/core/slotqueue/class.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// rateTime is the time constant of the rate of starts: short enough to follow a surge
+	// RateTime is the time constant of the rate of starts: short enough to follow a surge
 	// of seconds, long enough to average over the statements of one.
-	rateTime = 500 * time.Millisecond
+	// LateStarved predicts for as long.
+	RateTime = 500 * time.Millisecond
 	// classActiveTime is how long a class keeps places in the queue after its last
 	// statement.
 	classActiveTime = time.Second
@@ -23,9 +24,11 @@
 	passedOver int
 	arrived    bool
 	arrivedAt  time.Duration
-	// starts is the number of starts, decaying with rateTime, as of startsAt.
+	// starts is the number of starts, decaying with RateTime, as of startsAt.
 	starts   float64
 	startsAt time.Duration
+	// lateStart is when a late statement of the class was last started.
+	lateStart time.Duration
 }
 
 // class returns the state of a class.
@@ -38,8 +41,11 @@
 }
 
 // classStarted records a start of a class.
-func (q *Queue[T]) classStarted(priority int, now time.Duration) {
+func (q *Queue[T]) classStarted(priority int, late bool, now time.Duration) {
 	own := q.class(priority)
+	if late {
+		own.lateStart = now
+	}
 	own.starts, own.startsAt = own.decayedStarts(now)+1, now
 	for _, c := range q.classes {
 		if c == own || c.waiting == 0 {
@@ -51,7 +57,7 @@
 }
 
 func (c *class) decayedStarts(now time.Duration) float64 {
-	return c.starts * math.Exp(-float64(now-c.startsAt)/float64(rateTime))
+	return c.starts * math.Exp(-float64(now-c.startsAt)/float64(RateTime))
 }
 
 // due reports whether the next start belongs to a class.
@@ -75,6 +81,15 @@
 	return limit
 }
 
+// LateStarved reports whether the late statements of a class have no chance within
+// RateTime: more important classes and the statements of its own that were on time have
+// used the slots lately, and none that was late was started. It is false while statements
+// of one team and class wait.
+func (q *Queue[T]) LateStarved(priority int, now, interval time.Duration) bool {
+	return q.fair && q.mixed() && now-q.class(priority).lateStart > RateTime &&
+		q.urgentShare(priority+1, now, interval) > 1-1.0/classShare
+}
+
 // urgentShare returns the share of the slots that more important classes have used
 // lately, if the member starts a statement every interval while it is busy.
 func (q *Queue[T]) urgentShare(priority int, now, interval time.Duration) float64 {
@@ -84,5 +99,5 @@
 			starts += c.decayedStarts(now)
 		}
 	}
-	return starts * float64(interval) / float64(rateTime)
+	return starts * float64(interval) / float64(RateTime)
 }
--- a/core/slotqueue/queue.go
+++ b/core/slotqueue/queue.go
@@ -25,6 +25,9 @@
 	// class keeps. One in sixteen costs the more important classes little and serves the
 	// other statements of an overloaded member within their deadline of seconds.
 	classShare = 16
+	// maxLead bounds by how much a long use of a slot puts its team ahead, so that a
+	// transaction of minutes does not shut its team out for as long.
+	maxLead = time.Second
 	// initialCost is the expected slot time of a statement before the first sample.
 	initialCost = 30 * time.Millisecond
 	// maxTeams is the number of teams from which on those are removed that have no
@@ -247,7 +250,7 @@
 
 // Started records that a statement has taken a slot, and charges its team. The statement
 // is in the queue no more.
-func (q *Queue[T]) Started(teamName string, priority int, now time.Duration) {
+func (q *Queue[T]) Started(teamName string, priority int, late bool, now time.Duration) {
 	if priority < 0 {
 		return
 	}
@@ -256,13 +259,13 @@
 		q.virtualTime = max(q.virtualTime, t.used)
 	}
 	t.used += q.cost
-	q.classStarted(priority, now)
+	q.classStarted(priority, late, now)
 }
 
 // Ended records how long a team's statement has used its slot, and corrects the charge for
 // it.
 func (q *Queue[T]) Ended(teamName string, took time.Duration) {
 	if t, found := q.teams[teamName]; found {
-		t.used += took - q.cost
+		t.used = min(t.used+took-q.cost, max(t.used, q.virtualTime+maxLead))
 	}
 }
--- a/core/slotqueue/queue_internal_test.go
+++ b/core/slotqueue/queue_internal_test.go
@@ -56,7 +56,7 @@
 				s := q.Remove(i)
 				require.Contains(t, waiting, s.ID)
 				delete(waiting, s.ID)
-				q.Started(s.Team, s.Priority, now)
+				q.Started(s.Team, s.Priority, s.late(now), now)
 				q.Ended(s.Team, time.Duration(rapid.IntRange(1, 40).Draw(t, "took"))*ms)
 			} else {
 				require.Empty(t, waiting, "a free slot is left to nobody")
@@ -90,7 +90,7 @@
 			if found {
 				s := fair.Remove(i)
 				require.Equal(t, plain.Remove(j), s)
-				fair.Started(s.Team, s.Priority, now)
+				fair.Started(s.Team, s.Priority, s.late(now), now)
 				fair.Ended(s.Team, 12*ms)
 			}
 		}
@@ -103,7 +103,7 @@
 	for now := time.Duration(0); n > 0; n-- {
 		i, _ := q.Next(now, any1)
 		s := q.Remove(i)
-		q.Started(s.Team, s.Priority, now)
+		q.Started(s.Team, s.Priority, s.late(now), now)
 		q.Ended(s.Team, 12*ms)
 		byTeam[s.Team]++
 		byClass[s.Priority]++
@@ -161,7 +161,7 @@
 			for id := uint64(64); b.Loop(); id++ {
 				i, _ := q.Next(0, any1)
 				s := q.Remove(i)
-				q.Started(s.Team, s.Priority, 0)
+				q.Started(s.Team, s.Priority, false, 0)
 				q.Ended(s.Team, 12*ms)
 				s.ID = id
 				q.Wait(s, 0, 3*ms, any1)
--- a/core/slotqueue/wait.go
+++ b/core/slotqueue/wait.go
@@ -64,7 +64,7 @@
 		urgent = q.urgentShare(s.Priority, now, interval)
 	}
 	if urgent < 1.0/classShare {
-		// A few starts within rateTime tell nothing about a rate.
+		// A few starts within RateTime tell nothing about a rate.
 		return wait
 	}
 	shared := time.Duration(mates+1) * classShare * interval
--- a/node/replicaset/displaced_test.go
+++ b/node/replicaset/displaced_test.go
@@ -74,6 +74,31 @@
 	require.Equal(t, 2, m.waitingCount())
 }
 
+// TestDisplacedAndCancelledStatementsReturn guards against a statement that waits for ever
+// because its caller gave up while another statement displaced it.
+func TestDisplacedAndCancelledStatementsReturn(t *testing.T) {
+	m := unansweredMember(t, nil, func(string, connpool.Dropped) {})
+	const callers = 300
+	returned := make(chan error, callers)
+	for i := range callers {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i%20)*time.Millisecond)
+			defer cancel()
+			until := clock.Now() + time.Minute
+			_, err := m.acquire(ctx, connpool.Waiter{Priority: callers - i, TargetDeadline: until, OnTimeUntil: until, StartDeadline: until})
+			returned <- err
+		}()
+	}
+	for range callers {
+		select {
+		case err := <-returned:
+			require.Error(t, err)
+		case <-time.After(10 * time.Second):
+			t.Fatal("a statement does not return")
+		}
+	}
+}
+
 // TestFullQueueRefusesNewcomerWithoutFairSlots checks the behaviour with the feature
 // disabled.
 func TestFullQueueRefusesNewcomerWithoutFairSlots(t *testing.T) {
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -28,11 +28,13 @@
 	log                  zerolog.Logger
 
 	// mu guards the fields below. No other lock is taken while it is held.
-	mu           sync.Mutex
-	entry        directory.Member
-	pool         *connpool.Pool
-	conns        map[connpool.ConnID]*Conn
-	waiters      map[uint64]chan grant
+	mu      sync.Mutex
+	entry   directory.Member
+	pool    *connpool.Pool
+	conns   map[connpool.ConnID]*Conn
+	waiters map[uint64]chan grant
+	// unreported holds the dropped statements that Set.onDropped has not been told of.
+	unreported   []connpool.Dropped
 	nextID       uint64
 	health       health.MemberDetector
 	responseTime time.Duration
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -23,7 +23,7 @@
 	for {
 		conn, ch, err := m.requestConn(&w)
 		if conn == nil {
-			m.refuseDropped()
+			m.reportDropped()
 			m.set.reclaim(m)
 		}
 		if err != nil {
@@ -70,27 +70,34 @@
 	}
 	ch := make(chan grant, 1)
 	m.waiters[w.ID] = ch
+	m.refuseDropped()
 	m.advancePool(now)
 	return nil, ch, nil
 }
 
-// refuseDropped refuses the waiting statements that the pool has dropped.
+// refuseDropped refuses the waiting statements that the pool has dropped. It is called
+// with mu held, before another waiter can be cancelled.
 func (m *Member) refuseDropped() {
-	m.mu.Lock()
 	dropped := m.pool.TakeDropped()
 	for _, d := range dropped {
-		ch := m.waiters[d.Waiter.ID]
-		delete(m.waiters, d.Waiter.ID)
 		reason := eventlog.ReasonHopeless
 		if d.Displaced {
 			reason = eventlog.ReasonDisplaced
 		}
-		ch <- grant{err: &RefusedError{Reason: reason, RetryAfter: d.RetryAfter}}
+		m.waiters[d.Waiter.ID] <- grant{err: &RefusedError{Reason: reason, RetryAfter: d.RetryAfter}}
+		delete(m.waiters, d.Waiter.ID)
 	}
-	m.mu.Unlock()
-	if m.set.onDropped == nil {
-		return
+	if m.set.onDropped != nil {
+		m.unreported = append(m.unreported, dropped...)
 	}
+}
+
+// reportDropped reports the statements that were dropped since the last call.
+func (m *Member) reportDropped() {
+	m.mu.Lock()
+	dropped := m.unreported
+	m.unreported = nil
+	m.mu.Unlock()
 	for _, d := range dropped {
 		m.set.onDropped(m.id, d)
 	}
