Connpool: without fair slots nothing is refused early

The check of waiting statements for whether they can still start acted with the feature disabled too.

--- a/core/connpool/dropped.go
+++ b/core/connpool/dropped.go
@@ -14,7 +14,7 @@
 }
 
 // TakeDropped returns the statements that were dropped since the last call. They are in
-// the queue no more.
+// the queue no more, so CancelWait does not find them.
 func (p *Pool) TakeDropped() []Dropped {
 	dropped := p.dropped
 	p.dropped = nil
--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -32,8 +32,8 @@
 	FairShare int
 	// MaxWaiting is the maximum number of waiting statements.
 	MaxWaiting int
-	// Unfair disables the fair order among teams and classes and the displacement of
-	// waiting statements.
+	// Unfair disables the fair order among teams and classes, and the displacement and
+	// the early refusal of waiting statements.
 	Unfair bool
 }
 
@@ -208,7 +208,9 @@
 		}
 		p.dropped = append(p.dropped, Dropped{Waiter: displaced, Displaced: true, By: w, RetryAfter: p.expectedWait(displaced, now)})
 	}
-	p.dropHopeless(now)
+	if !p.limits.Unfair {
+		p.dropHopeless(now)
+	}
 	return Decision{Outcome: Queued}
 }
 
@@ -370,7 +372,10 @@
 		// hosts. An unreachable member gives no reason to wait.
 		return !p.memberAtLimit
 	}
-	interval, latest := p.startInterval(min(established, p.maxActive())), p.latestUsefulStart(w)
+	if !p.limits.Unfair {
+		established = min(established, p.maxActive())
+	}
+	interval, latest := p.startInterval(established), p.latestUsefulStart(w)
 	if w.OnTimeUntil < now && latest-now < slotqueue.RateTime && p.queue.LateStarved(w.Priority, now, interval) {
 		return true
 	}
