Limits: a counter stops when its registration may have ended

Callers of a team at its limit could run more operations than it allows while a part of the fleet was cut off from the rest and from the store. The counters on that side went on granting, and the hosts on the other side replaced them when their registrations ended, as they did not answer.

A counter now stops at the end of its lease, counted from the time at which it sent the last renewal that was answered. It goes on with half of its share only while nearly all other hosts answer and none of them reaches the store. Hosts that are fewer than those that left without an answer replace counters with half a share.

--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -53,9 +53,9 @@
 // tokens that accrue until it counts the team again.
 func (c *Counter) Forget(team string) { delete(c.teams, team) }
 
-// Acquire grants operations of a team from this host's share of the team's limit, which
-// is divided evenly among the counters.
-func (c *Counter) Acquire(team string, l Limit, counters, wanted int, now time.Duration) Grant {
+// Acquire grants operations of a team from this host's share of the team's limit
+// (GrantShare).
+func (c *Counter) Acquire(team string, l Limit, share float64, wanted int, now time.Duration) Grant {
 	if !l.Bounded {
 		return Grant{Granted: wanted}
 	}
@@ -65,7 +65,7 @@
 		b = &bucket{refilledAt: c.accrueFrom}
 		c.teams[team] = b
 	}
-	return b.take(c.tolerance.grantable(l)/float64(max(counters, 1)), c.tolerance.Window, wanted, now)
+	return b.take(c.tolerance.grantable(l)*share, c.tolerance.Window, wanted, now)
 }
 
 // evictIdle removes the buckets of idle teams.
--- a/core/quota/counter_test.go
+++ b/core/quota/counter_test.go
@@ -203,9 +203,9 @@
 func TestStartedCounterAccruesTokensFromItsStart(t *testing.T) {
 	l := limitOf(10, 10)
 	c := quota.NewCounter(tolerance, 0)
-	require.GreaterOrEqual(t, c.Acquire("a", l, 3, 3, time.Second).Granted, 3)
+	require.GreaterOrEqual(t, c.Acquire("a", l, 1.0/3, 3, time.Second).Granted, 3)
 	c.TakeOver(2 * time.Second)
-	require.Zero(t, c.Acquire("b", l, 3, 1, 2*time.Second).Granted, "the previous counter may have granted it")
+	require.Zero(t, c.Acquire("b", l, 1.0/3, 1, 2*time.Second).Granted, "the previous counter may have granted it")
 }
 
 // TestSmallLimitIsServed checks that a team with one operation a second and no
--- a/core/quota/departure.go
+++ b/core/quota/departure.go
@@ -28,6 +28,8 @@
 type departure struct {
 	Host
 	state departureState
+	// at is when the registration ended.
+	at time.Duration
 	// until is the end of the time for which the departure is remembered.
 	until time.Duration
 	// checkedAt is when the host was last asked.
@@ -37,7 +39,7 @@
 }
 
 func newDeparture(h Host, now time.Duration) *departure {
-	return &departure{Host: h, until: now + joinPeriod, replacedFor: map[string]bool{}}
+	return &departure{Host: h, at: now, until: now + joinPeriod, replacedFor: map[string]bool{}}
 }
 
 // mayCount reports whether the host may be counting a team.
@@ -45,6 +47,11 @@
 	return now < d.until && d.state != gone && !d.replacedFor[team]
 }
 
+// forgotten reports whether nothing depends on the departure any more.
+func (d *departure) forgotten(now time.Duration) bool {
+	return now >= d.until && now >= d.at+lossMemory
+}
+
 // answerExpired reports whether the last answer is too old to rely on.
 func (d *departure) answerExpired(now time.Duration) bool {
 	return now-d.checkedAt >= departureCheckInterval
--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -78,7 +78,7 @@
 		names[h.Name] = true
 	}
 	for name, d := range f.departed {
-		if now >= d.until {
+		if d.forgotten(now) {
 			delete(f.departed, name)
 		}
 	}
--- a/core/quota/lapse_simulation_test.go
+++ b/core/quota/lapse_simulation_test.go
@@ -21,13 +21,30 @@
 	lapses map[*simHost]lapse
 	// delays holds how late each host hears of changes. A watch delivers them in order.
 	delays map[*simHost]time.Duration
+	// unreachedUntil is the time until which a host on the side of a partition without the
+	// store hears of no change.
+	unreachedUntil map[*simHost]time.Duration
+	// storeDown is set if registrations lapse because no host reaches the store.
+	storeDown bool
+}
+
+// leaseOf returns the state of a host's lease.
+func (s *simFleet) leaseOf(h *simHost) quota.LeaseState {
+	if s.registrations == nil {
+		return quota.LeaseValid
+	}
+	l, lapses := s.registrations.lapses[h]
+	if !lapses || s.now >= l.until {
+		return quota.LeaseValid
+	}
+	return quota.StateOfLease(l.from, s.registrations.storeDown, s.now)
 }
 
 // knows reports whether an observer takes a host for registered. It learns of its own
 // registration at once, and of everything else late.
 func (r *simRegistrations) knows(observer, other *simHost, now time.Duration) bool {
 	l, lapses := r.lapses[other]
-	if !lapses {
+	if !lapses || now < r.unreachedUntil[observer] {
 		return true
 	}
 	delay := r.delays[observer]
@@ -58,7 +75,7 @@
 
 // draw returns the registrations of a fleet in a scenario.
 func (c lapseScenario) draw(s *simFleet, rng *rand.Rand) *simRegistrations {
-	r := &simRegistrations{lapses: map[*simHost]lapse{}, delays: map[*simHost]time.Duration{}}
+	r := &simRegistrations{lapses: map[*simHost]lapse{}, delays: map[*simHost]time.Duration{}, storeDown: true}
 	order := rng.Perm(len(s.hosts))
 	for i, index := range order[c.lasting:] {
 		from := lapseStart
--- a/core/quota/takeover_test.go
+++ b/core/quota/takeover_test.go
@@ -28,7 +28,7 @@
 			if now >= takeover {
 				counter = next
 			}
-			for range counter.Acquire(team, l, 3, 1, now).Granted {
+			for range counter.Acquire(team, l, 1.0/3, 1, now).Granted {
 				admittedAt = append(admittedAt, now)
 			}
 		}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -143,6 +143,7 @@
 	h.limiter = limits.New(limits.Config{
 		Self:      quota.Host{Name: s.Host, Zone: s.Topology.Zone, Region: s.Topology.Region(s.Topology.Zone), Address: s.PeerAddress},
 		Tolerance: s.QuotaTolerance, RequestGrant: h.requestGrant, Announce: h.announceCounter, Limit: h.limitOf, RegisteredAtStart: h.registry.RegisteredAtStart,
+		Lease: h.registry.LeaseState, Log: h.log,
 	})
 	if err := h.listen(); err != nil {
 		h.cancel()
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -71,6 +71,7 @@
 	SnapshotFailed       = Event{619, "platform_snapshot_failed"}
 	PeersPolled          = Event{620, "platform_peers_polled"}
 	ConfigFetched        = Event{621, "configuration_fetched"}
+	CounterStopped       = Event{622, "team_counter_stopped"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -89,7 +90,7 @@
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched,
+		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched, CounterStopped,
 	}
 }
 
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -9,9 +9,12 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
 // RequestGrantFunc asks another host to grant operations of a team. It reports false
@@ -34,9 +37,13 @@
 	// RegisteredAtStart reports whether this host was still registered by an earlier
 	// process when it started. It is called with the limiter's lock held.
 	RegisteredAtStart func() bool
+	// Lease returns the state of this host's registration; nil if it is always valid. It is
+	// called with the limiter's lock held.
+	Lease func(now time.Duration) quota.LeaseState
 	// Limit returns the limit of a team in the active configuration; false for an
 	// unknown team. It is called with the limiter's lock held, too.
 	Limit func(team string) (quota.Limit, bool)
+	Log   zerolog.Logger
 }
 
 // Limiter admits or refuses the operations of this host, and grants operations to other
@@ -56,6 +63,8 @@
 	fleet *quota.Fleet
 	// everRegistered is set once this host has been registered.
 	everRegistered bool
+	// leaseLapsed is set once the lease has lapsed, until this host joins again.
+	leaseLapsed bool
 	// placements caches the placement of each team for the current fleet.
 	placements map[string]cachedPlacement
 	// announcing holds the teams for which this host is announcing itself.
@@ -76,8 +85,10 @@
 	quota.Placement
 	// unacknowledged are the counters that must acknowledge this host before it counts.
 	unacknowledged []string
-	limit          quota.Limit
-	validUntil     time.Duration
+	// beforeLosses are the counters as hosts see them that are cut off from this one.
+	beforeLosses []string
+	limit        quota.Limit
+	validUntil   time.Duration
 }
 
 // counterKey identifies a team at one of its counters.
@@ -142,6 +153,7 @@
 	}
 	now := clock.Now()
 	l.mu.Lock()
+	l.leaseState(now)
 	placement := l.placementOf(team.Name, team.Limit, now)
 	d := l.local.Admit(team.Name, team.Limit, placement.MaxUnconfirmed, now)
 	var ch chan outcome
@@ -205,10 +217,14 @@
 	now := clock.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	lease := l.leaseState(now)
 	placement := l.placementOf(team, limit, now)
+	if lease == quota.LeaseLapsed {
+		return l.declineWithoutLease(team, limit, now)
+	}
 	counters := l.fleet.AnsweringCounters(placement.Placement, team, limit, l.cfg.Tolerance, now)
 	if slices.Contains(counters, l.cfg.Self.Name) {
-		return l.counter.Acquire(team, limit, len(counters), wanted, now)
+		return l.counter.Acquire(team, limit, quota.GrantShare(l.cfg.Self.Name, counters, placement.beforeLosses, lease), wanted, now)
 	}
 	if l.fleet.Suspended(now) {
 		return quota.Grant{RetryAfter: requestTimeout}
@@ -221,6 +237,36 @@
 	return quota.Grant{RetryAfter: requestTimeout, Counters: l.hostsNamed(placement.Counters, now)}
 }
 
+// leaseState returns the state of this host's lease. Others may have counted in its place
+// once the lease has lapsed, so that the host has to join when it is registered again. It
+// is called with mu held.
+func (l *Limiter) leaseState(now time.Duration) quota.LeaseState {
+	if l.cfg.Lease == nil {
+		return quota.LeaseValid
+	}
+	state := l.cfg.Lease(now)
+	switch {
+	case state == quota.LeaseLapsed && !l.leaseLapsed:
+		l.leaseLapsed = true
+		eventlog.CounterStopped.Warn(l.cfg.Log).Send()
+	case state == quota.LeaseValid && l.leaseLapsed:
+		l.leaseLapsed = false
+		if l.cfg.Announce != nil {
+			l.fleet.Join(now)
+		}
+		l.counter.TakeOver(now)
+		l.placementsChanged(now)
+	}
+	return state
+}
+
+// declineWithoutLease answers a request while others may count in this host's place. It
+// is called with mu held.
+func (l *Limiter) declineWithoutLease(team string, limit quota.Limit, now time.Duration) quota.Grant {
+	others := l.fleet.CountersWithout(l.cfg.Self.Name, team, limit, l.cfg.Tolerance, now)
+	return quota.Grant{RetryAfter: unresponsiveBackoff, Counters: l.hostsNamed(others, now)}
+}
+
 // placementsChanged discards the cached placements, and the buckets of the teams that this
 // host does not count any more. It is called with mu held.
 func (l *Limiter) placementsChanged(now time.Duration) {
@@ -246,6 +292,7 @@
 	if !found || p.limit != limit || (p.validUntil != 0 && now >= p.validUntil) {
 		p = cachedPlacement{limit: limit}
 		p.Placement, p.unacknowledged = l.fleet.Place(team, limit, l.cfg.Tolerance, now)
+		p.beforeLosses = l.fleet.CountersBeforeLosses(team, limit, l.cfg.Tolerance, now)
 		p.validUntil = l.fleet.ValidUntil(now)
 		l.placements[team] = p
 	}
--- a/node/registry/lease.go
+++ b/node/registry/lease.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/quota"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
@@ -68,7 +69,11 @@
 func (r *Registry) renewOrRegister(ctx context.Context) error {
 	lease := r.currentLease()
 	if !lease.IsZero() && r.registered() && !r.leaseTooShort() {
+		sentAt := r.now()
 		err := r.store.RenewLease(ctx, lease)
+		if err == nil {
+			r.extendLease(sentAt)
+		}
 		r.observeRestoreError(err)
 		if !store.Is(err, store.LeaseEnded) && !store.Is(err, store.Restored) {
 			return err
@@ -87,6 +92,21 @@
 	return err
 }
 
+// extendLease records that the store has renewed the lease for a call sent at a time. The
+// lease runs from the arrival of the call, and so ends no earlier.
+func (r *Registry) extendLease(sentAt time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaseEnd = sentAt + r.leaseTTL
+}
+
+// LeaseState returns how sure this host is that it is still registered.
+func (r *Registry) LeaseState(now time.Duration) quota.LeaseState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return quota.StateOfLease(r.leaseEnd, r.survey.FleetWithoutStore(r.roster.Len(), now), now)
+}
+
 // observeRestoreError causes a complete listing if a call failed because the store was
 // restored.
 func (r *Registry) observeRestoreError(err error) {
@@ -136,6 +156,7 @@
 		return err
 	}
 	r.lastAnswered.record(sentAt)
+	grantedAt := sentAt
 	sentAt = r.now()
 	reg := roster.Registration{Host: r.self, Epoch: g.Lease.Epoch, ConfigVersion: r.configVersion()}
 	revision, err := r.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: hostKey(r.self.Name), Value: encodeRegistration(reg), Lease: g.Lease}}})
@@ -145,7 +166,7 @@
 	r.lastAnswered.record(sentAt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease, r.leaseTTL = g.Lease, ttl
+	r.lease, r.leaseTTL, r.leaseEnd = g.Lease, ttl, grantedAt+ttl
 	r.registeredAt = revision
 	r.roster.Put(reg, r.now())
 	r.fleetChanged()
--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -122,6 +122,7 @@
 		})
 	}
 	wg.Wait()
+	r.recordSurvey(len(peers), answers)
 	newest, reachStore := peerpoll.Newest(answers)
 	eventlog.PeersPolled.Info(r.log).Int("asked", len(peers)).Int("answered", len(answers)).Int("reach_store", reachStore).
 		Stringer("revision", newest.Revision).Uint64("version", newest.ConfigVersion).
@@ -129,6 +130,12 @@
 	return answers
 }
 
+func (r *Registry) recordSurvey(asked int, answers []peerpoll.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.survey.Record(asked, answers, r.now())
+}
+
 // fetchChanges fetches the changes after a revision from another host.
 func (r *Registry) fetchChanges(ctx context.Context, peer gates.Host, above store.Revision, fetch FetchListingFunc) {
 	ctx, cancel := context.WithTimeout(ctx, fetchListingTimeout)
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
@@ -119,6 +120,11 @@
 	lease      store.Lease
 	// leaseTTL is the time for which lease was requested.
 	leaseTTL time.Duration
+	// leaseEnd is the earliest time at which the lease may end; zero before the first one.
+	leaseEnd time.Duration
+	// survey holds what other hosts have told of the store while it does not answer this
+	// one.
+	survey peerpoll.Survey
 	// registeredAt is the revision of this process's registration; zero before it.
 	registeredAt store.Revision
 	// registeredAtStart is set if the first listing had a registration of an earlier
