Quota: cut-off counters grant a part of the tolerated excess

A counter whose lease has lapsed grants half of the tolerated excess for 30 s instead of nothing, and the counters on the other side leave that half to it while they remember the loss, so that both together keep the limit. The simulated partitions keep the limit.

--- a/core/quota/counter.go
+++ b/core/quota/counter.go
@@ -53,9 +53,8 @@
 // tokens that accrue until it counts the team again.
 func (c *Counter) Forget(team string) { delete(c.teams, team) }
 
-// Acquire grants operations of a team from this host's share of the team's limit
-// (GrantShare).
-func (c *Counter) Acquire(team string, l Limit, share float64, wanted int, now time.Duration) Grant {
+// Acquire grants operations of a team from this host's allotment.
+func (c *Counter) Acquire(team string, l Limit, a Allotment, wanted int, now time.Duration) Grant {
 	if !l.Bounded {
 		return Grant{Granted: wanted}
 	}
@@ -65,7 +64,7 @@
 		b = &bucket{refilledAt: c.accrueFrom}
 		c.teams[team] = b
 	}
-	return b.take(c.tolerance.grantable(l)*share, c.tolerance.Window, wanted, now)
+	return b.take(c.tolerance.grantableOf(l, a), c.tolerance.Window, wanted, now)
 }
 
 // evictIdle removes the buckets of idle teams.
--- a/core/quota/counter_test.go
+++ b/core/quota/counter_test.go
@@ -39,7 +39,7 @@
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 120).Draw(t, "requests") {
 			now += time.Duration(rapid.IntRange(0, 600).Draw(t, "pause")) * time.Millisecond
-			for range c.Acquire("a", l, 1, rapid.IntRange(0, 300).Draw(t, "wanted"), now).Granted {
+			for range c.Acquire("a", l, quota.EvenAllotment(1), rapid.IntRange(0, 300).Draw(t, "wanted"), now).Granted {
 				granted = append(granted, now)
 			}
 		}
@@ -70,7 +70,7 @@
 	for i := range 200 {
 		now += time.Second
 		wanted := 2 + i%2
-		require.Equal(t, wanted, c.Acquire("a", l, 1, wanted, now).Granted, "at %v", now)
+		require.Equal(t, wanted, c.Acquire("a", l, quota.EvenAllotment(1), wanted, now).Granted, "at %v", now)
 	}
 }
 
@@ -81,7 +81,7 @@
 	c := quota.NewCounter(tolerance, -time.Hour)
 	perSecond := map[time.Duration]int{}
 	for now := time.Duration(0); now < 20*time.Second; now += 2500 * time.Microsecond {
-		p := c.Acquire("a", l, 1, 1, now)
+		p := c.Acquire("a", l, quota.EvenAllotment(1), 1, now)
 		if p.Granted == 0 {
 			require.Positive(t, p.RetryAfter)
 			require.LessOrEqual(t, p.RetryAfter, window)
@@ -100,13 +100,13 @@
 	now := time.Duration(0)
 	for range 50 {
 		now += 100 * time.Millisecond
-		c.Acquire("a", limitOf(100, 100), 1, 5, now)
+		c.Acquire("a", limitOf(100, 100), quota.EvenAllotment(1), 5, now)
 	}
 	lowered := limitOf(5, 5)
 	var granted []time.Duration
 	for range 1000 {
 		now += 10 * time.Millisecond
-		for range c.Acquire("a", lowered, 1, 10, now).Granted {
+		for range c.Acquire("a", lowered, quota.EvenAllotment(1), 10, now).Granted {
 			granted = append(granted, now)
 		}
 	}
@@ -126,7 +126,7 @@
 			if alive && now >= killedAt {
 				alive, c = false, quota.NewCounter(tolerance, now)
 			}
-			for range c.Acquire("a", l, 1, 100, now).Granted {
+			for range c.Acquire("a", l, quota.EvenAllotment(1), 100, now).Granted {
 				granted = append(granted, now)
 			}
 		}
@@ -139,8 +139,8 @@
 // TestTeamWithoutLimitIsUnbounded checks that no limit differs from a limit of zero.
 func TestTeamWithoutLimitIsUnbounded(t *testing.T) {
 	c := quota.NewCounter(tolerance, 0)
-	require.Equal(t, quota.Grant{Granted: 1000}, c.Acquire("a", quota.Limit{}, 1, 1000, 0))
-	require.Zero(t, quota.NewCounter(quota.Tolerance{Window: window}, 0).Acquire("a", limitOf(0, 0), 1, 1, time.Hour).Granted)
+	require.Equal(t, quota.Grant{Granted: 1000}, c.Acquire("a", quota.Limit{}, quota.EvenAllotment(1), 1000, 0))
+	require.Zero(t, quota.NewCounter(quota.Tolerance{Window: window}, 0).Acquire("a", limitOf(0, 0), quota.EvenAllotment(1), 1, time.Hour).Granted)
 }
 
 // TestUnconfirmedAllowancesStayWithinTolerance checks that the allowances of all hosts
@@ -203,9 +203,9 @@
 func TestStartedCounterAccruesTokensFromItsStart(t *testing.T) {
 	l := limitOf(10, 10)
 	c := quota.NewCounter(tolerance, 0)
-	require.GreaterOrEqual(t, c.Acquire("a", l, 1.0/3, 3, time.Second).Granted, 3)
+	require.GreaterOrEqual(t, c.Acquire("a", l, quota.EvenAllotment(3), 3, time.Second).Granted, 3)
 	c.TakeOver(2 * time.Second)
-	require.Zero(t, c.Acquire("b", l, 1.0/3, 1, 2*time.Second).Granted, "the previous counter may have granted it")
+	require.Zero(t, c.Acquire("b", l, quota.EvenAllotment(3), 1, 2*time.Second).Granted, "the previous counter may have granted it")
 }
 
 // TestSmallLimitIsServed checks that a team with one operation a second and no
@@ -218,7 +218,7 @@
 	c := quota.NewCounter(exact, 0)
 	var granted []time.Duration
 	for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
-		for range c.Acquire("a", l, 1, 1, now).Granted {
+		for range c.Acquire("a", l, quota.EvenAllotment(1), 1, now).Granted {
 			granted = append(granted, now)
 		}
 	}
--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -221,6 +221,9 @@
 	}
 	for _, d := range f.departed {
 		consider(d.until)
+		if d.state == gone {
+			consider(d.at + lapsedPeriodOfGrants)
+		}
 	}
 	return first
 }
--- a/core/quota/fleet_simulation_test.go
+++ b/core/quota/fleet_simulation_test.go
@@ -311,11 +311,11 @@
 	grant := quota.Grant{RetryAfter: requestTimeout}
 	switch {
 	case slices.Contains(answering, h.name):
-		share := quota.GrantShare(h.name, answering, h.fleet.CountersBeforeLosses(team, s.limit, tolerance, s.now), s.leaseOf(h))
+		allotment := quota.AllotmentOf(h.name, answering, h.fleet.Losses(team, s.limit, tolerance, s.now), s.leaseOf(h))
 		if s.brokenRule == countersGrantFullLimit {
-			share = 1
+			allotment = quota.EvenAllotment(1)
 		}
-		grant = h.counter.Acquire(team, s.limit, share, m.wanted, s.now)
+		grant = h.counter.Acquire(team, s.limit, allotment, m.wanted, s.now)
 	case !h.fleet.Suspended(s.now):
 		grant.Counters = s.hostsNamed(p.Counters)
 		h.fleet.Decline(s.now)
--- a/core/quota/lease.go
+++ b/core/quota/lease.go
@@ -17,6 +17,8 @@
 	// LeaseLapsed means that the registration may have ended and others may have replaced
 	// this host as a counter.
 	LeaseLapsed
+	// LeaseExpired means that it may have ended longer than lapsedPeriodOfGrants ago.
+	LeaseExpired
 )
 
 const (
@@ -24,6 +26,12 @@
 	// doubt, and that a replacement grants beside it. A team rarely needs more than half of
 	// its limit.
 	doubtfulShare = 0.5
+	// lapsedExcess is the part of the tolerated excess that counters grant whose leases
+	// have lapsed, and that the others do not grant meanwhile. It serves most callers of
+	// small teams on the smaller side of a network partition.
+	lapsedExcess = 0.5
+	// lapsedPeriodOfGrants is how long they do.
+	lapsedPeriodOfGrants = 30 * time.Second
 	// lossMemory is how long a host that was lost without an answer is remembered. Hosts
 	// that are cut off together and are more than half of the fleet may take the store for
 	// down, and go on counting.
@@ -39,61 +47,84 @@
 		return LeaseValid
 	case fleetWithoutStore:
 		return LeaseDoubtful
+	case now < end+lapsedPeriodOfGrants:
+		return LeaseLapsed
 	}
-	return LeaseLapsed
+	return LeaseExpired
 }
 
-// lost returns the departed hosts that did not answer and may be counting on the other
-// side of a network partition. A smaller side than this one stops at the end of its leases.
-func (f *Fleet) lost(now time.Duration) []Host {
-	if f.isMajority(now) {
-		return nil
-	}
-	var out []Host
+// Allotment is what one counter may grant of a team's limit.
+type Allotment struct {
+	// Limit is the part of what the limit allows, and Excess that of the tolerated excess.
+	Limit, Excess float64
+}
+
+// EvenAllotment returns the allotment of each of some counters that divide a limit evenly.
+func EvenAllotment(counters int) Allotment {
+	share := 1 / float64(max(counters, 1))
+	return Allotment{Limit: share, Excess: (1 - unconfirmedShare) * share}
+}
+
+// Losses are the counters of a team that have departed without an answer, and may be
+// counting on the other side of a network partition. The zero value means none.
+type Losses struct {
+	// Before are the counters as hosts see them that are cut off from this one.
+	Before []string
+	// Minority is set if the registered hosts are fewer than those that have departed.
+	Minority bool
+}
+
+// Losses returns a team's counters that were lost.
+func (f *Fleet) Losses(team string, l Limit, t Tolerance, now time.Duration) Losses {
+	minority := f.isMinority(now)
+	var lost []Host
 	for _, d := range f.departed {
-		if d.state == gone {
-			out = append(out, d.Host)
+		if d.state == gone && (minority || now < d.at+lapsedPeriodOfGrants) {
+			lost = append(lost, d.Host)
 		}
 	}
-	return out
+	if len(lost) == 0 {
+		return Losses{}
+	}
+	before := Place(team, l, t, append(f.hosts(team, now), lost...), f.self).Counters
+	if !slices.ContainsFunc(lost, func(h Host) bool { return slices.Contains(before, h.Name) }) {
+		return Losses{}
+	}
+	return Losses{Before: before, Minority: minority}
 }
 
-// isMajority reports whether the registered hosts are at least half of the fleet as it was
-// before the recent departures.
-func (f *Fleet) isMajority(now time.Duration) bool {
+// isMinority reports whether the registered hosts are less than half of the fleet as it
+// was before the recent departures.
+func (f *Fleet) isMinority(now time.Duration) bool {
 	silent := 0
 	for _, d := range f.departed {
 		if d.state != alive && now < d.at+lossMemory {
 			silent++
 		}
 	}
-	return len(f.registered) >= silent
+	return len(f.registered) < silent
 }
 
-// CountersBeforeLosses returns the counters of a team as hosts see them that are cut off
-// from this one together with some of the counters; nil if no host was lost.
-func (f *Fleet) CountersBeforeLosses(team string, l Limit, t Tolerance, now time.Duration) []string {
-	lost := f.lost(now)
-	if len(lost) == 0 {
-		return nil
+// AllotmentOf returns what a host may grant as one of a team's counters. The allotments on
+// both sides of a network partition together keep the limit.
+func AllotmentOf(self string, counters []string, lost Losses, lease LeaseState) Allotment {
+	a := EvenAllotment(max(len(counters), len(lost.Before)))
+	if len(lost.Before) > 0 {
+		a.Excess -= lapsedExcess * a.Limit
+	}
+	switch {
+	case lease == LeaseExpired:
+		return Allotment{}
+	case lease == LeaseLapsed:
+		return Allotment{Excess: lapsedExcess * a.Limit}
+	case lease == LeaseDoubtful:
+		return a.scale(doubtfulShare)
+	case lost.Minority && !slices.Contains(lost.Before, self):
+		return a.scale(doubtfulShare)
 	}
-	return Place(team, l, t, append(lost, f.hosts(team, now)...), f.self).Counters
+	return a
 }
 
-// GrantShare returns the part of a team's limit that a host may grant as one of the team's
-// counters. A host that counts in the place of a lost one, which is not among the counters
-// before the losses, and a counter whose lease is in doubt have half a share each, so that
-// both sides of a partition together keep the limit.
-func GrantShare(self string, counters, beforeLosses []string, lease LeaseState) float64 {
-	if lease == LeaseLapsed {
-		return 0
-	}
-	share := 1 / float64(max(len(counters), len(beforeLosses), 1))
-	if len(beforeLosses) > 0 && !slices.Contains(beforeLosses, self) {
-		share *= doubtfulShare
-	}
-	if lease == LeaseDoubtful {
-		share *= doubtfulShare
-	}
-	return share
+func (a Allotment) scale(factor float64) Allotment {
+	return Allotment{Limit: factor * a.Limit, Excess: factor * a.Excess}
 }
--- a/core/quota/limit.go
+++ b/core/quota/limit.go
@@ -51,6 +51,9 @@
 }
 
 // grantable returns how many operations the counters together may grant in any window.
-func (t Tolerance) grantable(l Limit) float64 {
-	return t.allowed(l) + (1-unconfirmedShare)*t.toleratedExcess(l)
+func (t Tolerance) grantable(l Limit) float64 { return t.grantableOf(l, EvenAllotment(1)) }
+
+// grantableOf returns how many operations a counter may grant in any window.
+func (t Tolerance) grantableOf(l Limit, a Allotment) float64 {
+	return a.Limit*t.allowed(l) + a.Excess*t.toleratedExcess(l)
 }
--- a/core/quota/takeover_test.go
+++ b/core/quota/takeover_test.go
@@ -28,7 +28,7 @@
 			if now >= takeover {
 				counter = next
 			}
-			for range counter.Acquire(team, l, 1.0/3, 1, now).Granted {
+			for range counter.Acquire(team, l, quota.EvenAllotment(3), 1, now).Granted {
 				admittedAt = append(admittedAt, now)
 			}
 		}
@@ -41,9 +41,9 @@
 func TestCounterThatResumesGrantsNoSecondBurst(t *testing.T) {
 	l, resumedAt := limitOf(1000, 1000), 30*time.Second
 	c := quota.NewCounter(tolerance, 0)
-	c.Acquire(team, l, 1, 1000, 10*time.Second)
+	c.Acquire(team, l, quota.EvenAllotment(1), 1000, 10*time.Second)
 	require.Equal(t, []string{team}, c.Teams())
 	c.Forget(team)
 	c.TakeOver(resumedAt)
-	require.Zero(t, c.Acquire(team, l, 1, 1000, resumedAt).Granted)
+	require.Zero(t, c.Acquire(team, l, quota.EvenAllotment(1), 1000, resumedAt).Granted)
 }
--- a/node/limits/limiter.go
+++ b/node/limits/limiter.go
@@ -85,10 +85,10 @@
 	quota.Placement
 	// unacknowledged are the counters that must acknowledge this host before it counts.
 	unacknowledged []string
-	// beforeLosses are the counters as hosts see them that are cut off from this one.
-	beforeLosses []string
-	limit        quota.Limit
-	validUntil   time.Duration
+	// losses are the counters that may be counting while cut off from this host.
+	losses     quota.Losses
+	limit      quota.Limit
+	validUntil time.Duration
 }
 
 // counterKey identifies a team at one of its counters.
@@ -219,12 +219,12 @@
 	defer l.mu.Unlock()
 	lease := l.leaseState(now)
 	placement := l.placementOf(team, limit, now)
-	if lease == quota.LeaseLapsed {
+	if wanted == 0 && lease >= quota.LeaseLapsed {
 		return l.declineWithoutLease(team, limit, now)
 	}
 	counters := l.fleet.AnsweringCounters(placement.Placement, team, limit, l.cfg.Tolerance, now)
 	if slices.Contains(counters, l.cfg.Self.Name) {
-		return l.counter.Acquire(team, limit, quota.GrantShare(l.cfg.Self.Name, counters, placement.beforeLosses, lease), wanted, now)
+		return l.counter.Acquire(team, limit, quota.AllotmentOf(l.cfg.Self.Name, counters, placement.losses, lease), wanted, now)
 	}
 	if l.fleet.Suspended(now) {
 		return quota.Grant{RetryAfter: requestTimeout}
@@ -246,7 +246,7 @@
 	}
 	state := l.cfg.Lease(now)
 	switch {
-	case state == quota.LeaseLapsed && !l.leaseLapsed:
+	case state >= quota.LeaseLapsed && !l.leaseLapsed:
 		l.leaseLapsed = true
 		eventlog.CounterStopped.Warn(l.cfg.Log).Send()
 	case state == quota.LeaseValid && l.leaseLapsed:
@@ -260,8 +260,8 @@
 	return state
 }
 
-// declineWithoutLease answers a request while others may count in this host's place. It
-// is called with mu held.
+// declineWithoutLease answers the question whether this host counts a team, while others
+// may count in its place. It is called with mu held.
 func (l *Limiter) declineWithoutLease(team string, limit quota.Limit, now time.Duration) quota.Grant {
 	others := l.fleet.CountersWithout(l.cfg.Self.Name, team, limit, l.cfg.Tolerance, now)
 	return quota.Grant{RetryAfter: unresponsiveBackoff, Counters: l.hostsNamed(others, now)}
@@ -292,7 +292,7 @@
 	if !found || p.limit != limit || (p.validUntil != 0 && now >= p.validUntil) {
 		p = cachedPlacement{limit: limit}
 		p.Placement, p.unacknowledged = l.fleet.Place(team, limit, l.cfg.Tolerance, now)
-		p.beforeLosses = l.fleet.CountersBeforeLosses(team, limit, l.cfg.Tolerance, now)
+		p.losses = l.fleet.Losses(team, limit, l.cfg.Tolerance, now)
 		p.validUntil = l.fleet.ValidUntil(now)
 		l.placements[team] = p
 	}
--- a/node/limits/requests.go
+++ b/node/limits/requests.go
@@ -47,17 +47,12 @@
 // request requests grants from this host, if it is a counter, and from the other
 // counters. It is called with mu held.
 func (l *Limiter) request(team catalog.Team, placement cachedPlacement, wanted int, now time.Duration) {
-	lease := l.leaseState(now)
-	switch {
-	case placement.Counters[0] != l.cfg.Self.Name:
+	if placement.Counters[0] != l.cfg.Self.Name {
 		go l.requestGrants(team, placement.Counters, wanted, quota.Grant{})
 		return
-	case lease == quota.LeaseLapsed:
-		others := l.fleet.CountersWithout(l.cfg.Self.Name, team.Name, team.Limit, l.cfg.Tolerance, now)
-		go l.requestGrants(team, others, wanted, quota.Grant{RetryAfter: unresponsiveBackoff})
-		return
 	}
-	g := l.counter.Acquire(team.Name, team.Limit, quota.GrantShare(l.cfg.Self.Name, placement.Counters, placement.beforeLosses, lease), wanted, now)
+	allotment := quota.AllotmentOf(l.cfg.Self.Name, placement.Counters, placement.losses, l.leaseState(now))
+	g := l.counter.Acquire(team.Name, team.Limit, allotment, wanted, now)
 	if g.Granted == wanted {
 		l.applyGrant(team, g, now)
 		return
