Quota: a host that hears of the store keeps counting

A host that still hears of the store's changes, or is answered by one that does, can be asked by the hosts that see the end of its registration; they do not count in its place while it answers. Only a host that hears of nothing stops.

--- a/core/peerpoll/survey.go
+++ b/core/peerpoll/survey.go
@@ -1,11 +1,17 @@
 package peerpoll
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// surveyWindow is the time for which answers are taken as the state of the fleet: about
 	// six rounds, in which a host asks 24 others.
 	surveyWindow = 3 * time.Second
+	// reachedWindow is the time for which a host that reaches the store is taken to do so:
+	// two rounds.
+	reachedWindow = 1100 * time.Millisecond
 	// minSurveyed is the number of hosts that must have been asked in it, unless the fleet
 	// is smaller.
 	minSurveyed = 8
@@ -30,13 +36,19 @@
 			r.reachStore++
 		}
 	}
-	s.rounds = append(s.recent(now), r)
+	s.rounds = append(s.recent(now, surveyWindow), r)
+}
+
+// StoreReached reports whether a host has answered in the last rounds that reaches the
+// store.
+func (s *Survey) StoreReached(now time.Duration) bool {
+	return slices.ContainsFunc(s.recent(now, reachedWindow), func(r surveyRound) bool { return r.reachStore > 0 })
 }
 
-// recent returns the rounds within surveyWindow.
-func (s *Survey) recent(now time.Duration) []surveyRound {
+// recent returns the rounds within a time before now.
+func (s *Survey) recent(now, within time.Duration) []surveyRound {
 	for i, r := range s.rounds {
-		if now-r.at < surveyWindow {
+		if now-r.at < within {
 			return s.rounds[i:]
 		}
 	}
@@ -47,7 +59,7 @@
 // answered, and none of them reaches the store, in a fleet of the given size.
 func (s *Survey) FleetWithoutStore(hosts int, now time.Duration) bool {
 	var sum surveyRound
-	for _, r := range s.recent(now) {
+	for _, r := range s.recent(now, surveyWindow) {
 		sum.asked += r.asked
 		sum.answered += r.answered
 		sum.reachStore += r.reachStore
--- a/core/quota/lapse_simulation_test.go
+++ b/core/quota/lapse_simulation_test.go
@@ -37,7 +37,7 @@
 	if !lapses || s.now >= l.until {
 		return quota.LeaseValid
 	}
-	return quota.StateOfLease(l.from, s.registrations.storeDown, s.now)
+	return quota.StateOfLease(l.from, quota.Contact{FleetWithoutStore: s.registrations.storeDown}, s.now)
 }
 
 // knows reports whether an observer takes a host for registered. It learns of its own
--- a/core/quota/lease.go
+++ b/core/quota/lease.go
@@ -9,7 +9,8 @@
 type LeaseState uint8
 
 const (
-	// LeaseValid means that the registration exists, or that there was none yet.
+	// LeaseValid means that the registration exists, that there was none yet, or that hosts
+	// that see its end can reach this one.
 	LeaseValid LeaseState = iota
 	// LeaseDoubtful means that the registration may have ended, but that nearly all hosts
 	// have lost the store with this one, so that hardly any can have replaced it.
@@ -38,14 +39,24 @@
 	lossMemory = 2 * time.Minute
 )
 
+// Contact is what a host knows of other hosts' contact with the store.
+type Contact struct {
+	// Informed is set while this host hears of the store's changes, or another host answers
+	// it that does. Hosts that see the end of its registration can then reach it, and ask
+	// before they count in its place.
+	Informed bool
+	// FleetWithoutStore is set while nearly all other hosts answer and none of them reaches
+	// the store. Nobody can see then that a registration has ended.
+	FleetWithoutStore bool
+}
+
 // StateOfLease returns the state of a lease that was last renewed to end at a time; zero
-// for a host without one. fleetWithoutStore is set while nearly all other hosts answer and
-// none of them reaches the store: nobody can see then that a registration has ended.
-func StateOfLease(end time.Duration, fleetWithoutStore bool, now time.Duration) LeaseState {
+// for a host without one.
+func StateOfLease(end time.Duration, c Contact, now time.Duration) LeaseState {
 	switch {
-	case end == 0 || now < end:
+	case end == 0 || now < end || c.Informed:
 		return LeaseValid
-	case fleetWithoutStore:
+	case c.FleetWithoutStore:
 		return LeaseDoubtful
 	case now < end+lapsedPeriodOfGrants:
 		return LeaseLapsed
--- a/node/registry/lease.go
+++ b/node/registry/lease.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
+	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/roster"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
@@ -100,11 +101,16 @@
 	r.leaseEnd = sentAt + r.leaseTTL
 }
 
-// LeaseState returns how sure this host is that it is still registered.
+// LeaseState returns how sure this host is that it is still registered. It hears of the
+// end of its registration as long as the store's answers, which come at least once a
+// WatchWait, reach it, directly or by a relay.
 func (r *Registry) LeaseState(now time.Duration) quota.LeaseState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return quota.StateOfLease(r.leaseEnd, r.survey.FleetWithoutStore(r.roster.Len(), now), now)
+	return quota.StateOfLease(r.leaseEnd, quota.Contact{
+		Informed:          r.link.Age(now) <= r.pacing.WatchWait+relay.HeartbeatInterval || r.survey.StoreReached(now),
+		FleetWithoutStore: r.survey.FleetWithoutStore(r.roster.Len(), now),
+	}, now)
 }
 
 // observeRestoreError causes a complete listing if a call failed because the store was
