--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -40,9 +40,13 @@
 //     answered that it does not count, or has not answered. It joins again when it has
 //     registered (Fleet).
 //
+//   - A counter that is cut off from the store and from all hosts that reach it stops
+//     granting its share at the end of its lease, before others can replace it. It goes on
+//     with a part of the tolerated excess that the others leave to it (AllotmentOf).
+//
 // The bound does not hold in these cases: a registration does not reach the counters
 // that it replaces within joinPeriod; a counter that has acknowledged a joining host
-// restarts before its registration arrives; a counter without registration is out of
-// reach of the host that replaces it, and goes on counting for the hosts that are cut off
-// with it. A host that knows no registered host acts as the only counter.
+// restarts before its registration arrives; counters and then their replacements are cut
+// off within lapsedPeriodOfGrants. A host that knows no registered host acts as the only
+// counter.
 package quota
