--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -94,6 +94,7 @@
 	// meanHoldTime is the mean time for which a statement holds a connection, and
 	// meanResponseTime the mean response time of the member, including its queue.
 	meanHoldTime, meanResponseTime time.Duration
+	pace                           servicePace
 }
 
 // New returns an empty pool.
@@ -232,6 +233,7 @@
 // Released returns a usable connection to the pool after a statement has held it for
 // holdTime, and assigns it to a waiter if there is one for it.
 func (p *Pool) Released(c Conn, holdTime, now time.Duration) (Waiter, bool) {
+	p.observeRelease(now)
 	decrement(p.inUse, c.Team)
 	p.meanHoldTime += time.Duration(meanSampleWeight * float64(holdTime-p.meanHoldTime))
 	w, found := p.assignOrIdle(c, now)
