Replicaset: retry times of refused statements come from a schedule

A full queue told all refused statements the same forecast, and a group without a primary told the callers of every host to return after 500 ms.

A gate schedules the refusals for a member, including those of statements that waited until they could not be served in time, and recognizes a statement that comes back by its team and text; it keeps its target deadline. A host schedules what it refuses without an estimate from 500 ms on, at its part of the rate of the primary, which it records while there is one.

--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
@@ -75,6 +76,15 @@
 	m.metrics.Add("connections_evicted", c.Evicted, label)
 }
 
+// retryTimes adds the retry times told to refused statements, by priority class and upper
+// bound, and the statements that came back at their moments.
+func (m *hostMetrics) retryTimes(c replicaset.ReturnCounts) {
+	c.Each(func(priority int, upTo time.Duration, n int) {
+		m.metrics.Add("retry_times", n, metrics.Label{Name: "priority", Value: strconv.Itoa(priority)}, metrics.Label{Name: "up_to", Value: upTo.String()})
+	})
+	m.metrics.Add("returns_recognized", c.Recognized)
+}
+
 func readTarget(primary bool) string {
 	if primary {
 		return "primary"
--- a/node/entry/traffic.go
+++ b/node/entry/traffic.go
@@ -70,6 +70,7 @@
 		h.traffic.addMany(connectionOpened, c.Opened)
 		h.traffic.addMany(connectionEvicted, c.Evicted)
 		h.metrics.connections(s.Service(), c)
+		h.metrics.retryTimes(s.TakeReturnCounts())
 	}
 }
 
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -72,7 +72,7 @@
 }
 
 // refusal returns the outcome of a job that no attempt completed.
-func (a *attempts) refusal() Outcome { return refuse(a.outcome, a.request, a.lastErr) }
+func (a *attempts) refusal() Outcome { return a.set.refuse(a.outcome, a.request, a.lastErr) }
 
 // onPrimary runs a job on the primary. It retries only while the failed attempts
 // cannot have had an effect. The member is nil if no attempt got a final answer.
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -54,6 +54,9 @@
 	RetryAfter time.Duration
 	// MemberDead is set when the refusing host considers the member dead.
 	MemberDead bool
+	// outOfTime is set when the statement waited for a connection until it could no
+	// longer be served in time.
+	outOfTime bool
 }
 
 func (e *RefusedError) Error() string { return e.Reason }
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -43,10 +44,11 @@
 	if err := s.ensureFloor(ctx, j); err != nil {
 		return Result{Err: err}
 	}
-	c, err := s.acquireVerified(ctx, m, j)
+	w, returned := m.newWaiter(j)
+	c, err := s.acquireVerified(ctx, m, j, w)
 	waited := clock.Now() - began
 	if err != nil {
-		return acquireFailure(err, waited)
+		return acquireFailure(m.scheduleReturn(ctx, j, w, returned, err), waited)
 	}
 	if s.LogLost(m.id) {
 		m.release(c)
@@ -59,9 +61,9 @@
 
 // acquireVerified takes a connection for a job. If the member is to act as the primary, its
 // log has been verified by then.
-func (s *Set) acquireVerified(ctx context.Context, m *Member, j Job) (*Conn, error) {
+func (s *Set) acquireVerified(ctx context.Context, m *Member, j Job, w connpool.Waiter) (*Conn, error) {
 	if !j.requiresPrimary() && !s.isAssumedPrimary(m) {
-		return m.acquire(ctx, j.Request.waiter())
+		return m.acquire(ctx, w)
 	}
 	// A closed connection that is found meanwhile may show that the member has restarted.
 	const tries = 2
@@ -69,7 +71,7 @@
 		if err := s.ensureLogVerified(ctx, m, j.Request.StartDeadline); err != nil {
 			return nil, err
 		}
-		c, err := m.acquire(ctx, j.Request.waiter())
+		c, err := m.acquire(ctx, w)
 		if err != nil || s.logUsable(m) {
 			return c, err
 		}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/returns"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -69,6 +70,7 @@
 	// expired idle connections. Each is nil while not armed.
 	openTimer *time.Timer
 	idleTimer *time.Timer
+	returns   memberReturns
 }
 
 func newMember(s *Set, e directory.Member, share gates.Share) *Member {
@@ -76,6 +78,7 @@
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
 		pool: connpool.New(share.Limits), share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+		returns: memberReturns{schedule: returns.New(s.host)},
 	}
 	m.health.TimeoutsOnly = !s.features.Enabled(feature.ObservedSilence)
 	return m
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -89,7 +89,7 @@
 		case <-ctx.Done():
 		}
 		if m.cancelWait(w) {
-			return nil, &RefusedError{Reason: "no connection to the member was free in time"}
+			return nil, &RefusedError{Reason: "no connection to the member was free in time", outOfTime: true}
 		}
 		// A grant arrived concurrently.
 		g := <-ch
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -140,6 +140,7 @@
 	m, found := s.members[s.primaryTracker.Primary()]
 	if found && !s.pastDrain(m.snapshot(), now) && !m.unreachable(now) {
 		s.noPrimarySince = 0
+		s.recordPrimaryRate(m, now)
 		return m, true
 	}
 	if s.noPrimarySince == 0 {
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -52,7 +52,7 @@
 
 // refuse converts the last error of a statement that had no effect into an answer
 // to the caller.
-func refuse(out Outcome, req Request, err error) Outcome {
+func (s *Set) refuse(out Outcome, req Request, err error) Outcome {
 	out.Cause = err.Error()
 	var noResponse *NoResponseError
 	switch {
@@ -60,22 +60,13 @@
 		out.Answer = statement.ErrorAnswer(statement.TimedOut, "the statement's time is over", statement.Idle)
 	case out.Runs > 0:
 		// A read whose answer was lost keeps nothing, but may have run.
-		out.Answer = statement.ErrorAnswer(statement.Aborted, fmt.Sprintf("no answer, retry after %d ms", retryAfter(err).Milliseconds()), statement.Idle)
+		out.Answer = statement.ErrorAnswer(statement.Aborted, fmt.Sprintf("no answer, retry after %d ms", s.retryAfter(req, err).Milliseconds()), statement.Idle)
 	default:
-		out.Answer = statement.ErrorAnswer(statement.Busy, RetryHint(retryAfter(err)), statement.Idle)
+		out.Answer = statement.ErrorAnswer(statement.Busy, RetryHint(s.retryAfter(req, err)), statement.Idle)
 	}
 	return out
 }
 
-// retryAfter returns when a caller should retry a statement that failed for a reason.
-func retryAfter(err error) time.Duration {
-	var refused *RefusedError
-	if errors.As(err, &refused) && refused.RetryAfter > 0 {
-		return refused.RetryAfter
-	}
-	return defaultRetryAfter
-}
-
 // defaultRetryAfter is the retry delay suggested to callers when there is no
 // better estimate, about the duration of a promotion.
 const defaultRetryAfter = 500 * time.Millisecond
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -13,6 +13,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/fresh"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/returns"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
@@ -140,6 +141,7 @@
 	noPrimarySince time.Duration
 	// floorRequestedAt is when peers were last asked for a floor.
 	floorRequestedAt time.Duration
+	returns          groupReturns
 }
 
 func New(cfg Config) *Set {
@@ -149,6 +151,7 @@
 		log:            cfg.Log.With().Str("service", cfg.Service).Logger(),
 		probeRequested: make(chan struct{}, 1), members: map[string]*Member{}, primaryChanged: make(chan struct{}),
 		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
+		returns: groupReturns{memberReturns: memberReturns{schedule: returns.New(cfg.Host)}},
 	}
 }
 
@@ -162,6 +165,7 @@
 	defer s.mu.Unlock()
 	plan := gates.NewPlan(fleet, PooledConnections(spec))
 	s.isVoter = s.voters.IsVoter(s.host, fleet)
+	s.returns.hosts = fleet.Size()
 	before := s.primaryTracker.Primary()
 	listed := map[string]bool{}
 	for _, e := range members {
