--- a/core/returns/mix.go
+++ b/core/returns/mix.go
@@ -30,7 +30,7 @@
 // keptFor returns the part of an interval's places that a level and those less important may
 // take; the rest is kept for more important ones. Those whose callers do not return as late
 // as the interval's moment need none. The part is the square of the levels' share of the
-// refusals: their share itself served a quarter fewer of the most important statements in
+// refusals: their share itself served a fifth fewer of the most important statements in
 // replays with a normal load of 0.6, as these have the shortest deadlines.
 func (m *mix) keptFor(level int, moment time.Duration) float64 {
 	own, all := 0.0, 0.0
--- a/core/returns/schedule.go
+++ b/core/returns/schedule.go
@@ -84,10 +84,10 @@
 // interval counts the moments in one interval.
 type interval struct {
 	index int64
-	// places is the sum of the weights by level, and late that of the moments after their
-	// statements' deadlines.
-	places [numLevels]float64
-	late   float64
+	// places is the sum of the weights by level, total that of all levels, and late that of
+	// the moments after their statements' deadlines.
+	places      [numLevels]float64
+	total, late float64
 	// moments is the number of moments.
 	moments int
 }
@@ -101,9 +101,6 @@
 	return sum
 }
 
-// total returns the places taken by all levels.
-func (v *interval) total() float64 { return v.taken(0, numLevels) }
-
 // Schedule is the schedule of one member, or of one group. It is not safe for concurrent
 // use. Times are offsets on a monotonic clock.
 type Schedule struct {
@@ -144,6 +141,7 @@
 	v := s.place(r, perInterval, first, last)
 	if v != nil {
 		v.places[level] += r.weight()
+		v.total += r.weight()
 	} else {
 		v = s.placeLate(r, perInterval, first, last)
 		v.late += r.weight()
@@ -173,9 +171,11 @@
 		quota := s.quota(i, perInterval)
 		// Rounded up, as there may be a single place in many intervals.
 		extra := math.Ceil(importance * s.quota(i, overbookingShare*perInterval))
+		if v.total+weight > quota+extra || v.taken(0, level+1)+weight > max(quota, extra) {
+			continue
+		}
 		kept := s.mix.keptFor(level, time.Duration(i)*intervalWidth)
-		sameOrMore, sameOrLess := v.taken(0, level+1), v.taken(level, numLevels)
-		if sameOrMore+weight <= max(quota, extra) && sameOrLess+weight <= max(kept*quota+extra, weight) && v.total()+weight <= quota+extra {
+		if v.taken(level, numLevels)+weight <= max(kept*quota+extra, weight) {
 			return v
 		}
 	}
