Connpool: the service rate counts connections that are being opened

With many teams a pool is full while connections are opened for them, but was not seen as exhausted, so that its rate fell back to the mean hold time. A test guards the rate at the start of a crowd.

--- a/core/connpool/service_rate.go
+++ b/core/connpool/service_rate.go
@@ -2,29 +2,30 @@
 
 import "time"
 
-// servicePace is the mean time between two releases while all connections are in use.
+// servicePace is the mean time between two releases while all connections are in use or being
+// opened.
 type servicePace struct {
 	mean    time.Duration
 	samples int
-	// since is the previous release, if all connections have been in use from then on.
+	// since is the previous release, and busy is set if none was free at that time.
 	since time.Duration
 	busy  bool
 }
 
 // observeRelease records the release of a connection, which is still counted as in use.
 func (p *Pool) observeRelease(now time.Duration) {
-	exhausted := p.Exhausted()
-	if exhausted && p.pace.busy {
+	busy := !p.belowMaxActive()
+	if busy && p.pace.busy {
 		p.pace.samples++
 		// The first samples are averaged evenly, so that no initial value is needed.
 		weight := max(meanSampleWeight, 1/float64(p.pace.samples))
 		p.pace.mean += time.Duration(weight * float64(now-p.pace.since-p.pace.mean))
 	}
-	p.pace.since, p.pace.busy = now, exhausted
+	p.pace.since, p.pace.busy = now, busy
 }
 
 // ServiceRate returns how many statements per second the member runs on the pool's
-// connections while all of them are in use. Until that was observed, it is derived from the
+// connections while none of them is free. Until that was observed, it is derived from the
 // mean hold time and the slots that this pool has of the member. The connections in use
 // cannot replace the slots: the mean hold time lags behind when a crowd arrives, and 27
 // connections that a light load held for 12 ms each would give a rate of 2,250 for a member
