Connpool: the service rate leaves out pauses without waiting statements

The interval from the release of the last waiting statement to the next release counted as service time although the connection was idle in between, so that pauses of a second gave a rate of one per second.

Test: go test -run TestServiceRateLeavesOutPauses ./connpool (failed before with a rate of 1)

--- a/core/connpool/service_rate.go
+++ b/core/connpool/service_rate.go
@@ -7,21 +7,23 @@
 type servicePace struct {
 	mean    time.Duration
 	samples int
-	// since is the previous release, and busy is set if none was free at that time.
+	// since is the previous release, and busy is set if none has been free since then.
 	since time.Duration
 	busy  bool
 }
 
 // observeRelease records the release of a connection, which is still counted as in use.
 func (p *Pool) observeRelease(now time.Duration) {
-	busy := !p.belowMaxActive()
-	if busy && p.pace.busy {
+	full := !p.belowMaxActive()
+	if full && p.pace.busy {
 		p.pace.samples++
 		// The first samples are averaged evenly, so that no initial value is needed.
 		weight := max(meanSampleWeight, 1/float64(p.pace.samples))
 		p.pace.mean += time.Duration(weight * float64(now-p.pace.since-p.pace.mean))
 	}
-	p.pace.since, p.pace.busy = now, busy
+	// Without a waiter, the connection becomes idle, and the pause until it is taken again
+	// says nothing about the member.
+	p.pace.since, p.pace.busy = now, full && len(p.waiting) > 0
 }
 
 // ServiceRate returns how many statements per second the member runs on the pool's
--- a/core/connpool/service_rate_test.go
+++ b/core/connpool/service_rate_test.go
@@ -29,3 +29,18 @@
 	}
 	require.InDelta(t, 333, p.ServiceRate(slots), 10)
 }
+
+// TestServiceRateLeavesOutPauses guards against a rate that counts the time in which a
+// connection was free: each pause of a second between two bursts gave a rate of about one.
+func TestServiceRateLeavesOutPauses(t *testing.T) {
+	const slots, connections = 4, 4
+	p := connpool.New(connpool.Limits{MaxOpen: connections, FairShare: connections, MaxWaiting: 100})
+	openInUse(t, p, connections)
+	now := time.Duration(0)
+	for id := range uint64(20) {
+		p.Released(connpool.Conn{ID: 1}, 12*ms, now)
+		now += time.Second
+		p.Acquire(waiter(id+100, 1, time.Minute, time.Minute), now)
+	}
+	require.Greater(t, p.ServiceRate(slots), 100.0)
+}
