Returns: a varying rate does not add places

Each change of a rate below one place per interval moved the places, and statements were then given the places of all rates: rates varying from 9 to 11 led to 40 moments per second. The places of a lower rate are now some of those of a higher one.

--- a/core/returns/schedule.go
+++ b/core/returns/schedule.go
@@ -107,10 +107,10 @@
 	// intervals is a ring that is indexed by the interval's index; nil before the first
 	// refusal.
 	intervals []interval
-	// origin is the interval in which the schedule was last empty, and last the last
-	// interval with a moment.
-	origin, last int64
-	// highest and lowest are the levels between which statements were refused since then.
+	// last is the last interval with a moment.
+	last int64
+	// highest and lowest are the levels between which statements were refused since the
+	// schedule was last empty.
 	highest, lowest int
 	mix             mix
 	// phase shifts the places within the intervals.
@@ -130,7 +130,7 @@
 func (s *Schedule) Allocate(r Refusal, rate float64, now time.Duration) time.Duration {
 	current := int64(now / intervalWidth)
 	if s.last < current {
-		s.origin, s.highest, s.lowest = current, numLevels, 0
+		s.highest, s.lowest = numLevels, 0
 	}
 	level := r.level()
 	s.highest, s.lowest = min(s.highest, level&^1), max(s.lowest, level|1)
@@ -217,11 +217,16 @@
 	return v
 }
 
-// quota returns the number of places of an interval. They follow each other at the given
-// rate from the origin on, also if there is less than one per interval.
+// quota returns the number of places of an interval. Parts of a place are distributed evenly
+// over the intervals, also if there is less than one per interval. A lower rate has some of
+// the places of a higher one and no others: otherwise each change of the rate would add
+// places.
 func (s *Schedule) quota(index int64, perInterval float64) float64 {
-	n := float64(index - s.origin)
-	return math.Floor((n+1)*perInterval+s.phase) - math.Floor(n*perInterval+s.phase)
+	whole, part := math.Modf(perInterval)
+	if _, position := math.Modf(float64(index)/math.Phi + s.phase); position < part {
+		whole++
+	}
+	return whole
 }
 
 // spare returns the rate that is left for returns.
--- a/core/returns/schedule_test.go
+++ b/core/returns/schedule_test.go
@@ -173,3 +173,23 @@
 		})
 	}
 }
+
+// TestVaryingRateIsNotExceeded guards against moments that add up because each change of a
+// low rate moves the places: 40 per second were told at rates of 9 to 11.
+func TestVaryingRateIsNotExceeded(t *testing.T) {
+	s, now := returns.New("gate"), time.Second
+	var told []time.Duration
+	for i := range 400 {
+		now += 5 * ms
+		rate := 9 + float64(i%21)/10
+		told = append(told, now+s.Allocate(returns.Refusal{Latest: now + 4*time.Second}, rate, now))
+	}
+	within := 0
+	for _, moment := range told {
+		if moment >= 2*time.Second && moment < 4*time.Second {
+			within++
+		}
+	}
+	t.Logf("%d told in 2 s", within)
+	require.LessOrEqual(t, within, 30)
+}
