Returns: a statement that was refused three times is no longer recognized

A caller comes back at most twice. A text that many callers of a team send, such as that of a hot key, was recognized again and again, and each caller took the target deadline of the first one, so that these statements preceded their equals as long as the load lasted.

Test: go test -run TestRecognitionEndsWithTheCallersReturns ./returns (failed before)

--- a/core/returns/expected.go
+++ b/core/returns/expected.go
@@ -14,6 +14,9 @@
 	// MaxExpected bounds the statements that are expected back: more than a member runs
 	// until the longest retry time has passed.
 	MaxExpected = 4096
+	// maxReturns is how often a caller comes back. A statement that is refused again is not
+	// recognized any more: another caller with the same text would take its deadlines.
+	maxReturns = 2
 	// sweepInterval is how often statements that did not come back are removed.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -62,11 +65,11 @@
 
 func newExpected() expected { return expected{byIdentity: map[Identity][]awaited{}} }
 
-// add expects a refused statement back at a moment. At the bound it is not recognized,
+// add expects a refused statement back at a moment. At the bounds it is not recognized,
 // and returns as a statement that comes for the first time.
 func (e *expected) add(r Refusal, moment, now time.Duration) {
 	e.sweep(now)
-	if r.Identity == 0 || e.count >= MaxExpected {
+	if r.Identity == 0 || e.count >= MaxExpected || r.Return.Refusals >= maxReturns {
 		return
 	}
 	next := Return{Refusals: 1, TargetDeadline: r.TargetDeadline, Latest: r.Latest}
--- a/core/returns/schedule_test.go
+++ b/core/returns/schedule_test.go
@@ -193,3 +193,18 @@
 	t.Logf("%d told in 2 s", within)
 	require.LessOrEqual(t, within, 30)
 }
+
+// TestRecognitionEndsWithTheCallersReturns guards against deadlines that pass from caller to
+// caller of a frequent text: each took those of the first one, and so precedence over others,
+// as long as statements were refused.
+func TestRecognitionEndsWithTheCallersReturns(t *testing.T) {
+	s, now := returns.New("gate"), time.Duration(0)
+	returned, found := returns.Return{}, false
+	for run := range 4 {
+		require.Equal(t, run == 1 || run == 2, found, "run %d", run)
+		now += s.Allocate(returns.Refusal{
+			Return: returned, Identity: returns.IdentityOf("team", "text"), Latest: now + 4*time.Second,
+		}, 333, now)
+		returned, found = s.Arrive(now, "team", "text")
+	}
+}
