Replicaset: the rate of a host without gates is its part of the slots

With the feature gates disabled, every host has connections of its own, but each scheduled returns for all slots of the member until its pool had measured the rate. A part of a slot also counted as a whole one.

Test: go test -run TestSlotsAreDividedAmongHostsWithoutGates ./replicaset (failed before)

--- a/core/connpool/service_rate.go
+++ b/core/connpool/service_rate.go
@@ -31,10 +31,13 @@
 // mean hold time and the slots that this pool has of the member. The connections in use
 // cannot replace the slots: the mean hold time lags behind when a crowd arrives, and 27
 // connections that a light load held for 12 ms each would give a rate of 2,250 for a member
-// that runs 333.
+// that runs 333. slots may be a part of one, and is zero if unknown.
 func (p *Pool) ServiceRate(slots float64) float64 {
 	if p.pace.mean > 0 {
 		return 1 / p.pace.mean.Seconds()
 	}
-	return max(slots, 1) / p.meanHoldTime.Seconds()
+	if slots <= 0 {
+		slots = 1
+	}
+	return slots / p.meanHoldTime.Seconds()
 }
--- a/node/replicaset/returns.go
+++ b/node/replicaset/returns.go
@@ -74,12 +74,12 @@
 	if !m.set.features.Enabled(feature.ReturnSchedule) || !errors.As(err, &refused) || ctx.Err() != nil {
 		return err
 	}
-	weight := m.set.returnWeight(j)
+	weight, hosts := m.set.returnWeight(j), m.set.hostCount()
 	ownTimeout := !m.set.replicaCouldServe(m, j)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
-	rate := m.serviceRate()
+	rate := m.serviceRate(hosts)
 	forecast := refused.RetryAfter
 	if forecast == 0 {
 		// A refused waiter counts as overload only if the member's connections are in use:
@@ -120,10 +120,26 @@
 	return 1 / float64(max(len(s.members), 1))
 }
 
+// hostCount returns the number of hosts in the fleet.
+func (s *Set) hostCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returns.hosts
+}
+
+// gateCount returns how many hosts share the member's connections. It is called with mu held.
+func (m *Member) gateCount(hosts int) int {
+	if len(m.share.GateHosts) > 0 {
+		return len(m.share.GateHosts)
+	}
+	// The connections are divided among all hosts.
+	return max(hosts, 1)
+}
+
 // serviceRate returns how many statements per second the member runs for this gate. It is
 // called with mu held.
-func (m *Member) serviceRate() float64 {
-	return m.pool.ServiceRate(float64(m.entry.Slots) / float64(max(len(m.share.GateHosts), 1)))
+func (m *Member) serviceRate(hosts int) float64 {
+	return m.pool.ServiceRate(float64(m.entry.Slots) / float64(m.gateCount(hosts)))
 }
 
 // primaryRate returns how many statements per second the member runs for all hosts.
@@ -137,12 +153,7 @@
 		}
 		return float64(max(m.entry.Slots, 1)) / hold.Seconds()
 	}
-	gates := len(m.share.GateHosts)
-	if gates == 0 {
-		// The connections are divided among all hosts.
-		gates = max(hosts, 1)
-	}
-	return m.pool.ServiceRate(float64(m.entry.Slots)/float64(gates)) * float64(gates)
+	return m.serviceRate(hosts) * float64(m.gateCount(hosts))
 }
 
 // recordPrimaryRate records the rate of a usable primary. It is called with mu held.
--- a/node/replicaset/returns_test.go
+++ b/node/replicaset/returns_test.go
@@ -165,6 +165,22 @@
 	require.Zero(t, gate.set.TakeReturnCounts())
 }
 
+// TestSlotsAreDividedAmongHostsWithoutGates guards against hosts that each schedule returns
+// for all slots of a member when every host has connections of its own.
+func TestSlotsAreDividedAmongHostsWithoutGates(t *testing.T) {
+	latest := func(hosts int) time.Duration {
+		m, _ := newBusySet("h0", hosts, feature.Gates).Member("m")
+		var most time.Duration
+		for range 60 {
+			most = max(most, refuseAsFull(t, m, primaryWrite("w", 4*time.Second), returns.Return{}))
+		}
+		return most
+	}
+	require.Less(t, latest(1), time.Second)
+	require.Greater(t, latest(4), time.Second)
+	require.Greater(t, latest(8), 3*time.Second)
+}
+
 // TestOnlyOverloadIsScheduled guards against a retry time for a statement that its host can
 // still run elsewhere: it would refuse the statement instead.
 func TestOnlyOverloadIsScheduled(t *testing.T) {
