--- a/node/replicaset/returns_test.go
+++ b/node/replicaset/returns_test.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/returns"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -181,6 +182,41 @@
 	require.Greater(t, latest(8), 3*time.Second)
 }
 
+// TestGateSchedulesRefusedReads guards against a gate that refuses the reads of a full queue
+// with the same forecast, or does not recognize one that comes back.
+func TestGateSchedulesRefusedReads(t *testing.T) {
+	refuse := func(disabled ...feature.Name) (*Set, []time.Duration) {
+		s := newBusySet("h0", 1, disabled...)
+		m, _ := s.Member("m")
+		m.pool = connpool.New(connpool.Limits{MaxOpen: 1, MaxWaiting: 1})
+		now := clock.Now()
+		for id := range uint64(2) {
+			m.pool.Acquire(connpool.Waiter{ID: id + 1, StartDeadline: now + time.Minute}, now)
+			if _, due := m.pool.BeginOpen(now); due {
+				m.pool.Opened(connpool.Conn{ID: 1}, now)
+			}
+		}
+		var told []time.Duration
+		for i := range 200 {
+			res := s.Execute(t.Context(), Job{Kind: JobRead, Member: "m", Floor: logpos.Position{Term: 1}, Request: primaryWrite(fmt.Sprint(i), 4*time.Second)})
+			var refused *RefusedError
+			require.ErrorAs(t, res.Err, &refused)
+			require.Positive(t, refused.RetryAfter)
+			told = append(told, refused.RetryAfter)
+		}
+		return s, told
+	}
+	_, before := refuse(feature.ReturnSchedule)
+	require.Equal(t, len(before), mostTold(before))
+	s, after := refuse()
+	first := after[0]
+	slices.Sort(after)
+	require.LessOrEqual(t, mostTold(after), 30)
+	require.True(t, clock.Sleep(t.Context(), first))
+	s.Execute(t.Context(), Job{Kind: JobRead, Member: "m", Floor: logpos.Position{Term: 1}, Request: primaryWrite("0", 4*time.Second)})
+	require.Equal(t, 1, s.TakeReturnCounts().Recognized)
+}
+
 // TestOnlyOverloadIsScheduled guards against a retry time for a statement that its host can
 // still run elsewhere: it would refuse the statement instead.
 func TestOnlyOverloadIsScheduled(t *testing.T) {
