--- a/core/returns/replay_test.go
+++ b/core/returns/replay_test.go
@@ -71,7 +71,7 @@
 type replay struct {
 	random   *rand.Rand
 	pool     *connpool.Pool
-	schedule *returns.Schedule // nil for today's forecasts
+	schedule *returns.Schedule // nil if callers are told the pool's forecasts
 	events   eventQueue
 	now      time.Duration
 	waiting  map[uint64]*replayCall
