Balance: ranking by the load that gates report

Hosts judge a member by their own answers only.

gateload.Tracker keeps the newest report of each gate for a second, and estimates what a statement takes from it, from what the host has sent since, and from the time that a statement occupies a slot. balance.RankByLoad ranks by it, with a random factor of 0.75 to 1.25 on the reported times. A statement in progress that has lasted for long, and that no later one has overtaken, bounds the estimate: reports come with answers, so a member that stalls sends none.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -8,6 +8,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 )
 
 // Candidate is this host's view of one member.
@@ -37,6 +39,12 @@
 	// Lagging is set if the member recently had not applied a position that a read
 	// required.
 	Lagging bool
+	// Load is what the member's gates report; nil if they have not reported lately. It
+	// replaces ResponseTime, InUse and Waiting.
+	Load *gateload.Estimate
+	// OldestCall is for how long this host's oldest statement in progress through a gate
+	// of the member has lasted. Only RankByLoad uses it.
+	OldestCall time.Duration
 }
 
 const (
@@ -67,6 +75,9 @@
 	slots := max(c.Slots, 1)
 	cost := c.RoundTrip + c.ResponseTime
 	cost += c.ResponseTime * time.Duration(c.InUse+c.Waiting) / time.Duration(slots)
+	if c.Load != nil {
+		cost = c.reportedCost()
+	}
 	if !c.HasIdleConn {
 		cost += connectCost
 	}
