Replicaset: reads go by the load that gates report

Hosts knew a member's load only from their own answers, and carried reads to another region to have them refused there.

A gate sets Result.Load on each answer. A host keeps the newest report of each gate for a second, ignores invalid ones with a counter and event 320, and ranks members by balance.RankByLoad once any candidate has a report. A read is refused at once if the gates that it would go to, of all members that could serve it, have reported waits beyond its start deadline; the retry time is the shortest of them. One member without a report keeps the read going. With no report, or with load-reports disabled, the order is the previous one.

--- a/core/gateload/tracker.go
+++ b/core/gateload/tracker.go
@@ -121,6 +121,16 @@
 	return Known{Gate: gate, Report: g.report, Age: now - g.at}, true
 }
 
+// HasReports reports whether a gate has reported lately.
+func (t *Tracker) HasReports(now time.Duration) bool {
+	for _, g := range t.gates {
+		if now-g.at < MaxAge {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns the reports that are not too old, by gate.
 func (t *Tracker) All(now time.Duration) []Known {
 	var out []Known
--- a/core/gateload/tracker_test.go
+++ b/core/gateload/tracker_test.go
@@ -27,6 +27,8 @@
 	_, found = tr.Estimate("g", 0, member, time.Second)
 	require.False(t, found)
 	require.Empty(t, tr.All(time.Second))
+	require.True(t, tr.HasReports(999*ms))
+	require.False(t, tr.HasReports(time.Second))
 }
 
 // TestReportOfAnotherGateOfTheMember guards against a slow member that looks idle to a
--- a/node/entry/groups.go
+++ b/node/entry/groups.go
@@ -115,7 +115,7 @@
 	g.set = replicaset.New(replicaset.Config{
 		Service: service, Dial: h.dial, Proto: h.adapter.Members, Topology: h.settings.Topology,
 		DrainTimeout: h.settings.DrainTimeout, RequestFloor: h.queryPeersForFloor, OnSuspect: func() { g.promoter.Wake() },
-		Remote: h.remote(), Owner: h.owner, Host: h.settings.Host, Features: h.settings.Features, Log: h.log,
+		Remote: h.remote(), Owner: h.owner, Host: h.settings.Host, Features: h.settings.Features, LogBudget: h.logBudget, Log: h.log,
 	})
 	g.promoter = promoter.New(promoter.Config{
 		Service: service, Host: h.settings.Host, Set: g.set, Registry: h.registry, Platform: h.adapter.Promotion, Peers: h,
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -54,6 +54,7 @@
 		return replicaset.Result{Err: &replicaset.RefusedError{Reason: "the service is not known here"}}
 	}
 	res := s.Execute(ctx, j)
+	res.Load = s.Load(j.Member)
 	if h.settings.Features.Enabled(feature.RefusalFloors) {
 		res.Floor, _ = s.Floor()
 	}
--- a/node/eventlog/rate_limiter.go
+++ b/node/eventlog/rate_limiter.go
@@ -30,14 +30,16 @@
 const (
 	failuresPerSecond  = 200
 	successesPerSecond = 10
-	othersPerSecond    = 50
+	// A gate that sends invalid reports sends one with each answer.
+	loadReportsPerSecond = 1
+	othersPerSecond      = 50
 )
 
 func NewRateLimiter() *RateLimiter {
 	return &RateLimiter{
 		perSecond: map[int]int{
 			StatementFailed.Number: failuresPerSecond, GateJobFailed.Number: failuresPerSecond,
-			StatementServed.Number: successesPerSecond,
+			StatementServed.Number: successesPerSecond, LoadReportInvalid.Number: loadReportsPerSecond,
 		},
 		windows: map[int]*window{},
 	}
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
@@ -47,12 +48,15 @@
 func (s *Set) remoteRun(ctx context.Context, m *Member, address string, j Job) Result {
 	began := clock.Now()
 	m.remoteStarted()
+	call := gateload.Call{Gate: address, Priority: j.Request.Route.Priority, StartedAt: began}
+	m.callStarted(call)
 	s.gateHealth.callStarted(address, began)
 	res := s.runMonitored(ctx, address, j)
 	_, isGateErr := res.gateError()
 	now := clock.Now()
 	s.gateHealth.callEnded(address, !isGateErr, now)
 	m.remoteEnded(began, now, res.Answer.Signature != "")
+	m.callEnded(call, res, now)
 	res = s.confirmResult(m, res, began)
 	s.observeRemoteFloor(res.Floor)
 	s.observeResult(m, res)
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -12,6 +12,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/exectime"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
@@ -47,6 +48,8 @@
 	// share is this host's share of the member's connections. It lists the gates
 	// of the member if this host is not one of them.
 	share gates.Share
+	// loads is what the member's gates on other hosts have reported.
+	loads gateload.Tracker
 	// remoteInFlight counts the statements in progress on other hosts.
 	remoteInFlight int
 	// restartRevision is the revision of the role entry at the member's restart;
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -40,7 +40,7 @@
 	if !found {
 		return PrimaryNoFloor
 	}
-	return primaryReason(a.set.rankReaders(a.request.Team, nil, floor, now))
+	return primaryReason(a.set.rankReaders(&a.request, nil, floor, now))
 }
 
 // primaryReason returns why the primary ranks before the replicas.
@@ -66,6 +66,9 @@
 // all replicas lag, such retries would overload the gates as well.
 func (a *attempts) pickReader(ctx context.Context, progress *readProgress) (reader, error) {
 	s := a.set
+	if err := a.refusalAtDoor(clock.Now()); err != nil {
+		return reader{}, err
+	}
 	if m, found := a.boundedReader(ctx, progress); found {
 		return reader{member: m}, nil
 	}
@@ -103,7 +106,7 @@
 	if !found {
 		return nil, false
 	}
-	readers := s.rankReaders(a.request.Team, progress.attempted, floor, now)
+	readers := s.rankReaders(&a.request, progress.attempted, floor, now)
 	if len(readers) > 0 && readers[0].Healthy() {
 		return s.Member(readers[0].ID)
 	}
@@ -126,7 +129,7 @@
 		return nil, false
 	}
 	now := clock.Now()
-	readers := s.rankReaders(a.request.Team, progress.attempted, s.lowerBound(a.request), now)
+	readers := s.rankReaders(&a.request, progress.attempted, s.lowerBound(a.request), now)
 	if len(readers) == 0 || readers[0].Primary || !readers[0].Healthy() {
 		return nil, false
 	}
@@ -135,27 +138,31 @@
 
 // rankReaders returns the members that may serve a read, in order of
 // preference. Draining members come last.
-func (s *Set) rankReaders(team string, attempted map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
+func (s *Set) rankReaders(req *Request, attempted map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	primary := s.primaryTracker.Primary()
-	preferred := s.affinityReplica(team, primary)
+	preferred := s.affinityReplica(req.Team, primary)
 	var active, draining []balance.Candidate
 	for id, m := range s.members {
-		e := m.snapshot()
-		if attempted[id] || s.pastDrain(e, now) || m.inWrongMemberBackoff(now) {
+		if attempted[id] || s.excludedFromReads(m, now) {
 			continue
 		}
 		c := m.candidate(primary, now)
 		c.NotPreferred = preferred != "" && id != preferred && id != primary
 		c.Lagging = id != primary && s.replicaState(m, floor).KnownBehind(now)
-		if e.Leaving {
+		if m.Leaving() {
 			draining = append(draining, c)
 		} else {
 			active = append(active, c)
 		}
 	}
-	return append(balance.Rank(active), balance.Rank(draining)...)
+	return append(s.rank(active, req, now), s.rank(draining, req, now)...)
+}
+
+// excludedFromReads reports whether no read is sent to a member.
+func (s *Set) excludedFromReads(m *Member, now time.Duration) bool {
+	return s.pastDrain(m.snapshot(), now) || m.inWrongMemberBackoff(now)
 }
 
 // affinityReplica returns the replica preferred for a team's reads; empty for
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -1,6 +1,7 @@
 package replicaset
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -88,7 +89,12 @@
 	Host string
 	// Features tells which features are disabled.
 	Features feature.Set
-	Log      zerolog.Logger
+	// Random is used to spread reads over members, under a lock of the set. If nil, the
+	// set seeds one.
+	Random *rand.Rand
+	// LogBudget limits repeated log lines; if nil, the set has one of its own.
+	LogBudget *eventlog.RateLimiter
+	Log       zerolog.Logger
 }
 
 // Set is one database group. It is safe for concurrent use. Lock order: Set.mu
@@ -105,6 +111,8 @@
 	owner        string
 	host         string
 	features     feature.Set
+	logBudget    *eventlog.RateLimiter
+	loadCounters loadCounters
 	// gateHealth tracks which gates answer their jobs.
 	gateHealth gateHealth
 	txs        txTable
@@ -117,6 +125,8 @@
 	// mu guards the fields below.
 	mu      sync.Mutex
 	members map[string]*Member
+	// random spreads reads over members.
+	random *rand.Rand
 	// shareCache holds this host's shares of the members' connections.
 	shareCache *gates.ShareCache
 	// isVoter is set if this host votes on the primary's failure.
@@ -143,11 +153,18 @@
 }
 
 func New(cfg Config) *Set {
+	if cfg.Random == nil {
+		cfg.Random = newRandom()
+	}
+	if cfg.LogBudget == nil {
+		cfg.LogBudget = eventlog.NewRateLimiter()
+	}
 	return &Set{
 		service: cfg.Service, dial: cfg.Dial, proto: cfg.Proto, topology: cfg.Topology, drainTimeout: cfg.DrainTimeout,
 		requestFloor: cfg.RequestFloor, onSuspect: cfg.OnSuspect, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, features: cfg.Features, floorObserved: make(chan struct{}),
 		log:            cfg.Log.With().Str("service", cfg.Service).Logger(),
 		probeRequested: make(chan struct{}, 1), members: map[string]*Member{}, primaryChanged: make(chan struct{}),
+		random: cfg.Random, logBudget: cfg.LogBudget,
 		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
 	}
 }
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 )
 
@@ -33,6 +34,8 @@
 	// waiters. RemoteInFlight counts the statements in progress through Gates.
 	Connections, InUse, Waiting, RemoteInFlight int
 	Gates                                       []string
+	// GateLoads are the loads that the gates on other hosts have reported lately.
+	GateLoads []gateload.Known
 	// ByTeam counts this host's connections by team.
 	ByTeam map[string]int
 }
@@ -81,6 +84,6 @@
 		ID: m.id, Address: m.address, Zone: m.entry.Zone, Slots: m.entry.Slots,
 		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.confirmedByPeers), Position: m.position, PositionAge: now - m.positionAt,
 		Connections: m.pool.Open(), InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), RemoteInFlight: m.remoteInFlight, Gates: m.share.GateAddresses,
-		ByTeam: m.pool.OpenByTeam(),
+		ByTeam: m.pool.OpenByTeam(), GateLoads: m.loads.All(now),
 	}
 }
