Entry: reported loads, refusals at the door and invalid reports are shown

dotterelctl show lists what the gates of each upstream have reported. Metrics count refusals at the door and invalid reports, and explain names the cause of such a refusal.

--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -75,6 +75,13 @@
 	m.metrics.Add("connections_evicted", c.Evicted, label)
 }
 
+// loadReports adds counts of refusals at the door and of invalid load reports.
+func (m *hostMetrics) loadReports(service string, c replicaset.LoadCounts) {
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
+	m.metrics.Add("refused_at_door", c.RefusedAtDoor, label)
+	m.metrics.Add("load_reports_invalid", c.InvalidReports, label)
+}
+
 func readTarget(primary bool) string {
 	if primary {
 		return "primary"
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -74,6 +74,12 @@
 		Connections: uint32(m.Connections), InUse: uint32(m.InUse), Waiting: uint32(m.Waiting),
 		Elsewhere: uint32(m.RemoteInFlight), Gates: m.Gates,
 	}
+	for _, k := range m.GateLoads {
+		out.GateLoads = append(out.GateLoads, &inspectpb.GateLoad{
+			Gate: k.Gate, Running: uint32(k.Report.Running), Capacity: uint32(k.Report.Capacity), Waiting: uint32(k.Report.Waiting),
+			MsAgo: uint32(k.Age.Milliseconds()),
+		})
+	}
 	if !m.Position.IsZero() {
 		out.Held = showPosition(m.Position)
 		out.HeldMsAgo = uint32(m.PositionAge.Milliseconds())
--- a/node/entry/show_test.go
+++ b/node/entry/show_test.go
@@ -42,6 +42,21 @@
 	require.Eventually(t, func() bool { return d.show(0).Services[0].Lock.Holder != "" }, waitLimit, pollInterval)
 }
 
+// TestShowReportsLoadOfGates guards against reports that get lost between a gate and the
+// hosts that it answers. Two of the four hosts are gates of each member.
+func TestShowReportsLoadOfGates(t *testing.T) {
+	d := deploy(t, 4, options())
+	for host := range 4 {
+		c := d.connect(host, "strict")
+		require.Eventually(t, func() bool {
+			c.must("FETCH item")
+			svc := d.show(host).Services[0]
+			u := upstream(svc, svc.Primary)
+			return len(u.Gates) == 0 || len(u.GateLoads) == 1 && u.GateLoads[0].Capacity == 7
+		}, waitLimit, pollInterval)
+	}
+}
+
 // TestShowReportsFailingUpstreamAndStoreOutage: a failed primary and a store outage
 // are shown while they last.
 func TestShowReportsFailingUpstreamAndStoreOutage(t *testing.T) {
--- a/node/explain/explanation.go
+++ b/node/explain/explanation.go
@@ -76,6 +76,8 @@
 		text += " Its team has used up the limit that the operators have set, over all hosts; no member was asked."
 	case statementLine.Code == statement.Unauthorized.String():
 		text += " No team of the configuration that was in force holds the caller's key."
+	case statementLine.Cause == eventlog.ReasonAllOverloaded:
+		text += " No member was asked: by the reports of their gates, each would have refused."
 	case statementLine.Cause == eventlog.ReasonQueueFull && statementLine.Primary:
 		text += " The primary answered, but more was asked of it than it can run: replicas that are behind send their reads to it."
 	case statementLine.Cause == eventlog.ReasonQueueFull:
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -83,6 +83,23 @@
 		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n",
 			u.Name, u.Zone, u.Slots, u.Connections, u.InUse, u.Waiting, u.Elsewhere, upstreamState(u), logText(u), orNone(strings.Join(u.Gates, " ")))
 	}
+	p.gateLoads(s)
+}
+
+// gateLoads prints what the upstreams' gates have reported lately.
+func (p *printer) gateLoads(s *inspectpb.Service) {
+	headed := false
+	for _, u := range s.Upstreams {
+		for _, l := range u.GateLoads {
+			if !headed {
+				// A line without columns, so that the table keeps its own widths.
+				p.printf("  loads that gates reported\n")
+				p.printf("  UPSTREAM\tBY\tRUNNING\tOF\tWAITING\tAGE\n")
+				headed = true
+			}
+			p.printf("  %s\t%s\t%d\t%d\t%d\t%d ms\n", u.Name, l.Gate, l.Running, l.Capacity, l.Waiting, l.MsAgo)
+		}
+	}
 }
 
 func (p *printer) teams(s *inspectpb.ShowResponse) {
--- a/node/inspect/text_test.go
+++ b/node/inspect/text_test.go
@@ -21,7 +21,8 @@
 			Lock: &inspectpb.Lock{Holder: "h2", Acting: true, Token: 8},
 			Upstreams: []*inspectpb.Upstream{
 				{Name: "db-1", Zone: "a", Slots: 3, Connections: 4, InUse: 3, Waiting: 2, Dead: true, Failing: true},
-				{Name: "db-2", Zone: "b", Slots: 3, Elsewhere: 1, Leaving: true, Held: &inspectpb.Position{Term: 2, Offset: 5}, HeldMsAgo: 40, Gates: []string{"10.0.0.2:7"}},
+				{Name: "db-2", Zone: "b", Slots: 3, Elsewhere: 1, Leaving: true, Held: &inspectpb.Position{Term: 2, Offset: 5}, HeldMsAgo: 40, Gates: []string{"10.0.0.2:7"},
+					GateLoads: []*inspectpb.GateLoad{{Gate: "10.0.0.2:7", Running: 3, Capacity: 7, Waiting: 1, MsAgo: 120}}},
 			},
 		}},
 	}
@@ -38,6 +39,9 @@
   UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE    LOG            THROUGH
   db-1      a     3      4     3       2        0          dead     -              -
   db-2      b     3      0     0       0        1          leaving  2/5 40 ms ago  10.0.0.2:7
+  loads that gates reported
+  UPSTREAM  BY          RUNNING  OF  WAITING  AGE
+  db-2      10.0.0.2:7  3        7   1        120 ms
 `, out.String())
 }
 
