Replicaset: a read past its start deadline is not refused at the door while a gate is free

A gate grants an idle connection whatever the start deadline. The door compared the deadline with an empty queue's wait of zero and refused such a read, with a false reason, after another member had used up its time.

--- a/node/replicaset/gate_load.go
+++ b/node/replicaset/gate_load.go
@@ -170,7 +170,8 @@
 	for i, m := range members {
 		gate := s.nextGate(m, a.request.Team, now)
 		wait, known := m.knownWait(gate, a.request.Route.Priority, now)
-		if !known || now+wait <= a.request.StartDeadline {
+		// A gate with a free connection runs a read at once, also after its start deadline.
+		if !known || wait <= 0 || now+wait <= a.request.StartDeadline {
 			return nil
 		}
 		if i == 0 || wait < shortest {
--- a/node/replicaset/gate_load_test.go
+++ b/node/replicaset/gate_load_test.go
@@ -164,6 +164,18 @@
 	}
 }
 
+// TestDoorOpenAfterStartDeadline guards against refusing a read that a gate runs at once,
+// because its start deadline has passed while another member was tried.
+func TestDoorOpenAfterStartDeadline(t *testing.T) {
+	r := &loadRemote{waits: map[string]time.Duration{"primary": 5 * time.Second, "r1": 5 * time.Second, "r2": 0}}
+	s := setWithReports(r, zerolog.Nop())
+	req := boundedRead(time.Second)
+	req.StartDeadline = clock.Now() - time.Millisecond
+	require.Equal(t, statement.OK, s.Read(context.Background(), req).Answer.Code)
+	require.Equal(t, map[string]int{"r2": 1}, r.calls)
+	require.Zero(t, s.TakeLoadCounts())
+}
+
 // TestFailedGateReportForgotten guards against a door that stays shut because of a gate
 // that is gone.
 func TestFailedGateReportForgotten(t *testing.T) {
