Balance: the price of another region counts also for members without a report

Ranking by reports added it only to members with a report. The bound of the test is 0.005 of the reads instead of 0.02.

--- a/core/balance/load.go
+++ b/core/balance/load.go
@@ -40,6 +40,11 @@
 	for i := range out {
 		c := &out[i]
 		c.ResponseTime = max(c.ResponseTime, c.OldestCall)
+		if c.Load == nil && c.RoundTrip >= otherRegionRoundTrip {
+			// Members that get no reads send no reports: without the penalty they would be
+			// preferred to those that do. reportedCost adds it to the others.
+			c.RoundTrip += otherRegionPenalty
+		}
 		if c.Load != nil {
 			load, factor := *c.Load, 1+loadSpread*(2*random.Float64()-1)
 			load.Service, load.Wait = time.Duration(factor*float64(load.Service)), time.Duration(factor*float64(load.Wait))
--- a/core/balance/load_test.go
+++ b/core/balance/load_test.go
@@ -33,6 +33,14 @@
 	require.Equal(t, map[string]int{"far": 1000}, chosen(loaded("near", ms, 12*ms, 90*ms), far))
 }
 
+// TestOtherRegionWithoutReportCostsTheSame guards against reads that cross regions because
+// the far replica, which gets no reads, has no report to add the price of its bytes to.
+func TestOtherRegionWithoutReportCostsTheSame(t *testing.T) {
+	far := balance.Candidate{ID: "far", RoundTrip: 30 * ms, HasIdleConn: true, Slots: 4}
+	require.Equal(t, map[string]int{"near": 1000}, chosen(loaded("near", ms, 12*ms, 20*ms), far))
+	require.Equal(t, map[string]int{"far": 1000}, chosen(loaded("near", ms, 12*ms, 90*ms), far))
+}
+
 // TestEqualReportsSpreadReads guards against hosts with the same reports that all choose
 // the same replica.
 func TestEqualReportsSpreadReads(t *testing.T) {
--- a/core/balance/simulation_test.go
+++ b/core/balance/simulation_test.go
@@ -349,7 +349,7 @@
 			}
 			require.LessOrEqual(t, after.late+after.refused, allowed)
 			if strings.HasPrefix(sc.name, "equal") {
-				require.Less(t, after.far*50, after.attempts)
+				require.Less(t, after.far*200, after.attempts)
 			}
 		})
 	}
