Replicaset: a gate reports no wait that other hosts take for invalid

With statements that hold connections for long, the expected wait could exceed a minute; the report of the most loaded gate was then ignored and logged.

--- a/core/gateload/report.go
+++ b/core/gateload/report.go
@@ -10,10 +10,12 @@
 const (
 	// MaxClasses bounds the priority classes of a report.
 	MaxClasses = 8
-	// maxCount and maxWait are beyond what a gate can have: it keeps less than a hundred
-	// waiting statements, and none for longer than its deadline.
+	// MaxWait is the longest wait that a report may say. It exceeds the deadlines of
+	// callers.
+	MaxWait = time.Minute
+	// maxCount is beyond what a gate can have: it keeps less than a hundred waiting
+	// statements.
 	maxCount = 100_000
-	maxWait  = time.Minute
 )
 
 // Report is a gate's load for one member.
@@ -32,7 +34,7 @@
 	if !inRange(r.Running) || !inRange(r.Waiting) || !inRange(r.Capacity) || r.Capacity == 0 || len(r.ExpectedWait) > MaxClasses {
 		return false
 	}
-	return !slices.ContainsFunc(r.ExpectedWait, func(d time.Duration) bool { return d < 0 || d > maxWait })
+	return !slices.ContainsFunc(r.ExpectedWait, func(d time.Duration) bool { return d < 0 || d > MaxWait })
 }
 
 // WaitOf returns the expected wait of a priority class.
--- a/node/replicaset/gate_load.go
+++ b/node/replicaset/gate_load.go
@@ -44,10 +44,11 @@
 	if len(m.share.GateAddresses) > 0 {
 		return nil
 	}
-	return &gateload.Report{
-		Running: m.pool.InUse(), Capacity: m.pool.Capacity(), Waiting: m.pool.Waiting(),
-		ExpectedWait: m.pool.ExpectedWaits(gateload.MaxClasses, clock.Now()),
+	waits := m.pool.ExpectedWaits(gateload.MaxClasses, clock.Now())
+	for i := range waits {
+		waits[i] = min(waits[i], gateload.MaxWait)
 	}
+	return &gateload.Report{Running: m.pool.InUse(), Capacity: m.pool.Capacity(), Waiting: m.pool.Waiting(), ExpectedWait: waits}
 }
 
 // callStarted records a job that is sent to a gate.
--- a/node/replicaset/gate_load_test.go
+++ b/node/replicaset/gate_load_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/gateload"
@@ -203,3 +204,23 @@
 	require.Nil(t, alone(feature.Set{feature.LoadReports: true}).Load("m"))
 	require.Nil(t, setBehindGates(&loadRemote{}).Load("m"))
 }
+
+// TestReportOfLongWaitIsValid guards against a gate whose report is ignored because it is
+// so loaded that the wait exceeds what a report may say.
+func TestReportOfLongWaitIsValid(t *testing.T) {
+	s := New(Config{Service: "svc", Host: "h0", Log: zerolog.Nop()})
+	s.Update([]directory.Member{{Entry: directory.Entry{ID: "m", Service: "svc", Zone: "near", Slots: 2}}}, catalog.Service{MaxConnections: 16},
+		gates.NewFleet([]gates.Host{{Name: "h0", Zone: "near", Address: "a0"}}, nil))
+	m, _ := s.Member("m")
+	m.pool.SetLimits(connpool.Limits{MaxOpen: 1, MaxWaiting: 10})
+	w := connpool.Waiter{ID: 1, TargetDeadline: time.Hour, OnTimeUntil: time.Hour, StartDeadline: time.Hour}
+	m.pool.Acquire(w, 0)
+	m.pool.BeginOpen(0)
+	m.pool.Opened(connpool.Conn{}, 0)
+	m.pool.Released(connpool.Conn{}, 24*time.Hour, 0)
+	require.Equal(t, connpool.Granted, m.pool.Acquire(w, 0).Outcome)
+	load := s.Load("m")
+	require.NotNil(t, load)
+	require.Equal(t, gateload.MaxWait, load.WaitOf(0))
+	require.True(t, load.Valid())
+}
