--- a/node/eventlog/reason.go
+++ b/node/eventlog/reason.go
@@ -4,8 +4,9 @@
 // of its member was full.
 const ReasonQueueFull = "too many statements wait for the member"
 
-// ReasonAllOverloaded is the cause of a read that was rejected without asking a member,
-// because according to load reports each that could serve it has too long a queue.
+// ReasonAllOverloaded is the cause of a read that a host rejected by itself, possibly after
+// attempts on members, because according to load reports each that could serve it has too
+// long a queue.
 const ReasonAllOverloaded = "every member that could serve the read has too long a queue"
 
 // ReasonQuota is the cause of an operation that was rejected because its team had
--- a/node/explain/explanation.go
+++ b/node/explain/explanation.go
@@ -77,7 +77,7 @@
 	case statementLine.Code == statement.Unauthorized.String():
 		text += " No team of the configuration that was in force holds the caller's key."
 	case statementLine.Cause == eventlog.ReasonAllOverloaded:
-		text += " No member was asked: by the reports of their gates, each would have refused."
+		text += " The host itself refused it: by the reports of their gates, each member would have refused it."
 	case statementLine.Cause == eventlog.ReasonQueueFull && statementLine.Primary:
 		text += " The primary answered, but more was asked of it than it can run: replicas that are behind send their reads to it."
 	case statementLine.Cause == eventlog.ReasonQueueFull:
--- a/node/replicaset/gate_load_test.go
+++ b/node/replicaset/gate_load_test.go
@@ -150,6 +150,19 @@
 	require.Equal(t, LoadCounts{RefusedAtDoor: 1}, s.TakeLoadCounts())
 }
 
+// TestRefusedAtDoorAfterRun guards against a refusal that says that a read has not run
+// although the answer of an earlier attempt was lost.
+func TestRefusedAtDoorAfterRun(t *testing.T) {
+	s := setWithReports(&loadRemote{waits: map[string]time.Duration{"primary": 5 * time.Second, "r1": 5 * time.Second, "r2": 5 * time.Second}}, zerolog.Nop())
+	a := s.newAttempts(boundedRead(time.Second))
+	a.outcome.Runs = 1
+	a.lastErr = a.refusalAtDoor(clock.Now())
+	require.Error(t, a.lastErr)
+	answer := a.refusal().Answer
+	require.Equal(t, statement.Aborted, answer.Code)
+	require.NotContains(t, answer.Detail, "not run")
+}
+
 // TestDoorOpen guards against refusing a read that a member may serve.
 func TestDoorOpen(t *testing.T) {
 	for name, waits := range map[string]map[string]time.Duration{
