--- a/node/replicaset/gate_load_test.go
+++ b/node/replicaset/gate_load_test.go
@@ -178,6 +178,28 @@
 	}
 }
 
+// TestDoorOpensWithoutNewReports guards against a host that refuses reads for good, because
+// without reads it gets no reports.
+func TestDoorOpensWithoutNewReports(t *testing.T) {
+	r := &loadRemote{waits: map[string]time.Duration{"primary": time.Minute, "r1": time.Minute, "r2": time.Minute}}
+	s := setWithReports(r, zerolog.Nop())
+	a, now := s.newAttempts(boundedRead(time.Second)), clock.Now()
+	require.Error(t, a.refusalAtDoor(now))
+	m, _ := s.Member("r1")
+	m.callEnded(gateload.Call{Gate: s.nextGate(m, "", now)}, r.answer("r1"), now+gateload.MaxAge)
+	require.NoError(t, a.refusalAtDoor(now+gateload.MaxAge), "only one report is not old")
+}
+
+// TestDoorForPrimaryRoute guards against counting replicas, which cannot serve the read.
+func TestDoorForPrimaryRoute(t *testing.T) {
+	for wait, refused := range map[time.Duration]bool{0: false, 5 * time.Second: true} {
+		s := setWithReports(&loadRemote{waits: map[string]time.Duration{"primary": wait, "r1": 5*time.Second - wait, "r2": 5*time.Second - wait}}, zerolog.Nop())
+		req := boundedRead(time.Second)
+		req.Route.Consistency = catalog.Primary
+		require.Equal(t, refused, s.newAttempts(req).refusalAtDoor(clock.Now()) != nil)
+	}
+}
+
 // TestDoorOpenAfterStartDeadline guards against refusing a read that a gate runs at once,
 // because its start deadline has passed while another member was tried.
 func TestDoorOpenAfterStartDeadline(t *testing.T) {
