Replicaset: the refusal by load reports has a plain name

'Refusal at the door' is no usual term; functions, the metric (now refused_by_load_reports) and the docs name what decides.

--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -75,10 +75,10 @@
 	m.metrics.Add("connections_evicted", c.Evicted, label)
 }
 
-// loadReports adds counts of refusals at the door and of invalid load reports.
+// loadReports adds counts of refusals by load reports and of invalid reports.
 func (m *hostMetrics) loadReports(service string, c replicaset.LoadCounts) {
 	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
-	m.metrics.Add("refused_at_door", c.RefusedAtDoor, label)
+	m.metrics.Add("refused_by_load_reports", c.RefusedByReports, label)
 	m.metrics.Add("load_reports_invalid", c.InvalidReports, label)
 }
 
--- a/node/replicaset/gate_load.go
+++ b/node/replicaset/gate_load.go
@@ -16,19 +16,19 @@
 
 // LoadCounts are the events of load reports since the previous call of TakeLoadCounts.
 type LoadCounts struct {
-	// RefusedAtDoor counts the reads that were refused because all members that could
+	// RefusedByReports counts the reads that were refused because all members that could
 	// serve them would have.
-	RefusedAtDoor int
+	RefusedByReports int
 	// InvalidReports counts the reports that were ignored.
 	InvalidReports int
 }
 
-type loadCounters struct{ refusedAtDoor, invalidReports atomic.Int64 }
+type loadCounters struct{ refusedByReports, invalidReports atomic.Int64 }
 
 // TakeLoadCounts returns the counts and resets them.
 func (s *Set) TakeLoadCounts() LoadCounts {
 	return LoadCounts{
-		RefusedAtDoor: int(s.loadCounters.refusedAtDoor.Swap(0)), InvalidReports: int(s.loadCounters.invalidReports.Swap(0)),
+		RefusedByReports: int(s.loadCounters.refusedByReports.Swap(0)), InvalidReports: int(s.loadCounters.invalidReports.Swap(0)),
 	}
 }
 
@@ -157,11 +157,11 @@
 	return balance.RankByLoad(withLoad, s.random)
 }
 
-// refusalAtDoor returns the refusal of a read that every member that could serve it would
+// refusalByReports returns the refusal of a read that every member that could serve it would
 // refuse, according to fresh reports of the gates that it would be sent to; nil if there
 // is none. Its retry time is the shortest of the expected waits. A report's wait is
 // shortened by its age, in which the queue may have been served.
-func (a *attempts) refusalAtDoor(now time.Duration) error {
+func (a *attempts) refusalByReports(now time.Duration) error {
 	s := a.set
 	members := s.possibleReaders(&a.request, now)
 	if !slices.ContainsFunc(members, func(m *Member) bool { return m.hasReports(now) }) {
@@ -184,7 +184,7 @@
 	if !remote {
 		return nil
 	}
-	s.loadCounters.refusedAtDoor.Add(1)
+	s.loadCounters.refusedByReports.Add(1)
 	return &RefusedError{Reason: eventlog.ReasonAllOverloaded, RetryAfter: shortest}
 }
 
--- a/node/replicaset/gate_load_test.go
+++ b/node/replicaset/gate_load_test.go
@@ -135,9 +135,9 @@
 	}
 }
 
-// TestRefusedAtDoor guards against carrying a read to another region to have it refused
+// TestRefusedByReports guards against carrying a read to another region to have it refused
 // there, and against a retry time that no member stands for.
-func TestRefusedAtDoor(t *testing.T) {
+func TestRefusedByReports(t *testing.T) {
 	r := &loadRemote{waits: map[string]time.Duration{"primary": 5 * time.Second, "r1": 3 * time.Second, "r2": 4 * time.Second}}
 	s := setWithReports(r, zerolog.Nop())
 	out := s.Read(context.Background(), boundedRead(time.Second))
@@ -147,24 +147,24 @@
 	_, err := fmt.Sscanf(out.Answer.Detail, "not run, retry after %d ms", &ms)
 	require.NoError(t, err)
 	require.InDelta(t, 3000, ms, 500, "the shortest wait, less the report's age")
-	require.Equal(t, LoadCounts{RefusedAtDoor: 1}, s.TakeLoadCounts())
+	require.Equal(t, LoadCounts{RefusedByReports: 1}, s.TakeLoadCounts())
 }
 
-// TestRefusedAtDoorAfterRun guards against a refusal that says that a read has not run
+// TestRefusedByReportsAfterRun guards against a refusal that says that a read has not run
 // although the answer of an earlier attempt was lost.
-func TestRefusedAtDoorAfterRun(t *testing.T) {
+func TestRefusedByReportsAfterRun(t *testing.T) {
 	s := setWithReports(&loadRemote{waits: map[string]time.Duration{"primary": 5 * time.Second, "r1": 5 * time.Second, "r2": 5 * time.Second}}, zerolog.Nop())
 	a := s.newAttempts(boundedRead(time.Second))
 	a.outcome.Runs = 1
-	a.lastErr = a.refusalAtDoor(clock.Now())
+	a.lastErr = a.refusalByReports(clock.Now())
 	require.Error(t, a.lastErr)
 	answer := a.refusal().Answer
 	require.Equal(t, statement.Aborted, answer.Code)
 	require.NotContains(t, answer.Detail, "not run")
 }
 
-// TestDoorOpen guards against refusing a read that a member may serve.
-func TestDoorOpen(t *testing.T) {
+// TestServableReadNotRefused guards against refusing a read that a member may serve.
+func TestServableReadNotRefused(t *testing.T) {
 	for name, waits := range map[string]map[string]time.Duration{
 		"one member has not reported": {"primary": 5 * time.Second, "r1": 5 * time.Second},
 		"one member is in time":       {"primary": 5 * time.Second, "r1": 5 * time.Second, "r2": 500 * time.Millisecond},
@@ -178,31 +178,31 @@
 	}
 }
 
-// TestDoorOpensWithoutNewReports guards against a host that refuses reads for good, because
+// TestRefusalsEndWithoutNewReports guards against a host that refuses reads for good, because
 // without reads it gets no reports.
-func TestDoorOpensWithoutNewReports(t *testing.T) {
+func TestRefusalsEndWithoutNewReports(t *testing.T) {
 	r := &loadRemote{waits: map[string]time.Duration{"primary": time.Minute, "r1": time.Minute, "r2": time.Minute}}
 	s := setWithReports(r, zerolog.Nop())
 	a, now := s.newAttempts(boundedRead(time.Second)), clock.Now()
-	require.Error(t, a.refusalAtDoor(now))
+	require.Error(t, a.refusalByReports(now))
 	m, _ := s.Member("r1")
 	m.callEnded(gateload.Call{Gate: s.nextGate(m, "", now)}, r.answer("r1"), now+gateload.MaxAge)
-	require.NoError(t, a.refusalAtDoor(now+gateload.MaxAge), "only one report is not old")
+	require.NoError(t, a.refusalByReports(now+gateload.MaxAge), "only one report is not old")
 }
 
-// TestDoorForPrimaryRoute guards against counting replicas, which cannot serve the read.
-func TestDoorForPrimaryRoute(t *testing.T) {
+// TestRefusalOnPrimaryRoute guards against counting replicas, which cannot serve the read.
+func TestRefusalOnPrimaryRoute(t *testing.T) {
 	for wait, refused := range map[time.Duration]bool{0: false, 5 * time.Second: true} {
 		s := setWithReports(&loadRemote{waits: map[string]time.Duration{"primary": wait, "r1": 5*time.Second - wait, "r2": 5*time.Second - wait}}, zerolog.Nop())
 		req := boundedRead(time.Second)
 		req.Route.Consistency = catalog.Primary
-		require.Equal(t, refused, s.newAttempts(req).refusalAtDoor(clock.Now()) != nil)
+		require.Equal(t, refused, s.newAttempts(req).refusalByReports(clock.Now()) != nil)
 	}
 }
 
-// TestDoorOpenAfterStartDeadline guards against refusing a read that a gate runs at once,
+// TestFreeGateServesAfterStartDeadline guards against refusing a read that a gate runs at once,
 // because its start deadline has passed while another member was tried.
-func TestDoorOpenAfterStartDeadline(t *testing.T) {
+func TestFreeGateServesAfterStartDeadline(t *testing.T) {
 	r := &loadRemote{waits: map[string]time.Duration{"primary": 5 * time.Second, "r1": 5 * time.Second, "r2": 0}}
 	s := setWithReports(r, zerolog.Nop())
 	req := boundedRead(time.Second)
@@ -212,7 +212,7 @@
 	require.Zero(t, s.TakeLoadCounts())
 }
 
-// TestFailedGateReportForgotten guards against a door that stays shut because of a gate
+// TestFailedGateReportForgotten guards against refusals that go on because of a gate
 // that is gone.
 func TestFailedGateReportForgotten(t *testing.T) {
 	r := &loadRemote{waits: map[string]time.Duration{"primary": 5 * time.Second, "r1": 5 * time.Second, "r2": 5 * time.Second}}
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -66,7 +66,7 @@
 // all replicas lag, such retries would overload the gates as well.
 func (a *attempts) pickReader(ctx context.Context, progress *readProgress) (reader, error) {
 	s := a.set
-	if err := a.refusalAtDoor(clock.Now()); err != nil {
+	if err := a.refusalByReports(clock.Now()); err != nil {
 		return reader{}, err
 	}
 	if m, found := a.boundedReader(ctx, progress); found {
