--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -85,6 +85,13 @@
 	m.metrics.Add("returns_recognized", c.Recognized)
 }
 
+// loadReports adds counts of refusals by load reports and of invalid reports.
+func (m *hostMetrics) loadReports(service string, c replicaset.LoadCounts) {
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
+	m.metrics.Add("refused_by_load_reports", c.RefusedByReports, label)
+	m.metrics.Add("load_reports_invalid", c.InvalidReports, label)
+}
+
 func readTarget(primary bool) string {
 	if primary {
 		return "primary"
