Outlier: gates eject members that fail or are slow

Gates record outcomes and response times, judge a member against its peers and its past, and refuse reads for an ejected one except single probes. Hosts rank it behind healthy members. Member.Ejection returns the verdict.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -37,6 +37,9 @@
 	// Lagging is set if the member recently had not applied a position that a read
 	// required.
 	Lagging bool
+	// Ejected is set if a gate or this host refuses reads for the member because it fails
+	// or is slow.
+	Ejected bool
 }
 
 const (
@@ -52,14 +55,14 @@
 	// primary's zone use remote replicas too: with a single round trip a quarter of all
 	// reads went to the primary of the caller's zone.
 	primaryPenalty = 120 * time.Millisecond
-	// unhealthyPenalty ranks a member that lags, is suspect or has no entry behind all
-	// others. It exceeds the longest wait that a queue accepts.
+	// unhealthyPenalty ranks a member that lags, is ejected, is suspect or has no entry
+	// behind all others. It exceeds the longest wait that a queue accepts.
 	unhealthyPenalty = 5 * time.Second
 )
 
-// Healthy reports whether the member is neither suspect nor lagging. A missing entry
-// does not matter: the member may serve reads while the platform is unavailable.
-func (c Candidate) Healthy() bool { return !c.Lagging && !c.Suspect }
+// Healthy reports whether the member is neither suspect nor lagging nor ejected. A missing
+// entry does not matter: the member may serve reads while the platform is unavailable.
+func (c Candidate) Healthy() bool { return !c.Lagging && !c.Suspect && !c.Ejected }
 
 // expectedCost returns the expected response time plus the penalties. Each of this
 // host's statements on the member delays a read by one response time per slot.
@@ -79,6 +82,11 @@
 	if c.Lagging || c.EntryMissing {
 		cost += unhealthyPenalty
 	}
+	if c.Ejected {
+		// An ejected member ranks behind one that only lags, which may catch up, and
+		// before a suspect one, which may not answer at all.
+		cost += unhealthyPenalty * 3 / 2
+	}
 	if c.Suspect {
 		// A suspect member ranks behind one that only lags and still answers.
 		cost += 2 * unhealthyPenalty
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -35,6 +35,8 @@
 	DetourTaken           = Event{314, "upstream_detour"}
 	ReadsCounted          = Event{315, "reads_counted"}
 	ControlTrafficCounted = Event{316, "talk_counted"}
+	UpstreamEjected       = Event{317, "upstream_ejected"}
+	UpstreamReadmitted    = Event{318, "upstream_readmitted"}
 	// TransactionReclaimed needs no rate limit: there is at most one per open
 	// transaction.
 	TransactionReclaimed = Event{312, "transaction_reclaimed"}
@@ -84,7 +86,7 @@
 		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost,
 		HostStateChanged, PeerCallFailed,
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -109,6 +109,9 @@
 		if done {
 			return res, r.member
 		}
+		if progress.recordEjection(r, res) {
+			continue
+		}
 		if r.floorFromGate && refusedForNoFloor(res.Err) {
 			// The gate refused without sending the read to the member, so the
 			// member stays eligible.
@@ -153,6 +156,7 @@
 	gateLacksFloor bool
 	// primaryOverload is the primary's overload refusal; nil if there was none.
 	primaryOverload error
+	ejectionProgress
 }
 
 func newReadProgress() *readProgress {
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -128,7 +128,11 @@
 		return statement.Answer{}, c.markLost(err, sent)
 	}
 	c.lastState, c.answeredAt = a.State, sent
-	c.member.responseReceived(sent, clock.Now(), a, c.workKind)
+	now := clock.Now()
+	c.member.responseReceived(sent, now, a, c.workKind)
+	if isOutcome(op.Verb, a.Code) {
+		c.member.observeOutcome(sent, now, a, c.team)
+	}
 	return a, nil
 }
 
--- a/node/replicaset/dispatch.go
+++ b/node/replicaset/dispatch.go
@@ -53,6 +53,7 @@
 	now := clock.Now()
 	s.gateHealth.callEnded(address, !isGateErr, now)
 	m.remoteEnded(began, now, res.Answer.Signature != "")
+	m.observeRemoteOutcome(began, now, res, j.Request.Team)
 	res = s.confirmResult(m, res, began)
 	s.observeRemoteFloor(res.Floor)
 	s.observeResult(m, res)
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -20,8 +20,13 @@
 	maxBusyRetryDelay = 60 * time.Millisecond
 )
 
-// Execute runs a job on a connection of this host.
+// Execute runs a job on a connection of this host, unless it refuses it because the member
+// is ejected.
 func (s *Set) Execute(ctx context.Context, j Job) Result {
+	return s.executeJudged(j, func() Result { return s.execute(ctx, j) })
+}
+
+func (s *Set) execute(ctx context.Context, j Job) Result {
 	switch j.Kind {
 	case JobStatement, JobCommit, JobRollback:
 		return s.continueTx(ctx, j)
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -65,6 +65,8 @@
 	reportedDeadUntil time.Duration
 	// confirmedByPeers is set while another host also considers the member dead.
 	confirmedByPeers bool
+	// outlier holds the outcomes of the member's statements and the verdicts on it.
+	outlier outlierState
 	// openTimer retries opening connections after a backoff; idleTimer closes
 	// expired idle connections. Each is nil while not armed.
 	openTimer *time.Timer
@@ -110,6 +112,7 @@
 		ResponseTime: m.responseTime, InUse: m.pool.InUse() + m.remoteInFlight, Waiting: m.pool.Waiting(),
 		HasIdleConn: m.pool.Idle() > 0 || len(m.share.GateAddresses) > 0,
 		Slots:       m.entry.Slots, Suspect: m.health.Suspect(now), EntryMissing: m.entry.Missing,
+		Ejected: m.ranksEjected(now),
 	}
 }
 
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -22,6 +22,8 @@
 	// floorFromGate is set when this host knows no floor and the member's gate
 	// must determine one.
 	floorFromGate bool
+	// ignoreEjection is set when the member is ejected and no other one can serve.
+	ignoreEjection bool
 }
 
 // source returns why a read goes to a member. It is called before the read is
@@ -49,7 +51,7 @@
 	for _, c := range candidates {
 		switch {
 		case c.Primary || c.Lagging:
-		case c.Suspect || c.EntryMissing:
+		case c.Suspect || c.EntryMissing || c.Ejected:
 			source = max(source, PrimaryReplicasSuspect)
 		default:
 			source = PrimaryFaster
@@ -67,7 +69,10 @@
 func (a *attempts) pickReader(ctx context.Context, progress *readProgress) (reader, error) {
 	s := a.set
 	if m, found := a.boundedReader(ctx, progress); found {
-		return reader{member: m}, nil
+		return readerOf(m, progress)
+	}
+	if m, found := a.ejectedReader(progress); found {
+		return reader{member: m, ignoreEjection: true}, nil
 	}
 	bounded := a.request.Route.Consistency != catalog.Primary
 	if bounded {
@@ -83,7 +88,7 @@
 	}
 	if bounded && len(progress.attempted) == 0 && s.awaitFloor(ctx, a.request) {
 		if m, found := a.boundedReader(ctx, progress); found {
-			return reader{member: m}, nil
+			return readerOf(m, progress)
 		}
 	}
 	m, found := s.awaitPrimary(ctx, &a.request)
@@ -207,7 +212,7 @@
 	defer s.mu.Unlock()
 	var out []catchup.Replica
 	for id, m := range s.members {
-		if id == s.primaryTracker.Primary() || progress.excluded[id] || m.Suspect(now) || m.unreachable(now) || m.Leaving() {
+		if id == s.primaryTracker.Primary() || progress.excluded[id] || m.Suspect(now) || m.unreachable(now) || m.Leaving() || m.Ejection(now).Active(now) {
 			continue
 		}
 		r := s.replicaState(m, floor)
--- a/node/replicaset/read.go
+++ b/node/replicaset/read.go
@@ -118,7 +118,7 @@
 
 // newReadJob returns the job for the chosen member.
 func (a *attempts) newReadJob(kind JobKind, r reader) Job {
-	j := Job{Kind: kind, Request: a.request, RequirePrimary: kind == JobBegin && r.verifyPrimary}
+	j := Job{Kind: kind, Request: a.request, RequirePrimary: kind == JobBegin && r.verifyPrimary, IgnoreEjection: r.ignoreEjection}
 	if r.verifyPrimary {
 		return a.newPrimaryReadJob(j)
 	}
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 )
 
 // Stats are the metrics of a set.
@@ -35,6 +36,9 @@
 	Gates                                       []string
 	// ByTeam counts this host's connections by team.
 	ByTeam map[string]int
+	// Ejection is the verdict that keeps reads away from the member; zero if there is
+	// none.
+	Ejection outlier.Ejection
 }
 
 // TakeConnectionCounts returns the pools' counts since the last call.
@@ -81,6 +85,6 @@
 		ID: m.id, Address: m.address, Zone: m.entry.Zone, Slots: m.entry.Slots,
 		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.confirmedByPeers), Position: m.position, PositionAge: now - m.positionAt,
 		Connections: m.pool.Open(), InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), RemoteInFlight: m.remoteInFlight, Gates: m.share.GateAddresses,
-		ByTeam: m.pool.OpenByTeam(),
+		ByTeam: m.pool.OpenByTeam(), Ejection: m.ejection(now),
 	}
 }
