--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -58,3 +58,17 @@
 	require.Equal(t, "entry missing", order[1].ID)
 	require.Len(t, order, 3, "unhealthy members stay in the list as a last resort")
 }
+
+// TestEjectedMemberRanksBehindLaggingOne guards against reads on a member that fails while
+// another one may still serve them, and against reads on one that does not answer at all.
+func TestEjectedMemberRanksBehindLaggingOne(t *testing.T) {
+	order := balance.Rank([]balance.Candidate{
+		{ID: "suspect", Suspect: true, Slots: 2}, {ID: "ejected", Ejected: true, Slots: 2},
+		{ID: "lagging", Lagging: true, Slots: 2}, {ID: "slow", ResponseTime: 500 * ms, InUse: 4, Slots: 2},
+	})
+	var ids []string
+	for _, c := range order {
+		ids = append(ids, c.ID)
+	}
+	require.Equal(t, []string{"slow", "lagging", "ejected", "suspect"}, ids)
+}
--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -9,10 +9,15 @@
 	failureWindow = time.Second
 	minFailures   = 5
 	failureShare  = 0.5
+	// fewFailures are enough if no statement succeeded in the window and two teams are
+	// concerned. With six gates per member, five failures each are 30 lost reads.
+	fewFailures = 3
 	// A smaller share counts over a longer time if neither the peers nor the member's own
-	// past have half of it.
+	// past have half of it. A member that was ejected within memory needs half as much
+	// evidence, because three probes of a member that fails 0.4 succeed in one of five
+	// cases.
 	shareWindow        = 3 * time.Second
-	minShareStatements = 20
+	minShareStatements = 10
 	smallFailureShare  = 0.2
 	minPeerStatements  = 5
 	// A slow member takes slowFactor times as long as its peers and slowMargin longer: a
@@ -21,9 +26,10 @@
 	// statements, which take 6 to 30 ms.
 	slowFactor = 4
 	slowMargin = 50 * time.Millisecond
-	// minSlowSamples is the number of samples in each half of a span.
+	// minSlowSamples and minPeerSamples are the numbers of samples of the member and of its
+	// peers in each half of a span.
 	minSlowSamples = 5
-	minPeerSamples = 3
+	minPeerSamples = 2
 	// slowCheckInterval bounds the cost of comparing response times.
 	slowCheckInterval = 100 * time.Millisecond
 	// pastWeight is the weight of a sample in the averages of the member's past, which
@@ -38,7 +44,8 @@
 	firstEjection = time.Second
 	maxEjection   = 8 * time.Second
 	memory        = 15 * time.Second
-	// probeInterval is the minimum time between probes while a member is ejected.
+	// probeInterval is the minimum time between probes while a member is ejected. After a
+	// failure it is half of the ejection if that is longer.
 	probeInterval = time.Second
 	// probeTimeout is how long a probe without an outcome blocks the next one.
 	probeTimeout = time.Second
@@ -51,10 +58,12 @@
 
 // slowSpans are the times over which response times are compared. A gate that runs little
 // on the peers needs the longest; the shortest serves a busy one.
-var slowSpans = [...]time.Duration{time.Second, 2 * time.Second, 4 * time.Second}
+var slowSpans = [...]time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
 
-// peerHistory is how far back the samples of a peer are used.
-const peerHistory = shareWindow
+// peerHistory is how far back the samples of a peer are used. A gate that is no gate of the
+// peer sees only its own callers' statements there, about one in two seconds with 74 hosts
+// and 80 reads a second per group.
+const peerHistory = 10 * time.Second
 
 // Peer is another member of the group, as this host knows it.
 type Peer struct {
@@ -138,7 +147,11 @@
 	if d.probeRuns(now) {
 		return false
 	}
-	return d.onTrial(now) || now < d.until && now >= d.probedAt+probeInterval
+	interval := probeInterval
+	if d.successes == 0 {
+		interval = max(interval, d.length/2)
+	}
+	return d.onTrial(now) || now < d.until && now >= d.probedAt+interval
 }
 
 // Admission is the answer to a read for a member.
@@ -223,7 +236,7 @@
 		d.learn(s)
 	}
 	if s.Failed {
-		return Unchanged, d.window.tally(s.At-shareWindow).failures >= minFailures
+		return Unchanged, d.window.tally(s.At-shareWindow).failures >= fewFailures
 	}
 	if s.Took < slowMargin || s.At < d.nextSlow {
 		return Unchanged, false
@@ -272,8 +285,15 @@
 	if t.failures >= minFailures && t.share() >= failureShare && !t.ofOneTeam() {
 		return true
 	}
+	if t.failures >= fewFailures && t.failures == t.statements && t.otherFailed {
+		return true
+	}
 	t = d.window.tally(now - shareWindow)
-	if t.statements < minShareStatements || t.failures < minFailures || t.share() < smallFailureShare || t.ofOneTeam() {
+	statementsNeeded, failuresNeeded := minShareStatements, minFailures
+	if d.length > 0 && now < d.until+memory {
+		statementsNeeded, failuresNeeded = minShareStatements/2, fewFailures
+	}
+	if t.statements < statementsNeeded || t.failures < failuresNeeded || t.share() < smallFailureShare || t.ofOneTeam() {
 		return false
 	}
 	if d.pastSamples >= minPastSamples && t.share() < pastFactor*d.pastShare {
@@ -282,7 +302,7 @@
 	statements, failures := 0, 0
 	for _, p := range peers {
 		for _, s := range p.Samples {
-			if !p.Ejected && s.At > now-shareWindow {
+			if !p.Ejected {
 				statements++
 				if s.Failed {
 					failures++
@@ -297,8 +317,8 @@
 	return took >= slowFactor*reference && took >= reference+slowMargin
 }
 
-// slow reports whether the member is slow in both halves of a span, compared with its
-// peers in the later half. A load that rises for all members shows in the peers by then.
+// slow reports whether the member is slow compared with its peers in both halves of a span.
+// If the load of all members rises or falls within one half, they are alike in the other.
 // While a peer is ejected, the others carry its load, so that none of them is slow.
 func (d *Detector) slow(peers []Peer, now time.Duration) bool {
 	var theirs []Sample
@@ -309,22 +329,31 @@
 		theirs = append(theirs, p.Samples...)
 	}
 	for _, span := range slowSpans {
-		middle := now - span/2
-		reference, known := median(theirs, middle, now)
-		if known < minPeerSamples {
-			continue
-		}
 		own := d.window.Since(now - span)
-		earlier, before := median(own, now-span, middle)
-		later, after := median(own, middle, now)
-		if before < minSlowSamples || after < minSlowSamples || !isSlow(earlier, reference) || !isSlow(later, reference) {
-			continue
-		}
-		if d.pastSamples >= minPastSamples && later < pastFactor*d.pastTime {
-			continue
+		middle := now - span/2
+		earlier, slowBefore := slowIn(own, theirs, now-span, middle)
+		later, slowNow := slowIn(own, theirs, middle, now)
+		if slowBefore && slowNow && !d.alwaysSlow(min(earlier.own, later.own)) {
+			d.slowRef = later.peers
+			return true
 		}
-		d.slowRef = reference
-		return true
 	}
 	return false
 }
+
+// medians are the median times of a member and of its peers.
+type medians struct{ own, peers time.Duration }
+
+// slowIn reports whether the member was slow between two times.
+func slowIn(own, peers []Sample, from, until time.Duration) (medians, bool) {
+	ownMedian, n := median(own, from, until)
+	peersMedian, known := median(peers, from, until)
+	enough := n >= minSlowSamples && known >= minPeerSamples
+	return medians{ownMedian, peersMedian}, enough && isSlow(ownMedian, peersMedian)
+}
+
+// alwaysSlow reports whether a time is usual for the member, for example because its
+// statements are more expensive than those of its peers.
+func (d *Detector) alwaysSlow(took time.Duration) bool {
+	return d.pastSamples >= minPastSamples && took < pastFactor*d.pastTime
+}
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
@@ -75,6 +76,22 @@
 	m.metrics.Add("connections_evicted", c.Evicted, label)
 }
 
+// outliers adds counts of ejections, of reads that were refused because of them, and of
+// verdicts of other hosts that were ignored as invalid.
+func (m *hostMetrics) outliers(service string, c replicaset.OutlierCounts) {
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
+	byCause := func(name string, counts map[outlier.Cause]int) {
+		for cause, n := range counts {
+			m.metrics.Add(name, n, label, metrics.Label{Name: "cause", Value: cause.String()})
+		}
+	}
+	byCause("ejections", c.Ejections)
+	byCause("ejection_refusals", c.Refused)
+	if c.Invalid > 0 {
+		m.metrics.Add("ejections_invalid", c.Invalid, label)
+	}
+}
+
 func readTarget(primary bool) string {
 	if primary {
 		return "primary"
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -62,12 +62,12 @@
 		out.FloorMsAgo = uint32((now - f.AsOf).Milliseconds())
 	}
 	for _, m := range s.MemberStats(now) {
-		out.Upstreams = append(out.Upstreams, showUpstream(m))
+		out.Upstreams = append(out.Upstreams, showUpstream(m, now))
 	}
 	return out
 }
 
-func showUpstream(m replicaset.MemberStats) *inspectpb.Upstream {
+func showUpstream(m replicaset.MemberStats, now time.Duration) *inspectpb.Upstream {
 	out := &inspectpb.Upstream{
 		Name: m.ID, Address: m.Address, Zone: m.Zone, Slots: uint32(m.Slots),
 		Leaving: m.Leaving, Failing: m.Failing, Dead: m.Dead,
@@ -78,6 +78,10 @@
 		out.Held = showPosition(m.Position)
 		out.HeldMsAgo = uint32(m.PositionAge.Milliseconds())
 	}
+	if m.Ejection.Active(now) {
+		out.Ejection = m.Ejection.Cause.String()
+		out.EjectionMsLeft = uint32((m.Ejection.Until - now).Milliseconds())
+	}
 	return out
 }
 
--- a/node/entry/traffic.go
+++ b/node/entry/traffic.go
@@ -62,7 +62,7 @@
 }
 
 // countConnections adds the pools' connection counts to the traffic counts and the
-// metrics.
+// metrics, and the counts of ejected members to the metrics.
 func (h *Host) countConnections() {
 	for _, s := range h.allSets() {
 		c := s.TakeConnectionCounts()
@@ -70,6 +70,7 @@
 		h.traffic.addMany(connectionOpened, c.Opened)
 		h.traffic.addMany(connectionEvicted, c.Evicted)
 		h.metrics.connections(s.Service(), c)
+		h.metrics.outliers(s.Service(), s.TakeOutlierCounts())
 	}
 }
 
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -134,6 +134,9 @@
 			words = append(words, w.word)
 		}
 	}
+	if u.Ejection != "" {
+		words = append(words, fmt.Sprintf("ejected as %s for %d ms", u.Ejection, u.EjectionMsLeft))
+	}
 	if len(words) == 0 {
 		return "ok"
 	}
--- a/node/inspect/text_test.go
+++ b/node/inspect/text_test.go
@@ -10,7 +10,7 @@
 	"github.com/dotterelswitch/dotterelswitch/node/inspect/inspectpb"
 )
 
-// A host that cannot reach the store, with one dead and one draining member.
+// A host that cannot reach the store, with one dead, one draining and one ejected member.
 func TestWriteText(t *testing.T) {
 	s := &inspectpb.ShowResponse{
 		Host: "h1", Zone: "a", Ready: true, Sessions: 3, MaxSessions: 900, KnownServices: 40,
@@ -22,6 +22,7 @@
 			Upstreams: []*inspectpb.Upstream{
 				{Name: "db-1", Zone: "a", Slots: 3, Connections: 4, InUse: 3, Waiting: 2, Dead: true, Failing: true},
 				{Name: "db-2", Zone: "b", Slots: 3, Elsewhere: 1, Leaving: true, Held: &inspectpb.Position{Term: 2, Offset: 5}, HeldMsAgo: 40, Gates: []string{"10.0.0.2:7"}},
+				{Name: "db-3", Zone: "b", Slots: 3, Ejection: "slow", EjectionMsLeft: 900},
 			},
 		}},
 	}
@@ -35,9 +36,10 @@
 keeps 1 of 40 services
 
 service db: primary db-1, term 2, floor 2/7 of 30 ms ago, lock 8 held by h2, which promotes
-  UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE    LOG            THROUGH
-  db-1      a     3      4     3       2        0          dead     -              -
-  db-2      b     3      0     0       0        1          leaving  2/5 40 ms ago  10.0.0.2:7
+  UPSTREAM  ZONE  SLOTS  OPEN  IN USE  WAITING  ELSEWHERE  STATE                       LOG            THROUGH
+  db-1      a     3      4     3       2        0          dead                        -              -
+  db-2      b     3      0     0       0        1          leaving                     2/5 40 ms ago  10.0.0.2:7
+  db-3      b     3      0     0       0        0          ejected as slow for 900 ms  -              -
 `, out.String())
 }
 
--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -221,8 +221,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if admission == outlier.AsProbe {
-		answered := res.Err == nil && (res.Answer.Code == statement.OK || res.Answer.Code == statement.Failure)
-		m.recordChange(m.outlier.detector.ProbeEnded(answered, res.Answer.Code == statement.Failure, now-began-res.Waited, now), now)
+		failed := res.Answer.Code == statement.Failure
+		// The begin of a transaction succeeds on a member that fails all statements.
+		answered := res.Err == nil && (failed || j.Kind == JobRead && res.Answer.Code == statement.OK)
+		m.recordChange(m.outlier.detector.ProbeEnded(answered, failed, now-began-res.Waited, now), now)
 	}
 	res.Ejection = m.outlier.detector.Verdict(now)
 	return res
--- /dev/null
+++ b/node/replicaset/outlier_test.go
@@ -0,0 +1,280 @@
+package replicaset
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/directory"
+	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+// wordProtocol sends each operation as a line and reads the answer as a word.
+type wordProtocol struct{}
+
+func (wordProtocol) EncodeLogin(string, string, string) []byte { return []byte("login\n") }
+func (wordProtocol) EncodeTerminate() []byte                   { return nil }
+func (wordProtocol) Encode(statement.Operation) []byte         { return []byte("run\n") }
+
+func (wordProtocol) DecodeStatus(statement.Answer) (statement.Status, error) {
+	return statement.Status{}, nil
+}
+
+func (p wordProtocol) ReadLoginAnswer(r *bufio.Reader) (statement.Answer, error) {
+	return p.ReadAnswer(r)
+}
+
+func (wordProtocol) ReadAnswer(r *bufio.Reader) (statement.Answer, error) {
+	line, err := r.ReadString('\n')
+	if strings.TrimSpace(line) == "failed" {
+		return statement.ErrorAnswer(statement.Failure, "", statement.Idle), err
+	}
+	return statement.Answer{Code: statement.OK, Signature: "s"}, err
+}
+
+// brokenMember answers logins, and fails statements if failing is set.
+type brokenMember struct {
+	failing atomic.Bool
+	runs    atomic.Int64
+}
+
+func (b *brokenMember) serve(conn net.Conn) {
+	lines := bufio.NewScanner(conn)
+	for lines.Scan() {
+		answer := "ok\n"
+		if lines.Text() == "run" {
+			b.runs.Add(1)
+			if b.failing.Load() {
+				answer = "failed\n"
+			}
+		}
+		if _, err := conn.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+// jobFunc runs the jobs that a host sends to gates.
+type jobFunc func(ctx context.Context, j Job) Result
+
+func (f jobFunc) Run(ctx context.Context, _, _ string, j Job) Result { return f(ctx, j) }
+func (jobFunc) Alive(context.Context, string) bool                   { return true }
+func (jobFunc) Drop(string)                                          {}
+
+// groupOfThree returns the set of a host for the primary p and the replicas r1 and r2. The
+// hosts h1 and h2 are gates of all members.
+func groupOfThree(cfg Config) *Set {
+	cfg.Service, cfg.Log = "svc", zerolog.Nop()
+	s := New(cfg)
+	hosts := []gates.Host{{Name: "h0", Zone: "far", Address: "a0"}, {Name: "h1", Zone: "near", Address: "a1"}, {Name: "h2", Zone: "near", Address: "a2"}}
+	var entries []directory.Member
+	for _, id := range []string{"p", "r1", "r2"} {
+		entries = append(entries, directory.Member{Entry: directory.Entry{ID: id, Service: "svc", Zone: "near", Slots: 2, Address: id}})
+	}
+	s.Update(entries, catalog.Service{MaxConnections: 16}, gates.NewFleet(hosts, nil))
+	s.ObserveFloor(Floor{Position: logpos.Position{Term: 1, Offset: 1}, AsOf: clock.Now(), Leadership: Leadership{Primary: "p", Term: 1}})
+	return s
+}
+
+// gateOf returns a gate with connections to fake members, and the members.
+func gateOf(t *testing.T, disabled ...feature.Name) (*Set, map[string]*brokenMember) {
+	t.Helper()
+	members := map[string]*brokenMember{"p": {}, "r1": {}, "r2": {}}
+	features := feature.Set{}
+	for _, n := range disabled {
+		features[n] = true
+	}
+	dial := func(_ context.Context, _, address string) (net.Conn, error) {
+		client, server := net.Pipe()
+		t.Cleanup(func() { _ = client.Close(); _ = server.Close() })
+		go members[address].serve(server)
+		return client, nil
+	}
+	gate := groupOfThree(Config{Host: "h1", Dial: dial, Proto: wordProtocol{}, Features: features})
+	gate.ObserveLogMark(succession.LogMark{Member: "p", Term: 1, Position: logpos.Position{Term: 1, Offset: 1}})
+	return gate, members
+}
+
+// runReads sends reads through a host and counts the failed ones.
+func runReads(t *testing.T, s *Set, n int) int {
+	t.Helper()
+	failed := 0
+	for range n {
+		out := s.Read(t.Context(), boundedRead(time.Minute))
+		require.Contains(t, []statement.Code{statement.OK, statement.Failure}, out.Answer.Code, out.Cause)
+		if out.Answer.Code == statement.Failure {
+			failed++
+		}
+	}
+	return failed
+}
+
+// TestReadsLeaveFailingMember guards against a member that answers every statement with a
+// failure, while its health check passes, and goes on getting reads.
+func TestReadsLeaveFailingMember(t *testing.T) {
+	gate, members := gateOf(t)
+	host := groupOfThree(Config{Host: "h0", Remote: jobFunc(gate.Execute)})
+	members["r1"].failing.Store(true)
+	members["r2"].failing.Store(true)
+	require.Less(t, runReads(t, host, 100), 20)
+	r1, _ := host.Member("r1")
+	now := clock.Now()
+	require.Equal(t, outlier.Failing, r1.Ejection(now).Cause, "the gate's verdict arrived")
+	before := members["r1"].runs.Load() + members["r2"].runs.Load()
+	require.Zero(t, runReads(t, host, 50))
+	require.Equal(t, before, members["r1"].runs.Load()+members["r2"].runs.Load())
+	require.Positive(t, gate.TakeOutlierCounts().Ejections[outlier.Failing])
+}
+
+// TestMemberIsUsedAgainAfterRecovery guards against a member that stays ejected.
+func TestMemberIsUsedAgainAfterRecovery(t *testing.T) {
+	gate, members := gateOf(t)
+	host := groupOfThree(Config{Host: "h0", Remote: jobFunc(gate.Execute)})
+	members["r1"].failing.Store(true)
+	members["r2"].failing.Store(true)
+	runReads(t, host, 50)
+	members["r1"].failing.Store(false)
+	members["r2"].failing.Store(false)
+	before := members["r1"].runs.Load() + members["r2"].runs.Load()
+	require.Eventually(t, func() bool {
+		require.Zero(t, runReads(t, host, 5))
+		return members["r1"].runs.Load()+members["r2"].runs.Load() > before+20
+	}, 10*time.Second, 20*time.Millisecond)
+}
+
+// eject makes a gate eject a member.
+func eject(t *testing.T, gate *Set, id string) *Member {
+	t.Helper()
+	m, known := gate.Member(id)
+	require.True(t, known)
+	now := clock.Now()
+	for range 6 {
+		m.observeOutcome(now-time.Millisecond, now, statement.Answer{Code: statement.Failure}, "")
+	}
+	return m
+}
+
+// TestOnlyReadsAreRefused guards against a write, a commit or an open transaction that is
+// lost because of an ejection.
+func TestOnlyReadsAreRefused(t *testing.T) {
+	gate, _ := gateOf(t)
+	m := eject(t, gate, "r1")
+	for _, j := range []Job{
+		{Kind: JobPrimaryRead}, {Kind: JobWrite}, {Kind: JobBegin, RequirePrimary: true}, {Kind: JobStatement}, {Kind: JobCommit}, {Kind: JobRollback},
+		{Kind: JobRead, IgnoreEjection: true}, {Kind: JobBegin, IgnoreEjection: true},
+	} {
+		require.Equal(t, outlier.Admitted, m.admitRead(j, clock.Now()), "%+v", j)
+	}
+	for _, kind := range []JobKind{JobRead, JobBegin} {
+		res := gate.Execute(t.Context(), Job{Kind: kind, Member: "r1", Request: boundedRead(time.Second)})
+		var refused *RefusedError
+		require.ErrorAs(t, res.Err, &refused)
+		require.Zero(t, refused.RetryAfter)
+		require.Equal(t, outlier.Failing, res.Ejection.Cause)
+	}
+}
+
+// TestPrimaryIsJudgedAndServes guards against reads that a failing primary refuses, and
+// against a failing primary about which no verdict is given.
+func TestPrimaryIsJudgedAndServes(t *testing.T) {
+	gate, _ := gateOf(t)
+	m := eject(t, gate, "p")
+	require.Equal(t, outlier.Failing, m.Ejection(clock.Now()).Cause)
+	require.Equal(t, outlier.Admitted, m.admitRead(Job{Kind: JobRead}, clock.Now()))
+}
+
+// TestNothingIsEjectedWithoutNeed guards against ejections where the feature is disabled or
+// no other member can serve.
+func TestNothingIsEjectedWithoutNeed(t *testing.T) {
+	disabled, _ := gateOf(t, feature.OutlierEjection)
+	require.Zero(t, eject(t, disabled, "r1").Ejection(clock.Now()))
+	lone := setBehindGates(&overloadedRemote{})
+	require.Zero(t, eject(t, lone, "m").Ejection(clock.Now()))
+}
+
+// ejection returns the answer of a gate that refuses a read for an ejected member.
+func ejection(cause outlier.Cause) Result {
+	return Result{Err: errEjected, Ejection: outlier.Ejection{Cause: cause, Until: clock.Now() + time.Second}}
+}
+
+// TestGroupServesWithAllReplicasEjected guards against a group that serves no reads because
+// all replicas are ejected and the primary does not answer them.
+func TestGroupServesWithAllReplicasEjected(t *testing.T) {
+	ignored := 0
+	s := groupOfThree(Config{Host: "h0", Remote: jobFunc(func(_ context.Context, j Job) Result {
+		switch {
+		case j.Member == "p":
+			return Result{Err: &RefusedError{Reason: "no connection", MemberDead: true}}
+		case !j.IgnoreEjection:
+			return ejection(outlier.Failing)
+		}
+		ignored++
+		return Result{Answer: statement.Answer{Code: statement.OK, Signature: "s"}}
+	})})
+	for i := range 2 {
+		out := s.Read(t.Context(), boundedRead(time.Second))
+		require.Equal(t, statement.OK, out.Answer.Code, out.Cause)
+		require.Equal(t, i+1, ignored)
+	}
+}
+
+// TestOverloadedMemberPrecedesFailingOne guards against a crowd that an overloaded group
+// sends to the one member that fails its statements. A slow member serves the crowd.
+func TestOverloadedMemberPrecedesFailingOne(t *testing.T) {
+	for cause, code := range map[outlier.Cause]statement.Code{outlier.Failing: statement.Busy, outlier.Slow: statement.OK} {
+		s := groupOfThree(Config{Host: "h0", Remote: jobFunc(func(_ context.Context, j Job) Result {
+			switch {
+			case j.Member != "r1":
+				return Result{Err: &RefusedError{Reason: "too many statements wait for the member", RetryAfter: time.Second}}
+			case !j.IgnoreEjection:
+				return ejection(cause)
+			}
+			return Result{Answer: statement.Answer{Code: statement.OK, Signature: "s"}}
+		})})
+		require.Equal(t, code, s.Read(t.Context(), boundedRead(time.Second)).Answer.Code, cause)
+	}
+}
+
+// TestGateVerdictExpires guards against a verdict of a gate that is not taken, or that
+// outlasts its time.
+func TestGateVerdictExpires(t *testing.T) {
+	s := groupOfThree(Config{Host: "h0"})
+	m, _ := s.Member("r1")
+	now := clock.Now()
+	verdict := outlier.Ejection{Cause: outlier.Slow, Until: now + time.Second}
+	answer := Result{Answer: statement.Answer{Code: statement.OK, Signature: "s"}, Ejection: verdict}
+	m.observeRemoteOutcome(now, now, answer, "")
+	answer.Ejection.Until -= 500 * time.Millisecond
+	m.observeRemoteOutcome(now, now, answer, "")
+	require.Equal(t, verdict, m.Ejection(now), "the verdict that lasts longest counts")
+	require.True(t, m.candidate("p", now).Ejected)
+	require.Zero(t, m.Ejection(now+time.Second))
+	require.False(t, m.candidate("p", now+time.Second).Ejected)
+}
+
+// TestAbsurdVerdictIsIgnored guards against a gate that takes a member from all hosts for an
+// hour, or for a reason that this version does not know.
+func TestAbsurdVerdictIsIgnored(t *testing.T) {
+	s := groupOfThree(Config{Host: "h0"})
+	m, _ := s.Member("r1")
+	now := clock.Now()
+	for _, e := range []outlier.Ejection{{Cause: outlier.Failing, Until: now + time.Hour}, {Until: now + time.Second}} {
+		m.observeRemoteOutcome(now, now, Result{Answer: statement.Answer{Code: statement.OK, Signature: "s"}, Ejection: e}, "")
+	}
+	require.Zero(t, m.Ejection(now))
+	require.Equal(t, 2, s.TakeOutlierCounts().Invalid)
+}
