--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -113,29 +113,35 @@
 	if !m.set.ejectsOutliers() {
 		return
 	}
-	failed := a.Code == statement.Failure
-	m.mu.Lock()
-	change, suspicious := m.outlier.detector.Observe(outlier.Sample{At: now, Took: now - sent, Failed: failed, Team: team})
-	m.recordChange(change, now)
-	m.mu.Unlock()
-	if !suspicious {
-		return
+	sample := outlier.Sample{At: now, Took: now - sent, Failed: a.Code == statement.Failure, Team: team}
+	suspicious := false
+	m.judge(now, func(d *outlier.Detector) (change outlier.Change) {
+		change, suspicious = d.Observe(sample)
+		return change
+	})
+	if suspicious {
+		peers := m.set.outlierPeers(m, now)
+		m.judge(now, func(d *outlier.Detector) outlier.Change { return d.Judge(peers, now) })
 	}
-	peers := m.set.outlierPeers(m, now)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.recordChange(m.outlier.detector.Judge(peers, now), now)
 }
 
-// recordChange counts and logs a change of this host's verdict. It is called with mu held.
-func (m *Member) recordChange(change outlier.Change, now time.Duration) {
-	switch verdict := m.outlier.detector.Verdict(now); change {
-	case outlier.Ejected:
+// judge applies f to the detector, counts and logs a change of the verdict, and returns the
+// verdict.
+func (m *Member) judge(now time.Duration, f func(*outlier.Detector) outlier.Change) outlier.Ejection {
+	m.mu.Lock()
+	change := f(&m.outlier.detector)
+	verdict := m.outlier.detector.Verdict(now)
+	if change == outlier.Ejected {
 		m.outlier.counts.Ejections = increment(m.outlier.counts.Ejections, verdict.Cause, 1)
+	}
+	m.mu.Unlock()
+	switch change {
+	case outlier.Ejected:
 		eventlog.UpstreamEjected.Warn(m.log).Stringer("cause", verdict.Cause).Dur("for_ms", verdict.Until-now).Send()
 	case outlier.Readmitted:
 		eventlog.UpstreamReadmitted.Info(m.log).Send()
 	}
+	return verdict
 }
 
 // outlierPeers returns what this host knows about the other members of the group.
@@ -165,31 +171,39 @@
 	if !m.set.ejectsOutliers() {
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.takeVerdict(res.Ejection, now)
+	if !m.takeVerdict(res.Ejection, now) {
+		m.log.Warn().Stringer("cause", res.Ejection.Cause).Dur("for_ms", res.Ejection.Until-now).Msg("ignored an invalid ejection that a gate has reported")
+	}
 	failed := res.Answer.Code == statement.Failure
 	if res.Err != nil || res.Answer.Signature == "" && !failed {
 		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	took := max(now-began-res.Waited-m.set.topology.EstimateRoundTrip(m.entry.Zone), 0)
 	m.outlier.remote.Add(outlier.Sample{At: now, Took: took, Failed: failed, Team: team})
 }
 
 // takeVerdict takes a gate's verdict. Of several gates' verdicts the one that lasts longest
-// counts. It is called with mu held.
-func (m *Member) takeVerdict(e outlier.Ejection, now time.Duration) {
-	switch {
-	case e == outlier.Ejection{}:
-	case e.Until > now+outlier.MaxRemaining || e.Cause == outlier.UnknownCause:
-		m.outlier.counts.Invalid++
-		if last := m.outlier.invalidLoggedAt; last == 0 || now-last >= invalidVerdictLogInterval {
-			m.outlier.invalidLoggedAt = now
-			m.log.Warn().Stringer("cause", e.Cause).Dur("for_ms", e.Until-now).Msg("ignored an invalid ejection that a gate has reported")
+// counts. It returns false if the verdict is invalid and that should be logged.
+func (m *Member) takeVerdict(e outlier.Ejection, now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e == (outlier.Ejection{}) {
+		return true
+	}
+	if e.Until <= now+outlier.MaxRemaining && e.Cause != outlier.UnknownCause {
+		if e.Until > m.outlier.reported.Until {
+			m.outlier.reported = e
 		}
-	case e.Until > m.outlier.reported.Until:
-		m.outlier.reported = e
+		return true
+	}
+	m.outlier.counts.Invalid++
+	if last := m.outlier.invalidLoggedAt; last != 0 && now-last < invalidVerdictLogInterval {
+		return true
 	}
+	m.outlier.invalidLoggedAt = now
+	return false
 }
 
 // TakeOutlierCounts returns the counts since the last call.
@@ -212,38 +226,39 @@
 		return run()
 	}
 	began := clock.Now()
-	admission := m.admitRead(j, began)
+	admission, verdict := m.admitRead(j, began)
 	if admission == outlier.Refused {
-		return Result{Err: errEjected, Ejection: m.Ejection(began)}
+		return Result{Err: errEjected, Ejection: verdict}
 	}
 	res := run()
 	now := clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if admission == outlier.AsProbe {
-		failed := res.Answer.Code == statement.Failure
-		// The begin of a transaction succeeds on a member that fails all statements.
-		answered := res.Err == nil && (failed || j.Kind == JobRead && res.Answer.Code == statement.OK)
-		m.recordChange(m.outlier.detector.ProbeEnded(answered, failed, now-began-res.Waited, now), now)
-	}
-	res.Ejection = m.outlier.detector.Verdict(now)
+	failed := res.Answer.Code == statement.Failure
+	// The begin of a transaction succeeds on a member that fails all statements.
+	answered := res.Err == nil && (failed || j.Kind == JobRead && res.Answer.Code == statement.OK)
+	res.Ejection = m.judge(now, func(d *outlier.Detector) outlier.Change {
+		if admission != outlier.AsProbe {
+			return outlier.Unchanged
+		}
+		return d.ProbeEnded(answered, failed, now-began-res.Waited, now)
+	})
 	return res
 }
 
-// admitRead decides whether a job may run on the member in view of its ejection. Only reads
-// that a replica can serve are refused. A primary refuses nothing.
-func (m *Member) admitRead(j Job, now time.Duration) outlier.Admission {
+// admitRead decides whether a job may run on the member in view of its ejection, and returns
+// the verdict. Only reads that a replica can serve are refused. A primary refuses nothing.
+func (m *Member) admitRead(j Job, now time.Duration) (outlier.Admission, outlier.Ejection) {
 	transaction := j.Kind == JobBegin && !j.RequirePrimary
 	if j.IgnoreEjection || j.Kind != JobRead && !transaction || m.set.isAssumedPrimary(m) {
-		return outlier.Admitted
+		return outlier.Admitted, outlier.Ejection{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	admission := m.outlier.detector.Admit(transaction, now)
+	verdict := m.outlier.detector.Verdict(now)
 	if admission == outlier.Refused {
-		m.outlier.counts.Refused = increment(m.outlier.counts.Refused, m.outlier.detector.Verdict(now).Cause, 1)
+		m.outlier.counts.Refused = increment(m.outlier.counts.Refused, verdict.Cause, 1)
 	}
-	return admission
+	return admission, verdict
 }
 
 // ejectionProgress tracks, for one read, the members that refused it because they are
--- a/node/replicaset/outlier_test.go
+++ b/node/replicaset/outlier_test.go
@@ -3,9 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"net"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,53 +16,40 @@
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
-	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
-// wordProtocol sends each operation as a line and reads the answer as a word.
-type wordProtocol struct{}
-
-func (wordProtocol) EncodeLogin(string, string, string) []byte { return []byte("login\n") }
-func (wordProtocol) EncodeTerminate() []byte                   { return nil }
-func (wordProtocol) Encode(statement.Operation) []byte         { return []byte("run\n") }
-
-func (wordProtocol) DecodeStatus(statement.Answer) (statement.Status, error) {
-	return statement.Status{}, nil
-}
-
-func (p wordProtocol) ReadLoginAnswer(r *bufio.Reader) (statement.Answer, error) {
-	return p.ReadAnswer(r)
+// fakeGate is a gate of a group whose replicas fail statements if failing is set.
+type fakeGate struct {
+	set     *Set
+	failing bool
+	// onReplicas counts the statements that ran on the replicas.
+	onReplicas int
 }
 
-func (wordProtocol) ReadAnswer(r *bufio.Reader) (statement.Answer, error) {
-	line, err := r.ReadString('\n')
-	if strings.TrimSpace(line) == "failed" {
-		return statement.ErrorAnswer(statement.Failure, "", statement.Idle), err
+func newFakeGate(disabled ...feature.Name) *fakeGate {
+	features := feature.Set{}
+	for _, n := range disabled {
+		features[n] = true
 	}
-	return statement.Answer{Code: statement.OK, Signature: "s"}, err
+	return &fakeGate{set: groupOfThree(Config{Host: "h1", Features: features})}
 }
 
-// brokenMember answers logins, and fails statements if failing is set.
-type brokenMember struct {
-	failing atomic.Bool
-	runs    atomic.Int64
-}
-
-func (b *brokenMember) serve(conn net.Conn) {
-	lines := bufio.NewScanner(conn)
-	for lines.Scan() {
-		answer := "ok\n"
-		if lines.Text() == "run" {
-			b.runs.Add(1)
-			if b.failing.Load() {
-				answer = "failed\n"
+// run runs a job as Execute does, without a connection.
+func (g *fakeGate) run(_ context.Context, j Job) Result {
+	return g.set.executeJudged(j, func() Result {
+		a := statement.Answer{Code: statement.OK, Signature: "s"}
+		if j.Member != "p" {
+			g.onReplicas++
+			if g.failing {
+				a = statement.ErrorAnswer(statement.Failure, "", statement.Idle)
 			}
 		}
-		if _, err := conn.Write([]byte(answer)); err != nil {
-			return
-		}
-	}
+		m, _ := g.set.Member(j.Member)
+		now := clock.Now()
+		m.observeOutcome(now, now, a, "")
+		return Result{Answer: a}
+	})
 }
 
 // jobFunc runs the jobs that a host sends to gates.
@@ -90,25 +74,6 @@
 	return s
 }
 
-// gateOf returns a gate with connections to fake members, and the members.
-func gateOf(t *testing.T, disabled ...feature.Name) (*Set, map[string]*brokenMember) {
-	t.Helper()
-	members := map[string]*brokenMember{"p": {}, "r1": {}, "r2": {}}
-	features := feature.Set{}
-	for _, n := range disabled {
-		features[n] = true
-	}
-	dial := func(_ context.Context, _, address string) (net.Conn, error) {
-		client, server := net.Pipe()
-		t.Cleanup(func() { _ = client.Close(); _ = server.Close() })
-		go members[address].serve(server)
-		return client, nil
-	}
-	gate := groupOfThree(Config{Host: "h1", Dial: dial, Proto: wordProtocol{}, Features: features})
-	gate.ObserveLogMark(succession.LogMark{Member: "p", Term: 1, Position: logpos.Position{Term: 1, Offset: 1}})
-	return gate, members
-}
-
 // runReads sends reads through a host and counts the failed ones.
 func runReads(t *testing.T, s *Set, n int) int {
 	t.Helper()
@@ -123,37 +88,28 @@
 	return failed
 }
 
-// TestReadsLeaveFailingMember guards against a member that answers every statement with a
-// failure, while its health check passes, and goes on getting reads.
+// TestReadsLeaveFailingMember guards against members that answer every statement with a
+// failure, while their health check passes, and go on getting reads.
 func TestReadsLeaveFailingMember(t *testing.T) {
-	gate, members := gateOf(t)
-	host := groupOfThree(Config{Host: "h0", Remote: jobFunc(gate.Execute)})
-	members["r1"].failing.Store(true)
-	members["r2"].failing.Store(true)
+	gate := newFakeGate()
+	host := groupOfThree(Config{Host: "h0", Remote: jobFunc(gate.run)})
+	gate.failing = true
 	require.Less(t, runReads(t, host, 100), 20)
-	r1, _ := host.Member("r1")
-	now := clock.Now()
-	require.Equal(t, outlier.Failing, r1.Ejection(now).Cause, "the gate's verdict arrived")
-	before := members["r1"].runs.Load() + members["r2"].runs.Load()
+	before := gate.onReplicas
 	require.Zero(t, runReads(t, host, 50))
-	require.Equal(t, before, members["r1"].runs.Load()+members["r2"].runs.Load())
-	require.Positive(t, gate.TakeOutlierCounts().Ejections[outlier.Failing])
+	require.Equal(t, before, gate.onReplicas)
+	require.Equal(t, 2, gate.set.TakeOutlierCounts().Ejections[outlier.Failing])
 }
 
 // TestMemberIsUsedAgainAfterRecovery guards against a member that stays ejected.
 func TestMemberIsUsedAgainAfterRecovery(t *testing.T) {
-	gate, members := gateOf(t)
-	host := groupOfThree(Config{Host: "h0", Remote: jobFunc(gate.Execute)})
-	members["r1"].failing.Store(true)
-	members["r2"].failing.Store(true)
+	gate := newFakeGate()
+	host := groupOfThree(Config{Host: "h0", Remote: jobFunc(gate.run)})
+	gate.failing = true
 	runReads(t, host, 50)
-	members["r1"].failing.Store(false)
-	members["r2"].failing.Store(false)
-	before := members["r1"].runs.Load() + members["r2"].runs.Load()
-	require.Eventually(t, func() bool {
-		require.Zero(t, runReads(t, host, 5))
-		return members["r1"].runs.Load()+members["r2"].runs.Load() > before+20
-	}, 10*time.Second, 20*time.Millisecond)
+	gate.failing = false
+	before := gate.onReplicas
+	require.Eventually(t, func() bool { return runReads(t, host, 5) == 0 && gate.onReplicas > before+20 }, 10*time.Second, 20*time.Millisecond)
 }
 
 // eject makes a gate eject a member.
@@ -171,16 +127,17 @@
 // TestOnlyReadsAreRefused guards against a write, a commit or an open transaction that is
 // lost because of an ejection.
 func TestOnlyReadsAreRefused(t *testing.T) {
-	gate, _ := gateOf(t)
-	m := eject(t, gate, "r1")
+	gate := newFakeGate()
+	m := eject(t, gate.set, "r1")
 	for _, j := range []Job{
 		{Kind: JobPrimaryRead}, {Kind: JobWrite}, {Kind: JobBegin, RequirePrimary: true}, {Kind: JobStatement}, {Kind: JobCommit}, {Kind: JobRollback},
 		{Kind: JobRead, IgnoreEjection: true}, {Kind: JobBegin, IgnoreEjection: true},
 	} {
-		require.Equal(t, outlier.Admitted, m.admitRead(j, clock.Now()), "%+v", j)
+		admission, _ := m.admitRead(j, clock.Now())
+		require.Equal(t, outlier.Admitted, admission, "%+v", j)
 	}
 	for _, kind := range []JobKind{JobRead, JobBegin} {
-		res := gate.Execute(t.Context(), Job{Kind: kind, Member: "r1", Request: boundedRead(time.Second)})
+		res := gate.set.Execute(t.Context(), Job{Kind: kind, Member: "r1", Request: boundedRead(time.Second)})
 		var refused *RefusedError
 		require.ErrorAs(t, res.Err, &refused)
 		require.Zero(t, refused.RetryAfter)
@@ -191,17 +148,17 @@
 // TestPrimaryIsJudgedAndServes guards against reads that a failing primary refuses, and
 // against a failing primary about which no verdict is given.
 func TestPrimaryIsJudgedAndServes(t *testing.T) {
-	gate, _ := gateOf(t)
-	m := eject(t, gate, "p")
+	m := eject(t, newFakeGate().set, "p")
 	require.Equal(t, outlier.Failing, m.Ejection(clock.Now()).Cause)
-	require.Equal(t, outlier.Admitted, m.admitRead(Job{Kind: JobRead}, clock.Now()))
+	admission, _ := m.admitRead(Job{Kind: JobRead}, clock.Now())
+	require.Equal(t, outlier.Admitted, admission)
 }
 
 // TestNothingIsEjectedWithoutNeed guards against ejections where the feature is disabled or
 // no other member can serve.
 func TestNothingIsEjectedWithoutNeed(t *testing.T) {
-	disabled, _ := gateOf(t, feature.OutlierEjection)
-	require.Zero(t, eject(t, disabled, "r1").Ejection(clock.Now()))
+	disabled := newFakeGate(feature.OutlierEjection)
+	require.Zero(t, eject(t, disabled.set, "r1").Ejection(clock.Now()))
 	lone := setBehindGates(&overloadedRemote{})
 	require.Zero(t, eject(t, lone, "m").Ejection(clock.Now()))
 }
@@ -278,3 +235,27 @@
 	require.Zero(t, m.Ejection(now))
 	require.Equal(t, 2, s.TakeOutlierCounts().Invalid)
 }
+
+// failingProtocol is the protocol of a member that answers every operation with a failure.
+type failingProtocol struct{ Protocol }
+
+func (failingProtocol) Encode(statement.Operation) []byte { return []byte("x") }
+
+func (failingProtocol) ReadAnswer(*bufio.Reader) (statement.Answer, error) {
+	return statement.ErrorAnswer(statement.Failure, "", statement.Idle), nil
+}
+
+// TestAnswersOfMemberAreJudged guards against failures that are not recorded, and against a
+// member that is judged by its answers to the proxy's own operations.
+func TestAnswersOfMemberAreJudged(t *testing.T) {
+	for verb, ejected := range map[statement.Verb]bool{statement.Forward: true, statement.ExecutePrepared: true, statement.ReportStatus: false} {
+		c, _ := idleConn(t)
+		c.proto = failingProtocol{}
+		c.member, _ = groupOfThree(Config{Host: "h1"}).Member("r1")
+		for range 6 {
+			_, err := c.Do(statement.Operation{Verb: verb}, clock.Now()+time.Second)
+			require.NoError(t, err)
+		}
+		require.Equal(t, ejected, c.member.Ejection(clock.Now()) != outlier.Ejection{})
+	}
+}
