--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -1,6 +1,9 @@
 package outlier
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// failureWindow, minFailures and failureShare define a member that fails: at least
@@ -13,23 +16,27 @@
 	// concerned. With six gates per member, five failures each are 30 lost reads.
 	fewFailures = 3
 	// A smaller share counts over a longer time if neither the peers nor the member's own
-	// past have half of it. A member that was ejected within memory needs half as much
-	// evidence, because three probes of a member that fails 0.4 succeed in one of five
-	// cases.
+	// past have half of it.
 	shareWindow        = 3 * time.Second
 	minShareStatements = 10
+	minShareFailures   = 4
 	smallFailureShare  = 0.2
 	minPeerStatements  = 5
+	// relapseStatements and relapseFailures suffice for a member that was ejected within
+	// memory: three probes of a member that fails 0.4 succeed in one of five cases.
+	relapseStatements = 4
+	relapseFailures   = 2
 	// A slow member takes slowFactor times as long as its peers and slowMargin longer: a
 	// read of 18 ms that takes 90 ms still meets its objective of 500 ms, but occupies
 	// five times its share of slots. The margin ignores differences between kinds of
 	// statements, which take 6 to 30 ms.
 	slowFactor = 4
 	slowMargin = 50 * time.Millisecond
-	// minSlowSamples and minPeerSamples are the numbers of samples of the member and of its
-	// peers in each half of a span.
+	// minSlowSamples is the number of slow samples of the member before and after
+	// minPeerSamples of its peers, and minSlowTime the time over which it must be slow.
 	minSlowSamples = 5
-	minPeerSamples = 2
+	minPeerSamples = 3
+	minSlowTime    = time.Second
 	// slowCheckInterval bounds the cost of comparing response times.
 	slowCheckInterval = 100 * time.Millisecond
 	// pastWeight is the weight of a sample in the averages of the member's past, which
@@ -56,10 +63,6 @@
 	trialRefusal = 250 * time.Millisecond
 )
 
-// slowSpans are the times over which response times are compared. A gate that runs little
-// on the peers needs the longest; the shortest serves a busy one.
-var slowSpans = [...]time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second}
-
 // peerHistory is how far back the samples of a peer are used. A gate that is no gate of the
 // peer sees only its own callers' statements there, about one in two seconds with 74 hosts
 // and 80 reads a second per group.
@@ -236,7 +239,7 @@
 		d.learn(s)
 	}
 	if s.Failed {
-		return Unchanged, d.window.tally(s.At-shareWindow).failures >= fewFailures
+		return Unchanged, d.window.tally(s.At-shareWindow).failures >= relapseFailures
 	}
 	if s.Took < slowMargin || s.At < d.nextSlow {
 		return Unchanged, false
@@ -253,9 +256,15 @@
 	d.pastSamples++
 	weight := max(pastWeight, 1/float64(d.pastSamples))
 	d.pastShare += weight * (failed - d.pastShare)
-	if !s.Failed {
-		d.pastTime += time.Duration(weight * float64(s.Took-d.pastTime))
+	if s.Failed {
+		return
+	}
+	took := s.Took
+	if d.pastTime > 0 {
+		// The first seconds in which a member is slow must not become its past.
+		took = min(took, pastFactor*d.pastTime)
 	}
+	d.pastTime += time.Duration(weight * float64(took-d.pastTime))
 }
 
 // Judge compares the member with its peers and its past and ejects it if it is an
@@ -289,9 +298,9 @@
 		return true
 	}
 	t = d.window.tally(now - shareWindow)
-	statementsNeeded, failuresNeeded := minShareStatements, minFailures
+	statementsNeeded, failuresNeeded := minShareStatements, minShareFailures
 	if d.length > 0 && now < d.until+memory {
-		statementsNeeded, failuresNeeded = minShareStatements/2, fewFailures
+		statementsNeeded, failuresNeeded = relapseStatements, relapseFailures
 	}
 	if t.statements < statementsNeeded || t.failures < failuresNeeded || t.share() < smallFailureShare || t.ofOneTeam() {
 		return false
@@ -317,8 +326,8 @@
 	return took >= slowFactor*reference && took >= reference+slowMargin
 }
 
-// slow reports whether the member is slow compared with its peers in both halves of a span.
-// If the load of all members rises or falls within one half, they are alike in the other.
+// slow reports whether the member was slow compared with its peers before and after their
+// latest samples. If the load of all members rises or falls once, these samples show it.
 // While a peer is ejected, the others carry its load, so that none of them is slow.
 func (d *Detector) slow(peers []Peer, now time.Duration) bool {
 	var theirs []Sample
@@ -326,30 +335,31 @@
 		if p.Ejected {
 			return false
 		}
-		theirs = append(theirs, p.Samples...)
+		theirs = append(theirs, succeeded(p.Samples)...)
 	}
-	for _, span := range slowSpans {
-		own := d.window.Since(now - span)
-		middle := now - span/2
-		earlier, slowBefore := slowIn(own, theirs, now-span, middle)
-		later, slowNow := slowIn(own, theirs, middle, now)
-		if slowBefore && slowNow && !d.alwaysSlow(min(earlier.own, later.own)) {
-			d.slowRef = later.peers
-			return true
-		}
+	own := succeeded(d.window.Since(now - peerHistory))
+	if len(own) < 2*minSlowSamples {
+		return false
 	}
-	return false
-}
-
-// medians are the median times of a member and of its peers.
-type medians struct{ own, peers time.Duration }
-
-// slowIn reports whether the member was slow between two times.
-func slowIn(own, peers []Sample, from, until time.Duration) (medians, bool) {
-	ownMedian, n := median(own, from, until)
-	peersMedian, known := median(peers, from, until)
-	enough := n >= minSlowSamples && known >= minPeerSamples
-	return medians{ownMedian, peersMedian}, enough && isSlow(ownMedian, peersMedian)
+	slices.SortFunc(theirs, func(a, b Sample) int { return int(b.At - a.At) })
+	theirs = before(theirs, own[minSlowSamples-1].At)
+	if len(theirs) < minPeerSamples {
+		return false
+	}
+	from := min(theirs[minPeerSamples-1].At, now-minSlowTime)
+	earlier := before(own, from)
+	if len(earlier) < minSlowSamples {
+		return false
+	}
+	between := theirs[:max(len(theirs)-len(before(theirs, from)), minPeerSamples)]
+	// Of few samples that vary much the median may be small by chance.
+	reference := max(median(between), mean(between))
+	was, is := median(earlier[:minSlowSamples]), median(own[:minSlowSamples])
+	if !isSlow(was, reference) || !isSlow(is, reference) || d.alwaysSlow(min(was, is)) {
+		return false
+	}
+	d.slowRef = reference
+	return true
 }
 
 // alwaysSlow reports whether a time is usual for the member, for example because its
--- a/core/outlier/window.go
+++ b/core/outlier/window.go
@@ -91,18 +91,35 @@
 	return t.failedTeam != "" && !t.otherFailed && t.otherServed
 }
 
-// median returns the median time of the successful samples with from < At <= until, and
-// how many there are. Failures are left out: they are often faster than successes.
-func median(samples []Sample, from, until time.Duration) (time.Duration, int) {
+// succeeded returns the successful samples. Failures are often faster than successes.
+func succeeded(samples []Sample) []Sample {
+	return slices.DeleteFunc(slices.Clone(samples), func(s Sample) bool { return s.Failed })
+}
+
+// before returns the samples before a time, of samples with the latest first.
+func before(samples []Sample, at time.Duration) []Sample {
+	i := slices.IndexFunc(samples, func(s Sample) bool { return s.At < at })
+	if i < 0 {
+		return nil
+	}
+	return samples[i:]
+}
+
+// median returns the median time of at least one sample.
+func median(samples []Sample) time.Duration {
 	var took []time.Duration
 	for _, s := range samples {
-		if !s.Failed && s.At > from && s.At <= until {
-			took = append(took, s.Took)
-		}
-	}
-	if len(took) == 0 {
-		return 0, 0
+		took = append(took, s.Took)
 	}
 	slices.Sort(took)
-	return (took[(len(took)-1)/2] + took[len(took)/2]) / 2, len(took)
+	return (took[(len(took)-1)/2] + took[len(took)/2]) / 2
+}
+
+// mean returns the mean time of at least one sample.
+func mean(samples []Sample) time.Duration {
+	var sum time.Duration
+	for _, s := range samples {
+		sum += s.Took
+	}
+	return sum / time.Duration(len(samples))
 }
