--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -7,11 +7,13 @@
 
 const (
 	// failureWindow, minFailures and failureShare define a member that fails: at least
-	// minFailures failures in the window, and at least that share of its statements. A
-	// lone failure in low traffic is no evidence.
-	failureWindow = time.Second
-	minFailures   = 5
-	failureShare  = 0.5
+	// minFailures failures in the window, and at least that share of its latest statements.
+	// A lone failure in low traffic is no evidence. With all statements of the window, a
+	// member that has just begun to fail 400 statements a second had failed 130.
+	failureWindow     = time.Second
+	failureStatements = 10
+	minFailures       = 5
+	failureShare      = 0.5
 	// fewFailures are enough if no statement succeeded in the window and two teams are
 	// concerned. With six gates per member, five failures each are 30 lost reads.
 	fewFailures = 3
@@ -290,8 +292,8 @@
 }
 
 func (d *Detector) failing(peers []Peer, now time.Duration) bool {
-	t := d.window.tally(now - failureWindow)
-	if t.failures >= minFailures && t.share() >= failureShare && !t.ofOneTeam() {
+	t, latest := d.window.tally(now-failureWindow), d.window.tallyLatest(now-failureWindow, failureStatements)
+	if latest.failures >= minFailures && latest.share() >= failureShare && !t.ofOneTeam() {
 		return true
 	}
 	if t.failures >= fewFailures && t.failures == t.statements && t.otherFailed {
--- a/core/outlier/detector_test.go
+++ b/core/outlier/detector_test.go
@@ -97,3 +97,19 @@
 	change, _ := d.Observe(outlier.Sample{At: 4 * time.Second, Failed: true})
 	require.Equal(t, outlier.Unchanged, change)
 }
+
+// TestBusyMemberIsEjectedAtOnce guards against the successes of the last second that hide
+// the failures of a member that runs 400 statements a second.
+func TestBusyMemberIsEjectedAtOnce(t *testing.T) {
+	var d outlier.Detector
+	now, failures := time.Duration(0), 0
+	for ; now < time.Second; now += 2500 * time.Microsecond {
+		d.Observe(outlier.Sample{At: now, Took: 2 * ms})
+	}
+	for change := outlier.Unchanged; change != outlier.Ejected && failures < 100; failures++ {
+		d.Observe(outlier.Sample{At: now, Took: 2 * ms, Failed: true})
+		change = d.Judge(nil, now)
+		now += 2500 * time.Microsecond
+	}
+	require.Equal(t, 5, failures)
+}
--- a/core/outlier/window.go
+++ b/core/outlier/window.go
@@ -65,9 +65,15 @@
 	otherFailed, otherServed bool
 }
 
-func (w *Window) tally(after time.Duration) tally {
+func (w *Window) tally(after time.Duration) tally { return w.tallyLatest(after, maxSamples) }
+
+// tallyLatest counts at most limit samples, the latest ones.
+func (w *Window) tallyLatest(after time.Duration, limit int) tally {
 	var t tally
 	w.each(after, func(s Sample) {
+		if t.statements == limit {
+			return
+		}
 		t.statements++
 		if !s.Failed {
 			return
