Replicaset: obey a verdict that comes after the member was chosen

The verdict was read again after the ranking. If it had come in between, for example because another read had become the probe, the read ran on the ejected member although others could serve it.

--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -301,20 +301,15 @@
 	return p.overload == nil || c == outlier.Slow
 }
 
-// readerOf returns the reader for the best member that is left. If it is ejected, all
-// others have been tried or are worse.
-func readerOf(m *Member, p *readProgress) (reader, error) {
-	now := clock.Now()
-	m.mu.Lock()
-	verdict, ejected := m.ejection(now), m.ranksEjected(now)
-	m.mu.Unlock()
-	switch {
-	case !ejected:
-		return reader{member: m}, nil
-	case !p.usable(verdict.Cause):
+// readerOf returns the reader for the best member that is left. ejected is how the member
+// was ranked: if it was ejected, all others have been tried or are worse. A verdict that
+// has come since is left to the gate, because another member may serve the read.
+func readerOf(m *Member, ejected bool, p *readProgress) (reader, error) {
+	verdict := m.Ejection(clock.Now())
+	if ejected && verdict != (outlier.Ejection{}) && !p.usable(verdict.Cause) {
 		return reader{}, p.overload
 	}
-	return reader{member: m, ignoreEjection: true}, nil
+	return reader{member: m, ignoreEjection: ejected}, nil
 }
 
 // ejectedReader returns a member that refused the read because it is ejected, once no other
--- a/node/replicaset/outlier_test.go
+++ b/node/replicaset/outlier_test.go
@@ -189,6 +189,20 @@
 	}
 }
 
+// TestVerdictAfterChoiceIsObeyed guards against a read that runs on an ejected member while
+// others can serve it, because the verdict came after the member was chosen: for example
+// while another read became the probe.
+func TestVerdictAfterChoiceIsObeyed(t *testing.T) {
+	s := groupOfThree(Config{Host: "h0"})
+	progress := newReadProgress()
+	m, ejected, found := s.newAttempts(boundedRead(time.Second)).boundedReader(t.Context(), progress)
+	require.True(t, found)
+	m.observeRemoteOutcome(0, clock.Now(), ejection(outlier.Failing), "")
+	r, err := readerOf(m, ejected, progress)
+	require.NoError(t, err)
+	require.False(t, r.ignoreEjection)
+}
+
 // TestOverloadedMemberPrecedesFailingOne guards against a crowd that an overloaded group
 // sends to the one member that fails its statements. A slow member serves the crowd.
 func TestOverloadedMemberPrecedesFailingOne(t *testing.T) {
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -68,8 +68,8 @@
 // all replicas lag, such retries would overload the gates as well.
 func (a *attempts) pickReader(ctx context.Context, progress *readProgress) (reader, error) {
 	s := a.set
-	if m, found := a.boundedReader(ctx, progress); found {
-		return readerOf(m, progress)
+	if m, ejected, found := a.boundedReader(ctx, progress); found {
+		return readerOf(m, ejected, progress)
 	}
 	if m, found := a.ejectedReader(progress); found {
 		return reader{member: m, ignoreEjection: true}, nil
@@ -87,8 +87,8 @@
 		return reader{member: m, verifyPrimary: true}, nil
 	}
 	if bounded && len(progress.attempted) == 0 && s.awaitFloor(ctx, a.request) {
-		if m, found := a.boundedReader(ctx, progress); found {
-			return readerOf(m, progress)
+		if m, ejected, found := a.boundedReader(ctx, progress); found {
+			return readerOf(m, ejected, progress)
 		}
 	}
 	m, found := s.awaitPrimary(ctx, &a.request)
@@ -98,27 +98,29 @@
 	return reader{member: m, verifyPrimary: true}, nil
 }
 
-// boundedReader returns the best member for a read whose floor this host knows.
-// If only lagging members are left, a read of the caller's own commit waits for
-// a replica to catch up.
-func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (*Member, bool) {
+// boundedReader returns the best member for a read whose floor this host knows, and
+// whether it is ejected. If only lagging members are left, a read of the caller's own
+// commit waits for a replica to catch up.
+func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (m *Member, ejected, found bool) {
 	s := a.set
 	now := clock.Now()
 	floor, found := s.floor(a.request, now)
 	if !found {
-		return nil, false
+		return nil, false, false
 	}
 	readers := s.rankReaders(a.request.Team, progress.attempted, floor, now)
 	if len(readers) > 0 && readers[0].Healthy() {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, false, found
 	}
-	if m, found := a.awaitReplica(ctx, progress, floor, now); found {
-		return m, true
+	if m, found = a.awaitReplica(ctx, progress, floor, now); found {
+		return m, false, true
 	}
 	if len(readers) > 0 && (progress.primaryOverload == nil || !readers[0].Lagging) {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, readers[0].Ejected, found
 	}
-	return nil, false
+	return nil, false, false
 }
 
 // gateBoundedReader returns a replica for a read for which this host knows no
