Replicaset: rank a member for a probe only where this host runs the read

With team gates, a gate with a probe due sent other teams' reads to gates that refused them. A primary gets no probes, so that half of its ejection ranked as healthy on its gates.

--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -104,15 +104,20 @@
 }
 
 // candidate describes the member for load balancing.
-func (m *Member) candidate(primary string, now time.Duration) balance.Candidate {
+func (m *Member) candidate(primary, team string, now time.Duration) balance.Candidate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	ejected := m.ranksEjected(team, now)
+	if m.id == primary {
+		// A primary gets no probes, because it refuses nothing.
+		ejected = m.ejection(now).Active(now)
+	}
 	return balance.Candidate{
 		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.topology.EstimateRoundTrip(m.entry.Zone),
 		ResponseTime: m.responseTime, InUse: m.pool.InUse() + m.remoteInFlight, Waiting: m.pool.Waiting(),
 		HasIdleConn: m.pool.Idle() > 0 || len(m.share.GateAddresses) > 0,
 		Slots:       m.entry.Slots, Suspect: m.health.Suspect(now), EntryMissing: m.entry.Missing,
-		Ejected: m.ranksEjected(now),
+		Ejected: ejected,
 	}
 }
 
--- a/node/replicaset/member_health.go
+++ b/node/replicaset/member_health.go
@@ -139,6 +139,11 @@
 func (m *Member) route(team string, now time.Duration) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.routeOf(team, now)
+}
+
+// routeOf is route, called with mu held.
+func (m *Member) routeOf(team string, now time.Duration) []string {
 	switch {
 	case m.health.Dead(now, m.confirmedByPeers) && now < m.alternateHostsUntil:
 		return m.alternateHosts
--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -77,10 +77,11 @@
 	return own
 }
 
-// ranksEjected reports whether reads should prefer other members. A read of this host is
-// the probe if one is due here. It is called with mu held.
-func (m *Member) ranksEjected(now time.Duration) bool {
-	return m.ejection(now).Active(now) && !m.outlier.detector.ProbeDue(now)
+// ranksEjected reports whether a team's reads should prefer other members. A read is the
+// probe if one is due here and this host runs it: another gate would refuse it. It is
+// called with mu held.
+func (m *Member) ranksEjected(team string, now time.Duration) bool {
+	return m.ejection(now).Active(now) && (!m.outlier.detector.ProbeDue(now) || len(m.routeOf(team, now)) > 0)
 }
 
 // ejectsOutliers reports whether members of the group can be ejected: another member must
--- a/node/replicaset/outlier_test.go
+++ b/node/replicaset/outlier_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -232,9 +233,35 @@
 	answer.Ejection.Until -= 500 * time.Millisecond
 	m.observeRemoteOutcome(now, now, answer, "")
 	require.Equal(t, verdict, m.Ejection(now), "the verdict that lasts longest counts")
-	require.True(t, m.candidate("p", now).Ejected)
+	require.True(t, m.candidate("p", "", now).Ejected)
 	require.Zero(t, m.Ejection(now+time.Second))
-	require.False(t, m.candidate("p", now+time.Second).Ejected)
+	require.False(t, m.candidate("p", "", now+time.Second).Ejected)
+}
+
+// TestProbesRunOnOwnConnections guards against reads that go to an ejected member first for
+// a probe that is due here, although another gate runs the team's statements and refuses
+// them, and against a failing primary that no probe takes and that so ranks as healthy.
+func TestProbesRunOnOwnConnections(t *testing.T) {
+	s := groupOfThree(Config{Host: "h1", Features: feature.Set{}})
+	replica, primary := eject(t, s, "r1"), eject(t, s, "p")
+	now := clock.Now() + 1500*time.Millisecond
+	for _, m := range []*Member{replica, primary} {
+		m.outlier.reported = outlier.Ejection{Cause: outlier.Failing, Until: now + time.Second}
+	}
+	here, elsewhere := 0, 0
+	for i := range 20 {
+		team := fmt.Sprint("team ", i)
+		require.True(t, primary.candidate("p", team, now).Ejected)
+		if len(replica.route(team, now)) > 0 {
+			elsewhere++
+			require.True(t, replica.candidate("p", team, now).Ejected)
+		} else {
+			here++
+			require.False(t, replica.candidate("p", team, now).Ejected)
+		}
+	}
+	require.NotZero(t, here)
+	require.NotZero(t, elsewhere)
 }
 
 // TestAbsurdVerdictIsIgnored guards against a gate that takes a member from all hosts for an
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -153,7 +153,7 @@
 		if attempted[id] || s.pastDrain(e, now) || m.inWrongMemberBackoff(now) {
 			continue
 		}
-		c := m.candidate(primary, now)
+		c := m.candidate(primary, team, now)
 		c.NotPreferred = preferred != "" && id != preferred && id != primary
 		c.Lagging = id != primary && s.replicaState(m, floor).KnownBehind(now)
 		if e.Leaving {
