--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -314,11 +314,35 @@
 }
 
 // ejectedReader returns a member that refused the read because it is ejected, once no other
-// member is left. A slow one is preferred.
+// member is left.
 func (a *attempts) ejectedReader(p *readProgress) (*Member, bool) {
 	if _, known := a.set.floor(a.request, clock.Now()); !known {
 		return nil, false
 	}
+	return a.set.Member(p.takeRefusing())
+}
+
+// gateEjectedReader returns an ejected replica for a read for which this host knows no
+// floor, while no primary can be reached either. The replica's gate determines the floor.
+func (a *attempts) gateEjectedReader(p *readProgress) (*Member, bool) {
+	s := a.set
+	if _, found := s.Primary(); found || p.gateLacksFloor || !s.features.Enabled(feature.GateFloors) {
+		return nil, false
+	}
+	now := clock.Now()
+	for _, c := range s.rankReaders(a.request.Team, p.attempted, s.lowerBound(a.request), now) {
+		if c.Primary {
+			continue
+		}
+		m, found := s.Member(c.ID)
+		return m, found && c.Ejected && !c.Lagging && !c.Suspect && p.usable(m.Ejection(now).Cause)
+	}
+	return s.Member(p.takeRefusing())
+}
+
+// takeRefusing removes and returns a member that refused the read because it is ejected;
+// empty if there is none. A slow one is preferred.
+func (p *ejectionProgress) takeRefusing() string {
 	best := ""
 	for id, cause := range p.refusedBy {
 		if p.usable(cause) && (best == "" || cause == outlier.Slow) {
@@ -326,5 +350,5 @@
 		}
 	}
 	delete(p.refusedBy, best)
-	return a.set.Member(best)
+	return best
 }
--- a/node/replicaset/outlier_test.go
+++ b/node/replicaset/outlier_test.go
@@ -190,6 +190,24 @@
 	}
 }
 
+// TestEjectedReplicaServesWithoutFloorAndPrimary guards against reads that are refused by a
+// host without a floor while the primary is down and the only replica is ejected.
+func TestEjectedReplicaServesWithoutFloorAndPrimary(t *testing.T) {
+	s := setWithoutConnections(jobFunc(func(_ context.Context, j Job) Result {
+		switch {
+		case j.Member == "primary":
+			return Result{Err: &RefusedError{Reason: "the member does not answer", MemberDead: true}}
+		case !j.IgnoreEjection:
+			return ejection(outlier.Slow)
+		}
+		return Result{Answer: statement.Answer{Code: statement.OK, Signature: "s"}}
+	}))
+	for range 2 {
+		out := s.Read(t.Context(), boundedRead500ms(time.Second))
+		require.Equal(t, statement.OK, out.Answer.Code, out.Cause)
+	}
+}
+
 // TestVerdictAfterChoiceIsObeyed guards against a read that runs on an ejected member while
 // others can serve it, because the verdict came after the member was chosen: for example
 // while another read became the probe.
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -79,6 +79,9 @@
 		if m, found := a.gateBoundedReader(progress); found {
 			return reader{member: m, floorFromGate: true}, nil
 		}
+		if m, found := a.gateEjectedReader(progress); found {
+			return reader{member: m, floorFromGate: true, ignoreEjection: true}, nil
+		}
 	}
 	if progress.primaryOverload != nil {
 		return reader{}, progress.primaryOverload
