Outlier: lone failures of others do not turn one team's failures into the member's

One team's faulty statements ejected a healthy member as soon as a single statement of another team failed among them. Now one team's share of the failures and the latest statements of the others decide.

--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -296,7 +296,7 @@
 	if latest.failures >= minFailures && latest.share() >= failureShare && !t.ofOneTeam() {
 		return true
 	}
-	if t.failures >= fewFailures && t.failures == t.statements && t.otherFailed {
+	if t.failures >= fewFailures && t.failures == t.statements && t.teamFailures < t.failures {
 		return true
 	}
 	t = d.window.tally(now - shareWindow)
--- a/core/outlier/detector_test.go
+++ b/core/outlier/detector_test.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// TestLoneFailuresBesideFaultyTeam guards against a healthy member that is ejected because a
+// lone failure of another team falls among the many failures of one team.
+func TestLoneFailuresBesideFaultyTeam(t *testing.T) {
+	var d outlier.Detector
+	for i := range 2000 {
+		now := time.Duration(i) * 5 * ms
+		s := outlier.Sample{At: now, Took: 18 * ms, Failed: true, Team: "faulty"}
+		if i%5 == 0 {
+			s.Team, s.Failed = string(rune('a'+i/5%20)), i%100 == 50
+		}
+		_, suspicious := d.Observe(s)
+		require.False(t, suspicious && d.Judge(nil, now) != outlier.Unchanged, "statement %d", i)
+	}
+}
+
 // TestEjectionsGrowAndEnd guards against a flapping member that is tried again every second,
 // and against one that stays ejected after it has recovered.
 func TestEjectionsGrowAndEnd(t *testing.T) {
--- a/core/outlier/window.go
+++ b/core/outlier/window.go
@@ -59,10 +59,11 @@
 // tally counts the statements and failures of some samples.
 type tally struct {
 	statements, failures int
-	// failedTeam is the team of one of the failures. otherFailed is set if another team
-	// has failures, otherServed if another team has a success.
-	failedTeam               string
-	otherFailed, otherServed bool
+	// failedTeam is the team with the most failures, teamFailures their number.
+	failedTeam   string
+	teamFailures int
+	// othersRan and othersFailed count the latest statements of other teams.
+	othersRan, othersFailed int
 }
 
 func (w *Window) tally(after time.Duration) tally { return w.tallyLatest(after, maxSamples) }
@@ -70,6 +71,7 @@
 // tallyLatest counts at most limit samples, the latest ones.
 func (w *Window) tallyLatest(after time.Duration, limit int) tally {
 	var t tally
+	byTeam := map[string]int{}
 	w.each(after, func(s Sample) {
 		if t.statements == limit {
 			return
@@ -78,23 +80,35 @@
 		if !s.Failed {
 			return
 		}
-		if t.failures == 0 {
-			t.failedTeam = s.Team
-		}
 		t.failures++
-		t.otherFailed = t.otherFailed || s.Team != t.failedTeam
+		byTeam[s.Team]++
+		if byTeam[s.Team] > t.teamFailures {
+			t.failedTeam, t.teamFailures = s.Team, byTeam[s.Team]
+		}
+	})
+	w.each(after, func(s Sample) {
+		if s.Team == t.failedTeam || t.othersRan == failureStatements {
+			return
+		}
+		t.othersRan++
+		if s.Failed {
+			t.othersFailed++
+		}
 	})
-	w.each(after, func(s Sample) { t.otherServed = t.otherServed || !s.Failed && s.Team != t.failedTeam })
 	return t
 }
 
 // share returns the share of failures.
 func (t tally) share() float64 { return float64(t.failures) / float64(max(t.statements, 1)) }
 
-// ofOneTeam reports whether only one team's statements fail while the member serves
-// others. Then the statements are at fault and not the member.
+// ofOneTeam reports whether more than three quarters of the failures are one team's while
+// the member serves others, apart from lone failures. Then that team's statements are at
+// fault and not the member.
 func (t tally) ofOneTeam() bool {
-	return t.failedTeam != "" && !t.otherFailed && t.otherServed
+	if t.failedTeam == "" || 4*t.teamFailures <= 3*t.failures || t.othersFailed == t.othersRan {
+		return false
+	}
+	return t.othersFailed < 2 || float64(t.othersFailed) < smallFailureShare*float64(t.othersRan)
 }
 
 // succeeded returns the successful samples. Failures are often faster than successes.
