--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -22,6 +22,8 @@
 	// floorFromGate is set when this host knows no floor and the member's gate
 	// must determine one.
 	floorFromGate bool
+	// ignoreEjection is set when the member is ejected and no other one can serve.
+	ignoreEjection bool
 }
 
 // source returns why a read goes to a member. It is called before the read is
@@ -49,7 +51,7 @@
 	for _, c := range candidates {
 		switch {
 		case c.Primary || c.Lagging:
-		case c.Suspect || c.EntryMissing:
+		case c.Suspect || c.EntryMissing || c.Ejected:
 			source = max(source, PrimaryReplicasSuspect)
 		default:
 			source = PrimaryFaster
@@ -69,14 +71,20 @@
 	if err := a.refusalByReports(clock.Now()); err != nil {
 		return reader{}, err
 	}
-	if m, found := a.boundedReader(ctx, progress); found {
-		return reader{member: m}, nil
+	if m, ejected, found := a.boundedReader(ctx, progress); found {
+		return readerOf(m, ejected, progress)
+	}
+	if m, found := a.ejectedReader(progress); found {
+		return reader{member: m, ignoreEjection: true}, nil
 	}
 	bounded := a.request.Route.Consistency != catalog.Primary
 	if bounded {
 		if m, found := a.gateBoundedReader(progress); found {
 			return reader{member: m, floorFromGate: true}, nil
 		}
+		if m, found := a.gateEjectedReader(progress); found {
+			return reader{member: m, floorFromGate: true, ignoreEjection: true}, nil
+		}
 	}
 	if progress.primaryOverload != nil {
 		return reader{}, progress.primaryOverload
@@ -85,8 +93,8 @@
 		return reader{member: m, verifyPrimary: true}, nil
 	}
 	if bounded && len(progress.attempted) == 0 && s.awaitFloor(ctx, a.request) {
-		if m, found := a.boundedReader(ctx, progress); found {
-			return reader{member: m}, nil
+		if m, ejected, found := a.boundedReader(ctx, progress); found {
+			return readerOf(m, ejected, progress)
 		}
 	}
 	m, found := s.awaitPrimary(ctx, &a.request)
@@ -96,27 +104,29 @@
 	return reader{member: m, verifyPrimary: true}, nil
 }
 
-// boundedReader returns the best member for a read whose floor this host knows.
-// If only lagging members are left, a read of the caller's own commit waits for
-// a replica to catch up.
-func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (*Member, bool) {
+// boundedReader returns the best member for a read whose floor this host knows, and
+// whether it is ejected. If only lagging members are left, a read of the caller's own
+// commit waits for a replica to catch up.
+func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (m *Member, ejected, found bool) {
 	s := a.set
 	now := clock.Now()
 	floor, found := s.floor(a.request, now)
 	if !found {
-		return nil, false
+		return nil, false, false
 	}
 	readers := s.rankReaders(&a.request, progress.attempted, floor, now)
 	if len(readers) > 0 && readers[0].Healthy() {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, false, found
 	}
-	if m, found := a.awaitReplica(ctx, progress, floor, now); found {
-		return m, true
+	if m, found = a.awaitReplica(ctx, progress, floor, now); found {
+		return m, false, true
 	}
 	if len(readers) > 0 && (progress.primaryOverload == nil || !readers[0].Lagging) {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, readers[0].Ejected, found
 	}
-	return nil, false
+	return nil, false, false
 }
 
 // gateBoundedReader returns a replica for a read for which this host knows no
@@ -148,7 +158,7 @@
 		if attempted[id] || s.excludedFromReads(m, now) {
 			continue
 		}
-		c := m.candidate(primary, now)
+		c := m.candidate(primary, req.Team, now)
 		c.NotPreferred = preferred != "" && id != preferred && id != primary
 		c.Lagging = id != primary && s.replicaState(m, floor).KnownBehind(now)
 		if m.Leaving() {
@@ -214,7 +224,7 @@
 	defer s.mu.Unlock()
 	var out []catchup.Replica
 	for id, m := range s.members {
-		if id == s.primaryTracker.Primary() || progress.excluded[id] || m.Suspect(now) || m.unreachable(now) || m.Leaving() {
+		if id == s.primaryTracker.Primary() || progress.excluded[id] || m.Suspect(now) || m.unreachable(now) || m.Leaving() || m.Ejection(now).Active(now) {
 			continue
 		}
 		r := s.replicaState(m, floor)
