--- a/core/connpool/dropped.go
+++ b/core/connpool/dropped.go
@@ -9,7 +9,7 @@
 	// can no longer be started in time.
 	Displaced bool
 	By        Waiter
-	// RetryAfter is the expected wait of the statement.
+	// RetryAfter is the expected wait of a displaced statement.
 	RetryAfter time.Duration
 }
 
@@ -34,7 +34,7 @@
 		w := p.queue.At(p.nextCheck)
 		if !p.belowMaxActive() && len(p.idle)+p.InUse() > 0 && p.cannotServeInTime(w, now) {
 			p.queue.Remove(p.nextCheck)
-			p.dropped = append(p.dropped, Dropped{Waiter: w, RetryAfter: p.expectedWait(w, now)})
+			p.dropped = append(p.dropped, Dropped{Waiter: w})
 			if p.queue.Len() == 0 {
 				return
 			}
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -23,26 +23,37 @@
 //
 //   - An isolated host can use its allowance once, because only a grant restores it.
 //     After a network partition both sides share the same buckets.
+//
 //   - A grant is used only while its request is pending, and not after the host was
 //     suspended. Late and duplicate grants are ignored. A retried request may be
 //     granted twice, which only lowers the number of operations.
+//
 //   - The grants of a host that dies are lost, and a restarted host runs nothing
 //     unconfirmed for one window.
+//
 //   - A lowered limit applies at the counters as soon as they know it, whatever the
 //     other hosts know.
+//
 //   - A counter that has restarted or taken a team over starts with an empty bucket,
 //     so the burst is not granted a second time.
+//
 //   - Times come from a monotonic clock that includes suspension, not from the wall
 //     clock.
+//
 //   - A joining host counts a team only once the counters that it replaces have
 //     acknowledged it, and so have stopped (Fleet).
+//
 //   - A host whose registration has ended is replaced as a counter only once it has
 //     answered that it does not count, or has not answered. It joins again when it has
 //     registered (Fleet).
 //
+//   - A counter that is cut off from the store and from all hosts that reach it stops
+//     granting its share at the end of its lease, before others can replace it. It goes on
+//     with a part of the tolerated excess that the others leave to it (AllotmentOf).
+//
 // The bound does not hold in these cases: a registration does not reach the counters
 // that it replaces within joinPeriod; a counter that has acknowledged a joining host
-// restarts before its registration arrives; a counter without registration is out of
-// reach of the host that replaces it, and goes on counting for the hosts that are cut off
-// with it. A host that knows no registered host acts as the only counter.
+// restarts before its registration arrives; counters and then their replacements are cut
+// off within lapsedPeriodOfGrants. A host that knows no registered host acts as the only
+// counter.
 package quota
--- a/core/slotqueue/queue.go
+++ b/core/slotqueue/queue.go
@@ -30,6 +30,9 @@
 	maxLead = time.Second
 	// initialCost is the expected slot time of a statement before the first sample.
 	initialCost = 30 * time.Millisecond
+	// severalTeamsTime is for how long after a change of the calling team several teams are
+	// taken to call.
+	severalTeamsTime = 10 * time.Second
 	// maxTeams is the number of teams from which on those are removed that have no
 	// statement and are not ahead of the others.
 	maxTeams = 256
@@ -92,6 +95,11 @@
 	virtualTime time.Duration
 	// cost is the expected slot time of a statement.
 	cost time.Duration
+	// caller is the team of the last statement of a caller, and callerChangedAt when it
+	// last was another team than before, if callerChanged is set.
+	caller          *team
+	callerChanged   bool
+	callerChangedAt time.Duration
 }
 
 // New returns an empty queue. If fair is unset, teams and classes have no share, and a
@@ -128,6 +136,17 @@
 	return t
 }
 
+// recordCaller records that a team has called.
+func (q *Queue[T]) recordCaller(t *team, priority int, now time.Duration) {
+	if priority < 0 || t == q.caller {
+		return
+	}
+	if q.caller != nil {
+		q.callerChanged, q.callerChangedAt = true, now
+	}
+	q.caller = t
+}
+
 func (q *Queue[T]) removeUnusedTeams() {
 	for name, t := range q.teams {
 		if t.waiting == 0 && t.used <= q.virtualTime {
@@ -143,6 +162,7 @@
 	if q.fair {
 		e.class.arrivedAt, e.class.arrived = now, true
 	}
+	q.recordCaller(e.team, s.Priority, now)
 	q.add(e)
 	if len(q.entries) <= q.limitFor(s.Priority, now) {
 		return displaced, false
@@ -255,6 +275,7 @@
 		return
 	}
 	t := q.team(teamName)
+	q.recordCaller(t, priority, now)
 	if len(q.entries) == 0 {
 		q.virtualTime = max(q.virtualTime, t.used)
 	}
--- a/core/slotqueue/wait.go
+++ b/core/slotqueue/wait.go
@@ -57,7 +57,21 @@
 // member starts one statement every interval. The statements that count as ahead of it
 // are those for which counts returns true.
 func (q *Queue[T]) Wait(s Statement, now, interval time.Duration, counts func(Statement) bool) time.Duration {
-	ahead, mates := q.ahead(s, now, counts)
+	return q.wait(s, q.teams[s.Team], now, interval, counts)
+}
+
+// WaitWithoutExcess estimates how long a statement would wait that belongs to a team that
+// is not ahead of the others. While only one team calls, it is a statement of that team.
+func (q *Queue[T]) WaitWithoutExcess(s Statement, now, interval time.Duration) time.Duration {
+	own := q.caller
+	if q.callerChanged && now-q.callerChangedAt < severalTeamsTime {
+		own = nil
+	}
+	return q.wait(s, own, now, interval, func(Statement) bool { return true })
+}
+
+func (q *Queue[T]) wait(s Statement, own *team, now, interval time.Duration, counts func(Statement) bool) time.Duration {
+	ahead, mates := q.ahead(s, own, now, counts)
 	wait := time.Duration(ahead+1) * interval
 	urgent := 0.0
 	if q.fair && s.Priority >= 0 {
@@ -75,8 +89,7 @@
 }
 
 // ahead counts the statements that are served before s, and those of its class among them.
-func (q *Queue[T]) ahead(s Statement, now time.Duration, counts func(Statement) bool) (all, mates int) {
-	own := q.teams[s.Team]
+func (q *Queue[T]) ahead(s Statement, own *team, now time.Duration, counts func(Statement) bool) (all, mates int) {
 	ownAhead := 0
 	for i := range q.entries {
 		e := &q.entries[i]
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
@@ -86,6 +87,38 @@
 	m.metrics.CountTeam(name, d.Waiter.Team, metrics.Label{Name: "priority", Value: strconv.Itoa(d.Waiter.Priority)})
 }
 
+// retryTimes adds the retry times told to refused statements, by priority class and upper
+// bound, and the statements that came back at their moments.
+func (m *hostMetrics) retryTimes(c replicaset.ReturnCounts) {
+	c.Each(func(priority int, upTo time.Duration, n int) {
+		m.metrics.Add("retry_times", n, metrics.Label{Name: "priority", Value: strconv.Itoa(priority)}, metrics.Label{Name: "up_to", Value: upTo.String()})
+	})
+	m.metrics.Add("returns_recognized", c.Recognized)
+}
+
+// loadReports adds counts of refusals by load reports and of invalid reports.
+func (m *hostMetrics) loadReports(service string, c replicaset.LoadCounts) {
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
+	m.metrics.Add("refused_by_load_reports", c.RefusedByReports, label)
+	m.metrics.Add("load_reports_invalid", c.InvalidReports, label)
+}
+
+// outliers adds counts of ejections, of reads that were refused because of them, and of
+// verdicts of other hosts that were ignored as invalid.
+func (m *hostMetrics) outliers(service string, c replicaset.OutlierCounts) {
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
+	byCause := func(name string, counts map[outlier.Cause]int) {
+		for cause, n := range counts {
+			m.metrics.Add(name, n, label, metrics.Label{Name: "cause", Value: cause.String()})
+		}
+	}
+	byCause("ejections", c.Ejections)
+	byCause("ejection_refusals", c.Refused)
+	if c.Invalid > 0 {
+		m.metrics.Add("ejections_invalid", c.Invalid, label)
+	}
+}
+
 func readTarget(primary bool) string {
 	if primary {
 		return "primary"
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -65,12 +65,12 @@
 		out.FloorMsAgo = uint32((now - f.AsOf).Milliseconds())
 	}
 	for _, m := range s.MemberStats(now) {
-		out.Upstreams = append(out.Upstreams, showUpstream(m))
+		out.Upstreams = append(out.Upstreams, showUpstream(m, now))
 	}
 	return out
 }
 
-func showUpstream(m replicaset.MemberStats) *inspectpb.Upstream {
+func showUpstream(m replicaset.MemberStats, now time.Duration) *inspectpb.Upstream {
 	out := &inspectpb.Upstream{
 		Name: m.ID, Address: m.Address, Zone: m.Zone, Slots: uint32(m.Slots),
 		Leaving: m.Leaving, Failing: m.Failing, Dead: m.Dead,
@@ -80,10 +80,20 @@
 	for _, q := range m.Queues[:min(len(m.Queues), maxShownQueues)] {
 		out.Queues = append(out.Queues, &inspectpb.Queue{Team: q.Team, Priority: int32(q.Priority), Waiting: uint32(q.Waiting)})
 	}
+	for _, k := range m.GateLoads {
+		out.GateLoads = append(out.GateLoads, &inspectpb.GateLoad{
+			Gate: k.Gate, Running: uint32(k.Report.Running), Capacity: uint32(k.Report.Capacity), Waiting: uint32(k.Report.Waiting),
+			MsAgo: uint32(k.Age.Milliseconds()),
+		})
+	}
 	if !m.Position.IsZero() {
 		out.Held = showPosition(m.Position)
 		out.HeldMsAgo = uint32(m.PositionAge.Milliseconds())
 	}
+	if m.Ejection.Active(now) {
+		out.Ejection = m.Ejection.Cause.String()
+		out.EjectionMsLeft = uint32((m.Ejection.Until - now).Milliseconds())
+	}
 	return out
 }
 
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -35,7 +35,10 @@
 	DetourTaken           = Event{314, "upstream_detour"}
 	ReadsCounted          = Event{315, "reads_counted"}
 	ControlTrafficCounted = Event{316, "talk_counted"}
+	UpstreamEjected       = Event{317, "upstream_ejected"}
+	UpstreamReadmitted    = Event{318, "upstream_readmitted"}
 	StatementDisplaced    = Event{319, "statement_displaced"}
+	LoadReportInvalid     = Event{320, "load_report_invalid"}
 	// TransactionReclaimed needs no rate limit: there is at most one per open
 	// transaction.
 	TransactionReclaimed = Event{312, "transaction_reclaimed"}
@@ -72,6 +75,7 @@
 	SnapshotFailed       = Event{619, "platform_snapshot_failed"}
 	PeersPolled          = Event{620, "platform_peers_polled"}
 	ConfigFetched        = Event{621, "configuration_fetched"}
+	CounterStopped       = Event{622, "team_counter_stopped"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -85,12 +89,12 @@
 		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, StatementDisplaced,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted, StatementDisplaced, LoadReportInvalid,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched,
+		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched, CounterStopped,
 	}
 }
 
--- a/node/eventlog/reason.go
+++ b/node/eventlog/reason.go
@@ -12,6 +12,11 @@
 // because it could not start in time any more.
 const ReasonHopeless = "it cannot start in time because of what has arrived since"
 
+// ReasonAllOverloaded is the cause of a read that a host rejected by itself, possibly after
+// attempts on members, because according to load reports each that could serve it has too
+// long a queue.
+const ReasonAllOverloaded = "every member that could serve the read has too long a queue"
+
 // ReasonQuota is the cause of an operation that was rejected because its team had
 // reached its limit over all hosts.
 const ReasonQuota = "the team has used up its limit"
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -85,6 +85,7 @@
 			u.Name, u.Zone, u.Slots, u.Connections, u.InUse, u.Waiting, u.Elsewhere, upstreamState(u), logText(u), orNone(strings.Join(u.Gates, " ")))
 	}
 	p.queues(s.Upstreams)
+	p.gateLoads(s)
 }
 
 // queues writes the statements that wait, by team and priority.
@@ -100,6 +101,22 @@
 	}
 }
 
+// gateLoads prints what the upstreams' gates have reported lately.
+func (p *printer) gateLoads(s *inspectpb.Service) {
+	headed := false
+	for _, u := range s.Upstreams {
+		for _, l := range u.GateLoads {
+			if !headed {
+				// A line without columns, so that the table keeps its own widths.
+				p.printf("  loads that gates reported\n")
+				p.printf("  UPSTREAM\tBY\tRUNNING\tOF\tWAITING\tAGE\n")
+				headed = true
+			}
+			p.printf("  %s\t%s\t%d\t%d\t%d\t%d ms\n", u.Name, l.Gate, l.Running, l.Capacity, l.Waiting, l.MsAgo)
+		}
+	}
+}
+
 func (p *printer) teams(s *inspectpb.ShowResponse) {
 	if len(s.Teams) == 0 {
 		return
@@ -149,6 +166,9 @@
 			words = append(words, w.word)
 		}
 	}
+	if u.Ejection != "" {
+		words = append(words, fmt.Sprintf("ejected as %s for %d ms", u.Ejection, u.EjectionMsLeft))
+	}
 	if len(words) == 0 {
 		return "ok"
 	}
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -72,7 +72,7 @@
 }
 
 // refusal returns the outcome of a job that no attempt completed.
-func (a *attempts) refusal() Outcome { return refuse(a.outcome, a.request, a.lastErr) }
+func (a *attempts) refusal() Outcome { return a.set.refuse(a.outcome, a.request, a.lastErr) }
 
 // onPrimary runs a job on the primary. It retries only while the failed attempts
 // cannot have had an effect. The member is nil if no attempt got a final answer.
@@ -109,6 +109,9 @@
 		if done {
 			return res, r.member
 		}
+		if progress.recordEjection(r, res) {
+			continue
+		}
 		if r.floorFromGate && refusedForNoFloor(res.Err) {
 			// The gate refused without sending the read to the member, so the
 			// member stays eligible.
@@ -153,6 +156,7 @@
 	gateLacksFloor bool
 	// primaryOverload is the primary's overload refusal; nil if there was none.
 	primaryOverload error
+	ejectionProgress
 }
 
 func newReadProgress() *readProgress {
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -12,9 +12,11 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/exectime"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/returns"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -49,6 +51,8 @@
 	// share is this host's share of the member's connections. It lists the gates
 	// of the member if this host is not one of them.
 	share gates.Share
+	// loads is what the member's gates on other hosts have reported.
+	loads gateload.Tracker
 	// remoteInFlight counts the statements in progress on other hosts.
 	remoteInFlight int
 	// restartRevision is the revision of the role entry at the member's restart;
@@ -67,10 +71,13 @@
 	reportedDeadUntil time.Duration
 	// confirmedByPeers is set while another host also considers the member dead.
 	confirmedByPeers bool
+	// outlier holds the outcomes of the member's statements and the verdicts on it.
+	outlier outlierState
 	// openTimer retries opening connections after a backoff; idleTimer closes
 	// expired idle connections. Each is nil while not armed.
 	openTimer *time.Timer
 	idleTimer *time.Timer
+	returns   memberReturns
 }
 
 func newMember(s *Set, e directory.Member, share gates.Share) *Member {
@@ -80,6 +87,7 @@
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
 		pool: connpool.New(limits), share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+		returns: memberReturns{schedule: returns.New(s.host)},
 	}
 	m.health.TimeoutsOnly = !s.features.Enabled(feature.ObservedSilence)
 	return m
@@ -106,14 +114,20 @@
 }
 
 // candidate describes the member for load balancing.
-func (m *Member) candidate(primary string, now time.Duration) balance.Candidate {
+func (m *Member) candidate(primary, team string, now time.Duration) balance.Candidate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	ejected := m.ranksEjected(team, now)
+	if m.id == primary {
+		// A primary gets no probes, because it refuses nothing.
+		ejected = m.ejection(now).Active(now)
+	}
 	return balance.Candidate{
 		ID: m.id, Primary: m.id == primary, RoundTrip: m.set.topology.EstimateRoundTrip(m.entry.Zone),
 		ResponseTime: m.responseTime, InUse: m.pool.InUse() + m.remoteInFlight, Waiting: m.pool.Waiting(),
 		HasIdleConn: m.pool.Idle() > 0 || len(m.share.GateAddresses) > 0,
 		Slots:       m.entry.Slots, Suspect: m.health.Suspect(now), EntryMissing: m.entry.Missing,
+		Ejected: ejected,
 	}
 }
 
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -84,7 +84,7 @@
 		if d.Displaced {
 			reason = eventlog.ReasonDisplaced
 		}
-		m.waiters[d.Waiter.ID] <- grant{err: &RefusedError{Reason: reason, RetryAfter: d.RetryAfter}}
+		m.waiters[d.Waiter.ID] <- grant{err: &RefusedError{Reason: reason, RetryAfter: d.RetryAfter, outOfTime: true}}
 		delete(m.waiters, d.Waiter.ID)
 	}
 	if m.set.onDropped != nil {
@@ -119,7 +119,7 @@
 		case <-ctx.Done():
 		}
 		if m.cancelWait(w) {
-			return nil, &RefusedError{Reason: "no connection to the member was free in time"}
+			return nil, &RefusedError{Reason: "no connection to the member was free in time", outOfTime: true}
 		}
 		// A grant arrived concurrently.
 		g := <-ch
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -22,6 +22,8 @@
 	// floorFromGate is set when this host knows no floor and the member's gate
 	// must determine one.
 	floorFromGate bool
+	// ignoreEjection is set when the member is ejected and no other one can serve.
+	ignoreEjection bool
 }
 
 // source returns why a read goes to a member. It is called before the read is
@@ -40,7 +42,7 @@
 	if !found {
 		return PrimaryNoFloor
 	}
-	return primaryReason(a.set.rankReaders(a.request.Team, nil, floor, now))
+	return primaryReason(a.set.rankReaders(&a.request, nil, floor, now))
 }
 
 // primaryReason returns why the primary ranks before the replicas.
@@ -49,7 +51,7 @@
 	for _, c := range candidates {
 		switch {
 		case c.Primary || c.Lagging:
-		case c.Suspect || c.EntryMissing:
+		case c.Suspect || c.EntryMissing || c.Ejected:
 			source = max(source, PrimaryReplicasSuspect)
 		default:
 			source = PrimaryFaster
@@ -66,14 +68,23 @@
 // all replicas lag, such retries would overload the gates as well.
 func (a *attempts) pickReader(ctx context.Context, progress *readProgress) (reader, error) {
 	s := a.set
-	if m, found := a.boundedReader(ctx, progress); found {
-		return reader{member: m}, nil
+	if err := a.refusalByReports(clock.Now()); err != nil {
+		return reader{}, err
+	}
+	if m, ejected, found := a.boundedReader(ctx, progress); found {
+		return readerOf(m, ejected, progress)
+	}
+	if m, found := a.ejectedReader(progress); found {
+		return reader{member: m, ignoreEjection: true}, nil
 	}
 	bounded := a.request.Route.Consistency != catalog.Primary
 	if bounded {
 		if m, found := a.gateBoundedReader(progress); found {
 			return reader{member: m, floorFromGate: true}, nil
 		}
+		if m, found := a.gateEjectedReader(progress); found {
+			return reader{member: m, floorFromGate: true, ignoreEjection: true}, nil
+		}
 	}
 	if progress.primaryOverload != nil {
 		return reader{}, progress.primaryOverload
@@ -82,8 +93,8 @@
 		return reader{member: m, verifyPrimary: true}, nil
 	}
 	if bounded && len(progress.attempted) == 0 && s.awaitFloor(ctx, a.request) {
-		if m, found := a.boundedReader(ctx, progress); found {
-			return reader{member: m}, nil
+		if m, ejected, found := a.boundedReader(ctx, progress); found {
+			return readerOf(m, ejected, progress)
 		}
 	}
 	m, found := s.awaitPrimary(ctx, &a.request)
@@ -93,27 +104,29 @@
 	return reader{member: m, verifyPrimary: true}, nil
 }
 
-// boundedReader returns the best member for a read whose floor this host knows.
-// If only lagging members are left, a read of the caller's own commit waits for
-// a replica to catch up.
-func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (*Member, bool) {
+// boundedReader returns the best member for a read whose floor this host knows, and
+// whether it is ejected. If only lagging members are left, a read of the caller's own
+// commit waits for a replica to catch up.
+func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (m *Member, ejected, found bool) {
 	s := a.set
 	now := clock.Now()
 	floor, found := s.floor(a.request, now)
 	if !found {
-		return nil, false
+		return nil, false, false
 	}
-	readers := s.rankReaders(a.request.Team, progress.attempted, floor, now)
+	readers := s.rankReaders(&a.request, progress.attempted, floor, now)
 	if len(readers) > 0 && readers[0].Healthy() {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, false, found
 	}
-	if m, found := a.awaitReplica(ctx, progress, floor, now); found {
-		return m, true
+	if m, found = a.awaitReplica(ctx, progress, floor, now); found {
+		return m, false, true
 	}
 	if len(readers) > 0 && (progress.primaryOverload == nil || !readers[0].Lagging) {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, readers[0].Ejected, found
 	}
-	return nil, false
+	return nil, false, false
 }
 
 // gateBoundedReader returns a replica for a read for which this host knows no
@@ -126,7 +139,7 @@
 		return nil, false
 	}
 	now := clock.Now()
-	readers := s.rankReaders(a.request.Team, progress.attempted, s.lowerBound(a.request), now)
+	readers := s.rankReaders(&a.request, progress.attempted, s.lowerBound(a.request), now)
 	if len(readers) == 0 || readers[0].Primary || !readers[0].Healthy() {
 		return nil, false
 	}
@@ -135,27 +148,31 @@
 
 // rankReaders returns the members that may serve a read, in order of
 // preference. Draining members come last.
-func (s *Set) rankReaders(team string, attempted map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
+func (s *Set) rankReaders(req *Request, attempted map[string]bool, floor logpos.Position, now time.Duration) []balance.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	primary := s.primaryTracker.Primary()
-	preferred := s.affinityReplica(team, primary)
+	preferred := s.affinityReplica(req.Team, primary)
 	var active, draining []balance.Candidate
 	for id, m := range s.members {
-		e := m.snapshot()
-		if attempted[id] || s.pastDrain(e, now) || m.inWrongMemberBackoff(now) {
+		if attempted[id] || s.excludedFromReads(m, now) {
 			continue
 		}
-		c := m.candidate(primary, now)
+		c := m.candidate(primary, req.Team, now)
 		c.NotPreferred = preferred != "" && id != preferred && id != primary
 		c.Lagging = id != primary && s.replicaState(m, floor).KnownBehind(now)
-		if e.Leaving {
+		if m.Leaving() {
 			draining = append(draining, c)
 		} else {
 			active = append(active, c)
 		}
 	}
-	return append(balance.Rank(active), balance.Rank(draining)...)
+	return append(s.rank(active, req, now), s.rank(draining, req, now)...)
+}
+
+// excludedFromReads reports whether no read is sent to a member.
+func (s *Set) excludedFromReads(m *Member, now time.Duration) bool {
+	return s.pastDrain(m.snapshot(), now) || m.inWrongMemberBackoff(now)
 }
 
 // affinityReplica returns the replica preferred for a team's reads; empty for
@@ -207,7 +224,7 @@
 	defer s.mu.Unlock()
 	var out []catchup.Replica
 	for id, m := range s.members {
-		if id == s.primaryTracker.Primary() || progress.excluded[id] || m.Suspect(now) || m.unreachable(now) || m.Leaving() {
+		if id == s.primaryTracker.Primary() || progress.excluded[id] || m.Suspect(now) || m.unreachable(now) || m.Leaving() || m.Ejection(now).Active(now) {
 			continue
 		}
 		r := s.replicaState(m, floor)
--- a/node/replicaset/stats.go
+++ b/node/replicaset/stats.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 )
 
 // Stats are the metrics of a set.
@@ -33,10 +35,15 @@
 	// waiters. RemoteInFlight counts the statements in progress through Gates.
 	Connections, InUse, Waiting, RemoteInFlight int
 	Gates                                       []string
+	// GateLoads are the loads that the gates on other hosts have reported lately.
+	GateLoads []gateload.Known
 	// ByTeam counts this host's connections by team.
 	ByTeam map[string]int
 	// Queues count this host's waiters by team and priority, the longest first.
 	Queues []connpool.TeamQueue
+	// Ejection is the verdict that keeps reads away from the member; zero if there is
+	// none.
+	Ejection outlier.Ejection
 }
 
 // TakeConnectionCounts returns the pools' counts since the last call.
@@ -83,6 +90,6 @@
 		ID: m.id, Address: m.address, Zone: m.entry.Zone, Slots: m.entry.Slots,
 		Leaving: m.entry.Leaving, Failing: m.health.Failing(), Dead: m.health.Dead(now, m.confirmedByPeers), Position: m.position, PositionAge: now - m.positionAt,
 		Connections: m.pool.Open(), InUse: m.pool.InUse(), Waiting: m.pool.Waiting(), RemoteInFlight: m.remoteInFlight, Gates: m.share.GateAddresses,
-		ByTeam: m.pool.OpenByTeam(), Queues: m.pool.Queues(),
+		ByTeam: m.pool.OpenByTeam(), Queues: m.pool.Queues(), GateLoads: m.loads.All(now), Ejection: m.ejection(now),
 	}
 }
