Replicaset: the begin of a read on the primary yields a floor

A primary that fails the statements that it runs gave no floors, as only a successful answer did. The read runs in a transaction that only the primary opens, so the answer to its begin proves as much.

--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -173,6 +173,9 @@
 		go s.rollback(c)
 		return lostLogResult()
 	}
+	// Only the primary opens such a transaction. If the read fails, a replica can serve it at
+	// this position, unless the route needs the primary.
+	s.confirmPrimary(c.member, a.Position, sent)
 	req.Deadline = end
 	x, err := runRetryingBusy(ctx, c, req, logpos.Position{})
 	if err != nil {
--- a/node/replicaset/primary_test.go
+++ b/node/replicaset/primary_test.go
@@ -1,6 +1,7 @@
 package replicaset
 
 import (
+	"bufio"
 	"testing"
 	"time"
 
@@ -30,3 +31,42 @@
 	require.Equal(t, "m", id)
 	require.Equal(t, logpos.Term(2), s.Term())
 }
+
+// statementsFail is the protocol of a primary that opens transactions and fails the
+// statements in them.
+type statementsFail struct {
+	Protocol
+	position logpos.Position
+	opened   *bool
+}
+
+func (p statementsFail) Encode(op statement.Operation) []byte {
+	*p.opened = op.Verb == statement.StartTransaction
+	return []byte("x")
+}
+
+func (statementsFail) EncodeTerminate() []byte { return []byte("x") }
+
+func (p statementsFail) ReadAnswer(*bufio.Reader) (statement.Answer, error) {
+	if *p.opened {
+		return statement.Answer{Code: statement.OK, State: statement.InTransaction, Position: p.position}, nil
+	}
+	return statement.Answer{Code: statement.Failure, State: statement.TransactionFailed, Position: p.position}, nil
+}
+
+// TestFailingPrimaryBoundsReads guards against reads that all go to a primary which fails
+// them: without a floor from its answers no replica may serve them.
+func TestFailingPrimaryBoundsReads(t *testing.T) {
+	s := groupOfThree(Config{Host: "h1"})
+	c, _ := idleConn(t)
+	c.member, _ = s.Member("p")
+	position := logpos.Position{Term: 1, Offset: 9}
+	c.proto = statementsFail{position: position, opened: new(bool)}
+	req := boundedRead(time.Second)
+	req.Route.MaxStaleness = time.Second
+	res := s.readOnPrimary(t.Context(), c, req)
+	require.Equal(t, statement.Failure, res.Answer.Code)
+	floor, found := s.Floor()
+	require.True(t, found)
+	require.Equal(t, position, floor.Position)
+}
