Replicaset: a read that a member fails runs on another one

Such a read, and the begin of a read-only transaction, now runs on another member that can serve at once, before its start deadline, within a retry budget of 0.2 tokens per read and at most 10 per group and host. Each second run of a statement needs a grant under the team's limit; a refused grant gives the token back. Otherwise the failure goes out as it is, also for the begin, which was a refusal before. Counted in dotterelswitch_failed_reads.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -27,3 +27,6 @@
 	b.tokens--
 	return true
 }
+
+// Return gives back a token whose retry was not made.
+func (b *Budget) Return() { b.tokens = min(b.tokens+1, b.reserve) }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -26,6 +26,19 @@
 	require.GreaterOrEqual(t, retries, attempts/10-1)
 }
 
+// TestReturnedTokenIsUsedOnce guards against a budget that grows beyond its reserve by
+// retries that were not made.
+func TestReturnedTokenIsUsedOnce(t *testing.T) {
+	budget := retry.NewBudget(0.1, 2)
+	budget.Return()
+	require.True(t, budget.TryRetry())
+	require.True(t, budget.TryRetry())
+	require.False(t, budget.TryRetry())
+	budget.Return()
+	require.True(t, budget.TryRetry())
+	require.False(t, budget.TryRetry())
+}
+
 func TestBackoffIsBoundedAndJittered(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	backoff := retry.Backoff{Base: 4 * time.Millisecond, Max: 60 * time.Millisecond}
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -43,6 +43,9 @@
 	if r.Statement.Reads() && o.Member != "" {
 		m.metrics.Count("reads", metrics.Label{Name: "member", Value: readTarget(o.Primary)})
 	}
+	if o.FailedRead != replicaset.NotFailed {
+		m.metrics.Count("failed_reads", metrics.Label{Name: "result", Value: o.FailedRead.String()})
+	}
 	if o.Attempts > 1 {
 		m.metrics.Count("retries", metrics.Label{Name: "kind", Value: r.Statement.Kind.String()})
 	}
--- a/node/entry/observe.go
+++ b/node/entry/observe.go
@@ -27,6 +27,7 @@
 		Stringer("kind", r.Statement.Kind).Stringer("consistency", r.Route.Consistency).Uint64("version", r.Version).
 		Stringer("code", o.Answer.Code).Str("detail", o.Answer.Detail).
 		Str("upstream", o.Member).Str("gate", o.Gate).Bool("primary", o.Primary).Int("attempts", o.Attempts).Int("runs", o.Runs).
+		Stringer("failed_read", o.FailedRead).
 		Stringer("floor", o.Floor).Stringer("position", o.Answer.Position).
 		Dur("held_ms", o.ReplicaWait).Dur("waited_ms", o.Waited).Dur("took_ms", r.Elapsed).Str("cause", o.Cause).Int("left_out", suppressed).Send()
 }
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -19,6 +19,9 @@
 	lastErr error
 	// admittedRuns is how often the statement may run under the team's limit.
 	admittedRuns int
+	// failed is the outcome of the latest attempt that a member answered with a failure and
+	// that may run on another member; nil if there was none.
+	failed *Outcome
 }
 
 func (s *Set) newAttempts(req Request) *attempts {
@@ -71,8 +74,14 @@
 	return !overloaded(a.lastErr) && clock.Now() <= a.request.StartDeadline && clock.Sleep(ctx, primaryRetryDelay)
 }
 
-// refusal returns the outcome of a job that no attempt completed.
-func (a *attempts) refusal() Outcome { return refuse(a.outcome, a.request, a.lastErr) }
+// refusal returns the outcome of a job that no attempt completed. A member's own failure
+// goes out as it is.
+func (a *attempts) refusal() Outcome {
+	if a.failed != nil {
+		return a.failureOutcome()
+	}
+	return refuse(a.outcome, a.request, a.lastErr)
+}
 
 // onPrimary runs a job on the primary. It retries only while the failed attempts
 // cannot have had an effect. The member is nil if no attempt got a final answer.
@@ -95,9 +104,11 @@
 }
 
 // onReaders runs a read-only job. Reads have no effect, so several members may be
-// tried in turn. The member is nil if no attempt got a final answer.
+// tried in turn. The member is nil if no attempt got a final answer, or if members failed
+// the job and none served it.
 func (a *attempts) onReaders(ctx context.Context, kind JobKind) (Result, *Member) {
 	progress := newReadProgress()
+	a.set.rerunBudget.recordRead()
 	for a.canRetry(ctx) {
 		r, err := a.pickReader(ctx, progress)
 		if err != nil {
@@ -106,9 +117,20 @@
 		}
 		a.outcome.Source = a.source(r)
 		res, done := a.try(ctx, r.member, a.newReadJob(kind, r), r.verifyPrimary)
+		if done && a.recordFailedRead(res) {
+			if !a.admitFailedRead(ctx, r, progress) {
+				break
+			}
+			continue
+		}
 		if done {
+			a.recordServed()
 			return res, r.member
 		}
+		if a.failed != nil && r.verifyPrimary {
+			// An answer is ready, so the read does not wait for the primary.
+			break
+		}
 		if r.floorFromGate && refusedForNoFloor(res.Err) {
 			// The gate refused without sending the read to the member, so the
 			// member stays eligible.
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -66,6 +66,9 @@
 // all replicas lag, such retries would overload the gates as well.
 func (a *attempts) pickReader(ctx context.Context, progress *readProgress) (reader, error) {
 	s := a.set
+	if a.failed != nil {
+		return a.pickOtherReader(progress)
+	}
 	if m, found := a.boundedReader(ctx, progress); found {
 		return reader{member: m}, nil
 	}
--- a/node/replicaset/request.go
+++ b/node/replicaset/request.go
@@ -82,6 +82,8 @@
 	Floor logpos.Position
 	// Source is where a read was last sent and why.
 	Source ReadSource
+	// FailedRead tells what became of a read that a member failed.
+	FailedRead FailedRead
 	// Cause explains a failure.
 	Cause string
 }
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -108,6 +108,8 @@
 	// gateHealth tracks which gates answer their jobs.
 	gateHealth gateHealth
 	txs        txTable
+	// rerunBudget bounds the reads that run again on another member after a failure.
+	rerunBudget *rerunBudget
 	// logChecks deduplicates comparisons of logs by member.
 	logChecks singleflight.Group
 	log       zerolog.Logger
@@ -148,7 +150,7 @@
 		requestFloor: cfg.RequestFloor, onSuspect: cfg.OnSuspect, remote: cfg.Remote, owner: cfg.Owner, host: cfg.Host, features: cfg.Features, floorObserved: make(chan struct{}),
 		log:            cfg.Log.With().Str("service", cfg.Service).Logger(),
 		probeRequested: make(chan struct{}, 1), members: map[string]*Member{}, primaryChanged: make(chan struct{}),
-		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
+		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service), rerunBudget: newRerunBudget(),
 	}
 }
 
