--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -131,6 +131,9 @@
 			// An answer is ready, so the read does not wait for the primary.
 			break
 		}
+		if progress.recordEjection(r, res) {
+			continue
+		}
 		if r.floorFromGate && refusedForNoFloor(res.Err) {
 			// The gate refused without sending the read to the member, so the
 			// member stays eligible.
@@ -175,6 +178,7 @@
 	gateLacksFloor bool
 	// primaryOverload is the primary's overload refusal; nil if there was none.
 	primaryOverload error
+	ejectionProgress
 }
 
 func newReadProgress() *readProgress {
--- a/node/replicaset/failed_reads.go
+++ b/node/replicaset/failed_reads.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -138,9 +139,9 @@
 	now := clock.Now()
 	if floor, found := s.floor(a.request, now); found {
 		readers := s.rankReaders(a.request.Team, progress.attempted, floor, now)
-		if len(readers) > 0 && readers[0].Healthy() {
+		if len(readers) > 0 && !readers[0].Lagging && !readers[0].Suspect {
 			if m, known := s.Member(readers[0].ID); known {
-				return reader{member: m}, nil
+				return otherReader(m, progress)
 			}
 		}
 		return reader{}, errNoOtherReader
@@ -154,6 +155,16 @@
 	return reader{}, errNoOtherReader
 }
 
+// otherReader returns the reader for a member, unless it fails what it runs as well. A slow
+// one may serve if it is the best that is left.
+func otherReader(m *Member, progress *readProgress) (reader, error) {
+	r, err := readerOf(m, progress)
+	if err == nil && r.ignoreEjection && m.Ejection(clock.Now()).Cause == outlier.Failing {
+		return reader{}, errNoOtherReader
+	}
+	return r, err
+}
+
 // recordServed records that a member has served the read after others failed it.
 func (a *attempts) recordServed() {
 	if a.failed != nil {
--- a/node/replicaset/failed_reads_test.go
+++ b/node/replicaset/failed_reads_test.go
@@ -17,6 +17,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
@@ -271,3 +272,18 @@
 		}
 	}
 }
+
+// TestFailedReadAvoidsEjectedMember guards against a second run on a member that fails as
+// well, and against a failure that a slow member could have served.
+func TestFailedReadAvoidsEjectedMember(t *testing.T) {
+	for cause, expected := range map[outlier.Cause]FailedRead{outlier.Failing: NoOtherMember, outlier.Slow: ServedElsewhere} {
+		r := failingMembers("r1")
+		s := setWithTwoReplicas(r)
+		primary, _ := s.Member("p")
+		primary.observeWrongMember(clock.Now())
+		other, _ := s.Member("r2")
+		other.observeRemoteOutcome(clock.Now(), clock.Now(), Result{Ejection: outlier.Ejection{Cause: cause, Until: clock.Now() + time.Second}}, "")
+		out := s.Read(t.Context(), readWithGrants(&grants{}))
+		require.Equal(t, expected, out.FailedRead, cause)
+	}
+}
