Promoter: a primary that fails what it runs is replaced

It is now replaced by the planned switchover, if the verdict on it is that it fails, another member is healthy, and the host has seen it lead for 30 s. One host leads under the promotion lock; attempts of other hosts count, and the next one waits 5 s and longer. Slow primaries stay.

A switchover went on if the primary ignored the order to step down because it knew the term, and so could lose writes that it acknowledged afterwards; now it ends, also for a draining primary, and the next attempt names a newer term. It also ends if another member leads after the step-down.

The stand-in's members can fail what they run.

--- a/core/succession/choose.go
+++ b/core/succession/choose.go
@@ -12,6 +12,8 @@
 type CandidateStatus struct {
 	ID      string
 	Leaving bool
+	// Ejected is set if the replica fails what it runs or is slow.
+	Ejected bool
 	Status  statement.Status
 }
 
--- a/node/entry/failures_test.go
+++ b/node/entry/failures_test.go
@@ -81,6 +81,22 @@
 	}
 }
 
+// TestReadsOfFailingReplicaAreServed guards against a replica whose failures reach the
+// callers while another member can serve.
+func TestReadsOfFailingReplicaAreServed(t *testing.T) {
+	d := deploy(t, 2, options())
+	clients := []*client{d.connect(0, "bounded"), d.connect(1, "own")}
+	clients[1].must("STORE item x")
+	for _, m := range d.group.Members() {
+		m.SetFailing(m != d.group.Primary() && m != d.group.Members()[2])
+	}
+	for range 100 {
+		for _, c := range clients {
+			c.must("FETCH item")
+		}
+	}
+}
+
 // writeUntil writes distinct items until stop is closed and returns the
 // acknowledged ones.
 func writeUntil(c *client, stop chan struct{}) []string {
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -55,6 +55,7 @@
 	PrimaryLogVerified   = Event{413, "primary_log_verified"}
 	PrimaryLogUnverified = Event{414, "primary_log_unverified"}
 	PrimaryLogLost       = Event{415, "primary_log_lost"}
+	PrimaryFailing       = Event{416, "primary_failing"}
 	HostStateChanged     = Event{501, "host_state_changed"}
 	PeerCallFailed       = Event{502, "peer_call_failed"}
 	HistoryLost          = Event{606, "platform_history_lost"}
@@ -88,7 +89,7 @@
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
 		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
-		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost,
+		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost, PrimaryFailing,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
 		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched,
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -1,5 +1,5 @@
 // Package promoter fails over primaries that a majority of voters consider dead,
-// and performs planned switchovers of draining primaries. It serves the hosts of
+// and performs planned switchovers of primaries that drain or fail what they run. It serves the hosts of
 // the users' platform (package entry); hosts that speak PostgreSQL to their
 // callers (package host) use groupmonitor instead.
 //
@@ -105,14 +105,17 @@
 	// fencedToken.
 	noPrimarySince time.Duration
 	// readySince is since when a promotion is due (a majority considers the
-	// primary dead, or the primary drains); zero if none is. The takeover delay
-	// starts then.
+	// primary dead, or the primary drains or fails what it runs); zero if none is. The
+	// takeover delay starts then.
 	readySince time.Duration
 	// probedAt is when a suspected primary was last probed.
 	probedAt time.Duration
 	// fencedToken is the newest token that the platform has refused; it is not
 	// used again.
 	fencedToken uint64
+	// failing decides when a primary that fails what it runs is replaced. It is guarded by
+	// checkMu.
+	failing succession.FailingPrimary
 
 	// storeSync is guarded by storeMu.
 	storeSync storeSync
@@ -237,9 +240,13 @@
 	// draining is set if a switchover of the primary is due, suspected if the
 	// primary may be dead, and suspectedByPeer if another host has asked about it.
 	draining, suspected, suspectedByPeer bool
+	// failing is set if the primary is to be replaced because it fails what it runs.
+	failing bool
 }
 
-func (a assessment) healthy() bool { return !a.draining && !a.suspected && !a.suspectedByPeer }
+func (a assessment) healthy() bool {
+	return !a.draining && !a.suspected && !a.suspectedByPeer && !a.failing
+}
 
 // assess evaluates the state of the group. It is called with checkMu held.
 func (p *Promoter) assess(now time.Duration) assessment {
@@ -252,6 +259,8 @@
 	p.recordDeadPrimary(a.deadPrimary, now)
 	a.draining = a.deadPrimary == "" && p.switchoverDue()
 	a.suspected = a.deadPrimary != "" || p.primarySuspected(now)
+	failing := p.failingPrimaryDue(now)
+	a.failing = a.deadPrimary == "" && !a.draining && failing
 	return a
 }
 
@@ -269,13 +278,15 @@
 		return false
 	}
 	p.probeSuspect(ctx, now)
-	p.requestPeerReports(ctx, now, a.suspected, a.deadPrimary != "")
+	p.requestPeerReports(ctx, now, a.suspected || a.failing, a.deadPrimary != "")
 	p.routeAround(a.deadPrimary, now)
 	switch {
 	case a.deadPrimary != "" && p.majorityConsidersDead(a.deadPrimary, now):
 		p.tryPromotion(ctx, now, a.deadPrimary, func(ctx context.Context, token uint64) error { return p.replace(ctx, a.deadPrimary, token) })
 	case a.draining:
 		p.tryPromotion(ctx, now, "", p.switchOver)
+	case a.failing:
+		p.tryPromotion(ctx, now, "", p.replaceFailing)
 	default:
 		p.leading.Store(false)
 		p.readySince = 0
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -19,6 +19,8 @@
 	errNoCandidate       = errors.New("too few replicas answered to choose a new primary")
 	errRecovered         = errors.New("the primary is alive again")
 	errNewPrimaryNotSeen = errors.New("the promoted member did not become primary in time")
+	errNotSteppedDown    = errors.New("the primary did not confirm that it stepped down")
+	errNoReplicaClose    = errors.New("no healthy replica is close to the primary's log")
 )
 
 const (
@@ -138,7 +140,9 @@
 			if err != nil {
 				eventlog.GroupCommandFailed.Info(p.log).Err(err).Str("upstream", m.ID()).Str("order", "survey").Send()
 			}
-			results <- controlResult{status: succession.CandidateStatus{ID: m.ID(), Leaving: m.Leaving(), Status: st}, failed: err != nil}
+			now := clock.Now()
+			ejected := m.Ejection(now).Active(now)
+			results <- controlResult{status: succession.CandidateStatus{ID: m.ID(), Leaving: m.Leaving(), Ejected: ejected, Status: st}, failed: err != nil}
 		}()
 	}
 	return collectStatuses(results, sent, p.spec().SyncReplicas == 0)
@@ -219,7 +223,10 @@
 	catchUpTimeout = 2500 * time.Millisecond
 	// fullLogTimeout bounds the wait, after the primary has stepped down, for a
 	// replica to receive the complete log.
-	fullLogTimeout      = 1500 * time.Millisecond
+	fullLogTimeout = 1500 * time.Millisecond
+	// healthyLogTimeout is the part of it in which an ejected replica is passed over.
+	// Replicas are 30 to 50 ms behind.
+	healthyLogTimeout   = 300 * time.Millisecond
 	catchUpPollInterval = 30 * time.Millisecond
 )
 
@@ -245,54 +252,80 @@
 // switchOver promotes a replica that has the complete log of a draining primary,
 // so that no entry is lost.
 func (p *Promoter) switchOver(ctx context.Context, token uint64) error {
+	old, err := p.assumedPrimary()
+	if err != nil {
+		return err
+	}
+	p.awaitCatchUp(ctx, old, func(succession.CandidateStatus) bool { return true })
+	return p.handOver(ctx, old, token)
+}
+
+// assumedPrimary returns the member assumed to be the primary.
+func (p *Promoter) assumedPrimary() (*replicaset.Member, error) {
 	id, found := p.set.AssumedPrimary()
 	if !found {
-		return errRecovered
+		return nil, errRecovered
 	}
-	old, known := p.set.Member(id)
+	m, known := p.set.Member(id)
 	if !known {
-		return errRecovered
+		return nil, errRecovered
 	}
-	p.awaitCatchUp(ctx, old)
-	st, err := p.set.SendControl(ctx, old, statement.Operation{Verb: statement.StepDown, Term: p.set.Term() + 1})
+	return m, nil
+}
+
+// handOver makes the primary step down and promotes a replica that has its complete log.
+// Without a confirmed step-down nothing is promoted, because the primary may still
+// acknowledge writes.
+func (p *Promoter) handOver(ctx context.Context, old *replicaset.Member, token uint64) error {
+	term := p.set.Term() + 1
+	st, err := p.set.SendControl(ctx, old, statement.Operation{Verb: statement.StepDown, Term: term})
 	if err != nil {
 		return err
 	}
-	chosen, complete := p.awaitFullLog(ctx, id, st.Received)
+	if !succession.StepDownConfirmed(st, term) {
+		return errNotSteppedDown
+	}
+	p.failing.RecordStepDown(clock.Now())
+	chosen, complete := p.awaitFullLog(ctx, old.ID(), st.Received)
+	if id, found := p.set.AssumedPrimary(); found && id != old.ID() {
+		// Another host has had a member promoted.
+		return errRecovered
+	}
 	if !complete {
 		// The old primary stays primary if no replica has the complete log; a
 		// later attempt may find one that has caught up.
-		chosen = succession.CandidateStatus{ID: id, Status: st}
+		chosen = succession.CandidateStatus{ID: old.ID(), Status: st}
 	}
 	return p.promote(ctx, chosen, token)
 }
 
-// awaitCatchUp waits until a remaining replica is within maxSwitchoverLag of the
-// primary.
-func (p *Promoter) awaitCatchUp(ctx context.Context, oldPrimary *replicaset.Member) {
+// awaitCatchUp waits until a remaining replica that is accepted is within
+// maxSwitchoverLag of the primary, and reports whether there is one.
+func (p *Promoter) awaitCatchUp(ctx context.Context, oldPrimary *replicaset.Member, accepted func(succession.CandidateStatus) bool) bool {
 	deadline := clock.Now() + catchUpTimeout
 	for clock.Now() < deadline && ctx.Err() == nil {
 		status, err := p.set.Status(ctx, oldPrimary)
 		if err == nil {
 			for _, r := range p.remainingReplicas(ctx, oldPrimary.ID()) {
-				if r.Status.Received.Offset+maxSwitchoverLag >= status.Received.Offset {
-					return
+				if accepted(r) && r.Status.Received.Offset+maxSwitchoverLag >= status.Received.Offset {
+					return true
 				}
 			}
 		}
 		time.Sleep(catchUpPollInterval)
 	}
+	return false
 }
 
 // awaitFullLog waits until a remaining replica has received the log up to its
-// end.
+// end. One that is ejected is chosen only if no other one catches up within
+// healthyLogTimeout.
 func (p *Promoter) awaitFullLog(ctx context.Context, oldPrimary string, end logpos.Position) (succession.CandidateStatus, bool) {
-	deadline := clock.Now() + fullLogTimeout
-	for clock.Now() < deadline && ctx.Err() == nil {
-		for _, r := range p.remainingReplicas(ctx, oldPrimary) {
-			if r.Status.Received.Compare(end) >= 0 {
-				return r, true
-			}
+	started := clock.Now()
+	for clock.Now() < started+fullLogTimeout && ctx.Err() == nil {
+		chosen, found := succession.ChooseComplete(p.remainingReplicas(ctx, oldPrimary), end)
+		if found && (!chosen.Ejected || clock.Now() >= started+healthyLogTimeout) {
+			return chosen, true
 		}
 		time.Sleep(catchUpPollInterval)
 	}
--- a/node/replicaset/log_check.go
+++ b/node/replicaset/log_check.go
@@ -152,7 +152,7 @@
 // poolsAllMembers reports whether this host is a gate of all members.
 func (s *Set) poolsAllMembers() bool {
 	for _, m := range s.Members() {
-		if !m.isGate() {
+		if !m.IsGate() {
 			return false
 		}
 	}
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -250,8 +250,8 @@
 	return rank
 }
 
-// isGate reports whether this host is a gate of the member.
-func (m *Member) isGate() bool { return len(m.gateAddresses()) == 0 }
+// IsGate reports whether this host is a gate of the member.
+func (m *Member) IsGate() bool { return len(m.gateAddresses()) == 0 }
 
 // remoteStarted records the start of a statement on another host.
 func (m *Member) remoteStarted() {
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -91,7 +91,7 @@
 	s.mu.Lock()
 	votes := s.isVoter && s.primaryTracker.Primary() == m.id
 	s.mu.Unlock()
-	return votes || m.isGate()
+	return votes || m.IsGate()
 }
 
 // RefreshStatus asks a member for its status in the background. The answer
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -261,6 +261,10 @@
 		return errorReply("BUSY")
 	}
 	m.occupySlot()
+	if m.failing.Load() {
+		c.txFailed = c.inTx
+		return errorReply("FAILED")
+	}
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	m.replicate()
@@ -295,6 +299,9 @@
 	if c.txFailed || !c.inTx {
 		return errorReply("ABORTED")
 	}
+	if m.failing.Load() {
+		return errorReply("FAILED")
+	}
 	if len(c.pendingWrites) > 0 {
 		if !m.primary {
 			return errorReply("READONLY")
--- a/standin/lineplatform/member.go
+++ b/standin/lineplatform/member.go
@@ -44,8 +44,10 @@
 	answersToDrop atomic.Int64
 	// statementsToRefuse is how many of the next reads and writes get BUSY.
 	statementsToRefuse atomic.Int64
-	acceptedLogins     atomic.Int64
-	refusedLogins      atomic.Int64
+	// failing is set while reads, writes and commits get FAILED.
+	failing        atomic.Bool
+	acceptedLogins atomic.Int64
+	refusedLogins  atomic.Int64
 	// abandonedConns counts accepted connections that closed without TERMINATE.
 	abandonedConns atomic.Int64
 }
@@ -186,6 +188,10 @@
 // RefuseStatements makes the member answer BUSY to the next n reads and writes.
 func (m *Member) RefuseStatements(n int) { m.statementsToRefuse.Store(int64(n)) }
 
+// SetFailing makes the member answer FAILED to reads, writes and commits, or run them
+// again. Its status and its control operations are not affected.
+func (m *Member) SetFailing(on bool) { m.failing.Store(on) }
+
 // SetReplicationBlocked stops the member from replicating, or lets it replicate
 // again.
 func (m *Member) SetReplicationBlocked(on bool) {
