--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -1,29 +1,44 @@
 package outlier
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// failureWindow, minFailures and failureShare define a member that fails: at least
-	// minFailures failures in the window, and at least that share of its statements. A
-	// lone failure in low traffic is no evidence.
-	failureWindow = time.Second
-	minFailures   = 5
-	failureShare  = 0.5
+	// minFailures failures in the window, and at least that share of its latest statements.
+	// A lone failure in low traffic is no evidence. With all statements of the window, a
+	// member that has just begun to fail 400 statements a second had failed 130.
+	failureWindow     = time.Second
+	failureStatements = 10
+	minFailures       = 5
+	failureShare      = 0.5
+	// fewFailures are enough if no statement succeeded in the window and two teams are
+	// concerned. With six gates per member, five failures each are 30 lost reads.
+	fewFailures = 3
 	// A smaller share counts over a longer time if neither the peers nor the member's own
 	// past have half of it.
 	shareWindow        = 3 * time.Second
-	minShareStatements = 20
+	minShareStatements = 10
+	minShareFailures   = 4
 	smallFailureShare  = 0.2
 	minPeerStatements  = 5
+	// relapseStatements and relapseFailures suffice for a member that was ejected within
+	// memory: three probes of a member that fails 0.4 succeed in one of five cases.
+	relapseStatements = 4
+	relapseFailures   = 2
 	// A slow member takes slowFactor times as long as its peers and slowMargin longer: a
 	// read of 18 ms that takes 90 ms still meets its objective of 500 ms, but occupies
 	// five times its share of slots. The margin ignores differences between kinds of
 	// statements, which take 6 to 30 ms.
 	slowFactor = 4
 	slowMargin = 50 * time.Millisecond
-	// minSlowSamples is the number of samples in each half of a span.
+	// minSlowSamples is the number of slow samples of the member before and after
+	// minPeerSamples of its peers, and minSlowTime the time over which it must be slow.
 	minSlowSamples = 5
 	minPeerSamples = 3
+	minSlowTime    = time.Second
 	// slowCheckInterval bounds the cost of comparing response times.
 	slowCheckInterval = 100 * time.Millisecond
 	// pastWeight is the weight of a sample in the averages of the member's past, which
@@ -38,7 +53,8 @@
 	firstEjection = time.Second
 	maxEjection   = 8 * time.Second
 	memory        = 15 * time.Second
-	// probeInterval is the minimum time between probes while a member is ejected.
+	// probeInterval is the minimum time between probes while a member is ejected. After a
+	// failure it is half of the ejection if that is longer.
 	probeInterval = time.Second
 	// probeTimeout is how long a probe without an outcome blocks the next one.
 	probeTimeout = time.Second
@@ -49,12 +65,10 @@
 	trialRefusal = 250 * time.Millisecond
 )
 
-// slowSpans are the times over which response times are compared. A gate that runs little
-// on the peers needs the longest; the shortest serves a busy one.
-var slowSpans = [...]time.Duration{time.Second, 2 * time.Second, 4 * time.Second}
-
-// peerHistory is how far back the samples of a peer are used.
-const peerHistory = shareWindow
+// peerHistory is how far back the samples of a peer are used. A gate that is no gate of the
+// peer sees only its own callers' statements there, about one in two seconds with 74 hosts
+// and 80 reads a second per group.
+const peerHistory = 10 * time.Second
 
 // Peer is another member of the group, as this host knows it.
 type Peer struct {
@@ -138,7 +152,11 @@
 	if d.probeRuns(now) {
 		return false
 	}
-	return d.onTrial(now) || now < d.until && now >= d.probedAt+probeInterval
+	interval := probeInterval
+	if d.successes == 0 {
+		interval = max(interval, d.length/2)
+	}
+	return d.onTrial(now) || now < d.until && now >= d.probedAt+interval
 }
 
 // Admission is the answer to a read for a member.
@@ -223,7 +241,7 @@
 		d.learn(s)
 	}
 	if s.Failed {
-		return Unchanged, d.window.tally(s.At-shareWindow).failures >= minFailures
+		return Unchanged, d.window.tally(s.At-shareWindow).failures >= relapseFailures
 	}
 	if s.Took < slowMargin || s.At < d.nextSlow {
 		return Unchanged, false
@@ -240,9 +258,15 @@
 	d.pastSamples++
 	weight := max(pastWeight, 1/float64(d.pastSamples))
 	d.pastShare += weight * (failed - d.pastShare)
-	if !s.Failed {
-		d.pastTime += time.Duration(weight * float64(s.Took-d.pastTime))
+	if s.Failed {
+		return
+	}
+	took := s.Took
+	if d.pastTime > 0 {
+		// The first seconds in which a member is slow must not become its past.
+		took = min(took, pastFactor*d.pastTime)
 	}
+	d.pastTime += time.Duration(weight * float64(took-d.pastTime))
 }
 
 // Judge compares the member with its peers and its past and ejects it if it is an
@@ -268,12 +292,19 @@
 }
 
 func (d *Detector) failing(peers []Peer, now time.Duration) bool {
-	t := d.window.tally(now - failureWindow)
-	if t.failures >= minFailures && t.share() >= failureShare && !t.ofOneTeam() {
+	t, latest := d.window.tally(now-failureWindow), d.window.tallyLatest(now-failureWindow, failureStatements)
+	if latest.failures >= minFailures && latest.share() >= failureShare && !t.ofOneTeam() {
+		return true
+	}
+	if t.failures >= fewFailures && t.failures == t.statements && t.teamFailures < t.failures {
 		return true
 	}
 	t = d.window.tally(now - shareWindow)
-	if t.statements < minShareStatements || t.failures < minFailures || t.share() < smallFailureShare || t.ofOneTeam() {
+	statementsNeeded, failuresNeeded := minShareStatements, minShareFailures
+	if d.length > 0 && now < d.until+memory {
+		statementsNeeded, failuresNeeded = relapseStatements, relapseFailures
+	}
+	if t.statements < statementsNeeded || t.failures < failuresNeeded || t.share() < smallFailureShare || t.ofOneTeam() {
 		return false
 	}
 	if d.pastSamples >= minPastSamples && t.share() < pastFactor*d.pastShare {
@@ -282,7 +313,7 @@
 	statements, failures := 0, 0
 	for _, p := range peers {
 		for _, s := range p.Samples {
-			if !p.Ejected && s.At > now-shareWindow {
+			if !p.Ejected {
 				statements++
 				if s.Failed {
 					failures++
@@ -297,8 +328,8 @@
 	return took >= slowFactor*reference && took >= reference+slowMargin
 }
 
-// slow reports whether the member is slow in both halves of a span, compared with its
-// peers in the later half. A load that rises for all members shows in the peers by then.
+// slow reports whether the member was slow compared with its peers before and after their
+// latest samples. If the load of all members rises or falls once, these samples show it.
 // While a peer is ejected, the others carry its load, so that none of them is slow.
 func (d *Detector) slow(peers []Peer, now time.Duration) bool {
 	var theirs []Sample
@@ -306,25 +337,35 @@
 		if p.Ejected {
 			return false
 		}
-		theirs = append(theirs, p.Samples...)
+		theirs = append(theirs, succeeded(p.Samples)...)
 	}
-	for _, span := range slowSpans {
-		middle := now - span/2
-		reference, known := median(theirs, middle, now)
-		if known < minPeerSamples {
-			continue
-		}
-		own := d.window.Since(now - span)
-		earlier, before := median(own, now-span, middle)
-		later, after := median(own, middle, now)
-		if before < minSlowSamples || after < minSlowSamples || !isSlow(earlier, reference) || !isSlow(later, reference) {
-			continue
-		}
-		if d.pastSamples >= minPastSamples && later < pastFactor*d.pastTime {
-			continue
-		}
-		d.slowRef = reference
-		return true
+	own := succeeded(d.window.Since(now - peerHistory))
+	if len(own) < 2*minSlowSamples {
+		return false
+	}
+	slices.SortFunc(theirs, func(a, b Sample) int { return int(b.At - a.At) })
+	theirs = before(theirs, own[minSlowSamples-1].At)
+	if len(theirs) < minPeerSamples {
+		return false
+	}
+	from := min(theirs[minPeerSamples-1].At, now-minSlowTime)
+	earlier := before(own, from)
+	if len(earlier) < minSlowSamples {
+		return false
+	}
+	between := theirs[:max(len(theirs)-len(before(theirs, from)), minPeerSamples)]
+	// Of few samples that vary much the median may be small by chance.
+	reference := max(median(between), mean(between))
+	was, is := median(earlier[:minSlowSamples]), median(own[:minSlowSamples])
+	if !isSlow(was, reference) || !isSlow(is, reference) || d.alwaysSlow(min(was, is)) {
+		return false
 	}
-	return false
+	d.slowRef = reference
+	return true
+}
+
+// alwaysSlow reports whether a time is usual for the member, for example because its
+// statements are more expensive than those of its peers.
+func (d *Detector) alwaysSlow(took time.Duration) bool {
+	return d.pastSamples >= minPastSamples && took < pastFactor*d.pastTime
 }
--- a/node/replicaset/failed_reads.go
+++ b/node/replicaset/failed_reads.go
@@ -141,7 +141,7 @@
 		readers := s.rankReaders(a.request.Team, progress.attempted, floor, now)
 		if len(readers) > 0 && !readers[0].Lagging && !readers[0].Suspect {
 			if m, known := s.Member(readers[0].ID); known {
-				return otherReader(m, progress)
+				return otherReader(m, readers[0].Ejected, progress)
 			}
 		}
 		return reader{}, errNoOtherReader
@@ -157,8 +157,8 @@
 
 // otherReader returns the reader for a member, unless it fails what it runs as well. A slow
 // one may serve if it is the best that is left.
-func otherReader(m *Member, progress *readProgress) (reader, error) {
-	r, err := readerOf(m, progress)
+func otherReader(m *Member, ejected bool, progress *readProgress) (reader, error) {
+	r, err := readerOf(m, ejected, progress)
 	if err == nil && r.ignoreEjection && m.Ejection(clock.Now()).Cause == outlier.Failing {
 		return reader{}, errNoOtherReader
 	}
--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -77,10 +77,11 @@
 	return own
 }
 
-// ranksEjected reports whether reads should prefer other members. A read of this host is
-// the probe if one is due here. It is called with mu held.
-func (m *Member) ranksEjected(now time.Duration) bool {
-	return m.ejection(now).Active(now) && !m.outlier.detector.ProbeDue(now)
+// ranksEjected reports whether a team's reads should prefer other members. A read is the
+// probe if one is due here and this host runs it: another gate would refuse it. It is
+// called with mu held.
+func (m *Member) ranksEjected(team string, now time.Duration) bool {
+	return m.ejection(now).Active(now) && (!m.outlier.detector.ProbeDue(now) || len(m.routeOf(team, now)) > 0)
 }
 
 // ejectsOutliers reports whether members of the group can be ejected: another member must
@@ -113,29 +114,35 @@
 	if !m.set.ejectsOutliers() {
 		return
 	}
-	failed := a.Code == statement.Failure
-	m.mu.Lock()
-	change, suspicious := m.outlier.detector.Observe(outlier.Sample{At: now, Took: now - sent, Failed: failed, Team: team})
-	m.recordChange(change, now)
-	m.mu.Unlock()
-	if !suspicious {
-		return
+	sample := outlier.Sample{At: now, Took: now - sent, Failed: a.Code == statement.Failure, Team: team}
+	suspicious := false
+	m.judge(now, func(d *outlier.Detector) (change outlier.Change) {
+		change, suspicious = d.Observe(sample)
+		return change
+	})
+	if suspicious {
+		peers := m.set.outlierPeers(m, now)
+		m.judge(now, func(d *outlier.Detector) outlier.Change { return d.Judge(peers, now) })
 	}
-	peers := m.set.outlierPeers(m, now)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.recordChange(m.outlier.detector.Judge(peers, now), now)
 }
 
-// recordChange counts and logs a change of this host's verdict. It is called with mu held.
-func (m *Member) recordChange(change outlier.Change, now time.Duration) {
-	switch verdict := m.outlier.detector.Verdict(now); change {
-	case outlier.Ejected:
+// judge applies f to the detector, counts and logs a change of the verdict, and returns the
+// verdict.
+func (m *Member) judge(now time.Duration, f func(*outlier.Detector) outlier.Change) outlier.Ejection {
+	m.mu.Lock()
+	change := f(&m.outlier.detector)
+	verdict := m.outlier.detector.Verdict(now)
+	if change == outlier.Ejected {
 		m.outlier.counts.Ejections = increment(m.outlier.counts.Ejections, verdict.Cause, 1)
+	}
+	m.mu.Unlock()
+	switch change {
+	case outlier.Ejected:
 		eventlog.UpstreamEjected.Warn(m.log).Stringer("cause", verdict.Cause).Dur("for_ms", verdict.Until-now).Send()
 	case outlier.Readmitted:
 		eventlog.UpstreamReadmitted.Info(m.log).Send()
 	}
+	return verdict
 }
 
 // outlierPeers returns what this host knows about the other members of the group.
@@ -165,31 +172,39 @@
 	if !m.set.ejectsOutliers() {
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.takeVerdict(res.Ejection, now)
+	if !m.takeVerdict(res.Ejection, now) {
+		m.log.Warn().Stringer("cause", res.Ejection.Cause).Dur("for_ms", res.Ejection.Until-now).Msg("ignored an invalid ejection that a gate has reported")
+	}
 	failed := res.Answer.Code == statement.Failure
 	if res.Err != nil || res.Answer.Signature == "" && !failed {
 		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	took := max(now-began-res.Waited-m.set.topology.EstimateRoundTrip(m.entry.Zone), 0)
 	m.outlier.remote.Add(outlier.Sample{At: now, Took: took, Failed: failed, Team: team})
 }
 
 // takeVerdict takes a gate's verdict. Of several gates' verdicts the one that lasts longest
-// counts. It is called with mu held.
-func (m *Member) takeVerdict(e outlier.Ejection, now time.Duration) {
-	switch {
-	case e == outlier.Ejection{}:
-	case e.Until > now+outlier.MaxRemaining || e.Cause == outlier.UnknownCause:
-		m.outlier.counts.Invalid++
-		if last := m.outlier.invalidLoggedAt; last == 0 || now-last >= invalidVerdictLogInterval {
-			m.outlier.invalidLoggedAt = now
-			m.log.Warn().Stringer("cause", e.Cause).Dur("for_ms", e.Until-now).Msg("ignored an invalid ejection that a gate has reported")
+// counts. It returns false if the verdict is invalid and that should be logged.
+func (m *Member) takeVerdict(e outlier.Ejection, now time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e == (outlier.Ejection{}) {
+		return true
+	}
+	if e.Until <= now+outlier.MaxRemaining && e.Cause != outlier.UnknownCause {
+		if e.Until > m.outlier.reported.Until {
+			m.outlier.reported = e
 		}
-	case e.Until > m.outlier.reported.Until:
-		m.outlier.reported = e
+		return true
+	}
+	m.outlier.counts.Invalid++
+	if last := m.outlier.invalidLoggedAt; last != 0 && now-last < invalidVerdictLogInterval {
+		return true
 	}
+	m.outlier.invalidLoggedAt = now
+	return false
 }
 
 // TakeOutlierCounts returns the counts since the last call.
@@ -212,36 +227,39 @@
 		return run()
 	}
 	began := clock.Now()
-	admission := m.admitRead(j, began)
+	admission, verdict := m.admitRead(j, began)
 	if admission == outlier.Refused {
-		return Result{Err: errEjected, Ejection: m.Ejection(began)}
+		return Result{Err: errEjected, Ejection: verdict}
 	}
 	res := run()
 	now := clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if admission == outlier.AsProbe {
-		answered := res.Err == nil && (res.Answer.Code == statement.OK || res.Answer.Code == statement.Failure)
-		m.recordChange(m.outlier.detector.ProbeEnded(answered, res.Answer.Code == statement.Failure, now-began-res.Waited, now), now)
-	}
-	res.Ejection = m.outlier.detector.Verdict(now)
+	failed := res.Answer.Code == statement.Failure
+	// The begin of a transaction succeeds on a member that fails all statements.
+	answered := res.Err == nil && (failed || j.Kind == JobRead && res.Answer.Code == statement.OK)
+	res.Ejection = m.judge(now, func(d *outlier.Detector) outlier.Change {
+		if admission != outlier.AsProbe {
+			return outlier.Unchanged
+		}
+		return d.ProbeEnded(answered, failed, now-began-res.Waited, now)
+	})
 	return res
 }
 
-// admitRead decides whether a job may run on the member in view of its ejection. Only reads
-// that a replica can serve are refused. A primary refuses nothing.
-func (m *Member) admitRead(j Job, now time.Duration) outlier.Admission {
+// admitRead decides whether a job may run on the member in view of its ejection, and returns
+// the verdict. Only reads that a replica can serve are refused. A primary refuses nothing.
+func (m *Member) admitRead(j Job, now time.Duration) (outlier.Admission, outlier.Ejection) {
 	transaction := j.Kind == JobBegin && !j.RequirePrimary
 	if j.IgnoreEjection || j.Kind != JobRead && !transaction || m.set.isAssumedPrimary(m) {
-		return outlier.Admitted
+		return outlier.Admitted, outlier.Ejection{}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	admission := m.outlier.detector.Admit(transaction, now)
+	verdict := m.outlier.detector.Verdict(now)
 	if admission == outlier.Refused {
-		m.outlier.counts.Refused = increment(m.outlier.counts.Refused, m.outlier.detector.Verdict(now).Cause, 1)
+		m.outlier.counts.Refused = increment(m.outlier.counts.Refused, verdict.Cause, 1)
 	}
-	return admission
+	return admission, verdict
 }
 
 // ejectionProgress tracks, for one read, the members that refused it because they are
@@ -284,28 +302,47 @@
 	return p.overload == nil || c == outlier.Slow
 }
 
-// readerOf returns the reader for the best member that is left. If it is ejected, all
-// others have been tried or are worse.
-func readerOf(m *Member, p *readProgress) (reader, error) {
-	now := clock.Now()
-	m.mu.Lock()
-	verdict, ejected := m.ejection(now), m.ranksEjected(now)
-	m.mu.Unlock()
-	switch {
-	case !ejected:
-		return reader{member: m}, nil
-	case !p.usable(verdict.Cause):
+// readerOf returns the reader for the best member that is left. ejected is how the member
+// was ranked: if it was ejected, all others have been tried or are worse. A verdict that
+// has come since is left to the gate, because another member may serve the read.
+func readerOf(m *Member, ejected bool, p *readProgress) (reader, error) {
+	verdict := m.Ejection(clock.Now())
+	if ejected && verdict != (outlier.Ejection{}) && !p.usable(verdict.Cause) {
 		return reader{}, p.overload
 	}
-	return reader{member: m, ignoreEjection: true}, nil
+	return reader{member: m, ignoreEjection: ejected}, nil
 }
 
 // ejectedReader returns a member that refused the read because it is ejected, once no other
-// member is left. A slow one is preferred.
+// member is left.
 func (a *attempts) ejectedReader(p *readProgress) (*Member, bool) {
 	if _, known := a.set.floor(a.request, clock.Now()); !known {
 		return nil, false
 	}
+	return a.set.Member(p.takeRefusing())
+}
+
+// gateEjectedReader returns an ejected replica for a read for which this host knows no
+// floor, while no primary can be reached either. The replica's gate determines the floor.
+func (a *attempts) gateEjectedReader(p *readProgress) (*Member, bool) {
+	s := a.set
+	if _, found := s.Primary(); found || p.gateLacksFloor || !s.features.Enabled(feature.GateFloors) {
+		return nil, false
+	}
+	now := clock.Now()
+	for _, c := range s.rankReaders(a.request.Team, p.attempted, s.lowerBound(a.request), now) {
+		if c.Primary {
+			continue
+		}
+		m, found := s.Member(c.ID)
+		return m, found && c.Ejected && !c.Lagging && !c.Suspect && p.usable(m.Ejection(now).Cause)
+	}
+	return s.Member(p.takeRefusing())
+}
+
+// takeRefusing removes and returns a member that refused the read because it is ejected;
+// empty if there is none. A slow one is preferred.
+func (p *ejectionProgress) takeRefusing() string {
 	best := ""
 	for id, cause := range p.refusedBy {
 		if p.usable(cause) && (best == "" || cause == outlier.Slow) {
@@ -313,5 +350,5 @@
 		}
 	}
 	delete(p.refusedBy, best)
-	return a.set.Member(best)
+	return best
 }
--- a/node/replicaset/pick_reader.go
+++ b/node/replicaset/pick_reader.go
@@ -71,8 +71,8 @@
 	if a.failed != nil {
 		return a.pickOtherReader(progress)
 	}
-	if m, found := a.boundedReader(ctx, progress); found {
-		return readerOf(m, progress)
+	if m, ejected, found := a.boundedReader(ctx, progress); found {
+		return readerOf(m, ejected, progress)
 	}
 	if m, found := a.ejectedReader(progress); found {
 		return reader{member: m, ignoreEjection: true}, nil
@@ -82,6 +82,9 @@
 		if m, found := a.gateBoundedReader(progress); found {
 			return reader{member: m, floorFromGate: true}, nil
 		}
+		if m, found := a.gateEjectedReader(progress); found {
+			return reader{member: m, floorFromGate: true, ignoreEjection: true}, nil
+		}
 	}
 	if progress.primaryOverload != nil {
 		return reader{}, progress.primaryOverload
@@ -90,8 +93,8 @@
 		return reader{member: m, verifyPrimary: true}, nil
 	}
 	if bounded && len(progress.attempted) == 0 && s.awaitFloor(ctx, a.request) {
-		if m, found := a.boundedReader(ctx, progress); found {
-			return readerOf(m, progress)
+		if m, ejected, found := a.boundedReader(ctx, progress); found {
+			return readerOf(m, ejected, progress)
 		}
 	}
 	m, found := s.awaitPrimary(ctx, &a.request)
@@ -101,27 +104,29 @@
 	return reader{member: m, verifyPrimary: true}, nil
 }
 
-// boundedReader returns the best member for a read whose floor this host knows.
-// If only lagging members are left, a read of the caller's own commit waits for
-// a replica to catch up.
-func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (*Member, bool) {
+// boundedReader returns the best member for a read whose floor this host knows, and
+// whether it is ejected. If only lagging members are left, a read of the caller's own
+// commit waits for a replica to catch up.
+func (a *attempts) boundedReader(ctx context.Context, progress *readProgress) (m *Member, ejected, found bool) {
 	s := a.set
 	now := clock.Now()
 	floor, found := s.floor(a.request, now)
 	if !found {
-		return nil, false
+		return nil, false, false
 	}
 	readers := s.rankReaders(a.request.Team, progress.attempted, floor, now)
 	if len(readers) > 0 && readers[0].Healthy() {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, false, found
 	}
-	if m, found := a.awaitReplica(ctx, progress, floor, now); found {
-		return m, true
+	if m, found = a.awaitReplica(ctx, progress, floor, now); found {
+		return m, false, true
 	}
 	if len(readers) > 0 && (progress.primaryOverload == nil || !readers[0].Lagging) {
-		return s.Member(readers[0].ID)
+		m, found = s.Member(readers[0].ID)
+		return m, readers[0].Ejected, found
 	}
-	return nil, false
+	return nil, false, false
 }
 
 // gateBoundedReader returns a replica for a read for which this host knows no
@@ -154,7 +159,7 @@
 		if attempted[id] || s.pastDrain(e, now) || m.inWrongMemberBackoff(now) {
 			continue
 		}
-		c := m.candidate(primary, now)
+		c := m.candidate(primary, team, now)
 		c.NotPreferred = preferred != "" && id != preferred && id != primary
 		c.Lagging = id != primary && s.replicaState(m, floor).KnownBehind(now)
 		if e.Leaving {
