--- a/core/quota/fleet.go
+++ b/core/quota/fleet.go
@@ -78,7 +78,7 @@
 		names[h.Name] = true
 	}
 	for name, d := range f.departed {
-		if now >= d.until {
+		if d.forgotten(now) {
 			delete(f.departed, name)
 		}
 	}
@@ -221,6 +221,9 @@
 	}
 	for _, d := range f.departed {
 		consider(d.until)
+		if d.state == gone {
+			consider(d.at + lapsedPeriodOfGrants)
+		}
 	}
 	return first
 }
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
@@ -79,6 +80,22 @@
 	m.metrics.Add("connections_evicted", c.Evicted, label)
 }
 
+// retryTimes adds the retry times told to refused statements, by priority class and upper
+// bound, and the statements that came back at their moments.
+func (m *hostMetrics) retryTimes(c replicaset.ReturnCounts) {
+	c.Each(func(priority int, upTo time.Duration, n int) {
+		m.metrics.Add("retry_times", n, metrics.Label{Name: "priority", Value: strconv.Itoa(priority)}, metrics.Label{Name: "up_to", Value: upTo.String()})
+	})
+	m.metrics.Add("returns_recognized", c.Recognized)
+}
+
+// loadReports adds counts of refusals by load reports and of invalid reports.
+func (m *hostMetrics) loadReports(service string, c replicaset.LoadCounts) {
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
+	m.metrics.Add("refused_by_load_reports", c.RefusedByReports, label)
+	m.metrics.Add("load_reports_invalid", c.InvalidReports, label)
+}
+
 // outliers adds counts of ejections, of reads that were refused because of them, and of
 // verdicts of other hosts that were ignored as invalid.
 func (m *hostMetrics) outliers(service string, c replicaset.OutlierCounts) {
--- a/node/limits/requests.go
+++ b/node/limits/requests.go
@@ -51,7 +51,8 @@
 		go l.requestGrants(team, placement.Counters, wanted, quota.Grant{})
 		return
 	}
-	g := l.counter.Acquire(team.Name, team.Limit, len(placement.Counters), wanted, now)
+	allotment := quota.AllotmentOf(l.cfg.Self.Name, placement.Counters, placement.losses, l.leaseState(now))
+	g := l.counter.Acquire(team.Name, team.Limit, allotment, wanted, now)
 	if g.Granted == wanted {
 		l.applyGrant(team, g, now)
 		return
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -80,7 +80,7 @@
 	if a.failed != nil {
 		return a.failureOutcome()
 	}
-	return refuse(a.outcome, a.request, a.lastErr)
+	return a.set.refuse(a.outcome, a.request, a.lastErr)
 }
 
 // onPrimary runs a job on the primary. It retries only while the failed attempts
--- a/node/replicaset/failed_reads.go
+++ b/node/replicaset/failed_reads.go
@@ -138,7 +138,7 @@
 	s := a.set
 	now := clock.Now()
 	if floor, found := s.floor(a.request, now); found {
-		readers := s.rankReaders(a.request.Team, progress.attempted, floor, now)
+		readers := s.rankReaders(&a.request, progress.attempted, floor, now)
 		if len(readers) > 0 && !readers[0].Lagging && !readers[0].Suspect {
 			if m, known := s.Member(readers[0].ID); known {
 				return otherReader(m, readers[0].Ejected, progress)
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -12,9 +12,11 @@
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/exectime"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/health"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/returns"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -47,6 +49,8 @@
 	// share is this host's share of the member's connections. It lists the gates
 	// of the member if this host is not one of them.
 	share gates.Share
+	// loads is what the member's gates on other hosts have reported.
+	loads gateload.Tracker
 	// remoteInFlight counts the statements in progress on other hosts.
 	remoteInFlight int
 	// restartRevision is the revision of the role entry at the member's restart;
@@ -71,6 +75,7 @@
 	// expired idle connections. Each is nil while not armed.
 	openTimer *time.Timer
 	idleTimer *time.Timer
+	returns   memberReturns
 }
 
 func newMember(s *Set, e directory.Member, share gates.Share) *Member {
@@ -78,6 +83,7 @@
 		id: e.ID, service: e.Service, address: e.Address, set: s, entry: e,
 		log:  s.log.With().Str("upstream", e.ID).Logger(),
 		pool: connpool.New(share.Limits), share: share, conns: map[connpool.ConnID]*Conn{}, waiters: map[uint64]chan grant{},
+		returns: memberReturns{schedule: returns.New(s.host)},
 	}
 	m.health.TimeoutsOnly = !s.features.Enabled(feature.ObservedSilence)
 	return m
--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -330,7 +330,7 @@
 		return nil, false
 	}
 	now := clock.Now()
-	for _, c := range s.rankReaders(a.request.Team, p.attempted, s.lowerBound(a.request), now) {
+	for _, c := range s.rankReaders(&a.request, p.attempted, s.lowerBound(a.request), now) {
 		if c.Primary {
 			continue
 		}
