Failing primaries: replaced after 15 s, for half of their statements only

A change stops the group's writes for half a second, so a wrong verdict that repeats costs 3 % of the time. 30 s left a primary in place that failed in the first half minute after a start of the fleet.

The detector is told that the member leads, and then asks for half of the statements.

--- a/core/outlier/detector.go
+++ b/core/outlier/detector.go
@@ -100,7 +100,8 @@
 // An ejected member gets single probes, at most one in probeInterval. When the ejection
 // has expired, the member is on trial: probes run one at a time, without the interval. A
 // trial ends with readmitProbes successes in a row, or with a failure, which ejects the
-// member for longer.
+// member for longer. A primary gets no probes; it is judged by all that it runs, and a lone
+// failure does not end its trial.
 type Detector struct {
 	window Window
 	// pastTime and pastShare are averages over the time without an ejection.
@@ -121,8 +122,15 @@
 	successes int
 	// slowRef is the median of the peers when the member was ejected as slow.
 	slowRef time.Duration
+	// primary is set while the member is the primary of its group.
+	primary bool
 }
 
+// SetPrimary records whether the member is the primary. A primary that fails is replaced, so
+// that only a share of failures of failureShare counts against it: smaller shares compare
+// its writes with the reads of its peers, and a lone failure after an ejection shows little.
+func (d *Detector) SetPrimary(primary bool) { d.primary = primary }
+
 // Window returns the samples of the member.
 func (d *Detector) Window() *Window { return &d.window }
 
@@ -233,11 +241,14 @@
 // Observe records a sample. It also reports whether Judge should be called.
 func (d *Detector) Observe(s Sample) (Change, bool) {
 	d.window.Add(s)
-	if d.onTrial(s.At) && (s.Failed || !d.probeRuns(s.At)) {
+	switch trial := d.onTrial(s.At); {
+	case trial && s.Failed && d.primary:
+		// Judge decides whether more statements fail.
+		d.successes = 0
+	case trial && (s.Failed || !d.probeRuns(s.At)):
 		// The outcome of a probe that succeeds is recorded when it ends.
 		return d.tried(s.Failed, s.Took, s.At), false
-	}
-	if s.At >= d.until {
+	case s.At >= d.until:
 		d.learn(s)
 	}
 	if s.Failed {
@@ -299,6 +310,9 @@
 	if t.failures >= fewFailures && t.failures == t.statements && t.teamFailures < t.failures {
 		return true
 	}
+	if d.primary {
+		return false
+	}
 	t = d.window.tally(now - shareWindow)
 	statementsNeeded, failuresNeeded := minShareStatements, minShareFailures
 	if d.length > 0 && now < d.until+memory {
--- a/core/outlier/detector_test.go
+++ b/core/outlier/detector_test.go
@@ -128,3 +128,59 @@
 	}
 	require.Equal(t, 5, failures)
 }
+
+// healthyPeer returns a peer that has run a read every 50 ms until now.
+func healthyPeer(now time.Duration) outlier.Peer {
+	var w outlier.Window
+	for at := now - 3*time.Second; at < now; at += 50 * ms {
+		w.Add(outlier.Sample{At: at, Took: 18 * ms})
+	}
+	return outlier.PeerOf(&w, false, now)
+}
+
+// TestPrimaryIsEjectedForHalfOfItsStatementsOnly guards against a change of the primary for
+// a share of failures that its writes have and the reads of its peers do not, and for lone
+// failures after an ejection.
+func TestPrimaryIsEjectedForHalfOfItsStatementsOnly(t *testing.T) {
+	for _, primary := range []bool{false, true} {
+		for _, relapse := range []bool{false, true} {
+			var d outlier.Detector
+			now, ejections := time.Minute, 0
+			if relapse {
+				fail(t, &d, now)
+				now = d.Verdict(now).Until
+			}
+			d.SetPrimary(primary)
+			for i := range 200 {
+				now += 20 * ms
+				change, suspicious := d.Observe(outlier.Sample{At: now, Took: 6 * ms, Failed: i%3 == 0, Team: string(rune('a' + i%7))})
+				if suspicious {
+					change = max(change, d.Judge([]outlier.Peer{healthyPeer(now)}, now))
+				}
+				if change == outlier.Ejected {
+					ejections++
+				}
+			}
+			require.Equal(t, primary, ejections == 0, "primary %v, relapse %v: %d ejections", primary, relapse, ejections)
+		}
+	}
+}
+
+// TestPrimaryThatFailsHalfStaysEjected guards against a primary that goes on failing half of
+// its statements and whose verdict is not renewed before the switchover begins.
+func TestPrimaryThatFailsHalfStaysEjected(t *testing.T) {
+	var d outlier.Detector
+	d.SetPrimary(true)
+	ejected := time.Duration(0)
+	for i := range 500 {
+		now := time.Minute + time.Duration(i)*20*ms
+		_, suspicious := d.Observe(outlier.Sample{At: now, Took: 6 * ms, Failed: i%2 == 0, Team: string(rune('a' + i%7))})
+		if suspicious {
+			d.Judge([]outlier.Peer{healthyPeer(now)}, now)
+		}
+		if d.Verdict(now).Cause == outlier.Failing {
+			ejected += 20 * ms
+		}
+	}
+	require.Greater(t, ejected, 9*time.Second)
+}
--- a/core/succession/failing_primary.go
+++ b/core/succession/failing_primary.go
@@ -11,14 +11,15 @@
 const (
 	// MinLeadTime is how long a primary leads before it is replaced because it fails what
 	// it runs. It bounds the changes, each of which stops the group's writes for half a
-	// second, where statements fail on every member. A wrong verdict then costs 2 % of the
-	// time.
-	MinLeadTime = 30 * time.Second
+	// second, where statements fail on every member. A wrong verdict that repeats then
+	// costs 3 % of the time. With 30 s a primary that failed in the first half minute after
+	// a start of the fleet stayed in place.
+	MinLeadTime = 15 * time.Second
 	// firstAttemptDelay is the delay after an attempt to replace a failing primary. It
 	// doubles with each further one, up to MinLeadTime.
 	firstAttemptDelay = 5 * time.Second
 	// maxDelayDoublings is the number of doublings that reach MinLeadTime.
-	maxDelayDoublings = 3
+	maxDelayDoublings = 2
 )
 
 // FailingPrimary decides when a primary that fails what it runs is replaced by a
--- a/node/promoter/failing_primary_test.go
+++ b/node/promoter/failing_primary_test.go
@@ -181,7 +181,7 @@
 	g.writeFor(100 * time.Millisecond)
 	g.requireWritten()
 
-	// The next primary fails as well, and is not replaced within 30 s.
+	// The next primary fails as well, and is not replaced within succession.MinLeadTime.
 	g.group.Primary().SetFailing(true)
 	g.writeFor(2 * time.Second)
 	require.EqualValues(t, 1, g.stepDowns.Load())
--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -115,8 +115,9 @@
 		return
 	}
 	sample := outlier.Sample{At: now, Took: now - sent, Failed: a.Code == statement.Failure, Team: team}
-	suspicious := false
+	primary, suspicious := m.set.isAssumedPrimary(m), false
 	m.judge(now, func(d *outlier.Detector) (change outlier.Change) {
+		d.SetPrimary(primary)
 		change, suspicious = d.Observe(sample)
 		return change
 	})
--- a/node/replicaset/outlier_test.go
+++ b/node/replicaset/outlier_test.go
@@ -155,6 +155,26 @@
 	require.Equal(t, outlier.Admitted, admission)
 }
 
+// TestPrimaryNeedsStrongerEvidence guards against a primary that is replaced for a share of
+// failures that ejects a replica.
+func TestPrimaryNeedsStrongerEvidence(t *testing.T) {
+	for id, ejected := range map[string]bool{"p": false, "r1": true} {
+		gate := newFakeGate().set
+		now := clock.Now()
+		for i := range 12 {
+			for _, m := range gate.Members() {
+				a := statement.Answer{Code: statement.OK}
+				if m.id == id && i%3 == 2 {
+					a.Code = statement.Failure
+				}
+				m.observeOutcome(now-time.Millisecond, now, a, "")
+			}
+		}
+		m, _ := gate.Member(id)
+		require.Equal(t, ejected, m.Ejection(now).Active(now), id)
+	}
+}
+
 // TestNothingIsEjectedWithoutNeed guards against ejections where the feature is disabled or
 // no other member can serve.
 func TestNothingIsEjectedWithoutNeed(t *testing.T) {
