Promoter: no second promotion beside that of another host

A host that took the lock while another one led a switchover found the old primary a replica, took that for its own step-down, and promoted a replica as well. Writes that the first host's replica had acknowledged were lost. The switchover now stops if a replica already leads, and a failing primary that is a replica before the order is left to the host that had it step down.

--- a/node/promoter/failing_primary.go
+++ b/node/promoter/failing_primary.go
@@ -60,5 +60,13 @@
 	if !p.awaitCatchUp(ctx, old, func(r succession.CandidateStatus) bool { return !r.Ejected }) {
 		return errNoReplicaClose
 	}
+	st, err := p.set.Status(ctx, old)
+	if err != nil {
+		return err
+	}
+	if !st.Primary {
+		// Another host may have ordered the step-down and be about to promote a replica.
+		return errNotPrimary
+	}
 	return p.handOver(ctx, old, token)
 }
--- a/node/promoter/failing_primary_test.go
+++ b/node/promoter/failing_primary_test.go
@@ -205,6 +205,40 @@
 	g.requireWritten()
 }
 
+// TestStepDownOrderedByAnotherHostIsLeftToIt guards against a second promotion, by a host that
+// has just taken the lock, while the host that had the primary step down promotes a replica.
+func TestStepDownOrderedByAnotherHostIsLeftToIt(t *testing.T) {
+	g := newFailingGroup(t, feature.Set{feature.FailingPrimary: true})
+	g.writeFor(100 * time.Millisecond)
+	old, err := g.promoter.assumedPrimary()
+	require.NoError(t, err)
+	g.promoter.checkMu.Lock()
+	defer g.promoter.checkMu.Unlock()
+	st, err := g.set.SendControl(t.Context(), old, statement.Operation{Verb: statement.StepDown, Term: g.set.Term() + 1})
+	require.NoError(t, err)
+	require.False(t, st.Primary)
+	require.ErrorIs(t, g.promoter.replaceFailing(t.Context(), 99), errNotPrimary)
+	require.Nil(t, g.group.Primary())
+}
+
+// TestNothingIsPromotedBesideNextPrimary guards against the loss of what the next primary has
+// acknowledged, if another host has had it promoted meanwhile.
+func TestNothingIsPromotedBesideNextPrimary(t *testing.T) {
+	for i := range 3 {
+		g := newFailingGroup(t, feature.Set{feature.FailingPrimary: true})
+		g.writeFor(100 * time.Millisecond)
+		old, err := g.promoter.assumedPrimary()
+		require.NoError(t, err)
+		g.promoter.checkMu.Lock()
+		next := g.group.Members()[1+i%2]
+		require.True(t, g.group.Promote(next))
+		require.Eventually(t, func() bool { return g.group.Primary() == next }, 2*time.Second, time.Millisecond)
+		require.ErrorIs(t, g.promoter.handOver(t.Context(), old, 99), errRecovered)
+		require.Equal(t, next.ID, g.group.Primary().ID)
+		g.promoter.checkMu.Unlock()
+	}
+}
+
 // TestFailingPrimaryLeadsOnWhereDisabled guards against a change where the feature is
 // disabled.
 func TestFailingPrimaryLeadsOnWhereDisabled(t *testing.T) {
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -20,6 +20,7 @@
 	errRecovered         = errors.New("the primary is alive again")
 	errNewPrimaryNotSeen = errors.New("the promoted member did not become primary in time")
 	errNotSteppedDown    = errors.New("the primary did not confirm that it stepped down")
+	errNotPrimary        = errors.New("the member is no longer the primary")
 	errNoReplicaClose    = errors.New("no healthy replica is close to the primary's log")
 )
 
@@ -286,7 +287,10 @@
 		return errNotSteppedDown
 	}
 	p.failing.RecordStepDown(clock.Now())
-	chosen, complete := p.awaitFullLog(ctx, old.ID(), st.Received)
+	chosen, complete, err := p.awaitFullLog(ctx, old.ID(), st)
+	if err != nil {
+		return err
+	}
 	if id, found := p.set.AssumedPrimary(); found && id != old.ID() {
 		// Another host has had a member promoted.
 		return errRecovered
@@ -317,19 +321,26 @@
 	return false
 }
 
-// awaitFullLog waits until a remaining replica has received the log up to its
-// end. One that is ejected is chosen only if no other one catches up within
-// healthyLogTimeout.
-func (p *Promoter) awaitFullLog(ctx context.Context, oldPrimary string, end logpos.Position) (succession.CandidateStatus, bool) {
+// awaitFullLog waits until a remaining replica has received the log of the old primary,
+// which has stepped down, up to its end. One that is ejected is chosen only if no other one
+// catches up within healthyLogTimeout. It fails if another host has had a member promoted,
+// whose writes a second promotion would lose.
+func (p *Promoter) awaitFullLog(ctx context.Context, oldPrimary string, old statement.Status) (succession.CandidateStatus, bool, error) {
 	started := clock.Now()
 	for clock.Now() < started+fullLogTimeout && ctx.Err() == nil {
-		chosen, found := succession.ChooseComplete(p.remainingReplicas(ctx, oldPrimary), end)
+		replicas := p.remainingReplicas(ctx, oldPrimary)
+		for _, r := range replicas {
+			if r.Status.Primary && r.Status.Term >= old.Term && !p.set.LogLost(r.ID) {
+				return succession.CandidateStatus{}, false, errRecovered
+			}
+		}
+		chosen, found := succession.ChooseComplete(replicas, old.Received)
 		if found && (!chosen.Ejected || clock.Now() >= started+healthyLogTimeout) {
-			return chosen, true
+			return chosen, true, nil
 		}
 		time.Sleep(catchUpPollInterval)
 	}
-	return succession.CandidateStatus{}, false
+	return succession.CandidateStatus{}, false, nil
 }
 
 // remainingReplicas returns the status of the replicas that are not draining.
