Promoter: the old primary leads again if no replica has its whole log

After the step-down the host still took it for the primary, so its promotion passed for completed without a call, and the group had no primary until the failover. The step-down is recorded as soon as it is confirmed.

--- a/node/promoter/failing_primary_test.go
+++ b/node/promoter/failing_primary_test.go
@@ -239,6 +239,27 @@
 	}
 }
 
+// TestPrimaryLeadsAgainWithoutCompleteReplica guards against a group that stays without a
+// primary because no replica receives the whole log after the step-down.
+func TestPrimaryLeadsAgainWithoutCompleteReplica(t *testing.T) {
+	g := newFailingGroup(t, feature.Set{feature.FailingPrimary: true})
+	g.writeFor(100 * time.Millisecond)
+	old, err := g.promoter.assumedPrimary()
+	require.NoError(t, err)
+	for _, m := range g.group.Members() {
+		m.SetReplicationBlocked(true)
+	}
+	for range 5 {
+		g.writeFor(time.Millisecond)
+	}
+	g.promoter.checkMu.Lock()
+	defer g.promoter.checkMu.Unlock()
+	require.NoError(t, g.promoter.handOver(t.Context(), old, 99))
+	require.NotNil(t, g.group.Primary())
+	require.Equal(t, old.ID(), g.group.Primary().ID)
+	g.requireWritten()
+}
+
 // TestFailingPrimaryLeadsOnWhereDisabled guards against a change where the feature is
 // disabled.
 func TestFailingPrimaryLeadsOnWhereDisabled(t *testing.T) {
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -287,6 +287,8 @@
 		return errNotSteppedDown
 	}
 	p.failing.RecordStepDown(clock.Now())
+	// Otherwise a promotion of the old primary would pass for completed already.
+	p.set.ObserveStepDown(old)
 	chosen, complete, err := p.awaitFullLog(ctx, old.ID(), st)
 	if err != nil {
 		return err
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -39,6 +39,9 @@
 	s.notifyPrimaryChange(before, "refused as replica")
 }
 
+// ObserveStepDown records that a member has confirmed that it stepped down as the primary.
+func (s *Set) ObserveStepDown(m *Member) { s.observeDenial(m) }
+
 // confirmPrimary records that a member has completed an exchange, sent at the given
 // time, that only the primary can complete, and the log position it reported. It reports
 // false if the position shows that the member has lost part of its log.
