--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -123,6 +123,8 @@
 	// gateHealth tracks which gates answer their jobs.
 	gateHealth gateHealth
 	txs        txTable
+	// rerunBudget bounds the reads that run again on another member after a failure.
+	rerunBudget *rerunBudget
 	// logChecks deduplicates comparisons of logs by member.
 	logChecks singleflight.Group
 	log       zerolog.Logger
@@ -173,7 +175,7 @@
 		log:            cfg.Log.With().Str("service", cfg.Service).Logger(),
 		probeRequested: make(chan struct{}, 1), members: map[string]*Member{}, primaryChanged: make(chan struct{}),
 		random: cfg.Random, logBudget: cfg.LogBudget,
-		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service),
+		shareCache: gates.NewShareCache(cfg.Host), voters: succession.NewVoterSet(cfg.Service), rerunBudget: newRerunBudget(),
 		returns: groupReturns{memberReturns: memberReturns{schedule: returns.New(cfg.Host)}},
 	}
 }
