Replicaset: a replica serves what only a failing primary could bound

A read that goes to the primary because no floor is known was lost if the primary failed it, although its answer carries a floor by now. Such a read runs again on a replica, within the budget and with a grant; one whose route needs the primary does not.

--- a/node/replicaset/failed_reads.go
+++ b/node/replicaset/failed_reads.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/core/retry"
@@ -110,7 +111,7 @@
 // rerunObstacle returns why a read that a member has failed may not run on another one;
 // NotFailed if it may. In that case it has taken a token and a grant.
 func (a *attempts) rerunObstacle(ctx context.Context, r reader, progress *readProgress) FailedRead {
-	if r.verifyPrimary {
+	if r.verifyPrimary && a.request.Route.Consistency == catalog.Primary {
 		return PrimaryOnly
 	}
 	if clock.Now() >= a.request.StartDeadline || a.outcome.Attempts >= maxAttempts {
--- a/node/replicaset/failed_reads_test.go
+++ b/node/replicaset/failed_reads_test.go
@@ -287,3 +287,30 @@
 		require.Equal(t, expected, out.FailedRead, cause)
 	}
 }
+
+// boundingRemote adds a floor as of now to the answers of the primary.
+type boundingRemote struct{ *failingRemote }
+
+func (r boundingRemote) Run(ctx context.Context, address, service string, j Job) Result {
+	res := r.failingRemote.Run(ctx, address, service, j)
+	if j.Member == "p" {
+		res.Floor = Floor{Position: logpos.Position{Term: 1, Offset: 1}, AsOf: clock.Now(), Leadership: Leadership{Primary: "p", Term: 1}}
+	}
+	return res
+}
+
+// TestReplicaServesWhatFailingPrimaryBounds guards against reads that are lost because only
+// the primary could bound their age and fails them: its answer brings a floor, with which a
+// replica can serve them.
+func TestReplicaServesWhatFailingPrimaryBounds(t *testing.T) {
+	r, g := failingMembers("p"), &grants{}
+	s := setWithTwoReplicas(boundingRemote{r}, feature.GateFloors)
+	req := readWithGrants(g)
+	req.Route.MaxStaleness = stalenessMargin + 50*time.Millisecond
+	require.Eventually(t, func() bool { _, found := s.floor(req, clock.Now()); return !found }, time.Second, time.Millisecond)
+	out := s.Read(t.Context(), req)
+	require.Equal(t, statement.OK, out.Answer.Code, out.Cause)
+	require.Equal(t, []string{"p", "r1"}, r.runs)
+	require.Equal(t, 1, g.asked)
+	require.Equal(t, ServedElsewhere, out.FailedRead)
+}
