Slotqueue: teams that call once are forgotten

A team that has called once stays ahead of the others by the cost of its statement, so it was never removed, and the state grew with each team.

--- a/core/slotqueue/queue.go
+++ b/core/slotqueue/queue.go
@@ -33,8 +33,8 @@
 	// severalTeamsTime is for how long after a change of the calling team several teams are
 	// taken to call.
 	severalTeamsTime = 10 * time.Second
-	// maxTeams is the number of teams from which on those are removed that have no
-	// statement and are not ahead of the others.
+	// maxTeams is the number of teams from which on those are removed that have no waiting
+	// statement and are ahead of the others by less than a quantum.
 	maxTeams = 256
 )
 
@@ -149,7 +149,7 @@
 
 func (q *Queue[T]) removeUnusedTeams() {
 	for name, t := range q.teams {
-		if t.waiting == 0 && t.used <= q.virtualTime {
+		if t.waiting == 0 && t.used-q.virtualTime < quantum {
 			delete(q.teams, name)
 		}
 	}
--- a/core/slotqueue/queue_internal_test.go
+++ b/core/slotqueue/queue_internal_test.go
@@ -1,6 +1,7 @@
 package slotqueue
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -170,3 +171,15 @@
 		})
 	}
 }
+
+// TestTeamsThatCallOnceAreForgotten guards against state that grows with each team that has
+// ever called.
+func TestTeamsThatCallOnceAreForgotten(t *testing.T) {
+	q := New[Statement](64, true)
+	for i := range 10 * maxTeams {
+		team := fmt.Sprint("team-", i)
+		q.Started(team, 0, false, 0)
+		q.Ended(team, 12*ms)
+	}
+	require.LessOrEqual(t, len(q.teams), maxTeams)
+}
