Replicaset: a late statement takes an idle connection without other events

A waiting statement may take another team's idle connection once it is late, but the pool was asked for that only when another statement came or went. In a quiet pool it was refused at its deadline.

--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -128,12 +128,16 @@
 }
 
 // recheckAfter returns how long a waiter waits until its next check, and false
-// if it is to be refused.
+// if it is to be refused. A late waiter may take another team's idle connection, also when
+// nothing else happens in the pool.
 func (m *Member) recheckAfter(w connpool.Waiter) (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
 	at, keep := m.pool.WaitUntil(w, now)
+	if keep {
+		m.advancePool(now)
+	}
 	return at - now, keep
 }
 
