--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -275,8 +275,12 @@
 	return w, found
 }
 
-// Closed records that a connection of a team was closed while in use.
-func (p *Pool) Closed(team string) { decrement(p.inUse, team) }
+// Closed records that a connection of a team was closed after a statement has held it for
+// holdTime.
+func (p *Pool) Closed(team string, holdTime time.Duration) {
+	decrement(p.inUse, team)
+	p.queue.Ended(team, holdTime)
+}
 
 // assignOrIdle assigns a free connection to the next waiter that may use it, or
 // keeps it idle.
--- a/core/connpool/pool_test.go
+++ b/core/connpool/pool_test.go
@@ -274,7 +274,7 @@
 				}
 			case op == 4 && len(inUse) > 0:
 				delete(inUse, lowestInUse())
-				p.Closed("")
+				p.Closed("", ms)
 			case op == 5:
 				p.ExpireIdle(now)
 			}
--- a/core/connpool/team_test.go
+++ b/core/connpool/team_test.go
@@ -178,7 +178,7 @@
 					id := used[0]
 					used = used[1:]
 					if rapid.Bool().Draw(t, "broken") {
-						p.Closed(teamOf[id])
+						p.Closed(teamOf[id], ms)
 						delete(teamOf, id)
 					} else if w, found := p.Released(connpool.Conn{ID: id, Team: teamOf[id]}, ms, now); found {
 						markInUse(id, w)
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -265,7 +265,7 @@
 	now := clock.Now()
 	c.inUse = false
 	if c.broken || c.lastState != statement.Idle || m.removed {
-		m.pool.Closed(c.team)
+		m.pool.Closed(c.team, now-c.takenAt)
 		delete(m.conns, c.id)
 		c.close()
 		m.advancePool(now)
