Slotqueue: a team's excess does not raise the wait of its class for others

Statements of the same class count as ahead within a class's share only as far as their teams' rounds allow. While more important classes used nearly all slots, 50 waiting statements of one team gave a wait of 2.4 s for another team's statement, which is served with the next start of its class.

--- a/core/slotqueue/queue_internal_test.go
+++ b/core/slotqueue/queue_internal_test.go
@@ -183,3 +183,31 @@
 	}
 	require.LessOrEqual(t, len(q.teams), maxTeams)
 }
+
+// TestExcessOfOneTeamDoesNotRaiseWaitOfItsClass guards against refusing statements of a
+// class because one team fills the queue with statements of that class, while more
+// important ones use nearly all slots.
+func TestExcessOfOneTeamDoesNotRaiseWaitOfItsClass(t *testing.T) {
+	q := New[Statement](64, true)
+	q.SetCost(12 * ms)
+	now := time.Duration(0)
+	waiting := Statement{ID: 1, Team: "calm", Priority: 0, Deadline: time.Hour, OnTimeUntil: time.Hour}
+	q.Push(waiting, waiting, now)
+	for range 30 {
+		q.Started("hot", 1, false, now)
+	}
+	for id := range uint64(50) {
+		s := Statement{ID: id + 2, Team: "hot", Priority: 1, Deadline: time.Minute, OnTimeUntil: time.Hour}
+		q.Push(s, s, now)
+	}
+	for range 1000 {
+		now += 3 * ms
+		q.Started("urgent", 0, false, now)
+	}
+	s := Statement{ID: 100, Team: "calm", Priority: 1, Deadline: 2 * time.Minute, OnTimeUntil: time.Hour}
+	require.Greater(t, q.urgentShare(1, now, 3*ms), 1-1.0/classShare)
+	require.LessOrEqual(t, q.Wait(s, now, 3*ms, any1), 2*classShare*3*ms)
+	require.LessOrEqual(t, q.WaitWithoutExcess(s, now, 3*ms), 2*classShare*3*ms)
+	s.Team = "hot"
+	require.Greater(t, q.Wait(s, now, 3*ms, any1), time.Second)
+}
--- a/core/slotqueue/wait.go
+++ b/core/slotqueue/wait.go
@@ -5,8 +5,8 @@
 // tally counts the waiting statements of a team during one pass.
 type tally struct {
 	// total and preceding count all statements, and those that precede the statement in
-	// question by class and deadline.
-	total, preceding int
+	// question by class and deadline. mates are those of its class among the latter.
+	total, preceding, mates int
 	// last is the index of the statement that the team would have served last, plus one.
 	last int
 }
@@ -101,39 +101,41 @@
 		if !s.precedes(e.Statement, now) {
 			t.preceding++
 			if e.Priority == s.Priority {
-				mates++
+				t.mates++
 			}
 			if e.team == own {
 				ownAhead++
 			}
 		}
 	}
-	all = q.aheadByRounds(s, own, ownAhead)
+	all, mates = q.aheadByRounds(s, own, ownAhead)
 	q.clearTallies()
 	return all, mates
 }
 
 // aheadByRounds sums the statements of all teams that are ahead of s, which is preceded
 // by ownAhead of its own team: those of earlier rounds, and of the same round those that
-// precede it.
-func (q *Queue[T]) aheadByRounds(s Statement, own *team, ownAhead int) int {
+// precede it. mates are those of its class among them.
+func (q *Queue[T]) aheadByRounds(s Statement, own *team, ownAhead int) (all, mates int) {
 	used := q.virtualTime
 	if own != nil {
 		used = max(used, own.used)
 	}
 	round := q.round(used + time.Duration(ownAhead)*q.cost)
 	begin := q.virtualTime + time.Duration(round)*quantum
-	sum := 0
 	for i := range q.entries {
 		t := q.entries[i].team
 		n := t.tally
 		t.tally = tally{}
 		if q.fair && s.Priority >= 0 && t != own {
-			n.preceding = min(max(n.preceding, startsUntil(begin-t.used, q.cost)), startsUntil(begin+quantum-t.used, q.cost), n.total)
+			most := startsUntil(begin+quantum-t.used, q.cost)
+			n.preceding = min(max(n.preceding, startsUntil(begin-t.used, q.cost)), most, n.total)
+			n.mates = min(n.mates, most)
 		}
-		sum += n.preceding
+		all += n.preceding
+		mates += n.mates
 	}
-	return sum
+	return all, mates
 }
 
 // startsUntil returns how many statements a team starts before it has used the given slot
