--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -128,12 +128,16 @@
 }
 
 // recheckAfter returns how long a waiter waits until its next check, and false
-// if it is to be refused.
+// if it is to be refused. A late waiter may take another team's idle connection, also when
+// nothing else happens in the pool.
 func (m *Member) recheckAfter(w connpool.Waiter) (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
 	at, keep := m.pool.WaitUntil(w, now)
+	if keep {
+		m.advancePool(now)
+	}
 	return at - now, keep
 }
 
@@ -261,7 +265,7 @@
 	now := clock.Now()
 	c.inUse = false
 	if c.broken || c.lastState != statement.Idle || m.removed {
-		m.pool.Closed(c.team)
+		m.pool.Closed(c.team, now-c.takenAt)
 		delete(m.conns, c.id)
 		c.close()
 		m.advancePool(now)
