Replicaset: a second run that does not succeed leaves the failure

A member's TIMEOUT in a second run replaced the failure of the first one, and was counted as served. A caller repeats a read after a failure but not after a timeout.

--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -123,6 +123,10 @@
 			}
 			continue
 		}
+		if done && a.failed != nil && res.Answer.Code != statement.OK {
+			// A second run that did not succeed tells the caller less than the failure.
+			break
+		}
 		if done {
 			a.recordServed()
 			return res, r.member
--- a/node/replicaset/failed_reads_test.go
+++ b/node/replicaset/failed_reads_test.go
@@ -203,6 +203,29 @@
 	require.LessOrEqual(t, out.Runs-1, g.asked, "each run after the first one needs a grant")
 }
 
+// TestTimeoutOfSecondRunDeliversFailure guards against a timeout, after which a caller does
+// not repeat the read, in place of a failure, after which it does.
+func TestTimeoutOfSecondRunDeliversFailure(t *testing.T) {
+	for _, begin := range []bool{false, true} {
+		run := func(_ context.Context, j Job) Result {
+			if j.Member == "r1" {
+				return Result{Answer: statement.Answer{Code: statement.Failure, Signature: j.Member}}
+			}
+			return Result{Answer: statement.Answer{Code: statement.TimedOut, Signature: j.Member}}
+		}
+		s, req := setWithTwoReplicas(jobFunc(run)), readWithGrants(&grants{})
+		out := Outcome{}
+		if begin {
+			_, out = s.Begin(t.Context(), req)
+		} else {
+			out = s.Read(t.Context(), req)
+		}
+		require.Equal(t, statement.Failure, out.Answer.Code, "begin %v", begin)
+		require.Equal(t, "r1", out.Member)
+		require.Equal(t, UnservedElsewhere, out.FailedRead)
+	}
+}
+
 // TestFailedWriteIsNotRepeated guards against a write, a step or a commit of a transaction
 // that runs twice.
 func TestFailedWriteIsNotRepeated(t *testing.T) {
