--- a/core/succession/failing_primary.go
+++ b/core/succession/failing_primary.go
@@ -49,6 +49,9 @@
 	*f = FailingPrimary{primary: incarnation, leadSince: now, lock: f.lock, leaderSeenAt: f.leaderSeenAt}
 }
 
+// Leads reports whether an incarnation is the primary that was observed last.
+func (f *FailingPrimary) Leads(incarnation string) bool { return incarnation == f.primary }
+
 // ObserveLeader records the promotion lock and when its holder last reported that it leads
 // a promotion. A change is an attempt of another host, so that hosts do not try one after
 // the other.
--- a/node/promoter/failing_primary.go
+++ b/node/promoter/failing_primary.go
@@ -55,6 +55,10 @@
 	if err != nil {
 		return err
 	}
+	if !p.failing.Leads(old.Incarnation()) {
+		// The primary has changed while this host took the lock.
+		return errRecovered
+	}
 	p.failing.RecordAttempt(clock.Now())
 	eventlog.PrimaryFailing.Warn(p.log).Str("upstream", old.ID()).Uint64("token", token).Send()
 	if !p.awaitCatchUp(ctx, old, func(r succession.CandidateStatus) bool { return !r.Ejected }) {
--- a/node/promoter/failing_primary_test.go
+++ b/node/promoter/failing_primary_test.go
@@ -239,6 +239,25 @@
 	}
 }
 
+// TestNextPrimaryIsNotReplaced guards against a healthy primary that is replaced because the
+// one before it failed when this host began to take the lock.
+func TestNextPrimaryIsNotReplaced(t *testing.T) {
+	g := newFailingGroup(t, feature.Set{feature.FailingPrimary: true})
+	g.promoter.checkMu.Lock()
+	defer g.promoter.checkMu.Unlock()
+	next := g.group.Members()[1]
+	require.True(t, g.group.Promote(next))
+	for end := clock.Now() + 5*time.Second; !g.promoter.isPrimary(next.ID) && clock.Now() < end; {
+		g.writeFor(10 * time.Millisecond)
+		if m, known := g.set.Member(next.ID); known {
+			g.set.RefreshStatus(t.Context(), m)
+		}
+	}
+	require.True(t, g.promoter.isPrimary(next.ID))
+	require.ErrorIs(t, g.promoter.replaceFailing(t.Context(), 99), errRecovered)
+	require.Zero(t, g.stepDowns.Load())
+}
+
 // TestPrimaryLeadsAgainWithoutCompleteReplica guards against a group that stays without a
 // primary because no replica receives the whole log after the step-down.
 func TestPrimaryLeadsAgainWithoutCompleteReplica(t *testing.T) {
