--- a/node/replicaset/failed_reads_test.go
+++ b/node/replicaset/failed_reads_test.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/outlier"
@@ -226,6 +227,27 @@
 	}
 }
 
+// TestRefusalsDoNotReplaceFailure guards against "not run" in place of a failure, by the
+// members whose queues are full and by the load reports that say so.
+func TestRefusalsDoNotReplaceFailure(t *testing.T) {
+	run := func(_ context.Context, j Job) Result {
+		load := &gateload.Report{Running: 2, Capacity: 2, Waiting: 99, ExpectedWait: []time.Duration{time.Second, time.Second, time.Second, time.Second}}
+		if j.Member == "r1" {
+			return Result{Answer: statement.Answer{Code: statement.Failure, Signature: j.Member}, Load: load}
+		}
+		return Result{Err: &RefusedError{Reason: "queue full", RetryAfter: time.Second}, Load: load}
+	}
+	s, req := setWithTwoReplicas(jobFunc(run)), readWithGrants(&grants{})
+	req.StartDeadline = clock.Now() + 500*time.Millisecond
+	out := s.Read(t.Context(), req)
+	require.Equal(t, statement.Failure, out.Answer.Code, out.Answer.Detail)
+	require.Equal(t, UnservedElsewhere, out.FailedRead)
+	require.Equal(t, 1, out.Runs)
+	out = s.Read(t.Context(), req)
+	require.Equal(t, statement.Busy, out.Answer.Code, "a read that no member has run")
+	require.Zero(t, out.Runs)
+}
+
 // TestFailedWriteIsNotRepeated guards against a write, a step or a commit of a transaction
 // that runs twice.
 func TestFailedWriteIsNotRepeated(t *testing.T) {
