Promoter: a failing primary steps down only with time left for a promotion

The wait for a close replica could use up 2.5 of the 5 s of an attempt. The promotion was then cut off, and the group had no primary until the failover.

--- a/node/promoter/failing_primary.go
+++ b/node/promoter/failing_primary.go
@@ -72,5 +72,8 @@
 		// Another host may have ordered the step-down and be about to promote a replica.
 		return errNotPrimary
 	}
+	if end, bounded := ctx.Deadline(); bounded && time.Until(end) < fullLogTimeout+newPrimaryTimeout {
+		return errTooLate
+	}
 	return p.handOver(ctx, old, token)
 }
--- a/node/promoter/failing_primary_test.go
+++ b/node/promoter/failing_primary_test.go
@@ -258,6 +258,18 @@
 	require.Zero(t, g.stepDowns.Load())
 }
 
+// TestNoStepDownWithoutTimeForPromotion guards against a group without a primary because the
+// wait for a close replica has used up the time of the promotion.
+func TestNoStepDownWithoutTimeForPromotion(t *testing.T) {
+	g := newFailingGroup(t, feature.Set{feature.FailingPrimary: true})
+	g.promoter.checkMu.Lock()
+	defer g.promoter.checkMu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), fullLogTimeout+newPrimaryTimeout/2)
+	defer cancel()
+	require.ErrorIs(t, g.promoter.replaceFailing(ctx, 99), errTooLate)
+	require.Zero(t, g.stepDowns.Load())
+}
+
 // TestPrimaryLeadsAgainWithoutCompleteReplica guards against a group that stays without a
 // primary because no replica receives the whole log after the step-down.
 func TestPrimaryLeadsAgainWithoutCompleteReplica(t *testing.T) {
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -21,6 +21,7 @@
 	errNewPrimaryNotSeen = errors.New("the promoted member did not become primary in time")
 	errNotSteppedDown    = errors.New("the primary did not confirm that it stepped down")
 	errNotPrimary        = errors.New("the member is no longer the primary")
+	errTooLate           = errors.New("too little time is left for a promotion after the step-down")
 	errNoReplicaClose    = errors.New("no healthy replica is close to the primary's log")
 )
 
