--- a/node/promoter/failing_primary.go
+++ b/node/promoter/failing_primary.go
@@ -55,6 +55,10 @@
 	if err != nil {
 		return err
 	}
+	if !p.failing.Leads(old.Incarnation()) {
+		// The primary has changed while this host took the lock.
+		return errRecovered
+	}
 	p.failing.RecordAttempt(clock.Now())
 	eventlog.PrimaryFailing.Warn(p.log).Str("upstream", old.ID()).Uint64("token", token).Send()
 	if !p.awaitCatchUp(ctx, old, func(r succession.CandidateStatus) bool { return !r.Ejected }) {
@@ -68,5 +72,8 @@
 		// Another host may have ordered the step-down and be about to promote a replica.
 		return errNotPrimary
 	}
+	if end, bounded := ctx.Deadline(); bounded && time.Until(end) < fullLogTimeout+newPrimaryTimeout {
+		return errTooLate
+	}
 	return p.handOver(ctx, old, token)
 }
--- a/node/replicaset/failed_reads_test.go
+++ b/node/replicaset/failed_reads_test.go
@@ -15,6 +15,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
+	"github.com/dotterelswitch/dotterelswitch/core/gateload"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/outlier"
@@ -203,6 +204,50 @@
 	require.LessOrEqual(t, out.Runs-1, g.asked, "each run after the first one needs a grant")
 }
 
+// TestTimeoutOfSecondRunDeliversFailure guards against a timeout, after which a caller does
+// not repeat the read, in place of a failure, after which it does.
+func TestTimeoutOfSecondRunDeliversFailure(t *testing.T) {
+	for _, begin := range []bool{false, true} {
+		run := func(_ context.Context, j Job) Result {
+			if j.Member == "r1" {
+				return Result{Answer: statement.Answer{Code: statement.Failure, Signature: j.Member}}
+			}
+			return Result{Answer: statement.Answer{Code: statement.TimedOut, Signature: j.Member}}
+		}
+		s, req := setWithTwoReplicas(jobFunc(run)), readWithGrants(&grants{})
+		out := Outcome{}
+		if begin {
+			_, out = s.Begin(t.Context(), req)
+		} else {
+			out = s.Read(t.Context(), req)
+		}
+		require.Equal(t, statement.Failure, out.Answer.Code, "begin %v", begin)
+		require.Equal(t, "r1", out.Member)
+		require.Equal(t, UnservedElsewhere, out.FailedRead)
+	}
+}
+
+// TestRefusalsDoNotReplaceFailure guards against "not run" in place of a failure, by the
+// members whose queues are full and by the load reports that say so.
+func TestRefusalsDoNotReplaceFailure(t *testing.T) {
+	run := func(_ context.Context, j Job) Result {
+		load := &gateload.Report{Running: 2, Capacity: 2, Waiting: 99, ExpectedWait: []time.Duration{time.Second, time.Second, time.Second, time.Second}}
+		if j.Member == "r1" {
+			return Result{Answer: statement.Answer{Code: statement.Failure, Signature: j.Member}, Load: load}
+		}
+		return Result{Err: &RefusedError{Reason: "queue full", RetryAfter: time.Second}, Load: load}
+	}
+	s, req := setWithTwoReplicas(jobFunc(run)), readWithGrants(&grants{})
+	req.StartDeadline = clock.Now() + 500*time.Millisecond
+	out := s.Read(t.Context(), req)
+	require.Equal(t, statement.Failure, out.Answer.Code, out.Answer.Detail)
+	require.Equal(t, UnservedElsewhere, out.FailedRead)
+	require.Equal(t, 1, out.Runs)
+	out = s.Read(t.Context(), req)
+	require.Equal(t, statement.Busy, out.Answer.Code, "a read that no member has run")
+	require.Zero(t, out.Runs)
+}
+
 // TestFailedWriteIsNotRepeated guards against a write, a step or a commit of a transaction
 // that runs twice.
 func TestFailedWriteIsNotRepeated(t *testing.T) {
