Connpool: an unfair pool refuses late statements as before

With the feature disabled, waiting statements of more important classes that were on time counted as ahead of a late one, which was refused earlier than before.

--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -369,8 +369,9 @@
 }
 
 // cannotServeInTime reports whether a statement cannot be started in time even if no
-// on-time statement of its class is served before it. Shortly before a late statement's
-// latest useful start, it is also taken for hopeless if no late one was started lately.
+// on-time statement of its class is served before it. In an unfair pool those of more
+// important classes do not count either. Shortly before a late statement's latest useful
+// start, it is also taken for hopeless if no late one was started lately.
 func (p *Pool) cannotServeInTime(w Waiter, now time.Duration) bool {
 	established := len(p.idle) + p.InUse()
 	if established == 0 {
@@ -386,7 +387,7 @@
 		return true
 	}
 	return now+p.queue.Wait(w.statement(), now, interval, func(v slotqueue.Statement) bool {
-		return v.OnTimeUntil < now || v.Priority < w.Priority
+		return v.OnTimeUntil < now || (!p.limits.Unfair && v.Priority < w.Priority)
 	}) > latest
 }
 
