--- a/node/replicaset/request.go
+++ b/node/replicaset/request.go
@@ -55,7 +55,8 @@
 
 func (r Request) waiter() connpool.Waiter {
 	return connpool.Waiter{
-		Priority: r.Route.Priority, Kind: r.Route.Database, TargetDeadline: r.TargetDeadline, OnTimeUntil: r.OnTimeUntil, StartDeadline: r.StartDeadline,
+		// A negative priority from another host would precede all and would not be charged.
+		Priority: max(r.Route.Priority, 0), Kind: r.Route.Database, TargetDeadline: r.TargetDeadline, OnTimeUntil: r.OnTimeUntil, StartDeadline: r.StartDeadline,
 		Team: r.Team, SessionValues: session.ValuesKey(r.Values),
 	}
 }
