--- a/core/peerpoll/survey.go
+++ b/core/peerpoll/survey.go
@@ -15,11 +15,9 @@
 	// minSurveyed is the number of hosts that must have been asked in it, unless the fleet
 	// is smaller.
 	minSurveyed = 8
-	// minAnswering is the share of them that must have answered. It is above the half that
-	// tells the larger side of a network partition from the smaller one; of 24 hosts asked
-	// by one that is cut off with a third of the fleet, so many answer in one of a hundred
-	// cases.
-	minAnswering = 0.6
+	// minAnswering is the share of them that must have answered. It is well above the half
+	// that tells the larger side of a network partition from the smaller one.
+	minAnswering = 0.75
 )
 
 // Survey collects the answers of recent rounds. It is not safe for concurrent use.
@@ -57,8 +55,8 @@
 	return nil
 }
 
-// FleetWithoutStore reports whether most hosts that were asked recently have answered, and
-// none of them reaches the store, in a fleet of the given size.
+// FleetWithoutStore reports whether nearly all hosts that were asked recently have
+// answered, and none of them reaches the store, in a fleet of the given size.
 func (s *Survey) FleetWithoutStore(hosts int, now time.Duration) bool {
 	var sum surveyRound
 	for _, r := range s.recent(now, surveyWindow) {
--- a/core/peerpoll/survey_test.go
+++ b/core/peerpoll/survey_test.go
@@ -30,7 +30,6 @@
 	}{
 		{"all answer", answersOf(4, 0), true},
 		{"three of four answer", answersOf(3, 0), true},
-		{"one of four answers", answersOf(1, 0), false},
 		{"half answer", answersOf(2, 0), false},
 		{"one reaches the store", answersOf(3, 1), false},
 		{"an earlier release does not tell", []peerpoll.Answer{{}, {}, {}, {}}, false},
--- a/core/quota/lease.go
+++ b/core/quota/lease.go
@@ -12,8 +12,8 @@
 	// LeaseValid means that the registration exists, that there was none yet, or that hosts
 	// that see its end can reach this one.
 	LeaseValid LeaseState = iota
-	// LeaseDoubtful means that the registration may have ended, but that most hosts have lost
-	// the store with this one. The others are too few to replace it with its whole share.
+	// LeaseDoubtful means that the registration may have ended, but that nearly all hosts
+	// have lost the store with this one, so that hardly any can have replaced it.
 	LeaseDoubtful
 	// LeaseLapsed means that the registration may have ended and others may have replaced
 	// this host as a counter.
@@ -45,8 +45,8 @@
 	// it that does. Hosts that see the end of its registration can then reach it, and ask
 	// before they count in its place.
 	Informed bool
-	// FleetWithoutStore is set while most other hosts answer and none of them reaches the
-	// store.
+	// FleetWithoutStore is set while nearly all other hosts answer and none of them reaches
+	// the store. Nobody can see then that a registration has ended.
 	FleetWithoutStore bool
 }
 
