Slotqueue, promoter: a pass and a lookup that stood twice

An estimate of a wait cleared the teams' tallies a second time, in a pass over all waiting statements on each decision; the sum over the rounds has cleared them. switchoverDue looked the primary up itself beside assumedPrimary. No behaviour changes: the tests of slotqueue, connpool and promoter pass unchanged with the race detector.

--- a/core/slotqueue/wait.go
+++ b/core/slotqueue/wait.go
@@ -108,14 +108,13 @@
 			}
 		}
 	}
-	all, mates = q.aheadByRounds(s, own, ownAhead)
-	q.clearTallies()
-	return all, mates
+	return q.aheadByRounds(s, own, ownAhead)
 }
 
 // aheadByRounds sums the statements of all teams that are ahead of s, which is preceded
 // by ownAhead of its own team: those of earlier rounds, and of the same round those that
-// precede it. mates are those of its class among them.
+// precede it. mates are those of its class among them. It clears the tallies, so that each
+// team counts once.
 func (q *Queue[T]) aheadByRounds(s Statement, own *team, ownAhead int) (all, mates int) {
 	used := q.virtualTime
 	if own != nil {
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -235,16 +235,12 @@
 // switchoverDue reports whether the primary is being drained and another member can
 // take over.
 func (p *Promoter) switchoverDue() bool {
-	id, found := p.set.AssumedPrimary()
-	if !found {
-		return false
-	}
-	m, known := p.set.Member(id)
-	if !known || !m.Leaving() {
+	m, err := p.assumedPrimary()
+	if err != nil || !m.Leaving() {
 		return false
 	}
 	for _, other := range p.set.Members() {
-		if other.ID() != id && !other.Leaving() && !other.Failing() {
+		if other.ID() != m.ID() && !other.Leaving() && !other.Failing() {
 			return true
 		}
 	}
