Replicaset: one check for refusals that are neither overload nor a dead member

refusedForEjection repeated the check of refusedForNoFloor, whose name left out ejections. Both call refusedOutright now; the order of the callers, which tells the two reasons apart, is as before. Tests of replicaset pass unchanged with the race detector.

--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -1,7 +1,7 @@
 // Package promoter fails over primaries that a majority of voters consider dead,
-// and performs planned switchovers of primaries that drain or fail what they run. It serves the hosts of
-// the users' platform (package entry); hosts that speak PostgreSQL to their
-// callers (package host) use groupmonitor instead.
+// and performs planned switchovers of primaries that drain or fail what they run.
+// It serves the hosts of the users' platform (package entry); hosts that speak
+// PostgreSQL to their callers (package host) use groupmonitor instead.
 //
 // Every host runs a promoter for each group. The holder of the service's lock in
 // the platform's store leads the promotion; the lock's revision is the fencing
--- a/node/replicaset/attempts.go
+++ b/node/replicaset/attempts.go
@@ -138,7 +138,7 @@
 		if progress.recordEjection(r, res) {
 			continue
 		}
-		if r.floorFromGate && refusedForNoFloor(res.Err) {
+		if r.floorFromGate && refusedOutright(res.Err) {
 			// The gate refused without sending the read to the member, so the
 			// member stays eligible.
 			progress.gateLacksFloor = true
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -69,9 +69,10 @@
 	return errors.As(err, &refused) && refused.RetryAfter > 0
 }
 
-// refusedForNoFloor reports whether an error refuses a read because no floor is
-// known for it, as opposed to overload or a dead member.
-func refusedForNoFloor(err error) bool {
+// refusedOutright reports whether an error refuses a statement for a reason other
+// than overload or a dead member: no floor is known for a read, or the member is
+// ejected.
+func refusedOutright(err error) bool {
 	var refused *RefusedError
 	return errors.As(err, &refused) && refused.RetryAfter == 0 && !refused.MemberDead
 }
--- a/node/replicaset/outlier.go
+++ b/node/replicaset/outlier.go
@@ -1,7 +1,6 @@
 package replicaset
 
 import (
-	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
@@ -293,8 +292,7 @@
 // refusedForEjection reports whether a gate refused a read because it has ejected the
 // member.
 func (r Result) refusedForEjection() bool {
-	var refused *RefusedError
-	return r.Ejection != outlier.Ejection{} && errors.As(r.Err, &refused) && refused.RetryAfter == 0 && !refused.MemberDead
+	return r.Ejection != outlier.Ejection{} && refusedOutright(r.Err)
 }
 
 // usable reports whether a read may run on an ejected member: another one has not offered
