--- a/review/case1/main.go
+++ b/review/case1/main.go
@@ -22,6 +22,8 @@
 
 	startTimeout  = 30 * time.Second
 	answerTimeout = 5 * time.Second
+	// workTime is the time that a statement holds a slot, the mean of obs-submit.
+	workTime = 4500 * time.Microsecond
 	// settleTime lets the hosts agree on the fleet before the load starts, as the platform
 	// does: traffic starts 10 s after the machines.
 	settleTime = 10 * time.Second
@@ -46,7 +48,7 @@
 	if err != nil {
 		return exitNotRun, err
 	}
-	d, err := harness.Start(record, 1, func(d *harness.Deployment) {
+	d, err := harness.Start(record, harness.PrairieArchive, workTime, func(d *harness.Deployment) {
 		d.Configure("primary", 800*time.Millisecond, 300*time.Millisecond, 0)
 	})
 	defer d.Close()
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -21,30 +22,17 @@
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
-// The figures of the small deployment, from its sheet and its site file.
+// RestartDelay is the time until a process that has ended is started again.
+const RestartDelay = 300 * time.Millisecond
+
+// GracePeriod is grace_s, and TxIdle tx_idle_ms of the configuration, of both sites.
 const (
-	Slots          = 2
-	MaxConnections = 16
-	CPUShare       = 0.4
-	promotionTime  = 300 * time.Millisecond
-	replicationLag = 20 * time.Millisecond
-	serviceTime    = 4500 * time.Microsecond
-	// TxIdle is tx_idle_ms of the configuration.
-	TxIdle = 3 * time.Second
-	// GracePeriod is grace_s.
 	GracePeriod = 6 * time.Second
-	// RestartDelay is the time until a process that has ended is started again.
-	RestartDelay = 300 * time.Millisecond
+	TxIdle      = 3 * time.Second
 )
 
-// zonesOfHosts places the hosts as the sheet does: 4, 3 and 2 in the three zones.
-var zonesOfHosts = []string{
-	"regina-hall", "regina-hall", "regina-hall", "regina-hall",
-	"calgary-hall", "calgary-hall", "calgary-hall",
-	"winnipeg-hall", "winnipeg-hall",
-}
-
-var regions = map[string]string{"regina-hall": "sask", "calgary-hall": "alta", "winnipeg-hall": "mani"}
+// cpuShare is the share of a core that a host has.
+const cpuShare = 0.4
 
 // Deployment is a running platform with its groups and hosts.
 type Deployment struct {
@@ -52,6 +40,7 @@
 	Platform *lineplatform.Platform
 	Groups   []*lineplatform.Group
 	Hosts    []*Host
+	site     Site
 	dir      string
 }
 
@@ -70,21 +59,22 @@
 	exited chan struct{}
 }
 
-// Start starts a platform with a number of groups of three members, and the hosts.
-func Start(record *Record, groups int, configure func(*Deployment)) (*Deployment, error) {
+// Start starts a platform with the groups of a site, and its hosts. A statement holds a slot
+// of a member for workTime.
+func Start(record *Record, site Site, workTime time.Duration, configure func(*Deployment)) (*Deployment, error) {
 	dir, err := os.MkdirTemp("", "dotterelswitch-review-")
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Record: record, dir: dir}
+	d := &Deployment{Record: record, site: site, dir: dir}
+	d.closeOnSignal()
 	if d.Platform, err = lineplatform.Start(); err != nil {
 		return d, err
 	}
-	for n := range groups {
-		g, err := d.Platform.AddGroup(fmt.Sprintf("vsarchive%d", n), lineplatform.Options{
-			Members: 3, Slots: Slots, MaxConnections: MaxConnections, ServiceTime: serviceTime,
-			ReplicationLag: replicationLag, PromotionTime: promotionTime,
-			Zones: []string{"regina-hall", "calgary-hall", "winnipeg-hall"},
+	for n := range Groups {
+		g, err := d.Platform.AddGroup(service(n), lineplatform.Options{
+			Members: 3, Slots: site.slots, MaxConnections: site.connections, ServiceTime: workTime,
+			ReplicationLag: replicationLag, PromotionTime: site.promotionTime, Zones: site.memberZones,
 		})
 		if err != nil {
 			return d, err
@@ -96,7 +86,7 @@
 	if err != nil {
 		return d, err
 	}
-	for n, zone := range zonesOfHosts {
+	for n, zone := range site.hostZones {
 		h, err := d.newHost(n, zone, ports)
 		if err != nil {
 			return d, err
@@ -117,7 +107,7 @@
 	var routes []lineplatform.Route
 	for n := range d.Groups {
 		routes = append(routes, lineplatform.Route{
-			Database: Database(n), Service: fmt.Sprintf("vsarchive%d", n), Consistency: consistency,
+			Database: Database(n), Service: service(n), Consistency: consistency,
 			StatementTimeout: statementTimeout, TargetLatency: targetLatency, MaxStaleness: maxStaleness, Priority: 1,
 		})
 	}
@@ -125,7 +115,9 @@
 }
 
 // Database returns the name of a group's database.
-func Database(group int) string { return fmt.Sprintf("obs-submit-%d", group) }
+func Database(group int) string { return fmt.Sprintf("database%d", group) }
+
+func service(group int) string { return fmt.Sprintf("service%d", group) }
 
 // freePorts returns ports that are free on all loopback addresses of the hosts.
 func freePorts(n int) ([]int, error) {
@@ -152,15 +144,15 @@
 	}
 	boot := map[string]any{
 		"node_name": name, "role": "proxy", "machine_class": "front", "serves": []string{"front"},
-		"ip": ip, "zone": zone, "region": regions[zone], "zones": regions,
+		"ip": ip, "zone": zone, "region": d.site.regions[zone], "zones": d.site.regions,
 		"listen":         map[string]string{"front": address(0), "ready": address(1)},
 		"internal_ports": []int{ports[2], ports[2] + 15}, "seeds": []string{}, "bootstrap": true, "fault_counted": true,
-		"limits":   map[string]any{"cpu_share": CPUShare, "cpu_cores": 1, "memory_mb": 284, "max_fds": 4200, "link_mbps": 1000.0, "disk_mb": 0},
+		"limits":   map[string]any{"cpu_share": cpuShare, "cpu_cores": 1, "memory_mb": 284, "max_fds": d.site.maxFDs, "link_mbps": 1000.0, "disk_mb": 0},
 		"data_dir": nil, "discovery": "platform", "entrypoint": "vip", "heartbeat_ms": 1200,
 		"policies": []string{"base", "drain", "config", "cost", "recover", "sql", "platform"},
 		"bounds": map[string]any{
-			"seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 4000, "ack_ms": 5000, "catchup_s": 4, "drain_ms": 7000, "grace_s": GracePeriod.Seconds(),
-			"loss_slack_ms": 200, "config_apply_ms": 3000, "back_ms": 250, "max_stretch_ms": 12000, "recovery_s": 12, "require_fencing": true, "thaw_ms": 300,
+			"seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": d.site.contactMS, "ack_ms": d.site.ackMS, "catchup_s": 4, "drain_ms": 7000, "grace_s": GracePeriod.Seconds(),
+			"loss_slack_ms": 200, "config_apply_ms": d.site.configApplyMS, "back_ms": 250, "max_stretch_ms": d.site.maxStretchMS, "recovery_s": 12, "require_fencing": true, "thaw_ms": 300,
 		},
 		"platform":  map[string]any{"address": d.Platform.Address(), "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "retention_s": 20, "max_value_bytes": 1048576, "min_ttl_ms": 1000},
 		"cloud_api": map[string]any{"address": d.Platform.Address(), "rate_per_s": 50.0, "duties": []string{"promotion"}, "duty_per_s": 50.0},
@@ -271,11 +263,12 @@
 func (d *Deployment) GateHosts(group int) []*Host {
 	var fleet []gates.Host
 	for _, h := range d.Hosts {
-		fleet = append(fleet, gates.Host{Name: h.Name, Zone: h.Zone, Address: net.JoinHostPort(h.ip, strconv.Itoa(h.peerPort)), MilliCores: int(1000 * CPUShare), LinkMbps: 1000})
+		fleet = append(fleet, gates.Host{Name: h.Name, Zone: h.Zone, Address: net.JoinHostPort(h.ip, strconv.Itoa(h.peerPort)), MilliCores: int(1000 * cpuShare), LinkMbps: 1000})
 	}
-	// The stand-in's first member is the primary, in the first zone.
-	member := gates.Member{ID: d.Groups[group].Primary().ID, Zone: "regina-hall", Slots: Slots}
-	share := gates.NewPlan(gates.NewFleet(fleet, regions), MaxConnections).For(member, "")
+	// The stand-in's first member is the primary, in the first zone. Hosts keep one connection
+	// for their own use.
+	member := gates.Member{ID: d.Groups[group].Primary().ID, Zone: d.site.memberZones[0], Slots: d.site.slots}
+	share := gates.NewPlan(gates.NewFleet(fleet, d.site.regions), d.site.connections-1).For(member, "")
 	var out []*Host
 	for _, gate := range share.GateHosts {
 		for _, h := range d.Hosts {
@@ -287,6 +280,20 @@
 	return out
 }
 
+// closeOnSignal ends all processes if this program is told to end.
+func (d *Deployment) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		d.Close()
+		os.Exit(exitNotRun)
+	}()
+}
+
+// exitNotRun is the exit status of a case that could not run.
+const exitNotRun = 2
+
 // Close ends all processes and removes their files. With KEEP set in the environment the
 // files stay.
 func (d *Deployment) Close() {
