review: show acknowledged commits that a promotion loses

With sync_replicas 1 the hosts refuse to promote a replica that may lack acknowledged commits, until the entry of the other replica has expired.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Runs the case. TROUBLE=0 leaves the disruption out. Exit status: 1 the rule was broken,
+# 0 it held, 2 the case could not run.
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+[ -x target/dotterelswitch ] && [ -x review/bin/case3 ] || exit 2
+exec timeout -k 5 110 review/bin/case3 "$folder/record.txt"
--- a/review/case2/main.go
+++ b/review/case2/main.go
@@ -1,16 +1,17 @@
-// Case2 stops the hosts in turn with SIGTERM and starts them again, while callers are inside
-// transactions, and checks that no request is cut off that a host had passed on to a member.
+// Case2 takes away a replica that has received commits, and then the primary, while the other
+// replica receives nothing, and checks that the member that is promoted has each commit that
+// was acknowledged.
 package main
 
 import (
+	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/review/harness"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
 
 const (
@@ -20,28 +21,29 @@
 
 	startTimeout  = 30 * time.Second
 	answerTimeout = 5 * time.Second
-	settleTime    = 5 * time.Second
-	// stopTimeout is grace_s with a margin, after which the process must have ended.
-	stopTimeout = harness.GracePeriod + time.Second
-	// restartPause is the time between a host's readiness and the next host's stop.
-	restartPause = 500 * time.Millisecond
-	// workTime is the time that a statement holds a slot, the mean of reschedule, and the
-	// other figures are its timeout_ms, target_latency_ms and max_staleness_ms.
-	workTime         = 33 * time.Millisecond
-	statementTimeout = 1000 * time.Millisecond
-	targetLatency    = 1500 * time.Millisecond
-	maxStaleness     = 2500 * time.Millisecond
-	// stops is the number of stops, of one host after the other.
-	stops = 11
-	// callers is how many callers one host has: some 292 sessions stand open on seven hosts.
-	callers = 41
-	// A transaction has 12 statements, BEGIN, a write and COMMIT included, with pauses.
-	reads              = 9
-	minPause, maxPause = 150 * time.Millisecond, 350 * time.Millisecond
-	// The transactions begin in this span after the SIGTERM, on sessions that are open.
-	firstBegin, lastBegin = 1600 * time.Millisecond, 2300 * time.Millisecond
-	// openTransactionTime is the first half of grace_s, which an open transaction has to end.
-	openTransactionTime = harness.GracePeriod / 2
+	settleTime    = 10 * time.Second
+	// workTime is the time that a statement holds a slot, the mean of obs-submit.
+	workTime = 4500 * time.Microsecond
+	// writeInterval is the time between the writes of a caller.
+	writeInterval = 25 * time.Millisecond
+	// readInterval is the time between the reads of a caller.
+	readInterval = 100 * time.Millisecond
+
+	// writeBefore is how long callers write while both replicas receive.
+	writeBefore = time.Second
+	// deafFor is how long one replica receives nothing; the primary crashes meanwhile.
+	deafFor = 6400 * time.Millisecond
+	// writeFor is how long callers write; afterwards no replica could receive a commit.
+	writeFor = 3 * time.Second
+	// crashReplicaAfter and crashPrimaryAfter are counted from the start of the deafness.
+	crashReplicaAfter = 3400 * time.Millisecond
+	crashPrimaryAfter = 6300 * time.Millisecond
+	// downFor is how long a member is down.
+	downFor = 7 * time.Second
+	// entryExpiry is three heartbeat intervals of 1,200 ms, after which an entry is removed.
+	entryExpiry = 3600 * time.Millisecond
+	// watchFor is the time after which the members' logs are compared.
+	watchFor = 20 * time.Second
 )
 
 func main() {
@@ -52,13 +54,36 @@
 	os.Exit(code)
 }
 
+// configuration returns the operator's configuration: one route of type primary for each
+// group, and services whose commits are acknowledged once one replica has received them.
+func configuration() []byte {
+	var routes, services []map[string]any
+	for n := range harness.Groups {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%d", n), "host": harness.Database(n), "prefix": "/", "type": "primary", "timeout_ms": 800, "target_latency_ms": 300,
+			"priority": 1, "service": harness.Service(n), "max_attempts": 2,
+		})
+		services = append(services, map[string]any{
+			"name": harness.Service(n), "health_path": "/health", "max_conns": 16, "protocol": "h1", "tls": false, "sync_replicas": 1,
+		})
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": 7, "routes": routes, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": 3000},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 func run(trouble bool, recordPath string) (int, error) {
 	record, err := harness.NewRecord(recordPath)
 	if err != nil {
 		return exitNotRun, err
 	}
-	d, err := harness.Start(record, harness.NotaryBooking, workTime, func(d *harness.Deployment) {
-		d.Configure("read_your_writes", statementTimeout, targetLatency, maxStaleness)
+	d, err := harness.Start(record, harness.PrairieArchive, workTime, func(d *harness.Deployment) {
+		d.Platform.Store.Put("op/config", configuration())
 	})
 	defer d.Close()
 	if err != nil {
@@ -68,121 +93,113 @@
 		return exitNotRun, err
 	}
 	time.Sleep(settleTime)
-	var cuts []cut
-	for n := range stops {
-		more, err := stopHost(record, d.Hosts[n%len(d.Hosts)], n, trouble)
-		if err != nil {
-			return exitNotRun, err
+	g := d.Groups[0]
+	members := g.Members()
+	primary, deaf, received := members[0], members[1], members[2]
+	acked := write(record, d, "before", time.Now().Add(writeBefore))
+	record.Add("%d writes are acknowledged; %s is at %s, %s at %s", len(acked), received.ID, received.Position(), deaf.ID, deaf.Position())
+	started := time.Now()
+	after := func(t time.Duration) { time.Sleep(time.Until(started.Add(t))) }
+	if trouble {
+		record.Add("%s receives nothing from now on", deaf.ID)
+		deaf.SetReplicationBlocked(true)
+	}
+	acked = append(acked, write(record, d, "meanwhile", started.Add(writeFor))...)
+	// The callers have stopped, and the replica has received all that was acknowledged.
+	position := received.Position()
+	record.Add("%d writes are acknowledged; %s is at %s, %s at %s", len(acked), received.ID, position, deaf.ID, deaf.Position())
+	if want := primary.Position(); position != want {
+		return exitNotRun, fmt.Errorf("%s is at %s and the primary at %s", received.ID, position, want)
+	}
+	var readers sync.WaitGroup
+	read(record, d, started.Add(watchFor), &readers)
+	if trouble {
+		var wg sync.WaitGroup
+		after(crashReplicaAfter)
+		wg.Go(func() { crash(record, received) })
+		after(crashPrimaryAfter)
+		wg.Go(func() { crash(record, primary) })
+		after(deafFor)
+		deaf.SetReplicationBlocked(false)
+		record.Add("%s receives again; the primary is down", deaf.ID)
+		wg.Wait()
+	}
+	readers.Wait()
+	lost := 0
+	for _, start := range g.TermStarts() {
+		record.Add("a member was promoted: term %d begins after entry %d", start.Term, start.Offset)
+		for _, id := range acked {
+			if at := g.LastCommit(id); at.Term < start.Term && at.Offset > start.Offset {
+				lost++
+				record.Add("LOST broken: the write %s was acknowledged as entry %s, which the promoted member lacks", id, at)
+			}
 		}
-		cuts = append(cuts, more...)
 	}
-	if broken := countLost(record, d, cuts); broken > 0 {
-		fmt.Printf("broken: %d requests were cut off after a member had got them\n", broken)
+	if lost > 0 {
+		fmt.Printf("broken: the promoted member lacks %d of %d acknowledged writes\n", lost, len(acked))
 		return exitBroken, nil
 	}
 	fmt.Println("held")
 	return exitHeld, nil
 }
 
-// cut is a request that was sent later than openTransactionTime after the SIGTERM and whose
-// connection ended without an answer.
-type cut struct {
-	id, host                string
-	stopAt, sentAt, endedAt time.Time
-}
-
-// stopHost stops a host while its callers run transactions, and starts it again.
-func stopHost(record *harness.Record, h *harness.Host, stop int, trouble bool) ([]cut, error) {
-	var sessions []*harness.Session
-	for n := range callers {
-		s, err := record.Open(h, harness.Database(n%harness.Groups), fmt.Sprintf("stop%d.caller%d", stop, n), answerTimeout)
-		if err != nil {
-			return nil, err
-		}
-		defer s.Close()
-		sessions = append(sessions, s)
-	}
-	stopAt := time.Now()
-	if trouble {
-		if err := h.Signal(syscall.SIGTERM); err != nil {
-			return nil, err
-		}
-	}
+// write runs single writes from all hosts until a time and returns those acknowledged.
+func write(record *harness.Record, d *harness.Deployment, name string, until time.Time) []string {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	var cuts []cut
-	for n, s := range sessions {
+	var acked []string
+	for n, h := range d.Hosts {
 		wg.Go(func() {
-			id, sentAt, isCut := transaction(s, fmt.Sprintf("signing%d.%d", stop, n), stopAt)
-			if isCut {
-				mu.Lock()
-				defer mu.Unlock()
-				cuts = append(cuts, cut{id: id, host: h.Name, stopAt: stopAt, sentAt: sentAt, endedAt: time.Now()})
+			s, err := record.Open(h, harness.Database(0), fmt.Sprintf("%s.caller%d", name, n), answerTimeout)
+			if err != nil {
+				return
+			}
+			defer s.Close()
+			for i := 0; time.Now().Before(until); i++ {
+				if a, err := s.Run(fmt.Sprintf("STORE item%d.%d %s", n, i, name)); err == nil && a.Code == "" {
+					mu.Lock()
+					acked = append(acked, a.ID)
+					mu.Unlock()
+				}
+				time.Sleep(writeInterval)
 			}
 		})
 	}
 	wg.Wait()
-	if !trouble {
-		return cuts, nil
-	}
-	select {
-	case <-h.Exited():
-	case <-time.After(time.Until(stopAt.Add(stopTimeout))):
-		return nil, fmt.Errorf("%s has not ended in time", h.Name)
-	}
-	time.Sleep(harness.RestartDelay)
-	if err := h.Start(); err != nil {
-		return nil, err
-	}
-	if err := h.AwaitReady(startTimeout); err != nil {
-		return nil, err
-	}
-	time.Sleep(restartPause)
-	return cuts, nil
+	return acked
 }
 
-// transaction runs one transaction with pauses between its statements. It returns the
-// request that was cut off, if one was.
-func transaction(s *harness.Session, item string, stopAt time.Time) (id string, sentAt time.Time, isCut bool) {
-	time.Sleep(time.Until(stopAt.Add(firstBegin + rand.N(lastBegin-firstBegin))))
-	texts := []string{"BEGIN", "STORE " + item + " moved"}
-	for n := range reads {
-		texts = append(texts, fmt.Sprintf("FETCH item%d", n))
-	}
-	for _, text := range append(texts, "COMMIT") {
-		sentAt = time.Now()
-		a, err := s.Run(text)
-		if err != nil {
-			return a.ID, sentAt, sentAt.After(stopAt.Add(openTransactionTime))
-		}
-		if a.Code != "" {
-			return "", sentAt, false
-		}
-		time.Sleep(minPause + rand.N(maxPause-minPause))
+// read runs reads from all hosts until a time. They need the primary, and so show that it is
+// down.
+func read(record *harness.Record, d *harness.Deployment, until time.Time, wg *sync.WaitGroup) {
+	for n, h := range d.Hosts {
+		wg.Go(func() {
+			s, err := record.Open(h, harness.Database(0), fmt.Sprintf("reader%d", n), answerTimeout)
+			if err != nil {
+				return
+			}
+			defer s.Close()
+			for i := 0; time.Now().Before(until); i++ {
+				if _, err := s.Run(fmt.Sprintf("FETCH item%d.%d", n, i)); err != nil {
+					return
+				}
+				time.Sleep(readInterval)
+			}
+		})
 	}
-	return "", sentAt, false
 }
 
-// countLost counts the requests that were cut off after a member had got them.
-func countLost(record *harness.Record, d *harness.Deployment, cuts []cut) int {
-	ran := map[string]time.Time{}
-	for _, g := range d.Groups {
-		runs := g.Executions()
-		record.AddRuns(runs)
-		for _, run := range runs {
-			ran[run.ID] = run.ExecutedAt
-		}
-	}
-	broken := 0
-	for _, c := range cuts {
-		at, passedOn := ran[c.id]
-		if !passedOn {
-			record.Add("%s was cut off before a member ran it; it does not count", c.id)
-			continue
-		}
-		broken++
-		record.Add("LOST broken: %s, sent %d ms after the SIGTERM of %s, ran on a member %d ms after it, and the connection ended without an answer %d ms after it",
-			c.id, c.sentAt.Sub(c.stopAt).Milliseconds(), c.host, at.Sub(c.stopAt).Milliseconds(), c.endedAt.Sub(c.stopAt).Milliseconds())
+// crash takes a member down for downFor. Its entry expires meanwhile; it comes back with its
+// log.
+func crash(record *harness.Record, m *lineplatform.Member) {
+	record.Add("%s crashes", m.ID)
+	m.Crash()
+	time.Sleep(entryExpiry)
+	record.Add("the entry of %s expires", m.ID)
+	m.Deregister()
+	time.Sleep(downFor - entryExpiry)
+	record.Add("%s starts again with its log", m.ID)
+	if err := m.Restart(); err != nil {
+		record.Add("%s: %v", m.ID, err)
 	}
-	return broken
 }
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -72,7 +72,7 @@
 		return d, err
 	}
 	for n := range Groups {
-		g, err := d.Platform.AddGroup(service(n), lineplatform.Options{
+		g, err := d.Platform.AddGroup(Service(n), lineplatform.Options{
 			Members: 3, Slots: site.slots, MaxConnections: site.connections, ServiceTime: workTime,
 			ReplicationLag: replicationLag, PromotionTime: site.promotionTime, Zones: site.memberZones,
 		})
@@ -107,7 +107,7 @@
 	var routes []lineplatform.Route
 	for n := range d.Groups {
 		routes = append(routes, lineplatform.Route{
-			Database: Database(n), Service: service(n), Consistency: consistency,
+			Database: Database(n), Service: Service(n), Consistency: consistency,
 			StatementTimeout: statementTimeout, TargetLatency: targetLatency, MaxStaleness: maxStaleness, Priority: 1,
 		})
 	}
@@ -117,7 +117,8 @@
 // Database returns the name of a group's database.
 func Database(group int) string { return fmt.Sprintf("database%d", group) }
 
-func service(group int) string { return fmt.Sprintf("service%d", group) }
+// Service returns the name of a group's service.
+func Service(group int) string { return fmt.Sprintf("service%d", group) }
 
 // freePorts returns ports that are free on all loopback addresses of the hosts.
 func freePorts(n int) ([]int, error) {
