--- a/review/case1/main.go
+++ b/review/case1/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -16,12 +15,6 @@
 )
 
 const (
-	exitHeld   = 0
-	exitBroken = 1
-	exitNotRun = 2
-
-	startTimeout  = 30 * time.Second
-	answerTimeout = 5 * time.Second
 	// workTime is the time that a statement holds a slot, the mean of obs-submit.
 	workTime = 4500 * time.Microsecond
 	// settleTime lets the hosts agree on the fleet before the load starts, as the platform
@@ -35,28 +28,18 @@
 	laterCallersAfter = 1500 * time.Millisecond
 )
 
-func main() {
-	code, err := run(os.Getenv("TROUBLE") != "0", os.Args[1])
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.Exit(code)
-}
+func main() { harness.Main(run) }
 
-func run(trouble bool, recordPath string) (int, error) {
-	record, err := harness.NewRecord(recordPath)
-	if err != nil {
-		return exitNotRun, err
-	}
+func run(record *harness.Record, trouble bool) (int, error) {
 	d, err := harness.Start(record, harness.PrairieArchive, workTime, func(d *harness.Deployment) {
 		d.Configure("primary", 800*time.Millisecond, 300*time.Millisecond, 0)
 	})
 	defer d.Close()
 	if err != nil {
-		return exitNotRun, err
+		return harness.ExitNotRun, err
 	}
-	if err := d.AwaitReady(startTimeout); err != nil {
-		return exitNotRun, err
+	if err := d.AwaitReady(harness.StartTimeout); err != nil {
+		return harness.ExitNotRun, err
 	}
 	time.Sleep(settleTime)
 	gates := d.GateHosts(0)
@@ -78,11 +61,11 @@
 	time.Sleep(time.Until(begun.Add(killAfter)))
 	if trouble {
 		if err := victim.Kill(); err != nil {
-			return exitNotRun, err
+			return harness.ExitNotRun, err
 		}
 		time.Sleep(harness.RestartDelay)
 		if err := victim.Start(); err != nil {
-			return exitNotRun, err
+			return harness.ExitNotRun, err
 		}
 	}
 	time.Sleep(time.Until(begun.Add(laterCallersAfter)))
@@ -96,10 +79,10 @@
 	lost, refused := compareWithLog(record, d.Groups[0], results.all())
 	if foreign+lost+refused > 0 {
 		fmt.Printf("broken: %d statements ran inside another caller's transaction, %d writes of acknowledged transactions are lost, %d writes of refused ones are kept\n", foreign, lost, refused)
-		return exitBroken, nil
+		return harness.ExitBroken, nil
 	}
 	fmt.Println("held")
-	return exitHeld, nil
+	return harness.ExitHeld, nil
 }
 
 // result is how a caller's transaction ended.
@@ -131,7 +114,7 @@
 
 // transaction writes two items in one transaction, with a pause until a time between them.
 func transaction(record *harness.Record, h *harness.Host, name string, continueAt time.Time) (out result) {
-	s, err := record.Open(h, harness.Database(0), name, answerTimeout)
+	s, err := record.Open(h, harness.Database(0), name, harness.AnswerTimeout)
 	if err != nil {
 		return out
 	}
--- a/review/case2/main.go
+++ b/review/case2/main.go
@@ -6,7 +6,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"sync"
 	"time"
 
@@ -15,13 +14,7 @@
 )
 
 const (
-	exitHeld   = 0
-	exitBroken = 1
-	exitNotRun = 2
-
-	startTimeout  = 30 * time.Second
-	answerTimeout = 5 * time.Second
-	settleTime    = 10 * time.Second
+	settleTime = 10 * time.Second
 	// workTime is the time that a statement holds a slot, the mean of obs-submit.
 	workTime = 4500 * time.Microsecond
 	// writeInterval is the time between the writes of a caller.
@@ -46,13 +39,7 @@
 	watchFor = 20 * time.Second
 )
 
-func main() {
-	code, err := run(os.Getenv("TROUBLE") != "0", os.Args[1])
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.Exit(code)
-}
+func main() { harness.Main(run) }
 
 // configuration returns the operator's configuration: one route of type primary for each
 // group, and services whose commits are acknowledged once one replica has received them.
@@ -77,20 +64,16 @@
 	return data
 }
 
-func run(trouble bool, recordPath string) (int, error) {
-	record, err := harness.NewRecord(recordPath)
-	if err != nil {
-		return exitNotRun, err
-	}
+func run(record *harness.Record, trouble bool) (int, error) {
 	d, err := harness.Start(record, harness.PrairieArchive, workTime, func(d *harness.Deployment) {
 		d.Platform.Store.Put("op/config", configuration())
 	})
 	defer d.Close()
 	if err != nil {
-		return exitNotRun, err
+		return harness.ExitNotRun, err
 	}
-	if err := d.AwaitReady(startTimeout); err != nil {
-		return exitNotRun, err
+	if err := d.AwaitReady(harness.StartTimeout); err != nil {
+		return harness.ExitNotRun, err
 	}
 	time.Sleep(settleTime)
 	g := d.Groups[0]
@@ -109,7 +92,7 @@
 	position := received.Position()
 	record.Add("%d writes are acknowledged; %s is at %s, %s at %s", len(acked), received.ID, position, deaf.ID, deaf.Position())
 	if want := primary.Position(); position != want {
-		return exitNotRun, fmt.Errorf("%s is at %s and the primary at %s", received.ID, position, want)
+		return harness.ExitNotRun, fmt.Errorf("%s is at %s and the primary at %s", received.ID, position, want)
 	}
 	var readers sync.WaitGroup
 	read(record, d, started.Add(watchFor), &readers)
@@ -137,10 +120,10 @@
 	}
 	if len(lost) > 0 {
 		fmt.Printf("broken: the promoted member lacks %d of %d acknowledged writes\n", len(lost), len(acked))
-		return exitBroken, nil
+		return harness.ExitBroken, nil
 	}
 	fmt.Println("held")
-	return exitHeld, nil
+	return harness.ExitHeld, nil
 }
 
 // write runs single writes from all hosts until a time and returns those acknowledged.
@@ -150,7 +133,7 @@
 	var acked []string
 	for n, h := range d.Hosts {
 		wg.Go(func() {
-			s, err := record.Open(h, harness.Database(0), fmt.Sprintf("%s.caller%d", name, n), answerTimeout)
+			s, err := record.Open(h, harness.Database(0), fmt.Sprintf("%s.caller%d", name, n), harness.AnswerTimeout)
 			if err != nil {
 				return
 			}
@@ -174,7 +157,7 @@
 func read(record *harness.Record, d *harness.Deployment, until time.Time, wg *sync.WaitGroup) {
 	for n, h := range d.Hosts {
 		wg.Go(func() {
-			s, err := record.Open(h, harness.Database(0), fmt.Sprintf("reader%d", n), answerTimeout)
+			s, err := record.Open(h, harness.Database(0), fmt.Sprintf("reader%d", n), harness.AnswerTimeout)
 			if err != nil {
 				return
 			}
--- a/review/case3/main.go
+++ b/review/case3/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -14,13 +13,7 @@
 )
 
 const (
-	exitHeld   = 0
-	exitBroken = 1
-	exitNotRun = 2
-
-	startTimeout  = 30 * time.Second
-	answerTimeout = 5 * time.Second
-	settleTime    = 5 * time.Second
+	settleTime = 5 * time.Second
 	// stopTimeout is grace_s with a margin, after which the process must have ended.
 	stopTimeout = harness.GracePeriod + time.Second
 	// restartPause is the time between a host's readiness and the next host's stop.
@@ -38,56 +31,50 @@
 	// A transaction has 12 statements, BEGIN, a write and COMMIT included, with pauses.
 	reads              = 9
 	minPause, maxPause = 150 * time.Millisecond, 350 * time.Millisecond
+	// Every second caller pauses for longer after BEGIN; tx_idle_ms is 3,000.
+	minLongPause, maxLongPause = 2300 * time.Millisecond, 2900 * time.Millisecond
 	// The transactions begin in this span after the SIGTERM, on sessions that are open.
 	firstBegin, lastBegin = 1600 * time.Millisecond, 2300 * time.Millisecond
 	// openTransactionTime is the first half of grace_s, which an open transaction has to end.
 	openTransactionTime = harness.GracePeriod / 2
 )
 
-func main() {
-	code, err := run(os.Getenv("TROUBLE") != "0", os.Args[1])
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.Exit(code)
-}
+func main() { harness.Main(run) }
 
-func run(trouble bool, recordPath string) (int, error) {
-	record, err := harness.NewRecord(recordPath)
-	if err != nil {
-		return exitNotRun, err
-	}
+func run(record *harness.Record, trouble bool) (int, error) {
 	d, err := harness.Start(record, harness.NotaryBooking, workTime, func(d *harness.Deployment) {
 		d.Configure("read_your_writes", statementTimeout, targetLatency, maxStaleness)
 	})
 	defer d.Close()
 	if err != nil {
-		return exitNotRun, err
+		return harness.ExitNotRun, err
 	}
-	if err := d.AwaitReady(startTimeout); err != nil {
-		return exitNotRun, err
+	if err := d.AwaitReady(harness.StartTimeout); err != nil {
+		return harness.ExitNotRun, err
 	}
 	time.Sleep(settleTime)
 	var cuts []cut
 	for n := range stops {
 		more, err := stopHost(record, d.Hosts[n%len(d.Hosts)], n, trouble)
 		if err != nil {
-			return exitNotRun, err
+			return harness.ExitNotRun, err
 		}
 		cuts = append(cuts, more...)
 	}
-	if broken := countLost(record, d, cuts); broken > 0 {
-		fmt.Printf("broken: %d requests were cut off after a member had got them\n", broken)
-		return exitBroken, nil
+	if broken, first := countLost(record, d, cuts); broken > 0 {
+		fmt.Printf("broken: %d requests were cut off after a member had got them, %d of them the first statement of a transaction\n", broken, first)
+		return harness.ExitBroken, nil
 	}
 	fmt.Println("held")
-	return exitHeld, nil
+	return harness.ExitHeld, nil
 }
 
 // cut is a request that was sent later than openTransactionTime after the SIGTERM and whose
 // connection ended without an answer.
 type cut struct {
-	id, host                string
+	id, host string
+	// first is set for the first statement after BEGIN.
+	first                   bool
 	stopAt, sentAt, endedAt time.Time
 }
 
@@ -95,7 +82,7 @@
 func stopHost(record *harness.Record, h *harness.Host, stop int, trouble bool) ([]cut, error) {
 	var sessions []*harness.Session
 	for n := range callers {
-		s, err := record.Open(h, harness.Database(n%harness.Groups), fmt.Sprintf("stop%d.caller%d", stop, n), answerTimeout)
+		s, err := record.Open(h, harness.Database(n%harness.Groups), fmt.Sprintf("stop%d.caller%d", stop, n), harness.AnswerTimeout)
 		if err != nil {
 			return nil, err
 		}
@@ -113,11 +100,11 @@
 	var cuts []cut
 	for n, s := range sessions {
 		wg.Go(func() {
-			id, sentAt, isCut := transaction(s, fmt.Sprintf("signing%d.%d", stop, n), stopAt)
-			if isCut {
+			if c := transaction(s, fmt.Sprintf("signing%d.%d", stop, n), stopAt, n%2 == 1); c != nil {
+				c.host = h.Name
 				mu.Lock()
 				defer mu.Unlock()
-				cuts = append(cuts, cut{id: id, host: h.Name, stopAt: stopAt, sentAt: sentAt, endedAt: time.Now()})
+				cuts = append(cuts, *c)
 			}
 		})
 	}
@@ -134,7 +121,7 @@
 	if err := h.Start(); err != nil {
 		return nil, err
 	}
-	if err := h.AwaitReady(startTimeout); err != nil {
+	if err := h.AwaitReady(harness.StartTimeout); err != nil {
 		return nil, err
 	}
 	time.Sleep(restartPause)
@@ -143,28 +130,33 @@
 
 // transaction runs one transaction with pauses between its statements. It returns the
 // request that was cut off, if one was.
-func transaction(s *harness.Session, item string, stopAt time.Time) (id string, sentAt time.Time, isCut bool) {
+func transaction(s *harness.Session, item string, stopAt time.Time, longPause bool) *cut {
 	time.Sleep(time.Until(stopAt.Add(firstBegin + rand.N(lastBegin-firstBegin))))
 	texts := []string{"BEGIN", "STORE " + item + " moved"}
 	for n := range reads {
 		texts = append(texts, fmt.Sprintf("FETCH item%d", n))
 	}
-	for _, text := range append(texts, "COMMIT") {
-		sentAt = time.Now()
+	for n, text := range append(texts, "COMMIT") {
+		sentAt := time.Now()
 		a, err := s.Run(text)
-		if err != nil {
-			return a.ID, sentAt, sentAt.After(stopAt.Add(openTransactionTime))
+		if err != nil && sentAt.After(stopAt.Add(openTransactionTime)) {
+			return &cut{id: a.ID, first: n == 1, stopAt: stopAt, sentAt: sentAt, endedAt: time.Now()}
 		}
-		if a.Code != "" {
-			return "", sentAt, false
+		if err != nil || a.Code != "" {
+			return nil
+		}
+		if n == 0 && longPause {
+			time.Sleep(minLongPause + rand.N(maxLongPause-minLongPause))
+		} else {
+			time.Sleep(minPause + rand.N(maxPause-minPause))
 		}
-		time.Sleep(minPause + rand.N(maxPause-minPause))
 	}
-	return "", sentAt, false
+	return nil
 }
 
-// countLost counts the requests that were cut off after a member had got them.
-func countLost(record *harness.Record, d *harness.Deployment, cuts []cut) int {
+// countLost counts the requests that were cut off after a member had got them, and those of
+// them that were the first statement of a transaction.
+func countLost(record *harness.Record, d *harness.Deployment, cuts []cut) (broken, first int) {
 	ran := map[string]time.Time{}
 	for _, g := range d.Groups {
 		runs := g.Executions()
@@ -173,7 +165,6 @@
 			ran[run.ID] = run.ExecutedAt
 		}
 	}
-	broken := 0
 	for _, c := range cuts {
 		at, passedOn := ran[c.id]
 		if !passedOn {
@@ -181,8 +172,11 @@
 			continue
 		}
 		broken++
+		if c.first {
+			first++
+		}
 		record.Add("LOST broken: %s, sent %d ms after the SIGTERM of %s, ran on a member %d ms after it, and the connection ended without an answer %d ms after it",
 			c.id, c.sentAt.Sub(c.stopAt).Milliseconds(), c.host, at.Sub(c.stopAt).Milliseconds(), c.endedAt.Sub(c.stopAt).Milliseconds())
 	}
-	return broken
+	return broken, first
 }
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -295,13 +295,10 @@
 		case <-time.After(timeLimit):
 		}
 		d.Close()
-		os.Exit(exitNotRun)
+		os.Exit(ExitNotRun)
 	}()
 }
 
-// exitNotRun is the exit status of a case that could not run.
-const exitNotRun = 2
-
 // Close ends all processes and removes their files. With KEEP set in the environment the
 // files stay.
 func (d *Deployment) Close() { d.closing.Do(d.close) }
