--- a/review/case3/main.go
+++ b/review/case3/main.go
@@ -25,7 +25,7 @@
 	targetLatency    = 1500 * time.Millisecond
 	maxStaleness     = 2500 * time.Millisecond
 	// stops is the number of stops, of one host after the other.
-	stops = 11
+	stops = 8
 	// callers is how many callers one host has: some 292 sessions stand open on seven hosts.
 	callers = 41
 	// A transaction has 12 statements, BEGIN, a write and COMMIT included, with pauses.
