Registry: tell how far an unanswered call to the store got

Cause: on a fleet that does not come back after a loss of power, the log counts hundreds of listings as unanswered. A store that accepts no connection, one that does not answer and one whose link is full look the same, and so do calls that the host gave up itself.

--- a/core/store/errors.go
+++ b/core/store/errors.go
@@ -43,6 +43,8 @@
 	Current []Item
 	// Epoch is the store's epoch in its response; set for Restored.
 	Epoch Epoch
+	// Stage is how far the call got; set for Unanswered.
+	Stage Stage
 	Err   error
 }
 
--- a/node/registry/hedged_listing.go
+++ b/node/registry/hedged_listing.go
@@ -7,6 +7,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
 const (
@@ -39,8 +40,9 @@
 	defer cancel()
 	results := make(chan listingResult, maxHedgedCalls)
 	var lastPageAt atomic.Int64
-	var paused atomic.Int32
+	var paused, pages atomic.Int32
 	onPage := func(more bool) {
+		pages.Add(1)
 		if more && pause != nil {
 			paused.Add(1)
 			pause()
@@ -54,19 +56,22 @@
 	}
 	hedge := time.NewTicker(hedgeDelay)
 	defer hedge.Stop()
-	lastSent := r.now()
+	start := r.now()
+	lastSent, sent := start, 1
 	go list()
 	for outstanding := 1; ; {
 		select {
 		case result := <-results:
 			outstanding--
 			if result.err == nil || outstanding == 0 {
+				eventlog.StoreListed.Info(r.log).Err(result.err).Str("prefix", prefix).Int("listings", sent).Int32("pages", pages.Load()).Int("keys", len(result.listing.Items)).Dur("elapsed_ms", r.now()-start).Send()
 				return result.listing, result.err
 			}
 		case <-hedge.C:
 			progressing := paused.Load() > 0 || lastPageAt.Load() > 0 && r.now()-time.Duration(lastPageAt.Load()) < hedgeDelay
 			if outstanding < maxHedgedCalls && !progressing && !r.lastAnswered.answeredSince(lastSent) {
 				outstanding++
+				sent++
 				lastSent = r.now()
 				go list()
 			}
--- a/node/registry/instrumented_store.go
+++ b/node/registry/instrumented_store.go
@@ -13,6 +13,7 @@
 
 const (
 	CallRange      StoreCall = "range"
+	CallRangePage  StoreCall = "range_page"
 	CallWatch      StoreCall = "watch"
 	CallCommit     StoreCall = "commit"
 	CallGrantLease StoreCall = "grant_lease"
@@ -24,6 +25,9 @@
 	// resultOK is the result of a successful call; failed calls have the name of their
 	// store.Failure.
 	resultOK = "ok"
+	// resultCancelled is the result of a call that this host gave up before its timeout,
+	// as another one was answered.
+	resultCancelled = "cancelled"
 	// resultOther is the result of a call that failed with another error than
 	// *store.Error, such as a cancelled context.
 	resultOther = "other"
@@ -53,15 +57,25 @@
 		return resultOK
 	}
 	var e *store.Error
-	if errors.As(err, &e) {
-		return e.Failure.String()
+	switch {
+	case !errors.As(err, &e):
+		return resultOther
+	case e.Failure == store.Unanswered && errors.Is(err, context.Canceled):
+		return resultCancelled
+	case e.Stage != store.StageUnknown:
+		return e.Failure.String() + "_" + e.Stage.String()
 	}
-	return resultOther
+	return e.Failure.String()
 }
 
 // Range implements Store.
 func (s *instrumentedStore) Range(ctx context.Context, prefix string, onPage func(more bool)) (store.Listing, error) {
-	l, err := s.store.Range(ctx, prefix, onPage)
+	l, err := s.store.Range(ctx, prefix, func(more bool) {
+		s.observe(CallRangePage, nil)
+		if onPage != nil {
+			onPage(more)
+		}
+	})
 	s.observe(CallRange, err)
 	return l, err
 }
