Registry: a few hosts of each zone list the store when a fleet starts

Cause: a start read a first page of 500 keys, then all registrations, to find out whom it could copy the rest from. With registrations of before still there this is 165 KB a host, and the store's link carries 985 of them in 1.3 s. Listings without an answer were sent again after 300 ms, up to five beside each other, and given up after 1.5 s; what is given up has taken the link all the same. So the load stays above what the link carries, and no listing succeeds, nor a renewal, nor a connection. The first start of a deployment does not show it: its store is empty.

Change: a record on the store, one a zone and without a lease, names up to three sources (core/bootstrap). A start reads it with one small call, the only one that is hedged. A host lists the store only while the record names it, and enters the record by a conditional write, in place of a source that is silent or has no copy; so the store itself bounds who lists it, however many hosts start and fail. The others ask the sources. A source refuses at once what its link does not carry within 0.4 s. The host that ranks first in its zone keeps the record of a fleet of 100 hosts or more in line with the hosts that run. Listing again after a lost history goes the same way: it had the same unbounded fallback.

--- a/core/fleetsim/host.go
+++ b/core/fleetsim/host.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/bootstrap"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/peerpoll"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
@@ -25,6 +26,8 @@
 	// configCompression is the ratio by which a relay compresses a configuration, most of
 	// which are similar routes.
 	configCompression = 8
+	// copyCompression is the ratio by which a source compresses the rest of its copy.
+	copyCompression = 3
 	// progressBytes is the size of a datagram that asks or tells what a host knows.
 	progressBytes = 60
 )
@@ -38,7 +41,11 @@
 	// process counts the starts; running is false between a kill and the next start.
 	process int
 	running bool
-	link    *storelink.Link
+	// dead is set for a host that does not start again.
+	dead bool
+	link *storelink.Link
+	// pacer admits the copies that the host sends as a source.
+	pacer   *bootstrap.Pacer
 	chooser *relay.Selector
 	pacing  storelink.Pacing
 	// revision is that of the local copy, config the version of the configuration in force.
@@ -91,6 +98,7 @@
 	h.running = true
 	h.link, h.chooser, h.pacing = storelink.New(), relay.New(h.self), storelink.NewPacing(h.options.ConfigApplyTime)
 	h.revision, h.config, h.polledRevision, h.failures, h.followers = 0, 0, 0, 0, nil
+	h.pacer = bootstrap.NewPacer(h.self.LinkMbps)
 	h.sweep = peerpoll.NewSweep(h.self.Name)
 	h.renewals, h.leaseTTL, h.answeredCall = roster.RenewalSchedule{}, roster.LeaseTTL(0), 0
 	h.idleConns = 0
--- a/core/fleetsim/lease.go
+++ b/core/fleetsim/lease.go
@@ -19,6 +19,7 @@
 			h.leaseTTL = ttl
 			h.renewals.Record(nil)
 			h.renewAfter(roster.FirstRenewalDelay(ttl, h.rng))
+			h.maintainSources()
 		})
 	})
 }
@@ -47,6 +48,7 @@
 		}
 		h.renewals.Record(nil)
 		h.renewAfter(roster.RenewalInterval(h.leaseTTL))
+		h.maintainSources()
 	})
 }
 
--- a/core/fleetsim/store.go
+++ b/core/fleetsim/store.go
@@ -1,6 +1,12 @@
 package fleetsim
 
-import "time"
+import (
+	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/core/bootstrap"
+	"github.com/dotterelswitch/dotterelswitch/core/gates"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
+)
 
 const (
 	// storeAnswerTime is the time that the store takes for a call.
@@ -68,7 +74,9 @@
 	// registrationChanges are the revisions at which a host was registered or removed.
 	registrationChanges []int
 	configBytes         int
-	waiting             []func()
+	// sources are the records of the zones.
+	sources map[int]bootstrap.Record
+	waiting []func()
 	// compactedAt is the newest revision that the store has forgotten; watches are not
 	// answered before silentUntil.
 	compactedAt int
@@ -86,7 +94,7 @@
 func newStoreModel(s *scheduler, o Options) *storeModel {
 	return &storeModel{
 		scheduler: s, port: port{bytesPerSecond: bytesPerSecond(storeMbps)},
-		history: make([]state, 1), registrations: map[int]*registration{}, callsBySecond: map[int]int{},
+		history: make([]state, 1), registrations: map[int]*registration{}, sources: map[int]bootstrap.Record{}, callsBySecond: map[int]int{},
 	}
 }
 
@@ -301,6 +309,12 @@
 	})
 }
 
+// writeSources writes the record of a zone.
+func (st *storeModel) writeSources(zone int, sources []gates.Host) {
+	st.commit(change{bytes: recordBytes, relayed: true})
+	st.sources[zone] = bootstrap.Record{Sources: sources, Revision: store.Revision(st.revision())}
+}
+
 // register records a host's registration with a lease, or renews it.
 func (st *storeModel) register(host int, ttl time.Duration) {
 	r, found := st.registrations[host]
--- a/core/fleetsim/synchronize.go
+++ b/core/fleetsim/synchronize.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
-	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 )
 
@@ -12,11 +11,7 @@
 func (h *host) synchronize() {
 	if h.link.RelistDue() {
 		h.link.UseStore()
-		if fleet := h.fleet(); h.config > 0 && relay.AwaitsSnapshot(h.self, fleet) {
-			h.listAgain(fleet)
-			return
-		}
-		h.listStore()
+		h.listOrCopy()
 		return
 	}
 	fleet := h.fleet()
@@ -31,73 +26,6 @@
 
 func (h *host) named(g gates.Host) *host { return h.byName[g.Name] }
 
-// listStore lists everything.
-func (h *host) listStore() {
-	if h.config > 0 {
-		h.list("", h.listedAll, h.callFailed)
-		return
-	}
-	// A starting host looks for a host that gives the rest after the first page of a large
-	// store.
-	h.listHedged("", h.findSnapshot, h.listedAll, h.callFailed)
-}
-
-func (h *host) listedAll(revision, bytes int) { h.listed(revision, bytes) }
-
-// listAgain takes the copy of a host that has listed the store since a short call.
-func (h *host) listAgain(fleet []gates.Host) {
-	h.call(registrationBytes, func(revision int) {
-		h.awaitSnapshot(relay.SnapshotSources(h.self, fleet), revision, h.now+relay.MaxSnapshotWait, h.listStore)
-	}, h.callFailed)
-}
-
-// findSnapshot asks the hosts that may have a copy of the store, and calls failed if none
-// gives one in time.
-func (h *host) findSnapshot(failed func()) {
-	h.listHedged(hostKeys, nil, func(revision, _ int) {
-		h.revision = revision
-		fleet := h.fleet()
-		h.revision = 0
-		sources := relay.SnapshotSources(h.self, fleet)
-		if !relay.AwaitsSnapshot(h.self, fleet) {
-			h.takeSnapshot(sources, 0, failed)
-			return
-		}
-		h.awaitSnapshot(sources, 0, h.now+relay.MaxSnapshotWait, failed)
-	}, failed)
-}
-
-// awaitSnapshot asks the sources again and again until a time.
-func (h *host) awaitSnapshot(sources []gates.Host, atLeast int, until time.Duration, failed func()) {
-	h.takeSnapshot(sources, atLeast, func() {
-		if h.now >= until {
-			failed()
-			return
-		}
-		h.after(relay.SnapshotRetry, h.ifRunning(func() { h.awaitSnapshot(sources, atLeast, until, failed) }))
-	})
-}
-
-// takeSnapshot takes the copy of the first source that has one of at least a revision.
-func (h *host) takeSnapshot(sources []gates.Host, atLeast int, failed func()) {
-	if len(sources) == 0 {
-		failed()
-		return
-	}
-	source, next := h.named(sources[0]), h.ifRunning(func() { h.takeSnapshot(sources[1:], atLeast, failed) })
-	h.transmit(&h.port, &source.port, 0, h.ifRunning(func() {
-		if !source.isRecent() || source.revision < atLeast {
-			h.transmit(&source.port, &h.port, 0, next)
-			return
-		}
-		revision, st := source.revision, h.store
-		bytes := st.members*entryBytes + st.registeredHosts()*registrationBytes
-		h.transmit(&source.port, &h.port, bytes+st.configBytes/configCompression, h.ifRunning(func() {
-			h.listed(revision, bytes+st.configBytes)
-		}))
-	}))
-}
-
 // listed applies a complete listing.
 func (h *host) listed(revision, bytes int) {
 	h.decode(bytes, func() {
--- a/core/relay/selector.go
+++ b/core/relay/selector.go
@@ -97,15 +97,21 @@
 			continue
 		}
 		zoneSize++
-		at, _ := slices.BinarySearchFunc(out, h, compareRank)
-		if at < maxCandidates {
-			out = slices.Insert(out, at, h)
-			out = out[:min(len(out), maxCandidates)]
-		}
+		out = insertRanked(out, h, maxCandidates)
 	}
 	return out[:min(len(out), candidateCount(zoneSize))]
 }
 
+// insertRanked inserts a host into ranked hosts, of which it keeps the first limit.
+func insertRanked(ranked []gates.Host, h gates.Host, limit int) []gates.Host {
+	at, _ := slices.BinarySearchFunc(ranked, h, compareRank)
+	if at >= limit {
+		return ranked
+	}
+	ranked = slices.Insert(ranked, at, h)
+	return ranked[:min(len(ranked), limit)]
+}
+
 // candidateCount returns the number of candidates in a zone with the given hosts.
 func candidateCount(zoneSize int) int {
 	return min(minCandidates+zoneSize/hostsPerCandidate, maxCandidates)
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -39,7 +39,7 @@
 	}
 	h.peers = gossip.NewTransport(conn, datagramKey, h.handlePeerMessage)
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewGateServer(h))
+	mux.Handle(peer.NewGateServer(h, h.settings.LinkMbps))
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return h.serveWith(h.settings.PeerAddress, &http.Server{Handler: mux, Protocols: protocols})
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -78,6 +78,7 @@
 	ConfigFetched        = Event{621, "configuration_fetched"}
 	CounterStopped       = Event{622, "team_counter_stopped"}
 	StoreListed          = Event{623, "platform_listed"}
+	SourceClaimed        = Event{624, "platform_source_claimed"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -96,7 +97,7 @@
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost, PrimaryFailing,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched, CounterStopped, StoreListed,
+		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched, CounterStopped, StoreListed, SourceClaimed,
 	}
 }
 
--- a/node/peer/compression_test.go
+++ b/node/peer/compression_test.go
@@ -46,7 +46,7 @@
 func serveGate(t testing.TB) string {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(NewGateServer(stubGate{}))
+	mux.Handle(NewGateServer(stubGate{}, 0))
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/dotterelswitch/dotterelswitch/core/bootstrap"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb/peerpbconnect"
@@ -42,9 +43,10 @@
 	largeValues largeValues
 }
 
-// NewGateServer returns the HTTP handler of a gate.
-func NewGateServer(h GateHandler) (string, http.Handler) {
-	return peerpbconnect.NewGateHandler(&gateServer{handler: h}, compressLarge())
+// NewGateServer returns the HTTP handler of a gate. The rate of this host's link is in
+// Mbit/s; zero if unknown.
+func NewGateServer(h GateHandler, linkMbps int) (string, http.Handler) {
+	return peerpbconnect.NewGateHandler(&gateServer{handler: h, snapshot: encodedSnapshot{pacer: bootstrap.NewPacer(linkMbps)}}, compressLarge())
 }
 
 // errNewerJob refuses a job that this host cannot decode. Nothing of it has run.
--- a/node/peer/snapshot_test.go
+++ b/node/peer/snapshot_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/core/bootstrap"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 )
 
@@ -44,7 +45,7 @@
 // TestSnapshotIsEncodedOnceForManyHosts guards against a relay that encodes the store for
 // each of the hosts that start together.
 func TestSnapshotIsEncodedOnceForManyHosts(t *testing.T) {
-	var cache encodedSnapshot
+	cache := encodedSnapshot{pacer: bootstrap.NewPacer(0)}
 	reads := 0
 	read := func() (store.Listing, error) {
 		reads++
--- a/node/registry/coordination_keys.go
+++ b/node/registry/coordination_keys.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/dotterelswitch/dotterelswitch/core/bootstrap"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 )
@@ -30,10 +31,12 @@
 	suspicions map[string]bool
 	// locks maps a service to its promotion lock.
 	locks map[string]succession.Lock
+	// sources maps a zone to the record of its sources.
+	sources map[string]bootstrap.Record
 }
 
 func newCoordinationKeys() coordinationKeys {
-	return coordinationKeys{suspicions: map[string]bool{}, locks: map[string]succession.Lock{}}
+	return coordinationKeys{suspicions: map[string]bool{}, locks: map[string]succession.Lock{}, sources: map[string]bootstrap.Record{}}
 }
 
 // apply applies the change of one key.
@@ -48,6 +51,12 @@
 		setOrDelete(k.locks, service, decodeLock(i), i.Deleted)
 		return stateChanged
 	}
+	if zone, ok := zoneOfSources(i.Key); ok {
+		// One that cannot be read has no sources, so that it is replaced.
+		record, _ := decodeSources(zone, i)
+		setOrDelete(k.sources, zone, record, i.Deleted)
+		return stateChanged
+	}
 	return noEffect
 }
 
--- a/node/registry/hedged_listing.go
+++ b/node/registry/hedged_listing.go
@@ -30,9 +30,8 @@
 //
 // It sends no further listing while the store answers other calls or pages of this
 // listing arrive: the store is reachable then, and repeated listings of a whole fleet
-// would only load it more. After a page that others follow it calls pause, unless that is
-// nil, and does not list on before pause returns.
-func (r *Registry) listHedged(ctx context.Context, prefix string, pause func()) (store.Listing, error) {
+// would only load it more.
+func (r *Registry) listHedged(ctx context.Context, prefix string) (store.Listing, error) {
 	if !r.features.Enabled(feature.HedgedListing) {
 		return r.store.Range(ctx, prefix, nil)
 	}
@@ -40,14 +39,9 @@
 	defer cancel()
 	results := make(chan listingResult, maxHedgedCalls)
 	var lastPageAt atomic.Int64
-	var paused, pages atomic.Int32
-	onPage := func(more bool) {
+	var pages atomic.Int32
+	onPage := func(bool) {
 		pages.Add(1)
-		if more && pause != nil {
-			paused.Add(1)
-			pause()
-			paused.Add(-1)
-		}
 		lastPageAt.Store(int64(r.now()))
 	}
 	list := func() {
@@ -64,11 +58,11 @@
 		case result := <-results:
 			outstanding--
 			if result.err == nil || outstanding == 0 {
-				eventlog.StoreListed.Info(r.log).Err(result.err).Str("prefix", prefix).Int("listings", sent).Int32("pages", pages.Load()).Int("keys", len(result.listing.Items)).Dur("elapsed_ms", r.now()-start).Send()
+				r.logListed(prefix, result, sent, int(pages.Load()), start)
 				return result.listing, result.err
 			}
 		case <-hedge.C:
-			progressing := paused.Load() > 0 || lastPageAt.Load() > 0 && r.now()-time.Duration(lastPageAt.Load()) < hedgeDelay
+			progressing := lastPageAt.Load() > 0 && r.now()-time.Duration(lastPageAt.Load()) < hedgeDelay
 			if outstanding < maxHedgedCalls && !progressing && !r.lastAnswered.answeredSince(lastSent) {
 				outstanding++
 				sent++
@@ -78,3 +72,10 @@
 		}
 	}
 }
+
+// logListed logs the end of a listing of a starting host, which was sent a number of times
+// from start on.
+func (r *Registry) logListed(prefix string, result listingResult, sent, pages int, start time.Duration) {
+	eventlog.StoreListed.Info(r.log).Err(result.err).Str("prefix", prefix).Int("listings", sent).Int("pages", pages).
+		Int("keys", len(result.listing.Items)).Dur("elapsed_ms", r.now()-start).Send()
+}
--- a/node/registry/hedged_listing_test.go
+++ b/node/registry/hedged_listing_test.go
@@ -146,9 +146,8 @@
 // registryInSimulatedTime returns the registry of a starting host that runs in a bubble of
 // synctest.
 func registryInSimulatedTime(s Store) *Registry {
-	start := time.Now()
 	r := startingRegistry(s)
-	r.now = func() time.Duration { return time.Since(start) + 1 }
+	r.now = simulatedClock()
 	return r
 }
 
--- a/node/registry/lease.go
+++ b/node/registry/lease.go
@@ -36,6 +36,9 @@
 			r.markUnreachable(err)
 		}
 		schedule.Record(err)
+		if err == nil {
+			r.maintainSources(ctx)
+		}
 		interval := r.renewalInterval()
 		if r.currentLease() != before {
 			interval = r.firstRenewalDelay(rng)
--- a/node/registry/snapshot.go
+++ b/node/registry/snapshot.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/bootstrap"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/relay"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
-	"github.com/dotterelswitch/dotterelswitch/node/clock"
-	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
 // snapshotTimeout bounds the time in which another host sends its copy of the store. It
@@ -31,96 +29,88 @@
 	return r.itemsAfter(0), nil
 }
 
-// listForStart returns the content of the store for a host that has just started. After
-// the first page of a large store it looks for a host that gives the rest.
+// listForStart returns the content of the store for a host that has just started. Where
+// the store names sources, it comes from one of them, or this host is one. Elsewhere, after
+// the first page of a large store, the host looks for a source or becomes one.
+//
+// Only the small call that comes first is hedged. A fleet whose hosts repeat listings that
+// the store's link does not carry in time would not come to rest.
 func (r *Registry) listForStart(ctx context.Context) (store.Listing, error) {
 	if r.fetchSnapshot == nil {
-		return r.listHedged(ctx, "", nil)
+		return r.listHedged(ctx, "")
 	}
+	read, err := r.listHedged(ctx, sourcesKey(r.self.Zone))
+	if err != nil {
+		return store.Listing{}, err
+	}
+	record := r.sourcesIn(read.Items, r.self.Zone)
+	recent := func(at store.Revision) bool { return at.Epoch() >= read.Revision.Epoch() }
+	if record.Revision == 0 {
+		return r.listOrCopy(ctx, record, recent)
+	}
+	return r.copyOrList(ctx, record, recent)
+}
+
+// copyOrList returns the copy of a source, or a listing of the store once this host is a
+// source itself.
+func (r *Registry) copyOrList(ctx context.Context, record bootstrap.Record, recent func(at store.Revision) bool) (store.Listing, error) {
+	if l, copied, err := r.copyOrPlace(ctx, record, recent); copied || err != nil {
+		return l, err
+	}
+	return r.list(ctx, nil)
+}
+
+// listOrCopy lists the store. After the first page of a large store it goes on only as a
+// source, or returns the copy of one.
+func (r *Registry) listOrCopy(ctx context.Context, record bootstrap.Record, recent func(at store.Revision) bool) (store.Listing, error) {
+	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	snapshot := make(chan store.Listing, 1)
-	var looking atomic.Bool
-	looked := make(chan struct{})
-	// Hedged listings have their first pages at the same time: one looks, the others wait
-	// for it. They wait on a channel, since a lock stops the clock of simulated time.
-	pause := func() {
-		if !looking.CompareAndSwap(false, true) {
-			<-looked
+	var found *listingResult
+	searched := false
+	l, err := r.list(ctx, func(more bool) {
+		if !more || searched {
 			return
 		}
-		defer close(looked)
-		if l, taken := r.snapshotFromFleet(ctx); taken {
-			snapshot <- l
+		searched = true
+		if l, copied, err := r.copyOrPlace(outer, record, recent); copied || err != nil {
+			found = &listingResult{l, err}
 			cancel()
 		}
+	})
+	if found != nil {
+		return found.listing, found.err
 	}
-	l, err := r.listHedged(ctx, "", pause)
-	select {
-	case taken := <-snapshot:
-		return taken, nil
-	default:
-		return l, err
-	}
+	return l, err
 }
 
-// snapshotFromFleet returns the copy of another host; false if the fleet is small or no
-// source gives one in time. What the source lacks is newer than its revision, so it arrives
-// as changes after it.
-func (r *Registry) snapshotFromFleet(ctx context.Context) (store.Listing, bool) {
-	registered, err := r.listHedged(ctx, hostPrefix, nil)
-	if err != nil {
-		eventlog.SnapshotFailed.Info(r.log).Err(err).Send()
-		return store.Listing{}, false
-	}
-	var fleet []gates.Host
-	for _, reg := range registrationsIn(registered) {
-		fleet = append(fleet, reg.Host)
-	}
-	return r.takeSnapshot(ctx, fleet, func(at store.Revision) bool { return at.Epoch() >= registered.Revision.Epoch() })
+// list lists the whole store.
+func (r *Registry) list(ctx context.Context, onPage func(more bool)) (store.Listing, error) {
+	start, pages := r.now(), 0
+	l, err := r.store.Range(ctx, "", func(more bool) {
+		pages++
+		if onPage != nil {
+			onPage(more)
+		}
+	})
+	r.logListed("", listingResult{l, err}, 1, pages, start)
+	return l, err
 }
 
 // listAgain returns the content of the store for a host that may have missed changes. In a
-// large fleet the hosts that may relay list the store, and the others take the copy of one
-// that has done so: all hosts of a fleet lose their history together.
+// large fleet the sources list the store, and the others take the copy of one that has done
+// so: all hosts of a fleet lose their history together.
 func (r *Registry) listAgain(ctx context.Context) (store.Listing, error) {
-	fleet := r.Fleet()
-	if r.fetchSnapshot == nil || !relay.AwaitsSnapshot(r.self, fleet) {
+	if r.fetchSnapshot == nil || !relay.UsesSources(r.Fleet()) {
 		return r.store.Range(ctx, "", nil)
 	}
 	// A short listing tells the revision from which on a copy lacks nothing.
-	own, err := r.store.Range(ctx, hostKey(r.self.Name), nil)
+	read, err := r.store.Range(ctx, sourcesKey(r.self.Zone), nil)
 	if err != nil {
 		return store.Listing{}, err
 	}
-	if l, taken := r.takeSnapshot(ctx, fleet, func(at store.Revision) bool { return at >= own.Revision }); taken {
-		return l, nil
-	}
-	return r.store.Range(ctx, "", nil)
-}
-
-// takeSnapshot returns the copy of a source, if its revision is recent enough; false if no
-// source gives one in time.
-func (r *Registry) takeSnapshot(ctx context.Context, fleet []gates.Host, recent func(at store.Revision) bool) (store.Listing, bool) {
-	sources := relay.SnapshotSources(r.self, fleet)
-	ctx, cancel := context.WithTimeout(ctx, relay.MaxSnapshotWait)
-	defer cancel()
-	for round := 0; ; round++ {
-		for _, source := range sources {
-			l, err := r.snapshotFrom(ctx, source, recent)
-			if err == nil {
-				eventlog.SnapshotTaken.Info(r.log).Str("peer", source.Name).Stringer("revision", l.Revision).Int("keys", len(l.Items)).Send()
-				return l, true
-			}
-			// The sources of a fleet that starts at once have no copy for many rounds.
-			if round == 0 {
-				eventlog.SnapshotFailed.Info(r.log).Err(err).Str("peer", source.Name).Send()
-			}
-		}
-		if !relay.AwaitsSnapshot(r.self, fleet) || !clock.Sleep(ctx, relay.SnapshotRetry) {
-			return store.Listing{}, false
-		}
-	}
+	recent := func(at store.Revision) bool { return at >= read.Revision }
+	return r.copyOrList(ctx, r.sourcesIn(read.Items, r.self.Zone), recent)
 }
 
 // errOutdatedSnapshot refuses the copy of a host that has not seen the store recently
