Bootstrap: replace sources that are gone without a wait for each of them

What callers would see: with the hosts that list the store for the others lost for good, the fleet is back late: simulated, 738 of 967 hosts later than 8 s, the last after 15 s; at twice the size after 40 s.

Cause: a claim replaced one silent source, so each round still waited a second for each of the others; a host with a slow link could take a place as early as one with a fast link, since the delay ran from its start; and the silent sources, which rank first as relays too, were followed next, until the relay that runs had no recent data and the hosts watched the store themselves: 370 answers of 1.5 MB, the link 2.4 s behind at 1,970 hosts.

Change: a claim leaves out all silent sources; a source is silent if it leaves a question unanswered 1.2 s after it was last heard, not if it missed one; a silent one is passed over for a second; the delay of hosts with slow links runs from the moment the place is free; what is silent as a source is not followed as a relay either.

--- a/core/bootstrap/search.go
+++ b/core/bootstrap/search.go
@@ -11,9 +11,12 @@
 const (
 	// RetryInterval is the time between two rounds in which a host asks its sources.
 	RetryInterval = 200 * time.Millisecond
-	// silenceTimeout is how long a source may leave questions unanswered before another
-	// host takes its place. It covers the start of a process and a lost packet.
+	// silenceTimeout is the time after the last answer of a source from which on an
+	// unanswered question costs it its place. It covers the start of a process.
 	silenceTimeout = 1200 * time.Millisecond
+	// silentRetry is how long a silent source is passed over. Each question to it takes as
+	// long as a copy may.
+	silentRetry = time.Second
 	// copyTimeout is how long sources that answer may have no copy to give before another
 	// host takes the place of one: they may not reach the store. It covers a listing of
 	// tens of pages.
@@ -41,31 +44,45 @@
 
 // Search is one host's search for a copy of the store. It is not safe for concurrent use.
 type Search struct {
-	self    gates.Host
-	record  Record
-	started time.Duration
+	self   gates.Host
+	record Record
 	// changedAt is when the record was last seen to change.
 	changedAt time.Duration
-	// heardAt is when each source last answered, with or without a copy.
+	// heardAt is when each source has last answered, with or without a copy, or was first
+	// seen in the record.
 	heardAt map[string]time.Duration
+	// silentAt is when each source has last left a question unanswered, unless it has
+	// answered since.
+	silentAt map[string]time.Duration
 	// asked is set once the sources of the record were asked.
 	asked bool
 }
 
 // NewSearch returns the search of a host that has read a record.
 func NewSearch(self gates.Host, record Record, now time.Duration) *Search {
-	s := &Search{self: self, started: now}
+	s := &Search{self: self, heardAt: map[string]time.Duration{}, silentAt: map[string]time.Duration{}}
 	s.Update(record, now)
 	return s
 }
 
 // Update applies a newer state of the record.
 func (s *Search) Update(record Record, now time.Duration) {
-	s.record, s.changedAt, s.heardAt, s.asked = record, now, map[string]time.Duration{}, false
+	s.record, s.changedAt, s.asked = record, now, false
+	for _, source := range record.Sources {
+		if _, known := s.heardAt[source.Name]; !known {
+			s.heardAt[source.Name] = now
+		}
+	}
 }
 
 // Answered records that a source has answered without giving a copy.
-func (s *Search) Answered(source string, now time.Duration) { s.heardAt[source] = now }
+func (s *Search) Answered(source string, now time.Duration) {
+	s.heardAt[source] = now
+	delete(s.silentAt, source)
+}
+
+// Silent records that a source has not answered.
+func (s *Search) Silent(source string, now time.Duration) { s.silentAt[source] = now }
 
 // Asked records the end of a round in which no source gave a copy.
 func (s *Search) Asked() { s.asked = true }
@@ -75,46 +92,48 @@
 	switch {
 	case s.record.Names(s.self.Name):
 		return List
-	case now-s.started < ClaimDelay(s.self):
-		return Ask
-	case len(s.record.Sources) == 0:
-		return Claim
-	case s.asked && (len(s.record.Sources) < MaxSources || s.replaceable(now) >= 0):
+	case (s.asked || len(s.record.Sources) == 0) && s.hasFreePlace(now-ClaimDelay(s.self)):
 		return Claim
 	}
 	return Ask
 }
 
-// replaceable returns the index of the source whose place this host may take: one that is
-// silent, or any if none has a copy; -1 if there is none.
-func (s *Search) replaceable(now time.Duration) int {
-	for n, source := range s.record.Sources {
-		if now-max(s.heardAt[source.Name], s.changedAt) >= silenceTimeout {
-			return n
-		}
-	}
-	if now-s.changedAt >= copyTimeout {
-		return 0
-	}
-	return -1
+// hasFreePlace reports whether this host could take a place at a time. One that the record
+// leaves free is free from its last change on.
+func (s *Search) hasFreePlace(at time.Duration) bool {
+	return at >= s.changedAt && len(s.remaining(at)) < MaxSources
 }
 
-// Claimed returns the sources to write in place of those of Record.
-func (s *Search) Claimed(now time.Duration) []gates.Host {
-	sources := slices.Clone(s.record.Sources)
-	if n := s.replaceable(now); n >= 0 {
-		sources = slices.Delete(sources, n, n+1)
+// remaining returns the sources whose places were taken at a time: all that had answered
+// lately, but for one if none of them has a copy.
+func (s *Search) remaining(at time.Duration) []gates.Host {
+	remaining := slices.DeleteFunc(slices.Clone(s.record.Sources), func(source gates.Host) bool {
+		// One unanswered question says little: the process may be starting.
+		silentFor := min(s.silentAt[source.Name], at) - s.heardAt[source.Name]
+		return silentFor >= silenceTimeout
+	})
+	if len(remaining) == MaxSources && at-s.changedAt >= copyTimeout {
+		return remaining[1:]
 	}
-	return append(sources, s.self)
+	return remaining
 }
 
+// Claimed returns the sources to write in place of those of Record.
+func (s *Search) Claimed(now time.Duration) []gates.Host { return append(s.remaining(now), s.self) }
+
 // Record returns the state of the record on which Claimed is based.
 func (s *Search) Record() Record { return s.record }
 
-// Sources returns the sources in the order in which this host asks them. The order differs
-// between hosts, since many start together.
-func (s *Search) Sources() []gates.Host {
-	sources := s.record.Sources
+// Sources returns the sources to ask, in an order that differs between hosts, since many
+// start together. One that was silent a moment ago is passed over beside others.
+func (s *Search) Sources(now time.Duration) []gates.Host {
+	sources := slices.DeleteFunc(slices.Clone(s.record.Sources), func(source gates.Host) bool {
+		at, silent := s.silentAt[source.Name]
+		return silent && now-at < silentRetry
+	})
+	if len(sources) == 0 {
+		sources = s.record.Sources
+	}
 	if len(sources) == 0 {
 		return nil
 	}
--- a/core/fleetsim/fleetsim_test.go
+++ b/core/fleetsim/fleetsim_test.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// TestFleetIsBackInTimeWithoutItsSources guards against hosts that all list the store once
+// those that list it for them do not answer.
+func TestFleetIsBackInTimeWithoutItsSources(t *testing.T) {
+	for _, hosts := range []int{300, 1970} {
+		o := DefaultOptions(hosts)
+		o.StoreFilledAt, o.Fault = time.Second, SourceLoss
+		r := run(t, o)
+		require.Zero(t, r.Late, "%d hosts", hosts)
+		require.Less(t, r.StoreBacklog, dialTimeout/2, "%d hosts", hosts)
+	}
+}
+
 func TestSimulationIsRepeatable(t *testing.T) {
 	o := DefaultOptions(60)
 	o.Fault = RelayLoss
--- a/core/fleetsim/follow.go
+++ b/core/fleetsim/follow.go
@@ -15,6 +15,10 @@
 func (h *host) follow(source *host) {
 	h.link.Follow(source.self.Name)
 	f := &follower{host: h, process: h.process, sent: h.revision}
+	if source.dead {
+		h.after(relay.HeartbeatTimeout, f.ifSameProcess(func() { h.relayLost(source, false) }))
+		return
+	}
 	h.transmit(&h.port, &source.port, 0, f.ifSameProcess(func() {
 		switch {
 		case !source.running:
--- a/core/fleetsim/options.go
+++ b/core/fleetsim/options.go
@@ -28,11 +28,13 @@
 	// Restart kills all hosts and starts them at once, beside a store that still has
 	// their registrations.
 	Restart Fault = "restart"
+	// SourceLoss is Restart of all hosts but the sources, which do not come back.
+	SourceLoss Fault = "sources"
 )
 
 // Faults are all faults, in the order in which they are documented.
 func Faults() []Fault {
-	return []Fault{NoFault, RelayLoss, StoreRefusals, Compaction, HalfRestart, Restart}
+	return []Fault{NoFault, RelayLoss, StoreRefusals, Compaction, HalfRestart, Restart, SourceLoss}
 }
 
 // Options describes one simulated fleet.
--- a/core/fleetsim/sources.go
+++ b/core/fleetsim/sources.go
@@ -87,7 +87,7 @@
 	case bootstrap.Claim:
 		h.after(h.jitter(bootstrap.RetryInterval), h.ifRunning(func() { h.claim(search, next) }))
 	default:
-		h.ask(search, search.Sources(), atLeast, func() {
+		h.ask(search, search.Sources(h.now), atLeast, func() {
 			search.Asked()
 			h.after(bootstrap.RetryInterval/2+h.jitter(bootstrap.RetryInterval), next)
 		})
@@ -131,6 +131,9 @@
 		ended = true
 		if answered {
 			search.Answered(source.self.Name, h.now)
+		} else {
+			search.Silent(source.self.Name, h.now)
+			h.chooser.MarkFailed(source.self.Name, false, h.now)
 		}
 		h.ask(search, sources[1:], atLeast, none)
 	}
--- a/node/registry/follow.go
+++ b/node/registry/follow.go
@@ -88,11 +88,19 @@
 	}
 	r.mu.Lock()
 	r.link.RelayLost()
-	r.relaySelector.MarkFailed(host.Name, errors.As(err, &refused), r.now())
 	r.mu.Unlock()
+	r.relayFailed(host.Name, errors.As(err, &refused))
 	clock.Sleep(outer, relay.FailoverDelay+rand.N(relay.FailoverDelay))
 }
 
+// relayFailed keeps this host from following another one for a while, which has refused it
+// or did not answer.
+func (r *Registry) relayFailed(host string, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.relaySelector.MarkFailed(host, refused, r.now())
+}
+
 // applyUpdate applies an update of a relay. It returns errOlderEpoch for a complete
 // listing of an older epoch than the local copy's.
 func (r *Registry) applyUpdate(u Update) error {
--- a/node/registry/sources.go
+++ b/node/registry/sources.go
@@ -65,7 +65,8 @@
 // none. One that cannot be read has no sources, so that it is replaced.
 func (r *Registry) sourcesIn(items []store.Item, zone string) bootstrap.Record {
 	for _, i := range items {
-		if i.Key != sourcesKey(zone) || i.Deleted {
+		// A conflict shows a key that does not exist with the number zero.
+		if i.Key != sourcesKey(zone) || i.Deleted || i.Revision.Number() == 0 {
 			continue
 		}
 		record, err := decodeSources(zone, i)
@@ -109,7 +110,7 @@
 
 // askSources asks one source after the other for its copy.
 func (r *Registry) askSources(ctx context.Context, search *bootstrap.Search, recent func(at store.Revision) bool, logFailures bool) (store.Listing, bool) {
-	for _, source := range search.Sources() {
+	for _, source := range search.Sources(r.now()) {
 		l, err := r.snapshotFrom(ctx, source, recent)
 		if err == nil {
 			eventlog.SnapshotTaken.Info(r.log).Str("peer", source.Name).Stringer("revision", l.Revision).Int("keys", len(l.Items)).Send()
@@ -118,6 +119,9 @@
 		var refused *RelayRefusedError
 		if errors.As(err, &refused) || errors.Is(err, errOutdatedSnapshot) {
 			search.Answered(source.Name, r.now())
+		} else {
+			search.Silent(source.Name, r.now())
+			r.relayFailed(source.Name, false)
 		}
 		if logFailures {
 			eventlog.SnapshotFailed.Info(r.log).Err(err).Str("peer", source.Name).Send()
