Fleetsim: heartbeats of a relay tell its revision

Cause: in the model a follower's revision moved only with changes that a relay sends, not with its heartbeats, as a host's does. A follower that lost its relay asked the store for all entries of members since the last such change, seconds of them, and these answers filled the store's link: with half of 985 hosts restarted, three sources of one zone could not list the store for 6 s.

Change: a heartbeat moves the revision of a follower that has received all that was sent before.

--- a/core/fleetsim/follow.go
+++ b/core/fleetsim/follow.go
@@ -52,12 +52,18 @@
 	recent := h.isRecent()
 	for _, f := range h.followers {
 		knownUntil := h.now - h.link.Age(h.now)
+		// A heartbeat tells the revision too. All before it were sent.
+		before, upTo := f.sent, max(f.sent, h.revision)
+		f.sent = upTo
 		h.transmit(&h.port, &f.port, 0, f.ifSameProcess(func() {
-			if recent {
-				f.link.Answered(h.now, h.now-knownUntil)
+			if !recent {
+				f.relayLost(h, true)
 				return
 			}
-			f.relayLost(h, true)
+			f.link.Answered(h.now, h.now-knownUntil)
+			if f.revision >= before {
+				f.revision = max(f.revision, upTo)
+			}
 		}))
 	}
 	if !recent {
