Registry: a fleet that grows large writes its record of sources at once

Cause: a store without a record has one only after the first renewal of a lease, 1.5 to 3 s after the start, or once a host has claimed a place, which hosts with slow links do after 2 s.

--- a/core/bootstrap/search.go
+++ b/core/bootstrap/search.go
@@ -36,6 +36,9 @@
 const (
 	// Ask the sources for a copy, and decide again after RetryInterval if none gives one.
 	Ask Step = iota
+	// Read the record again after RetryInterval: it names no source, and hosts with faster
+	// links may enter it.
+	Read
 	// List the store: this host is a source.
 	List
 	// Claim the place of a source with a conditional write of Search.Claimed.
@@ -61,12 +64,18 @@
 // NewSearch returns the search of a host that has read a record.
 func NewSearch(self gates.Host, record Record, now time.Duration) *Search {
 	s := &Search{self: self, heardAt: map[string]time.Duration{}, silentAt: map[string]time.Duration{}}
-	s.Update(record, now)
+	s.apply(record, now)
 	return s
 }
 
-// Update applies a newer state of the record.
+// Update applies a state of the record that was read later.
 func (s *Search) Update(record Record, now time.Duration) {
+	if record.Revision != s.record.Revision {
+		s.apply(record, now)
+	}
+}
+
+func (s *Search) apply(record Record, now time.Duration) {
 	s.record, s.changedAt, s.asked = record, now, false
 	for _, source := range record.Sources {
 		if _, known := s.heardAt[source.Name]; !known {
@@ -94,6 +103,8 @@
 		return List
 	case (s.asked || len(s.record.Sources) == 0) && s.hasFreePlace(now-ClaimDelay(s.self)):
 		return Claim
+	case len(s.record.Sources) == 0:
+		return Read
 	}
 	return Ask
 }
@@ -134,9 +145,6 @@
 	if len(sources) == 0 {
 		sources = s.record.Sources
 	}
-	if len(sources) == 0 {
-		return nil
-	}
 	first := int(membership.Score(s.self.Zone, s.self.Name) % uint64(len(sources)))
 	return slices.Concat(sources[first:], sources[:first])
 }
--- a/core/fleetsim/sources.go
+++ b/core/fleetsim/sources.go
@@ -84,6 +84,13 @@
 	switch search.Next(h.now) {
 	case bootstrap.List:
 		list()
+	case bootstrap.Read:
+		h.after(bootstrap.RetryInterval/2+h.jitter(bootstrap.RetryInterval), h.ifRunning(func() {
+			h.readRecord(func(record bootstrap.Record, _ int) {
+				search.Update(record, h.now)
+				next()
+			})
+		}))
 	case bootstrap.Claim:
 		h.after(h.jitter(bootstrap.RetryInterval), h.ifRunning(func() { h.claim(search, next) }))
 	default:
--- a/core/fleetsim/synchronize.go
+++ b/core/fleetsim/synchronize.go
@@ -86,6 +86,9 @@
 		return
 	}
 	h.revision = upTo
+	if h.store.sources[h.zone].Revision == 0 {
+		h.maintainSources()
+	}
 	for _, f := range h.followers {
 		h.sendChanges(f)
 	}
--- a/node/registry/lease.go
+++ b/node/registry/lease.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
@@ -26,6 +27,11 @@
 // KeepRegistered keeps the host registered until the context ends or Deregister is
 // called.
 func (r *Registry) KeepRegistered(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	var sources sync.WaitGroup
+	sources.Go(func() { r.keepSources(ctx) })
+	defer sources.Wait()
+	defer cancel()
 	var schedule roster.RenewalSchedule
 	rng := r.newRand()
 	for ctx.Err() == nil && !r.isLeaving() {
@@ -37,7 +43,7 @@
 		}
 		schedule.Record(err)
 		if err == nil {
-			r.maintainSources(ctx)
+			notify(r.sourcesDue)
 		}
 		interval := r.renewalInterval()
 		if r.currentLease() != before {
--- a/node/registry/registration.go
+++ b/node/registry/registration.go
@@ -115,6 +115,9 @@
 func (r *Registry) fleetChanged() {
 	r.changes.Fleet = true
 	r.fleet = nil
+	if r.sourcesMissing() {
+		notify(r.sourcesDue)
+	}
 }
 
 // currentFleet is called with mu held.
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -73,6 +73,8 @@
 	// fleetSizeKnown is signalled after the first listing if the lease is too short for
 	// the fleet.
 	fleetSizeKnown chan struct{}
+	// sourcesDue is signalled when the record of this host's zone may have to be written.
+	sourcesDue chan struct{}
 	// storeReached is signalled when the store answers for the first time or again
 	// after an outage.
 	storeReached chan struct{}
@@ -175,7 +177,7 @@
 		now: now, pacing: storelink.NewPacing(cfg.MaxConfigApplyTime),
 		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, fetchSnapshot: fetchSnapshot, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), coordination: newCoordinationKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
-		relaySelector: relay.New(cfg.Self), link: storelink.New(), historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
+		relaySelector: relay.New(cfg.Self), link: storelink.New(), historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), sourcesDue: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
 	}
 }
 
--- a/node/registry/snapshot_test.go
+++ b/node/registry/snapshot_test.go
@@ -272,6 +272,7 @@
 	first := relay.Sources(fleet[0], fleet)[0]
 	r := New(Config{Store: s, Documents: platform.Documents{}, Self: first, Changed: func() {}, Log: zerolog.Nop()})
 	require.NoError(t, r.syncOnce(t.Context()))
+	require.Len(t, r.sourcesDue, 1, "the zone has none yet")
 	for range 2 {
 		r.maintainSources(t.Context())
 		require.Equal(t, 1, s.claims)
--- a/node/registry/sources.go
+++ b/node/registry/sources.go
@@ -87,6 +87,16 @@
 		switch search.Next(r.now()) {
 		case bootstrap.List:
 			return store.Listing{}, false, nil
+		case bootstrap.Read:
+			if !pause() {
+				return store.Listing{}, false, ctx.Err()
+			}
+			read, err := r.store.Range(ctx, sourcesKey(r.self.Zone), nil)
+			if err != nil {
+				return store.Listing{}, false, err
+			}
+			search.Update(r.sourcesIn(read.Items, r.self.Zone), r.now())
+			continue
 		case bootstrap.Claim:
 			// Many hosts find the place free at the same time.
 			if !clock.Sleep(ctx, rand.N(bootstrap.RetryInterval)) {
@@ -162,6 +172,28 @@
 	})
 }
 
+// keepSources keeps the record of this host's zone until the context ends.
+func (r *Registry) keepSources(ctx context.Context) {
+	for {
+		select {
+		case <-r.sourcesDue:
+			r.maintainSources(ctx)
+		case <-ctx.Done():
+			return
+		}
+		// The hosts of a fleet that starts register one by one.
+		if !clock.Sleep(ctx, bootstrap.RetryInterval) {
+			return
+		}
+	}
+}
+
+// sourcesMissing reports whether the fleet is large and the zone of this host has no
+// record. It is called with mu held.
+func (r *Registry) sourcesMissing() bool {
+	return r.roster.Len() >= relay.MinFleetForSources && r.coordination.sources[r.self.Zone].Revision == 0
+}
+
 // maintainSources keeps the record of this host's zone in line with the running fleet, if
 // the fleet is large and this host ranks first in its zone. The next claim or renewal
 // corrects a record that was not written.
