Registry: follow a relay again that missed one question as a source

Cause: a source that left a question unanswered was not followed as a relay for eight seconds. When all hosts start together, the first ones ask sources whose processes do not listen yet, so they would have watched the store themselves. The model took such a source for one that answers.

Change: only a source that is silent for as long as costs it its place is passed over as a relay; in the model a process that has not started refuses the connection.

--- a/core/bootstrap/search.go
+++ b/core/bootstrap/search.go
@@ -132,6 +132,18 @@
 // Claimed returns the sources to write in place of those of Record.
 func (s *Search) Claimed(now time.Duration) []gates.Host { return append(s.remaining(now), s.self) }
 
+// Gone returns the hosts that were asked and have not answered for so long that they lost
+// their places, or would. They are not to be expected as relays either.
+func (s *Search) Gone() []string {
+	var gone []string
+	for host, at := range s.silentAt {
+		if at-s.heardAt[host] >= silenceTimeout {
+			gone = append(gone, host)
+		}
+	}
+	return gone
+}
+
 // Record returns the state of the record on which Claimed is based.
 func (s *Search) Record() Record { return s.record }
 
--- a/core/bootstrap/search_test.go
+++ b/core/bootstrap/search_test.go
@@ -55,6 +55,7 @@
 		require.Less(t, now, 2*time.Second)
 		if s.Next(now) == bootstrap.Claim {
 			require.Equal(t, []gates.Host{fleet[0], fleet[2], fleet[3]}, s.Claimed(now))
+			require.Equal(t, []string{"host-1"}, s.Gone())
 			break
 		}
 		s.Answered("host-0", now)
@@ -78,6 +79,7 @@
 			}
 		}
 		s.Asked()
+		require.Empty(t, s.Gone())
 	}
 }
 
--- a/core/fleetsim/sources.go
+++ b/core/fleetsim/sources.go
@@ -83,6 +83,7 @@
 	next := h.ifRunning(func() { h.searchOn(search, atLeast, list) })
 	switch search.Next(h.now) {
 	case bootstrap.List:
+		h.skipGone(search)
 		list()
 	case bootstrap.Read:
 		h.after(bootstrap.RetryInterval/2+h.jitter(bootstrap.RetryInterval), h.ifRunning(func() {
@@ -101,6 +102,13 @@
 	}
 }
 
+// skipGone keeps the host from following sources that do not answer.
+func (h *host) skipGone(search *bootstrap.Search) {
+	for _, gone := range search.Gone() {
+		h.chooser.MarkFailed(gone, false, h.now)
+	}
+}
+
 // claim enters the host into the record of its zone, unless that has changed meanwhile.
 func (h *host) claim(search *bootstrap.Search, next func()) {
 	var written bootstrap.Record
@@ -140,7 +148,6 @@
 			search.Answered(source.self.Name, h.now)
 		} else {
 			search.Silent(source.self.Name, h.now)
-			h.chooser.MarkFailed(source.self.Name, false, h.now)
 		}
 		h.ask(search, sources[1:], atLeast, none)
 	}
@@ -152,7 +159,11 @@
 		st := h.store
 		bytes := st.members*entryBytes + st.registeredHosts()*registrationBytes
 		sent := bytes/copyCompression + st.configBytes/configCompression
-		if !source.running || !source.isRecent() || source.revision < atLeast || !source.pacer.Admit(sent, h.now) {
+		if !source.running {
+			h.transmit(&source.port, &h.port, 0, h.ifRunning(func() { end(false) }))
+			return
+		}
+		if !source.isRecent() || source.revision < atLeast || !source.pacer.Admit(sent, h.now) {
 			h.transmit(&source.port, &h.port, 0, h.ifRunning(func() { end(true) }))
 			return
 		}
@@ -160,6 +171,7 @@
 		h.transmit(&source.port, &h.port, sent, h.ifRunning(func() {
 			if !ended {
 				ended = true
+				h.skipGone(search)
 				h.listed(revision, bytes+st.configBytes)
 			}
 		}))
--- a/node/registry/sources.go
+++ b/node/registry/sources.go
@@ -82,6 +82,11 @@
 // lists the store. Recent tells from which revision on a copy lacks nothing.
 func (r *Registry) copyOrPlace(ctx context.Context, record bootstrap.Record, recent func(at store.Revision) bool) (l store.Listing, copied bool, err error) {
 	search := bootstrap.NewSearch(r.self, record, r.now())
+	defer func() {
+		for _, host := range search.Gone() {
+			r.relayFailed(host, false)
+		}
+	}()
 	pause := func() bool { return clock.Sleep(ctx, bootstrap.RetryInterval/2+rand.N(bootstrap.RetryInterval)) }
 	for round := 0; ; round++ {
 		switch search.Next(r.now()) {
@@ -131,7 +136,6 @@
 			search.Answered(source.Name, r.now())
 		} else {
 			search.Silent(source.Name, r.now())
-			r.relayFailed(source.Name, false)
 		}
 		if logFailures {
 			eventlog.SnapshotFailed.Info(r.log).Err(err).Str("peer", source.Name).Send()
