--- a/node/peer/compression_test.go
+++ b/node/peer/compression_test.go
@@ -43,10 +43,13 @@
 func (stubGate) Detached(string) {}
 
 // serveGate starts a gate and returns its address.
-func serveGate(t testing.TB) string {
+func serveGate(t testing.TB) string { return serveHandler(t, stubGate{}, 0) }
+
+// serveHandler starts a gate of a host with a link of some Mbit/s.
+func serveHandler(t testing.TB, h GateHandler, linkMbps int) string {
 	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(NewGateServer(stubGate{}, 0))
+	mux.Handle(NewGateServer(h, linkMbps))
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/node/peer/snapshot_test.go
+++ b/node/peer/snapshot_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/bootstrap"
 	"github.com/dotterelswitch/dotterelswitch/core/store"
+	"github.com/dotterelswitch/dotterelswitch/node/registry"
 )
 
 func TestSnapshotIsTransferredUnchanged(t *testing.T) {
@@ -66,3 +69,33 @@
 	require.NoError(t, err)
 	require.Equal(t, 3, reads)
 }
+
+// largeSnapshotGate has a copy of the store that hardly compresses.
+type largeSnapshotGate struct{ stubGate }
+
+func (largeSnapshotGate) Snapshot() (store.Listing, error) {
+	value := make([]byte, 100_000)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range value {
+		value[i] = byte(rng.Uint32())
+	}
+	return store.Listing{Revision: 7, Items: []store.Item{{Key: "a", Value: value}}}, nil
+}
+
+// TestSnapshotBeyondTheLinkIsRefusedAtOnce guards against copies that take longer than the
+// hosts wait for them. The refusal tells that this host runs.
+func TestSnapshotBeyondTheLinkIsRefusedAtOnce(t *testing.T) {
+	address := serveHandler(t, largeSnapshotGate{}, 1)
+	c := NewGateClient(t.Context(), (&net.Dialer{}).DialContext, "host")
+	defer c.Close()
+	l, err := c.Snapshot(t.Context(), address)
+	require.NoError(t, err)
+	require.Len(t, l.Items, 1)
+	_, err = c.Snapshot(t.Context(), address)
+	var refused *registry.RelayRefusedError
+	require.ErrorAs(t, err, &refused)
+
+	_, err = c.Snapshot(t.Context(), "127.0.0.1:1")
+	require.Error(t, err)
+	require.False(t, errors.As(err, &refused), "a host that does not answer")
+}
