Registry, fleetsim: names and a field that nothing reads

The listing of a store without a record needs no record; the model's answeredCall was left from repeated listings.

--- a/core/fleetsim/host.go
+++ b/core/fleetsim/host.go
@@ -63,9 +63,6 @@
 	// registrations counts the attempts to register; a later one replaces the renewals of
 	// the earlier ones.
 	registrations int
-	// answeredCall is when the latest started call was sent that the store has answered, of
-	// those that register the host.
-	answeredCall time.Duration
 	// idleConns are the open connections to the store that no call uses.
 	idleConns int
 	// decodedAt is when the processor has decoded all that has arrived.
@@ -100,8 +97,7 @@
 	h.revision, h.config, h.polledRevision, h.failures, h.followers = 0, 0, 0, 0, nil
 	h.pacer = bootstrap.NewPacer(h.self.LinkMbps)
 	h.sweep = peerpoll.NewSweep(h.self.Name)
-	h.renewals, h.leaseTTL, h.answeredCall = roster.RenewalSchedule{}, roster.LeaseTTL(0), 0
-	h.idleConns = 0
+	h.renewals, h.leaseTTL, h.idleConns = roster.RenewalSchedule{}, roster.LeaseTTL(0), 0
 	h.outFree, h.inFree, h.decodedAt = h.now, h.now, h.now
 	h.register()
 	h.synchronize()
--- a/core/fleetsim/lease.go
+++ b/core/fleetsim/lease.go
@@ -55,11 +55,9 @@
 // writeCall makes a call that the store carries out with do. After a refusal the renewal
 // is tried again later.
 func (h *host) writeCall(do, done func()) {
-	sentAt := h.now
 	h.store.call(h, true, func() int { do(); return 0 }, func(ok bool) {
 		h.ifRunning(func() {
 			if ok {
-				h.answeredCall = max(h.answeredCall, sentAt)
 				done()
 				return
 			}
--- a/core/fleetsim/listing.go
+++ b/core/fleetsim/listing.go
@@ -1,13 +1,5 @@
 package fleetsim
 
-import "time"
-
-const (
-	// hedgeDelay and maxHedgedListings are those of a host (node/registry).
-	hedgeDelay        = 300 * time.Millisecond
-	maxHedgedListings = 5
-)
-
 // list lists the store, one page after the other. The revision is that of the first page.
 // After a first page that others follow it calls pause, unless that is nil, with what
 // proceeds.
--- a/core/fleetsim/sources.go
+++ b/core/fleetsim/sources.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// hedgeDelay and maxHedgedCalls are those of a host (node/registry).
+	hedgeDelay     = 300 * time.Millisecond
+	maxHedgedCalls = 5
 	// snapshotTimeout bounds the time in which a source sends its copy.
 	snapshotTimeout = time.Second
 	// recordBytes is the size of the answer with the record of a zone's sources.
@@ -51,7 +54,7 @@
 	outstanding, ended := 0, false
 	var send func()
 	send = func() {
-		if ended || outstanding == maxHedgedListings {
+		if ended || outstanding == maxHedgedCalls {
 			return
 		}
 		outstanding++
--- a/node/registry/snapshot.go
+++ b/node/registry/snapshot.go
@@ -46,7 +46,7 @@
 	record := r.sourcesIn(read.Items, r.self.Zone)
 	recent := func(at store.Revision) bool { return at.Epoch() >= read.Revision.Epoch() }
 	if record.Revision == 0 {
-		return r.listOrCopy(ctx, record, recent)
+		return r.listWithoutRecord(ctx, recent)
 	}
 	return r.copyOrList(ctx, record, recent)
 }
@@ -60,9 +60,9 @@
 	return r.list(ctx, nil)
 }
 
-// listOrCopy lists the store. After the first page of a large store it goes on only as a
-// source, or returns the copy of one.
-func (r *Registry) listOrCopy(ctx context.Context, record bootstrap.Record, recent func(at store.Revision) bool) (store.Listing, error) {
+// listWithoutRecord lists a store that has no record of sources. After the first page of a
+// large one it goes on only as a source, or returns the copy of one.
+func (r *Registry) listWithoutRecord(ctx context.Context, recent func(at store.Revision) bool) (store.Listing, error) {
 	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -73,7 +73,7 @@
 			return
 		}
 		searched = true
-		if l, copied, err := r.copyOrPlace(outer, record, recent); copied || err != nil {
+		if l, copied, err := r.copyOrPlace(outer, bootstrap.Record{}, recent); copied || err != nil {
 			found = &listingResult{l, err}
 			cancel()
 		}
