--- a/node/registry/snapshot_test.go
+++ b/node/registry/snapshot_test.go
@@ -198,22 +198,22 @@
 		s, snapshot := storeOfFleet(t, largeFleet), revisionInEpoch(t, 2, 18)
 		fleet := fleetOf(5)
 		s.putSources(t, "z", fleet[:3]...)
-		time.AfterFunc(time.Second, func() {
-			_, err := s.Commit(t.Context(), store.Txn{
-				Conditions: []store.Condition{{Key: sourcesKey("z"), Revision: s.revision}},
-				Writes:     []store.Write{{Key: sourcesKey("z"), Value: must(encodeSources(fleet[2:5]))}},
-			})
-			if err != nil {
-				t.Error(err)
-			}
-		})
+		taken, err := encodeSources(fleet[2:5])
+		require.NoError(t, err)
 		asked := 0
 		r := New(Config{
 			Now:   simulatedClock(),
 			Store: s, Documents: platform.Documents{}, Self: gates.Host{Name: "self", Zone: "z"}, Changed: func() {}, Log: zerolog.Nop(),
 			FetchSnapshot: func(_ context.Context, address string) (store.Listing, error) {
 				asked++
-				if address == fleet[4].Address && asked > 12 {
+				switch {
+				case asked == 3:
+					_, err := s.Commit(t.Context(), store.Txn{
+						Conditions: []store.Condition{{Key: sourcesKey("z"), Revision: s.revision}},
+						Writes:     []store.Write{{Key: sourcesKey("z"), Value: taken}},
+					})
+					require.NoError(t, err)
+				case address == fleet[4].Address:
 					return store.Listing{Revision: snapshot, Items: s.items}, nil
 				}
 				return store.Listing{}, errSilentSource
@@ -225,13 +225,6 @@
 	})
 }
 
-func must(value []byte, err error) []byte {
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
 // TestSnapshotFromBeforeARestoreIsRefused: the store has been restored since.
 func TestSnapshotFromBeforeARestoreIsRefused(t *testing.T) {
 	simtime.Test(t, func(t *testing.T) {
