--- a/node/cmd/dotterelctl/fleet.go
+++ b/node/cmd/dotterelctl/fleet.go
@@ -26,7 +26,7 @@
 			&cli.FloatFlag{Name: "groups-per-host", Value: defaults.GroupsPerHost, Usage: "database groups of three members for each host"},
 			&cli.IntFlag{Name: "config-bytes", Value: defaults.ConfigBytes, Usage: "size of the configuration"},
 			&cli.DurationFlag{Name: "config-apply-time", Value: defaults.ConfigApplyTime, Usage: "time within which a change must be in force"},
-			&cli.StringFlag{Name: "fault", Value: string(defaults.Fault), Usage: "what happens beside the change: none, relays (each zone loses its relay), store (it refuses a third of the hosts), compaction (it forgets its history and answers no watch for 3 s), half (of the hosts restart at once) restart (all do) or sources (all do but the hosts that list the store for the others)"},
+			&cli.StringFlag{Name: "fault", Value: string(defaults.Fault), Usage: "what happens beside the change: none, relays (each zone loses its relay), store (it refuses a third of the hosts), compaction (it forgets its history and answers no watch for 3 s), half (of the hosts restart at once), restart (all do) or sources (all do but the hosts that list the store for the others)"},
 			&cli.DurationFlag{Name: "store-filled-at", Value: defaults.StoreFilledAt, Usage: "when the first configuration and the members' entries are written, after the start of the hosts; 0: before"},
 			&cli.Uint64Flag{Name: "seed", Value: defaults.Seed, Usage: "seed of all random choices"},
 			&cli.StringFlag{Name: "output", Value: "table", Usage: "table, json, or the name of a .svg or .png file for a plot"},
--- a/node/registry/snapshot.go
+++ b/node/registry/snapshot.go
@@ -105,12 +105,11 @@
 		return r.store.Range(ctx, "", nil)
 	}
 	// A short listing tells the revision from which on a copy lacks nothing.
-	read, err := r.store.Range(ctx, sourcesKey(r.self.Zone), nil)
+	record, revision, err := r.readSources(ctx)
 	if err != nil {
 		return store.Listing{}, err
 	}
-	recent := func(at store.Revision) bool { return at >= read.Revision }
-	return r.copyOrList(ctx, r.sourcesIn(read.Items, r.self.Zone), recent)
+	return r.copyOrList(ctx, record, func(at store.Revision) bool { return at >= revision })
 }
 
 // errOutdatedSnapshot refuses the copy of a host that has not seen the store recently
--- a/node/registry/sources.go
+++ b/node/registry/sources.go
@@ -78,6 +78,13 @@
 	return bootstrap.Record{}
 }
 
+// readSources reads the record of this host's zone, and the store's revision, with one small
+// call.
+func (r *Registry) readSources(ctx context.Context) (bootstrap.Record, store.Revision, error) {
+	l, err := r.store.Range(ctx, sourcesKey(r.self.Zone), nil)
+	return r.sourcesIn(l.Items, r.self.Zone), l.Revision, err
+}
+
 // copyOrPlace returns the copy of a source, or false once this host is a source itself and
 // lists the store. Recent tells from which revision on a copy lacks nothing.
 func (r *Registry) copyOrPlace(ctx context.Context, record bootstrap.Record, recent func(at store.Revision) bool) (l store.Listing, copied bool, err error) {
@@ -96,11 +103,11 @@
 			if !pause() {
 				return store.Listing{}, false, ctx.Err()
 			}
-			read, err := r.store.Range(ctx, sourcesKey(r.self.Zone), nil)
+			current, _, err := r.readSources(ctx)
 			if err != nil {
 				return store.Listing{}, false, err
 			}
-			search.Update(r.sourcesIn(read.Items, r.self.Zone), r.now())
+			search.Update(current, r.now())
 			continue
 		case bootstrap.Claim:
 			// Many hosts find the place free at the same time.
