Replicaset, owner: IDs of open transactions differ between processes

Cause: a host that keeps transactions for other hosts numbered them from 1 in each process, and took the number alone as proof. After a restart the number of a transaction of the earlier process named one of the new process. Ruled out: the table of a group that is dropped and created again (one counter for all tables), and jobs sent twice (a statement of a transaction is never sent twice). The owner of hosts that speak PostgreSQL had the same cause: it compared the sender, but a sender that runs on presents a number of the owner's earlier process under the same name.

The IDs start at a random number in each process (core/txid), and a gate continues a transaction only for the host, with its incarnation, that opened it. The message between hosts is unchanged, so that releases can be mixed. The incarnation is a UUID: the clock that named it starts anew with the machine. A statement of a transaction that is gone is answered ABORTED at once, which is true: its connection closed with the earlier process.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -7,13 +7,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/singleflight"
 
@@ -133,7 +133,8 @@
 		metrics: newHostMetrics(), logBudget: eventlog.NewRateLimiter(), traffic: newTrafficCounts(), startedAt: clock.Now(), fleet: gates.NewFleet(nil, s.Topology.Regions),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
-	h.owner = fmt.Sprintf("%s@%d", s.Host, clock.Now())
+	// The clock starts anew with the machine, so that it does not tell its runs apart.
+	h.owner = s.Host + "@" + uuid.NewString()
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
 	h.registry = registry.New(registry.Config{
 		Store: registry.NewInstrumentedStore(a.Store, h.recordStoreCall), Documents: a.Documents,
--- a/node/entry/helpers_test.go
+++ b/node/entry/helpers_test.go
@@ -138,12 +138,7 @@
 func (d *deployment) startHost(store string) *entry.Host {
 	d.t.Helper()
 	name := fmt.Sprintf("host-%d", len(d.hosts)+1)
-	s := entry.Settings{
-		Host: name, Topology: replicaset.Topology{Zone: "a", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}},
-		CallerAddress: freeAddress(d.t), ReadinessAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t), MetricsAddress: freeAddress(d.t),
-		MaxSessions: 1000, Workers: 256, GracePeriod: 2 * time.Second, DrainTimeout: 7 * time.Second,
-		QuotaTolerance: d.tolerance,
-	}
+	s := d.newSettings(name)
 	a := onplatform.NewAdapter(onplatform.Options{Host: name, StoreAddress: store, PromotionAddress: d.platform.Address(), Timeout: time.Second})
 	h, err := entry.Start(s, a, d.dial, zerolog.New(d.logOutput()))
 	require.NoError(d.t, err)
@@ -153,6 +148,17 @@
 	return h
 }
 
+// newSettings returns the settings of a host at unused addresses.
+func (d *deployment) newSettings(name string) entry.Settings {
+	d.t.Helper()
+	return entry.Settings{
+		Host: name, Topology: replicaset.Topology{Zone: "a", Regions: map[string]string{"a": "r", "b": "r", "c": "r"}},
+		CallerAddress: freeAddress(d.t), ReadinessAddress: freeAddress(d.t), PeerAddress: freeAddress(d.t), MetricsAddress: freeAddress(d.t),
+		MaxSessions: 1000, Workers: 256, GracePeriod: 2 * time.Second, DrainTimeout: 7 * time.Second,
+		QuotaTolerance: d.tolerance,
+	}
+}
+
 // logOutput returns the destination of the hosts' logs.
 func (d *deployment) logOutput() io.Writer {
 	if d.logWriter != nil {
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
 		cfg: cfg, ctx: ctx, stop: cancel,
-		txns:   transactions{open: make(map[uint64]*transaction)},
+		txns:   newTransactions(),
 		recent: newRecentRequests(), config: &conf.Config{},
 		groups: make(map[string]*monitoredGroup), claims: make(map[string]*poolClaim),
 	}
--- a/node/owner/transaction.go
+++ b/node/owner/transaction.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/txid"
 	"github.com/dotterelswitch/dotterelswitch/node/upstream"
 )
 
@@ -21,18 +22,22 @@
 
 // transactions holds the open transactions of all pools.
 type transactions struct {
+	ids  *txid.Sequence
 	mu   sync.Mutex
-	next uint64
 	open map[uint64]*transaction
 }
 
+func newTransactions() transactions {
+	return transactions{ids: txid.NewSequence(), open: make(map[uint64]*transaction)}
+}
+
 // add registers a transaction on a connection and returns its ID.
 func (t *transactions) add(sender string, p *pool, c *upstream.Conn) uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.next++
-	t.open[t.next] = &transaction{id: t.next, sender: sender, pool: p, conn: c, lastUsed: time.Now()}
-	return t.next
+	id := t.ids.Next()
+	t.open[id] = &transaction{id: id, sender: sender, pool: p, conn: c, lastUsed: time.Now()}
+	return id
 }
 
 // reserve reserves a transaction for one statement. It fails if the sender has no
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -276,12 +276,12 @@
 
 // continueTx runs a job of an open transaction.
 func (s *Set) continueTx(ctx context.Context, j Job) Result {
-	tx, found := s.txs.get(j.Tx)
+	tx, found := s.txs.get(j.Tx, j.Owner)
 	if !found && j.Kind == JobRollback {
 		return Result{}
 	}
 	if !found {
-		return Result{Err: &RefusedError{Reason: "the transaction is gone"}}
+		return Result{Err: &RefusedError{Reason: "the transaction is not open on this host, which may have restarted"}}
 	}
 	tx.mu.Lock()
 	defer tx.mu.Unlock()
--- a/node/replicaset/tx_table.go
+++ b/node/replicaset/tx_table.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/txid"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 )
 
@@ -29,10 +29,9 @@
 	open map[uint64]*localTx
 }
 
-// lastTxID is the ID of the newest transaction of this process. IDs are unique among all
-// tables, so that a table that was dropped and created again does not take a transaction
-// for another one.
-var lastTxID atomic.Uint64
+// txIDs issues the IDs of the transactions of all tables, so that a table that was dropped
+// and created again does not take a transaction for another one.
+var txIDs = txid.NewSequence()
 
 func (t *txTable) add(c *Conn, j Job) uint64 {
 	t.mu.Lock()
@@ -40,16 +39,20 @@
 	if t.open == nil {
 		t.open = map[uint64]*localTx{}
 	}
-	id := lastTxID.Add(1)
+	id := txIDs.Next()
 	t.open[id] = &localTx{id: id, owner: j.Owner, onPrimary: j.RequirePrimary, conn: c, lastUsed: clock.Now()}
 	return id
 }
 
-func (t *txTable) get(id uint64) (*localTx, bool) {
+// get returns a transaction if the host that presents its ID has opened it.
+func (t *txTable) get(id uint64, owner string) (*localTx, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	tx, found := t.open[id]
-	return tx, found
+	if !found || tx.owner != owner {
+		return nil, false
+	}
+	return tx, true
 }
 
 func (t *txTable) remove(id uint64) {
