Gossip: probes of a restarted host match no answer to its earlier process

A late answer, such as a vote or a grant, could stand for that of another host to another question. No caller is known to have seen it.

The sequence starts at a random number.

--- a/node/gossip/transport.go
+++ b/node/gossip/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 // share the same key.
 func NewTransport(conn net.PacketConn, key string, handler Handler) *Transport {
 	t := &Transport{conn: conn, key: []byte(key), handler: handler, pending: make(map[uint64]chan Message)}
+	// A late answer to a probe of an earlier process on this port must not match a new one.
+	t.lastSequence.Store(rand.Uint64())
 	go t.serve()
 	return t
 }
--- a/node/gossip/transport_test.go
+++ b/node/gossip/transport_test.go
@@ -137,3 +137,37 @@
 	require.Positive(t, reads)
 	require.LessOrEqual(t, reads, int64(time.Since(startedAt)/readRetryDelay)+1)
 }
+
+// TestAnswerToEarlierProcessIsDropped guards against a late answer to a probe of a host's
+// earlier process that is taken for the answer to another probe of the present one.
+func TestAnswerToEarlierProcessIsDropped(t *testing.T) {
+	conn, late, silent := listen(t), listen(t), listen(t)
+	address := conn.LocalAddr().String()
+	echo := func(m Message) Message { return m }
+	earlier := NewTransport(conn, "key", echo)
+	// The answer of this peer arrives after the restart.
+	held := make(chan Message, 1)
+	tl := NewTransport(late, "key", func(m Message) Message { held <- m; return m })
+	defer tl.Close()
+	defer func() { _ = silent.Close() }()
+	_, err := earlier.Probe(t.Context(), late.LocalAddr().String(), Message{})
+	require.NoError(t, err)
+	answer := <-held
+	answer.Answer, answer.ConfigVersion = true, 9
+	earlier.Close()
+
+	conn, err = net.ListenPacket("udp", address)
+	require.NoError(t, err)
+	restarted := NewTransport(conn, "key", echo)
+	defer restarted.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			_ = tl.send(conn.LocalAddr(), answer)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+	_, err = restarted.Probe(ctx, silent.LocalAddr().String(), Message{})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
