Promoter: members whose entries have ended count until their log is not needed

Cause: a promotion counted the replicas that are registered at that moment. Before the entry of the crashed replica ended, the promotion was refused as "too few replicas answered"; 2.5 s after it, one replica of one had answered. Ruled out: the choice among the answers (it takes the most advanced log), and the hosts' positions (the log of the promoted one was known to be behind).

A record on the store names the members that may have let the primary acknowledge commits, for services with sync_replicas only. The holder of the promotion lock adds each registered member and takes one out once the primary, asked after the entry ended, has no entry that the remaining replicas lack. The record outlives the hosts. A promotion also asks the hosts for the newest commit that they have acknowledged: a replica that lacks it is not promoted, and one that has it is promoted although others do not answer, if no host can have acknowledged more. A promotion that is withheld has a log line, a metric and a line in `dotterelctl show`.

Evidence: TestReplicaWithoutAcknowledgedCommitsIsNotPromoted fails before, with hosts that run on and with hosts that restart while the primary is down; TestLostReplicaIsForgottenOnceOthersHaveItsCommits lost a write before, and TestCompleteReplicaIsPromotedBesideLostOne had no primary in time. All pass now, also with the race detector. The stand-in acknowledges commits after a replica has them, if a group asks for that.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -63,6 +63,8 @@
 	hosts        map[string]entry
 	// departed maps departed hosts to the time when they were removed.
 	departed map[string]time.Duration
+	// lastDeparture is when a host was last removed; zero if none was.
+	lastDeparture time.Duration
 }
 
 // entry is a registration and, if it is of an earlier epoch, the time until which it is
@@ -146,8 +148,12 @@
 		}
 	}
 	r.departed[name] = now
+	r.lastDeparture = now
 }
 
+// LastDeparture returns when a host was last removed; zero if none was.
+func (r *Roster) LastDeparture() time.Duration { return r.lastDeparture }
+
 // Expire removes carried-over registrations whose time has passed. It reports whether
 // it removed any.
 func (r *Roster) Expire(now time.Duration) bool {
--- a/node/edge/edge.go
+++ b/node/edge/edge.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
@@ -41,6 +42,9 @@
 	// RefundOperation returns the quota of an admitted operation that no member
 	// has run.
 	RefundOperation(team catalog.Team)
+	// ObserveCommit records a commit, before it is acknowledged to the caller, whose
+	// statement was received at a time on the clock of node/clock.
+	ObserveCommit(service string, p logpos.Position, receivedAt time.Duration)
 }
 
 // Observer is notified of finished statements.
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -144,7 +144,7 @@
 	}
 	if req.Statement.Writes() {
 		out := set.Write(s.ctx, req)
-		s.recordCommit(out.Answer)
+		s.recordCommit(out.Answer, req)
 		return out
 	}
 	return set.Read(s.ctx, req)
@@ -157,8 +157,12 @@
 }
 
 // recordCommit records the log position of an acknowledged commit.
-func (s *caller) recordCommit(a statement.Answer) {
-	if a.Code == statement.OK && s.session.LastCommit.Less(a.Position) {
+func (s *caller) recordCommit(a statement.Answer, req replicaset.Request) {
+	if a.Code != statement.OK {
+		return
+	}
+	s.gateway.backend.ObserveCommit(req.Route.Service, a.Position, req.Received)
+	if s.session.LastCommit.Less(a.Position) {
 		s.session.LastCommit = a.Position
 	}
 }
@@ -194,7 +198,7 @@
 	case statement.Commit:
 		out.Answer = s.tx.Commit(s.ctx, req, s.session.Wrote)
 		if s.session.Wrote {
-			s.recordCommit(out.Answer)
+			s.recordCommit(out.Answer, req)
 		}
 		s.tx = nil
 		s.session.EndTransaction()
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -98,6 +98,7 @@
 	// livenessProbes deduplicates concurrent liveness checks of one address.
 	livenessProbes singleflight.Group
 	startedAt      time.Duration
+	acknowledged   *acknowledgedCommits
 	// owner identifies this host and its incarnation to gates.
 	owner    string
 	stopping atomic.Bool
@@ -130,7 +131,7 @@
 	h := &Host{
 		settings: s, adapter: a, dial: dial, log: log.With().Str("host", s.Host).Logger(),
 		reconcileWake: make(chan struct{}, 1), failed: make(chan error, 1), groups: map[string]*activeGroup{}, leaderships: map[string]rememberedLeadership{}, duties: duty.New(s.Host),
-		metrics: newHostMetrics(), logBudget: eventlog.NewRateLimiter(), traffic: newTrafficCounts(), startedAt: clock.Now(), fleet: gates.NewFleet(nil, s.Topology.Regions),
+		metrics: newHostMetrics(), logBudget: eventlog.NewRateLimiter(), traffic: newTrafficCounts(), acknowledged: newAcknowledgedCommits(), startedAt: clock.Now(), fleet: gates.NewFleet(nil, s.Topology.Regions),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	// The clock starts anew with the machine, so that it does not tell its runs apart.
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -107,6 +107,9 @@
 		progress := h.registry.Progress()
 		out.StoreProgress = &progress
 	}
+	if m.AskAcknowledged != "" {
+		out.Acknowledged = h.answerAcknowledged(m.AskAcknowledged, now)
+	}
 	for _, service := range m.AskFloors {
 		s := h.Set(service)
 		if s == nil {
--- a/node/entry/show.go
+++ b/node/entry/show.go
@@ -60,6 +60,9 @@
 		Name: s.Service(), Primary: primary, Term: uint64(s.Term()),
 		Lock: &inspectpb.Lock{Holder: lock.Holder, Acting: h.leadsPromotion(s.Service()), Token: lock.Token()},
 	}
+	if g := h.group(s.Service()); g != nil {
+		out.Withheld = g.promoter.Withheld()
+	}
 	if f, found := s.Floor(); found {
 		out.Floor = showPosition(f.Position)
 		out.FloorMsAgo = uint32((now - f.AsOf).Milliseconds())
--- a/node/entry/traffic.go
+++ b/node/entry/traffic.go
@@ -23,6 +23,7 @@
 	trafficLiveness      = "datagram alive"
 	trafficQuota         = "datagram quota"
 	trafficStoreProgress = "datagram store progress"
+	trafficAcknowledged  = "datagram acknowledged"
 	trafficStorePrefix   = "store "
 )
 
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -58,6 +58,8 @@
 	PrimaryLogUnverified = Event{414, "primary_log_unverified"}
 	PrimaryLogLost       = Event{415, "primary_log_lost"}
 	PrimaryFailing       = Event{416, "primary_failing"}
+	SyncGroupRecorded    = Event{417, "sync_group_recorded"}
+	PromotionWithheld    = Event{418, "promotion_withheld"}
 	HostStateChanged     = Event{501, "host_state_changed"}
 	PeerCallFailed       = Event{502, "peer_call_failed"}
 	HistoryLost          = Event{606, "platform_history_lost"}
@@ -94,7 +96,7 @@
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
 		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted, StatementDisplaced, LoadReportInvalid,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
-		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost, PrimaryFailing,
+		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost, PrimaryFailing, SyncGroupRecorded, PromotionWithheld,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
 		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched, CounterStopped, StoreListed, SourceClaimed,
--- a/node/gossip/message.go
+++ b/node/gossip/message.go
@@ -47,6 +47,19 @@
 	AskStoreProgress bool
 	// StoreProgress answers AskStoreProgress.
 	StoreProgress *peerpoll.Progress
+	// AskAcknowledged names a service, whose newest acknowledged commit is asked for.
+	AskAcknowledged string
+	// Acknowledged answers AskAcknowledged.
+	Acknowledged *Acknowledged
+}
+
+// Acknowledged is what a host knows of the commits that it has acknowledged to its callers.
+type Acknowledged struct {
+	// Newest is zero if there was none since the host started.
+	Newest logpos.Position
+	// Age is the time since the host received the statement of that commit, and Uptime the
+	// time since the host started, when the message was encoded.
+	Age, Uptime time.Duration
 }
 
 // QuotaRequest asks for a grant of a number of operations to a team.
@@ -135,6 +148,7 @@
 		AskLost: peerReportRequestToProto(m.PeerReportRequest), Opinion: peerReportToProto(m.PeerReport), Lead: leadershipToProto(m.Leadership),
 		QuotaRequest: quotaRequestToProto(m.QuotaRequest), Grant: grantToProto(m.Grant),
 		AskStoreProgress: m.AskStoreProgress, StoreProgress: storeProgressToProto(m.StoreProgress),
+		AskAcknowledged: m.AskAcknowledged, Acknowledged: acknowledgedToProto(m.Acknowledged),
 	})
 	if err != nil {
 		return nil, err
@@ -188,9 +202,30 @@
 	if q := p.GetStoreProgress(); q != nil {
 		m.StoreProgress = &peerpoll.Progress{Revision: store.Revision(q.GetRevision()), ConfigVersion: q.GetConfigVersion(), ReachesStore: q.GetReachesStore()}
 	}
+	m.AskAcknowledged, m.Acknowledged = p.GetAskAcknowledged(), acknowledgedFromProto(p.GetAcknowledged())
 	return m, nil
 }
 
+func acknowledgedToProto(a *Acknowledged) *peerpb.Acknowledged {
+	if a == nil {
+		return nil
+	}
+	return &peerpb.Acknowledged{
+		Newest: &peerpb.Position{Term: uint64(a.Newest.Term), Offset: uint64(a.Newest.Offset)},
+		AgeUs:  uint64(a.Age.Microseconds()), UptimeUs: uint64(a.Uptime.Microseconds()),
+	}
+}
+
+func acknowledgedFromProto(p *peerpb.Acknowledged) *Acknowledged {
+	if p == nil {
+		return nil
+	}
+	return &Acknowledged{
+		Newest: logpos.Position{Term: logpos.Term(p.GetNewest().GetTerm()), Offset: logpos.Offset(p.GetNewest().GetOffset())},
+		Age:    time.Duration(p.GetAgeUs()) * time.Microsecond, Uptime: time.Duration(p.GetUptimeUs()) * time.Microsecond,
+	}
+}
+
 func storeProgressToProto(p *peerpoll.Progress) *peerpb.StoreProgress {
 	if p == nil {
 		return nil
--- a/node/inspect/text.go
+++ b/node/inspect/text.go
@@ -79,6 +79,10 @@
 
 func (p *printer) service(s *inspectpb.Service) {
 	p.printf("\nservice %s: primary %s, term %d, %s, %s\n", s.Name, orNone(s.Primary), s.Term, floorText(s), lockText(s.GetLock()))
+	if s.Withheld != "" {
+		// A line without columns, so that the table keeps its own widths.
+		p.printf("  promotion withheld: %s\n", s.Withheld)
+	}
 	p.printf("  UPSTREAM\tZONE\tSLOTS\tOPEN\tIN USE\tWAITING\tELSEWHERE\tSTATE\tLOG\tTHROUGH\n")
 	for _, u := range s.Upstreams {
 		p.printf("  %s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n",
--- a/node/inspect/text_test.go
+++ b/node/inspect/text_test.go
@@ -47,6 +47,13 @@
 `, out.String())
 }
 
+// TestWriteTextOfWithheldPromotion checks that an operator sees why a group has no primary.
+func TestWriteTextOfWithheldPromotion(t *testing.T) {
+	var out bytes.Buffer
+	require.NoError(t, inspect.WriteText(&out, &inspectpb.ShowResponse{Services: []*inspectpb.Service{{Name: "db", Withheld: "too few replicas answered"}}}))
+	require.Contains(t, out.String(), "\n  promotion withheld: too few replicas answered\n")
+}
+
 // A host that has just started has no configuration, store state or services.
 func TestWriteTextOfEmptyHost(t *testing.T) {
 	var out bytes.Buffer
--- a/node/promoter/lead.go
+++ b/node/promoter/lead.go
@@ -69,6 +69,7 @@
 	defer cancel()
 	err := promote(ctx, token)
 	p.onResult(resultOf(err))
+	p.recordWithheld(err)
 	if err != nil {
 		eventlog.GroupCommandFailed.Warn(p.log).Err(err).Str("order", "promotion").Uint64("token", token).Send()
 		if tokenRefused(err) {
--- a/node/promoter/primary_report_test.go
+++ b/node/promoter/primary_report_test.go
@@ -41,6 +41,10 @@
 }
 func (r reportingRegistry) Suspect(context.Context, string, string) error { return nil }
 func (r reportingRegistry) Trust(context.Context, string, string) error   { return nil }
+func (r reportingRegistry) SyncGroup(string) succession.SyncGroup         { return succession.SyncGroup{} }
+func (r reportingRegistry) RecordSyncGroup(context.Context, string, []string, succession.SyncGroup) error {
+	return nil
+}
 
 // countingPeers counts the report requests to other hosts.
 type countingPeers struct{ requests atomic.Int64 }
@@ -51,6 +55,9 @@
 }
 func (p *countingPeers) AddressOf(string) (string, bool)      { return "", false }
 func (p *countingPeers) Announce(string, string, logpos.Term) {}
+func (p *countingPeers) SurveyAcks(context.Context, string) succession.AckSurvey {
+	return succession.AckSurvey{}
+}
 
 // Guards against a report in the store that makes every host of a large fleet ask
 // others about the primary.
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -44,6 +44,10 @@
 	TakeLock(ctx context.Context, service string, known succession.Lock) (token uint64, err error)
 	Suspect(ctx context.Context, service, member string) error
 	Trust(ctx context.Context, service, member string) error
+	// SyncGroup returns the record of the members of a service with synchronous replicas.
+	SyncGroup(service string) succession.SyncGroup
+	// RecordSyncGroup replaces the record if it is unchanged since known.
+	RecordSyncGroup(ctx context.Context, service string, members []string, known succession.SyncGroup) error
 }
 
 // Peers carries direct messages to other hosts.
@@ -55,6 +59,8 @@
 	AddressOf(host string) (string, bool)
 	// Announce sends the new primary to all hosts without waiting for them.
 	Announce(service, primary string, term logpos.Term)
+	// SurveyAcks asks all hosts for the newest commit that they have acknowledged.
+	SurveyAcks(ctx context.Context, service string) succession.AckSurvey
 }
 
 const (
@@ -139,6 +145,9 @@
 	// leaderSeenAt is when the lock holder last reported that it leads a
 	// promotion.
 	leaderSeenAt time.Duration
+	// withheld is the reason why this host's latest promotion was withheld; empty if it was
+	// not.
+	withheld string
 }
 
 // Config holds a Promoter's settings and dependencies.
@@ -275,6 +284,7 @@
 	if a.healthy() {
 		p.leading.Store(false)
 		p.readySince = 0
+		p.recordWithheld(nil)
 		return false
 	}
 	p.probeSuspect(ctx, now)
--- a/node/promoter/replace.go
+++ b/node/promoter/replace.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
@@ -16,7 +17,6 @@
 )
 
 var (
-	errNoCandidate       = errors.New("too few replicas answered to choose a new primary")
 	errRecovered         = errors.New("the primary is alive again")
 	errNewPrimaryNotSeen = errors.New("the promoted member did not become primary in time")
 	errNotSteppedDown    = errors.New("the primary did not confirm that it stepped down")
@@ -41,7 +41,7 @@
 // replace promotes the replica with the most advanced log in place of a dead
 // primary.
 func (p *Promoter) replace(ctx context.Context, deadPrimary string, token uint64) error {
-	reports, err := p.survey(ctx, deadPrimary)
+	reports, chosen, err := p.survey(ctx, deadPrimary)
 	if err != nil {
 		p.resume(ctx, reports)
 		return err
@@ -54,11 +54,6 @@
 		p.resume(ctx, reports)
 		return errRecovered
 	}
-	chosen, ok := succession.ChooseCandidate(reports, p.replicaCount(deadPrimary), p.spec().SyncReplicas)
-	if !ok {
-		p.resume(ctx, reports)
-		return errNoCandidate
-	}
 	if err := p.promote(ctx, chosen, token); err != nil {
 		p.resume(ctx, reports)
 		return err
@@ -66,23 +61,36 @@
 	return nil
 }
 
-// replicaCount returns the number of members other than the dead primary and a former
-// primary that has lost its log.
-func (p *Promoter) replicaCount(deadPrimary string) int {
-	count := 0
-	for _, m := range p.set.Members() {
-		if m.ID() != deadPrimary && !p.set.LogLost(m.ID()) {
-			count++
-		}
+// choose returns the replica to promote among those that have answered.
+func (p *Promoter) choose(candidates []succession.CandidateStatus, deadPrimary string, acks succession.AckSurvey) (succession.CandidateStatus, error) {
+	group, registered := p.registry.SyncGroup(p.service), p.registeredMembers()
+	replicas := group.Replicas(registered, deadPrimary, p.set.LogLost)
+	chosen, err := succession.ChooseSynced(candidates, replicas, p.spec().SyncReplicas, acks)
+	if err != nil && p.spec().SyncReplicas > 0 {
+		err = fmt.Errorf("%w: %d of %d replicas answered, members %v, newest acknowledged commit %s",
+			err, len(candidates), replicas, group.With(registered), acks.Newest)
+	}
+	return chosen, err
+}
+
+// surveyAcks asks all hosts what they have acknowledged, if the choice of a primary can
+// depend on it. The returned function waits for the answers.
+func (p *Promoter) surveyAcks(ctx context.Context) func() succession.AckSurvey {
+	if p.spec().SyncReplicas == 0 {
+		return func() succession.AckSurvey { return succession.AckSurvey{} }
 	}
-	return count
+	answers := make(chan succession.AckSurvey, 1)
+	go func() { answers <- p.peers.SurveyAcks(ctx, p.service) }()
+	return sync.OnceValue(func() succession.AckSurvey { return <-answers })
 }
 
 // survey pauses replication on the replicas and returns their positions, which
-// cannot change afterwards. The first round guesses the term, which saves the
-// round trip to ask for it; a further round is needed if the guess was too low.
-func (p *Promoter) survey(ctx context.Context, deadPrimary string) ([]succession.CandidateStatus, error) {
+// cannot change afterwards, and the one to promote. The first round guesses the term, which
+// saves the round trip to ask for it; a further round is needed if the guess was too low.
+func (p *Promoter) survey(ctx context.Context, deadPrimary string) ([]succession.CandidateStatus, succession.CandidateStatus, error) {
 	var candidates []succession.CandidateStatus
+	var err error
+	acks := p.surveyAcks(ctx)
 	isPrimary := map[string]bool{}
 	newestTerm := p.set.Term()
 	for range maxSurveyRounds {
@@ -92,7 +100,7 @@
 		for _, r := range answers {
 			newestTerm = max(newestTerm, r.Status.Term)
 			if r.Status.Primary && !p.set.LogLost(r.ID) {
-				return answers, errRecovered
+				return answers, succession.CandidateStatus{}, errRecovered
 			}
 			// A member ignores an operation with a term that it already knows.
 			stopped := r.Status.PausedTerm >= term || isPrimary[r.ID]
@@ -101,14 +109,15 @@
 			}
 			isPrimary[r.ID] = r.Status.Primary
 		}
-		if _, ok := succession.ChooseCandidate(candidates, p.replicaCount(deadPrimary), p.spec().SyncReplicas); ok {
-			return candidates, nil
+		var chosen succession.CandidateStatus
+		if chosen, err = p.choose(candidates, deadPrimary, acks()); err == nil {
+			return candidates, chosen, nil
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return candidates, errNoCandidate
+	return candidates, succession.CandidateStatus{}, err
 }
 
 // pauseOperation returns the operation that stops a member's log from growing. A
--- a/node/promoter/result.go
+++ b/node/promoter/result.go
@@ -1,5 +1,11 @@
 package promoter
 
+import (
+	"errors"
+
+	"github.com/dotterelswitch/dotterelswitch/core/succession"
+)
+
 // Result is the outcome of a promotion that this host led.
 type Result uint8
 
@@ -11,9 +17,12 @@
 	// Fenced means that the platform has seen a newer token: another host leads a
 	// promotion.
 	Fenced
+	// Withheld means that no replica that answered is certain to have every acknowledged
+	// commit.
+	Withheld
 )
 
-var resultNames = [...]string{"succeeded", "failed", "fenced"}
+var resultNames = [...]string{"succeeded", "failed", "fenced", "withheld"}
 
 func (r Result) String() string { return resultNames[r] }
 
@@ -23,6 +32,12 @@
 		return Succeeded
 	case tokenRefused(err):
 		return Fenced
+	case isWithheld(err):
+		return Withheld
 	}
 	return Failed
 }
+
+func isWithheld(err error) bool {
+	return errors.Is(err, succession.ErrTooFewReplicas) || errors.Is(err, succession.ErrCommitMissing)
+}
--- a/node/promoter/store_sync.go
+++ b/node/promoter/store_sync.go
@@ -32,6 +32,8 @@
 	// vacantSince is since when this host is due to take a vacant lock; zero if
 	// it is not.
 	vacantSince time.Duration
+	// syncGroupCheckAt is the earliest time of the next check of the record of members.
+	syncGroupCheckAt time.Duration
 }
 
 // runStoreSync synchronizes with the store whenever Tick finds a difference,
@@ -55,7 +57,7 @@
 	if p.registry.StoreUnreachable() {
 		return false
 	}
-	return p.primaryToReport(now) != p.reportedPrimary() || p.shouldTakeLock(p.registry.LockOf(p.service), now)
+	return p.primaryToReport(now) != p.reportedPrimary() || p.shouldTakeLock(p.registry.LockOf(p.service), now) || p.syncGroupDue(now)
 }
 
 // primaryToReport returns the primary that should be reported as dead in the
@@ -89,8 +91,8 @@
 	return !backingOff && !p.leading.Load() && p.vacantLockDue(lock, now)
 }
 
-// syncStore updates this host's report on the primary and takes a vacant lock if
-// this host is the one to do so. It is called with storeMu held.
+// syncStore updates this host's report on the primary, takes a vacant lock if this host is
+// the one to do so, and writes the record of the group's members. It is called with storeMu held.
 func (p *Promoter) syncStore(ctx context.Context) {
 	if p.registry.StoreUnreachable() {
 		return
@@ -105,6 +107,9 @@
 			p.backOff(attemptBackoff)
 		}
 	}
+	if p.syncGroupDue(now) {
+		p.writeSyncGroup(ctx)
+	}
 }
 
 // mayReport reports whether this host may report the primary: it is a voter, or
--- a/node/registry/coordination_keys.go
+++ b/node/registry/coordination_keys.go
@@ -15,6 +15,7 @@
 	hostPrefix      = keyPrefix + "hosts/"
 	suspicionPrefix = keyPrefix + "suspects/"
 	lockPrefix      = keyPrefix + "locks/"
+	syncGroupPrefix = keyPrefix + "syncgroups/"
 )
 
 func hostKey(host string) string { return hostPrefix + host }
@@ -25,6 +26,8 @@
 
 func lockKey(service string) string { return lockPrefix + service }
 
+func syncGroupKey(service string) string { return syncGroupPrefix + service }
+
 // coordinationKeys holds what hosts have written besides their registrations.
 type coordinationKeys struct {
 	// suspicions is the set of current suspicions, as SERVICE/MEMBER/HOST.
@@ -33,10 +36,12 @@
 	locks map[string]succession.Lock
 	// sources maps a zone to the record of its sources.
 	sources map[string]bootstrap.Record
+	// syncGroups maps a service with synchronous replicas to the record of its members.
+	syncGroups map[string]succession.SyncGroup
 }
 
 func newCoordinationKeys() coordinationKeys {
-	return coordinationKeys{suspicions: map[string]bool{}, locks: map[string]succession.Lock{}, sources: map[string]bootstrap.Record{}}
+	return coordinationKeys{suspicions: map[string]bool{}, locks: map[string]succession.Lock{}, sources: map[string]bootstrap.Record{}, syncGroups: map[string]succession.SyncGroup{}}
 }
 
 // apply applies the change of one key.
@@ -51,6 +56,10 @@
 		setOrDelete(k.locks, service, decodeLock(i), i.Deleted)
 		return stateChanged
 	}
+	if service, ok := strings.CutPrefix(i.Key, syncGroupPrefix); ok {
+		setOrDelete(k.syncGroups, service, decodeSyncGroup(i), i.Deleted)
+		return stateChanged
+	}
 	if zone, ok := zoneOfSources(i.Key); ok {
 		// One that cannot be read has no sources, so that it is replaced.
 		record, _ := decodeSources(zone, i)
--- a/node/registry/registration.go
+++ b/node/registry/registration.go
@@ -147,6 +147,14 @@
 	return r.currentFleet().hosts
 }
 
+// LastDeparture returns when the registration of a host last ended; zero if this host has
+// seen none end.
+func (r *Registry) LastDeparture() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.roster.LastDeparture()
+}
+
 // AddressOf returns the address on which a registered host receives datagrams and
 // calls.
 func (r *Registry) AddressOf(host string) (string, bool) {
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -24,6 +24,9 @@
 	pendingWrites            []write
 	// txID is the ID of the open transaction, or zero.
 	txID uint64
+	// unacknowledged is the offset of the commit of the statement in progress; zero without
+	// one.
+	unacknowledged uint64
 	// terminated is set once the client has sent TERMINATE.
 	terminated bool
 }
@@ -129,6 +132,11 @@
 func (c *conn) handleQuery(line string) bool {
 	id, text, _ := strings.Cut(strings.TrimPrefix(line, "QUERY "), " ")
 	answer := c.execute(id, text)
+	committed := c.unacknowledged
+	c.unacknowledged = 0
+	if committed > 0 && !c.member.awaitSyncReplicas(committed) {
+		return false
+	}
 	// The id "-" marks statements of the host itself, whose answers are not dropped.
 	if id != "-" && c.member.answersToDrop.Load() > 0 {
 		c.member.answersToDrop.Add(-1)
@@ -285,6 +293,7 @@
 		c.pendingWrites = append(c.pendingWrites, w)
 	} else {
 		m.appendCommit([]write{w})
+		c.unacknowledged = uint64(len(m.log))
 	}
 	return reply{signature: "sig-" + m.ID + "-" + id}
 }
@@ -307,6 +316,7 @@
 			return errorReply("READONLY")
 		}
 		m.appendCommit(c.pendingWrites)
+		c.unacknowledged = uint64(len(m.log))
 	}
 	return reply{signature: "sig-" + m.ID + "-" + id}
 }
--- a/standin/lineplatform/group.go
+++ b/standin/lineplatform/group.go
@@ -22,6 +22,9 @@
 	// PromotionTime is how long a promotion takes.
 	PromotionTime time.Duration
 	Zones         []string
+	// SyncReplicas is how many running replicas must have received a commit before it is
+	// acknowledged.
+	SyncReplicas int
 	// AdvertisedAddress maps a member's address to the one in its store entry, such as
 	// that of a proxy. If nil, the entry has the member's own address.
 	AdvertisedAddress func(address string) (string, error)
--- a/standin/lineplatform/platform.go
+++ b/standin/lineplatform/platform.go
@@ -113,7 +113,7 @@
 		})
 	}
 	for _, g := range p.groups {
-		body.Services = append(body.Services, serviceBody{Name: g.service, MaxConns: g.opts.MaxConnections})
+		body.Services = append(body.Services, serviceBody{Name: g.service, MaxConns: g.opts.MaxConnections, SyncReplicas: g.opts.SyncReplicas})
 	}
 	for _, t := range p.teams {
 		body.Tenants = append(body.Tenants, tenantBody(t))
