Edge, entry: one plan of a stop decides about each session at each moment

Cause: the rollback of open transactions ran once, 0.55 of the grace period after the SIGTERM, and passed over each session whose statement was at work then or that had none yet since its BEGIN. Such a session stayed in its transaction, so the drain did not close it, and at 0.85 all connections were closed without a look at the statements at work. Ruled out: answers that were written and not flushed (a close is queued behind them), and jobs on other hosts (the cut statements ran on both).

core/shutdown, free of I/O, says for each moment of the grace period what becomes of a session between two statements and whether a statement is admitted: everything is served up to 0.4; idle sessions are closed from then on; from 0.55 transactions that rest are rolled back and none begins; from 0.8 no statement is sent to a member any more, and each transaction is rolled back at the end of its statement; from 0.95 sessions that wait for no answer are closed. Statements that arrive during a stop have to be answered by 0.93. What is refused is answered BUSY or ABORTED and has not run.

--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/catalog"
 	"github.com/dotterelswitch/dotterelswitch/core/session"
+	"github.com/dotterelswitch/dotterelswitch/core/shutdown"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -38,9 +39,9 @@
 	inbox   []receivedMessage
 	running bool
 	closed  bool
-	// idleInTxSince is when the open transaction became idle; zero while no
-	// transaction is idle.
-	idleInTxSince time.Duration
+	// restingSince is when the session last waited for no answer; zero while a worker is
+	// running.
+	restingSince time.Duration
 
 	// Only the running worker accesses the fields below; while none is running, mu
 	// guards them.
@@ -53,7 +54,7 @@
 }
 
 func newCaller(g *Gateway, c gnet.Conn) *caller {
-	s := &caller{gateway: g, conn: c}
+	s := &caller{gateway: g, conn: c, restingSince: clock.Now()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -129,15 +130,13 @@
 	}
 	if len(s.inbox) == 0 {
 		s.running = false
-		if s.tx != nil {
-			s.idleInTxSince = clock.Now()
-		}
-		s.closeIfDraining()
+		s.restingSince = clock.Now()
+		s.applyStopLocked()
 		return receivedMessage{}, false
 	}
 	m := s.inbox[0]
 	s.inbox = s.inbox[1:]
-	s.idleInTxSince = 0
+	s.restingSince = 0
 	return m, true
 }
 
@@ -240,29 +239,41 @@
 	}
 }
 
-// closeIfIdle closes the session of a draining gateway if it has no open
-// transaction and no pending message.
-func (s *caller) closeIfIdle() {
+// applyStop ends the session or its transaction if the host's stop has come that far. A
+// session whose statement is at work is looked at when the statement has been answered.
+func (s *caller) applyStop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.running {
-		s.closeIfDraining()
+		s.applyStopLocked()
 	}
 }
 
-// closeIfDraining closes an idle session if the gateway is draining. mu must be
-// held.
-func (s *caller) closeIfDraining() {
-	if !s.gateway.draining.Load() || s.closed || len(s.inbox) > 0 {
+// applyStopLocked is applyStop with mu held, between two statements.
+func (s *caller) applyStopLocked() {
+	plan := s.gateway.stop.Load()
+	if plan == nil || s.closed {
 		return
 	}
-	if s.session != nil && s.session.State != statement.Idle {
-		return
+	state := statement.Idle
+	if s.session != nil {
+		state = s.session.State
+	}
+	switch plan.BetweenStatements(state, s.restingSince, clock.Now()) {
+	case shutdown.Keep:
+	case shutdown.Abort:
+		s.rollbackTxLocked()
+		s.session.AbortTransaction(reasonStopping)
+	case shutdown.Close:
+		s.closed = true
+		s.rollbackTxLocked()
+		s.flushAndClose()
 	}
-	s.closed = true
-	s.flushAndClose()
 }
 
+// reasonStopping is the detail of refusals during a stop.
+const reasonStopping = "the host is stopping"
+
 // abortIdleTx rolls back a transaction that is idle between statements. The caller
 // gets an error in answer to its next statement.
 func (s *caller) abortIdleTx(reason string) {
@@ -279,7 +290,7 @@
 // given time.
 func (s *caller) abortTxIdleSince(before time.Duration) {
 	s.mu.Lock()
-	since := s.idleInTxSince
+	since := s.restingSince
 	s.mu.Unlock()
 	if since != 0 && since < before {
 		s.abortIdleTx("the transaction was idle for too long")
--- a/node/edge/gateway.go
+++ b/node/edge/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/dotterelswitch/dotterelswitch/core/shutdown"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -39,8 +40,8 @@
 	workers   *ants.Pool
 	engine    gnet.Engine
 	listening chan struct{}
-	// draining is set when idle sessions are to be closed.
-	draining atomic.Bool
+	// stop is the plan of the host's stop; nil while it is not told to stop.
+	stop atomic.Pointer[shutdown.Plan]
 
 	// mu guards sessions.
 	mu       sync.Mutex
@@ -151,21 +152,25 @@
 	return out
 }
 
-// drainPollInterval is how often a draining gateway checks for idle sessions.
+// drainPollInterval is how often a stopping gateway looks for sessions that are to be ended.
 const drainPollInterval = 20 * time.Millisecond
 
-// Drain closes sessions as they become idle until none is left or ctx is done. It
-// reports whether none is left. Sessions opened during the drain are closed once
-// their statements have been answered.
+// BeginStop makes sessions follow the plan of a stop. Drain ends those that wait for their
+// callers.
+func (g *Gateway) BeginStop(p shutdown.Plan) { g.stop.Store(&p) }
+
+// Drain ends the sessions as the plan given to BeginStop says, until none is left or ctx is
+// done. It reports whether none is left. It returns no earlier than idle sessions are
+// closed, since the platform sends new callers until then.
 func (g *Gateway) Drain(ctx context.Context) bool {
-	g.draining.Store(true)
+	p := g.stop.Load()
 	for {
 		remaining := g.allSessions()
-		if len(remaining) == 0 {
+		if len(remaining) == 0 && p.PhaseAt(clock.Now()) >= shutdown.Draining {
 			return true
 		}
 		for _, s := range remaining {
-			s.closeIfIdle()
+			s.applyStop()
 		}
 		select {
 		case <-time.After(drainPollInterval):
@@ -175,14 +180,6 @@
 	}
 }
 
-// AbortTransactions rolls back the open transactions that are idle between
-// statements.
-func (g *Gateway) AbortTransactions(reason string) {
-	for _, s := range g.allSessions() {
-		s.abortIdleTx(reason)
-	}
-}
-
 // Stop closes the listener and all connections.
 func (g *Gateway) Stop(ctx context.Context) error {
 	err := g.engine.Stop(ctx)
--- a/node/edge/query.go
+++ b/node/edge/query.go
@@ -50,6 +50,9 @@
 	if found && !s.authorize(c, route) && st.Kind != statement.Rollback {
 		return replicaset.Outcome{Answer: s.failPossibleCommit(st, statement.ErrorAnswer(statement.Unauthorized, "no team holds this session's key any more", statement.Idle))}
 	}
+	if answer, refused := s.refuseWhileStopping(st); refused {
+		return replicaset.Outcome{Answer: answer}
+	}
 	if answer, answered := s.session.AnswerLocally(st); answered {
 		if st.Kind == statement.Rollback && s.session.State == statement.Idle {
 			s.rollbackTx()
@@ -66,6 +69,24 @@
 	return s.runOnMember(st, route, m.receivedAt)
 }
 
+// refuseWhileStopping refuses a statement that the host's stop leaves no time for. Nothing of
+// it has run.
+func (s *caller) refuseWhileStopping(st statement.Statement) (statement.Answer, bool) {
+	plan := s.gateway.stop.Load()
+	begins, runs := st.Kind == statement.Begin, st.Reads() || st.Writes()
+	if plan == nil || plan.Admits(begins, clock.Now()) {
+		return statement.Answer{}, false
+	}
+	state := s.session.State
+	switch {
+	case state == statement.InTransaction && (runs || st.Kind == statement.Commit):
+		return s.failPossibleCommit(st, statement.ErrorAnswer(statement.Aborted, reasonStopping, statement.Idle)), true
+	case state == statement.Idle && (runs || begins):
+		return statement.ErrorAnswer(statement.Busy, reasonStopping, statement.Idle), true
+	}
+	return statement.Answer{}, false
+}
+
 // authorize updates the caller's team from a configuration. It returns false if
 // the caller's key was revoked while its session was open. A transaction begun
 // under another team is rolled back, because its connection belongs to that team.
@@ -169,6 +190,9 @@
 
 func (s *caller) newRequest(st statement.Statement, route catalog.Route, receivedAt time.Duration) replicaset.Request {
 	endDeadline := receivedAt + route.StatementTimeout - responseMargin
+	if plan := s.gateway.stop.Load(); plan != nil {
+		endDeadline = min(endDeadline, plan.AnswerDeadline())
+	}
 	startDeadline := endDeadline - executionMargin
 	onTimeUntil := receivedAt + time.Duration(connpool.OnTimeWaitFraction*float64(route.TargetLatency))
 	return replicaset.Request{
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/gates"
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
+	"github.com/dotterelswitch/dotterelswitch/core/shutdown"
 	"github.com/dotterelswitch/dotterelswitch/core/startup"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
@@ -102,6 +103,8 @@
 	// owner identifies this host and its incarnation to gates.
 	owner    string
 	stopping atomic.Bool
+	// stopPlan is the plan of the host's stop; nil while it is not told to stop.
+	stopPlan atomic.Pointer[shutdown.Plan]
 	// remoteJobCount counts the running jobs of other hosts.
 	remoteJobCount atomic.Int64
 	reconcileWake  chan struct{}
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -49,6 +49,9 @@
 func (h *Host) RunJob(ctx context.Context, service string, j replicaset.Job) replicaset.Result {
 	h.remoteJobCount.Add(1)
 	defer h.remoteJobCount.Add(-1)
+	if j.Kind == replicaset.JobBegin && h.endsTransactions() {
+		return replicaset.Result{Err: errStopping}
+	}
 	s := h.AwaitSet(ctx, service, j.Request.StartDeadline)
 	if s == nil {
 		return replicaset.Result{Err: &replicaset.RefusedError{Reason: "the service is not known here"}}
--- a/node/entry/stop.go
+++ b/node/entry/stop.go
@@ -5,34 +5,25 @@
 	"sync"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/shutdown"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
-)
-
-// The ends of the phases of a stop, as fractions of the grace period.
-const (
-	// noticeFraction ends the phase in which the host serves normally but fails
-	// readiness checks, so that the platform stops sending new callers.
-	noticeFraction = 0.4
-	// abortFraction is when transactions that are idle are rolled back.
-	abortFraction = 0.55
-	// drainFraction is when the sessions that are left are closed.
-	drainFraction = 0.85
+	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
 )
 
 // Stop shuts the host down gracefully within its grace period. It reports whether
 // all sessions ended before they had to be closed.
 func (h *Host) Stop() bool {
-	startedAt := time.Now()
+	plan := shutdown.Plan{Start: clock.Now(), Grace: h.settings.GracePeriod}
+	h.stopPlan.Store(&plan)
 	eventlog.Stopping.Info(h.log).Dur("grace_ms", h.settings.GracePeriod).Int("callers", h.gateway.Sessions()).Send()
 	h.stopping.Store(true)
 	h.limiter.Leave()
+	h.gateway.BeginStop(plan)
 	h.deregister()
-	time.Sleep(h.graceFraction(noticeFraction))
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(h.graceFraction(drainFraction)))
+	ctx, cancel := context.WithDeadline(context.Background(), clock.Deadline(plan.End()))
 	defer cancel()
-	timer := time.AfterFunc(h.graceFraction(abortFraction-noticeFraction), func() {
-		h.gateway.AbortTransactions("the host is stopping")
-	})
+	timer := time.AfterFunc(plan.StartOf(shutdown.Refusing)-clock.Now(), h.endTransactions)
 	defer timer.Stop()
 	clean := h.gateway.Drain(ctx)
 	if !clean {
@@ -79,8 +70,21 @@
 	return false
 }
 
-func (h *Host) graceFraction(fraction float64) time.Duration {
-	return time.Duration(fraction * float64(h.settings.GracePeriod))
+// errStopping refuses to keep a further transaction of another host.
+var errStopping = &replicaset.RefusedError{Reason: "the host is stopping"}
+
+// endsTransactions reports whether this host keeps no further transaction because it stops.
+func (h *Host) endsTransactions() bool {
+	plan := h.stopPlan.Load()
+	return plan != nil && plan.PhaseAt(clock.Now()) >= shutdown.Refusing
+}
+
+// endTransactions rolls back the transactions on connections of this host, also those of
+// other hosts' callers.
+func (h *Host) endTransactions() {
+	for _, s := range h.allSets() {
+		s.RollbackAll(errStopping.Reason)
+	}
 }
 
 // closeTimeout bounds the shutdown of each component.
--- a/node/replicaset/tx_table.go
+++ b/node/replicaset/tx_table.go
@@ -82,12 +82,31 @@
 	s.rollbackWhere("transaction was not used in time", func(tx *localTx) bool { return tx.lastUsed < before })
 }
 
+// RollbackAll rolls back all transactions, each once the statement that is at work in it has
+// been answered. It does not wait for that.
+func (s *Set) RollbackAll(reason string) {
+	for _, tx := range s.txs.all() {
+		go func() {
+			tx.mu.Lock()
+			defer tx.mu.Unlock()
+			s.rollbackOpen(tx, reason)
+		}()
+	}
+}
+
+// rollbackOpen rolls back a transaction that has not ended. It is called with tx.mu held.
+func (s *Set) rollbackOpen(tx *localTx, reason string) {
+	if !tx.ended {
+		s.log.Debug().Uint64("transaction", tx.id).Str("reason", reason).Msg("rolling back transaction")
+		s.endTx(tx)
+	}
+}
+
 func (s *Set) rollbackWhere(reason string, match func(*localTx) bool) {
 	for _, tx := range s.txs.all() {
 		tx.mu.Lock()
-		if !tx.ended && match(tx) {
-			s.log.Debug().Uint64("transaction", tx.id).Str("reason", reason).Msg("rolling back transaction")
-			s.endTx(tx)
+		if match(tx) {
+			s.rollbackOpen(tx, reason)
 		}
 		tx.mu.Unlock()
 	}
