Edge: the address of a closed connection is not asked for

A caller that sends an unknown message and closes at once made the worker of its session panic: the address of a closed connection is nil. The worker pool recovered, but the session stayed marked as running, so that its open transaction was rolled back only as unused and a stop did not see it.

The log line prints such an address as closed. Found by the review, by reading; no caller is known to have been affected.

--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -156,7 +156,7 @@
 		return true
 	default:
 		s.gateway.logLimited(eventlog.CallerViolation, func(l *zerolog.Event) {
-			l.Str("remote", s.conn.RemoteAddr().String()).Str("reason", "the message is not known")
+			l.Stringer("remote", remoteAddr{s.conn}).Str("reason", "the message is not known")
 		})
 		s.send(s.gateway.proto.EncodeFatal(statement.Invalid, "the message is not known"))
 		return false
--- a/node/edge/gateway.go
+++ b/node/edge/gateway.go
@@ -116,7 +116,7 @@
 		return gnet.Close
 	}
 	if err := s.receive(data); err != nil {
-		g.logLimited(eventlog.CallerViolation, func(l *zerolog.Event) { l.Err(err).Str("remote", c.RemoteAddr().String()) })
+		g.logLimited(eventlog.CallerViolation, func(l *zerolog.Event) { l.Err(err).Stringer("remote", remoteAddr{c}) })
 		// Best effort: the connection is closed in any case.
 		_, _ = c.Write(g.proto.EncodeFatal(statement.TooLarge, err.Error()))
 		return gnet.Close
@@ -124,6 +124,16 @@
 	return gnet.None
 }
 
+// remoteAddr prints the address of a caller, which a connection that is closed has no more.
+type remoteAddr struct{ conn gnet.Conn }
+
+func (r remoteAddr) String() string {
+	if address := r.conn.RemoteAddr(); address != nil {
+		return address.String()
+	}
+	return "closed"
+}
+
 // logLimited logs an event caused by a caller, within the log budget.
 func (g *Gateway) logLimited(e eventlog.Event, fields func(*zerolog.Event)) {
 	suppressed, ok := g.cfg.LogBudget.Allow(e, clock.Now())
