--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -281,7 +281,7 @@
 		return Result{}
 	}
 	if !found {
-		return Result{Err: &RefusedError{Reason: "the transaction is not open on this host, which may have restarted"}}
+		return Result{Err: &RefusedError{Reason: "the host that kept the transaction has no such transaction"}}
 	}
 	tx.mu.Lock()
 	defer tx.mu.Unlock()
