Promoter: a host that takes the lock has its turn before another takes over

Cause: the time to take over counts from when a promotion became due and from when the holder was last seen to be active. While promotions were withheld for seconds, that time had passed for all hosts, so that each of them took the lock from the one that had just taken it. Ruled out: lost answers of the store (each host knew its token), and the platform's calls.

A change of the lock to another holder counts as activity of that holder now. A holder that has been there since before waits for nobody, so that a first failover takes as long as before. Promotions for which no replica answered at all are failed ones, not withheld ones.

--- a/core/succession/sync_group.go
+++ b/core/succession/sync_group.go
@@ -69,6 +69,8 @@
 }
 
 var (
+	// ErrNoReplica reports that no replica answered.
+	ErrNoReplica = errors.New("no replica answered")
 	// ErrTooFewReplicas reports that none of the replicas that answered is certain to have
 	// every acknowledged commit.
 	ErrTooFewReplicas = errors.New("too few replicas answered to choose a new primary")
@@ -79,11 +81,11 @@
 // ChooseSynced is ChooseCandidate for a group with synchronous replicas. A replica with the
 // newest acknowledged commit is chosen although too few answered, if that commit is known.
 func ChooseSynced(candidates []CandidateStatus, replicas, syncReplicas int, acks AckSurvey) (CandidateStatus, error) {
+	if len(candidates) == 0 {
+		return CandidateStatus{}, ErrNoReplica
+	}
 	chosen, enough := ChooseCandidate(candidates, replicas, syncReplicas)
-	if syncReplicas == 0 || len(candidates) == 0 {
-		if !enough {
-			return CandidateStatus{}, ErrTooFewReplicas
-		}
+	if syncReplicas == 0 {
 		return chosen, nil
 	}
 	chosen = slices.MaxFunc(candidates, compareCandidates)
--- a/node/entry/sync_replicas_test.go
+++ b/node/entry/sync_replicas_test.go
@@ -113,6 +113,8 @@
 			require.NoError(t, g.complete.Restart())
 			g.requireNothingLost()
 			require.Equal(t, g.complete, g.group.Primary())
+			time.Sleep(time.Second)
+			require.Len(t, g.group.TermStarts(), 1, "hosts that had waited promoted one after the other")
 		})
 	}
 }
--- a/node/promoter/lead.go
+++ b/node/promoter/lead.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// observeLock records when another host takes the lock, which shows that it is active. While
+// promotions fail, several hosts wait to take over, and each new holder needs its turn:
+// otherwise they would promote one after the other.
+func (p *Promoter) observeLock(now time.Duration) {
+	lock := p.registry.LockOf(p.service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lock.Revision > p.seenLock.Revision && p.seenLock.Revision > 0 && lock.Holder != "" {
+		p.leaderSeenAt = max(p.leaderSeenAt, now)
+	}
+	if lock.Revision > 0 {
+		p.seenLock = lock
+	}
+}
+
 // earliestTakeover returns when this host may take the lock.
 func (p *Promoter) earliestTakeover(lock succession.Lock) time.Duration {
 	rank := p.takeoverRank(lock.Holder)
--- a/node/promoter/promoter.go
+++ b/node/promoter/promoter.go
@@ -145,6 +145,8 @@
 	// leaderSeenAt is when the lock holder last reported that it leads a
 	// promotion.
 	leaderSeenAt time.Duration
+	// seenLock is the lock as this host last saw it; zero before.
+	seenLock succession.Lock
 	// withheld is the reason why this host's latest promotion was withheld; empty if it was
 	// not.
 	withheld string
@@ -263,6 +265,7 @@
 		p.set.Resumed(now)
 	}
 	p.lastCheck.Store(int64(now))
+	p.observeLock(now)
 	p.updatePeerConfirmation(now)
 	a := assessment{deadPrimary: p.findDeadPrimary(now), suspectedByPeer: p.suspectedByPeer(now)}
 	p.recordDeadPrimary(a.deadPrimary, now)
