Promoter: a lost replica is forgotten while callers write, too

Found by reading the check that takes a lost member out of the record: it asked the primary and then, once, the replicas. While callers write, replicas are always some ten milliseconds behind, so that the member stayed in the record for as long as there was load, and a crash of the primary then waited for it, unless the hosts knew of all acknowledged commits.

The check asks the replicas again, for up to 0.4 s, until they have what the primary had. Only services with sync_replicas are concerned.

--- a/node/entry/sync_replicas_test.go
+++ b/node/entry/sync_replicas_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,9 +24,15 @@
 
 // deploySyncGroup starts the group and waits until its members are recorded.
 func deploySyncGroup(t *testing.T) *syncGroup {
+	t.Helper()
+	return deploySyncGroupWithLag(t, options().ReplicationLag)
+}
+
+// deploySyncGroupWithLag is deploySyncGroup with replicas that receive a commit later.
+func deploySyncGroupWithLag(t *testing.T, lag time.Duration) *syncGroup {
 	t.Helper()
 	o := options()
-	o.SyncReplicas = 1
+	o.SyncReplicas, o.ReplicationLag, o.MaxConnections = 1, lag, 64
 	d := deploy(t, 3, o)
 	members := d.group.Members()
 	g := &syncGroup{deployment: d, primary: members[0], behind: members[1], complete: members[2]}
@@ -161,6 +168,32 @@
 	g.requireNothingLost()
 }
 
+// TestLostReplicaIsForgottenWhileCallersWrite guards against a lost replica that stays in the
+// record for as long as callers write, because the others are always a little behind.
+func TestLostReplicaIsForgottenWhileCallersWrite(t *testing.T) {
+	t.Parallel()
+	g := deploySyncGroupWithLag(t, 60*time.Millisecond)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 12 {
+		c := g.connect(n%len(g.hosts), "strict")
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_, _ = c.try("STORE item-0 x")
+				}
+			}
+		})
+	}
+	loseReplica(g.complete)
+	g.awaitRecord(2)
+	close(done)
+	wg.Wait()
+}
+
 // TestGroupWithoutSyncReplicasIsNotRecorded guards against calls to the store that only
 // groups with synchronous replicas need.
 func TestGroupWithoutSyncReplicasIsNotRecorded(t *testing.T) {
--- a/node/promoter/sync_group.go
+++ b/node/promoter/sync_group.go
@@ -15,6 +15,10 @@
 // gone can be taken out of the record. Each occupies a slot of each member.
 const syncGroupCheckInterval = 500 * time.Millisecond
 
+// syncGroupCatchUpTimeout bounds the wait, in such a check, until replicas have what the
+// primary had. While callers write, they are always some ten milliseconds behind.
+const syncGroupCatchUpTimeout = 400 * time.Millisecond
+
 // registeredMembers returns the sorted IDs of the members in the directory.
 func (p *Promoter) registeredMembers() []string {
 	var out []string
@@ -59,7 +63,7 @@
 	eventlog.SyncGroupRecorded.Info(p.log).Strs("upstreams", members).Strs("was", record.Members).Send()
 }
 
-// goneMayBeForgotten asks the primary and then the replicas for their logs.
+// goneMayBeForgotten asks the primary for its log, and the replicas until they have as much.
 func (p *Promoter) goneMayBeForgotten(ctx context.Context) bool {
 	primary, err := p.assumedPrimary()
 	if err != nil {
@@ -72,8 +76,13 @@
 		p.log.Debug().Err(err).Str("upstream", primary.ID()).Msg("primary did not report its log")
 		return false
 	}
-	replicas := p.sendControlToReplicas(ctx, primary.ID(), sameOperation(statement.Operation{Verb: statement.ReportStatus}))
-	return succession.GoneMayBeForgotten(status, replicas, newestTerm, p.spec().SyncReplicas)
+	for deadline := clock.Now() + syncGroupCatchUpTimeout; clock.Now() < deadline && ctx.Err() == nil; clock.Sleep(ctx, catchUpPollInterval) {
+		replicas := p.sendControlToReplicas(ctx, primary.ID(), sameOperation(statement.Operation{Verb: statement.ReportStatus}))
+		if succession.GoneMayBeForgotten(status, replicas, newestTerm, p.spec().SyncReplicas) {
+			return true
+		}
+	}
+	return false
 }
 
 // recordWithheld keeps the reason of a promotion that was withheld, and logs it if it has
