--- a/review/second/harness/ledger.go
+++ b/review/second/harness/ledger.go
@@ -36,6 +36,8 @@
 
 	mu   sync.Mutex
 	acks []ack
+	// sent holds when each write was sent.
+	sent []time.Time
 }
 
 // ack is a write whose caller got a success.
@@ -177,6 +179,9 @@
 	for i := 0; time.Now().Before(end); i++ {
 		text := fmt.Sprintf("STORE item%d value%d", i%10, i)
 		l.record.Add("%s: sent %s %s", host.Name, s.NextID(), text)
+		l.mu.Lock()
+		l.sent = append(l.sent, time.Now())
+		l.mu.Unlock()
 		a, err := s.Run(text)
 		now := time.Now()
 		if err != nil {
@@ -195,6 +200,32 @@
 	}
 }
 
+// Acknowledged returns how many writes were acknowledged between two moments.
+func (l *Ledger) Acknowledged(from, to time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, a := range l.acks {
+		if a.at.After(from) && a.at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// Sent returns how many writes were sent between two moments.
+func (l *Ledger) Sent(from, to time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, at := range l.sent {
+		if at.After(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
 // Await waits for the end of all callers.
 func (l *Ledger) Await() { l.wg.Wait() }
 
--- a/review/second/harness/link.go
+++ b/review/second/harness/link.go
@@ -10,6 +10,11 @@
 // link resets its connections and refuses new ones.
 type Link struct {
 	target, address string
+	// OnAnswer is called with what the target sends, before it is passed on. It may be nil.
+	OnAnswer func(data []byte)
+	// OnRequest is called with what is sent to the target, before it is passed on. It may be
+	// nil.
+	OnRequest func(data []byte)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -61,12 +66,28 @@
 		reset(target)
 		return
 	}
-	go l.copy(target, conn)
-	l.copy(conn, target)
+	go l.copy(target, conn, l.OnRequest)
+	l.copy(conn, target, l.OnAnswer)
 }
 
-func (l *Link) copy(to, from net.Conn) {
-	_, _ = io.Copy(to, from)
+// watched calls a function with all that is written.
+type watched struct {
+	net.Conn
+	seen func([]byte)
+}
+
+// Write implements io.Writer.
+func (w watched) Write(data []byte) (int, error) {
+	w.seen(data)
+	return w.Conn.Write(data)
+}
+
+func (l *Link) copy(to, from net.Conn, seen func([]byte)) {
+	var out io.Writer = to
+	if seen != nil {
+		out = watched{to, seen}
+	}
+	_, _ = io.Copy(out, from)
 	_ = to.Close()
 	_ = from.Close()
 	l.mu.Lock()
