Replica set: log and count answers that are not those of the operations in progress

Package correlate attributes the answers on a connection: to the operation in progress, to an earlier one, or to neither for certain. Event 321 and the counter answers_rejected name the request and the reason. What becomes of the answers is unchanged.

--- /dev/null
+++ b/core/correlate/correlate.go
@@ -0,0 +1,235 @@
+// Package correlate decides which operation an answer on a connection belongs to. The
+// answers of the users' members carry no identifier, and a member may send an answer a
+// second time, at once or later. An answer belongs to the operation in progress only if it
+// cannot belong to an earlier one.
+package correlate
+
+import (
+	"hash/maphash"
+	"slices"
+
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+)
+
+// Attribution tells which operation an answer belongs to.
+type Attribution uint8
+
+// The attributions.
+const (
+	// Current is the answer to the operation in progress.
+	Current Attribution = iota
+	// Earlier repeats the answer to an earlier operation. The answer to the operation in
+	// progress follows.
+	Earlier
+	// Ambiguous may be the answer to the operation in progress or to an earlier one, or is
+	// not an answer to any. Nothing that follows on the connection can be attributed.
+	Ambiguous
+)
+
+var attributionNames = [...]string{"current", "earlier", "ambiguous"}
+
+func (a Attribution) String() string { return attributionNames[min(a, Ambiguous)] }
+
+// Verdict is the attribution of one answer. Reason is empty for a Current answer.
+type Verdict struct {
+	Attribution Attribution
+	Reason      Reason
+}
+
+// Reason explains why an answer is not that of the operation in progress.
+type Reason string
+
+// The reasons.
+const (
+	// RepeatedSignature is a signature that was answered before on the connection.
+	RepeatedSignature Reason = "repeated_signature"
+	// RepeatedAcknowledgement acknowledges an operation of the proxy, but not this one.
+	RepeatedAcknowledgement Reason = "repeated_acknowledgement"
+	// RepeatedLogin is the answer to the login.
+	RepeatedLogin Reason = "repeated_login"
+	// SecondError is an error on a connection that has answered with an error before. An
+	// error has no signature, so it may repeat the earlier one.
+	SecondError Reason = "second_error"
+	// SecondStatus is a status on a connection that has answered with one before.
+	SecondStatus Reason = "second_status"
+	// WrongForm is an answer that no operation on the connection can have.
+	WrongForm Reason = "wrong_form"
+	// Unreadable is an answer that violates the protocol.
+	Unreadable Reason = "unreadable"
+	// Unrequested is data that arrived while no operation was in progress.
+	Unrequested Reason = "unrequested"
+)
+
+// rememberedAnswers bounds the memory of a connection. A repetition that arrives after more
+// answers than this is not recognised by its content.
+const rememberedAnswers = 1024
+
+var seed = maphash.MakeSeed()
+
+// Tracker follows the operations of one connection and attributes its answers. The zero
+// value is a connection that has just logged in. It is not safe for concurrent use.
+type Tracker struct {
+	state statement.TxState
+	// recent holds the hashes of the latest signatures and errors; next is the one that is
+	// replaced next, once there are rememberedAnswers of them.
+	recent []uint64
+	next   int
+	// acknowledged, opened, reported and failed are set once the connection has answered
+	// an operation of the proxy, the begin of a transaction, a control operation, or
+	// any operation with an error.
+	acknowledged, opened, reported, failed bool
+	// retired is set once the connection should serve no other caller.
+	retired bool
+}
+
+// State returns the transaction state after the latest Current answer.
+func (t *Tracker) State() statement.TxState { return t.state }
+
+// Failed reports whether the connection has answered with an error. Another error on it
+// may be Ambiguous.
+func (t *Tracker) Failed() bool { return t.failed }
+
+// Reported reports whether the connection has answered a control operation. Another status
+// on it is Ambiguous.
+func (t *Tracker) Reported() bool { return t.reported }
+
+// Retired reports whether the connection should be replaced once the work on it has ended:
+// it has repeated an answer, or answered with two errors.
+func (t *Tracker) Retired() bool { return t.retired }
+
+// Retire marks the connection as one to be replaced.
+func (t *Tracker) Retire() { t.retired = true }
+
+// Certain reports whether the answer to an operation, which is yet to be attributed, would
+// differ from all earlier ones, so that its position is of a time after the operation was
+// sent. The begins of transactions are all answered alike.
+func (t *Tracker) Certain(op statement.Operation) bool {
+	return op.Verb != statement.StartTransaction || !t.opened
+}
+
+// Attribute attributes an answer that arrived while an operation was in progress.
+func (t *Tracker) Attribute(op statement.Operation, a statement.Answer) Verdict {
+	v := t.attribute(op, a)
+	switch v.Attribution {
+	case Current:
+		t.record(op, a)
+	case Earlier:
+		t.retired = true
+	}
+	return v
+}
+
+func (t *Tracker) attribute(op statement.Operation, a statement.Answer) Verdict {
+	switch {
+	case a.Bare:
+		return Verdict{Earlier, RepeatedLogin}
+	case a.Code != statement.OK:
+		return t.attributeError(op, a)
+	case a.Signature != "" && t.remembers(a.Signature):
+		return Verdict{Earlier, RepeatedSignature}
+	case a.Signature == "" && t.reported && isControl(op.Verb):
+		return Verdict{Ambiguous, SecondStatus}
+	case t.fits(op, a):
+		return Verdict{}
+	case t.fitsEarlierAcknowledgement(a):
+		return Verdict{Earlier, RepeatedAcknowledgement}
+	}
+	return Verdict{Ambiguous, WrongForm}
+}
+
+// attributeError attributes an error. The first one on a connection cannot be a repetition.
+// Another one is taken for the answer to a read outside a transaction if it differs from
+// the errors before, because replicas that lag refuse many reads; the connection is retired
+// all the same.
+func (t *Tracker) attributeError(op statement.Operation, a statement.Answer) Verdict {
+	switch {
+	case t.state == statement.Idle && a.State != statement.Idle, len(a.Rows) > 0 && !isRead(op):
+		return Verdict{Ambiguous, WrongForm}
+	case !t.failed:
+		return Verdict{}
+	case t.state != statement.Idle || !isRead(op) || t.remembers(errorText(a)):
+		return Verdict{Ambiguous, SecondError}
+	}
+	return Verdict{}
+}
+
+// fits reports whether a success has the form of the operation's.
+func (t *Tracker) fits(op statement.Operation, a statement.Answer) bool {
+	rows, state := len(a.Rows) == 0, t.state
+	switch {
+	case isRead(op):
+		rows = true
+	case isControl(op.Verb):
+		rows = len(a.Rows) == 1
+	case op.Verb == statement.StartTransaction:
+		state = statement.InTransaction
+	case op.Verb == statement.RollbackTransaction || isCommit(op):
+		state = statement.Idle
+	}
+	return rows && a.State == state && (a.Signature != "") == isCallers(op.Verb)
+}
+
+// fitsEarlierAcknowledgement reports whether a success that is not that of the operation in
+// progress has the form of the answer to an earlier operation of the proxy.
+func (t *Tracker) fitsEarlierAcknowledgement(a statement.Answer) bool {
+	if a.Signature != "" {
+		return false
+	}
+	return len(a.Rows) == 0 && t.acknowledged || len(a.Rows) == 1 && t.reported
+}
+
+func (t *Tracker) record(op statement.Operation, a statement.Answer) {
+	t.state = a.State
+	switch {
+	case a.Code != statement.OK:
+		t.retired = t.retired || t.failed
+		t.failed = true
+		t.remember(errorText(a))
+	case a.Signature != "":
+		t.remember(a.Signature)
+	case isControl(op.Verb):
+		t.reported = true
+	default:
+		t.acknowledged = true
+		t.opened = t.opened || op.Verb == statement.StartTransaction
+	}
+}
+
+// errorText identifies an error by all that its answer holds. The space sets it apart from
+// signatures, which have none.
+func errorText(a statement.Answer) string {
+	return a.Code.String() + " " + a.Position.String() + " " + a.Detail
+}
+
+func (t *Tracker) remembers(answer string) bool {
+	return slices.Contains(t.recent, maphash.String(seed, answer))
+}
+
+func (t *Tracker) remember(answer string) {
+	h := maphash.String(seed, answer)
+	if len(t.recent) < rememberedAnswers {
+		t.recent = append(t.recent, h)
+		return
+	}
+	t.recent[t.next] = h
+	t.next = (t.next + 1) % rememberedAnswers
+}
+
+// isCallers reports whether an operation runs a statement of a caller, whose success is
+// signed.
+func isCallers(v statement.Verb) bool {
+	return v == statement.Forward || v == statement.ExecutePrepared
+}
+
+// isControl reports whether an operation is answered with a status.
+func isControl(v statement.Verb) bool {
+	switch v {
+	case statement.ReportStatus, statement.PauseReplication, statement.ResumeReplication, statement.StepDown:
+		return true
+	}
+	return false
+}
+
+func isRead(op statement.Operation) bool { return isCallers(op.Verb) && op.Kind == statement.Read }
+
+func isCommit(op statement.Operation) bool { return isCallers(op.Verb) && op.Kind == statement.Commit }
--- a/core/statement/answer.go
+++ b/core/statement/answer.go
@@ -80,6 +80,8 @@
 	Detail   string
 	State    TxState
 	Position logpos.Position
+	// Bare is set if the answer has a state and a position only, as that to a login.
+	Bare bool
 }
 
 // ErrorAnswer returns an answer without rows.
--- a/core/statement/operation.go
+++ b/core/statement/operation.go
@@ -31,9 +31,23 @@
 	StepDown
 )
 
+var verbNames = [...]string{
+	"forward", "start_transaction", "rollback", "set", "prepare", "execute", "reset", "status", "pause", "resume", "step_down",
+}
+
+func (v Verb) String() string {
+	if int(v) >= len(verbNames) {
+		return "unknown"
+	}
+	return verbNames[v]
+}
+
 // Operation is one request to an upstream.
 type Operation struct {
 	Verb Verb
+	// Kind is Read, Write or Commit for the statement of a caller that Forward or
+	// ExecutePrepared runs.
+	Kind Kind
 	// ID is the caller's request identifier; empty for operations of the proxy itself.
 	ID string
 	// Text is the caller's statement for Forward and the arguments for
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -86,6 +86,18 @@
 	return s.Kind == Read || (s.Kind == Execute && !s.Shape.Write)
 }
 
+// RunKind returns the kind of the statement that a member runs: Read or Write for an Execute
+// whose shape is known.
+func (s Statement) RunKind() Kind {
+	switch {
+	case s.Writes():
+		return Write
+	case s.Reads():
+		return Read
+	}
+	return s.Kind
+}
+
 // MessageKind is the type of a Message.
 type MessageKind uint8
 
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/outlier"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
@@ -122,6 +123,15 @@
 	}
 }
 
+// rejectedAnswers adds counts of members' answers that were not those of the operations in
+// progress.
+func (m *hostMetrics) rejectedAnswers(service string, counts map[correlate.Reason]int) {
+	label := metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}
+	for reason, n := range counts {
+		m.metrics.Add("answers_rejected", n, label, metrics.Label{Name: "reason", Value: string(reason)})
+	}
+}
+
 func readTarget(primary bool) string {
 	if primary {
 		return "primary"
--- a/node/entry/traffic.go
+++ b/node/entry/traffic.go
@@ -75,6 +75,7 @@
 		h.metrics.retryTimes(s.TakeReturnCounts())
 		h.metrics.loadReports(s.Service(), s.TakeLoadCounts())
 		h.metrics.outliers(s.Service(), s.TakeOutlierCounts())
+		h.metrics.rejectedAnswers(s.Service(), s.TakeRejectedAnswers())
 	}
 }
 
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -39,6 +39,7 @@
 	UpstreamReadmitted    = Event{318, "upstream_readmitted"}
 	StatementDisplaced    = Event{319, "statement_displaced"}
 	LoadReportInvalid     = Event{320, "load_report_invalid"}
+	AnswerRejected        = Event{321, "answer_rejected"}
 	// TransactionReclaimed needs no rate limit: there is at most one per open
 	// transaction.
 	TransactionReclaimed = Event{312, "transaction_reclaimed"}
@@ -98,7 +99,7 @@
 		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted, StatementDisplaced, LoadReportInvalid,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted, StatementDisplaced, LoadReportInvalid, AnswerRejected,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost, PrimaryFailing, SyncGroupRecorded, PromotionWithheld, GroupSettled, ReplicaResumed, CommitsHeld, CommitsReleased,
 		HostStateChanged, PeerCallFailed,
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/session"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -49,6 +50,8 @@
 	// preparedNames maps shapes to the names under which they are prepared on
 	// this connection.
 	preparedNames map[statement.Shape]string
+	// tracker attributes the answers on this connection.
+	tracker correlate.Tracker
 	// lastState is the transaction state reported by the latest answer.
 	lastState statement.TxState
 	// broken is set once the connection is unusable.
@@ -127,6 +130,9 @@
 	if err != nil {
 		return statement.Answer{}, c.markLost(err, sent)
 	}
+	if v := c.tracker.Attribute(op, a); v.Attribution != correlate.Current {
+		c.reportRejected(op, v)
+	}
 	c.lastState, c.answeredAt = a.State, sent
 	now := clock.Now()
 	c.member.responseReceived(sent, now, a, c.workKind)
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -9,6 +9,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/balance"
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/directory"
 	"github.com/dotterelswitch/dotterelswitch/core/exectime"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
@@ -78,6 +79,8 @@
 	openTimer *time.Timer
 	idleTimer *time.Timer
 	returns   memberReturns
+	// rejectedAnswers counts the answers that were not those of the operations in progress.
+	rejectedAnswers map[correlate.Reason]int
 }
 
 func newMember(s *Set, e directory.Member, share gates.Share) *Member {
--- a/node/replicaset/run.go
+++ b/node/replicaset/run.go
@@ -20,7 +20,7 @@
 // run sends a caller's statement on a connection that already has the caller's
 // session values.
 func (c *Conn) run(st statement.Statement, minPosition logpos.Position, deadline time.Duration) (exchange, error) {
-	op := statement.Operation{Verb: statement.Forward, ID: st.ID, Text: st.Text, MinPosition: minPosition}
+	op := statement.Operation{Verb: statement.Forward, Kind: st.RunKind(), ID: st.ID, Text: st.Text, MinPosition: minPosition}
 	if st.Kind != statement.Execute {
 		return c.send(op, deadline)
 	}
