--- a/standin/linecaller/session.go
+++ b/standin/linecaller/session.go
@@ -2,11 +2,12 @@
 package linecaller
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"strings"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/crlf"
 )
 
 // Answer is the answer to one statement.
@@ -36,7 +37,7 @@
 // Session is one caller connection. It is not safe for concurrent use.
 type Session struct {
 	netConn net.Conn
-	reader  *bufio.Reader
+	reader  *crlf.Reader
 	name    string
 	sent    int
 	timeout time.Duration
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Session{netConn: nc, reader: bufio.NewReader(nc), name: name, timeout: timeout}
+	s := &Session{netConn: nc, reader: crlf.NewReader(nc), name: name, timeout: timeout}
 	if err := s.login(database, key); err != nil {
 		_ = nc.Close()
 		return nil, err
@@ -98,8 +99,7 @@
 	if err := s.netConn.SetReadDeadline(time.Now().Add(s.timeout)); err != nil {
 		return "", err
 	}
-	line, err := s.reader.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
+	return s.reader.Read()
 }
 
 // AwaitClose waits until the server closes the session and returns the read error. It
--- a/standin/lineplatform/conn.go
+++ b/standin/lineplatform/conn.go
@@ -1,7 +1,6 @@
 package lineplatform
 
 import (
-	"bufio"
 	"fmt"
 	"maps"
 	"net"
@@ -9,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/crlf"
 )
 
 // conn is one client connection to a member.
@@ -42,23 +43,22 @@
 
 func (m *Member) serve(nc net.Conn) {
 	defer func() { _ = nc.Close() }()
-	r := bufio.NewReader(nc)
+	r := crlf.NewReader(nc)
 	c := &conn{member: m, netConn: nc, preparedStatements: map[string]string{}, sessionValues: map[string]string{}}
-	line, err := r.ReadString('\n')
+	line, err := r.Read()
 	if err != nil || m.unresponsive.Load() {
 		m.waitWhileUnresponsive()
 		return
 	}
-	if !c.login(strings.TrimRight(line, "\r\n")) {
+	if !c.login(line) {
 		return
 	}
 	defer c.untrack()
 	for {
-		line, err := r.ReadString('\n')
+		line, err := r.Read()
 		if err != nil {
 			return
 		}
-		line = strings.TrimRight(line, "\r\n")
 		if line == "TERMINATE" {
 			c.terminated = true
 			return
