--- /dev/null
+++ b/node/entry/foreign_answers_test.go
@@ -0,0 +1,323 @@
+package entry_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/answerproxy"
+	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
+	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
+)
+
+// answerRun is a deployment whose members are behind proxies that disturb their answers,
+// with concurrent callers that check what they get.
+type answerRun struct {
+	*deployment
+	proxies  []*answerproxy.Proxy
+	recorder *answerproxy.Recorder
+
+	mu sync.Mutex
+	// sent holds the text of each statement that a caller has sent, by ID.
+	sent map[string]string
+	// promised holds the IDs of the writes that were answered with a promise that nothing
+	// is kept.
+	promised []string
+	right    int
+	wrong    []string
+}
+
+const (
+	answerCallers = 12
+	// firstItem is written before the callers start.
+	firstItem = "first"
+	// answerThink is the longest pause in a transaction.
+	answerThink = 20 * time.Millisecond
+)
+
+// runWithFault runs callers beside hosts whose members' answers are disturbed. hide is put
+// into the data of a fifth of the writes, after the ID of the statement.
+func runWithFault(t *testing.T, hosts int, f answerproxy.Fault, length time.Duration, hide string) *answerRun {
+	t.Helper()
+	r := &answerRun{recorder: answerproxy.NewRecorder(), sent: map[string]string{}}
+	o := lineplatform.Options{
+		Members: 3, Slots: 5, MaxConnections: 40, ServiceTime: 3 * time.Millisecond, ReplicationLag: 5 * time.Millisecond,
+		PromotionTime: 20 * time.Millisecond, Zones: []string{"a", "b", "c"},
+	}
+	o.AdvertisedAddress = func(address string) (string, error) {
+		p, err := answerproxy.New(address, r.recorder, uint64(len(r.proxies)+1))
+		if err != nil {
+			return "", err
+		}
+		t.Cleanup(p.Close)
+		r.proxies = append(r.proxies, p)
+		return p.Address(), nil
+	}
+	r.deployment = deploy(t, hosts, o)
+	r.connect(0, "strict").awaitWrite(firstItem)
+	primary := r.group.Primary().ID
+	for _, p := range r.proxies {
+		p.SetFault(f)
+	}
+	var wg sync.WaitGroup
+	until := time.Now().Add(length)
+	for n := range answerCallers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c := &answerCaller{run: r, host: n % hosts, database: []string{"strict", "own", "bounded"}[n%3], hide: hide, random: rand.New(rand.NewPCG(uint64(n), 69))}
+			c.work(until)
+		}()
+	}
+	wg.Wait()
+	for _, p := range r.proxies {
+		p.SetFault(answerproxy.Fault{})
+	}
+	t.Logf("%d right answers, %d wrong, %d repeated by members", r.right, len(r.wrong), r.recorder.Repeated())
+	r.requireOwnAnswers()
+	require.Equal(t, primary, r.group.Primary().ID, "a healthy primary was replaced")
+	return r
+}
+
+// requireOwnAnswers requires that callers got their own answers, that members got only what
+// callers sent, and that refused writes were not kept.
+func (r *answerRun) requireOwnAnswers() {
+	r.t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	require.Empty(r.t, firstOf(r.wrong), "%d of %d answers are wrong", len(r.wrong), len(r.wrong)+r.right)
+	var unasked []string
+	for _, m := range r.recorder.Messages() {
+		if m.Text == "STORE "+firstItem+" x" {
+			continue
+		}
+		if text, found := r.sent[m.ID]; !found || sameStatement(text) != sameStatement(m.Text) {
+			unasked = append(unasked, fmt.Sprintf("%s: %.200q", m.ID, m.Text))
+		}
+	}
+	require.Empty(r.t, firstOf(unasked), "%d statements were not sent by any caller", len(unasked))
+	for _, id := range r.promised {
+		require.Zero(r.t, r.group.CommitCount(id), "%s was kept though it was refused", id)
+	}
+	for id := range r.sent {
+		require.LessOrEqual(r.t, r.group.CommitCount(id), 1, "%s was kept twice", id)
+	}
+}
+
+func firstOf(list []string) []string { return list[:min(len(list), 5)] }
+
+// sameStatement removes the name of a prepared statement, which hosts may change.
+func sameStatement(text string) string {
+	if rest, found := strings.CutPrefix(text, "EXECUTE "); found {
+		_, rest, _ = strings.Cut(rest, " ")
+		return "EXECUTE " + rest
+	}
+	return text
+}
+
+// answerCaller is one caller. Only its own goroutine uses it.
+type answerCaller struct {
+	run            *answerRun
+	host           int
+	database, hide string
+	random         *rand.Rand
+	session        *linecaller.Session
+	opened         int
+	// open is set while a transaction is open.
+	open bool
+}
+
+var errAnswerCode = errors.New("the statement was answered with an error")
+
+func (c *answerCaller) work(until time.Time) {
+	defer c.close()
+	for time.Now().Before(until) {
+		if c.session == nil && !c.connect() {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if c.operation() != nil && (c.open || c.random.IntN(4) == 0) {
+			c.close()
+		}
+	}
+}
+
+func (c *answerCaller) close() {
+	if c.session != nil {
+		c.session.Close()
+		c.session, c.open = nil, false
+	}
+}
+
+func (c *answerCaller) connect() bool {
+	name := fmt.Sprintf("%s-%d", c.database, sessions.Add(1))
+	session, err := linecaller.Open(c.run.settings[c.host].CallerAddress, c.database, name, waitLimit)
+	if err != nil {
+		return false
+	}
+	c.session = session
+	return true
+}
+
+// operation runs one statement or one transaction.
+func (c *answerCaller) operation() error {
+	item := fmt.Sprintf("item-%d", c.random.IntN(20))
+	switch c.random.IntN(8) {
+	case 0, 1:
+		return c.statement("FETCH " + item)
+	case 2, 3:
+		return c.write(item)
+	case 4:
+		if err := c.local(fmt.Sprintf("SET zone v%d", c.random.IntN(3))); err != nil {
+			return err
+		}
+		return c.statement("FETCH " + item)
+	case 5:
+		if err := c.local("PREPARE s FETCH shape"); err != nil {
+			return err
+		}
+		return c.statement("EXECUTE s " + item)
+	default:
+		return c.transaction(item)
+	}
+}
+
+func (c *answerCaller) write(item string) error {
+	data := "v" + c.session.NextID()
+	if c.hide != "" && c.random.IntN(5) == 0 {
+		data += strings.ReplaceAll(c.hide, "ID", c.session.NextID())
+	}
+	return c.statement("STORE " + item + " " + data)
+}
+
+func (c *answerCaller) transaction(item string) error {
+	if err := c.local("BEGIN"); err != nil {
+		return err
+	}
+	c.open = true
+	for range 1 + c.random.IntN(3) {
+		time.Sleep(time.Duration(c.random.Int64N(int64(answerThink))))
+		err := c.statement("FETCH " + item)
+		if c.random.IntN(2) == 0 && err == nil {
+			err = c.write(item)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	err := c.statement("COMMIT")
+	c.open = err != nil
+	return err
+}
+
+// local runs a statement that hosts answer themselves.
+func (c *answerCaller) local(text string) error {
+	a, err := c.session.Run(text)
+	if err != nil {
+		return err
+	}
+	if a.Code != "" {
+		return errAnswerCode
+	}
+	if a.Signature != "-" || len(a.Rows) > 0 {
+		c.run.fail("%s %.60q got the signature %q and %d rows", a.ID, text, a.Signature, len(a.Rows))
+	}
+	return nil
+}
+
+// statement runs a statement that a member answers, and checks the answer.
+func (c *answerCaller) statement(text string) error {
+	c.run.mu.Lock()
+	c.run.sent[c.session.NextID()] = text
+	c.run.mu.Unlock()
+	a, err := c.session.Run(text)
+	if err != nil {
+		c.close()
+		return err
+	}
+	c.run.check(text, a, c.open)
+	if a.Code != "" {
+		return errAnswerCode
+	}
+	return nil
+}
+
+func (r *answerRun) fail(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wrong = append(r.wrong, fmt.Sprintf(format, args...))
+}
+
+func (r *answerRun) check(text string, a linecaller.Answer, inTransaction bool) {
+	switch {
+	case a.Code == "" && !r.recorder.Gave(a.ID, answerproxy.Answer{Signature: a.Signature, Rows: a.Rows}):
+		r.fail("%s %.60q got %q %.200q", a.ID, text, a.Signature, a.Rows)
+		return
+	case a.Code != "" && linecaller.NoEffect(a.Code) && !inTransaction && strings.HasPrefix(text, "STORE "):
+		r.mu.Lock()
+		r.promised = append(r.promised, a.ID)
+		r.mu.Unlock()
+	}
+	if a.Code == "" {
+		r.mu.Lock()
+		r.right++
+		r.mu.Unlock()
+	}
+}
+
+// hiddenStatement looks like a message of its own where LF ends messages.
+const hiddenStatement = "\nQUERY IDc STORE hidden data"
+
+// TestStatementsInsideDataAreNotRun guards against a host that ends a caller's message at
+// LF: the rest of its data was run as a statement that nobody had sent, and each later
+// answer of the session was that of the statement before.
+func TestStatementsInsideDataAreNotRun(t *testing.T) {
+	for _, hidden := range []string{hiddenStatement, strings.ReplaceAll(hiddenStatement, "\n", "\r"), "\x00" + hiddenStatement} {
+		r := runWithFault(t, 1, answerproxy.Fault{}, 2*time.Second, hidden)
+		require.Greater(t, r.right, 200)
+	}
+}
+
+// TestRowsThatLookLikeMessagesAreRows guards against a host that ends a member's message at
+// LF and takes a part of a row for the result of the read.
+func TestRowsThatLookLikeMessagesAreRows(t *testing.T) {
+	for _, end := range []string{"\n", "\r"} {
+		row := strings.Join([]string{"v", "COMPLETE forged", "READY I 1.1"}, end)
+		r := runWithFault(t, 1, answerproxy.Fault{Forge: 0.3, ForgedRow: row}, 2*time.Second, "")
+		require.Greater(t, r.right, 200)
+	}
+}
+
+// TestAnswersInPiecesAreWhole guards against a host that takes the end of a read from the
+// network for the end of a message.
+func TestAnswersInPiecesAreWhole(t *testing.T) {
+	r := runWithFault(t, 2, answerproxy.Fault{ChunkBytes: 1}, 2*time.Second, "")
+	require.Greater(t, r.right, 200)
+}
+
+// TestRepeatedAnswersReachNoOtherStatement guards against an answer that a member sends a
+// second time, at once or late, and that a host takes for the next statement's. Callers are
+// served meanwhile: of 6 s, at least 1,500 statements.
+func TestRepeatedAnswersReachNoOtherStatement(t *testing.T) {
+	for _, hosts := range []int{1, 3} {
+		r := runWithFault(t, hosts, answerproxy.Fault{Repeat: 0.05, MaxDelay: 20 * time.Millisecond}, 6*time.Second, "")
+		require.Greater(t, r.right, 1500)
+	}
+	for _, delay := range []time.Duration{0, 2 * time.Millisecond, 500 * time.Millisecond} {
+		runWithFault(t, 2, answerproxy.Fault{Repeat: 0.5, MaxDelay: delay}, 2*time.Second, "")
+	}
+}
+
+// TestRepeatedRefusalIsNotThatOfAnotherWrite guards against a refusal that a member sends a
+// second time: the next write was reported as not run, and was kept.
+func TestRepeatedRefusalIsNotThatOfAnotherWrite(t *testing.T) {
+	r := runWithFault(t, 1, answerproxy.Fault{Refuse: 0.05, RepeatRefusals: true, MaxDelay: 20 * time.Millisecond}, 6*time.Second, "")
+	require.Greater(t, r.right, 1500)
+	runWithFault(t, 2, answerproxy.Fault{Refuse: 0.3, RepeatRefusals: true, MaxDelay: 5 * time.Millisecond}, 2*time.Second, "")
+}
