--- a/core/statement/answer.go
+++ b/core/statement/answer.go
@@ -1,6 +1,14 @@
 package statement
 
-import "github.com/dotterelswitch/dotterelswitch/core/logpos"
+import (
+	"errors"
+
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+)
+
+// ErrProtocol is wrapped by errors about bytes that violate a protocol, in contrast to
+// failures of the connection that carries them.
+var ErrProtocol = errors.New("protocol violation")
 
 // TxState is the transaction state of a session after a statement.
 type TxState uint8
--- a/node/entry/foreign_answers_test.go
+++ b/node/entry/foreign_answers_test.go
@@ -128,7 +128,6 @@
 	database, hide string
 	random         *rand.Rand
 	session        *linecaller.Session
-	opened         int
 	// open is set while a transaction is open.
 	open bool
 }
