Replica set: an answer counts for the operation in progress only

Callers got the answers of other statements, writes ran twice, and a healthy primary was declared to have lost its log. Cause: answers carry no identifier, and any answer that arrived was taken for the one expected, with its position, state and role. Class: whoever reads a stream does not know whose answer it is. A member's connection now attributes each answer (core/correlate): a signature that was answered before, an acknowledgement that does not fit, and a second READY of the login are skipped and the connection is replaced after the work on it; what cannot be told ends the connection at once, without blaming the member. Errors name nothing, so a connection with one serves only reads outside transactions until the next one, a refused write is repeated on another connection, and a status is asked on a connection that has told none. The begin of a transaction proves the primary and a position only as the first on its connection. Data that arrives unasked no longer counts as a restart of the member.

TestClosedOrUnexpectedDataConnectionNotReused now names which of the two it finds. TestAnswersOfMemberAreJudged uses a connection for each answer, since a second error on one connection is not attributed.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -60,9 +60,9 @@
 	Unrequested Reason = "unrequested"
 )
 
-// rememberedAnswers bounds the memory of a connection. A repetition that arrives after more
-// answers than this is not recognised by its content.
-const rememberedAnswers = 1024
+// rememberedSignatures bounds the memory of a connection. A repetition that arrives after
+// more signed answers than this is not recognised by its signature.
+const rememberedSignatures = 1024
 
 var seed = maphash.MakeSeed()
 
@@ -70,10 +70,10 @@
 // value is a connection that has just logged in. It is not safe for concurrent use.
 type Tracker struct {
 	state statement.TxState
-	// recent holds the hashes of the latest signatures and errors; next is the one that is
-	// replaced next, once there are rememberedAnswers of them.
-	recent []uint64
-	next   int
+	// signatures holds the hashes of the latest signatures; next is the one that is replaced
+	// next, once there are rememberedSignatures of them.
+	signatures []uint64
+	next       int
 	// acknowledged, opened, reported and failed are set once the connection has answered
 	// an operation of the proxy, the begin of a transaction, a control operation, or
 	// any operation with an error.
@@ -89,9 +89,9 @@
 // may be Ambiguous.
 func (t *Tracker) Failed() bool { return t.failed }
 
-// Reported reports whether the connection has answered a control operation. Another status
-// on it is Ambiguous.
-func (t *Tracker) Reported() bool { return t.reported }
+// TellsStatus reports whether a status on the connection can be told from earlier answers:
+// it has answered neither a control operation nor anything with an error.
+func (t *Tracker) TellsStatus() bool { return !t.reported && !t.failed }
 
 // Retired reports whether the connection should be replaced once the work on it has ended:
 // it has repeated an answer, or answered with two errors.
@@ -100,10 +100,13 @@
 // Retire marks the connection as one to be replaced.
 func (t *Tracker) Retire() { t.retired = true }
 
-// Certain reports whether the answer to an operation, which is yet to be attributed, would
-// differ from all earlier ones, so that its position is of a time after the operation was
-// sent. The begins of transactions are all answered alike.
-func (t *Tracker) Certain(op statement.Operation) bool {
+// Certain reports whether the answer a to an operation, which is yet to be attributed, cannot
+// be an earlier one, so that its position is of a time after the operation was sent. The
+// begins of transactions are all answered alike, and errors name nothing.
+func (t *Tracker) Certain(op statement.Operation, a statement.Answer) bool {
+	if a.Code != statement.OK {
+		return !t.failed
+	}
 	return op.Verb != statement.StartTransaction || !t.opened
 }
 
@@ -138,16 +141,13 @@
 }
 
 // attributeError attributes an error. The first one on a connection cannot be a repetition.
-// Another one is taken for the answer to a read outside a transaction if it differs from
-// the errors before, because replicas that lag refuse many reads; the connection is retired
-// all the same.
+// A read outside a transaction takes any error for its own: it has no effect, runs on another
+// connection next, and this one is retired.
 func (t *Tracker) attributeError(op statement.Operation, a statement.Answer) Verdict {
 	switch {
 	case t.state == statement.Idle && a.State != statement.Idle, len(a.Rows) > 0 && !isRead(op):
 		return Verdict{Ambiguous, WrongForm}
-	case !t.failed:
-		return Verdict{}
-	case t.state != statement.Idle || !isRead(op) || t.remembers(errorText(a)):
+	case t.failed && (t.state != statement.Idle || !isRead(op)):
 		return Verdict{Ambiguous, SecondError}
 	}
 	return Verdict{}
@@ -184,7 +184,6 @@
 	case a.Code != statement.OK:
 		t.retired = t.retired || t.failed
 		t.failed = true
-		t.remember(errorText(a))
 	case a.Signature != "":
 		t.remember(a.Signature)
 	case isControl(op.Verb):
@@ -195,24 +194,18 @@
 	}
 }
 
-// errorText identifies an error by all that its answer holds. The space sets it apart from
-// signatures, which have none.
-func errorText(a statement.Answer) string {
-	return a.Code.String() + " " + a.Position.String() + " " + a.Detail
-}
-
-func (t *Tracker) remembers(answer string) bool {
-	return slices.Contains(t.recent, maphash.String(seed, answer))
+func (t *Tracker) remembers(signature string) bool {
+	return slices.Contains(t.signatures, maphash.String(seed, signature))
 }
 
-func (t *Tracker) remember(answer string) {
-	h := maphash.String(seed, answer)
-	if len(t.recent) < rememberedAnswers {
-		t.recent = append(t.recent, h)
+func (t *Tracker) remember(signature string) {
+	h := maphash.String(seed, signature)
+	if len(t.signatures) < rememberedSignatures {
+		t.signatures = append(t.signatures, h)
 		return
 	}
-	t.recent[t.next] = h
-	t.next = (t.next + 1) % rememberedAnswers
+	t.signatures[t.next] = h
+	t.next = (t.next + 1) % rememberedSignatures
 }
 
 // isCallers reports whether an operation runs a statement of a caller, whose success is
--- a/node/replicaset/answers.go
+++ b/node/replicaset/answers.go
@@ -7,7 +7,8 @@
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
-// reportRejected logs and counts an answer that is not that of the operation in progress.
+// reportRejected logs and counts an answer that is not that of the operation in progress; the
+// operation is zero if there is none.
 func (c *Conn) reportRejected(op statement.Operation, v correlate.Verdict) {
 	m := c.member
 	m.mu.Lock()
@@ -20,8 +21,12 @@
 	if !ok {
 		return
 	}
+	connection := "retired"
+	if v.Attribution == correlate.Ambiguous {
+		connection = "closed"
+	}
 	eventlog.AnswerRejected.Warn(m.log).Str("request", op.ID).Stringer("verb", op.Verb).Str("reason", string(v.Reason)).
-		Stringer("attribution", v.Attribution).Int("suppressed", suppressed).Send()
+		Stringer("attribution", v.Attribution).Str("connection", connection).Int("suppressed", suppressed).Send()
 }
 
 // TakeRejectedAnswers returns how many answers of the members were rejected since the last
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -15,6 +15,7 @@
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/correlate"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/session"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -52,8 +53,8 @@
 	preparedNames map[statement.Shape]string
 	// tracker attributes the answers on this connection.
 	tracker correlate.Tracker
-	// lastState is the transaction state reported by the latest answer.
-	lastState statement.TxState
+	// certain is set if the latest answer's position is of a time after its operation was sent.
+	certain bool
 	// broken is set once the connection is unusable.
 	broken  bool
 	takenAt time.Duration
@@ -115,8 +116,9 @@
 	return nil
 }
 
-// Do sends one operation and waits for its answer until the deadline. Any error
-// is a *NoResponseError and leaves the connection broken.
+// Do sends one operation and waits for its answer until the deadline. Answers that repeat
+// those of earlier operations are skipped. Any error is a *NoResponseError and leaves the
+// connection broken. The position in the answer is zero if it may be that of an earlier one.
 func (c *Conn) Do(op statement.Operation, deadline time.Duration) (statement.Answer, error) {
 	sent := clock.Now()
 	c.member.requestSent(sent)
@@ -126,14 +128,11 @@
 	if _, err := c.netConn.Write(c.proto.Encode(op)); err != nil {
 		return statement.Answer{}, c.markLost(err, sent)
 	}
-	a, err := c.proto.ReadAnswer(c.reader)
+	a, err := c.readOwnAnswer(op, sent)
 	if err != nil {
-		return statement.Answer{}, c.markLost(err, sent)
-	}
-	if v := c.tracker.Attribute(op, a); v.Attribution != correlate.Current {
-		c.reportRejected(op, v)
+		return statement.Answer{}, err
 	}
-	c.lastState, c.answeredAt = a.State, sent
+	c.answeredAt = sent
 	now := clock.Now()
 	c.member.responseReceived(sent, now, a, c.workKind)
 	if isOutcome(op.Verb, a.Code) {
@@ -142,6 +141,41 @@
 	return a, nil
 }
 
+// readOwnAnswer reads answers up to that of the operation in progress.
+func (c *Conn) readOwnAnswer(op statement.Operation, sent time.Duration) (statement.Answer, error) {
+	for {
+		a, err := c.proto.ReadAnswer(c.reader)
+		switch {
+		case errors.Is(err, statement.ErrProtocol):
+			return a, c.rejectAnswer(op, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unreadable}, err)
+		case err != nil:
+			return a, c.markLost(err, sent)
+		}
+		c.certain = c.tracker.Certain(op, a)
+		v := c.tracker.Attribute(op, a)
+		switch v.Attribution {
+		case correlate.Earlier:
+			c.reportRejected(op, v)
+			continue
+		case correlate.Ambiguous:
+			return a, c.rejectAnswer(op, v, nil)
+		}
+		if !c.certain {
+			a.Position = logpos.Position{}
+		}
+		return a, nil
+	}
+}
+
+// rejectAnswer gives up an operation whose answer cannot be told from others. The member is
+// alive all the same.
+func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, err error) error {
+	c.broken = true
+	c.reportRejected(op, v)
+	c.member.bytesReceived(c.answeredAt)
+	return &NoResponseError{Member: c.member.id, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
+}
+
 func (c *Conn) markLost(err error, sent time.Duration) error {
 	c.broken = true
 	noResponse := &NoResponseError{Member: c.member.id, TimedOut: isTimeout(err), Err: err}
@@ -152,28 +186,92 @@
 	return noResponse
 }
 
-// alive reports whether an idle connection is still open. It peeks at the
-// socket for EOF or unexpected data.
-func (c *Conn) alive() bool {
+// connState is the state of an idle connection.
+type connState uint8
+
+const (
+	connOpen connState = iota
+	// connClosed has been closed by the member, or has failed.
+	connClosed
+	// connUnclean has data that no operation in progress asked for.
+	connUnclean
+)
+
+// state returns the state of an idle connection.
+func (c *Conn) state() connState {
 	if c.rawConn == nil {
-		return true
-	}
-	if c.reader.Buffered() > 0 {
-		return false
+		return connOpen
 	}
 	// The deadline of the previous operation may have expired, which would make
-	// the peek fail.
+	// the look at the socket fail.
 	if err := c.netConn.SetDeadline(time.Time{}); err != nil {
-		return false
+		return connClosed
 	}
-	alive := true
+	received, open := 0, true
 	err := c.rawConn.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		alive = n < 0 && (errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR))
+		received, open = peek(int(fd))
 		return true
 	})
-	return err == nil && alive
+	switch {
+	case err != nil || !open:
+		return connClosed
+	case received > 0 || c.reader.Buffered() > 0:
+		return connUnclean
+	}
+	return connOpen
+}
+
+// peek returns how many bytes a socket has received, at most one, and whether it is open as
+// far as they tell. It leaves the bytes there.
+func peek(fd int) (received int, open bool) {
+	var buf [1]byte
+	n, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if err != nil {
+		return 0, errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
+	}
+	return n, n > 0
+}
+
+// closedAfterData drops what a connection that is not used again has received, and reports
+// whether the member has closed it.
+func (c *Conn) closedAfterData() bool {
+	if c.rawConn == nil {
+		return false
+	}
+	closed := false
+	err := c.rawConn.Read(func(fd uintptr) bool {
+		var buf [readBufferBytes]byte
+		for {
+			n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_DONTWAIT)
+			if n <= 0 {
+				closed = err == nil || !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+				return true
+			}
+		}
+	})
+	return err != nil || closed
+}
+
+// alive reports whether an idle connection is still open.
+func (c *Conn) alive() bool { return c.state() != connClosed }
+
+// usable reports whether an idle connection can serve a caller. It records why it cannot.
+func (c *Conn) usable() bool {
+	switch c.state() {
+	case connClosed:
+		c.broken = true
+		c.closedByMember()
+		return false
+	case connUnclean:
+		c.tracker.Retire()
+		if c.closedAfterData() {
+			c.broken = true
+			c.closedByMember()
+		}
+		c.reportRejected(statement.Operation{}, correlate.Verdict{Attribution: correlate.Earlier, Reason: correlate.Unrequested})
+		return false
+	}
+	return true
 }
 
 // closedByMember records that the member has closed the connection, which may mean that it
@@ -243,7 +341,7 @@
 	if name, found := c.preparedNames[shape]; found {
 		return name, nil
 	}
-	if len(c.preparedNames) >= maxPreparedStatements && c.lastState == statement.Idle {
+	if len(c.preparedNames) >= maxPreparedStatements && c.tracker.State() == statement.Idle {
 		values := maps.Clone(c.values)
 		if err := c.resetSession(deadline); err != nil {
 			return "", err
--- a/node/replicaset/conn_test.go
+++ b/node/replicaset/conn_test.go
@@ -33,8 +33,8 @@
 // connection because the deadline of its last statement has expired.
 func TestIdleConnectionUsableAfterDeadline(t *testing.T) {
 	c, _ := idleConn(t)
-	require.True(t, c.alive())
-	require.True(t, c.alive())
+	require.Equal(t, connOpen, c.state())
+	require.Equal(t, connOpen, c.state())
 }
 
 // TestClosedOrUnexpectedDataConnectionNotReused guards against sending a
@@ -42,9 +42,9 @@
 func TestClosedOrUnexpectedDataConnectionNotReused(t *testing.T) {
 	c, server := idleConn(t)
 	require.NoError(t, server.Close())
-	require.Eventually(t, func() bool { return !c.alive() }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return c.state() == connClosed }, 5*time.Second, time.Millisecond)
 	c, server = idleConn(t)
 	_, err := server.Write([]byte("x"))
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return !c.alive() }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return c.state() == connUnclean }, 5*time.Second, time.Millisecond)
 }
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 )
 
@@ -46,6 +47,23 @@
 
 func (e *NoResponseError) Unwrap() error { return e.Err }
 
+// AnswerRejectedError reports an answer that may not be that of the operation in progress.
+type AnswerRejectedError struct {
+	Reason correlate.Reason
+	// Err is the violation of the protocol; nil if there is none.
+	Err error
+}
+
+func (e *AnswerRejectedError) Error() string {
+	text := "the answer may not be that of the statement: " + string(e.Reason)
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+func (e *AnswerRejectedError) Unwrap() error { return e.Err }
+
 // RefusedError reports a statement that was not sent, for example because no
 // connection was free in time or the member is unknown.
 type RefusedError struct {
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -68,7 +69,7 @@
 // log has been verified by then.
 func (s *Set) acquireVerified(ctx context.Context, m *Member, j Job, w connpool.Waiter) (*Conn, error) {
 	if !j.requiresPrimary() && !s.isAssumedPrimary(m) {
-		return m.acquire(ctx, w)
+		return m.acquireSuitable(ctx, w, j.suits)
 	}
 	// A closed connection that is found meanwhile may show that the member has restarted.
 	const tries = 2
@@ -76,7 +77,7 @@
 		if err := s.ensureLogVerified(ctx, m, j.Request.StartDeadline); err != nil {
 			return nil, err
 		}
-		c, err := m.acquire(ctx, w)
+		c, err := m.acquireSuitable(ctx, w, j.suits)
 		if err != nil || s.logUsable(m) {
 			return c, err
 		}
@@ -129,7 +130,7 @@
 	case JobRead:
 		return s.readAtFloor(c, j)
 	default:
-		return s.write(ctx, c, j.Request)
+		return s.write(ctx, c, j)
 	}
 }
 
@@ -169,13 +170,12 @@
 		c.member.release(c)
 		return Result{Answer: a, Err: err}
 	}
-	if s.positionRegressed(c.member, a.Position, sent) {
+	// Only the primary opens such a transaction. If the read fails, a replica can serve it at
+	// this position, unless the route needs the primary.
+	if c.certain && !s.confirmPrimary(c.member, a.Position, sent) {
 		go s.rollback(c)
 		return lostLogResult()
 	}
-	// Only the primary opens such a transaction. If the read fails, a replica can serve it at
-	// this position, unless the route needs the primary.
-	s.confirmPrimary(c.member, a.Position, sent)
 	req.Deadline = end
 	x, err := runRetryingBusy(ctx, c, req, logpos.Position{})
 	if err != nil {
@@ -188,15 +188,41 @@
 	return res
 }
 
-func (s *Set) write(ctx context.Context, c *Conn, req Request) Result {
-	defer c.member.release(c)
-	x, err := runRetryingBusy(ctx, c, req, logpos.Position{})
-	if err != nil {
-		return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
+// write runs a write, and again while the member answers busy. A second refusal on the same
+// connection could be the first one, repeated, while the write runs, so each run has a
+// connection without one.
+func (s *Set) write(ctx context.Context, c *Conn, j Job) Result {
+	m, req := c.member, j.Request
+	for delay := busyRetryDelay; ; delay = min(2*delay, maxBusyRetryDelay) {
+		x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
+		if err != nil {
+			m.release(c)
+			return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
+		}
+		if x.answer.Code != statement.Busy {
+			res := s.writeResult(c, x)
+			m.release(c)
+			return res
+		}
+		m.release(c)
+		refused := Result{Answer: x.answer, StatementMayHaveRun: x.statementMayHaveRun}
+		if !awaitBusyRetry(ctx, req, delay) {
+			return refused
+		}
+		if c, err = s.acquireVerified(ctx, m, j, req.waiter()); err != nil {
+			return refused
+		}
+		if err := c.setSessionValues(req.Values, req.Deadline); err != nil {
+			m.release(c)
+			return Result{Err: err}
+		}
 	}
-	return s.writeResult(c, x)
 }
 
+// suits reports whether a connection with a history can run the job so that its answer can be
+// told from earlier ones. Only a read outside a transaction may follow an error.
+func (j Job) suits(t *correlate.Tracker) bool { return j.Kind == JobRead || !t.Failed() }
+
 // writeResult converts the answer to a write, or to a commit with writes, into a
 // result.
 func (s *Set) writeResult(c *Conn, x exchange) Result {
@@ -247,14 +273,12 @@
 		c.member.release(c)
 		return Result{Answer: a, Err: err}
 	}
-	if j.RequirePrimary && s.positionRegressed(c.member, a.Position, sent) {
+	confirms := j.RequirePrimary && c.certain
+	if confirms && !s.confirmPrimary(c.member, a.Position, sent) {
 		go s.rollback(c)
 		return lostLogResult()
 	}
-	if j.RequirePrimary {
-		s.confirmPrimary(c.member, a.Position, sent)
-	}
-	return Result{Answer: a, ConfirmsPrimary: j.RequirePrimary, Tx: s.txs.add(c, j)}
+	return Result{Answer: a, ConfirmsPrimary: confirms, Tx: s.txs.add(c, j)}
 }
 
 // lostLogResult is the result of a job on a member that restarted without its log
@@ -266,7 +290,7 @@
 // rollback rolls back the transaction on a connection, if any, and releases the
 // connection.
 func (s *Set) rollback(c *Conn) {
-	if !c.broken && c.lastState != statement.Idle {
+	if !c.broken && c.tracker.State() != statement.Idle {
 		if _, err := c.Do(statement.Operation{Verb: statement.RollbackTransaction}, clock.Now()+rollbackTimeout); err != nil {
 			s.log.Debug().Err(err).Msg("rollback was not answered; closing the connection")
 		}
@@ -329,21 +353,23 @@
 	go s.rollback(tx.conn)
 }
 
-// runRetryingBusy runs a statement and repeats it while the member answers busy
-// and the transaction state is unchanged. The member's queue is short, so it has
-// room again within milliseconds.
+// runRetryingBusy runs a statement of a transaction and repeats it once if the member answers
+// busy and the transaction state is unchanged. The member's queue is short, so it has room
+// again within milliseconds.
 func runRetryingBusy(ctx context.Context, c *Conn, req Request, floor logpos.Position) (exchange, error) {
-	state := c.lastState
-	for delay := busyRetryDelay; ; delay = min(2*delay, maxBusyRetryDelay) {
-		x, err := c.run(req.Statement, floor, req.Deadline)
-		if err != nil || x.answer.Code != statement.Busy || x.answer.State != state {
-			return x, err
-		}
-		// Leave enough time for an answer: a timeout would count as evidence
-		// that the member is dead.
-		now := clock.Now()
-		if now > req.StartDeadline || now+delay+maxBusyRetryDelay > req.Deadline || !clock.Sleep(ctx, delay) {
-			return x, nil
-		}
+	state := c.tracker.State()
+	x, err := c.run(req.Statement, floor, req.Deadline)
+	if err != nil || x.answer.Code != statement.Busy || x.answer.State != state || !awaitBusyRetry(ctx, req, busyRetryDelay) {
+		return x, err
 	}
+	return c.run(req.Statement, floor, req.Deadline)
+}
+
+// awaitBusyRetry waits until a statement that a member refused as busy may be sent again. It
+// returns false if too little time is left.
+func awaitBusyRetry(ctx context.Context, req Request, delay time.Duration) bool {
+	// Leave enough time for an answer: a timeout would count as evidence that the member is
+	// dead.
+	now := clock.Now()
+	return now <= req.StartDeadline && now+delay+maxBusyRetryDelay <= req.Deadline && clock.Sleep(ctx, delay)
 }
--- a/node/replicaset/member_health.go
+++ b/node/replicaset/member_health.go
@@ -21,6 +21,14 @@
 	}
 }
 
+// bytesReceived records data of the member that came after the answer to a request sent at
+// the given time.
+func (m *Member) bytesReceived(sent time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.health.ResponseReceived(sent, clock.Now())
+}
+
 // requestSent records a request that the member should answer.
 func (m *Member) requestSent(now time.Duration) {
 	m.mu.Lock()
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/feature"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -36,15 +37,25 @@
 			}
 			return conn, nil
 		}
-		if conn.alive() {
+		if conn.usable() {
 			return conn, nil
 		}
-		conn.broken = true
-		conn.closedByMember()
 		m.release(conn)
 	}
 }
 
+// acquireSuitable takes a connection whose history suits the work. Others are replaced.
+func (m *Member) acquireSuitable(ctx context.Context, w connpool.Waiter, suits func(*correlate.Tracker) bool) (*Conn, error) {
+	for {
+		c, err := m.acquire(ctx, w)
+		if err != nil || suits(&c.tracker) {
+			return c, err
+		}
+		c.tracker.Retire()
+		m.release(c)
+	}
+}
+
 // requestConn asks the pool for a connection. It returns either a connection or
 // a channel to wait on.
 func (m *Member) requestConn(w *connpool.Waiter) (*Conn, chan grant, error) {
@@ -257,14 +268,14 @@
 	ch <- grant{conn: conn}
 }
 
-// release returns a connection to the pool. A broken connection, or one that is
+// release returns a connection to the pool. A broken or retired connection, or one that is
 // in a transaction, is closed.
 func (m *Member) release(c *Conn) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := clock.Now()
 	c.inUse = false
-	if c.broken || c.lastState != statement.Idle || m.removed {
+	if c.broken || c.tracker.Retired() || c.tracker.State() != statement.Idle || m.removed {
 		m.pool.Closed(c.team, now-c.takenAt)
 		delete(m.conns, c.id)
 		c.close()
--- a/node/replicaset/outlier_test.go
+++ b/node/replicaset/outlier_test.go
@@ -328,13 +328,13 @@
 // member that is judged by its answers to the proxy's own operations.
 func TestAnswersOfMemberAreJudged(t *testing.T) {
 	for verb, ejected := range map[statement.Verb]bool{statement.Forward: true, statement.ExecutePrepared: true, statement.ReportStatus: false} {
-		c, _ := idleConn(t)
-		c.proto = failingProtocol{}
-		c.member, _ = groupOfThree(Config{Host: "h1"}).Member("r1")
+		m, _ := groupOfThree(Config{Host: "h1"}).Member("r1")
 		for range 6 {
+			c, _ := idleConn(t)
+			c.proto, c.member = failingProtocol{}, m
 			_, err := c.Do(statement.Operation{Verb: verb}, clock.Now()+time.Second)
 			require.NoError(t, err)
 		}
-		require.Equal(t, ejected, c.member.Ejection(clock.Now()) != outlier.Ejection{})
+		require.Equal(t, ejected, m.Ejection(clock.Now()) != outlier.Ejection{})
 	}
 }
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -114,14 +114,6 @@
 	}
 }
 
-// positionRegressed reports whether a position, in answer to a request sent at
-// the given time, shows that a primary has lost part of its log.
-func (s *Set) positionRegressed(m *Member, p logpos.Position, sent time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.observeLoss(m.id, s.leadTerm(m, p), p, sent)
-}
-
 // observeLoss reports whether the position of a primary, in answer to a request sent at the
 // given time, shows that it has lost part of its log. It is called with mu held.
 func (s *Set) observeLoss(id string, term logpos.Term, p logpos.Position, sent time.Duration) bool {
--- a/node/replicaset/probe.go
+++ b/node/replicaset/probe.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
@@ -152,7 +153,8 @@
 func (s *Set) sendControl(ctx context.Context, m *Member, op statement.Operation) (controlAnswer, error) {
 	now := clock.Now()
 	deadline := now + controlTimeout
-	c, err := m.acquire(ctx, connpool.Waiter{AnyTeam: true, Priority: controlPriority, TargetDeadline: now, OnTimeUntil: deadline, StartDeadline: deadline})
+	w := connpool.Waiter{AnyTeam: true, Priority: controlPriority, TargetDeadline: now, OnTimeUntil: deadline, StartDeadline: deadline}
+	c, err := m.acquireSuitable(ctx, w, (*correlate.Tracker).TellsStatus)
 	if err != nil {
 		return controlAnswer{}, err
 	}
