Replica set: each repetition of a refused read on the primary has a connection of its own

A read that the primary refused twice as busy was answered ABORTED, and its connection was abandoned, since the second refusal on one connection is not attributed. Reads on the primary and writes now share one loop that repeats on another connection; in a transaction a statement is repeated once, a commit not at all: a second refusal would leave its outcome unknown.

--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -126,11 +126,12 @@
 	case JobBegin:
 		return s.begin(c, j)
 	case JobPrimaryRead:
-		return s.readOnPrimary(ctx, c, j.Request)
+		j.Request.Deadline = j.Request.attemptDeadline(clock.Now())
+		return s.repeatWhileBusy(ctx, c, j, func(c *Conn) Result { return s.readOnPrimary(c, j.Request) })
 	case JobRead:
 		return s.readAtFloor(c, j)
 	default:
-		return s.write(ctx, c, j)
+		return s.repeatWhileBusy(ctx, c, j, func(c *Conn) Result { return s.write(c, j.Request) })
 	}
 }
 
@@ -159,13 +160,34 @@
 	return logpos.Position{}, &RefusedError{Reason: "the floor grew too old while the statement waited"}
 }
 
+// repeatWhileBusy runs a job and repeats it while the member answers busy. The member's queue
+// is short, so it has room again within milliseconds. A second refusal on one connection could
+// be the first one, repeated, while the statement runs, so each run has another connection.
+// run releases the connection.
+func (s *Set) repeatWhileBusy(ctx context.Context, c *Conn, j Job, run func(*Conn) Result) Result {
+	m, req := c.member, j.Request
+	for delay := busyRetryDelay; ; delay = min(2*delay, maxBusyRetryDelay) {
+		res := run(c)
+		if res.Err != nil || res.Answer.Code != statement.Busy || !awaitBusyRetry(ctx, req, delay) {
+			return res
+		}
+		var err error
+		if c, err = s.acquireVerified(ctx, m, j, req.waiter()); err != nil {
+			return res
+		}
+		if err := c.setSessionValues(req.Values, req.Deadline); err != nil {
+			m.release(c)
+			return Result{Err: err}
+		}
+	}
+}
+
 // readOnPrimary runs a read inside a read-write transaction opened for it, which
 // only the primary allows. The answer so reflects every commit acknowledged before.
 // A separate check before a plain read would be a race with a failover.
-func (s *Set) readOnPrimary(ctx context.Context, c *Conn, req Request) Result {
+func (s *Set) readOnPrimary(c *Conn, req Request) Result {
 	sent := clock.Now()
-	end := req.attemptDeadline(sent)
-	a, err := c.Do(statement.Operation{Verb: statement.StartTransaction}, end)
+	a, err := c.Do(statement.Operation{Verb: statement.StartTransaction}, req.Deadline)
 	if err != nil || a.Code != statement.OK {
 		c.member.release(c)
 		return Result{Answer: a, Err: err}
@@ -176,8 +198,7 @@
 		go s.rollback(c)
 		return lostLogResult()
 	}
-	req.Deadline = end
-	x, err := runRetryingBusy(ctx, c, req, logpos.Position{})
+	x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
 	if err != nil {
 		c.member.release(c)
 		return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
@@ -188,35 +209,13 @@
 	return res
 }
 
-// write runs a write, and again while the member answers busy. A second refusal on the same
-// connection could be the first one, repeated, while the write runs, so each run has a
-// connection without one.
-func (s *Set) write(ctx context.Context, c *Conn, j Job) Result {
-	m, req := c.member, j.Request
-	for delay := busyRetryDelay; ; delay = min(2*delay, maxBusyRetryDelay) {
-		x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
-		if err != nil {
-			m.release(c)
-			return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
-		}
-		if x.answer.Code != statement.Busy {
-			res := s.writeResult(c, x)
-			m.release(c)
-			return res
-		}
-		m.release(c)
-		refused := Result{Answer: x.answer, StatementMayHaveRun: x.statementMayHaveRun}
-		if !awaitBusyRetry(ctx, req, delay) {
-			return refused
-		}
-		if c, err = s.acquireVerified(ctx, m, j, req.waiter()); err != nil {
-			return refused
-		}
-		if err := c.setSessionValues(req.Values, req.Deadline); err != nil {
-			m.release(c)
-			return Result{Err: err}
-		}
+func (s *Set) write(c *Conn, req Request) Result {
+	defer c.member.release(c)
+	x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
+	if err != nil {
+		return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
 	}
+	return s.writeResult(c, x)
 }
 
 // suits reports whether a connection with a history can run the job so that its answer can be
@@ -326,7 +325,7 @@
 			return Result{Err: err}
 		}
 	}
-	x, err := runRetryingBusy(ctx, tx.conn, j.Request, logpos.Position{})
+	x, err := runInTx(ctx, tx.conn, j)
 	if err != nil {
 		s.endTx(tx)
 		return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
@@ -353,16 +352,18 @@
 	go s.rollback(tx.conn)
 }
 
-// runRetryingBusy runs a statement of a transaction and repeats it once if the member answers
-// busy and the transaction state is unchanged. The member's queue is short, so it has room
-// again within milliseconds.
-func runRetryingBusy(ctx context.Context, c *Conn, req Request, floor logpos.Position) (exchange, error) {
-	state := c.tracker.State()
-	x, err := c.run(req.Statement, floor, req.Deadline)
-	if err != nil || x.answer.Code != statement.Busy || x.answer.State != state || !awaitBusyRetry(ctx, req, busyRetryDelay) {
+// runInTx runs a statement of an open transaction, and once more if the member answers busy
+// and the transaction goes on. After a second refusal, the transaction would have to be given
+// up with its connection, and it would be unknown whether a commit has run, so a commit is not
+// repeated.
+func runInTx(ctx context.Context, c *Conn, j Job) (exchange, error) {
+	state, req := c.tracker.State(), j.Request
+	x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
+	repeat := err == nil && x.answer.Code == statement.Busy && x.answer.State == state && j.Kind != JobCommit
+	if !repeat || !awaitBusyRetry(ctx, req, busyRetryDelay) {
 		return x, err
 	}
-	return c.run(req.Statement, floor, req.Deadline)
+	return c.run(req.Statement, logpos.Position{}, req.Deadline)
 }
 
 // awaitBusyRetry waits until a statement that a member refused as busy may be sent again. It
