Line protocol: a caller's message ends with CR LF; nothing that could end one is forwarded

Members got statements that nobody had sent, and callers the answers of the statements before. Cause: a caller's message was ended at LF, so that the rest of its data was a message of its own, with an ID that was never sent. Class: the reader of a stream does not know where a message ends.

Messages end at CR LF. A field that holds a CR, an LF or a NUL is refused at once with nothing run: by the protocol it is part of the field, but a member that reads less carefully would run the rest. Rows of members are passed on as they are. The same check stands where messages to members are encoded, the login included, whose fields are single words; an answer that would not be read as it is encoded is replaced by an error. A message that is too large is refused after the statements before it are answered, which were dropped, and not at once.

--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -109,7 +109,7 @@
 	Login
 	// Terminate ends the session.
 	Terminate
-	// UnknownMessage is a message that the protocol does not define.
+	// UnknownMessage is a message that the protocol does not define. The session cannot go on.
 	UnknownMessage
 )
 
@@ -120,4 +120,7 @@
 	// Database and Key are set for a Login. Key is the caller's API key.
 	Database string
 	Key      string
+	// Code and Problem tell the caller why an UnknownMessage is refused.
+	Code    Code
+	Problem string
 }
--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -30,6 +30,9 @@
 	conn    gnet.Conn
 	// buf holds an incomplete message. Only the event loop accesses it.
 	buf []byte
+	// unreadable is set once the start of the next message is unknown; what follows is
+	// dropped. Only the event loop accesses it.
+	unreadable bool
 	// ctx is cancelled when the caller disconnects.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -59,14 +62,19 @@
 }
 
 // receive decodes and queues bytes from the caller. It runs on the event loop.
-func (s *caller) receive(data []byte) error {
+func (s *caller) receive(data []byte) {
+	if s.unreadable {
+		return
+	}
 	s.buf = append(s.buf, data...)
 	now := clock.Now()
 	var received []receivedMessage
-	for {
+	for !s.unreadable {
 		m, size, err := s.gateway.proto.Decode(s.buf)
 		if err != nil {
-			return err
+			// The messages before it are answered first.
+			s.unreadable = true
+			m, size = statement.Message{Kind: statement.UnknownMessage, Code: statement.TooLarge, Problem: err.Error()}, len(s.buf)
 		}
 		if size == 0 {
 			break
@@ -80,7 +88,6 @@
 	if len(received) > 0 {
 		s.enqueue(received)
 	}
-	return nil
 }
 
 func (s *caller) enqueue(messages []receivedMessage) {
@@ -154,9 +161,9 @@
 		return true
 	default:
 		s.gateway.logLimited(eventlog.CallerViolation, func(l *zerolog.Event) {
-			l.Stringer("remote", remoteAddr{s.conn}).Str("reason", "the message is not known")
+			l.Stringer("remote", remoteAddr{s.conn}).Str("reason", m.message.Problem)
 		})
-		s.send(s.gateway.proto.EncodeFatal(statement.Invalid, "the message is not known"))
+		s.send(s.gateway.proto.EncodeFatal(m.message.Code, m.message.Problem))
 		return false
 	}
 }
--- a/node/edge/gateway.go
+++ b/node/edge/gateway.go
@@ -115,12 +115,7 @@
 	if err != nil {
 		return gnet.Close
 	}
-	if err := s.receive(data); err != nil {
-		g.logLimited(eventlog.CallerViolation, func(l *zerolog.Event) { l.Err(err).Stringer("remote", remoteAddr{c}) })
-		// Best effort: the connection is closed in any case.
-		_, _ = c.Write(g.proto.EncodeFatal(statement.TooLarge, err.Error()))
-		return gnet.Close
-	}
+	s.receive(data)
 	return gnet.None
 }
 
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -103,7 +103,11 @@
 	if err := c.netConn.SetDeadline(deadline); err != nil {
 		return &ConnectError{Member: m.id, Err: err}
 	}
-	if _, err := c.netConn.Write(c.proto.EncodeLogin(m.service, c.team, m.id)); err != nil {
+	login, err := c.proto.EncodeLogin(m.service, c.team, m.id)
+	if err != nil {
+		return &ConnectError{Member: m.id, Err: err}
+	}
+	if _, err := c.netConn.Write(login); err != nil {
 		return &ConnectError{Member: m.id, Failure: classifyFailure(err), Err: err}
 	}
 	a, err := c.proto.ReadLoginAnswer(c.reader)
@@ -119,13 +123,18 @@
 // Do sends one operation and waits for its answer until the deadline. Answers that repeat
 // those of earlier operations are skipped. Any error is a *NoResponseError and leaves the
 // connection broken. The position in the answer is zero if it may be that of an earlier one.
+// An operation that cannot be sent is answered as invalid, and the connection is as before.
 func (c *Conn) Do(op statement.Operation, deadline time.Duration) (statement.Answer, error) {
+	message, err := c.proto.Encode(op)
+	if err != nil {
+		return statement.ErrorAnswer(statement.Invalid, err.Error(), c.tracker.State()), nil
+	}
 	sent := clock.Now()
 	c.member.requestSent(sent)
 	if err := c.netConn.SetDeadline(clock.Deadline(deadline)); err != nil {
 		return statement.Answer{}, c.markLost(err, sent)
 	}
-	if _, err := c.netConn.Write(c.proto.Encode(op)); err != nil {
+	if _, err := c.netConn.Write(message); err != nil {
 		return statement.Answer{}, c.markLost(err, sent)
 	}
 	a, err := c.readOwnAnswer(op, sent)
--- a/node/replicaset/outlier_test.go
+++ b/node/replicaset/outlier_test.go
@@ -318,7 +318,7 @@
 // failingProtocol is the protocol of a member that answers every operation with a failure.
 type failingProtocol struct{ Protocol }
 
-func (failingProtocol) Encode(statement.Operation) []byte { return []byte("x") }
+func (failingProtocol) Encode(statement.Operation) ([]byte, error) { return []byte("x"), nil }
 
 func (failingProtocol) ReadAnswer(*bufio.Reader) (statement.Answer, error) {
 	return statement.ErrorAnswer(statement.Failure, "", statement.Idle), nil
--- a/node/replicaset/primary_test.go
+++ b/node/replicaset/primary_test.go
@@ -40,9 +40,9 @@
 	opened   *bool
 }
 
-func (p statementsFail) Encode(op statement.Operation) []byte {
+func (p statementsFail) Encode(op statement.Operation) ([]byte, error) {
 	*p.opened = op.Verb == statement.StartTransaction
-	return []byte("x")
+	return []byte("x"), nil
 }
 
 func (statementsFail) EncodeTerminate() []byte { return []byte("x") }
--- a/node/replicaset/protocol.go
+++ b/node/replicaset/protocol.go
@@ -20,9 +20,10 @@
 type Protocol interface {
 	// EncodeLogin encodes a login on behalf of a team; empty for the proxy's
 	// own connections.
-	EncodeLogin(service, team, member string) []byte
+	EncodeLogin(service, team, member string) ([]byte, error)
 	EncodeTerminate() []byte
-	Encode(op statement.Operation) []byte
+	// Encode fails for an operation that cannot be sent as one message.
+	Encode(op statement.Operation) ([]byte, error)
 	ReadLoginAnswer(r *bufio.Reader) (statement.Answer, error)
 	ReadAnswer(r *bufio.Reader) (statement.Answer, error)
 	DecodeStatus(a statement.Answer) (statement.Status, error)
