Replica set: refusals of lagging replicas don't cost a connection each

An error that differs from all earlier ones on a connection, the position included, is no repetition, so only an equal one does now, and read-only transactions begin on such connections too.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -60,9 +60,9 @@
 	Unrequested Reason = "unrequested"
 )
 
-// rememberedSignatures bounds the memory of a connection. A repetition that arrives after
-// more signed answers than this is not recognised by its signature.
-const rememberedSignatures = 1024
+// rememberedAnswers bounds the memory of a connection. A repetition that arrives after more
+// answers than this is not recognised by its content.
+const rememberedAnswers = 1024
 
 var seed = maphash.MakeSeed()
 
@@ -70,10 +70,10 @@
 // value is a connection that has just logged in. It is not safe for concurrent use.
 type Tracker struct {
 	state statement.TxState
-	// signatures holds the hashes of the latest signatures; next is the one that is replaced
-	// next, once there are rememberedSignatures of them.
-	signatures []uint64
-	next       int
+	// recent holds the hashes of the latest signatures and errors; next is the one that is
+	// replaced next, once there are rememberedAnswers of them.
+	recent []uint64
+	next   int
 	// acknowledged, opened, reported and failed are set once the connection has answered
 	// an operation of the proxy, the begin of a transaction, a control operation, or
 	// any operation with an error.
@@ -94,7 +94,7 @@
 func (t *Tracker) TellsStatus() bool { return !t.reported && !t.failed }
 
 // Retired reports whether the connection should be replaced once the work on it has ended:
-// it has repeated an answer, or answered with two errors.
+// it has repeated an answer, or an error that may be the earlier one.
 func (t *Tracker) Retired() bool { return t.retired }
 
 // Retire marks the connection as one to be replaced.
@@ -102,10 +102,10 @@
 
 // Certain reports whether the answer a to an operation, which is yet to be attributed, cannot
 // be an earlier one, so that its position is of a time after the operation was sent. The
-// begins of transactions are all answered alike, and errors name nothing.
+// begins of transactions are all answered alike.
 func (t *Tracker) Certain(op statement.Operation, a statement.Answer) bool {
 	if a.Code != statement.OK {
-		return !t.failed
+		return !t.remembers(errorText(a))
 	}
 	return op.Verb != statement.StartTransaction || !t.opened
 }
@@ -141,13 +141,14 @@
 }
 
 // attributeError attributes an error. The first one on a connection cannot be a repetition.
-// A read outside a transaction takes any error for its own: it has no effect, runs on another
-// connection next, and this one is retired.
+// What only reads takes any later error for its own as well, because replicas that lag refuse
+// much: it has no effect and runs elsewhere next. If the error equals an earlier one, the
+// connection is retired.
 func (t *Tracker) attributeError(op statement.Operation, a statement.Answer) Verdict {
 	switch {
 	case t.state == statement.Idle && a.State != statement.Idle, len(a.Rows) > 0 && !isRead(op):
 		return Verdict{Ambiguous, WrongForm}
-	case t.failed && (t.state != statement.Idle || !isRead(op)):
+	case t.failed && (t.state != statement.Idle || !isRead(op) && !opensRead(op)):
 		return Verdict{Ambiguous, SecondError}
 	}
 	return Verdict{}
@@ -182,8 +183,9 @@
 	t.state = a.State
 	switch {
 	case a.Code != statement.OK:
-		t.retired = t.retired || t.failed
+		t.retired = t.retired || t.remembers(errorText(a))
 		t.failed = true
+		t.remember(errorText(a))
 	case a.Signature != "":
 		t.remember(a.Signature)
 	case isControl(op.Verb):
@@ -194,18 +196,24 @@
 	}
 }
 
-func (t *Tracker) remembers(signature string) bool {
-	return slices.Contains(t.signatures, maphash.String(seed, signature))
+// errorText is equal for two errors if one may repeat the other. The blank sets it apart from
+// signatures, which have none.
+func errorText(a statement.Answer) string {
+	return a.Code.String() + " " + a.Position.String() + " " + a.Detail
 }
 
-func (t *Tracker) remember(signature string) {
-	h := maphash.String(seed, signature)
-	if len(t.signatures) < rememberedSignatures {
-		t.signatures = append(t.signatures, h)
+func (t *Tracker) remembers(text string) bool {
+	return slices.Contains(t.recent, maphash.String(seed, text))
+}
+
+func (t *Tracker) remember(text string) {
+	h := maphash.String(seed, text)
+	if len(t.recent) < rememberedAnswers {
+		t.recent = append(t.recent, h)
 		return
 	}
-	t.signatures[t.next] = h
-	t.next = (t.next + 1) % rememberedSignatures
+	t.recent[t.next] = h
+	t.next = (t.next + 1) % rememberedAnswers
 }
 
 // isCallers reports whether an operation runs a statement of a caller, whose success is
@@ -225,4 +233,9 @@
 
 func isRead(op statement.Operation) bool { return isCallers(op.Verb) && op.Kind == statement.Read }
 
+// opensRead reports whether an operation opens a transaction that only reads.
+func opensRead(op statement.Operation) bool {
+	return op.Verb == statement.StartTransaction && op.ReadOnly
+}
+
 func isCommit(op statement.Operation) bool { return isCallers(op.Verb) && op.Kind == statement.Commit }
--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -171,6 +171,9 @@
 			}
 			current++
 			mustBeOwn := got.answer.Signature != "" || len(got.answer.Rows) > 0 || got.answer.Code != statement.OK && (inTx || op.Kind != statement.Read)
+			if got.of != own && got.answer.Code != statement.OK {
+				require.True(t, tracker.Retired(), "seed %d: a repeated error leaves the connection in use", seed)
+			}
 			if mustBeOwn || op.Kind != 0 && certain {
 				require.Equal(t, own, got.of, "seed %d: %+v for %+v", seed, got.answer, op)
 			}
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -219,8 +219,10 @@
 }
 
 // suits reports whether a connection with a history can run the job so that its answer can be
-// told from earlier ones. Only a read outside a transaction may follow an error.
-func (j Job) suits(t *correlate.Tracker) bool { return j.Kind == JobRead || !t.Failed() }
+// told from earlier ones. Only what reads may follow an error.
+func (j Job) suits(t *correlate.Tracker) bool {
+	return j.Kind == JobRead || j.Kind == JobBegin && !j.RequirePrimary || !t.Failed()
+}
 
 // writeResult converts the answer to a write, or to a commit with writes, into a
 // result.
