--- /dev/null
+++ b/core/correlate/refused_begin_test.go
@@ -0,0 +1,57 @@
+package correlate_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/correlate"
+	"github.com/dotterelswitch/dotterelswitch/core/statement"
+)
+
+// TestErrorOutsideTheTransactionEndsTheConnection guards against a begin that a member refuses
+// after a copy of the answer to an earlier one was taken for the answer to it. The refusal then
+// arrives as that of the next statement, whose own answer stays on the connection for the next
+// user.
+func TestErrorOutsideTheTransactionEndsTheConnection(t *testing.T) {
+	opened := statement.Answer{State: statement.InTransaction}
+	for name, c := range map[string]struct {
+		next statement.Operation
+		code statement.Code
+	}{
+		"read":     {read, statement.ReadOnlyMember},
+		"write":    {write, statement.Busy},
+		"lagging":  {read, statement.Behind},
+		"commit":   {commit, statement.Busy},
+		"rollback": {operation(statement.RollbackTransaction, 0), statement.Busy},
+		"set":      {set, statement.Busy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tracker correlate.Tracker
+			require.Equal(t, correlate.Verdict{}, tracker.Attribute(begin, opened))
+			require.Equal(t, correlate.Verdict{}, tracker.Attribute(commit, signed("a")))
+			require.Equal(t, correlate.Verdict{}, tracker.Attribute(begin, opened), "a copy")
+			refusal := statement.ErrorAnswer(c.code, "", statement.Idle)
+			require.Equal(t, correlate.Ambiguous, tracker.Attribute(c.next, refusal).Attribution)
+		})
+	}
+}
+
+// TestRefusedCommitIsAnswered guards against a commit whose refusal is given up although the
+// transaction is known to have been opened: by its own answer, or by a statement in it.
+func TestRefusedCommitIsAnswered(t *testing.T) {
+	opened := statement.Answer{State: statement.InTransaction}
+	inTx := func(signature string) statement.Answer {
+		return statement.Answer{Signature: signature, State: statement.InTransaction}
+	}
+	var tracker correlate.Tracker
+	for _, step := range []struct {
+		op statement.Operation
+		a  statement.Answer
+	}{{begin, opened}, {write, inTx("a")}, {commit, signed("b")}, {begin, opened}, {write, inTx("c")}, {commit, busy()}} {
+		require.Equal(t, correlate.Verdict{}, tracker.Attribute(step.op, step.a))
+	}
+	tracker = correlate.Tracker{}
+	require.Equal(t, correlate.Verdict{}, tracker.Attribute(begin, opened))
+	require.Equal(t, correlate.Verdict{}, tracker.Attribute(commit, busy()))
+}
