Attribution: an error that ends a transaction may be that of its begin

A caller could get the answer of another one's read: a member refuses a begin (READONLY after a demotion, LAGGING, BUSY) after a copy of the answer to an earlier begin on the connection passed for it. The refusal was taken for the answer to the transaction's first statement, the connection counted as idle, and that statement's own answer was the next read's.

Only a commit may end a transaction with an error, and not while the begin is unconfirmed: its answer may have been an earlier one, and no signed answer has followed. Anything else closes the connection.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -52,6 +52,9 @@
 	SecondError Reason = "second_error"
 	// SecondStatus is a status on a connection that has answered with one before.
 	SecondStatus Reason = "second_status"
+	// OutsideTransaction is an error outside the transaction that the operation is in. The
+	// member may have refused the begin.
+	OutsideTransaction Reason = "outside_transaction"
 	// WrongForm is an answer that no operation on the connection can have.
 	WrongForm Reason = "wrong_form"
 	// Unreadable is an answer that violates the protocol.
@@ -78,6 +81,9 @@
 	// an operation of the proxy, the begin of a transaction, a control operation, or
 	// any operation with an error.
 	acknowledged, opened, reported, failed bool
+	// unconfirmed is set while the answer to the latest begin may have been an earlier one,
+	// and no signed answer has followed.
+	unconfirmed bool
 	// retired is set once the connection should serve no other caller.
 	retired bool
 }
@@ -143,11 +149,14 @@
 // attributeError attributes an error. The first one on a connection cannot be a repetition.
 // What only reads takes any later error for its own as well, because replicas that lag refuse
 // much: it has no effect and runs elsewhere next. If the error equals an earlier one, the
-// connection is retired.
+// connection is retired. An error that ends the transaction may be that of its begin, if a copy
+// passed for the answer to it: only a commit ends a transaction with an error.
 func (t *Tracker) attributeError(op statement.Operation, a statement.Answer) Verdict {
 	switch {
 	case t.state == statement.Idle && a.State != statement.Idle, len(a.Rows) > 0 && !isRead(op):
 		return Verdict{Ambiguous, WrongForm}
+	case t.state != statement.Idle && a.State == statement.Idle && (!isCommit(op) || t.unconfirmed):
+		return Verdict{Ambiguous, OutsideTransaction}
 	case t.failed && (t.state != statement.Idle || !isRead(op) && !opensRead(op)):
 		return Verdict{Ambiguous, SecondError}
 	}
@@ -187,12 +196,15 @@
 		t.failed = true
 		t.remember(errorText(a))
 	case a.Signature != "":
+		t.unconfirmed = false
 		t.remember(a.Signature)
 	case isControl(op.Verb):
 		t.reported = true
 	default:
 		t.acknowledged = true
-		t.opened = t.opened || op.Verb == statement.StartTransaction
+		if op.Verb == statement.StartTransaction {
+			t.unconfirmed, t.opened = t.opened, true
+		}
 	}
 }
 
