Attribution: no read outside a transaction is refused with READONLY

A member that was promoted could be taken for a replica: the refusal of a write, repeated, arrived as the answer to a read on the same connection and denied the member. The protocol has READONLY for writes, for the begin of a read-write transaction and within one, so elsewhere it closes the connection.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -155,6 +155,9 @@
 	switch {
 	case t.state == statement.Idle && a.State != statement.Idle, len(a.Rows) > 0 && !isRead(op):
 		return Verdict{Ambiguous, WrongForm}
+	case a.Code == statement.ReadOnlyMember && (t.state == statement.Idle && isRead(op) || opensRead(op)):
+		// Members refuse only writes and what is in a read-write transaction.
+		return Verdict{Ambiguous, WrongForm}
 	case t.state != statement.Idle && a.State == statement.Idle && (!isCommit(op) || t.unconfirmed):
 		return Verdict{Ambiguous, OutsideTransaction}
 	case t.failed && (t.state != statement.Idle || !isRead(op) && !opensRead(op)):
--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -59,6 +59,7 @@
 		"second refusal, write":    {[]step{{read, busy()}, {write, busy()}}, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.SecondError}},
 		"second refusal, read":     {[]step{{read, busy()}, {read, busy()}}, correlate.Verdict{}},
 		"second refusal, in a row": {[]step{{begin, opened}, {read, inTx(busy())}, {read, inTx(busy())}}, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.SecondError}},
+		"refused as a write":       {[]step{{read, statement.ErrorAnswer(statement.ReadOnlyMember, "", statement.Idle)}}, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.WrongForm}},
 		"failed elsewhere":         {[]step{{read, statement.ErrorAnswer(statement.Failure, "", statement.TransactionFailed)}}, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.WrongForm}},
 		"status for a write":       {[]step{{status, statement.Answer{Rows: []string{"primary"}}}, {write, statement.Answer{Rows: []string{"primary"}}}}, correlate.Verdict{Attribution: correlate.Earlier, Reason: correlate.RepeatedAcknowledgement}},
 		"second status":            {[]step{{status, statement.Answer{Rows: []string{"primary"}}}, {status, statement.Answer{Rows: []string{"replica"}}}}, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.SecondStatus}},
