--- a/core/correlate/refusing_member_test.go
+++ b/core/correlate/refusing_member_test.go
@@ -165,3 +165,14 @@
 	}
 	require.Empty(t, found)
 }
+
+// TestRefusedOwnOperationsAreNotTakenForOthers guards against an answer that is taken for another
+// operation's after a copy has passed for the answer to a SET, PREPARE, RESET or STATUS that the
+// member refused.
+func TestRefusedOwnOperationsAreNotTakenForOthers(t *testing.T) {
+	found := mistakes{}
+	for seed := range uint64(30000) {
+		(&refusingMember{random: rand.New(rand.NewPCG(seed, 70)), refuseOwn: true}).use(found)
+	}
+	require.Empty(t, found)
+}
