Test: a member without a readable answer is neither suspected nor ejected

Answers that violate the protocol no longer count against the member, so one that answers nothing else keeps its share of all reads, and as the primary is never replaced.

--- /dev/null
+++ b/node/replicaset/unreadable_member_test.go
@@ -0,0 +1,23 @@
+package replicaset
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/dotterelswitch/dotterelswitch/core/outlier"
+	"github.com/dotterelswitch/dotterelswitch/node/clock"
+)
+
+// TestMemberWithoutReadableAnswersIsNoticed guards against a member that logs callers in and then
+// answers every statement with data that violates the protocol: it was neither suspected nor
+// ejected, so that it got its share of all reads, and as the primary was never replaced.
+func TestMemberWithoutReadableAnswersIsNoticed(t *testing.T) {
+	_, s, m := newScriptedMember(t, func(int, string) string { return "NONSENSE\r\n" })
+	for range 20 {
+		res := runScripted(t, s, m, scriptedJob(JobRead, "FETCH a"))
+		require.Error(t, res.Err)
+	}
+	now := clock.Now()
+	require.True(t, m.Suspect(now) || m.Ejection(now) != outlier.Ejection{})
+}
