--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -55,6 +55,9 @@
 	// OutsideTransaction is an error outside the transaction that the operation is in. The
 	// member may have refused the begin.
 	OutsideTransaction Reason = "outside_transaction"
+	// RepeatedRefusal is the refusal of a lagging replica, for an operation that needs no
+	// position.
+	RepeatedRefusal Reason = "repeated_refusal"
 	// WrongForm is an answer that no operation on the connection can have.
 	WrongForm Reason = "wrong_form"
 	// Unreadable is an answer that violates the protocol.
@@ -63,9 +66,8 @@
 	Unrequested Reason = "unrequested"
 )
 
-// rememberedAnswers bounds the memory of a connection. A repetition that arrives after more
-// answers than this is not recognised by its content.
-const rememberedAnswers = 1024
+// rememberedAnswers bounds the memory of a connection, which is retired when it is full.
+const rememberedAnswers = 2048
 
 var seed = maphash.MakeSeed()
 
@@ -73,36 +75,42 @@
 // value is a connection that has just logged in. It is not safe for concurrent use.
 type Tracker struct {
 	state statement.TxState
-	// recent holds the hashes of the latest signatures and errors; next is the one that is
-	// replaced next, once there are rememberedAnswers of them.
-	recent []uint64
-	next   int
-	// acknowledged, opened, reported and failed are set once the connection has answered
-	// an operation of the proxy, the begin of a transaction, a control operation, or
-	// any operation with an error.
-	acknowledged, opened, reported, failed bool
+	// answered holds the hashes of the signatures and errors.
+	answered []uint64
+	// acknowledged, opened, reported, lagged and failed are set once the connection has
+	// answered an operation of the proxy, the begin of a transaction, a control operation,
+	// any operation with Behind, or with another error.
+	acknowledged, opened, reported, lagged, failed bool
 	// unconfirmed is set while the answer to the latest begin may have been an earlier one,
 	// and no signed answer has followed.
 	unconfirmed bool
 	// retired is set once the connection should serve no other caller.
 	retired bool
+	// unsettled is set once a later error than the first was taken for that of an operation,
+	// until an operation of the proxy is acknowledged: the operation's own answer may follow.
+	unsettled bool
 }
 
 // State returns the transaction state after the latest Current answer.
 func (t *Tracker) State() statement.TxState { return t.state }
 
-// Failed reports whether the connection has answered with an error. Another error on it
-// may be Ambiguous.
+// Failed reports whether the connection has answered with an error other than Behind. Another
+// one on it may be Ambiguous.
 func (t *Tracker) Failed() bool { return t.failed }
 
 // TellsStatus reports whether a status on the connection can be told from earlier answers:
-// it has answered neither a control operation nor anything with an error.
-func (t *Tracker) TellsStatus() bool { return !t.reported && !t.failed }
+// it has answered no control operation.
+func (t *Tracker) TellsStatus() bool { return !t.reported }
 
 // Retired reports whether the connection should be replaced once the work on it has ended:
-// it has repeated an answer, or an error that may be the earlier one.
+// it has repeated an answer, or an error that may be the earlier one, or has answered more than
+// is remembered.
 func (t *Tracker) Retired() bool { return t.retired }
 
+// Unsettled reports whether the answer to an operation that has ended may still arrive. An
+// operation of the proxy is to be acknowledged before the next statement is sent.
+func (t *Tracker) Unsettled() bool { return t.unsettled }
+
 // Retire marks the connection as one to be replaced.
 func (t *Tracker) Retire() { t.retired = true }
 
@@ -146,13 +154,38 @@
 	return Verdict{Ambiguous, WrongForm}
 }
 
+// AttributeEarly attributes an answer that arrived before the next operation was sent. It is
+// Earlier if it repeats an answer, and Ambiguous otherwise: the member may have refused an
+// operation for which a repeated acknowledgement was taken.
+func (t *Tracker) AttributeEarly(a statement.Answer) Verdict {
+	t.retired = true
+	known := a.Bare
+	switch {
+	case a.Code != statement.OK:
+		known = t.remembers(errorText(a))
+	case a.Signature != "":
+		known = t.remembers(a.Signature)
+	default:
+		known = known || t.fitsEarlierAcknowledgement(a)
+	}
+	if known {
+		return Verdict{Earlier, Unrequested}
+	}
+	return Verdict{Ambiguous, Unrequested}
+}
+
 // attributeError attributes an error. The first one on a connection cannot be a repetition.
-// What only reads takes any later error for its own as well, because replicas that lag refuse
-// much: it has no effect and runs elsewhere next. If the error equals an earlier one, the
-// connection is retired. An error that ends the transaction may be that of its begin, if a copy
-// passed for the answer to it: only a commit ends a transaction with an error.
+// What has no effect takes any later error for its own as well, and runs elsewhere next. If the
+// error equals an earlier one, the connection is retired. An error that ends the transaction
+// may be that of its begin, if a copy passed for the answer to it: only a commit ends a
+// transaction with an error.
 func (t *Tracker) attributeError(op statement.Operation, a statement.Answer) Verdict {
 	switch {
+	case a.Code == statement.Behind && op.MinPosition.IsZero():
+		if t.lagged {
+			return Verdict{Earlier, RepeatedRefusal}
+		}
+		return Verdict{Ambiguous, WrongForm}
 	case t.state == statement.Idle && a.State != statement.Idle, len(a.Rows) > 0 && !isRead(op):
 		return Verdict{Ambiguous, WrongForm}
 	case a.Code == statement.ReadOnlyMember && (t.state == statement.Idle && isRead(op) || opensRead(op)):
@@ -160,7 +193,7 @@
 		return Verdict{Ambiguous, WrongForm}
 	case t.state != statement.Idle && a.State == statement.Idle && (!isCommit(op) || t.unconfirmed):
 		return Verdict{Ambiguous, OutsideTransaction}
-	case t.failed && (t.state != statement.Idle || !isRead(op) && !opensRead(op)):
+	case a.Code != statement.Behind && t.failed && (t.state != statement.Idle || !isHarmless(op)):
 		return Verdict{Ambiguous, SecondError}
 	}
 	return Verdict{}
@@ -193,18 +226,19 @@
 
 func (t *Tracker) record(op statement.Operation, a statement.Answer) {
 	t.state = a.State
+	t.reported = t.reported || isControl(op.Verb)
 	switch {
 	case a.Code != statement.OK:
 		t.retired = t.retired || t.remembers(errorText(a))
-		t.failed = true
+		t.unsettled = t.lagged || t.failed
+		t.lagged = t.lagged || a.Code == statement.Behind
+		t.failed = t.failed || a.Code != statement.Behind
 		t.remember(errorText(a))
 	case a.Signature != "":
 		t.unconfirmed = false
 		t.remember(a.Signature)
-	case isControl(op.Verb):
-		t.reported = true
-	default:
-		t.acknowledged = true
+	case !isControl(op.Verb):
+		t.acknowledged, t.unsettled = true, false
 		if op.Verb == statement.StartTransaction {
 			t.unconfirmed, t.opened = t.opened, true
 		}
@@ -218,17 +252,12 @@
 }
 
 func (t *Tracker) remembers(text string) bool {
-	return slices.Contains(t.recent, maphash.String(seed, text))
+	return slices.Contains(t.answered, maphash.String(seed, text))
 }
 
 func (t *Tracker) remember(text string) {
-	h := maphash.String(seed, text)
-	if len(t.recent) < rememberedAnswers {
-		t.recent = append(t.recent, h)
-		return
-	}
-	t.recent[t.next] = h
-	t.next = (t.next + 1) % rememberedAnswers
+	t.answered = append(t.answered, maphash.String(seed, text))
+	t.retired = t.retired || len(t.answered) >= rememberedAnswers
 }
 
 // isCallers reports whether an operation runs a statement of a caller, whose success is
@@ -253,4 +282,10 @@
 	return op.Verb == statement.StartTransaction && op.ReadOnly
 }
 
+// isHarmless reports whether an operation changes no data, so that it may be taken for refused
+// although it runs. A control operation that is refused is sent again.
+func isHarmless(op statement.Operation) bool {
+	return isRead(op) || opensRead(op) || isControl(op.Verb)
+}
+
 func isCommit(op statement.Operation) bool { return isCallers(op.Verb) && op.Kind == statement.Commit }
--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -137,6 +137,9 @@
 	if t.State() != statement.Idle {
 		return []statement.Operation{read, write, commit, set, operation(statement.RollbackTransaction, 0)}[m.random.IntN(5)]
 	}
+	if t.Unsettled() {
+		return set
+	}
 	op := []statement.Operation{read, read, write, set, begin, status}[m.random.IntN(6)]
 	if op.Verb == statement.ReportStatus && !t.TellsStatus() || (op.Kind == statement.Write || op.Verb == statement.StartTransaction) && t.Failed() {
 		return read
@@ -171,7 +174,9 @@
 				break
 			}
 			current++
-			mustBeOwn := got.answer.Signature != "" || len(got.answer.Rows) > 0 || got.answer.Code != statement.OK && (inTx || op.Kind != statement.Read)
+			// A read or a status that is taken for refused has no effect.
+			harmless := op.Kind == statement.Read || op.Verb == statement.ReportStatus
+			mustBeOwn := got.answer.Signature != "" || len(got.answer.Rows) > 0 || got.answer.Code != statement.OK && (inTx || !harmless)
 			if got.of != own && got.answer.Code != statement.OK {
 				require.True(t, tracker.Retired(), "seed %d: a repeated error leaves the connection in use", seed)
 			}
--- a/core/correlate/refusing_member_test.go
+++ b/core/correlate/refusing_member_test.go
@@ -99,6 +99,9 @@
 	case statement.TransactionFailed:
 		return rollback
 	}
+	if t.Unsettled() {
+		return set
+	}
 	readOnly := operation(statement.StartTransaction, 0)
 	readOnly.ReadOnly = true
 	op := []statement.Operation{read, read, write, set, reset, prepare, begin, readOnly, status}[m.random.IntN(9)]
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -129,6 +129,9 @@
 	if err != nil {
 		return statement.ErrorAnswer(statement.Invalid, err.Error(), c.tracker.State()), nil
 	}
+	if err := c.dropEarlyAnswers(op); err != nil {
+		return statement.Answer{}, err
+	}
 	sent := clock.Now()
 	c.member.requestSent(sent)
 	if err := c.netConn.SetDeadline(clock.Deadline(deadline)); err != nil {
@@ -150,13 +153,45 @@
 	return a, nil
 }
 
+// dropEarlyAnswers reads the answers that have been received before an operation is sent. None
+// of them can be its answer.
+func (c *Conn) dropEarlyAnswers(op statement.Operation) error {
+	if c.reader.Buffered() == 0 {
+		return nil
+	}
+	// Only what has been received counts, so the socket is not read.
+	if err := c.netConn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		return c.rejectBeforeSending(op, err)
+	}
+	for c.reader.Buffered() > 0 {
+		a, err := c.proto.ReadAnswer(c.reader)
+		if err != nil {
+			return c.rejectBeforeSending(op, err)
+		}
+		v := c.tracker.AttributeEarly(a)
+		if v.Attribution != correlate.Earlier {
+			return c.rejectBeforeSending(op, nil)
+		}
+		c.reportRejected(op, v)
+	}
+	return nil
+}
+
+// rejectBeforeSending gives up the connection before an operation is sent on it.
+func (c *Conn) rejectBeforeSending(op statement.Operation, err error) error {
+	c.broken = true
+	v := correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unrequested}
+	c.reportRejected(op, v)
+	return &NoResponseError{Member: c.member.id, NotSent: true, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
+}
+
 // readOwnAnswer reads answers up to that of the operation in progress.
 func (c *Conn) readOwnAnswer(op statement.Operation, sent time.Duration) (statement.Answer, error) {
 	for {
 		a, err := c.proto.ReadAnswer(c.reader)
 		switch {
 		case errors.Is(err, statement.ErrProtocol):
-			return a, c.rejectAnswer(op, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unreadable}, err)
+			return a, c.rejectAnswer(op, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unreadable}, sent, err)
 		case err != nil:
 			return a, c.markLost(err, sent)
 		}
@@ -167,7 +202,7 @@
 			c.reportRejected(op, v)
 			continue
 		case correlate.Ambiguous:
-			return a, c.rejectAnswer(op, v, nil)
+			return a, c.rejectAnswer(op, v, sent, nil)
 		}
 		if !c.certain {
 			a.Position = logpos.Position{}
@@ -176,12 +211,16 @@
 	}
 }
 
-// rejectAnswer gives up an operation whose answer cannot be told from others. The member is
-// alive all the same.
-func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, err error) error {
+// rejectAnswer gives up an operation, sent at the given time, whose answer cannot be told from
+// others. A member whose answers make no sense is suspected; one that repeats answers works.
+func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, sent time.Duration, err error) error {
 	c.broken = true
 	c.reportRejected(op, v)
-	c.member.bytesReceived(c.answeredAt)
+	if v.Reason == correlate.Unreadable || v.Reason == correlate.WrongForm {
+		c.member.exchangeFailed(sent, failureBroken)
+	} else {
+		c.member.bytesReceived(c.answeredAt)
+	}
 	return &NoResponseError{Member: c.member.id, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
 }
 
@@ -307,9 +346,21 @@
 		}
 		c.values[name] = value
 	}
+	if c.tracker.Unsettled() {
+		return c.settle(deadline)
+	}
 	return nil
 }
 
+// settle runs an operation that changes nothing, so that an answer which belongs to an earlier
+// one arrives before the next statement is sent.
+func (c *Conn) settle(deadline time.Duration) error {
+	for name, value := range c.values {
+		return c.runInternal(statement.Operation{Verb: statement.SetParameter, Name: name, Value: value}, deadline)
+	}
+	return c.resetSession(deadline)
+}
+
 // hasExtraValue reports whether the connection has a session value that is not
 // in values.
 func (c *Conn) hasExtraValue(values map[string]string) bool {
--- a/node/replicaset/errors.go
+++ b/node/replicaset/errors.go
@@ -34,7 +34,9 @@
 	Member string
 	// TimedOut is set for a timeout and unset for a broken connection.
 	TimedOut bool
-	Err      error
+	// NotSent is set if the operation was not sent.
+	NotSent bool
+	Err     error
 }
 
 func (e *NoResponseError) Error() string {
--- a/node/replicaset/old_copy_test.go
+++ b/node/replicaset/old_copy_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestOldCopyIsNotTheAnswerToAnotherRead guards against a copy that comes after more answers than a
-// connection remembers.
+// TestOldCopyIsNotTheAnswerToAnotherRead guards against a copy that comes after many other
+// answers.
 func TestOldCopyIsNotTheAnswerToAnotherRead(t *testing.T) {
-	const reads = 1100
+	const reads = 2000
 	replies := make([]string, reads)
 	for i := range reads {
 		replies[i] = signedRead(strconv.Itoa(i), "I")
--- a/node/replicaset/run.go
+++ b/node/replicaset/run.go
@@ -1,6 +1,7 @@
 package replicaset
 
 import (
+	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
@@ -46,5 +47,7 @@
 func (c *Conn) send(op statement.Operation, deadline time.Duration) (exchange, error) {
 	sent := clock.Now()
 	a, err := c.Do(op, deadline)
-	return exchange{answer: a, sentAt: sent, statementMayHaveRun: true}, err
+	var noResponse *NoResponseError
+	notSent := errors.As(err, &noResponse) && noResponse.NotSent
+	return exchange{answer: a, sentAt: sent, statementMayHaveRun: !notSent}, err
 }
--- a/node/replicaset/status_conns_test.go
+++ b/node/replicaset/status_conns_test.go
@@ -30,7 +30,7 @@
 		j := scriptedJob(JobRead, "FETCH a")
 		c, err := m.acquireSuitable(t.Context(), j.Request.waiter(), j.suits)
 		require.NoError(t, err)
-		_, err = c.run(j.Request.Statement, logpos.Position{}, j.Request.Deadline)
+		_, err = c.run(j.Request.Statement, logpos.Position{Term: 1, Offset: 9}, j.Request.Deadline)
 		require.NoError(t, err)
 		open = append(open, c)
 	}
