Connection pool: a statement that needs a connection without a history replaces one

A status, or a write after refusals, closed every connection that had answered with an error: it took one after another, as each became idle or was released, until one that it had not yet spoiled came from a login. On a loaded member each of them cost a login for every connection of the host.

A waiter may now ask for a fresh connection: one used connection is closed for it, and it gets the next one that opens. The others stay in use for what they suit. Trial (one scripted member, 8 connections, 16 readers that are all refused, a login of 20 ms, a status or a write each 250 ms): four statuses made 32 logins before and 4 now, four writes 32 and 4; the time of each status or write is the same (22 and 32 ms).

--- a/core/connpool/opening.go
+++ b/core/connpool/opening.go
@@ -70,7 +70,7 @@
 		case p.limits.Unfair:
 			return true
 		default:
-			return !p.hasIdle(w) && (!next.evicts || p.needsMore(w, p.idle[next.evicted].Team, open, now))
+			return !p.hasIdle(w) && (!next.evicts || w.Fresh || p.needsMore(w, p.idle[next.evicted].Team, open, now))
 		}
 	})
 	return next, found
--- a/core/connpool/pool.go
+++ b/core/connpool/pool.go
@@ -241,10 +241,15 @@
 }
 
 // Opened adds a connection requested by BeginOpen and assigns it to a waiter, if
-// there is one for it.
+// there is one for it. Waiters that need a fresh connection go first.
 func (p *Pool) Opened(c Conn, now time.Duration) (Waiter, bool) {
 	decrement(p.opening, c.Team)
 	p.memberAtLimit = false
+	index, found := p.queue.Next(now, func(w Waiter) bool { return w.Fresh && w.matches(c.Team) })
+	if found && !p.Exhausted() {
+		p.inUse[c.Team]++
+		return p.startWaiter(index, now), true
+	}
 	return p.assignOrIdle(c, now)
 }
 
--- a/core/connpool/waiter.go
+++ b/core/connpool/waiter.go
@@ -21,6 +21,8 @@
 	// AnyTeam allows the use of any team's connection, for statements of the proxy
 	// itself.
 	AnyTeam bool
+	// Fresh requires a connection that is opened after the statement has queued.
+	Fresh bool
 	// Priority is the priority class; 0 is the highest.
 	Priority int
 	// TargetDeadline is when the statement's latency target ends. Among statements
@@ -54,8 +56,12 @@
 	}
 }
 
-// canUse reports whether the statement may run on a connection of the given team.
-func (w Waiter) canUse(team string) bool { return w.AnyTeam || w.Team == team }
+// canUse reports whether the statement may run on a connection of the given team that others
+// have used.
+func (w Waiter) canUse(team string) bool { return !w.Fresh && w.matches(team) }
+
+// matches reports whether the statement may run on a new connection of the given team.
+func (w Waiter) matches(team string) bool { return w.AnyTeam || w.Team == team }
 
 // teamSwitchMargin is by how much the target deadline of another team's statement
 // must be earlier for a freed connection to be replaced rather than reused by its own
--- a/node/replicaset/member_pool.go
+++ b/node/replicaset/member_pool.go
@@ -44,16 +44,17 @@
 	}
 }
 
-// acquireSuitable takes a connection whose history suits the work. Others are replaced.
+// acquireSuitable takes a connection whose history suits the work. One that does not is
+// replaced by a fresh one; the others stay in use for what they suit.
 func (m *Member) acquireSuitable(ctx context.Context, w connpool.Waiter, suits func(*correlate.Tracker) bool) (*Conn, error) {
-	for {
-		c, err := m.acquire(ctx, w)
-		if err != nil || suits(&c.tracker) {
-			return c, err
-		}
-		c.tracker.Retire()
-		m.release(c)
+	c, err := m.acquire(ctx, w)
+	if err != nil || suits(&c.tracker) {
+		return c, err
 	}
+	c.tracker.Retire()
+	m.release(c)
+	w.Fresh = true
+	return m.acquire(ctx, w)
 }
 
 // requestConn asks the pool for a connection. It returns either a connection or
