Replica set: copies of earlier answers end the connection after 64

A read was held until its deadline, and the member taken for silent, by a member that sends copies without end.

--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -33,6 +33,9 @@
 	// maxPreparedStatements bounds the prepared statements per connection; at
 	// the limit all of them are discarded.
 	maxPreparedStatements = 500
+	// maxSkippedAnswers bounds the copies of earlier answers that are skipped for one
+	// operation. A transaction has fewer operations.
+	maxSkippedAnswers = 64
 )
 
 // Conn is one connection to a member. It has one user at a time.
@@ -152,7 +155,7 @@
 
 // readOwnAnswer reads answers up to that of the operation in progress.
 func (c *Conn) readOwnAnswer(op statement.Operation, sent time.Duration) (statement.Answer, error) {
-	for {
+	for skipped := 0; ; skipped++ {
 		a, err := c.proto.ReadAnswer(c.reader)
 		switch {
 		case errors.Is(err, statement.ErrProtocol):
@@ -162,6 +165,9 @@
 		}
 		c.certain = c.tracker.Certain(op, a)
 		v := c.tracker.Attribute(op, a)
+		if v.Attribution == correlate.Earlier && skipped == maxSkippedAnswers {
+			v.Attribution = correlate.Ambiguous
+		}
 		switch v.Attribution {
 		case correlate.Earlier:
 			c.reportRejected(op, v)
