Stand-ins: callers see misplaced messages, the answer proxy composes faults

Session.Run took any sequence of messages up to READY for an answer, so that an answer with two results, or with rows after the result, passed in each test and in the soak. It now reports the message that does not belong there as Answer.Defect.

The answer proxy changes one part of its fault at a time, so that faults may overlap, and records messages of unknown kinds too: a part of a statement that reaches a member as a message of its own has no ID. Group.Store writes rows that no host has sent.

--- a/standin/answerproxy/proxy.go
+++ b/standin/answerproxy/proxy.go
@@ -62,6 +62,15 @@
 // SetFault replaces the current fault.
 func (p *Proxy) SetFault(f Fault) { p.fault.Store(&f) }
 
+// ChangeFault changes the current fault.
+func (p *Proxy) ChangeFault(change func(*Fault)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := *p.fault.Load()
+	change(&f)
+	p.fault.Store(&f)
+}
+
 // Close closes the listener and all connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -159,16 +168,17 @@
 		if err != nil {
 			return
 		}
+		word, _, _ := strings.Cut(message, " ")
 		id, text, isStatement := parseStatement(message)
 		if isStatement && id != "-" && c.refuse(text) {
 			continue
 		}
-		if message != "TERMINATE" {
+		if word != "TERMINATE" {
 			c.mu.Lock()
 			c.pending = append(c.pending, id)
 			c.mu.Unlock()
 		}
-		if isStatement && id != "-" {
+		if id != "-" && word != "START" && word != "TERMINATE" {
 			c.proxy.recorder.message(Message{Member: c.proxy.target, ID: id, Text: text})
 		}
 		if _, err := c.member.Write([]byte(message + crlf.End)); err != nil {
--- a/standin/answerproxy/recorder.go
+++ b/standin/answerproxy/recorder.go
@@ -12,7 +12,8 @@
 	Rows      []string
 }
 
-// Message is a statement that reached a member.
+// Message is a statement that reached a member, or a message of an unknown kind, without an
+// ID.
 type Message struct{ Member, ID, Text string }
 
 // Recorder records what reaches the members behind several proxies, and what they answer.
@@ -73,6 +74,9 @@
 // a host puts before it.
 func parseStatement(message string) (id, text string, isStatement bool) {
 	rest, isStatement := strings.CutPrefix(message, "QUERY ")
+	if !isStatement {
+		return "", message, false
+	}
 	id, text, _ = strings.Cut(rest, " ")
 	if after, found := strings.CutPrefix(text, "AFTER "); found {
 		_, text, _ = strings.Cut(after, " ")
--- a/standin/linecaller/session.go
+++ b/standin/linecaller/session.go
@@ -20,6 +20,9 @@
 	Rows      []string
 	// State is the transaction state: I (idle), T (in a transaction) or E (failed).
 	State string
+	// Defect is a message that does not belong into the answer: rows, one result and the
+	// state come in this order.
+	Defect string
 }
 
 // noEffectCodes are the error codes that guarantee that a statement had no effect.
@@ -126,6 +129,9 @@
 			return a, err
 		}
 		word, rest, _ := strings.Cut(line, " ")
+		if hasResult := a.Signature != "" || a.Code != ""; hasResult != (word == "READY") {
+			a.Defect = line
+		}
 		switch word {
 		case "DATAROW":
 			a.Rows = append(a.Rows, rest)
@@ -136,6 +142,8 @@
 		case "READY":
 			a.State, _, _ = strings.Cut(rest, " ")
 			return a, nil
+		default:
+			a.Defect = line
 		}
 	}
 }
--- a/standin/lineplatform/commit.go
+++ b/standin/lineplatform/commit.go
@@ -25,6 +25,13 @@
 	return reply{signature: "sig-" + m.ID + "-" + id}
 }
 
+// Store commits a write on the primary, as something other than the hosts does.
+func (g *Group) Store(item, value string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replicationSource.appendCommit([]write{{item: item, value: value}})
+}
+
 // appendCommit appends a commit to the primary's log. The caller holds the group's
 // mutex.
 func (m *Member) appendCommit(writes []write) {
