--- a/node/soak/caller.go
+++ b/node/soak/caller.go
@@ -27,9 +27,11 @@
 
 // caller runs operations sequentially, in one session after the other.
 type caller struct {
-	name  string
-	rng   *rand.Rand
-	hosts []*hostProcess
+	name string
+	rng  *rand.Rand
+	// oddRNG decides when a statement has odd text, apart from rng, which decides the rest.
+	oddRNG *rand.Rand
+	hosts  []*hostProcess
 	// group is the index of the database group that the caller uses.
 	group int
 	team  lineplatform.Team
@@ -79,6 +81,9 @@
 // runOperation runs a randomly chosen operation and reports whether the session
 // is still usable.
 func (s *callerSession) runOperation() bool {
+	if s.oddRNG.IntN(malformedPeriod) == 0 && !s.runMalformed() {
+		return false
+	}
 	switch p := s.rng.IntN(100); {
 	case p < 40:
 		return s.runData(read) != nil
@@ -101,14 +106,18 @@
 	if name, found := s.preparedName(v); found && s.rng.IntN(2) == 0 {
 		text := "EXECUTE " + name + " " + s.randomItem()
 		if v == write {
-			text += " " + s.session.NextID()
+			text += " " + s.session.NextID() + s.oddText()
 		}
 		return s.execute(v, text, s.preparedShapes[name])
 	}
 	if v == write {
-		return s.execute(v, "STORE "+s.randomItem()+" "+s.session.NextID(), "")
+		return s.execute(v, "STORE "+s.randomItem()+" "+s.session.NextID()+s.oddText(), "")
+	}
+	item := s.randomItem()
+	if s.oddRNG.IntN(oddTextPeriod) == 0 {
+		item = oddItem(s.oddRNG.IntN(len(oddRows)))
 	}
-	return s.execute(v, "FETCH "+s.randomItem(), "")
+	return s.execute(v, "FETCH "+item, "")
 }
 
 func (s *callerSession) preparedName(v verb) (string, bool) {
@@ -163,11 +172,22 @@
 // reports whether the statement succeeded.
 func (s *callerSession) runControl(text string) bool {
 	a, err := s.session.Run(text)
+	s.controls = append(s.controls, control{Answer: a, text: text, inTx: s.tx != nil, unanswered: err != nil})
 	return err == nil && a.Code == ""
 }
 
+// runMalformed sends a statement with a byte that no field may have. It reports whether the
+// session is still usable.
+func (s *callerSession) runMalformed() bool {
+	end, hidden := pick(s.oddRNG, lineEnds), strings.ReplaceAll(pick(s.oddRNG, hiddenMessages), "ID", s.session.NextID())
+	text := strings.ReplaceAll(pick(s.oddRNG, malformedTexts), "END", end+hidden)
+	a, err := s.session.Run(text)
+	s.controls = append(s.controls, control{Answer: a, text: text, malformed: true, inTx: s.tx != nil, unanswered: err != nil})
+	return err == nil
+}
+
 func (s *callerSession) setSessionValue() bool {
-	name, value := fmt.Sprintf("name%d", s.rng.IntN(3)), fmt.Sprintf("v%d", s.rng.IntN(4))
+	name, value := fmt.Sprintf("name%d", s.rng.IntN(3)), fmt.Sprintf("v%d", s.rng.IntN(4))+s.oddText()
 	if !s.runControl("SET " + name + " " + value) {
 		return false
 	}
@@ -216,6 +236,9 @@
 			// A transaction that failed but is still open has to be rolled back.
 			return r.State == "I" || s.runControl("ROLLBACK")
 		}
+		if s.oddRNG.IntN(malformedPeriod) == 0 && !s.runMalformed() {
+			return false
+		}
 		s.pause()
 	}
 	return s.endTransaction(tx)
--- a/node/soak/check.go
+++ b/node/soak/check.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/standin/answerproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
@@ -41,6 +42,9 @@
 		for _, r := range h.requests {
 			requests[r.ID] = r
 		}
+		for _, q := range h.controls {
+			c.checkControl(q)
+		}
 	}
 	acked := newAckedCommits(acks, record)
 	for _, r := range requests {
@@ -63,7 +67,7 @@
 // checkRuns compares the executions of a request with what its caller sent.
 func (c *checker) checkRuns(r *request) {
 	for _, run := range c.runsByRequest[r.ID] {
-		if run.Text != r.text && (r.preparedShape == "" || afterStatementName(run.Text) != afterStatementName(r.text)) {
+		if !sameStatement(r.text, run.Text) {
 			c.findings.add("%s ran as %q, sent was %q", r.ID, run.Text, r.text)
 		}
 		if run.SessionValues != r.sessionValues && r.verb != commit {
@@ -75,6 +79,49 @@
 	}
 }
 
+// sameStatement reports whether a statement that a member received is the one that was sent.
+func sameStatement(sent, received string) bool {
+	const execute = "EXECUTE "
+	return sent == received || strings.HasPrefix(sent, execute) && strings.HasPrefix(received, execute) &&
+		afterStatementName(sent) == afterStatementName(received)
+}
+
+// checkMessages finds messages to members that no caller sent.
+func checkMessages(messages []answerproxy.Message, histories []history, found *findings) {
+	sent := map[string]string{}
+	for _, h := range histories {
+		for _, r := range h.requests {
+			sent[r.ID] = r.text
+		}
+		for _, q := range h.controls {
+			if !q.malformed {
+				sent[q.ID] = q.text
+			}
+		}
+	}
+	for _, m := range messages {
+		if strings.HasPrefix(m.ID, serviceCheckPrefix) && m.Text == serviceCheckText {
+			continue
+		}
+		if text, asked := sent[m.ID]; !asked || !sameStatement(text, m.Text) {
+			found.add("%s got %q as %q, which no caller sent", m.Member, m.Text, m.ID)
+		}
+	}
+}
+
+// checkControl checks the answer to a statement that needs no member.
+func (c *checker) checkControl(q control) {
+	switch {
+	case q.unanswered:
+	case q.Defect != "":
+		c.findings.add("the answer to %s has a misplaced %q", q.ID, q.Defect)
+	case q.malformed && (q.Code != "MALFORMED" || len(q.Rows) > 0 || (q.State != "I") != q.inTx):
+		c.findings.add("%s %q is malformed and was answered with %q %q %q in state %s", q.ID, q.text, q.Code, q.Signature, q.Rows, q.State)
+	case q.Code == "" && (q.Signature != "-" || len(q.Rows) > 0):
+		c.findings.add("%s %q succeeded with signature %q and rows %q", q.ID, q.text, q.Signature, q.Rows)
+	}
+}
+
 // afterStatementName returns the text of an execution without the name of the
 // prepared statement, which hosts may rename.
 func afterStatementName(text string) string {
@@ -85,6 +132,9 @@
 
 // checkAnswer checks that a successful answer was given by a member.
 func (c *checker) checkAnswer(r *request) {
+	if !r.unanswered && r.Defect != "" {
+		c.findings.add("the answer to %s has a misplaced %q", r.ID, r.Defect)
+	}
 	if !r.ok() {
 		return
 	}
--- a/node/soak/check_test.go
+++ b/node/soak/check_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/standin/answerproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
@@ -44,6 +45,10 @@
 	h.txCommit = &request{Answer: answer("tc"), verb: commit, text: "COMMIT", database: strictDatabase, session: "s1", tx: h.tx, sentAt: atMillis(46), answeredAt: atMillis(50)}
 	h.tx.writes = []*request{h.txWrite}
 	h.requests = []*request{h.writeRequest, h.readRequest, h.txWrite, h.txCommit}
+	h.controls = []control{
+		{Answer: linecaller.Answer{ID: "set", Signature: "-", State: "I"}, text: "SET a b"},
+		{Answer: linecaller.Answer{ID: "odd", Code: "MALFORMED", State: "T"}, text: "STORE a b\nCOMMIT", malformed: true, inTx: true},
+	}
 	h.commits = []ackedCommit{{at: atMillis(10), requestID: "w", session: "s1"}, {at: atMillis(50), requestID: "tw", session: "s1"}}
 	h.runs = []lineplatform.Execution{
 		{ID: "w", Member: "m", Text: "STORE a w", Position: "1.4"},
@@ -91,6 +96,14 @@
 		{"wrong prepared shape", "its caller prepared", func(h *testHistory) { h.runs[1].Shape = "FETCH q1" }},
 		{"statement that no caller sent", "which no caller sent", func(h *testHistory) { h.runs = append(h.runs, lineplatform.Execution{ID: "x"}) }},
 		{"run outside of its transaction", "ran outside of its transaction", func(h *testHistory) { h.runs[2].TxID = 0 }},
+		{"answer with two results", `misplaced "COMPLETE x"`, func(h *testHistory) { h.readRequest.Defect = "COMPLETE x" }},
+		{"signature of another request", `"SET a b" succeeded with signature "sig-m-w"`, func(h *testHistory) { h.controls[0].Signature = "sig-m-w" }},
+		{"row of another request", `"SET a b" succeeded`, func(h *testHistory) { h.controls[0].Rows = []string{"w"} }},
+		{"state before the result", `misplaced "READY I 1.1"`, func(h *testHistory) { h.controls[0].Defect = "READY I 1.1" }},
+		{"malformed statement succeeded", "is malformed and was answered", func(h *testHistory) { h.controls[1].Code, h.controls[1].Signature = "", "sig-m-odd" }},
+		{"malformed statement forwarded", "is malformed and was answered", func(h *testHistory) { h.controls[1].Code = "BUSY" }},
+		{"malformed statement ended the transaction", "in state I", func(h *testHistory) { h.controls[1].State = "I" }},
+		{"malformed statement ran", "odd ran, which no caller sent", func(h *testHistory) { h.runs = append(h.runs, lineplatform.Execution{ID: "odd"}) }},
 		{"statements of two transactions mixed", "ran in one transaction", func(h *testHistory) { h.runs[1].TxID = 3 }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -101,6 +114,34 @@
 	}
 }
 
+// Members must get nothing but what callers sent. Hosts may rename prepared statements.
+func TestMessageThatNobodySentIsFound(t *testing.T) {
+	h := history{
+		requests: []*request{{Answer: linecaller.Answer{ID: "r"}, text: "FETCH a"}, {Answer: linecaller.Answer{ID: "e"}, text: "EXECUTE s0 a v"}},
+		controls: []control{{Answer: linecaller.Answer{ID: "b"}, text: "BEGIN"}, {Answer: linecaller.Answer{ID: "odd"}, text: "FETCH a\n", malformed: true}},
+	}
+	for _, c := range []struct {
+		id, text string
+		sent     bool
+	}{
+		{"r", "FETCH a", true},
+		{"e", "EXECUTE p77 a v", true},
+		{"b", "BEGIN", true},
+		{serviceCheckPrefix + "1", serviceCheckText, true},
+		{"r", "FETCH b", false},
+		{"e", "EXECUTE s0 b v", false},
+		{"e", "STORE s0 a v", false},
+		{"x", "FETCH a", false},
+		{"odd", "FETCH a\n", false},
+		{"odd", "FETCH a", false},
+		{"", "COMMIT", false},
+	} {
+		var f findings
+		checkMessages([]answerproxy.Message{{Member: "m", ID: c.id, Text: c.text}}, []history{h}, &f)
+		require.Equal(t, c.sent, len(f.all()) == 0, "%s %q", c.id, c.text)
+	}
+}
+
 // A stop interrupts a request that a member ran or that the host has had time to
 // read.
 func TestPlannedStopInterruptsRequests(t *testing.T) {
--- a/node/soak/event.go
+++ b/node/soak/event.go
@@ -69,6 +69,12 @@
 	// RestoreStore restores the store from a backup whose age is the duration of the
 	// fault.
 	RestoreStore
+	// RepeatAnswers makes a member send some answers a second time, at once or later.
+	RepeatAnswers
+	// RepeatRefusals refuses some statements with BUSY in place of a member, each twice.
+	RepeatRefusals
+	// CutAnswers makes a member send its answers in single bytes.
+	CutAnswers
 	kindCount
 )
 
@@ -78,6 +84,7 @@
 	"drain_primary", "delay_member", "hold_to_member", "hold_from_member", "reset_member", "silence_member",
 	"deaf_replica", "lose_answers", "refuse_promotion", "change_config",
 	"empty_member", "empty_primary", "foreign_entry", "restore_store",
+	"repeat_answers", "repeat_refusals", "cut_answers",
 }
 
 func (k Kind) String() string { return kindNames[k] }
@@ -88,6 +95,10 @@
 	return k == StopHost || k == ReloadHost || k == ChangeConfig || k == CompactStore
 }
 
+// disturbsAnswers reports whether members only answer in other ways than they should. It
+// does not make hosts replace a primary.
+func (k Kind) disturbsAnswers() bool { return k >= RepeatAnswers }
+
 // Event is one fault.
 type Event struct {
 	// Start is the offset from the start of the load.
--- a/node/soak/history.go
+++ b/node/soak/history.go
@@ -76,9 +76,18 @@
 	writes  []*request
 }
 
+// control is a statement that a host may answer without a member, as its caller observed it.
+type control struct {
+	linecaller.Answer
+	text string
+	// malformed is set if a field has a byte that no field may have.
+	malformed, inTx, unanswered bool
+}
+
 // history is what one caller observed.
 type history struct {
 	requests []*request
+	controls []control
 	commits  []ackedCommit
 }
 
--- a/node/soak/inject.go
+++ b/node/soak/inject.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/standin/answerproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/faultproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/lineplatform"
 )
@@ -18,6 +19,16 @@
 	refusedPromotionCount = 3
 )
 
+// The shares of answers that RepeatAnswers repeats and of statements that RepeatRefusals
+// refuses.
+const (
+	repeatedAnswerShare   = 0.1
+	refusedStatementShare = 0.1
+)
+
+// repeatDelays are the longest delays of repeated answers, one of which each fault has.
+var repeatDelays = []time.Duration{0, 20 * time.Millisecond, 400 * time.Millisecond}
+
 // restoreOutage is how long the store is unavailable while it is restored.
 const restoreOutage = 300 * time.Millisecond
 
@@ -90,7 +101,7 @@
 	g := s.groups[e.Target%len(s.groups)]
 	all := g.Members()
 	m := all[e.Target/len(s.groups)%len(all)]
-	proxy := s.proxies.forMember(m)
+	proxy := s.proxies.forMember(m).network
 	switch e.Kind {
 	case CrashMember:
 		s.crashAndRestart(m, e.Duration)
@@ -124,11 +135,48 @@
 		m.SetReplicationBlocked(false)
 	case LoseAnswers:
 		loseAnswers(g, m, e)
+	case RepeatAnswers, RepeatRefusals, CutAnswers:
+		s.disturbAnswers(g, m, e)
 	default:
 		s.findings.add("no fault is known as %s", e.Kind)
 	}
 }
 
+// disturbAnswers disturbs the answers of one member, or those of all members of its group in
+// half of the cases.
+func (s *soakRun) disturbAnswers(g *lineplatform.Group, m *lineplatform.Member, e Event) {
+	members := []*lineplatform.Member{m}
+	if e.Duration%2 == 0 {
+		members = g.Members()
+	}
+	for _, m := range members {
+		s.proxies.forMember(m).answers.ChangeFault(func(f *answerproxy.Fault) {
+			f.MaxDelay = repeatDelays[e.Target/2%len(repeatDelays)]
+			switch e.Kind {
+			case RepeatAnswers:
+				f.Repeat = repeatedAnswerShare
+			case RepeatRefusals:
+				f.Refuse, f.RepeatRefusals = refusedStatementShare, true
+			case CutAnswers:
+				f.ChunkBytes = 1
+			}
+		})
+	}
+	time.Sleep(e.Duration)
+	for _, m := range members {
+		s.proxies.forMember(m).answers.ChangeFault(func(f *answerproxy.Fault) {
+			switch e.Kind {
+			case RepeatAnswers:
+				f.Repeat = 0
+			case RepeatRefusals:
+				f.Refuse, f.RepeatRefusals = 0, false
+			case CutAnswers:
+				f.ChunkBytes = 0
+			}
+		})
+	}
+}
+
 // loseAnswers selects the primary in half of the cases, since only the primary
 // answers writes.
 func loseAnswers(g *lineplatform.Group, m *lineplatform.Member, e Event) {
--- a/node/soak/plan_test.go
+++ b/node/soak/plan_test.go
@@ -55,3 +55,25 @@
 	require.True(t, noUnplannedFaultNear([]Event{stop, reload}, stop, stopGracePeriod))
 	require.True(t, noUnplannedFaultNear([]Event{stop, {Start: 11 * time.Second, Kind: StopHost}}, stop, stopGracePeriod), "planned stops may overlap")
 }
+
+// The faults of a recorded seed must stay the same when kinds of faults that disturb answers
+// are added.
+func TestAnswerFaultsLeaveOtherFaultsOfSeed(t *testing.T) {
+	plan := NewPlan(3, 6*time.Second)
+	others := slices.DeleteFunc(slices.Clone(plan), func(e Event) bool { return e.Kind.disturbsAnswers() })
+	require.Less(t, len(others), len(plan))
+	require.Equal(t, []Event{
+		{Start: 1704577964, Kind: CrashMember, Target: 20897, Duration: 2911446226},
+		{Start: 2729522459, Kind: DrainPrimary, Target: 63087, Duration: 3840870516},
+		{Start: 3930054932, Kind: CrashPrimary, Target: 52061, Duration: 630690612},
+		{Start: 4889914394, Kind: KillMany, Target: 38149, Duration: 2805863707},
+		{Start: 5264815676, Kind: KillMany, Target: 11143, Duration: 1803127231},
+	}, others)
+}
+
+func TestOnlyPlansWithoutFailuresKeepPrimaries(t *testing.T) {
+	repeat, stop, crash := Event{Kind: RepeatAnswers}, Event{Kind: StopHost}, Event{Kind: CrashMember}
+	require.True(t, keepsPrimaries([]Event{repeat, stop}))
+	require.False(t, keepsPrimaries([]Event{repeat, stop, crash}))
+	require.False(t, keepsPrimaries([]Event{stop}))
+}
--- a/node/soak/regressions_test.go
+++ b/node/soak/regressions_test.go
@@ -53,4 +53,13 @@
 		{Start: 1200 * time.Millisecond, Kind: StopHost, Target: 31719, Duration: time.Second},
 		{Start: 1900 * time.Millisecond, Kind: StopHost, Target: 11869, Duration: time.Second},
 	}},
+	// An answer that a member repeats must not be taken for that of another statement, nor its
+	// position, state or role for the member's present ones: hosts declared that the primary
+	// had lost its log, and writes ran twice.
+	{name: "members repeat and cut their answers", seed: 69, plan: []Event{
+		{Start: 300 * time.Millisecond, Kind: RepeatAnswers, Target: 2, Duration: 2 * time.Second},
+		{Start: 700 * time.Millisecond, Kind: RepeatRefusals, Target: 2, Duration: 2500 * time.Millisecond},
+		{Start: 1500 * time.Millisecond, Kind: CutAnswers, Target: 0, Duration: 2 * time.Second},
+		{Start: 2400 * time.Millisecond, Kind: RepeatAnswers, Target: 4, Duration: 1500 * time.Millisecond},
+	}},
 }
--- a/node/soak/service.go
+++ b/node/soak/service.go
@@ -14,6 +14,7 @@
 	servicePollInterval = 100 * time.Millisecond
 	// serviceCheckPrefix starts the request ids of this check.
 	serviceCheckPrefix = "service-"
+	serviceCheckText   = "FETCH item0"
 )
 
 // awaitService waits until every host has applied the newest configuration and
@@ -54,7 +55,7 @@
 			if err != nil {
 				return "does not open sessions: " + err.Error()
 			}
-			a, err := session.Run("FETCH item0")
+			a, err := session.Run(serviceCheckText)
 			session.Close()
 			if err != nil || a.Code != "" {
 				return fmt.Sprintf("does not serve reads on %s: %s %s", databaseOf(n, database), a.Code, a.Detail)
--- a/node/soak/soak.go
+++ b/node/soak/soak.go
@@ -74,7 +74,7 @@
 // Run deploys the platform and the hosts, injects faults under load, and checks
 // the recorded histories.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &soakRun{Options: o, plan: o.Plan, proxies: newMemberProxies()}
+	s := &soakRun{Options: o, plan: o.Plan, proxies: newMemberProxies(o.Seed)}
 	if s.plan == nil {
 		s.plan = NewPlan(o.Seed, o.FaultPeriod)
 	}
@@ -114,6 +114,9 @@
 			return err
 		}
 		s.groups = append(s.groups, g)
+		for n, row := range oddRows {
+			g.Store(oddItem(n), row)
+		}
 	}
 	for n := range s.Hosts {
 		h, err := newHostProcess(n, s.Program, s.Dir, p, &s.findings)
@@ -147,7 +150,7 @@
 	var out []*caller
 	for n := range s.Callers {
 		c := &caller{
-			name: fmt.Sprintf("c%d", n), hosts: s.hosts, rng: rand.New(rand.NewPCG(s.Seed, uint64(n))),
+			name: fmt.Sprintf("c%d", n), hosts: s.hosts, rng: rand.New(rand.NewPCG(s.Seed, uint64(n))), oddRNG: rand.New(rand.NewPCG(s.Seed, uint64(s.Callers+n))),
 			group: n % s.Groups, team: callerTeams[n%len(callerTeams)],
 		}
 		out = append(out, c)
@@ -189,11 +192,15 @@
 		check(record, histories, &s.findings)
 		records, all = append(records, record), append(all, histories...)
 		s.checkStops(histories, record.runs)
+		if len(record.termStarts) > 0 && keepsPrimaries(s.plan) {
+			s.findings.add("a healthy primary of group%d was replaced %d times", n, len(record.termStarts))
+		}
 		for _, h := range histories {
 			r.count(h)
 		}
 	}
 	checkLimits(records, all, &s.findings)
+	checkMessages(s.proxies.recorder.Messages(), all, &s.findings)
 	if n := s.platform.TokenConflicts(); n > 0 {
 		s.findings.add("%d promotion calls came with another host's token", n)
 	}
