--- a/core/correlate/refused_begin_test.go
+++ b/core/correlate/refused_begin_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/correlate"
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 )
 
@@ -55,3 +56,23 @@
 	require.Equal(t, correlate.Verdict{}, tracker.Attribute(begin, opened))
 	require.Equal(t, correlate.Verdict{}, tracker.Attribute(commit, busy()))
 }
+
+// TestBeginIsNotAnsweredBeforeItsPosition guards against a begin on a replica that lags, refused
+// after a copy of the answer to an earlier one: the reads that followed ran outside a transaction,
+// on a log without the position.
+func TestBeginIsNotAnsweredBeforeItsPosition(t *testing.T) {
+	at := func(offset uint64) logpos.Position {
+		return logpos.Position{Term: 1, Offset: logpos.Offset(offset)}
+	}
+	beginAfter := func(offset uint64) statement.Operation {
+		return statement.Operation{Verb: statement.StartTransaction, ReadOnly: true, MinPosition: at(offset)}
+	}
+	opened := statement.Answer{State: statement.InTransaction, Position: at(5)}
+	var tracker correlate.Tracker
+	require.Equal(t, correlate.Verdict{}, tracker.Attribute(beginAfter(5), opened))
+	require.Equal(t, correlate.Verdict{}, tracker.Attribute(commit, signed("a")))
+	copied := tracker.Attribute(beginAfter(6), opened)
+	require.Equal(t, correlate.Verdict{Attribution: correlate.Earlier, Reason: correlate.RepeatedAcknowledgement}, copied)
+	lagging := statement.ErrorAnswer(statement.Behind, "", statement.Idle)
+	require.Equal(t, correlate.Verdict{}, tracker.Attribute(beginAfter(6), lagging))
+}
