Attribution: a begin is not answered before the position that it requires

On a replica that lags, a begin that was refused could pass for opened after a copy of the answer to an earlier one, and the caller's reads ran outside a transaction. A success with an earlier position than required is that copy. It rests on the position in READY being the one that AFTER is compared with, as the choice of readers does.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -175,6 +175,10 @@
 	case isControl(op.Verb):
 		rows = len(a.Rows) == 1
 	case op.Verb == statement.StartTransaction:
+		if a.Position.Less(op.MinPosition) && !a.Position.IsZero() {
+			// The member has opened no transaction before the position.
+			return false
+		}
 		state = statement.InTransaction
 	case op.Verb == statement.RollbackTransaction || isCommit(op):
 		state = statement.Idle
