Replica set: a member without readable answers is judged as one that fails

A replica that answered every statement with data that violates the protocol kept its share of all reads, each of which ran a second time elsewhere, since such an answer no longer counts as a broken connection. It now counts as a failed statement, so the member is ejected like one that fails. Nothing changes for the choice of the primary: one that answers so is still not replaced.

--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -159,7 +159,7 @@
 		a, err := c.proto.ReadAnswer(c.reader)
 		switch {
 		case errors.Is(err, statement.ErrProtocol):
-			return a, c.rejectAnswer(op, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unreadable}, err)
+			return a, c.rejectAnswer(op, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unreadable}, err, sent)
 		case err != nil:
 			return a, c.markLost(err, sent)
 		}
@@ -173,7 +173,7 @@
 			c.reportRejected(op, v)
 			continue
 		case correlate.Ambiguous:
-			return a, c.rejectAnswer(op, v, nil)
+			return a, c.rejectAnswer(op, v, nil, sent)
 		}
 		if !c.certain {
 			a.Position = logpos.Position{}
@@ -184,10 +184,14 @@
 
 // rejectAnswer gives up an operation whose answer cannot be told from others. The member is
 // alive all the same.
-func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, err error) error {
+func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, err error, sent time.Duration) error {
 	c.broken = true
 	c.reportRejected(op, v)
 	c.member.bytesReceived(c.answeredAt)
+	if v.Reason == correlate.Unreadable && isOutcome(op.Verb, statement.Failure) {
+		// Without a result, the member is judged as one that fails the statement.
+		c.member.observeOutcome(sent, clock.Now(), statement.Answer{Code: statement.Failure}, c.team)
+	}
 	return &NoResponseError{Member: c.member.id, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
 }
 
