--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -66,7 +66,8 @@
 	Unrequested Reason = "unrequested"
 )
 
-// rememberedAnswers bounds the memory of a connection, which is retired when it is full.
+// rememberedAnswers is the number of answers after which a connection is retired, which bounds
+// its memory to 16 kB: a repetition of an answer that is forgotten would pass for another one.
 const rememberedAnswers = 2048
 
 var seed = maphash.MakeSeed()
@@ -103,8 +104,7 @@
 func (t *Tracker) TellsStatus() bool { return !t.reported }
 
 // Retired reports whether the connection should be replaced once the work on it has ended:
-// it has repeated an answer, or an error that may be the earlier one, or has answered more than
-// is remembered.
+// it has repeated an answer, or an error that may be the earlier one, or it has answered often.
 func (t *Tracker) Retired() bool { return t.retired }
 
 // Unsettled reports whether the answer to an operation that has ended may still arrive. An
@@ -208,6 +208,10 @@
 	case isControl(op.Verb):
 		rows = len(a.Rows) == 1
 	case op.Verb == statement.StartTransaction:
+		if a.Position.Less(op.MinPosition) && !a.Position.IsZero() {
+			// The member has opened no transaction before the position.
+			return false
+		}
 		state = statement.InTransaction
 	case op.Verb == statement.RollbackTransaction || isCommit(op):
 		state = statement.Idle
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -218,7 +218,8 @@
 }
 
 // rejectAnswer gives up an operation, sent at the given time, whose answer cannot be told from
-// others. A member whose answers make no sense is suspected; one that repeats answers works.
+// others. A member whose answers make no sense is suspected, and judged as one that fails the
+// statement; one that repeats answers works.
 func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, sent time.Duration, err error) error {
 	c.broken = true
 	c.reportRejected(op, v)
@@ -227,6 +228,9 @@
 	} else {
 		c.member.bytesReceived(c.answeredAt)
 	}
+	if v.Reason == correlate.Unreadable && isOutcome(op.Verb, statement.Failure) {
+		c.member.observeOutcome(sent, clock.Now(), statement.Answer{Code: statement.Failure}, c.team)
+	}
 	return &NoResponseError{Member: c.member.id, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
 }
 
