Replica set: a primary is not replaced for answers that violate the protocol

Since unreadable answers count as failed statements, a primary whose copies of answers are cut was judged as one that fails what it runs: a fifth of its statements suffice, and such a primary is replaced though it works. Replicas are judged as before; the primary is suspected, as after a broken exchange.

TestMemberWithoutReadableAnswersIsNoticed asks for both again, the primary and a replica, and failed for the primary before (it was ejected).

--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -228,7 +228,8 @@
 	} else {
 		c.member.bytesReceived(c.answeredAt)
 	}
-	if v.Reason == correlate.Unreadable && isOutcome(op.Verb, statement.Failure) {
+	// A primary that is judged so would be replaced, although copies that are cut suffice.
+	if v.Reason == correlate.Unreadable && isOutcome(op.Verb, statement.Failure) && !c.member.set.isAssumedPrimary(c.member) {
 		c.member.observeOutcome(sent, clock.Now(), statement.Answer{Code: statement.Failure}, c.team)
 	}
 	return &NoResponseError{Member: c.member.id, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
