Replica set: copies are no outcomes, wrong forms no broken connections

A copied failure counted twice in the judgement of a member, and two answers of a wrong form, which a copied refusal is enough for, could make a healthy member count as broken. The commit of a transaction without writes is repeated after a refusal again: giving it up promises nothing untrue.

--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -150,7 +150,7 @@
 	c.answeredAt = sent
 	now := clock.Now()
 	c.member.responseReceived(sent, now, a, c.workKind)
-	if isOutcome(op.Verb, a.Code) {
+	if c.certain && isOutcome(op.Verb, a.Code) {
 		c.member.observeOutcome(sent, now, a, c.team)
 	}
 	return a, nil
@@ -223,7 +223,7 @@
 func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, sent time.Duration, err error) error {
 	c.broken = true
 	c.reportRejected(op, v)
-	if v.Reason == correlate.Unreadable || v.Reason == correlate.WrongForm {
+	if v.Reason == correlate.Unreadable {
 		c.member.exchangeFailed(sent, failureBroken)
 	} else {
 		c.member.bytesReceived(c.answeredAt)
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -356,12 +356,12 @@
 
 // runInTx runs a statement of an open transaction, and once more if the member answers busy
 // and the transaction goes on. After a second refusal, the transaction would have to be given
-// up with its connection, and it would be unknown whether a commit has run, so a commit is not
-// repeated.
+// up with its connection, and it would be unknown whether a commit of writes has run, so that is
+// not repeated.
 func runInTx(ctx context.Context, c *Conn, j Job) (exchange, error) {
 	state, req := c.tracker.State(), j.Request
 	x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
-	repeat := err == nil && x.answer.Code == statement.Busy && x.answer.State == state && j.Kind != JobCommit
+	repeat := err == nil && x.answer.Code == statement.Busy && x.answer.State == state && !j.Wrote
 	if !repeat || !awaitBusyRetry(ctx, req, busyRetryDelay) {
 		return x, err
 	}
