Registry: lines about unreadable entries are bounded, and so is what is kept of them

Each change of an entry that cannot be decoded was a line of its own, 2,000 lines at once for 500 entries that another writer changes four times. Five a second are logged now; the rest is counted in left_out, a second later in a line of its own if no other follows. The values of such entries are not kept, nor sent to followers, who find them unreadable without them; what is remembered of an entry ends with it.

--- a/node/eventlog/rate_limiter.go
+++ b/node/eventlog/rate_limiter.go
@@ -32,7 +32,9 @@
 	successesPerSecond = 10
 	// A gate that sends invalid reports sends one with each answer.
 	loadReportsPerSecond = 1
-	othersPerSecond      = 50
+	// Anybody may write entries that cannot be decoded, hundreds at once.
+	unreadableEntriesPerSecond = 5
+	othersPerSecond            = 50
 )
 
 func NewRateLimiter() *RateLimiter {
@@ -40,6 +42,7 @@
 		perSecond: map[int]int{
 			StatementFailed.Number: failuresPerSecond, GateJobFailed.Number: failuresPerSecond,
 			StatementServed.Number: successesPerSecond, LoadReportInvalid.Number: loadReportsPerSecond,
+			EntryUnreadable.Number: unreadableEntriesPerSecond,
 		},
 		windows: map[int]*window{},
 	}
@@ -72,6 +75,20 @@
 	return suppressed, true
 }
 
+// TakeSuppressed returns how many lines of the event were suppressed since the last one
+// that was logged, and counts anew.
+func (r *RateLimiter) TakeSuppressed(e Event) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w, found := r.windows[e.Number]
+	if !found {
+		return 0
+	}
+	suppressed := w.suppressed
+	w.suppressed = 0
+	return suppressed
+}
+
 // Suppressed returns the number of lines suppressed since the start.
 func (r *RateLimiter) Suppressed() int {
 	r.mu.Lock()
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -87,6 +87,7 @@
 		}
 		r.cacheItem(i)
 	}
+	r.forgetUnreadable()
 	r.keepActiveConfig(l.Revision)
 	r.directory.Replace(entries, l.Revision, now)
 	r.expire(now)
@@ -230,7 +231,7 @@
 	}
 	if logged, found := r.unreadable[i.Key]; !found || logged < i.Revision {
 		r.unreadable[i.Key] = i.Revision
-		eventlog.EntryUnreadable.Warn(r.log).Err(err).Str("key", i.Key).Stringer("revision", i.Revision).Send()
+		r.logUnreadable(i, err)
 	}
 	return directory.Entry{}, false
 }
--- a/node/registry/entries_test.go
+++ b/node/registry/entries_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -57,6 +60,55 @@
 	require.Len(t, r.MembersOf("svc"), 2)
 }
 
+// TestLinesAboutUnreadableEntriesAreBounded guards against a log that another writer fills
+// by changing entries which cannot be decoded. What is left out is counted, also if no
+// further entry is logged.
+func TestLinesAboutUnreadableEntriesAreBounded(t *testing.T) {
+	r, log := newRegistryWithFailingStore()
+	r.now = func() time.Duration { return time.Minute }
+	const entries, changes, maxLines = 500, 4, 50
+	for change := range changes {
+		l := listing(store.Revision(change + 2))
+		for i := range entries {
+			l.Items = append(l.Items, unreadableItem(fmt.Sprint(i), l.Revision))
+		}
+		r.apply(l)
+	}
+	r.logUnreadableLeftOut()
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	require.LessOrEqual(t, len(lines), maxLines)
+	told := 0
+	for _, line := range lines {
+		var decoded struct {
+			Key     string
+			LeftOut int `json:"left_out"`
+		}
+		require.NoError(t, json.Unmarshal([]byte(line), &decoded))
+		told += decoded.LeftOut
+		if decoded.Key != "" {
+			told++
+		}
+	}
+	require.Equal(t, entries*changes, told)
+}
+
+// TestUnreadableEntriesTakeLittleMemory guards against a copy of the store, and of what is
+// sent to followers, that grows with what another writer leaves.
+func TestUnreadableEntriesTakeLittleMemory(t *testing.T) {
+	r, _ := newRegistryWithFailingStore()
+	large := store.Item{Key: "servers/x", Value: bytes.Repeat([]byte("["), 60_000), Revision: 3}
+	r.replace(listing(4, large))
+	require.Less(t, len(r.items[large.Key].Value), 100)
+	large.Revision = 5
+	r.apply(listing(5, large))
+	require.Less(t, len(r.items[large.Key].Value), 100)
+	for _, i := range r.history {
+		require.Less(t, len(i.Value), 100)
+	}
+	r.replace(listing(6))
+	require.Empty(t, r.unreadable, "what is remembered of an entry ends with it")
+}
+
 // TestOverwrittenEntryIsMissingUntilRewritten covers changes by watch and by listing.
 func TestOverwrittenEntryIsMissingUntilRewritten(t *testing.T) {
 	r, _ := newRegistryWithFailingStore()
--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -205,6 +205,10 @@
 	if i.Key == r.docs.ConfigKey() {
 		i = r.withActiveConfig(i)
 	}
+	if _, unreadable := r.unreadable[i.Key]; unreadable {
+		// Followers find it unreadable without its value too.
+		i.Value = nil
+	}
 	r.items[i.Key] = i
 	return i
 }
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/storelink"
 	"github.com/dotterelswitch/dotterelswitch/core/succession"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
 // Store is the client of the platform's store. Failures are *store.Error.
@@ -79,6 +81,11 @@
 	// after an outage.
 	storeReached chan struct{}
 
+	// logBudget limits lines about what others have written.
+	logBudget *eventlog.RateLimiter
+	// leftOutScheduled is set while a timer for logUnreadableLeftOut runs.
+	leftOutScheduled atomic.Bool
+
 	// mu guards the fields below.
 	mu      sync.Mutex
 	catalog *catalog.Catalog
@@ -177,7 +184,7 @@
 		now: now, pacing: storelink.NewPacing(cfg.MaxConfigApplyTime),
 		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, fetchSnapshot: fetchSnapshot, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), coordination: newCoordinationKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
-		relaySelector: relay.New(cfg.Self), link: storelink.New(), historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), sourcesDue: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
+		logBudget: eventlog.NewRateLimiter(), relaySelector: relay.New(cfg.Self), link: storelink.New(), historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), sourcesDue: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
 	}
 }
 
--- a/node/registry/sources.go
+++ b/node/registry/sources.go
@@ -71,7 +71,7 @@
 		}
 		record, err := decodeSources(zone, i)
 		if err != nil {
-			eventlog.EntryUnreadable.Warn(r.log).Err(err).Str("key", i.Key).Stringer("revision", i.Revision).Send()
+			r.logUnreadable(i, err)
 		}
 		return record
 	}
