Registry: a registration that no host can have written is ignored

Anything under the hosts' prefix made a host: an empty value, an address without a port, a value of megabytes. Such a host became a gate and a voter, and a statement that was handed to it failed before anything was sent ('no Host in request URL'), which counts as possibly arrived: callers' writes were in doubt, from the first statement on. A registration needs a name, an address that can be called (peer.ValidAddress), no more than a kilobyte and resources in range; others are logged as event 607 and ignored.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -142,7 +142,7 @@
 	h.registry = registry.New(registry.Config{
 		Store: registry.NewInstrumentedStore(a.Store, h.recordStoreCall), Documents: a.Documents,
 		Self:               gates.Host{Name: s.Host, Zone: s.Topology.Zone, Address: s.PeerAddress, MilliCores: s.MilliCores, LinkMbps: s.LinkMbps},
-		MaxConfigApplyTime: s.MaxConfigApplyTime, FollowHost: h.gates.Follow, FetchConfig: h.gates.Configuration, FetchSnapshot: h.gates.Snapshot, Features: s.Features, Changed: h.wakeReconcile, Log: h.log,
+		MaxConfigApplyTime: s.MaxConfigApplyTime, FollowHost: h.gates.Follow, ValidAddress: peer.ValidAddress, FetchConfig: h.gates.Configuration, FetchSnapshot: h.gates.Snapshot, Features: s.Features, Changed: h.wakeReconcile, Log: h.log,
 	})
 	h.limiter = limits.New(limits.Config{
 		Self:      quota.Host{Name: s.Host, Zone: s.Topology.Zone, Region: s.Topology.Region(s.Topology.Zone), Address: s.PeerAddress},
--- a/node/peer/gate_dial_test.go
+++ b/node/peer/gate_dial_test.go
@@ -38,3 +38,14 @@
 		require.Less(t, time.Since(started), targetLatency*4/5)
 	})
 }
+
+// TestAddressThatNobodyCanCallIsInvalid guards against a registration whose address makes
+// calls fail before they are sent, or go elsewhere.
+func TestAddressThatNobodyCanCallIsInvalid(t *testing.T) {
+	for _, address := range []string{"10.1.0.1:7000", "[::1]:7000", "host-1.mesh:7000"} {
+		require.True(t, ValidAddress(address), address)
+	}
+	for _, address := range []string{"", "b", "10.1.0.1", "10.1.0.1:", "10.1.0.1:0", "10.1.0.1:70000", "10.1.0.1:-1", ":7000", "a b:7000", "a\r\nb:7000", "a/b:7000", "a@b:7000", "a?b:7000", "a%zz:7000", "a#b:7000"} {
+		require.False(t, ValidAddress(address), "%q", address)
+	}
+}
--- a/node/registry/apply.go
+++ b/node/registry/apply.go
@@ -74,7 +74,7 @@
 	r.noteReachable(now)
 	r.countReceived(len(l.Items))
 	r.coordination = newCoordinationKeys()
-	r.roster.Replace(registrationsIn(l), l.Revision.Epoch(), now)
+	r.roster.Replace(r.registrationsIn(l), l.Revision.Epoch(), now)
 	r.fleetChanged()
 	previous, continues := r.items, !first && l.Revision.Epoch() == r.revision.Epoch() && l.Revision >= r.revision
 	r.items = make(map[string]store.Item, len(l.Items))
@@ -166,7 +166,7 @@
 		return r.applyMember(id, i, now)
 	}
 	if reg, ok := registrationOf(i); ok {
-		r.applyRegistration(reg, i.Deleted, now)
+		r.applyRegistration(reg, i, now)
 		return routingChanged
 	}
 	return r.applyOtherKey(i)
@@ -175,7 +175,6 @@
 func (r *Registry) applyMember(id string, i store.Item, now time.Duration) effect {
 	r.noteMember(id)
 	if i.Deleted {
-		delete(r.unreadable, i.Key)
 		r.directory.MarkMissing(id, i.Revision, now)
 		return routingChanged
 	}
@@ -225,15 +224,7 @@
 		return directory.Entry{}, false
 	}
 	e, err := r.docs.Entry(i)
-	if err == nil {
-		delete(r.unreadable, i.Key)
-		return e, true
-	}
-	if logged, found := r.unreadable[i.Key]; !found || logged < i.Revision {
-		r.unreadable[i.Key] = i.Revision
-		r.logUnreadable(i, err)
-	}
-	return directory.Entry{}, false
+	return e, r.noteReadable(i, err)
 }
 
 // applyOtherKey applies a change of the configuration or of a coordination key. It is
--- a/node/registry/entries_test.go
+++ b/node/registry/entries_test.go
@@ -109,6 +109,30 @@
 	require.Empty(t, r.unreadable, "what is remembered of an entry ends with it")
 }
 
+// TestRegistrationThatNoHostHasWrittenIsIgnored guards against gates and voters that nobody
+// can call: statements that are handed to them are in doubt.
+func TestRegistrationThatNoHostHasWrittenIsIgnored(t *testing.T) {
+	r, log := newRegistryWithFailingStore()
+	r.validAddress = func(address string) bool { return address == "10.1.0.1:7000" }
+	sound := store.Item{Key: hostKey("sound"), Value: []byte("a 10.1.0.1:7000 0 2 1000 100"), Revision: 3}
+	values := []string{"", " ", "a", "a 10.1.0.1", "a 10.1.0.1:7000 0 2 -5 0", "a 10.1.0.1:7000 0 2 0 9223372036854775807", "a 10.1.0.1:7000 " + strings.Repeat("9", 5000)}
+	l := listing(4, sound, store.Item{Key: hostKey(""), Value: sound.Value, Revision: 3})
+	for i, value := range values {
+		l.Items = append(l.Items, store.Item{Key: hostKey(fmt.Sprint("odd-", i)), Value: []byte(value), Revision: 3})
+	}
+	require.NoError(t, r.replace(l))
+	require.Equal(t, []string{"sound"}, r.Hosts())
+	for i := range l.Items[1:] {
+		l.Items[i+1].Revision = 5
+	}
+	r.apply(listing(5, l.Items[1:]...))
+	require.Equal(t, []string{"sound"}, r.Hosts())
+	sound.Value, sound.Revision = nil, 6
+	r.apply(listing(6, sound))
+	require.Empty(t, r.Hosts(), "one that is overwritten")
+	require.Contains(t, log.String(), "upstream_entry_unreadable")
+}
+
 // TestOverwrittenEntryIsMissingUntilRewritten covers changes by watch and by listing.
 func TestOverwrittenEntryIsMissingUntilRewritten(t *testing.T) {
 	r, _ := newRegistryWithFailingStore()
--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -200,6 +200,7 @@
 func (r *Registry) cacheItem(i store.Item) store.Item {
 	if i.Deleted {
 		delete(r.items, i.Key)
+		delete(r.unreadable, i.Key)
 		return i
 	}
 	if i.Key == r.docs.ConfigKey() {
--- a/node/registry/registration.go
+++ b/node/registry/registration.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"errors"
 	"slices"
 	"strconv"
 	"strings"
@@ -56,11 +57,32 @@
 	return decodeRegistration(name, i), true
 }
 
-// registrationsIn returns the registrations of a listing.
-func registrationsIn(l store.Listing) []roster.Registration {
+// maxRegistrationBytes limits a registration. Hosts write less than a hundred bytes.
+const maxRegistrationBytes = 1 << 10
+
+// maxHostResource is the largest processor time and link rate that is believed.
+const maxHostResource = 1 << 30
+
+// errNotRegistration reports a key among the registrations that no host has written.
+var errNotRegistration = errors.New("it is no registration of a host")
+
+// checkRegistration reports a registration that no host can have written. A host that
+// nobody can call would be counted as a gate and as a voter.
+func (r *Registry) checkRegistration(reg roster.Registration, i store.Item) error {
+	h := reg.Host
+	sound := h.Name != "" && len(i.Value) <= maxRegistrationBytes && r.validAddress(h.Address) &&
+		h.MilliCores >= 0 && h.MilliCores <= maxHostResource && h.LinkMbps >= 0 && h.LinkMbps <= maxHostResource
+	if !sound {
+		return errNotRegistration
+	}
+	return nil
+}
+
+// registrationsIn returns the registrations of a listing. It is called with mu held.
+func (r *Registry) registrationsIn(l store.Listing) []roster.Registration {
 	var out []roster.Registration
 	for _, i := range l.Items {
-		if reg, ok := registrationOf(i); ok {
+		if reg, ok := registrationOf(i); ok && r.noteReadable(i, r.checkRegistration(reg, i)) {
 			out = append(out, reg)
 		}
 	}
@@ -69,9 +91,9 @@
 
 // applyRegistration applies a change of a host's registration. It is called with mu
 // held.
-func (r *Registry) applyRegistration(reg roster.Registration, deleted bool, now time.Duration) {
+func (r *Registry) applyRegistration(reg roster.Registration, i store.Item, now time.Duration) {
 	r.fleetChanged()
-	if deleted {
+	if i.Deleted || !r.noteReadable(i, r.checkRegistration(reg, i)) {
 		r.roster.Remove(reg.Host.Name, now)
 		return
 	}
--- a/node/registry/registry.go
+++ b/node/registry/registry.go
@@ -63,6 +63,8 @@
 	// followHost receives changes from a relay; nil disables relays.
 	followHost FollowFunc
 	features   feature.Set
+	// validAddress reports whether another host can be called at an address.
+	validAddress func(address string) bool
 	// fetchConfig fetches the configuration of another host; nil disables it.
 	fetchConfig FetchConfigFunc
 	// fetchSnapshot fetches another host's copy of the store; nil disables it.
@@ -123,8 +125,8 @@
 	// items holds all keys as they were written, for followers and for hosts that do
 	// not reach the store.
 	items map[string]store.Item
-	// unreadable holds the revisions of entries that could not be decoded, so that
-	// each is logged once.
+	// unreadable holds the revisions of entries and registrations that could not be
+	// decoded, so that each is logged once.
 	unreadable map[string]store.Revision
 	lease      store.Lease
 	// leaseTTL is the time for which lease was requested.
@@ -154,6 +156,9 @@
 	MaxConfigApplyTime time.Duration
 	// FollowHost receives changes from a relay; nil disables relays.
 	FollowHost FollowFunc
+	// ValidAddress reports whether another host can be called at an address. Registrations
+	// with another one are ignored; nil accepts all that are not empty.
+	ValidAddress func(address string) bool
 	// FetchConfig fetches the configuration of another host; nil disables it.
 	FetchConfig FetchConfigFunc
 	// FetchSnapshot fetches another host's copy of the store; nil disables it.
@@ -180,8 +185,13 @@
 	if now == nil {
 		now = clock.Now
 	}
+	validAddress := cfg.ValidAddress
+	if validAddress == nil {
+		validAddress = func(address string) bool { return address != "" }
+	}
 	return &Registry{
-		now: now, pacing: storelink.NewPacing(cfg.MaxConfigApplyTime),
+		validAddress: validAddress,
+		now:          now, pacing: storelink.NewPacing(cfg.MaxConfigApplyTime),
 		store: cfg.Store, docs: cfg.Documents, self: cfg.Self, followHost: followHost, fetchConfig: cfg.FetchConfig, fetchSnapshot: fetchSnapshot, features: cfg.Features, changed: cfg.Changed, log: cfg.Log,
 		directory: directory.New(), coordination: newCoordinationKeys(), roster: roster.New(), items: map[string]store.Item{}, unreadable: map[string]store.Revision{},
 		logBudget: eventlog.NewRateLimiter(), relaySelector: relay.New(cfg.Self), link: storelink.New(), historyChanged: make(chan struct{}), storeReached: make(chan struct{}, 1), registrationLost: make(chan struct{}, 1), fleetSizeKnown: make(chan struct{}, 1), sourcesDue: make(chan struct{}, 1), leaseTTL: roster.LeaseTTL(0),
