Log: texts from outside are short

A caller's database, the ID of a request, a member's answer and errors that quote any of them went into log lines whole, up to 1 MiB a line and 200 lines a second.

--- a/node/edge/caller.go
+++ b/node/edge/caller.go
@@ -182,7 +182,7 @@
 	route, found := c.Route(m.Database)
 	if !found {
 		s.gateway.logLimited(eventlog.CallerRejected, func(l *zerolog.Event) {
-			l.Str("database", m.Database).Uint64("version", c.Version).Str("reason", "unknown database")
+			l.Str("database", eventlog.Text(m.Database)).Uint64("version", c.Version).Str("reason", "unknown database")
 		})
 		s.send(s.gateway.proto.EncodeFatal(statement.UnknownDatabase, "no route has this name"))
 		return false
@@ -191,7 +191,7 @@
 	team, authorized := c.Authorize(route, credential)
 	if !authorized {
 		s.gateway.logLimited(eventlog.CallerRejected, func(l *zerolog.Event) {
-			l.Str("database", m.Database).Str("key", credential.Fingerprint()).Uint64("version", c.Version).Str("reason", "unknown key")
+			l.Str("database", eventlog.Text(m.Database)).Str("key", credential.Fingerprint()).Uint64("version", c.Version).Str("reason", "unknown key")
 		})
 		s.send(s.gateway.proto.EncodeFatal(statement.Unauthorized, "no team holds this key"))
 		return false
--- a/node/entry/observe.go
+++ b/node/entry/observe.go
@@ -24,13 +24,13 @@
 		return
 	}
 	o := r.Outcome
-	event.Info(h.log).Str("request", r.Statement.ID).Str("database", r.Database).Str("team", r.Team).Str("key", r.Key).
+	event.Info(h.log).Str("request", eventlog.Text(r.Statement.ID)).Str("database", r.Database).Str("team", r.Team).Str("key", r.Key).
 		Stringer("kind", r.Statement.Kind).Stringer("consistency", r.Route.Consistency).Uint64("version", r.Version).
-		Stringer("code", o.Answer.Code).Str("detail", o.Answer.Detail).
+		Stringer("code", o.Answer.Code).Str("detail", eventlog.Text(o.Answer.Detail)).
 		Str("upstream", o.Member).Str("gate", o.Gate).Bool("primary", o.Primary).Int("attempts", o.Attempts).Int("runs", o.Runs).
 		Stringer("failed_read", o.FailedRead).
 		Stringer("floor", o.Floor).Stringer("position", o.Answer.Position).
-		Dur("held_ms", o.ReplicaWait).Dur("waited_ms", o.Waited).Dur("took_ms", r.Elapsed).Str("cause", o.Cause).Int("left_out", suppressed).Send()
+		Dur("held_ms", o.ReplicaWait).Dur("waited_ms", o.Waited).Dur("took_ms", r.Elapsed).Str("cause", eventlog.Text(o.Cause)).Int("left_out", suppressed).Send()
 }
 
 // observeDropped counts a waiting statement that a member's queue has refused, and logs a
--- a/node/entry/peers.go
+++ b/node/entry/peers.go
@@ -65,7 +65,7 @@
 		return res
 	}
 	if suppressed, ok := h.logBudget.Allow(eventlog.GateJobFailed, clock.Now()); ok {
-		eventlog.GateJobFailed.Info(h.log).Str("request", j.Request.Statement.ID).Str("service", service).
+		eventlog.GateJobFailed.Info(h.log).Str("request", eventlog.Text(j.Request.Statement.ID)).Str("service", service).
 			Str("upstream", j.Member).Str("owner", j.Owner).Bool("handed", res.StatementMayHaveRun).
 			Dur("waited_ms", res.Waited).Err(res.Err).Int("left_out", suppressed).Send()
 	}
--- a/node/replicaset/set.go
+++ b/node/replicaset/set.go
@@ -240,7 +240,7 @@
 	created := newMember(s, e, share)
 	s.members[e.ID] = created
 	if !found {
-		eventlog.UpstreamKnown.Info(s.log).Str("upstream", e.ID).Str("address", e.Address).Bool("primary", e.Primary).Send()
+		eventlog.UpstreamKnown.Info(s.log).Str("upstream", e.ID).Str("address", eventlog.Text(e.Address)).Bool("primary", e.Primary).Send()
 		return created
 	}
 	// A new incarnation invalidates the connections, the leadership and the
@@ -249,7 +249,7 @@
 	s.primaryTracker.ObserveResignation(e.ID)
 	s.highWaterMark.ObserveRestart(e.ID)
 	m.terminate()
-	eventlog.UpstreamRestarted.Info(s.log).Str("upstream", e.ID).Str("address", e.Address).Uint64("started_at", uint64(e.StartedAt)).Send()
+	eventlog.UpstreamRestarted.Info(s.log).Str("upstream", e.ID).Str("address", eventlog.Text(e.Address)).Uint64("started_at", uint64(e.StartedAt)).Send()
 	return created
 }
 
