Registry: after changes that are too large the configuration is read first

The configuration is read by itself before the listing now. Such a watch fails as store.Oversized, since a host whose history is compacted needs no further call: whole fleets lose it together.

Failed before: TestConfigurationIsReadBeforeLargeListing.

--- a/core/store/errors.go
+++ b/core/store/errors.go
@@ -29,9 +29,12 @@
 	Restored
 	// Rejected means that the store rejected the call as invalid.
 	Rejected
+	// Oversized means that the changes that a watch found are together larger than a
+	// response may be.
+	Oversized
 )
 
-var failureNames = [...]string{"unanswered", "unavailable", "throttled", "conflict", "lease_ended", "compacted", "not_found", "restored", "rejected"}
+var failureNames = [...]string{"unanswered", "unavailable", "throttled", "conflict", "lease_ended", "compacted", "not_found", "restored", "rejected", "oversized"}
 
 func (f Failure) String() string { return failureNames[f] }
 
--- a/node/registry/entries_test.go
+++ b/node/registry/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -109,6 +110,36 @@
 	require.Empty(t, r.unreadable, "what is remembered of an entry ends with it")
 }
 
+// oversizedStore has more changes than a watch may return and does not end a listing of all
+// keys.
+type oversizedStore struct {
+	Store
+	config store.Item
+}
+
+func (s oversizedStore) Watch(context.Context, string, store.Revision, time.Duration) (store.Listing, error) {
+	return store.Listing{}, &store.Error{Call: "watch", Failure: store.Oversized}
+}
+
+func (s oversizedStore) Range(ctx context.Context, prefix string, _ func(bool)) (store.Listing, error) {
+	if prefix != s.config.Key {
+		<-ctx.Done()
+		return store.Listing{}, ctx.Err()
+	}
+	return listing(s.config.Revision, s.config), nil
+}
+
+// TestConfigurationIsReadBeforeLargeListing guards against a configuration that takes effect
+// only at the end of a listing which another writer has made large.
+func TestConfigurationIsReadBeforeLargeListing(t *testing.T) {
+	r, _ := newRegistryWithFailingStore()
+	require.NoError(t, r.replace(listing(4, configItem(t, 0, 4, 2))))
+	r.store = oversizedStore{config: configItem(t, 0, 9, 3)}
+	require.NoError(t, r.syncOnce(t.Context()))
+	require.EqualValues(t, 3, r.Catalog().Version)
+	require.True(t, r.relistDue(), "the members are listed too")
+}
+
 // TestRegistrationThatNoHostHasWrittenIsIgnored guards against gates and voters that nobody
 // can call: statements that are handed to them are in doubt.
 func TestRegistrationThatNoHostHasWrittenIsIgnored(t *testing.T) {
--- a/node/registry/run.go
+++ b/node/registry/run.go
@@ -103,6 +103,11 @@
 	if r.relistDue() {
 		return nil
 	}
+	if store.Is(err, store.Oversized) {
+		r.readConfig(ctx)
+		r.requireRelist(err)
+		return nil
+	}
 	if store.Is(err, store.Compacted) || store.Is(err, store.Restored) {
 		r.requireRelist(err)
 		return nil
@@ -147,8 +152,29 @@
 	}
 }
 
+// readConfig reads the configuration by itself, before a listing of a store that holds so
+// much that a change would be late. The listing reads it again if this fails.
+func (r *Registry) readConfig(ctx context.Context) {
+	l, err := r.store.Range(ctx, r.docs.ConfigKey(), nil)
+	if err != nil {
+		r.log.Debug().Err(err).Msg("reading the configuration failed")
+		return
+	}
+	for _, i := range l.Items {
+		if i.Key != r.docs.ConfigKey() {
+			continue
+		}
+		if next, ok := r.decodeConfig(i.Value); ok {
+			r.mu.Lock()
+			r.activateConfig(next, i.Value)
+			r.mu.Unlock()
+			r.changed()
+		}
+	}
+}
+
 // requireRelist causes a complete listing after a watch failed because its revision
-// was compacted or the store was restored.
+// was compacted, its changes were too large or the store was restored.
 func (r *Registry) requireRelist(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
