--- a/node/entry/host_process_test.go
+++ b/node/entry/host_process_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -60,6 +61,8 @@
 	d        *deployment
 	settings entry.Settings
 	cmd      *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
 }
 
 // addHostProcess starts a host in a process and waits until it is ready.
@@ -79,11 +82,36 @@
 	require.NoError(p.d.t, err)
 	p.cmd = exec.Command(os.Args[0])
 	p.cmd.Env = append(os.Environ(), hostProcessEnv+"="+string(encoded))
-	p.cmd.Stdout, p.cmd.Stderr = os.Stderr, os.Stderr
+	p.cmd.Stdout, p.cmd.Stderr = p.d.processLog(), os.Stderr
 	require.NoError(p.d.t, p.cmd.Start())
+	cmd, ended := p.cmd, make(chan struct{})
+	p.ended = ended
+	go func() {
+		// The state of the process tells how it has ended.
+		_ = cmd.Wait()
+		close(ended)
+	}()
 	require.Eventually(p.d.t, p.ready, waitLimit, pollInterval)
 }
 
+// processLog returns the destination of the logs of hosts in processes.
+func (d *deployment) processLog() io.Writer {
+	if d.logWriter != nil {
+		return d.logWriter
+	}
+	return os.Stderr
+}
+
+// running reports whether the process has not ended.
+func (p *hostProcess) running() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 func (p *hostProcess) ready() bool {
 	resp, err := http.Get("http://" + p.settings.ReadinessAddress + onplatform.NewAdapter(onplatform.Options{}).ReadinessPath)
 	if err != nil {
@@ -97,7 +125,7 @@
 func (p *hostProcess) end(s syscall.Signal) {
 	// An error means that the process has ended already.
 	_ = p.cmd.Process.Signal(s)
-	_ = p.cmd.Wait()
+	<-p.ended
 }
 
 func (p *hostProcess) kill() { p.end(syscall.SIGKILL) }
--- a/standin/lineplatform/store_calls.go
+++ b/standin/lineplatform/store_calls.go
@@ -13,6 +13,9 @@
 // of small deployments have several pages.
 const pageSize = 50
 
+// maxPageBytes limits the values of a page; one is returned in any case.
+const maxPageBytes = 1_000_000
+
 // storeHandler executes one call and returns the HTTP status and the JSON body.
 type storeHandler func(r *http.Request) (int, any)
 
@@ -114,8 +117,20 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b kvItem) int { return strings.Compare(a.Key, b.Key) })
-	hasMore := len(items) > pageSize
-	return http.StatusOK, listResponse{Items: items[:min(len(items), pageSize)], HasMore: hasMore, Revision: s.revision}
+	page := firstPage(items)
+	return http.StatusOK, listResponse{Items: page, HasMore: len(page) < len(items), Revision: s.revision}
+}
+
+// firstPage returns the items that fit into one page.
+func firstPage(items []kvItem) []kvItem {
+	size := 0
+	for n, item := range items {
+		size += len(item.Value)
+		if n == pageSize || n > 0 && size > maxPageBytes {
+			return items[:n]
+		}
+	}
+	return items
 }
 
 func (s *Store) watch(r *http.Request) (int, any) {
