Primary: a claimant that nobody reaches gives way to the confirmed primary

A well-formed entry that names itself primary, with nobody at its address, was taken for the primary (a promotion may be learned from an entry first), and then for a dead one, although the confirmed primary served all the while: each new claim cost every host a change there and back, and a death was believed, which is what promotions begin with. An entry is a hint, an exchange is proof: when the claimant can't be reached and the confirmed primary is not unreachable itself, the host returns to it at once. A claim is still followed at once, and it stays while the former primary can't be reached.

--- a/core/succession/primary_tracker.go
+++ b/core/succession/primary_tracker.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// ClaimantOnly reports whether a member is taken to be the primary by its directory entry
+// alone, while another one is confirmed.
+func (t *PrimaryTracker) ClaimantOnly(id string) bool {
+	return t.primary == id && t.confirmed != "" && t.confirmed != id
+}
+
+// ObserveUnreachableClaimant records that a member could not be reached. If it was the
+// primary only by its claim, the confirmed primary is restored: anybody may have left the
+// entry, and a member that nobody reaches is no evidence against one that has answered.
+func (t *PrimaryTracker) ObserveUnreachableClaimant(id string) {
+	if t.ClaimantOnly(id) {
+		t.primary = t.confirmed
+	}
+}
+
 // ObserveDenial records that a member, as a replica, refused what only a
 // primary does.
 func (t *PrimaryTracker) ObserveDenial(id string) {
--- a/core/succession/succession_test.go
+++ b/core/succession/succession_test.go
@@ -152,6 +152,30 @@
 	require.Empty(t, tracker.Primary(), "a denial ends the confirmation")
 }
 
+// TestUnreachableClaimantDoesNotReplaceConfirmedPrimary guards against the replacement of a
+// primary that serves, because of an entry that names a member which nobody reaches.
+func TestUnreachableClaimantDoesNotReplaceConfirmedPrimary(t *testing.T) {
+	var tracker succession.PrimaryTracker
+	tracker.ObserveClaim("first", 3)
+	tracker.ObserveUnreachableClaimant("first")
+	require.Equal(t, "first", tracker.Primary(), "nobody else is known as the primary")
+	tracker.ConfirmLeadership("a", 3)
+	tracker.ObserveClaim("odd", 20)
+	require.Equal(t, "odd", tracker.Primary(), "a promotion may be learned from an entry first")
+	tracker.ObserveUnreachableClaimant("other")
+	require.Equal(t, "odd", tracker.Primary())
+	tracker.ObserveUnreachableClaimant("odd")
+	require.Equal(t, "a", tracker.Primary())
+	tracker.ObserveClaim("odd", 20)
+	require.Equal(t, "a", tracker.Primary(), "the entry is seen again with each change of the directory")
+	tracker.ObserveUnreachableClaimant("a")
+	require.Equal(t, "a", tracker.Primary(), "the failure of a confirmed primary is a case for a promotion")
+	tracker.ObserveClaim("new", 21)
+	tracker.ConfirmLeadership("new", 4)
+	tracker.ObserveUnreachableClaimant("new")
+	require.Equal(t, "new", tracker.Primary(), "it has proved its lead")
+}
+
 // TestPeerConfirmationGivesPrimaryToHostWithoutOne: a host without a connection
 // to the primary learns of it only from other hosts.
 func TestPeerConfirmationGivesPrimaryToHostWithoutOne(t *testing.T) {
--- a/node/entry/foreign_entries_test.go
+++ b/node/entry/foreign_entries_test.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// encodeFields encodes an entry whose fields are JSON texts already.
+func encodeFields(fields map[string]string) string {
+	var parts []string
+	for name, value := range fields {
+		parts = append(parts, strconv.Quote(name)+":"+value)
+	}
+	return "{" + strings.Join(parts, ",") + "}"
+}
+
 func nested(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
 
 // foreignValues returns the entries that another writer leaves: JSON that is no entry, and
@@ -75,11 +84,7 @@
 	with := func(field, value string) {
 		fields := entryFields()
 		fields[field] = value
-		var parts []string
-		for name, v := range fields {
-			parts = append(parts, strconv.Quote(name)+":"+v)
-		}
-		values = append(values, "{"+strings.Join(parts, ",")+"}")
+		values = append(values, encodeFields(fields))
 	}
 	for _, field := range []string{"capacity", "cold_left_ms", "sequence", "born"} {
 		for _, n := range []string{"9007199254740992", "9223372036854775808", "1e400", "-1", "-1e400", "0", digits, "-" + digits, nested(100_000), "9223372036854"} {
@@ -242,3 +247,35 @@
 	}
 	t.Logf("log: %d bytes, %v", len(text), counts)
 }
+
+// TestClaimWithNobodyAtItsAddressIsNoDeath guards against hosts that take an entry of another
+// writer for the primary, believe that it is dead and replace it, although the primary that
+// they have exchanged statements with serves.
+func TestClaimWithNobodyAtItsAddressIsNoDeath(t *testing.T) {
+	const claims = 6
+	d := deployPlatform(t, options())
+	log := &syncLog{}
+	d.logWriter = log
+	d.addHost()
+	d.addHost()
+	clients := []*client{d.connect(0, "strict"), d.connect(1, "strict")}
+	for _, c := range clients {
+		c.must("STORE item a")
+	}
+	fields := entryFields()
+	fields["service"], fields["db_role"], fields["address"] = `"svc"`, `"primary"`, strconv.Quote(freeAddress(t))
+	for n := range claims {
+		// Each has another start time, and so is a claim of its own.
+		fields["born"] = strconv.Itoa(1790000000000 + n)
+		d.platform.Store.Put("servers/odd", []byte(encodeFields(fields)))
+		for until := time.Now().Add(500 * time.Millisecond); time.Now().Before(until); {
+			for _, c := range clients {
+				c.must("STORE item b")
+				c.must("FETCH item")
+			}
+		}
+	}
+	t.Logf("the primary changed %d times", strings.Count(log.String(), `"primary_changed"`))
+	require.NotContains(t, log.String(), "primary_believed_dead")
+	require.EqualValues(t, 1, d.group.Term())
+}
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// observeUnreachable records that a member could not be reached. One that claims to be the
+// primary gives way to the confirmed primary if that is reachable.
+func (s *Set) observeUnreachable(m *Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.primaryTracker.ClaimantOnly(m.id) {
+		return
+	}
+	confirmed, known := s.members[s.primaryTracker.Confirmed()]
+	if !known || confirmed.unreachable(clock.Now()) {
+		return
+	}
+	s.primaryTracker.ObserveUnreachableClaimant(m.id)
+	s.notifyPrimaryChange(m.id, "claimant not reached")
+}
+
 // ObserveStepDown records that a member has confirmed that it stepped down as the primary.
 func (s *Set) ObserveStepDown(m *Member) { s.observeDenial(m) }
 
--- a/node/replicaset/primary_test.go
+++ b/node/replicaset/primary_test.go
@@ -70,3 +70,21 @@
 	require.True(t, found)
 	require.Equal(t, position, floor.Position)
 }
+
+// TestUnreachableClaimantGivesWayToReachablePrimary guards against a primary that is given up
+// for an entry of a member that nobody reaches, and against a promotion that is given up for
+// the former primary which nobody reaches.
+func TestUnreachableClaimantGivesWayToReachablePrimary(t *testing.T) {
+	for _, primaryReachable := range []bool{true, false} {
+		s := groupOfThree(Config{Host: "h1"})
+		p, _ := s.Member("p")
+		claimant, _ := s.Member("r1")
+		s.primaryTracker.ObserveClaim("r1", 9)
+		if !primaryReachable {
+			p.wrongMemberUntil = clock.Now() + time.Hour
+		}
+		claimant.exchangeFailed(clock.Now(), failureRefused)
+		id, _ := s.AssumedPrimary()
+		require.Equal(t, map[bool]string{true: "p", false: "r1"}[primaryReachable], id)
+	}
+}
