Primary: a claimant that never answers is no dead primary either

At an address that accepts connections and never answers, the claimant counted as dead before the first request to it had failed, and the death was believed. The promoter returns to the confirmed primary then, if that is reachable.

--- a/node/entry/foreign_entries_test.go
+++ b/node/entry/foreign_entries_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/standin/linecaller"
+	"github.com/dotterelswitch/dotterelswitch/standin/loopback"
 )
 
 // maxLogLineBytes bounds the lines of a host's log, whatever others send or write.
@@ -162,6 +163,13 @@
 	store := d.platform.Store
 	values, keys := foreignValues(), foreignKeys()
 	random := rand.New(rand.NewPCG(1, 69))
+	t.Cleanup(func() {
+		for line := range strings.Lines(log.String()) {
+			if t.Failed() && strings.Contains(line, `"platform_`) {
+				t.Log(strings.TrimSpace(line))
+			}
+		}
+	})
 	small := slices.DeleteFunc(slices.Clone(values), func(v string) bool { return len(v) > 1000 })
 	write := func() {
 		for i, key := range keys {
@@ -252,6 +260,18 @@
 // writer for the primary, believe that it is dead and replace it, although the primary that
 // they have exchanged statements with serves.
 func TestClaimWithNobodyAtItsAddressIsNoDeath(t *testing.T) {
+	t.Run("refuses connections", func(t *testing.T) { runUnprovedClaims(t, freeAddress(t)) })
+	t.Run("never answers", func(t *testing.T) {
+		silent, err := loopback.Listen()
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = silent.Close() })
+		runUnprovedClaims(t, silent.Addr().String())
+	})
+}
+
+// runUnprovedClaims writes entries that claim to be the primary at an address, beside load.
+func runUnprovedClaims(t *testing.T, address string) {
+	t.Helper()
 	const claims = 6
 	d := deployPlatform(t, options())
 	log := &syncLog{}
@@ -263,7 +283,7 @@
 		c.must("STORE item a")
 	}
 	fields := entryFields()
-	fields["service"], fields["db_role"], fields["address"] = `"svc"`, `"primary"`, strconv.Quote(freeAddress(t))
+	fields["service"], fields["db_role"], fields["address"] = `"svc"`, `"primary"`, strconv.Quote(address)
 	for n := range claims {
 		// Each has another start time, and so is a claim of its own.
 		fields["born"] = strconv.Itoa(1790000000000 + n)
--- a/node/promoter/evidence.go
+++ b/node/promoter/evidence.go
@@ -42,7 +42,8 @@
 		return ""
 	}
 	p.noPrimarySince = 0
-	if m, known := p.set.Member(id); known && m.Dead(now) {
+	// One that does not answer may be dead before a request to it has failed.
+	if m, known := p.set.Member(id); known && m.Dead(now) && !p.set.ObserveUnreachable(m) {
 		return id
 	}
 	return ""
--- a/node/replicaset/member_health.go
+++ b/node/replicaset/member_health.go
@@ -72,7 +72,7 @@
 	}
 	isFailing := m.health.Failing()
 	m.mu.Unlock()
-	m.set.observeUnreachable(m)
+	m.set.ObserveUnreachable(m)
 	if isFailing && !wasFailing {
 		eventlog.UpstreamSuspected.Warn(m.log).Bool("silent", kind == failureTimeout).Send()
 		m.set.requestProbe()
--- a/node/replicaset/primary.go
+++ b/node/replicaset/primary.go
@@ -54,20 +54,22 @@
 	}
 }
 
-// observeUnreachable records that a member could not be reached. One that claims to be the
-// primary gives way to the confirmed primary if that is reachable.
-func (s *Set) observeUnreachable(m *Member) {
+// ObserveUnreachable records that a member could not be reached. One that claims to be the
+// primary gives way to the confirmed primary if that is reachable; it reports whether it
+// does.
+func (s *Set) ObserveUnreachable(m *Member) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.primaryTracker.ClaimantOnly(m.id) {
-		return
+		return false
 	}
 	confirmed, known := s.members[s.primaryTracker.Confirmed()]
 	if !known || confirmed.unreachable(clock.Now()) {
-		return
+		return false
 	}
 	s.primaryTracker.ObserveUnreachableClaimant(m.id)
 	s.notifyPrimaryChange(m.id, "claimant not reached")
+	return true
 }
 
 // ObserveStepDown records that a member has confirmed that it stepped down as the primary.
