--- a/node/registry/peers.go
+++ b/node/registry/peers.go
@@ -200,11 +200,16 @@
 func (r *Registry) cacheItem(i store.Item) store.Item {
 	if i.Deleted {
 		delete(r.items, i.Key)
+		delete(r.unreadable, i.Key)
 		return i
 	}
 	if i.Key == r.docs.ConfigKey() {
 		i = r.withActiveConfig(i)
 	}
+	if _, unreadable := r.unreadable[i.Key]; unreadable {
+		// Followers find it unreadable without its value too.
+		i.Value = nil
+	}
 	r.items[i.Key] = i
 	return i
 }
