PostgreSQL callers: a Query does not overtake the messages ahead of it

Callers that sent Parse, Bind and Execute and then a Query, without a Sync between, got the answer to the Query first and that to the batch at a later Sync: rows of one statement for another. The gateway collects a batch up to Sync, but ran a Query at once.

Such a Query now ends the connection with a protocol violation; nothing of the batch or the Query runs.

TestSessions/query_within_a_batch failed before: the first message was the RowDescription of the Query.

--- a/node/gateway/batch.go
+++ b/node/gateway/batch.go
@@ -43,6 +43,9 @@
 	refusal *outcome.Refusal
 }
 
+// empty reports whether nothing waits for Sync.
+func (b *batch) empty() bool { return len(b.frames) == 0 && b.refusal == nil }
+
 // add appends one message. A returned refusal ends the connection; a refusal
 // stored in the batch is sent at Sync.
 func (b *batch) add(fr frame, prepared map[string]preparedStatement) *outcome.Refusal {
--- a/node/gateway/handle.go
+++ b/node/gateway/handle.go
@@ -24,6 +24,10 @@
 	case 'X':
 		return false
 	case 'Q':
+		if !s.batch.empty() {
+			s.write(fatalMessage(outcome.Refuse(outcome.ProtocolViolation, "a Query before the Sync of the messages ahead of it")))
+			return false
+		}
 		return s.handleQuery(fr.body)
 	case 'P', 'B', 'D', 'E', 'C':
 		if refusal := s.batch.add(fr, s.prepared); refusal != nil {
--- a/node/host/session_test.go
+++ b/node/host/session_test.go
@@ -35,6 +35,7 @@
 	t.Run("cancel", func(t *testing.T) { testCancel(t, d) })
 	t.Run("ended sessions leak no goroutines", func(t *testing.T) { testNoGoroutineLeak(t, d) })
 	t.Run("stalled replication", func(t *testing.T) { testStalledReplication(t, d) })
+	t.Run("query within a batch", func(t *testing.T) { testQueryWithinBatch(t, d) })
 	t.Run("malformed messages", func(t *testing.T) { testMalformedMessages(t, d) })
 }
 
@@ -193,6 +194,26 @@
 	}
 }
 
+// testQueryWithinBatch guards against the answer to a Query that comes before that to the
+// messages ahead of it: callers would take one for the other.
+func testQueryWithinBatch(t *testing.T, d *deployment) {
+	h, err := d.connect(0, nil).PgConn().Hijack()
+	require.NoError(t, err)
+	f := h.Frontend
+	f.Send(&pgproto3.Parse{Query: insertReading})
+	f.Send(&pgproto3.Bind{Parameters: [][]byte{[]byte("unsynced"), []byte("x")}})
+	f.Send(&pgproto3.Execute{})
+	f.Send(&pgproto3.Query{String: "SELECT value FROM readings WHERE subject = 'unsynced'"})
+	f.Send(&pgproto3.Sync{})
+	require.NoError(t, f.Flush())
+	require.NoError(t, h.Conn.SetReadDeadline(time.Now().Add(testTimeout)))
+	message, err := f.Receive()
+	require.NoError(t, err)
+	require.IsType(t, &pgproto3.ErrorResponse{}, message)
+	require.Equal(t, "FATAL", message.(*pgproto3.ErrorResponse).Severity)
+	require.Empty(t, values(t, d.connect(0, nil), "unsynced"))
+}
+
 // testMalformedMessages guards against malformed start-up messages that keep their
 // connection open or disturb other sessions.
 func testMalformedMessages(t *testing.T, d *deployment) {
