PostgreSQL callers: negative message lengths are protocol violations

A negative length was refused as a message that is too large. It ends the connection as before, with the right code. TestLengthsOutOfRange failed before for the lengths 2^31 and 2^32-1.

--- a/node/gateway/frame.go
+++ b/node/gateway/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -62,7 +63,8 @@
 		return frame{}, 0, nil
 	}
 	length := int(binary.BigEndian.Uint32(f.buf[header-startupHeaderSize:]))
-	if length < startupHeaderSize {
+	// The length is a signed number that counts its own bytes.
+	if length < startupHeaderSize || length > math.MaxInt32 {
 		return frame{}, 0, outcome.Refuse(outcome.ProtocolViolation, "message length %d", length)
 	}
 	if length > limit {
