--- a/standin/dbgroup/backend_conn.go
+++ b/standin/dbgroup/backend_conn.go
@@ -25,7 +25,7 @@
 
 type prepared struct {
 	statements []*statement
-	paramCount int
+	paramTypes []uint32
 }
 
 // backendConn is the server side of one PostgreSQL connection.
@@ -156,7 +156,9 @@
 	}
 }
 
+// sendError sends an error, which fails the open transaction.
 func (b *backendConn) sendError(err error) {
+	b.failTxn()
 	var sqlErr *sqlError
 	if !errors.As(err, &sqlErr) {
 		sqlErr = &sqlError{code: "XX000", message: err.Error()}
--- a/standin/dbgroup/messages.go
+++ b/standin/dbgroup/messages.go
@@ -1,6 +1,7 @@
 package dbgroup
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -11,7 +12,6 @@
 	defer b.sendReadyForQuery()
 	statements, err := parseScript(sql)
 	if err != nil {
-		b.failTxn()
 		b.sendError(err)
 		return
 	}
@@ -61,14 +61,22 @@
 func (b *backendConn) parse(msg *pgproto3.Parse) error {
 	statements, err := parseScript(msg.Query)
 	if err != nil {
-		b.failTxn()
 		return err
 	}
-	b.prepared[msg.Name] = &prepared{statements: statements, paramCount: countParams(msg.Query)}
+	b.prepared[msg.Name] = &prepared{statements: statements, paramTypes: paramTypes(msg)}
 	b.backend.Send(&pgproto3.ParseComplete{})
 	return nil
 }
 
+// paramTypes returns the types that a Parse specifies, and text for further parameters.
+func paramTypes(msg *pgproto3.Parse) []uint32 {
+	types := slices.Clone(msg.ParameterOIDs)
+	for len(types) < countParams(msg.Query) {
+		types = append(types, textOID)
+	}
+	return types
+}
+
 // countParams returns the highest single-digit parameter number in a text.
 func countParams(sql string) int {
 	highest := 0
@@ -101,11 +109,7 @@
 		if p, found = b.prepared[msg.Name]; !found {
 			return &sqlError{code: codeUndefinedStatement, message: "prepared statement " + msg.Name + " does not exist"}
 		}
-		d := &pgproto3.ParameterDescription{}
-		for range p.paramCount {
-			d.ParameterOIDs = append(d.ParameterOIDs, textOID)
-		}
-		b.backend.Send(d)
+		b.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: p.paramTypes})
 	} else {
 		bound, found := b.portals[msg.Name]
 		if !found {
