PostgreSQL members: an answer is only taken for the request that it answers

With one answer in twenty sent a second time, callers got rows and command tags of other statements, saw transactions that had not begun, and lost acknowledged writes, since the answer to an earlier statement passed for that to COMMIT. Later statements of the same connection were one answer off, up to callers that waited for good. Control connections took the answer to one group function for that to the next: a lock that was not taken passed for taken.

Cause: an answer ended at the first ReadyForQuery, whatever came before it, and nothing was compared with what had been asked.

A marker now follows each request in the same write: Parse of an empty statement with eight parameter types, Describe, Sync. ParameterDescription echoes the types, which encode a number that is unique on the connection. Members answer in order, so the answer is among those before the echo. Package core/pgcorrelate chooses it: by the form (messages, tag, transaction status, which must be that of the echo), and by what the connection has received before. If more than one answer remains, the request fails as one whose answer was lost. A connection that received more than one answer is not used again; a control connection is kept, because it holds the lock of a pool.

Asynchronous messages keep a connection usable. Lengths that are negative or too small are malformed rather than too large. What pgconn had read ahead at the login is no longer lost. Event 322 and upstream_answers_rejected tell what was rejected.

--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -40,6 +40,8 @@
 	StatementDisplaced    = Event{319, "statement_displaced"}
 	LoadReportInvalid     = Event{320, "load_report_invalid"}
 	AnswerRejected        = Event{321, "answer_rejected"}
+	// UpstreamAnswerRejected is the counterpart of AnswerRejected for PostgreSQL members.
+	UpstreamAnswerRejected = Event{322, "upstream_answer_rejected"}
 	// TransactionReclaimed needs no rate limit: there is at most one per open
 	// transaction.
 	TransactionReclaimed = Event{312, "transaction_reclaimed"}
@@ -99,7 +101,7 @@
 		Started, Stopping, Stopped, StopForced, SettingsReloaded, SettingsRejected,
 		CallerRejected, CallerViolation,
 		PoolAcquired, PoolReleased, PoolTakeover, ConnectionFailed, LedgerNotTrimmed,
-		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted, StatementDisplaced, LoadReportInvalid, AnswerRejected,
+		UpstreamKnown, UpstreamGone, UpstreamSuspected, StatementFailed, StatementServed, GateJobFailed, TransactionReclaimed, UpstreamRestarted, DetourTaken, ReadsCounted, ControlTrafficCounted, UpstreamEjected, UpstreamReadmitted, StatementDisplaced, LoadReportInvalid, AnswerRejected, UpstreamAnswerRejected,
 		TermClaimed, Promoted, PrimaryChanged, GroupCommandFailed, PrimaryReportedDead, PromotionLockTaken,
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost, PrimaryFailing, SyncGroupRecorded, PromotionWithheld, GroupSettled, ReplicaResumed, CommitsHeld, CommitsReleased,
 		HostStateChanged, PeerCallFailed,
--- a/node/host/deployment_test.go
+++ b/node/host/deployment_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/dotterelswitch/dotterelswitch/core/conf"
 	"github.com/dotterelswitch/dotterelswitch/node/demo"
 	"github.com/dotterelswitch/dotterelswitch/node/host"
 	"github.com/dotterelswitch/dotterelswitch/node/settings"
@@ -34,6 +35,12 @@
 }
 
 func deploy(t testing.TB, hosts int, change func(s *settings.Settings)) *deployment {
+	t.Helper()
+	return deployItems(t, hosts, change, nil)
+}
+
+// deployItems also changes the configuration before the hosts start.
+func deployItems(t testing.TB, hosts int, change func(s *settings.Settings), changeItems func(i *conf.Items)) *deployment {
 	t.Helper()
 	spec, err := workload.Get("archive")
 	require.NoError(t, err)
@@ -41,7 +48,11 @@
 	env, err := workload.Deploy(spec)
 	require.NoError(t, err)
 	t.Cleanup(env.Close)
-	require.NoError(t, demo.Publish(t.Context(), env.Platform.Addr(), env.Items()))
+	items := env.Items()
+	if changeItems != nil {
+		changeItems(&items)
+	}
+	require.NoError(t, demo.Publish(t.Context(), env.Platform.Addr(), items))
 	d := &deployment{t: t, env: env}
 	for i := range hosts {
 		s := settings.Default()
--- a/node/host/host.go
+++ b/node/host/host.go
@@ -106,6 +106,7 @@
 		Host: self, User: s.UpstreamUser, Password: s.UpstreamPassword, Dial: opts.Dial,
 		ControlDial: upstream.DialFunc(h.traffic.control.WrapDialer(opts.Dial)), HeartbeatBudget: group.DefaultHeartbeatBudget(),
 		AnswerLimit: s.MaxAnswer, Timing: group.DefaultTiming(), DrainTimeout: s.DrainTimeout, Log: h.log,
+		AnswerRejected: newRejectionReport(h.log, h.metrics).record,
 	})
 	h.router = router.New(self, owner.SenderName(self), h.fleet, h.owner, h.peers, h.log)
 	if err := h.listen(); err != nil {
--- a/node/owner/monitored_group.go
+++ b/node/owner/monitored_group.go
@@ -31,7 +31,7 @@
 	return upstream.Target{
 		Service: service, Member: u.Name, Address: u.Address,
 		User: cfg.User, Password: cfg.Password,
-		Application: applicationName(cfg.Host), Dial: cfg.Dial,
+		Application: applicationName(cfg.Host), Dial: cfg.Dial, Rejected: cfg.AnswerRejected,
 	}
 }
 
--- a/node/owner/owner.go
+++ b/node/owner/owner.go
@@ -34,6 +34,9 @@
 	HeartbeatBudget group.HeartbeatBudget
 	// RecordPromotion is called after each promotion.
 	RecordPromotion func(service string, term logpos.Term, primary string)
+	// AnswerRejected is called for each answer of a member that is not that to the request
+	// in progress; it may be nil.
+	AnswerRejected func(upstream.Rejection)
 	// DrainTimeout bounds how long a released pool waits for its requests.
 	DrainTimeout time.Duration
 	Log          zerolog.Logger
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -2,89 +2,157 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"errors"
-	"io"
+	"math/rand/v2"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"golang.org/x/sys/unix"
 
-	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/core/pgcorrelate"
 	"github.com/dotterelswitch/dotterelswitch/node/pgframe"
 )
 
-// positionParameter is the ParameterStatus in which a member reports the log
-// position of the last commit or snapshot.
-const positionParameter = "group.position"
-
-const readBufferSize = 16 * 1024
-
-// Answer is the complete answer to one request.
-type Answer struct {
-	// Frames are the member's messages without ReadyForQuery and ParameterStatus.
-	Frames []byte
-	// TxStatus is the transaction status of ReadyForQuery: 'I' outside a
-	// transaction, 'T' inside, 'E' in a failed one.
-	TxStatus byte
-	// Position is the log position of the last commit or snapshot.
-	Position logpos.Position
-	// ErrorCode is the SQLSTATE of the last ErrorResponse, or empty.
-	ErrorCode string
-}
+const (
+	readBufferSize = 16 * 1024
+	// maxAnswersPerRequest bounds the answers that are read before the echo of a marker.
+	maxAnswersPerRequest = 64
+	// maxIdleMessages bounds the asynchronous messages that are read from an idle
+	// connection at once.
+	maxIdleMessages = 64
+	// idleReadTimeout bounds the wait for the rest of a message on an idle connection.
+	idleReadTimeout = 5 * time.Millisecond
+)
 
 // Conn is a connection that carries one request at a time.
 type Conn struct {
 	target      Target
 	conn        net.Conn
+	rawConn     syscall.RawConn
 	reader      *bufio.Reader
 	pid         uint32
 	secret      []byte
 	answerLimit int
+	tracker     pgcorrelate.Tracker
+	// nextMarker is the number of the next marker.
+	nextMarker uint32
 	// dirty is set while an answer is outstanding, and permanently once an answer
-	// was not read in full.
+	// was not read in full or was not the only one.
 	dirty bool
 	// inTx is set if the last answer left a transaction open.
 	inTx bool
+	// control is set for a control connection, which is kept after a repeated answer.
+	control bool
 }
 
 // Open connects to a member. Answers larger than limit bytes are refused.
 func Open(ctx context.Context, t Target, limit int) (*Conn, error) {
-	pc, err := t.connect(ctx)
+	h, reader, err := t.connect(ctx)
 	if err != nil {
 		return nil, err
 	}
-	h, err := pc.Hijack()
-	if err != nil {
-		return nil, &DialError{Member: t.Member, Err: err}
+	c := &Conn{
+		target: t, conn: h.Conn, reader: reader,
+		pid: h.PID, secret: h.SecretKey, answerLimit: limit, nextMarker: rand.Uint32(),
+	}
+	if conn, ok := h.Conn.(syscall.Conn); ok {
+		if c.rawConn, err = conn.SyscallConn(); err != nil {
+			c.Close()
+			return nil, &DialError{Member: t.Member, Err: err}
+		}
 	}
-	return &Conn{
-		target: t, conn: h.Conn, reader: bufio.NewReaderSize(h.Conn, readBufferSize),
-		pid: h.PID, secret: h.SecretKey, answerLimit: limit,
-	}, nil
+	return c, nil
 }
 
-// Clean reports whether the connection may serve another session: its last answer
-// was read in full, no transaction is open, and no unread bytes are buffered.
-func (c *Conn) Clean() bool { return !c.dirty && !c.inTx && c.reader.Buffered() == 0 }
+// Clean reports whether the connection may serve another session: its last answer was read in
+// full and was the only one, no transaction is open, and nothing but asynchronous messages,
+// which it drops, has arrived since.
+func (c *Conn) Clean() bool {
+	if c.dirty || c.inTx {
+		return false
+	}
+	for range maxIdleMessages {
+		received, open := c.received()
+		if !open {
+			c.dirty = true
+			return false
+		}
+		if !received {
+			return true
+		}
+		if !c.dropAsynchronous() {
+			break
+		}
+	}
+	c.dirty = true
+	c.reject(pgcorrelate.Request{}, pgcorrelate.Unrequested, false)
+	return false
+}
+
+// received reports whether data has arrived, and whether the connection is open as far as
+// that tells. It does not wait.
+func (c *Conn) received() (data, open bool) {
+	if c.reader.Buffered() > 0 {
+		return true, true
+	}
+	if c.rawConn == nil {
+		return false, true
+	}
+	open = true
+	err := c.rawConn.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		data = n > 0
+		open = n > 0 || err == unix.EAGAIN || err == unix.EINTR
+		return true
+	})
+	return data, open && err == nil
+}
+
+// dropAsynchronous drops one message that a member may send at any moment. It reports false if
+// something else has arrived.
+func (c *Conn) dropAsynchronous() bool {
+	if c.conn.SetReadDeadline(time.Now().Add(idleReadTimeout)) != nil {
+		return false
+	}
+	header, err := c.reader.Peek(pgframe.HeaderSize)
+	if err != nil {
+		return false
+	}
+	size, ok := pgframe.Size(header)
+	if kind := header[0]; !ok || size > readBufferSize || kind != 'N' && kind != 'S' && kind != 'A' {
+		return false
+	}
+	if _, err := c.reader.Discard(size); err != nil {
+		return false
+	}
+	return c.conn.SetReadDeadline(time.Time{}) == nil
+}
 
 func (c *Conn) Close() { _ = c.conn.Close() }
 
-// Run sends frames, which must end in one Query or Sync, and reads the answer up
-// to ReadyForQuery. If the context ends first, the statement is cancelled and the
-// connection is no longer usable.
+// Run sends frames, which must end in one Query or Sync, and reads the answer. If the context
+// ends first, the statement is cancelled and the connection is no longer usable.
 func (c *Conn) Run(ctx context.Context, frames []byte) (Answer, error) {
 	c.dirty = true
+	c.nextMarker++
+	messages, echo, err := marker(c.nextMarker)
+	if err != nil {
+		return Answer{}, c.fail(false, err)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
 	if ctx.Err() != nil {
 		stop()
 		return Answer{}, c.fail(false, ctx.Err())
 	}
-	n, err := c.conn.Write(frames)
+	n, err := c.conn.Write(append(frames[:len(frames):len(frames)], messages...))
 	if err != nil {
 		return Answer{}, c.fail(n > 0, err)
 	}
-	a, err := c.readAnswer()
+	a, alone, err := c.readAnswer(describeRequest(frames), echo)
 	if err != nil {
 		if ctx.Err() != nil {
 			go c.cancel()
@@ -94,7 +162,7 @@
 	}
 	// If the context has just ended, its deadline may already be set on the
 	// connection. The answer is complete, but the connection cannot be reused.
-	c.dirty = !stop()
+	c.dirty = !stop() || !alone
 	c.inTx = a.TxStatus != 'I'
 	return a, nil
 }
@@ -103,69 +171,56 @@
 	return &RunError{Member: c.target.Member, MayHaveRun: sent, Err: err}
 }
 
-func (c *Conn) readAnswer() (Answer, error) {
-	var a Answer
+// readAnswer reads up to the echo of the marker and returns the answer to the request, and
+// whether it was the only one.
+func (c *Conn) readAnswer(req pgcorrelate.Request, echo []byte) (a Answer, alone bool, err error) {
+	var segments []*segment
+	var forms []pgcorrelate.Answer
 	for {
-		header, err := c.reader.Peek(pgframe.HeaderSize)
+		s, err := readSegment(c.reader, c.answerLimit)
 		if err != nil {
-			return a, unexpectedEOF(err)
-		}
-		kind := header[0]
-		size := pgframe.Size(header)
-		if size < pgframe.HeaderSize || len(a.Frames)+size > c.answerLimit {
-			return a, &TooLargeError{Limit: c.answerLimit}
-		}
-		start := len(a.Frames)
-		a.Frames = append(a.Frames, make([]byte, size)...)
-		if _, err := io.ReadFull(c.reader, a.Frames[start:]); err != nil {
-			return a, unexpectedEOF(err)
+			return a, false, c.unreadable(req, err)
 		}
-		body := a.Frames[start+pgframe.HeaderSize:]
-		switch kind {
-		case 'Z':
-			if len(body) != 1 {
-				return a, errMalformedMessage
+		if !bytes.Equal(s.answer.Frames, echo) {
+			segments, forms = append(segments, s), append(forms, s.form)
+			if len(segments) > maxAnswersPerRequest {
+				return a, false, c.reject(req, pgcorrelate.TooMany, false)
 			}
-			a.TxStatus = body[0]
-			a.Frames = a.Frames[:start]
-			return a, nil
-		case 'S':
-			a.readParameter(body)
-			a.Frames = a.Frames[:start]
-		case 'E':
-			a.readError(body)
-		case 'G', 'W':
-			return a, errCopy
+			continue
 		}
+		v := c.tracker.Choose(req, forms, s.answer.TxStatus)
+		c.tracker.Remember(s.form)
+		switch {
+		case v.Index < 0:
+			return a, false, c.reject(req, v.Reason, false)
+		case v.Reason != "":
+			_ = c.reject(req, v.Reason, true)
+		}
+		return segments[v.Index].whole(), v.Reason == "", nil
 	}
 }
 
-var errCopy = errors.New("the upstream asks for COPY data, which pooled connections do not carry")
-
-var errMalformedMessage = errors.New("malformed message from the upstream")
-
-func (a *Answer) readParameter(body []byte) {
-	var ps pgproto3.ParameterStatus
-	if ps.Decode(body) != nil || ps.Name != positionParameter {
-		return
-	}
-	if p, err := logpos.Parse(ps.Value); err == nil {
-		a.Position = p
-	}
-}
-
-func (a *Answer) readError(body []byte) {
-	var e pgproto3.ErrorResponse
-	if e.Decode(body) == nil {
-		a.ErrorCode = e.Code
+// unreadable reports an answer that violates the protocol.
+func (c *Conn) unreadable(req pgcorrelate.Request, err error) error {
+	if err == errMalformedMessage {
+		_ = c.reject(req, pgcorrelate.Unreadable, false)
 	}
+	return err
 }
 
-func unexpectedEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
+// reject reports an answer that is not that to the request, and returns it as an error.
+func (c *Conn) reject(req pgcorrelate.Request, reason pgcorrelate.Reason, answered bool) error {
+	if c.target.Rejected != nil {
+		fate := Closed
+		switch {
+		case answered && c.control:
+			fate = Kept
+		case answered:
+			fate = Retired
+		}
+		c.target.Rejected(Rejection{Member: c.target.Member, Reason: reason, Keyword: req.Keyword, Answered: answered, Connection: fate})
 	}
-	return err
+	return &AnswerRejectedError{Reason: reason}
 }
 
 // cancelTimeout bounds the delivery of a cancel request.
--- a/node/upstream/control.go
+++ b/node/upstream/control.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/dotterelswitch/dotterelswitch/core/group"
 	"github.com/dotterelswitch/dotterelswitch/core/logpos"
+	"github.com/dotterelswitch/dotterelswitch/node/pgframe"
 )
 
 // Control is a member's control connection, used for group functions and advisory
@@ -22,7 +24,7 @@
 	target Target
 
 	mu   sync.Mutex
-	conn *pgconn.PgConn
+	conn *Conn
 	// generation increases with each new connection. A change means that session
 	// state, such as an advisory lock, is lost.
 	generation uint64
@@ -37,20 +39,12 @@
 	c.drop()
 }
 
-// drop closes the connection in the background; it needs mu held.
+// drop closes the connection; it needs mu held.
 func (c *Control) drop() {
-	if c.conn == nil {
-		return
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
 	}
-	conn := c.conn
-	c.conn = nil
-	// Close sends a Terminate message and would block on a partitioned
-	// connection.
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		_ = conn.Close(ctx)
-	}()
 }
 
 // Generation returns the number of the current or last connection, and whether
@@ -61,19 +55,23 @@
 	return c.generation, c.conn != nil
 }
 
+// controlAnswerLimit bounds the answers to group functions, in bytes.
+const controlAnswerLimit = 1 << 20
+
 // query runs a statement that returns a single row.
 func (c *Control) query(ctx context.Context, sql string) ([][]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == nil {
-		conn, err := c.target.connect(ctx)
+		conn, err := Open(ctx, c.target, controlAnswerLimit)
 		if err != nil {
 			return nil, err
 		}
+		conn.control = true
 		c.conn = conn
 		c.generation++
 	}
-	results, err := c.conn.Exec(ctx, sql).ReadAll()
+	row, err := c.conn.queryRow(ctx, sql)
 	if err != nil {
 		var pgErr *pgconn.PgError
 		if !errors.As(err, &pgErr) {
@@ -81,10 +79,47 @@
 		}
 		return nil, &ControlError{Member: c.target.Member, Call: sql, Err: err}
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 {
-		return nil, &ControlError{Member: c.target.Member, Call: sql, Err: errors.New("expected one row")}
+	return row, nil
+}
+
+// queryRow runs a statement that returns a single row. It fails with a PgError if the member
+// answers with an error.
+func (c *Conn) queryRow(ctx context.Context, sql string) ([][]byte, error) {
+	frames, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := c.Run(ctx, frames)
+	if err != nil {
+		return nil, err
+	}
+	var rows [][][]byte
+	for {
+		message, rest, ok := pgframe.Next(answer.Frames)
+		if !ok {
+			break
+		}
+		body := message[pgframe.HeaderSize:]
+		switch message[0] {
+		case 'E':
+			var e pgproto3.ErrorResponse
+			if err := e.Decode(body); err != nil {
+				return nil, err
+			}
+			return nil, pgconn.ErrorResponseToPgError(&e)
+		case 'D':
+			var row pgproto3.DataRow
+			if err := row.Decode(body); err != nil {
+				return nil, err
+			}
+			rows = append(rows, row.Values)
+		}
+		answer.Frames = rest
+	}
+	if len(rows) != 1 {
+		return nil, errors.New("expected one row")
 	}
-	return results[0].Rows[0], nil
+	return rows[0], nil
 }
 
 // Status implements GroupMember.
--- a/node/upstream/errors.go
+++ b/node/upstream/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"syscall"
+
+	"github.com/dotterelswitch/dotterelswitch/core/pgcorrelate"
 )
 
 // DialError is a failure to open a connection. Nothing was sent.
@@ -54,6 +56,15 @@
 	return fmt.Sprintf("answer exceeds the limit of %d bytes", e.Limit)
 }
 
+// AnswerRejectedError reports answers of which none is known to be that to the request.
+type AnswerRejectedError struct {
+	Reason pgcorrelate.Reason
+}
+
+func (e *AnswerRejectedError) Error() string {
+	return fmt.Sprintf("the answer was rejected: %s", e.Reason)
+}
+
 // RefusedOrReset reports whether err is a refused or reset connection. Either
 // shows that the remote machine is up.
 func RefusedOrReset(err error) bool {
