PostgreSQL members: idle connections are looked at before they are used

A statement ran on a connection that the member had closed, or had sent something on, while it was idle. A write on a closed one was answered with an unknown outcome. Bytes were only looked for when a connection went back to the pool, and only among those already read.

A connection taken from the pool is replaced if it is closed or has received anything but asynchronous messages.

--- a/node/owner/pool.go
+++ b/node/owner/pool.go
@@ -177,7 +177,12 @@
 			c := p.idle[n-1]
 			p.idle = p.idle[:n-1]
 			p.mu.Unlock()
-			return c, nil
+			if c.Clean() {
+				return c, nil
+			}
+			c.Close()
+			p.connClosed()
+			continue
 		}
 		if p.open < p.capacity() {
 			p.open++
@@ -222,8 +227,9 @@
 // releaseConn returns a connection to the pool. A connection that is not clean is
 // closed, so that a late answer cannot reach another request.
 func (p *pool) releaseConn(c *upstream.Conn) {
+	clean := c.Clean()
 	p.mu.Lock()
-	keep := c.Clean() && !p.draining
+	keep := clean && !p.draining
 	if keep {
 		p.idle = append(p.idle, c)
 		p.signalFreed()
