--- a/core/pgcorrelate/pgcorrelate_test.go
+++ b/core/pgcorrelate/pgcorrelate_test.go
@@ -129,3 +129,20 @@
 	v = tracker.Choose(op.request, nil, 'I')
 	require.Equal(t, pgcorrelate.Missing, v.Reason)
 }
+
+// TestForgottenAnswersAreAmbiguous guards against a guess when a repetition arrives after the
+// memory of a connection has lost the answer.
+func TestForgottenAnswersAreAmbiguous(t *testing.T) {
+	const more = 1100
+	var tracker pgcorrelate.Tracker
+	for i := range more {
+		op := write(i)
+		require.Zero(t, tracker.Choose(op.request, []pgcorrelate.Answer{op.answer}, 'I').Index)
+	}
+	op := write(more)
+	v := tracker.Choose(op.request, []pgcorrelate.Answer{write(more - 1).answer, op.answer}, 'I')
+	require.Equal(t, pgcorrelate.Verdict{Index: 1, Reason: pgcorrelate.Repeated}, v)
+	op = write(more + 1)
+	v = tracker.Choose(op.request, []pgcorrelate.Answer{write(0).answer, op.answer}, 'I')
+	require.Equal(t, pgcorrelate.Verdict{Index: -1, Reason: pgcorrelate.Ambiguous}, v)
+}
