PostgreSQL members: nothing is sent on a connection that is closed

When a member had closed a connection with an open transaction, COMMIT was written to it and answered with an unknown outcome, although the transaction was rolled back. A connection is now looked at before each request, and a request that was not sent is reported as such: the transaction is lost.

TestCommitOnClosedConnectionIsNotSent failed without either half of the change.

--- a/node/owner/continue.go
+++ b/node/owner/continue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dotterelswitch/dotterelswitch/core/group"
@@ -46,9 +47,10 @@
 }
 
 // lostConnRefusal returns the outcome of a transaction whose connection failed.
-// The outcome is unknown only if the failed statement may have committed.
+// The outcome is unknown only if the failed statement was sent and may have committed.
 func lostConnRefusal(err error, mayCommit bool) *outcome.Refusal {
-	if mayCommit {
+	var run *upstream.RunError
+	if mayCommit && (!errors.As(err, &run) || run.MayHaveRun) {
 		return outcome.Refuse(outcome.UnknownOutcome, "%v", err)
 	}
 	return outcome.Refuse(outcome.TransactionLost, "%v", err)
--- a/node/owner/pool_conn_test.go
+++ b/node/owner/pool_conn_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/conf"
+	"github.com/dotterelswitch/dotterelswitch/core/outcome"
 	"github.com/dotterelswitch/dotterelswitch/node/upstream"
 	"github.com/dotterelswitch/dotterelswitch/standin/dbgroup"
 	"github.com/dotterelswitch/dotterelswitch/standin/pgproxy"
@@ -33,14 +34,19 @@
 	t.Helper()
 	c, refusal := p.acquireConn(t.Context())
 	require.Nil(t, refusal)
-	frames, err := (&pgproto3.Query{String: "SELECT value FROM readings"}).Encode(nil)
-	require.NoError(t, err)
-	_, err = c.Run(t.Context(), frames)
-	require.NoError(t, err)
+	require.NoError(t, run(t, c, "SELECT value FROM readings"))
 	p.releaseConn(c)
 	return c
 }
 
+func run(t *testing.T, c *upstream.Conn, sql string) error {
+	t.Helper()
+	frames, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	require.NoError(t, err)
+	_, err = c.Run(t.Context(), frames)
+	return err
+}
+
 // arrival is longer than what a proxy sends, or closes, takes to arrive.
 const arrival = 50 * time.Millisecond
 
@@ -67,3 +73,15 @@
 	time.Sleep(arrival)
 	require.NotSame(t, first, use(t, p))
 }
+
+// TestCommitOnClosedConnectionIsNotSent guards against an unknown outcome of a transaction whose
+// connection the member has closed before the COMMIT: it was rolled back.
+func TestCommitOnClosedConnectionIsNotSent(t *testing.T) {
+	p, proxy := poolBehindProxy(t)
+	c, refusal := p.acquireConn(t.Context())
+	require.Nil(t, refusal)
+	require.NoError(t, run(t, c, "BEGIN"))
+	proxy.CloseConnections()
+	time.Sleep(arrival)
+	require.Equal(t, outcome.TransactionLost, lostConnRefusal(run(t, c, "COMMIT"), true).Code)
+}
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -148,6 +149,11 @@
 		stop()
 		return Answer{}, c.fail(false, ctx.Err())
 	}
+	if _, open := c.received(); !open {
+		stop()
+		// A context that has just ended makes the connection look closed.
+		return Answer{}, c.fail(false, cmp.Or(ctx.Err(), net.ErrClosed))
+	}
 	n, err := c.conn.Write(append(frames[:len(frames):len(frames)], messages...))
 	if err != nil {
 		return Answer{}, c.fail(n > 0, err)
