Replica set: refusals of busy members don't cost a connection each

At full load a primary refuses much as busy. An error that differs from all earlier ones of a connection, the position included, is its own now for writes and in transactions too; before it is believed, another operation is acknowledged, so that the statement's own answer would show. A write starts on a connection whose errors are older than the member's known position, so that a genuine refusal differs. A read on the primary is the only statement of its transaction: it is repeated there, since a copied refusal can only be followed by an answer to the same read.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -8,6 +8,7 @@
 	"hash/maphash"
 	"slices"
 
+	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 )
 
@@ -47,8 +48,8 @@
 	RepeatedAcknowledgement Reason = "repeated_acknowledgement"
 	// RepeatedLogin is the answer to the login.
 	RepeatedLogin Reason = "repeated_login"
-	// SecondError is an error on a connection that has answered with an error before. An
-	// error has no signature, so it may repeat the earlier one.
+	// SecondError is an error that equals an earlier one on the connection. An error has no
+	// signature, so it may be a repetition.
 	SecondError Reason = "second_error"
 	// SecondStatus is a status on a connection that has answered with one before.
 	SecondStatus Reason = "second_status"
@@ -82,6 +83,8 @@
 	// answered an operation of the proxy, the begin of a transaction, a control operation,
 	// any operation with Behind, or with another error.
 	acknowledged, opened, reported, lagged, failed bool
+	// failedAt is the newest position in an error other than Behind.
+	failedAt logpos.Position
 	// unconfirmed is set while the answer to the latest begin may have been an earlier one,
 	// and no signed answer has followed.
 	unconfirmed bool
@@ -95,9 +98,11 @@
 // State returns the transaction state after the latest Current answer.
 func (t *Tracker) State() statement.TxState { return t.state }
 
-// Failed reports whether the connection has answered with an error other than Behind. Another
-// one on it may be Ambiguous.
-func (t *Tracker) Failed() bool { return t.failed }
+// Failed reports whether the connection has answered with an error other than Behind at or
+// after a position of the member's log. An equal error would be Ambiguous.
+func (t *Tracker) Failed(after logpos.Position) bool {
+	return t.failed && !t.failedAt.Less(after)
+}
 
 // TellsStatus reports whether a status on the connection can be told from earlier answers:
 // it has answered no control operation.
@@ -174,11 +179,12 @@
 	return Verdict{Ambiguous, Unrequested}
 }
 
-// attributeError attributes an error. The first one on a connection cannot be a repetition.
-// What has no effect takes any later error for its own as well, and runs elsewhere next. If the
-// error equals an earlier one, the connection is retired. An error that ends the transaction
-// may be that of its begin, if a copy passed for the answer to it: only a commit ends a
-// transaction with an error.
+// attributeError attributes an error. The first one on a connection cannot be a repetition, nor
+// can one that differs from all earlier ones; the connection is unsettled until an operation of
+// the proxy is acknowledged. What has no effect takes an equal one for its own as well, and runs
+// elsewhere next, or again in the same transaction. An error that ends the transaction may be
+// that of its begin, if a copy passed for the answer to it: only a commit ends a transaction
+// with an error.
 func (t *Tracker) attributeError(op statement.Operation, a statement.Answer) Verdict {
 	switch {
 	case a.Code == statement.Behind && op.MinPosition.IsZero():
@@ -193,7 +199,7 @@
 		return Verdict{Ambiguous, WrongForm}
 	case t.state != statement.Idle && a.State == statement.Idle && (!isCommit(op) || t.unconfirmed):
 		return Verdict{Ambiguous, OutsideTransaction}
-	case a.Code != statement.Behind && t.failed && (t.state != statement.Idle || !isHarmless(op)):
+	case t.remembers(errorText(a)) && !op.SoleRead && (t.state != statement.Idle || !isHarmless(op)):
 		return Verdict{Ambiguous, SecondError}
 	}
 	return Verdict{}
@@ -233,10 +239,15 @@
 	t.reported = t.reported || isControl(op.Verb)
 	switch {
 	case a.Code != statement.OK:
-		t.retired = t.retired || t.remembers(errorText(a))
+		t.retired = t.retired || t.remembers(errorText(a)) && !op.SoleRead
 		t.unsettled = t.lagged || t.failed
 		t.lagged = t.lagged || a.Code == statement.Behind
-		t.failed = t.failed || a.Code != statement.Behind
+		if a.Code != statement.Behind {
+			t.failed = true
+			if t.failedAt.Less(a.Position) {
+				t.failedAt = a.Position
+			}
+		}
 		t.remember(errorText(a))
 	case a.Signature != "":
 		t.unconfirmed = false
--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -87,6 +87,8 @@
 	sent   int
 	state  statement.TxState
 	offset uint64
+	// known is the newest position that is certain.
+	known logpos.Position
 }
 
 type repeated struct {
@@ -141,7 +143,7 @@
 		return set
 	}
 	op := []statement.Operation{read, read, write, set, begin, status}[m.random.IntN(6)]
-	if op.Verb == statement.ReportStatus && !t.TellsStatus() || (op.Kind == statement.Write || op.Verb == statement.StartTransaction) && t.Failed() {
+	if op.Verb == statement.ReportStatus && !t.TellsStatus() || (op.Kind == statement.Write || op.Verb == statement.StartTransaction) && t.Failed(m.known) {
 		return read
 	}
 	return op
@@ -174,6 +176,9 @@
 				break
 			}
 			current++
+			if certain && m.known.Less(got.answer.Position) {
+				m.known = got.answer.Position
+			}
 			// A read or a status that is taken for refused has no effect.
 			harmless := op.Kind == statement.Read || op.Verb == statement.ReportStatus
 			mustBeOwn := got.answer.Signature != "" || len(got.answer.Rows) > 0 || got.answer.Code != statement.OK && (inTx || !harmless)
--- a/core/correlate/refusing_member_test.go
+++ b/core/correlate/refusing_member_test.go
@@ -20,6 +20,8 @@
 	sent         int
 	state        statement.TxState
 	offset       uint64
+	// known is the newest position that is certain.
+	known logpos.Position
 	// refuseOwn allows the refusal of operations of the proxy but begins.
 	refuseOwn bool
 }
@@ -105,7 +107,7 @@
 	readOnly := operation(statement.StartTransaction, 0)
 	readOnly.ReadOnly = true
 	op := []statement.Operation{read, read, write, set, reset, prepare, begin, readOnly, status}[m.random.IntN(9)]
-	if op.Verb == statement.ReportStatus && !t.TellsStatus() || (op.Kind == statement.Write || op.Verb == statement.StartTransaction && !op.ReadOnly) && t.Failed() {
+	if op.Verb == statement.ReportStatus && !t.TellsStatus() || (op.Kind == statement.Write || op.Verb == statement.StartTransaction && !op.ReadOnly) && t.Failed(m.known) {
 		return read
 	}
 	return op
@@ -139,6 +141,10 @@
 func (m *refusingMember) attribute(t *correlate.Tracker, op statement.Operation) (got repeated, verdict correlate.Attribution, arrived bool) {
 	for len(m.stream) > 0 {
 		got, m.stream = m.stream[0], m.stream[1:]
+		certain := t.Certain(op, got.answer)
+		if certain && m.known.Less(got.answer.Position) {
+			m.known = got.answer.Position
+		}
 		if v := t.Attribute(op, got.answer); v.Attribution != correlate.Earlier {
 			return got, v.Attribution, true
 		}
--- a/core/statement/operation.go
+++ b/core/statement/operation.go
@@ -58,6 +58,9 @@
 	MinPosition logpos.Position
 	// ReadOnly declares a StartTransaction read-only.
 	ReadOnly bool
+	// SoleRead is set for a read that is the only statement of its transaction, which is
+	// rolled back.
+	SoleRead bool
 	// Name is the name of a session parameter or of a prepared statement.
 	Name  string
 	Value string
--- a/node/replicaset/answers.go
+++ b/node/replicaset/answers.go
@@ -26,7 +26,7 @@
 		connection = "closed"
 	}
 	eventlog.AnswerRejected.Warn(m.log).Str("request", op.ID).Stringer("verb", op.Verb).Str("reason", string(v.Reason)).
-		Stringer("attribution", v.Attribution).Str("connection", connection).Int("suppressed", suppressed).Send()
+		Stringer("attribution", v.Attribution).Str("connection", connection).Int("left_out", suppressed).Send()
 }
 
 // TakeRejectedAnswers returns how many answers of the members were rejected since the last
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -150,6 +150,7 @@
 	c.answeredAt = sent
 	now := clock.Now()
 	c.member.responseReceived(sent, now, a, c.workKind)
+	c.member.observePosition(a.Position, now)
 	if c.certain && isOutcome(op.Verb, a.Code) {
 		c.member.observeOutcome(sent, now, a, c.team)
 	}
--- a/node/replicaset/execute.go
+++ b/node/replicaset/execute.go
@@ -69,7 +69,7 @@
 // log has been verified by then.
 func (s *Set) acquireVerified(ctx context.Context, m *Member, j Job, w connpool.Waiter) (*Conn, error) {
 	if !j.requiresPrimary() && !s.isAssumedPrimary(m) {
-		return m.acquireSuitable(ctx, w, j.suits)
+		return m.acquireSuitable(ctx, w, j.suits(m))
 	}
 	// A closed connection that is found meanwhile may show that the member has restarted.
 	const tries = 2
@@ -77,7 +77,7 @@
 		if err := s.ensureLogVerified(ctx, m, j.Request.StartDeadline); err != nil {
 			return nil, err
 		}
-		c, err := m.acquireSuitable(ctx, w, j.suits)
+		c, err := m.acquireSuitable(ctx, w, j.suits(m))
 		if err != nil || s.logUsable(m) {
 			return c, err
 		}
@@ -127,11 +127,11 @@
 		return s.begin(c, j)
 	case JobPrimaryRead:
 		j.Request.Deadline = j.Request.attemptDeadline(clock.Now())
-		return s.repeatWhileBusy(ctx, c, j, func(c *Conn) Result { return s.readOnPrimary(c, j.Request) })
+		return s.readOnPrimary(ctx, c, j.Request)
 	case JobRead:
 		return s.readAtFloor(c, j)
 	default:
-		return s.repeatWhileBusy(ctx, c, j, func(c *Conn) Result { return s.write(c, j.Request) })
+		return s.write(ctx, c, j)
 	}
 }
 
@@ -160,24 +160,17 @@
 	return logpos.Position{}, &RefusedError{Reason: "the floor grew too old while the statement waited"}
 }
 
-// repeatWhileBusy runs a job and repeats it while the member answers busy. The member's queue
-// is short, so it has room again within milliseconds. A second refusal on one connection could
-// be the first one, repeated, while the statement runs, so each run has another connection.
-// run releases the connection.
-func (s *Set) repeatWhileBusy(ctx context.Context, c *Conn, j Job, run func(*Conn) Result) Result {
-	m, req := c.member, j.Request
+// runSoleRead runs a read in a transaction of its own, and again while the member answers busy.
+// The member's queue is short, so it has room again within milliseconds. A refusal that repeats
+// an earlier one does no harm: what arrives next is the answer to an earlier run of the same
+// read, or is found by the rollback.
+func (c *Conn) runSoleRead(ctx context.Context, req Request) (exchange, error) {
+	st := req.Statement
+	op := statement.Operation{Verb: statement.Forward, Kind: st.RunKind(), ID: st.ID, Text: st.Text, SoleRead: true}
 	for delay := busyRetryDelay; ; delay = min(2*delay, maxBusyRetryDelay) {
-		res := run(c)
-		if res.Err != nil || res.Answer.Code != statement.Busy || !awaitBusyRetry(ctx, req, delay) {
-			return res
-		}
-		var err error
-		if c, err = s.acquireVerified(ctx, m, j, req.waiter()); err != nil {
-			return res
-		}
-		if err := c.setSessionValues(req.Values, req.Deadline); err != nil {
-			m.release(c)
-			return Result{Err: err}
+		x, err := c.runAs(op, st, req.Deadline)
+		if err != nil || x.answer.Code != statement.Busy || x.answer.State != statement.InTransaction || !awaitBusyRetry(ctx, req, delay) {
+			return x, err
 		}
 	}
 }
@@ -185,7 +178,7 @@
 // readOnPrimary runs a read inside a read-write transaction opened for it, which
 // only the primary allows. The answer so reflects every commit acknowledged before.
 // A separate check before a plain read would be a race with a failover.
-func (s *Set) readOnPrimary(c *Conn, req Request) Result {
+func (s *Set) readOnPrimary(ctx context.Context, c *Conn, req Request) Result {
 	sent := clock.Now()
 	a, err := c.Do(statement.Operation{Verb: statement.StartTransaction}, req.Deadline)
 	if err != nil || a.Code != statement.OK {
@@ -198,7 +191,7 @@
 		go s.rollback(c)
 		return lostLogResult()
 	}
-	x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
+	x, err := c.runSoleRead(ctx, req)
 	if err != nil {
 		c.member.release(c)
 		return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
@@ -209,19 +202,43 @@
 	return res
 }
 
-func (s *Set) write(c *Conn, req Request) Result {
-	defer c.member.release(c)
-	x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
-	if err != nil {
-		return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
+// write runs a write, and again while the member answers busy. A refusal that equals an earlier
+// one on the connection could repeat it while the write runs, so the next run has a connection
+// that suits it.
+func (s *Set) write(ctx context.Context, c *Conn, j Job) Result {
+	m, req := c.member, j.Request
+	for delay := busyRetryDelay; ; delay = min(2*delay, maxBusyRetryDelay) {
+		x, err := c.runSettled(req.Statement, req.Deadline)
+		if err != nil {
+			m.release(c)
+			return Result{Err: err, StatementMayHaveRun: x.statementMayHaveRun}
+		}
+		res := s.writeResult(c, x)
+		m.release(c)
+		if res.Err != nil || res.Answer.Code != statement.Busy || !awaitBusyRetry(ctx, req, delay) {
+			return res
+		}
+		if c, err = s.acquireVerified(ctx, m, j, req.waiter()); err != nil {
+			return res
+		}
+		if err := c.setSessionValues(req.Values, req.Deadline); err != nil {
+			m.release(c)
+			return Result{Err: err}
+		}
 	}
-	return s.writeResult(c, x)
 }
 
 // suits reports whether a connection with a history can run the job so that its answer can be
-// told from earlier ones. Only what reads may follow an error.
-func (j Job) suits(t *correlate.Tracker) bool {
-	return j.Kind == JobRead || j.Kind == JobBegin && !j.RequirePrimary || !t.Failed()
+// told from earlier ones: since its latest error the member's log has gone on, so that another
+// one has another position. What only reads takes any error for its own.
+func (j Job) suits(m *Member) func(*correlate.Tracker) bool {
+	return func(t *correlate.Tracker) bool {
+		if j.Kind != JobWrite && (j.Kind != JobBegin || !j.RequirePrimary) {
+			return true
+		}
+		position, _ := m.lastPosition()
+		return !t.Failed(position)
+	}
 }
 
 // writeResult converts the answer to a write, or to a commit with writes, into a
@@ -360,12 +377,12 @@
 // not repeated.
 func runInTx(ctx context.Context, c *Conn, j Job) (exchange, error) {
 	state, req := c.tracker.State(), j.Request
-	x, err := c.run(req.Statement, logpos.Position{}, req.Deadline)
+	x, err := c.runSettled(req.Statement, req.Deadline)
 	repeat := err == nil && x.answer.Code == statement.Busy && x.answer.State == state && !j.Wrote
 	if !repeat || !awaitBusyRetry(ctx, req, busyRetryDelay) {
 		return x, err
 	}
-	return c.run(req.Statement, logpos.Position{}, req.Deadline)
+	return c.runSettled(req.Statement, req.Deadline)
 }
 
 // awaitBusyRetry waits until a statement that a member refused as busy may be sent again. It
--- a/node/replicaset/primary_test.go
+++ b/node/replicaset/primary_test.go
@@ -64,7 +64,7 @@
 	c.proto = statementsFail{position: position, opened: new(bool)}
 	req := boundedRead(time.Second)
 	req.Route.MaxStaleness = time.Second
-	res := s.readOnPrimary(c, req)
+	res := s.readOnPrimary(t.Context(), c, req)
 	require.Equal(t, statement.Failure, res.Answer.Code)
 	floor, found := s.Floor()
 	require.True(t, found)
--- a/node/replicaset/run.go
+++ b/node/replicaset/run.go
@@ -22,6 +22,23 @@
 // session values.
 func (c *Conn) run(st statement.Statement, minPosition logpos.Position, deadline time.Duration) (exchange, error) {
 	op := statement.Operation{Verb: statement.Forward, Kind: st.RunKind(), ID: st.ID, Text: st.Text, MinPosition: minPosition}
+	return c.runAs(op, st, deadline)
+}
+
+// runSettled is run for a statement whose refusal is a promise, or which others follow in its
+// transaction: if a later error on the connection was taken for its answer, the statement's own
+// one arrives before the acknowledgement of another operation.
+func (c *Conn) runSettled(st statement.Statement, deadline time.Duration) (exchange, error) {
+	x, err := c.run(st, logpos.Position{}, deadline)
+	canSettle := c.tracker.State() == statement.Idle || c.tracker.State() == statement.InTransaction && len(c.values) > 0
+	if err == nil && c.tracker.Unsettled() && canSettle {
+		err = c.settle(deadline)
+	}
+	return x, err
+}
+
+// runAs is run with an operation that is prepared but for what an Execute adds.
+func (c *Conn) runAs(op statement.Operation, st statement.Statement, deadline time.Duration) (exchange, error) {
 	if st.Kind != statement.Execute {
 		return c.send(op, deadline)
 	}
--- a/node/replicaset/scripted_member_test.go
+++ b/node/replicaset/scripted_member_test.go
@@ -129,7 +129,7 @@
 // runScripted runs a job on a connection to the member, without the checks of its log.
 func runScripted(t *testing.T, s *Set, m *Member, j Job) Result {
 	t.Helper()
-	c, err := m.acquireSuitable(t.Context(), j.Request.waiter(), j.suits)
+	c, err := m.acquireSuitable(t.Context(), j.Request.waiter(), j.suits(m))
 	require.NoError(t, err)
 	return s.executeOn(t.Context(), c, j)
 }
--- a/node/replicaset/status_conns_test.go
+++ b/node/replicaset/status_conns_test.go
@@ -28,7 +28,7 @@
 	var open []*Conn
 	for range conns {
 		j := scriptedJob(JobRead, "FETCH a")
-		c, err := m.acquireSuitable(t.Context(), j.Request.waiter(), j.suits)
+		c, err := m.acquireSuitable(t.Context(), j.Request.waiter(), j.suits(m))
 		require.NoError(t, err)
 		_, err = c.run(j.Request.Statement, logpos.Position{Term: 1, Offset: 9}, j.Request.Deadline)
 		require.NoError(t, err)
