Soak: members refuse prepared statements, begins and STATUS twice as well

The answer proxy refused plain reads and writes only, while a member may answer BUSY to each statement that takes a slot. A host that takes the second refusal for the answer to the statement after a begin runs that statement outside its transaction. RefuseAll adds prepared statements, begins and STATUS; the soak sets it, the tests of node/entry refuse as before.

--- a/node/soak/event.go
+++ b/node/soak/event.go
@@ -71,7 +71,8 @@
 	RestoreStore
 	// RepeatAnswers makes a member send some answers a second time, at once or later.
 	RepeatAnswers
-	// RepeatRefusals refuses some statements with BUSY in place of a member, each twice.
+	// RepeatRefusals refuses some statements, begins and STATUS with BUSY in place of a member,
+	// each twice.
 	RepeatRefusals
 	// CutAnswers makes a member send its answers in single bytes.
 	CutAnswers
--- a/node/soak/inject.go
+++ b/node/soak/inject.go
@@ -156,7 +156,7 @@
 			case RepeatAnswers:
 				f.Repeat = repeatedAnswerShare
 			case RepeatRefusals:
-				f.Refuse, f.RepeatRefusals = refusedStatementShare, true
+				f.Refuse, f.RepeatRefusals, f.RefuseAll = refusedStatementShare, true, true
 			case CutAnswers:
 				f.ChunkBytes = 1
 			}
--- a/standin/answerproxy/proxy.go
+++ b/standin/answerproxy/proxy.go
@@ -24,6 +24,8 @@
 	// BUSY and do not reach the member. RepeatRefusals sends each refusal a second time.
 	Refuse         float64
 	RepeatRefusals bool
+	// RefuseAll refuses the same share of prepared statements, begins and STATUS.
+	RefuseAll bool
 	// Forge is the share of rows that are replaced by ForgedRow.
 	Forge     float64
 	ForgedRow string
@@ -170,7 +172,7 @@
 		}
 		word, _, _ := strings.Cut(message, " ")
 		id, text, isStatement := parseStatement(message)
-		if isStatement && id != "-" && c.refuse(text) {
+		if isStatement && c.refuse(text) {
 			continue
 		}
 		if word != "TERMINATE" {
@@ -193,7 +195,7 @@
 	word, _, _ := strings.Cut(text, " ")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || len(c.pending) > 0 || (word != "FETCH" && word != "STORE") || !c.proxy.chance(f.Refuse) {
+	if !c.idle || len(c.pending) > 0 || !f.refuses(word) || !c.proxy.chance(f.Refuse) {
 		return false
 	}
 	answer := fmt.Sprintf("ERROR BUSY refused%sREADY I %s%s", crlf.End, c.position, crlf.End)
@@ -204,6 +206,17 @@
 	return true
 }
 
+// refuses reports whether statements that begin with a word may be refused.
+func (f *Fault) refuses(word string) bool {
+	switch word {
+	case "FETCH", "STORE":
+		return true
+	case "EXECUTE", "BEGIN", "STATUS":
+		return f.RefuseAll
+	}
+	return false
+}
+
 // forwardAnswers forwards the member's answers one by one.
 func (c *pair) forwardAnswers() {
 	r := crlf.NewReader(c.member)
