Soak: a closed host does not create its log file again

Cause: the restart that was due after the kill at the end opened the log before it saw that the host is closed, while the directory was removed. The order is the other one now. TestClosedHostIsNotStarted fails before and passes.

--- a/node/soak/host_process.go
+++ b/node/soak/host_process.go
@@ -87,6 +87,11 @@
 func (h *hostProcess) logPath() string { return filepath.Join(h.dir, h.name+".log") }
 
 func (h *hostProcess) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return nil
+	}
 	log, err := os.OpenFile(h.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -95,11 +100,6 @@
 	cmd := exec.Command(h.program, "platform", "--metrics-port", "0")
 	cmd.Env = append(os.Environ(), platform.BootEnvVar+"="+h.bootPath())
 	cmd.Stdout, cmd.Stderr = log, log
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.closed {
-		return nil
-	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
