Attribution: equal refusals settle the connection instead of replacing it

A connection on which a later error was taken for a read's is settled now by an acknowledgement with a position that no earlier answer on it has, which is no copy and not that of an earlier operation; where the member's log has not gone on, it is replaced as before.

The models fail without the position: the answer to another read counts in 1 of 30,000 connections with copies of two answers in a row. They give up a connection whose own operation is refused, as the replica set does.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -83,6 +83,8 @@
 	// answered an operation of the proxy, the begin of a transaction, a control operation,
 	// any operation with Behind, or with another error.
 	acknowledged, opened, reported, lagged, failed bool
+	// newest is the newest position in any answer.
+	newest logpos.Position
 	// failedAt is the newest position in an error other than Behind.
 	failedAt logpos.Position
 	// unconfirmed is set while the answer to the latest begin may have been an earlier one,
@@ -91,7 +93,8 @@
 	// retired is set once the connection should serve no other caller.
 	retired bool
 	// unsettled is set once a later error than the first was taken for that of an operation,
-	// until an operation of the proxy is acknowledged: the operation's own answer may follow.
+	// until an operation of the proxy is acknowledged in an answer that is no repetition: the
+	// operation's own answer may follow.
 	unsettled bool
 }
 
@@ -109,13 +112,19 @@
 func (t *Tracker) TellsStatus() bool { return !t.reported }
 
 // Retired reports whether the connection should be replaced once the work on it has ended:
-// it has repeated an answer, or an error that may be the earlier one, or it has answered often.
+// it has repeated an answer, or has answered often.
 func (t *Tracker) Retired() bool { return t.retired }
 
 // Unsettled reports whether the answer to an operation that has ended may still arrive. An
 // operation of the proxy is to be acknowledged before the next statement is sent.
 func (t *Tracker) Unsettled() bool { return t.unsettled }
 
+// Settleable reports whether the acknowledgement of an operation of the proxy would settle the
+// connection, as the member's log has reached a position that no earlier answer names.
+func (t *Tracker) Settleable(known logpos.Position) bool {
+	return !t.unsettled || t.newest.Less(known)
+}
+
 // Retire marks the connection as one to be replaced.
 func (t *Tracker) Retire() { t.retired = true }
 
@@ -138,6 +147,7 @@
 	case Earlier:
 		t.retired = true
 	}
+	t.notePosition(a)
 	return v
 }
 
@@ -164,6 +174,7 @@
 // operation for which a repeated acknowledgement was taken.
 func (t *Tracker) AttributeEarly(a statement.Answer) Verdict {
 	t.retired = true
+	t.notePosition(a)
 	known := a.Bare
 	switch {
 	case a.Code != statement.OK:
@@ -239,7 +250,6 @@
 	t.reported = t.reported || isControl(op.Verb)
 	switch {
 	case a.Code != statement.OK:
-		t.retired = t.retired || t.remembers(errorText(a)) && !op.SoleRead
 		t.unsettled = t.lagged || t.failed
 		t.lagged = t.lagged || a.Code == statement.Behind
 		if a.Code != statement.Behind {
@@ -253,7 +263,8 @@
 		t.unconfirmed = false
 		t.remember(a.Signature)
 	case !isControl(op.Verb):
-		t.acknowledged, t.unsettled = true, false
+		t.acknowledged = true
+		t.unsettled = t.unsettled && !t.newest.Less(a.Position)
 		if op.Verb == statement.StartTransaction {
 			t.unconfirmed, t.opened = t.opened, true
 		}
@@ -266,6 +277,14 @@
 	return a.Code.String() + " " + a.Position.String() + " " + a.Detail
 }
 
+// notePosition records the position in an answer, also in a skipped one, which may be repeated
+// too.
+func (t *Tracker) notePosition(a statement.Answer) {
+	if t.newest.Less(a.Position) {
+		t.newest = a.Position
+	}
+}
+
 func (t *Tracker) remembers(text string) bool {
 	return slices.Contains(t.answered, maphash.String(seed, text))
 }
--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -358,8 +358,14 @@
 		}
 		c.values[name] = value
 	}
+	if !c.tracker.Unsettled() {
+		return nil
+	}
+	if err := c.settle(deadline); err != nil {
+		return err
+	}
 	if c.tracker.Unsettled() {
-		return c.settle(deadline)
+		return c.rejectBeforeSending(statement.Operation{}, nil)
 	}
 	return nil
 }
