Store: rejected answers are logged and counted

Event 626 platform_answer_rejected names the call and the reason, within the log's budget; the counter platform_answers_rejected has the same labels.

--- a/core/store/mismatch.go
+++ b/core/store/mismatch.go
@@ -8,15 +8,15 @@
 
 const (
 	// RevisionMissing: the answer has no revision.
-	RevisionMissing Mismatch = "revision missing"
+	RevisionMissing Mismatch = "revision_missing"
 	// RevisionTooOld: the answer is of before the revision that the call names.
-	RevisionTooOld Mismatch = "revision too old"
+	RevisionTooOld Mismatch = "revision_too_old"
 	// OtherKey: the answer has a key that the call does not concern.
-	OtherKey Mismatch = "other key"
+	OtherKey Mismatch = "other_key"
 	// OtherPage: the page has keys of an earlier page.
-	OtherPage Mismatch = "other page"
+	OtherPage Mismatch = "other_page"
 	// LeaseMissing: the answer has no lease, or none of any length.
-	LeaseMissing Mismatch = "lease missing"
+	LeaseMissing Mismatch = "lease_missing"
 )
 
 // MismatchError reports an answer that cannot be that of the call, which may have been
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/quota"
 	"github.com/dotterelswitch/dotterelswitch/core/shutdown"
 	"github.com/dotterelswitch/dotterelswitch/core/startup"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
@@ -43,6 +44,9 @@
 	Store     registry.Store
 	Documents registry.Documents
 	Promotion promoter.Platform
+	// ReportMismatches sets the function that Store calls with each answer that cannot be
+	// that of its call; nil if Store tells none.
+	ReportMismatches func(report func(call string, m store.Mismatch))
 	// ReadinessPath is the path of the readiness check.
 	ReadinessPath string
 }
@@ -139,6 +143,9 @@
 	// The clock starts anew with the machine, so that it does not tell its runs apart.
 	h.owner = s.Host + "@" + uuid.NewString()
 	h.gates = peer.NewGateClient(h.ctx, dial, h.owner)
+	if a.ReportMismatches != nil {
+		a.ReportMismatches(h.recordMismatch)
+	}
 	h.registry = registry.New(registry.Config{
 		Store: registry.NewInstrumentedStore(a.Store, h.recordStoreCall), Documents: a.Documents,
 		Self:               gates.Host{Name: s.Host, Zone: s.Topology.Zone, Address: s.PeerAddress, MilliCores: s.MilliCores, LinkMbps: s.LinkMbps},
--- a/node/entry/metrics.go
+++ b/node/entry/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/correlate"
 	"github.com/dotterelswitch/dotterelswitch/core/outlier"
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/edge"
 	"github.com/dotterelswitch/dotterelswitch/node/metrics"
@@ -59,6 +60,11 @@
 	m.metrics.Count("store_calls", metrics.Label{Name: "call", Value: string(call)}, metrics.Label{Name: "result", Value: result})
 }
 
+// rejectedStoreAnswer counts an answer of the store that was not that of its call.
+func (m *hostMetrics) rejectedStoreAnswer(call string, reason store.Mismatch) {
+	m.metrics.Count("platform_answers_rejected", metrics.Label{Name: "call", Value: call}, metrics.Label{Name: "reason", Value: string(reason)})
+}
+
 // promotion counts a promotion led by this host.
 func (m *hostMetrics) promotion(service string, r promoter.Result) {
 	m.metrics.Count("promotions", metrics.Label{Name: "service", Value: m.metrics.ServiceLabel(service)}, metrics.Label{Name: "result", Value: r.String()})
--- a/node/entry/traffic.go
+++ b/node/entry/traffic.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/core/store"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 	"github.com/dotterelswitch/dotterelswitch/node/registry"
@@ -92,6 +93,15 @@
 	h.traffic.add(trafficStorePrefix + string(call) + " " + result)
 }
 
+// recordMismatch counts and logs an answer of the platform's store that was not that of its
+// call.
+func (h *Host) recordMismatch(call string, m store.Mismatch) {
+	h.metrics.rejectedStoreAnswer(call, m)
+	if suppressed, ok := h.logBudget.Allow(eventlog.StoreAnswerRejected, clock.Now()); ok {
+		eventlog.StoreAnswerRejected.Warn(h.log).Str("call", call).Str("reason", string(m)).Int("left_out", suppressed).Send()
+	}
+}
+
 func (h *Host) writeTrafficLine() {
 	h.countConnections()
 	if counts := h.traffic.take(); len(counts) > 0 {
--- a/node/eventlog/event.go
+++ b/node/eventlog/event.go
@@ -86,6 +86,7 @@
 	CounterStopped       = Event{622, "team_counter_stopped"}
 	StoreListed          = Event{623, "platform_listed"}
 	SourceClaimed        = Event{624, "platform_source_claimed"}
+	StoreAnswerRejected  = Event{626, "platform_answer_rejected"}
 	EventPrepared        = Event{605, "event_prepared"}
 	ConfigInForce        = Event{601, "configuration_in_force"}
 	ConfigRejected       = Event{602, "configuration_rejected"}
@@ -104,7 +105,7 @@
 		PrimaryBelievedDead, PrimaryLossAgreed, PromotionOrdered, PrimaryFirstWrite, GroupInactive, PrimaryLogVerified, PrimaryLogUnverified, PrimaryLogLost, PrimaryFailing, SyncGroupRecorded, PromotionWithheld, GroupSettled, ReplicaResumed, CommitsHeld, CommitsReleased,
 		HostStateChanged, PeerCallFailed,
 		ConfigInForce, ConfigRejected, PlatformUnreachable, PlatformReachable, EventPrepared,
-		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched, CounterStopped, StoreListed, SourceClaimed,
+		HistoryLost, EntryUnreadable, LeaseLost, ListingRelayed, RelayFollowed, RelayLost, FleetKnown, UpdatesCounted, FollowerAhead, StoreRestored, WatchFailed, ConfigDeferred, SnapshotTaken, SnapshotFailed, PeersPolled, ConfigFetched, CounterStopped, StoreListed, SourceClaimed, StoreAnswerRejected,
 	}
 }
 
--- a/node/onplatform/adapter.go
+++ b/node/onplatform/adapter.go
@@ -28,9 +28,10 @@
 
 func NewAdapter(o Options) entry.Adapter {
 	client := entry.HTTPClient()
+	store := platform.NewStoreClient(o.StoreAddress, client, o.Timeout)
 	return entry.Adapter{
 		Callers: platform.CallerProtocol{}, Members: platform.MemberProtocol{}, Documents: platform.Documents{RequireTeams: o.RequireTeams},
-		Store:         platform.NewStoreClient(o.StoreAddress, client, o.Timeout),
+		Store: store, ReportMismatches: store.ReportMismatches,
 		Promotion:     platform.NewPromotionClient(o.PromotionAddress, o.Host, client, min(o.Timeout, promotionTimeout)),
 		ReadinessPath: platform.ReadinessPath,
 	}
