--- a/node/gossip/transport_test.go
+++ b/node/gossip/transport_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -171,3 +175,57 @@
 	_, err = restarted.Probe(ctx, silent.LocalAddr().String(), Message{})
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// repeatingConn sends each datagram a second time, up to maxDelay later.
+type repeatingConn struct {
+	net.PacketConn
+	maxDelay time.Duration
+}
+
+func (c repeatingConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	data := slices.Clone(b)
+	time.AfterFunc(rand.N(c.maxDelay), func() { _, _ = c.PacketConn.WriteTo(data, to) })
+	return c.PacketConn.WriteTo(b, to)
+}
+
+// TestRepeatedDatagramsReachNoOtherProbe guards against an answer that comes twice, or after
+// its probe was given up, being taken for that to another probe, of the same host or of
+// another one. Questions that come twice are answered twice.
+func TestRepeatedDatagramsReachNoOtherProbe(t *testing.T) {
+	repeating := func() net.PacketConn { return repeatingConn{listen(t), 20 * time.Millisecond} }
+	asker := NewTransport(repeating(), "key", func(m Message) Message { return m })
+	defer asker.Close()
+	var addresses []string
+	for i := range 3 {
+		conn := repeating()
+		host := NewTransport(conn, "key", func(m Message) Message {
+			return Message{Self: membership.Host{ID: fmt.Sprint("h", i)}, Unsettled: m.Unsettled}
+		})
+		defer host.Close()
+		addresses = append(addresses, conn.LocalAddr().String())
+	}
+	var answered, wrong atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(time.Second)
+	for caller := range 6 {
+		wg.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				question, host := fmt.Sprint(caller, " ", n), n%len(addresses)
+				ctx, cancel := context.WithTimeout(context.Background(), rand.N(20*time.Millisecond))
+				got, err := asker.Probe(ctx, addresses[host], Message{Unsettled: question})
+				cancel()
+				if err != nil {
+					continue
+				}
+				answered.Add(1)
+				if got.Unsettled != question || got.Self.ID != fmt.Sprint("h", host) {
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d answers", answered.Load())
+	require.Zero(t, wrong.Load())
+	require.Greater(t, answered.Load(), int64(50))
+}
