Gate: the end of a host's earlier stream does not end its transactions

A gate rolls back a host's transactions when the host's Attach stream ends. A gate notices the end of a connection that a partition has cut long after the host has dropped it and attached anew; it took that for the end of the host, and rolled back the transactions opened since. Callers saw them aborted.

The gate counts the open streams of each host, and only the end of the last one counts.

TestLateEndOfEarlierStreamDetachesNoOwner failed before.

--- a/node/peer/gate_order_test.go
+++ b/node/peer/gate_order_test.go
@@ -11,11 +11,14 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
+	"github.com/dotterelswitch/dotterelswitch/node/peer/peerpb"
 	"github.com/dotterelswitch/dotterelswitch/node/replicaset"
+	"github.com/dotterelswitch/dotterelswitch/standin/simtime"
 )
 
 // startGate serves a gate on a free loopback address.
@@ -85,3 +88,38 @@
 	require.Zero(t, wrong.Load())
 	require.Greater(t, right.Load(), int64(100))
 }
+
+// attachedGate tells which owners have detached.
+type attachedGate struct {
+	GateHandler
+	detached chan string
+}
+
+func (g attachedGate) Detached(owner string) { g.detached <- owner }
+
+// TestLateEndOfEarlierStreamDetachesNoOwner guards against the end of a host's earlier stream,
+// which a gate may notice long after the host has opened another one, being taken for the end
+// of the host: its open transactions would be rolled back.
+func TestLateEndOfEarlierStreamDetachesNoOwner(t *testing.T) {
+	simtime.Test(t, func(t *testing.T) {
+		gate := attachedGate{detached: make(chan string, 2)}
+		s := &gateServer{handler: gate}
+		attach := func() context.CancelFunc {
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				_ = s.Attach(ctx, connect.NewRequest(&peerpb.AttachRequest{Owner: "host-1@1"}), nil)
+			}()
+			time.Sleep(time.Second)
+			return cancel
+		}
+		endEarlier := attach()
+		endLater := attach()
+		endEarlier()
+		time.Sleep(time.Second)
+		require.Empty(t, gate.detached, "the host is attached by its other stream")
+		endLater()
+		require.Equal(t, "host-1@1", <-gate.detached)
+		attach()()
+		require.Equal(t, "host-1@1", <-gate.detached)
+	})
+}
--- a/node/peer/gate_server.go
+++ b/node/peer/gate_server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 
 	"connectrpc.com/connect"
 
@@ -31,7 +32,7 @@
 	// StreamChanges sends the changes of the store after a revision. With changesOnly it
 	// fails with registry.ErrChangesMissing if it would need a complete listing.
 	StreamChanges(ctx context.Context, after store.Revision, changesOnly bool, send func(registry.Update) error) error
-	// Detached is called when the Attach stream of an owner of transactions ends,
+	// Detached is called when the last Attach stream of an owner of transactions ends,
 	// because its host has stopped or is unreachable.
 	Detached(owner string)
 }
@@ -41,6 +42,10 @@
 	handler     GateHandler
 	snapshot    encodedSnapshot
 	largeValues largeValues
+
+	// mu guards attached, the number of open Attach streams by owner.
+	mu       sync.Mutex
+	attached map[string]int
 }
 
 // NewGateServer returns the HTTP handler of a gate. The rate of this host's link is in
@@ -72,11 +77,31 @@
 
 // Attach implements peerpbconnect.GateHandler.
 func (s *gateServer) Attach(ctx context.Context, req *connect.Request[peerpb.AttachRequest], _ *connect.ServerStream[peerpb.AttachResponse]) error {
+	owner := req.Msg.GetOwner()
+	s.countAttached(owner, 1)
 	<-ctx.Done()
-	s.handler.Detached(req.Msg.GetOwner())
+	// The end of a broken connection may be noticed after the owner has attached anew.
+	if s.countAttached(owner, -1) == 0 {
+		s.handler.Detached(owner)
+	}
 	return nil
 }
 
+// countAttached adds to the number of an owner's open streams, and returns it.
+func (s *gateServer) countAttached(owner string, change int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attached == nil {
+		s.attached = map[string]int{}
+	}
+	s.attached[owner] += change
+	n := s.attached[owner]
+	if n == 0 {
+		delete(s.attached, owner)
+	}
+	return n
+}
+
 // Listing implements peerpbconnect.GateHandler.
 func (s *gateServer) Listing(_ context.Context, req *connect.Request[peerpb.ListingRequest]) (*connect.Response[peerpb.ListingResponse], error) {
 	l := s.handler.Listing(store.Revision(req.Msg.GetAbove()))
