Consul: each call has a connection of its own

The same fault as in the client of the platform's store: an answer that arrives twice on a kept-alive connection was taken for the next call's, and a compare-and-swap that was refused counted as done (TestRepeatedAnswerIsNotThatOfAnotherCall failed before). Not measured: the cost is one connection and one round trip a call.

--- a/node/consul/client.go
+++ b/node/consul/client.go
@@ -34,7 +34,10 @@
 
 // NewClient returns a client for the Consul API at address, a host:port.
 func NewClient(address string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Client {
-	return &Client{baseURL: "http://" + address, httpClient: &http.Client{Transport: &http.Transport{DialContext: dial}}}
+	// An answer does not name its call: one that arrives twice on a connection would be taken
+	// for that of the next call.
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	return &Client{baseURL: "http://" + address, httpClient: &http.Client{Transport: transport}}
 }
 
 // Get implements Store.
