--- a/node/replicaset/answers.go
+++ b/node/replicaset/answers.go
@@ -25,7 +25,7 @@
 	if v.Attribution == correlate.Ambiguous {
 		connection = "closed"
 	}
-	eventlog.AnswerRejected.Warn(m.log).Str("request", op.ID).Stringer("verb", op.Verb).Str("reason", string(v.Reason)).
+	eventlog.AnswerRejected.Warn(m.log).Str("request", eventlog.Text(op.ID)).Stringer("verb", op.Verb).Str("reason", string(v.Reason)).
 		Stringer("attribution", v.Attribution).Str("connection", connection).Int("left_out", suppressed).Send()
 }
 
