Attribution: a refusal that differs from all earlier ones is settled by any acknowledgement

Such a refusal is no copy unless the member gave it a new position, so any acknowledgement does; an equal one is settled as before. TestRefusalWithAnotherPositionIsNotThatOfAnotherRead passes.

--- a/core/correlate/correlate.go
+++ b/core/correlate/correlate.go
@@ -92,10 +92,11 @@
 	unconfirmed bool
 	// retired is set once the connection should serve no other caller.
 	retired bool
-	// unsettled is set once a later error than the first was taken for that of an operation,
-	// until an operation of the proxy is acknowledged in an answer that is no repetition: the
+	// doubtful is set once an error that is not the first was taken for that of an operation,
+	// until an operation of the proxy is acknowledged. unsettled is set if the error equals an
+	// earlier one, until the acknowledgement has a position that no earlier answer has: the
 	// operation's own answer may follow.
-	unsettled bool
+	doubtful, unsettled bool
 }
 
 // State returns the transaction state after the latest Current answer.
@@ -117,7 +118,7 @@
 
 // Unsettled reports whether the answer to an operation that has ended may still arrive. An
 // operation of the proxy is to be acknowledged before the next statement is sent.
-func (t *Tracker) Unsettled() bool { return t.unsettled }
+func (t *Tracker) Unsettled() bool { return t.doubtful || t.unsettled }
 
 // Settleable reports whether the acknowledgement of an operation of the proxy would settle the
 // connection, as the member's log has reached a position that no earlier answer names.
@@ -250,7 +251,8 @@
 	t.reported = t.reported || isControl(op.Verb)
 	switch {
 	case a.Code != statement.OK:
-		t.unsettled = t.lagged || t.failed
+		t.doubtful = t.lagged || t.failed
+		t.unsettled = t.unsettled || t.remembers(errorText(a))
 		t.lagged = t.lagged || a.Code == statement.Behind
 		if a.Code != statement.Behind {
 			t.failed = true
@@ -264,6 +266,7 @@
 		t.remember(a.Signature)
 	case !isControl(op.Verb):
 		t.acknowledged = true
+		t.doubtful = false
 		t.unsettled = t.unsettled && !t.newest.Less(a.Position)
 		if op.Verb == statement.StartTransaction {
 			t.unconfirmed, t.opened = t.opened, true
