--- a/node/eventlog/text.go
+++ b/node/eventlog/text.go
@@ -11,11 +11,14 @@
 const maxTextBytes = 256
 
 // Text returns a text from outside for a log line, cut if it is long.
-func Text(text string) string {
-	if len(text) <= maxTextBytes {
+func Text(text string) string { return shorten(text, maxTextBytes) }
+
+// shorten returns at most limit bytes of a text, and an ellipsis in place of the rest.
+func shorten(text string, limit int) string {
+	if len(text) <= limit {
 		return text
 	}
-	return strings.ToValidUTF8(text[:maxTextBytes], "") + "…"
+	return strings.ToValidUTF8(text[:limit], "") + "…"
 }
 
 // maxErrorBytes limits an error in a log line. It has room for an address and the errors
@@ -29,10 +32,6 @@
 		if err == nil {
 			return nil
 		}
-		text := err.Error()
-		if len(text) <= maxErrorBytes {
-			return text
-		}
-		return strings.ToValidUTF8(text[:maxErrorBytes], "") + "…"
+		return shorten(err.Error(), maxErrorBytes)
 	}
 }
