Replica set, PostgreSQL members: one look at a socket; files of one subject

node/replicaset and node/upstream each had their own look at what a socket has received; package node/socket serves both. An answer's position was recorded under a second lock of the member for each statement; it is recorded with the answer now.

--- a/node/replicaset/conn.go
+++ b/node/replicaset/conn.go
@@ -11,11 +11,8 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/dotterelswitch/dotterelswitch/core/connpool"
 	"github.com/dotterelswitch/dotterelswitch/core/correlate"
-	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/session"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 	"github.com/dotterelswitch/dotterelswitch/node/clock"
@@ -33,9 +30,6 @@
 	// maxPreparedStatements bounds the prepared statements per connection; at
 	// the limit all of them are discarded.
 	maxPreparedStatements = 500
-	// maxSkippedAnswers bounds the copies of earlier answers that are skipped for one
-	// operation. A transaction has fewer operations.
-	maxSkippedAnswers = 64
 )
 
 // Conn is one connection to a member. It has one user at a time.
@@ -150,92 +144,12 @@
 	c.answeredAt = sent
 	now := clock.Now()
 	c.member.responseReceived(sent, now, a, c.workKind)
-	c.member.observePosition(a.Position, now)
 	if c.certain && isOutcome(op.Verb, a.Code) {
 		c.member.observeOutcome(sent, now, a, c.team)
 	}
 	return a, nil
 }
 
-// dropEarlyAnswers reads the answers that have been received before an operation is sent. None
-// of them can be its answer.
-func (c *Conn) dropEarlyAnswers(op statement.Operation) error {
-	if c.reader.Buffered() == 0 {
-		return nil
-	}
-	// Only what has been received counts, so the socket is not read.
-	if err := c.netConn.SetReadDeadline(time.Unix(1, 0)); err != nil {
-		return c.rejectBeforeSending(op, err)
-	}
-	for c.reader.Buffered() > 0 {
-		a, err := c.proto.ReadAnswer(c.reader)
-		if err != nil {
-			return c.rejectBeforeSending(op, err)
-		}
-		v := c.tracker.AttributeEarly(a)
-		if v.Attribution != correlate.Earlier {
-			return c.rejectBeforeSending(op, nil)
-		}
-		c.reportRejected(op, v)
-	}
-	return nil
-}
-
-// rejectBeforeSending gives up the connection before an operation is sent on it.
-func (c *Conn) rejectBeforeSending(op statement.Operation, err error) error {
-	c.broken = true
-	v := correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unrequested}
-	c.reportRejected(op, v)
-	return &NoResponseError{Member: c.member.id, NotSent: true, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
-}
-
-// readOwnAnswer reads answers up to that of the operation in progress.
-func (c *Conn) readOwnAnswer(op statement.Operation, sent time.Duration) (statement.Answer, error) {
-	for skipped := 0; ; skipped++ {
-		a, err := c.proto.ReadAnswer(c.reader)
-		switch {
-		case errors.Is(err, statement.ErrProtocol):
-			return a, c.rejectAnswer(op, correlate.Verdict{Attribution: correlate.Ambiguous, Reason: correlate.Unreadable}, sent, err)
-		case err != nil:
-			return a, c.markLost(err, sent)
-		}
-		c.certain = c.tracker.Certain(op, a)
-		v := c.tracker.Attribute(op, a)
-		if v.Attribution == correlate.Earlier && skipped == maxSkippedAnswers {
-			v.Attribution = correlate.Ambiguous
-		}
-		switch v.Attribution {
-		case correlate.Earlier:
-			c.reportRejected(op, v)
-			continue
-		case correlate.Ambiguous:
-			return a, c.rejectAnswer(op, v, sent, nil)
-		}
-		if !c.certain {
-			a.Position = logpos.Position{}
-		}
-		return a, nil
-	}
-}
-
-// rejectAnswer gives up an operation, sent at the given time, whose answer cannot be told from
-// others. A member whose answers make no sense is suspected, and judged as one that fails the
-// statement; one that repeats answers works.
-func (c *Conn) rejectAnswer(op statement.Operation, v correlate.Verdict, sent time.Duration, err error) error {
-	c.broken = true
-	c.reportRejected(op, v)
-	if v.Reason == correlate.Unreadable {
-		c.member.exchangeFailed(sent, failureBroken)
-	} else {
-		c.member.bytesReceived(c.answeredAt)
-	}
-	// A primary that is judged so would be replaced, although copies that are cut suffice.
-	if v.Reason == correlate.Unreadable && isOutcome(op.Verb, statement.Failure) && !c.member.set.isAssumedPrimary(c.member) {
-		c.member.observeOutcome(sent, clock.Now(), statement.Answer{Code: statement.Failure}, c.team)
-	}
-	return &NoResponseError{Member: c.member.id, Err: &AnswerRejectedError{Reason: v.Reason, Err: err}}
-}
-
 func (c *Conn) markLost(err error, sent time.Duration) error {
 	c.broken = true
 	noResponse := &NoResponseError{Member: c.member.id, TimedOut: isTimeout(err), Err: err}
@@ -246,94 +160,6 @@
 	return noResponse
 }
 
-// connState is the state of an idle connection.
-type connState uint8
-
-const (
-	connOpen connState = iota
-	// connClosed has been closed by the member, or has failed.
-	connClosed
-	// connUnclean has data that no operation in progress asked for.
-	connUnclean
-)
-
-// state returns the state of an idle connection.
-func (c *Conn) state() connState {
-	if c.rawConn == nil {
-		return connOpen
-	}
-	// The deadline of the previous operation may have expired, which would make
-	// the look at the socket fail.
-	if err := c.netConn.SetDeadline(time.Time{}); err != nil {
-		return connClosed
-	}
-	received, open := 0, true
-	err := c.rawConn.Read(func(fd uintptr) bool {
-		received, open = peek(int(fd))
-		return true
-	})
-	switch {
-	case err != nil || !open:
-		return connClosed
-	case received > 0 || c.reader.Buffered() > 0:
-		return connUnclean
-	}
-	return connOpen
-}
-
-// peek returns how many bytes a socket has received, at most one, and whether it is open as
-// far as they tell. It leaves the bytes there.
-func peek(fd int) (received int, open bool) {
-	var buf [1]byte
-	n, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	if err != nil {
-		return 0, errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
-	}
-	return n, n > 0
-}
-
-// closedAfterData drops what a connection that is not used again has received, and reports
-// whether the member has closed it.
-func (c *Conn) closedAfterData() bool {
-	if c.rawConn == nil {
-		return false
-	}
-	closed := false
-	err := c.rawConn.Read(func(fd uintptr) bool {
-		var buf [readBufferBytes]byte
-		for {
-			n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_DONTWAIT)
-			if n <= 0 {
-				closed = err == nil || !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
-				return true
-			}
-		}
-	})
-	return err != nil || closed
-}
-
-// alive reports whether an idle connection is still open.
-func (c *Conn) alive() bool { return c.state() != connClosed }
-
-// usable reports whether an idle connection can serve a caller. It records why it cannot.
-func (c *Conn) usable() bool {
-	switch c.state() {
-	case connClosed:
-		c.broken = true
-		c.closedByMember()
-		return false
-	case connUnclean:
-		c.tracker.Retire()
-		if c.closedAfterData() {
-			c.broken = true
-			c.closedByMember()
-		}
-		c.reportRejected(statement.Operation{}, correlate.Verdict{Attribution: correlate.Earlier, Reason: correlate.Unrequested})
-		return false
-	}
-	return true
-}
-
 // closedByMember records that the member has closed the connection, which may mean that it
 // has restarted.
 func (c *Conn) closedByMember() {
--- a/node/replicaset/member.go
+++ b/node/replicaset/member.go
@@ -100,12 +100,16 @@
 
 // observePosition records the end of the member's log.
 func (m *Member) observePosition(p logpos.Position, now time.Duration) {
-	if p.IsZero() {
-		return
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.position, m.positionAt = p, now
+	m.setPosition(p, now)
+}
+
+// setPosition is observePosition with mu held.
+func (m *Member) setPosition(p logpos.Position, now time.Duration) {
+	if !p.IsZero() {
+		m.position, m.positionAt = p, now
+	}
 }
 
 // lastPosition returns the latest known end of the member's log and when it was
--- a/node/replicaset/member_health.go
+++ b/node/replicaset/member_health.go
@@ -9,11 +9,12 @@
 	"github.com/dotterelswitch/dotterelswitch/node/eventlog"
 )
 
-// responseReceived records an answer to a request sent at the given time.
+// responseReceived records an answer to a request sent at the given time, and its position.
 func (m *Member) responseReceived(sent, now time.Duration, a statement.Answer, kind string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.health.ResponseReceived(sent, now)
+	m.setPosition(a.Position, now)
 	if a.Signature != "" {
 		m.pool.ObserveResponse(now - sent)
 		m.executionTimes.Observe(kind, now-sent, now)
--- a/node/replicaset/run.go
+++ b/node/replicaset/run.go
@@ -21,10 +21,16 @@
 // run sends a caller's statement on a connection that already has the caller's
 // session values.
 func (c *Conn) run(st statement.Statement, minPosition logpos.Position, deadline time.Duration) (exchange, error) {
-	op := statement.Operation{Verb: statement.Forward, Kind: st.RunKind(), ID: st.ID, Text: st.Text, MinPosition: minPosition}
+	op := forward(st)
+	op.MinPosition = minPosition
 	return c.runAs(op, st, deadline)
 }
 
+// forward returns the operation that sends a caller's statement unchanged.
+func forward(st statement.Statement) statement.Operation {
+	return statement.Operation{Verb: statement.Forward, Kind: st.RunKind(), ID: st.ID, Text: st.Text}
+}
+
 // runSettled is run for a statement whose refusal is a promise, or which others follow in its
 // transaction: if a later error on the connection was taken for its answer, the statement's own
 // one arrives before the acknowledgement of another operation.
@@ -37,7 +43,8 @@
 	return x, err
 }
 
-// runAs is run with an operation that is prepared but for what an Execute adds.
+// runAs sends an operation that forward has returned for the statement. An Execute is sent under
+// the name that its shape has on the connection.
 func (c *Conn) runAs(op statement.Operation, st statement.Statement, deadline time.Duration) (exchange, error) {
 	if st.Kind != statement.Execute {
 		return c.send(op, deadline)
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"golang.org/x/sys/unix"
 
 	"github.com/dotterelswitch/dotterelswitch/core/pgcorrelate"
 	"github.com/dotterelswitch/dotterelswitch/node/pgframe"
+	"github.com/dotterelswitch/dotterelswitch/node/socket"
 )
 
 const (
@@ -102,15 +102,7 @@
 	if c.rawConn == nil {
 		return false, true
 	}
-	open = true
-	err := c.rawConn.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		data = n > 0
-		open = n > 0 || err == unix.EAGAIN || err == unix.EINTR
-		return true
-	})
-	return data, open && err == nil
+	return socket.Received(c.rawConn)
 }
 
 // dropAsynchronous drops one message that a member may send at any moment. It reports false if
