Attribution: the models share the member that copies its answers

stutteringMember and refusingMember each had the stream of answers and copies, its drawing and the newest certain position.

--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/correlate"
-	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 )
 
@@ -78,23 +77,8 @@
 	}
 }
 
-// stutteringMember answers operations in order, and repeats earlier answers at any time.
-type stutteringMember struct {
-	random *rand.Rand
-	// stream holds the answers under way, with the operation that each belongs to.
-	stream []repeated
-	past   []repeated
-	sent   int
-	state  statement.TxState
-	offset uint64
-	// known is the newest position that is certain.
-	known logpos.Position
-}
-
-type repeated struct {
-	answer statement.Answer
-	of     int
-}
+// stutteringMember answers operations in order, and refuses a quarter of the callers'.
+type stutteringMember struct{ copyingMember }
 
 // run executes an operation and returns its number.
 func (m *stutteringMember) run(op statement.Operation) int {
@@ -119,21 +103,10 @@
 		}
 	}
 	m.offset++
-	a.State, a.Position = m.state, logpos.Position{Term: 1, Offset: logpos.Offset(m.offset)}
-	m.repeat()
-	m.stream = append(m.stream, repeated{a, m.sent})
-	m.past = append(m.past, m.stream[len(m.stream)-1])
-	m.repeat()
+	m.send(a)
 	return m.sent
 }
 
-// repeat sends up to three earlier answers again.
-func (m *stutteringMember) repeat() {
-	for len(m.past) > 0 && m.random.IntN(3) == 0 {
-		m.stream = append(m.stream, m.past[m.random.IntN(len(m.past))])
-	}
-}
-
 // next returns the next operation in the current state that suits the connection.
 func (m *stutteringMember) next(t *correlate.Tracker) statement.Operation {
 	if t.State() != statement.Idle {
@@ -155,7 +128,7 @@
 func TestRepeatedAnswersAreNotTakenForOthers(t *testing.T) {
 	current := 0
 	for seed := range uint64(20000) {
-		m := &stutteringMember{random: rand.New(rand.NewPCG(seed, 69))}
+		m := &stutteringMember{copyingMember{random: rand.New(rand.NewPCG(seed, 69)), copyOneIn: 3}}
 		var tracker correlate.Tracker
 		for range 12 {
 			if tracker.State() == statement.Idle && (tracker.Retired() || !tracker.Settleable(m.known)) {
@@ -167,7 +140,7 @@
 			var got repeated
 			certain := false
 			for verdict.Attribution == correlate.Earlier && len(m.stream) > 0 {
-				got, m.stream = m.stream[0], m.stream[1:]
+				got = m.receive()
 				certain = tracker.Certain(op, got.answer)
 				verdict = tracker.Attribute(op, got.answer)
 			}
@@ -180,8 +153,8 @@
 				break
 			}
 			current++
-			if certain && m.known.Less(got.answer.Position) {
-				m.known = got.answer.Position
+			if certain {
+				m.notePosition(got.answer.Position)
 			}
 			// A read or a status that is taken for refused has no effect.
 			harmless := op.Kind == statement.Read || op.Verb == statement.ReportStatus
--- a/core/correlate/refusing_member_test.go
+++ b/core/correlate/refusing_member_test.go
@@ -8,24 +8,21 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/dotterelswitch/dotterelswitch/core/correlate"
-	"github.com/dotterelswitch/dotterelswitch/core/logpos"
 	"github.com/dotterelswitch/dotterelswitch/core/statement"
 )
 
-// refusingMember answers operations in order, refuses some of any kind, and repeats earlier
-// answers.
+// refusingMember answers operations in order and refuses some of any kind.
 type refusingMember struct {
-	random       *rand.Rand
-	stream, past []repeated
-	sent         int
-	state        statement.TxState
-	offset       uint64
-	// known is the newest position that is certain.
-	known logpos.Position
+	copyingMember
 	// refuseOwn allows the refusal of operations of the proxy but begins.
 	refuseOwn bool
 }
 
+// newRefusingMember returns the member of a seed.
+func newRefusingMember(seed uint64) *refusingMember {
+	return &refusingMember{copyingMember: copyingMember{random: rand.New(rand.NewPCG(seed, 70)), copyOneIn: 6}}
+}
+
 func (m *refusingMember) answer(op statement.Operation) statement.Answer {
 	refused := m.random.IntN(3) == 0
 	callers := op.Verb == statement.Forward || op.Verb == statement.ExecutePrepared
@@ -73,20 +70,10 @@
 	if m.random.IntN(2) == 0 {
 		m.offset++
 	}
-	a.State, a.Position = m.state, logpos.Position{Term: 1, Offset: logpos.Offset(m.offset)}
-	m.repeat()
-	m.stream = append(m.stream, repeated{a, m.sent})
-	m.past = append(m.past, m.stream[len(m.stream)-1])
-	m.repeat()
+	m.send(a)
 	return m.sent
 }
 
-func (m *refusingMember) repeat() {
-	for len(m.past) > 0 && m.random.IntN(6) == 0 {
-		m.stream = append(m.stream, m.past[m.random.IntN(len(m.past))])
-	}
-}
-
 var (
 	reset    = operation(statement.ResetSession, 0)
 	prepare  = operation(statement.PrepareStatement, 0)
@@ -140,10 +127,9 @@
 // attribute reads answers up to one that does not repeat an earlier one.
 func (m *refusingMember) attribute(t *correlate.Tracker, op statement.Operation) (got repeated, verdict correlate.Attribution, arrived bool) {
 	for len(m.stream) > 0 {
-		got, m.stream = m.stream[0], m.stream[1:]
-		certain := t.Certain(op, got.answer)
-		if certain && m.known.Less(got.answer.Position) {
-			m.known = got.answer.Position
+		got = m.receive()
+		if t.Certain(op, got.answer) {
+			m.notePosition(got.answer.Position)
 		}
 		if v := t.Attribute(op, got.answer); v.Attribution != correlate.Earlier {
 			return got, v.Attribution, true
@@ -170,7 +156,7 @@
 func TestRefusedOperationsAreNotTakenForOthers(t *testing.T) {
 	found := mistakes{}
 	for seed := range uint64(30000) {
-		(&refusingMember{random: rand.New(rand.NewPCG(seed, 70))}).use(found)
+		newRefusingMember(seed).use(found)
 	}
 	require.Empty(t, found)
 }
@@ -181,7 +167,9 @@
 func TestRefusedOwnOperationsAreNotTakenForOthers(t *testing.T) {
 	found := mistakes{}
 	for seed := range uint64(30000) {
-		(&refusingMember{random: rand.New(rand.NewPCG(seed, 70)), refuseOwn: true}).use(found)
+		m := newRefusingMember(seed)
+		m.refuseOwn = true
+		m.use(found)
 	}
 	require.Empty(t, found)
 }
