Stand-ins: the proxies that disturb messages share their connections

answerproxy, pgproxy and responseproxy each accepted and tracked connections, drew chances and delays, and two wrote in pieces. connproxy does it for all three; faultproxy, which disturbs whole connections and resets them, stays. The draws of a seed are as before. Tests of node/entry, node/host, node/onplatform, node/consul and node/soak that use them pass.

--- a/standin/answerproxy/proxy.go
+++ b/standin/answerproxy/proxy.go
@@ -4,13 +4,13 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/dotterelswitch/dotterelswitch/standin/connproxy"
 	"github.com/dotterelswitch/dotterelswitch/standin/crlf"
 )
 
@@ -35,107 +35,38 @@
 
 // Proxy forwards connections to one member.
 type Proxy struct {
-	target   string
-	listener net.Listener
+	*connproxy.Proxy
 	recorder *Recorder
 	fault    atomic.Pointer[Fault]
-
-	mu     sync.Mutex
-	random *rand.Rand
-	conns  map[net.Conn]bool
-	closed bool
+	// changes serializes the calls of ChangeFault.
+	changes sync.Mutex
 }
 
 // New starts a proxy on a free loopback address.
 func New(target string, recorder *Recorder, seed uint64) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	base, err := connproxy.Listen(target, seed)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, recorder: recorder, random: rand.New(rand.NewPCG(seed, 0)), conns: map[net.Conn]bool{}}
+	p := &Proxy{Proxy: base, recorder: recorder}
 	p.fault.Store(&Fault{})
-	go p.accept()
+	go p.Serve(p.forward)
 	return p, nil
 }
 
-// Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
-
 // SetFault replaces the current fault.
 func (p *Proxy) SetFault(f Fault) { p.fault.Store(&f) }
 
-// ChangeFault changes the current fault.
+// ChangeFault changes a part of the current fault.
 func (p *Proxy) ChangeFault(change func(*Fault)) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.changes.Lock()
+	defer p.changes.Unlock()
 	f := *p.fault.Load()
 	change(&f)
 	p.fault.Store(&f)
 }
 
-// Close closes the listener and all connections.
-func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for c := range p.conns {
-		_ = c.Close()
-	}
-}
-
-func (p *Proxy) accept() {
-	for {
-		client, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		go p.serve(client)
-	}
-}
-
-// chance draws whether something with the given probability happens.
-func (p *Proxy) chance(probability float64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.random.Float64() < probability
-}
-
-func (p *Proxy) delay(limit time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Duration(p.random.Float64() * float64(limit))
-}
-
-// track registers connections that Close closes. It reports false if the proxy is closed.
-func (p *Proxy) track(conns ...net.Conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = true
-	}
-	return !p.closed
-}
-
-func (p *Proxy) untrack(conns ...net.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
-		delete(p.conns, c)
-	}
-}
-
-func (p *Proxy) serve(client net.Conn) {
-	member, err := net.Dial("tcp", p.target)
-	if err != nil {
-		_ = client.Close()
-		return
-	}
-	defer p.untrack(client, member)
-	if !p.track(client, member) {
-		return
-	}
+func (p *Proxy) forward(client, member net.Conn) {
 	pair := &pair{proxy: p, client: client, member: member, idle: true, position: "-"}
 	done := make(chan struct{})
 	go func() {
@@ -181,7 +112,7 @@
 			c.mu.Unlock()
 		}
 		if id != "-" && word != "START" && word != "TERMINATE" {
-			c.proxy.recorder.message(Message{Member: c.proxy.target, ID: id, Text: text})
+			c.proxy.recorder.message(Message{Member: c.proxy.Target, ID: id, Text: text})
 		}
 		if _, err := c.member.Write([]byte(message + crlf.End)); err != nil {
 			return
@@ -195,7 +126,7 @@
 	word, _, _ := strings.Cut(text, " ")
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || len(c.pending) > 0 || !f.refuses(word) || !c.proxy.chance(f.Refuse) {
+	if !c.idle || len(c.pending) > 0 || !f.refuses(word) || !c.proxy.Chance(f.Refuse) {
 		return false
 	}
 	answer := fmt.Sprintf("ERROR BUSY refused%sREADY I %s%s", crlf.End, c.position, crlf.End)
@@ -232,7 +163,7 @@
 		word, rest, _ := strings.Cut(message, " ")
 		switch word {
 		case "DATAROW":
-			if c.callerWaits() && c.proxy.chance(f.Forge) {
+			if c.callerWaits() && c.proxy.Chance(f.Forge) {
 				rest = f.ForgedRow
 			}
 			message = "DATAROW " + rest
@@ -270,7 +201,7 @@
 	state, position, _ := strings.Cut(ready, " ")
 	c.idle, c.position = state == "I", position
 	c.send(answer, f)
-	if c.proxy.chance(f.Repeat) {
+	if c.proxy.Chance(f.Repeat) {
 		c.repeat(answer, f)
 	}
 }
@@ -278,24 +209,14 @@
 // repeat sends an answer a second time, later. mu must be held.
 func (c *pair) repeat(answer string, f *Fault) {
 	c.proxy.recorder.repeat()
-	time.AfterFunc(c.proxy.delay(f.MaxDelay), func() {
+	time.AfterFunc(c.proxy.Delay(f.MaxDelay), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.send(answer, f)
 	})
 }
 
-// send writes an answer to the host. mu must be held. An error shows at the next read.
+// send writes an answer to the host. mu must be held.
 func (c *pair) send(answer string, f *Fault) {
-	size := f.ChunkBytes
-	if size == 0 {
-		size = len(answer)
-	}
-	for len(answer) > 0 {
-		n := min(size, len(answer))
-		if _, err := c.client.Write([]byte(answer[:n])); err != nil {
-			return
-		}
-		answer = answer[n:]
-	}
+	connproxy.WriteInPieces(c.client, []byte(answer), f.ChunkBytes)
 }
--- a/standin/pgproxy/proxy.go
+++ b/standin/pgproxy/proxy.go
@@ -7,13 +7,14 @@
 	"bufio"
 	"encoding/binary"
 	"io"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/connproxy"
 )
 
 // Fault tells how answers are disturbed. The zero value disturbs nothing.
@@ -31,107 +32,30 @@
 
 // Proxy forwards connections to one member.
 type Proxy struct {
-	target   string
-	listener net.Listener
+	*connproxy.Proxy
 	fault    atomic.Pointer[Fault]
 	repeated atomic.Int64
-
-	mu     sync.Mutex
-	random *rand.Rand
-	conns  map[net.Conn]bool
-	closed bool
 }
 
 // New starts a proxy on a free loopback address.
 func New(target string, seed uint64) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	base, err := connproxy.Listen(target, seed)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, random: rand.New(rand.NewPCG(seed, 0)), conns: map[net.Conn]bool{}}
+	p := &Proxy{Proxy: base}
 	p.fault.Store(&Fault{})
-	go p.accept()
+	go p.Serve(p.forward)
 	return p, nil
 }
 
-// Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
-
 // SetFault replaces the current fault.
 func (p *Proxy) SetFault(f Fault) { p.fault.Store(&f) }
 
 // Repeated returns how many answers were sent a second time.
 func (p *Proxy) Repeated() int { return int(p.repeated.Load()) }
 
-// Close closes the listener and all connections.
-func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.mu.Lock()
-	p.closed = true
-	p.mu.Unlock()
-	p.CloseConnections()
-}
-
-// CloseConnections closes all connections, as a member that ends idle ones does.
-func (p *Proxy) CloseConnections() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.conns {
-		_ = c.Close()
-	}
-}
-
-func (p *Proxy) accept() {
-	for {
-		client, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		go p.serve(client)
-	}
-}
-
-func (p *Proxy) chance(probability float64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.random.Float64() < probability
-}
-
-func (p *Proxy) delay(limit time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Duration(p.random.Float64() * float64(limit))
-}
-
-// track registers connections that Close closes. It reports false if the proxy is closed.
-func (p *Proxy) track(conns ...net.Conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = true
-	}
-	return !p.closed
-}
-
-func (p *Proxy) untrack(conns ...net.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
-		delete(p.conns, c)
-	}
-}
-
-func (p *Proxy) serve(client net.Conn) {
-	member, err := net.Dial("tcp", p.target)
-	if err != nil {
-		_ = client.Close()
-		return
-	}
-	defer p.untrack(client, member)
-	if !p.track(client, member) {
-		return
-	}
+func (p *Proxy) forward(client, member net.Conn) {
 	go func() {
 		_, _ = io.Copy(member, client)
 		_ = member.Close()
@@ -174,14 +98,14 @@
 // disturb sends an answer with what the fault adds to it.
 func (a *answers) disturb(answer []byte) {
 	f := a.proxy.fault.Load()
-	if a.proxy.chance(f.Async) {
+	if a.proxy.Chance(f.Async) {
 		a.send(asynchronous())
 	}
 	a.send(answer)
-	if a.proxy.chance(f.Async) {
+	if a.proxy.Chance(f.Async) {
 		a.sendLater(asynchronous(), f)
 	}
-	if a.proxy.chance(f.Repeat) {
+	if a.proxy.Chance(f.Repeat) {
 		a.proxy.repeated.Add(1)
 		a.sendLater(answer, f)
 	}
@@ -192,24 +116,14 @@
 		a.send(b)
 		return
 	}
-	time.AfterFunc(a.proxy.delay(f.MaxDelay), func() { a.send(b) })
+	time.AfterFunc(a.proxy.Delay(f.MaxDelay), func() { a.send(b) })
 }
 
 // send writes messages to the client. An error shows at the next read.
 func (a *answers) send(b []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	size := a.proxy.fault.Load().ChunkBytes
-	if size == 0 {
-		size = max(len(b), 1)
-	}
-	for len(b) > 0 {
-		n := min(size, len(b))
-		if _, err := a.client.Write(b[:n]); err != nil {
-			return
-		}
-		b = b[n:]
-	}
+	connproxy.WriteInPieces(a.client, b, a.proxy.fault.Load().ChunkBytes)
 }
 
 // asynchronous returns messages that a member may send at any moment.
--- a/standin/responseproxy/proxy.go
+++ b/standin/responseproxy/proxy.go
@@ -6,12 +6,13 @@
 	"bufio"
 	"bytes"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dotterelswitch/dotterelswitch/standin/connproxy"
 )
 
 // Fault tells how responses are disturbed. The zero value disturbs nothing.
@@ -28,108 +29,41 @@
 
 // Proxy forwards connections to one server.
 type Proxy struct {
-	target      string
-	listener    net.Listener
+	*connproxy.Proxy
 	fault       atomic.Pointer[Fault]
 	connections atomic.Int64
 	requests    atomic.Int64
 	repeated    atomic.Int64
-
-	mu     sync.Mutex
-	random *rand.Rand
-	conns  map[net.Conn]bool
-	closed bool
 }
 
 // New starts a proxy on a free loopback address.
 func New(target string, seed uint64) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	base, err := connproxy.Listen(target, seed)
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{target: target, listener: l, random: rand.New(rand.NewPCG(seed, 0)), conns: map[net.Conn]bool{}}
+	p := &Proxy{Proxy: base}
 	p.fault.Store(&Fault{})
-	go p.accept()
+	go p.Serve(func(client, server net.Conn) {
+		p.connections.Add(1)
+		c := &pair{proxy: p, client: client, server: server}
+		c.forward()
+	})
 	return p, nil
 }
 
-// Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
-
 // SetFault replaces the current fault.
 func (p *Proxy) SetFault(f Fault) { p.fault.Store(&f) }
 
-// Connections returns how many connections were accepted.
+// Connections returns how many connections were forwarded.
 func (p *Proxy) Connections() int { return int(p.connections.Load()) }
 
-// Requests returns how many requests were forwarded.
+// Requests returns how many requests have arrived.
 func (p *Proxy) Requests() int { return int(p.requests.Load()) }
 
-// Repeated returns how many responses were to be sent a second time.
+// Repeated returns how many responses were sent a second time.
 func (p *Proxy) Repeated() int { return int(p.repeated.Load()) }
 
-// Close closes the listener and all connections.
-func (p *Proxy) Close() {
-	_ = p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.closed = true
-	for c := range p.conns {
-		_ = c.Close()
-	}
-}
-
-func (p *Proxy) accept() {
-	for {
-		client, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		p.connections.Add(1)
-		go p.serve(client)
-	}
-}
-
-// track registers connections that Close closes. It reports false if the proxy is closed.
-func (p *Proxy) track(conns ...net.Conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range conns {
-		p.conns[c] = true
-	}
-	return !p.closed
-}
-
-func (p *Proxy) untrack(conns ...net.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range conns {
-		_ = c.Close()
-		delete(p.conns, c)
-	}
-}
-
-func (p *Proxy) serve(client net.Conn) {
-	server, err := net.Dial("tcp", p.target)
-	if err != nil {
-		_ = client.Close()
-		return
-	}
-	defer p.untrack(client, server)
-	if !p.track(client, server) {
-		return
-	}
-	c := &pair{proxy: p, client: client, server: server}
-	c.forward()
-}
-
-// draw returns whether a response is repeated, and how much later.
-func (p *Proxy) draw(f *Fault) (bool, time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.random.Float64() < f.Repeat, time.Duration(p.random.Float64() * float64(f.MaxDelay))
-}
-
 // pair is a client's connection with its connection to the server.
 type pair struct {
 	proxy          *Proxy
@@ -184,7 +118,7 @@
 
 // repeat sends some responses a second time, later.
 func (c *pair) repeat(response []byte, f *Fault) {
-	repeated, delay := c.proxy.draw(f)
+	repeated, delay := c.proxy.Chance(f.Repeat), c.proxy.Delay(f.MaxDelay)
 	switch {
 	case !repeated:
 		return
